--- /dev/null
+++ b/src/process/host_selector.ts
@@ -0,0 +1,47 @@
+/**
+ * Choice of the host that gets the next attempt.
+ */
+import type {HostLoad} from './admission_controller.js';
+import type {KnownHost} from './fleet_view.js';
+import type {EjectionPolicy} from '../version/policy.js';
+
+/** What an attempt needs. */
+export interface SelectionRequest {
+  readonly service: string;
+  readonly classIndex: number;
+  /** Hosts this call has tried already. */
+  readonly triedHostNames: ReadonlySet<string>;
+}
+
+/** The outcome of a selection. */
+export type Selection =
+  | {readonly kind: 'selected'; readonly host: KnownHost}
+  /** Every usable host reports that it refuses this class now. */
+  | {readonly kind: 'all-refuse'; readonly retryAfterMillis: number}
+  | {readonly kind: 'no-host'};
+
+/** How an attempt ended, as far as routing is concerned. */
+export type AttemptVerdict = 'success' | 'refused' | 'failed' | 'silent';
+
+/** Per-host state for the state dump. */
+export interface HostRoutingState {
+  readonly hostName: string;
+  readonly outstandingCount: number;
+  readonly load: HostLoad | undefined;
+  readonly isEjected: boolean;
+}
+
+/** Picks hosts by load, availability zone and recent failures. */
+export abstract class HostSelector {
+  abstract configure(ejection: EjectionPolicy, slowStartMillis: number): void;
+  abstract select(request: SelectionRequest): Selection;
+  /** Notes an attempt sent to a host. */
+  abstract recordStart(hostName: string): void;
+  /** Notes its end, with the load the host reported, if it did. */
+  abstract recordEnd(
+    hostName: string,
+    verdict: AttemptVerdict,
+    load: HostLoad | undefined,
+  ): void;
+  abstract states(): readonly HostRoutingState[];
+}
--- /dev/null
+++ b/src/request/retry_grant.ts
@@ -0,0 +1,21 @@
+/**
+ * Conserved grant of retries: what one request may spend over its whole chain.
+ */
+
+/** Retries lent to one attempt; settled exactly once. */
+export interface RetryLoan {
+  readonly count: number;
+  /** Returns what the callee left unspent. */
+  settle(unspentCount: number): void;
+  /** Writes the loan off because no answer told what is left. */
+  forfeit(): void;
+}
+
+/** Retries available to one request on this host, shared by its parallel calls. */
+export abstract class RetryGrant {
+  abstract remaining(): number;
+  /** Takes one retry for an attempt beyond the first. */
+  abstract trySpend(): boolean;
+  /** Lends a part of the grant to an attempt. */
+  abstract lend(): RetryLoan;
+}
