Emulator: stand-in platform with read, watch and fronts that fail independently

The daemon needs something to read and watch. Fronts let one availability zone see a stale or absent platform while others do not; nothing in the protocol identifies a reader, so address or header matching was ruled out.

--- /dev/null
+++ b/src/emulator/http_support.ts
@@ -0,0 +1,202 @@
+/**
+ * Small HTTP helpers shared by the emulated systems: listening, reading whole
+ * messages and sending one request.
+ */
+import * as http from 'node:http';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {BaseError, TransportError, describeError} from '../base/errors.js';
+
+/** The only interface the emulated systems ever open. */
+export const LOOPBACK_ADDRESS = '127.0.0.1';
+
+/** Largest message the emulated systems hold in memory. */
+const MAXIMUM_MESSAGE_BYTES = 256 * 1024 * 1024;
+
+/** Opens a listener and resolves with the port in use. */
+export function listen(
+  server: Server,
+  address: string,
+  port: number,
+): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, address, () => {
+      server.off('error', reject);
+      resolve((server.address() as AddressInfo).port);
+    });
+  });
+}
+
+/** Closes an HTTP server together with the connections it still has. */
+export function closeServer(server: http.Server): Promise<void> {
+  return new Promise(resolve => {
+    server.close(() => {
+      resolve();
+    });
+    server.closeAllConnections();
+  });
+}
+
+/** Reads a message to its end; rejects when it breaks off or is too large. */
+export async function readWhole(
+  message: http.IncomingMessage,
+): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let lengthBytes = 0;
+  for await (const chunk of message as AsyncIterable<Buffer>) {
+    lengthBytes += chunk.byteLength;
+    if (lengthBytes > MAXIMUM_MESSAGE_BYTES) {
+      throw new TransportError('message too large', {
+        props: {step: 'read-message'},
+      });
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
+
+/** Sends a JSON answer. */
+export function sendJson(
+  response: http.ServerResponse,
+  statusCode: number,
+  content: unknown,
+): void {
+  const body = Buffer.from(JSON.stringify(content));
+  response.writeHead(statusCode, {
+    'content-type': 'application/json',
+    'content-length': body.byteLength,
+  });
+  response.end(body);
+}
+
+/** One request to send. */
+export interface HttpRequestOptions {
+  readonly address: string;
+  readonly port: number;
+  readonly method?: string | undefined;
+  readonly path: string;
+  readonly headers?: http.OutgoingHttpHeaders | undefined;
+  readonly body?: Uint8Array | undefined;
+  readonly agent?: http.Agent | undefined;
+  readonly signal?: AbortSignal | undefined;
+}
+
+/** A complete answer. */
+export interface HttpAnswer {
+  readonly statusCode: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
+/**
+ * Sends one request and reads the whole answer; rejects with a TransportError
+ * when the connection fails or the answer breaks off.
+ */
+export function sendHttp(options: HttpRequestOptions): Promise<HttpAnswer> {
+  const peer = `${options.address}:${String(options.port)}`;
+  return new Promise((resolve, reject) => {
+    const fail = (step: string, error: unknown): void => {
+      reject(new TransportError(describeError(error), {props: {step, peer}}));
+    };
+    const request = http.request(
+      {
+        host: options.address,
+        port: options.port,
+        method: options.method ?? 'GET',
+        path: options.path,
+        headers: {
+          ...options.headers,
+          'content-length': options.body?.byteLength ?? 0,
+        },
+        agent: options.agent,
+        signal: options.signal,
+      },
+      message => {
+        readWhole(message).then(
+          body => {
+            resolve({
+              statusCode: message.statusCode ?? 0,
+              headers: message.headers,
+              body,
+            });
+          },
+          (error: unknown) => {
+            fail('read-answer', error);
+          },
+        );
+      },
+    );
+    request.on('error', error => {
+      fail('send-request', error);
+    });
+    request.end(options.body);
+  });
+}
+
+/** Sends a JSON document to a control port; throws unless it answers 200. */
+export async function callControl(
+  port: number,
+  method: string,
+  path: string,
+  content?: unknown,
+): Promise<unknown> {
+  const answer = await sendHttp({
+    address: LOOPBACK_ADDRESS,
+    port,
+    method,
+    path,
+    body: encodeContent(content),
+    agent: new http.Agent({keepAlive: false}),
+  });
+  if (answer.statusCode !== 200) {
+    throw new BaseError(
+      `${method} ${path}: ${String(answer.statusCode)} ${answer.body.toString()}`,
+      {props: {step: 'control', peer: `port ${String(port)}`}},
+    );
+  }
+  return JSON.parse(answer.body.toString()) as unknown;
+}
+
+function encodeContent(content: unknown): Uint8Array | undefined {
+  if (content === undefined) return undefined;
+  if (content instanceof Uint8Array) return content;
+  return Buffer.from(JSON.stringify(content));
+}
+
+/** Handles one request of a control port; the result is sent as JSON. */
+export type ControlHandler = (
+  method: string,
+  path: string,
+  body: Buffer,
+) => unknown;
+
+/**
+ * Creates a control port's server: a handler that throws answers 400 with the
+ * message, one that returns undefined answers 404.
+ */
+export function createControlServer(handler: ControlHandler): http.Server {
+  return http.createServer((request, response) => {
+    readWhole(request)
+      .then(body => handler(request.method ?? '', request.url ?? '/', body))
+      .then(content => {
+        if (content === undefined) sendJson(response, 404, 'no such operation');
+        else sendJson(response, 200, content);
+      })
+      .catch((error: unknown) => {
+        sendJson(response, 400, describeError(error));
+      });
+  });
+}
+
+/** Follows a server's open connections, which `http` does not expose. */
+export function trackSockets(server: Server): ReadonlySet<Socket> {
+  const sockets = new Set<Socket>();
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket);
+    socket.on('error', () => {
+      // Clients of emulated systems break connections on purpose.
+    });
+    socket.once('close', () => sockets.delete(socket));
+  });
+  return sockets;
+}
--- /dev/null
+++ b/src/emulator/stand_in_platform.ts
@@ -0,0 +1,314 @@
+/**
+ * Stand-in for the platform's configuration service: two documents that can
+ * only be read and watched, behind one or more fronts that fail independently.
+ */
+import * as http from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createEmitter} from '../base/event.js';
+import {InvalidInputError} from '../base/errors.js';
+import {
+  LOOPBACK_ADDRESS,
+  closeServer,
+  createControlServer,
+  listen,
+  trackSockets,
+} from './http_support.js';
+
+/** The two documents the platform publishes. */
+export type DocumentName = 'policy' | 'hosts';
+
+/** How a front answers. */
+export type PlatformFaultMode =
+  | 'up'
+  /** Connections are closed as soon as they are opened. */
+  | 'refuse'
+  /** Requests are read and never answered. */
+  | 'hang'
+  /** Requests are answered with 500. */
+  | 'error'
+  /** Answers break off in the middle of the document. */
+  | 'truncate';
+
+/** Fault state of one front. */
+export interface PlatformFault {
+  readonly mode: PlatformFaultMode;
+  /** Serves the documents as they were when staleness began. */
+  readonly isStale: boolean;
+  /** Added before each answer. */
+  readonly delayMillis: number;
+}
+
+/** Calls by kind; a waiting watch counts as one. */
+export interface PlatformCounts {
+  readonly callsCount: number;
+  readonly readsCount: number;
+  readonly watchesCount: number;
+  readonly failedCount: number;
+}
+
+/** An address readers use; one for each availability zone in larger set-ups. */
+export interface PlatformFrontOptions {
+  readonly name: string;
+  readonly port: number;
+}
+
+/** What to listen on; port 0 lets the system choose. */
+export interface StandInPlatformOptions {
+  readonly address?: string | undefined;
+  /** Port of the front named `main`. */
+  readonly port: number;
+  readonly controlPort?: number | undefined;
+  /** Fronts besides `main`. */
+  readonly fronts?: readonly PlatformFrontOptions[] | undefined;
+}
+
+/** A running stand-in. */
+export interface StandInPlatform {
+  /** Port of the front `main`. */
+  readonly port: number;
+  readonly controlPort: number;
+  readonly frontPorts: ReadonlyMap<string, number>;
+  /** Publishes a document exactly as given; `version` overrides its own. */
+  publish(name: DocumentName, bytes: Uint8Array, version?: number): number;
+  /** Changes the fault state of one front, or of all for `all`. */
+  setFault(frontName: string, fault: Partial<PlatformFault>): void;
+  counts(): PlatformCounts;
+  close(): Promise<void>;
+}
+
+interface PublishedDocument {
+  readonly version: number;
+  readonly bytes: Uint8Array;
+}
+
+type Documents = Readonly<Record<DocumentName, PublishedDocument | undefined>>;
+
+interface Front {
+  readonly server: http.Server;
+  readonly sockets: ReadonlySet<Socket>;
+  fault: PlatformFault;
+  /** Documents served while stale. */
+  frozenDocuments: Documents | undefined;
+}
+
+const HEALTHY: PlatformFault = {mode: 'up', isStale: false, delayMillis: 0};
+
+/** Longest wait a watch may ask for. */
+const MAXIMUM_WAIT_MILLIS = 120_000;
+
+const DOCUMENT_PATHS: ReadonlyMap<string, DocumentName> = new Map([
+  ['/v1/policy', 'policy'],
+  ['/v1/hosts', 'hosts'],
+]);
+
+/** Starts a stand-in platform without documents. */
+export async function createStandInPlatform(
+  options: StandInPlatformOptions,
+): Promise<StandInPlatform> {
+  const address = options.address ?? LOOPBACK_ADDRESS;
+  const onDidChange = createEmitter<undefined>();
+  const counts = {
+    callsCount: 0,
+    readsCount: 0,
+    watchesCount: 0,
+    failedCount: 0,
+  };
+  let documents: Documents = {policy: undefined, hosts: undefined};
+
+  const serve = async (
+    front: Front,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> => {
+    const url = new URL(request.url ?? '/', 'http://platform');
+    const name = DOCUMENT_PATHS.get(url.pathname);
+    const after = url.searchParams.get('after');
+    counts.callsCount += 1;
+    if (after === null) counts.readsCount += 1;
+    else counts.watchesCount += 1;
+    if (front.fault.mode === 'hang') {
+      counts.failedCount += 1;
+      return;
+    }
+    if (front.fault.delayMillis > 0) await sleep(front.fault.delayMillis);
+    if (front.fault.mode === 'error') {
+      counts.failedCount += 1;
+      response.writeHead(500, {'content-length': 0}).end();
+      return;
+    }
+    if (name === undefined || request.method !== 'GET') {
+      response.writeHead(404, {'content-length': 0}).end();
+      return;
+    }
+    const held = (): PublishedDocument | undefined =>
+      (front.frozenDocuments ?? documents)[name];
+    if (after !== null) {
+      const waitMillis = Number(url.searchParams.get('wait_ms') ?? '0');
+      await waitForNewer(held, Number(after), waitMillis, response);
+    }
+    if (response.destroyed) return;
+    answer(front, response, held(), after);
+  };
+
+  const waitForNewer = (
+    held: () => PublishedDocument | undefined,
+    afterVersion: number,
+    waitMillis: number,
+    response: ServerResponse,
+  ): Promise<void> =>
+    new Promise(resolve => {
+      const isNewer = (): boolean => (held()?.version ?? 0) > afterVersion;
+      const finish = (): void => {
+        clearTimeout(timer);
+        subscription.dispose();
+        resolve();
+      };
+      const timer = setTimeout(
+        finish,
+        Math.min(waitMillis, MAXIMUM_WAIT_MILLIS),
+      );
+      const subscription = onDidChange.event(() => {
+        if (isNewer()) finish();
+      });
+      response.once('close', finish);
+      if (isNewer()) finish();
+    });
+
+  const answer = (
+    front: Front,
+    response: ServerResponse,
+    document: PublishedDocument | undefined,
+    after: string | null,
+  ): void => {
+    if (document === undefined) {
+      const statusCode = after === null ? 404 : 304;
+      response.writeHead(statusCode, {'content-length': 0}).end();
+      return;
+    }
+    const etag = `"${String(document.version)}"`;
+    if (after !== null && document.version <= Number(after)) {
+      response.writeHead(304, {etag}).end();
+      return;
+    }
+    response.writeHead(200, {
+      etag,
+      'content-type': 'application/json',
+      'content-length': document.bytes.byteLength,
+    });
+    if (front.fault.mode === 'truncate') {
+      counts.failedCount += 1;
+      const half = Math.floor(document.bytes.byteLength / 2);
+      response.write(document.bytes.subarray(0, half), () => {
+        response.destroy();
+      });
+      return;
+    }
+    response.end(document.bytes);
+  };
+
+  const fronts = new Map<string, Front>();
+  const frontPorts = new Map<string, number>();
+  const openFront = async (name: string, port: number): Promise<void> => {
+    const server = http.createServer((request, response) => {
+      serve(front, request, response).catch(() => {
+        response.destroy();
+      });
+    });
+    const sockets = trackSockets(server);
+    const front: Front = {
+      server,
+      sockets,
+      fault: HEALTHY,
+      frozenDocuments: undefined,
+    };
+    server.on('connection', (socket: Socket) => {
+      if (front.fault.mode === 'refuse') socket.destroy();
+    });
+    fronts.set(name, front);
+    frontPorts.set(name, await listen(server, address, port));
+  };
+
+  const setFrontFault = (front: Front, fault: Partial<PlatformFault>): void => {
+    front.fault = {...front.fault, ...fault};
+    if (!front.fault.isStale) front.frozenDocuments = undefined;
+    else front.frozenDocuments ??= documents;
+    if (front.fault.mode === 'refuse') {
+      for (const socket of front.sockets) socket.destroy();
+    }
+    onDidChange.fire(undefined);
+  };
+
+  const publish = (
+    name: DocumentName,
+    bytes: Uint8Array,
+    version?: number,
+  ): number => {
+    const nextVersion =
+      version ?? versionOf(name, bytes) ?? (documents[name]?.version ?? 0) + 1;
+    documents = {...documents, [name]: {version: nextVersion, bytes}};
+    onDidChange.fire(undefined);
+    return nextVersion;
+  };
+
+  const setFault = (frontName: string, fault: Partial<PlatformFault>): void => {
+    const chosen = frontName === 'all' ? [...fronts.keys()] : [frontName];
+    for (const name of chosen) {
+      const front = fronts.get(name);
+      if (front === undefined) {
+        throw new InvalidInputError(`no front named '${name}'`);
+      }
+      setFrontFault(front, fault);
+    }
+  };
+
+  const control = createControlServer((method, path, body) => {
+    const url = new URL(path, 'http://control');
+    const [, operation = '', argument = ''] = url.pathname.split('/');
+    if (method === 'GET' && operation === 'counts') return counts;
+    if (method !== 'PUT') return undefined;
+    if (operation === 'policy' || operation === 'hosts') {
+      const given = url.searchParams.get('version');
+      const version = given === null ? undefined : Number(given);
+      return {version: publish(operation, new Uint8Array(body), version)};
+    }
+    if (operation !== 'faults') return undefined;
+    setFault(argument, JSON.parse(body.toString()) as Partial<PlatformFault>);
+    return {};
+  });
+
+  await openFront('main', options.port);
+  for (const front of options.fronts ?? []) {
+    await openFront(front.name, front.port);
+  }
+  const controlPort = await listen(control, address, options.controlPort ?? 0);
+
+  return {
+    port: frontPorts.get('main') ?? 0,
+    controlPort,
+    frontPorts,
+    publish,
+    setFault,
+    counts: () => ({...counts}),
+    close: async () => {
+      onDidChange.dispose();
+      const servers = [control, ...[...fronts.values()].map(f => f.server)];
+      await Promise.all(servers.map(closeServer));
+    },
+  };
+}
+
+/** Version a document states about itself; undefined for a broken document. */
+function versionOf(name: DocumentName, bytes: Uint8Array): number | undefined {
+  try {
+    const content = JSON.parse(Buffer.from(bytes).toString()) as {
+      readonly version?: unknown;
+      readonly revision?: unknown;
+    };
+    const version = name === 'policy' ? content.version : content.revision;
+    return typeof version === 'number' ? version : undefined;
+  } catch {
+    return undefined;
+  }
+}
