Emulator: stand-in upstream with slots, call plans, faults and a record of executions

The record is the truth that outcomes told to callers are compared with, so an execution is recorded when it takes a slot, whatever becomes of its answer. Answers name their request and echo the digest of its body, so a client notices a fragment or a mix-up.

--- /dev/null
+++ b/src/emulator/stand_in_upstream.ts
@@ -0,0 +1,383 @@
+/**
+ * Stand-in for an upstream: executes requests in slots, calls deeper into the
+ * graph through its own node, and misbehaves on request.
+ */
+import {createHash} from 'node:crypto';
+import * as http from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {HEADER} from '../protocol/headers.js';
+import {createAnswerBody, digestOf} from './answer_body.js';
+import type {ExecutionRecord} from './execution_record.js';
+import {REQUEST_PARAMETER, createExecutionRecord} from './execution_record.js';
+import {
+  LOOPBACK_ADDRESS,
+  closeServer,
+  createControlServer,
+  listen,
+  readWhole,
+  trackSockets,
+} from './http_support.js';
+import {createSeededRandom} from './seeded_random.js';
+import {createSlotPool} from './slot_pool.js';
+import {createUpstreamCalls} from './upstream_calls.js';
+import type {
+  CutPosition,
+  FaultMode,
+  UpstreamConfig,
+  UpstreamFault,
+  UpstreamRoute,
+} from './upstream_config.js';
+import {NO_FAULT, findUpstreamRoute} from './upstream_config.js';
+
+/** Counters since the start. */
+export interface UpstreamCounts {
+  readonly receivedCount: number;
+  readonly startedCount: number;
+  readonly completedCount: number;
+  readonly refusedCount: number;
+  readonly cancelledCount: number;
+  readonly inProgressCount: number;
+  readonly waitingCount: number;
+  readonly peakInProgressCount: number;
+  readonly openConnectionsCount: number;
+  /** Calls that came back with a body that is not whole or not their own. */
+  readonly wrongAnswersCount: number;
+}
+
+/** A running stand-in. */
+export interface StandInUpstream {
+  readonly port: number;
+  readonly controlPort: number;
+  readonly record: ExecutionRecord;
+  /** Changes the named parts of the behaviour. */
+  setFault(fault: Partial<UpstreamFault>): void;
+  /** Lets held answers go. */
+  releaseHeld(): void;
+  counts(): UpstreamCounts;
+  close(): Promise<void>;
+}
+
+/** One request as the upstream sees it. */
+interface Incoming {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly url: URL;
+  readonly name: string;
+  readonly body: Buffer;
+  /** Fires when the client has gone away before the answer's end. */
+  readonly signal: AbortSignal;
+}
+
+const DEFAULT_QUEUE_COUNT = 10_000;
+
+/** Starts a stand-in upstream. */
+export async function createStandInUpstream(
+  config: UpstreamConfig,
+): Promise<StandInUpstream> {
+  const address = config.address ?? LOOPBACK_ADDRESS;
+  const record = createExecutionRecord();
+  const random = createSeededRandom(config.seed ?? 1);
+  const calls = createUpstreamCalls(config);
+  const slots = createSlotPool(
+    config.slotsCount,
+    config.queueCount ?? DEFAULT_QUEUE_COUNT,
+  );
+  const held = new Set<() => void>();
+  const counts = {
+    receivedCount: 0,
+    startedCount: 0,
+    completedCount: 0,
+    refusedCount: 0,
+    cancelledCount: 0,
+    peakInProgressCount: 0,
+  };
+  let fault = NO_FAULT;
+
+  /** Takes the fault for one request, using up its remaining count. */
+  const takeFaultMode = (path: string): FaultMode => {
+    const {mode, remainingCount, pathPrefix} = fault;
+    if (mode === 'none' || !path.startsWith(pathPrefix)) return 'none';
+    if (remainingCount === null) return mode;
+    if (remainingCount <= 0) return 'none';
+    fault = {...fault, remainingCount: remainingCount - 1};
+    return mode;
+  };
+
+  const handle = async (
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> => {
+    const controller = new AbortController();
+    response.once('close', () => {
+      if (!response.writableFinished) controller.abort();
+    });
+    counts.receivedCount += 1;
+    const body = await readWhole(request);
+    const url = new URL(request.url ?? '/', 'http://upstream');
+    const incoming: Incoming = {
+      request,
+      response,
+      url,
+      name: url.searchParams.get(REQUEST_PARAMETER) ?? '',
+      body,
+      signal: controller.signal,
+    };
+    const route = findUpstreamRoute(
+      config.routes,
+      request.method ?? '',
+      url.pathname,
+    );
+    if (route === undefined) {
+      sendPlain(response, 404);
+      return;
+    }
+    const faultMode = takeFaultMode(url.pathname);
+    if (faultMode === 'reset-unrun') {
+      request.socket.resetAndDestroy();
+      return;
+    }
+    if (faultMode === 'refuse' || !(await slots.acquire(incoming.signal))) {
+      refuse(incoming);
+      return;
+    }
+    try {
+      await execute(incoming, route, faultMode);
+    } finally {
+      slots.release();
+    }
+  };
+
+  const refuse = (incoming: Incoming): void => {
+    counts.refusedCount += 1;
+    sendPlain(incoming.response, 503, {[HEADER.upstreamOutcome]: 'not-run'});
+  };
+
+  const execute = async (
+    incoming: Incoming,
+    route: UpstreamRoute,
+    faultMode: FaultMode,
+  ): Promise<void> => {
+    counts.startedCount += 1;
+    counts.peakInProgressCount = Math.max(
+      counts.peakInProgressCount,
+      slots.busyCount(),
+    );
+    const execution = record.start({
+      request: incoming.name,
+      key: headerText(incoming.request, HEADER.idempotencyKey),
+      method: incoming.request.method ?? '',
+      path: incoming.url.pathname,
+    });
+    try {
+      if (faultMode === 'silent') await waitForAbort(incoming.signal);
+      await serveFor(route, incoming.signal);
+      const result = await calls.run(
+        route.callStages ?? [],
+        incoming,
+        execution,
+        fault,
+      );
+      execution.isComplete = true;
+      counts.completedCount += 1;
+      if (faultMode === 'hold') await waitForRelease(incoming.signal);
+      const statusCode = result.isSuccess ? 200 : 502;
+      incoming.response.once('finish', () => {
+        execution.isAnswered = true;
+      });
+      answer(incoming, route, faultMode, statusCode, result.statusCodes);
+    } catch (error) {
+      if (!incoming.signal.aborted) throw error;
+      execution.isCancelled = true;
+      counts.cancelledCount += 1;
+    } finally {
+      execution.endMillis = Date.now();
+    }
+  };
+
+  const serveFor = async (
+    route: UpstreamRoute,
+    signal: AbortSignal,
+  ): Promise<void> => {
+    const serviceMillis =
+      random.logNormal(route.serviceMillis, route.serviceSigma ?? 0) *
+      fault.slowFactor;
+    if (serviceMillis > 0) await sleep(serviceMillis, undefined, {signal});
+  };
+
+  const waitForRelease = (signal: AbortSignal): Promise<void> =>
+    new Promise(resolve => {
+      const finish = (): void => {
+        held.delete(finish);
+        signal.removeEventListener('abort', finish);
+        resolve();
+      };
+      held.add(finish);
+      signal.addEventListener('abort', finish, {once: true});
+    });
+
+  const answer = (
+    incoming: Incoming,
+    route: UpstreamRoute,
+    faultMode: FaultMode,
+    statusCode: number,
+    callStatusCodes: readonly number[],
+  ): void => {
+    const {response} = incoming;
+    if (faultMode === 'reset') {
+      incoming.request.socket.resetAndDestroy();
+      return;
+    }
+    if (faultMode === 'error' || faultMode === 'unavailable') {
+      sendPlain(response, faultMode === 'error' ? 500 : 503);
+      return;
+    }
+    const body = createAnswerBody(
+      {
+        request: incoming.name,
+        service: config.service,
+        host: config.hostName,
+        path: incoming.url.pathname,
+        requestDigest: digestOf(incoming.body),
+        calls: callStatusCodes,
+      },
+      route.answerBytes,
+    );
+    if (faultMode === 'cut' && fault.cutAt === 'headers') {
+      cutHeaders(incoming.request);
+      return;
+    }
+    response.writeHead(statusCode, answerHeaders(route, body));
+    if (faultMode === 'cut') cutBody(response, body, fault.cutAt);
+    else response.end(body);
+  };
+
+  const releaseHeld = (): void => {
+    for (const release of [...held]) release();
+  };
+  const setFault = (change: Partial<UpstreamFault>): void => {
+    fault = {...fault, ...change};
+  };
+
+  const server = http.createServer((request, response) => {
+    handle(request, response).catch(() => {
+      response.destroy();
+    });
+  });
+  const sockets = trackSockets(server);
+  if (config.connectionsCount !== undefined) {
+    server.maxConnections = config.connectionsCount;
+  }
+  // Kept open longer than any node keeps an idle connection, so that closing
+  // an idle connection is the node's decision in every run.
+  server.keepAliveTimeout = 600_000;
+
+  const readCounts = (): UpstreamCounts => ({
+    ...counts,
+    inProgressCount: slots.busyCount(),
+    waitingCount: slots.waitingCount(),
+    openConnectionsCount: sockets.size,
+    wrongAnswersCount: calls.wrongAnswersCount(),
+  });
+
+  const control = createControlServer((method, path, body) => {
+    const url = new URL(path, 'http://control');
+    const operation = `${method} ${url.pathname}`;
+    switch (operation) {
+      case 'GET /counts':
+        return readCounts();
+      case 'GET /executions':
+        return record.find(Object.fromEntries(url.searchParams));
+      case 'DELETE /executions':
+        record.clear();
+        return {};
+      case 'GET /fault':
+        return fault;
+      case 'PUT /fault':
+        setFault(JSON.parse(body.toString()) as Partial<UpstreamFault>);
+        return fault;
+      case 'POST /release':
+        releaseHeld();
+        return {};
+      default:
+        return undefined;
+    }
+  });
+
+  const port = await listen(server, address, config.port);
+  const controlPort = await listen(control, address, config.controlPort ?? 0);
+  return {
+    port,
+    controlPort,
+    record,
+    setFault,
+    releaseHeld,
+    counts: readCounts,
+    close: async () => {
+      calls.dispose();
+      await Promise.all([closeServer(server), closeServer(control)]);
+    },
+  };
+}
+
+/** First value of a header, empty when absent. */
+function headerText(request: IncomingMessage, name: string): string {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : '';
+}
+
+/** Rejects when the client goes away; never resolves. */
+function waitForAbort(signal: AbortSignal): Promise<never> {
+  return new Promise((_, reject) => {
+    const onAbort = (): void => {
+      reject(new Error('client went away'));
+    };
+    if (signal.aborted) onAbort();
+    else signal.addEventListener('abort', onAbort, {once: true});
+  });
+}
+
+function sendPlain(
+  response: ServerResponse,
+  statusCode: number,
+  headers: http.OutgoingHttpHeaders = {},
+): void {
+  response.writeHead(statusCode, {...headers, 'content-length': 0}).end();
+}
+
+function answerHeaders(
+  route: UpstreamRoute,
+  body: Buffer,
+): http.OutgoingHttpHeaders {
+  const headers: http.OutgoingHttpHeaders = {
+    'content-type': 'application/octet-stream',
+  };
+  if (route.hasDigest === true) {
+    const digest = createHash('sha256').update(body).digest('base64');
+    headers[HEADER.contentDigest] = `sha-256=:${digest}:`;
+  }
+  if (route.isChunked === true) headers['transfer-encoding'] = 'chunked';
+  else headers[HEADER.contentLength] = body.byteLength;
+  return headers;
+}
+
+/** Breaks off within the status line and headers. */
+function cutHeaders(request: IncomingMessage): void {
+  const {socket} = request;
+  socket.write('HTTP/1.1 200 OK\r\ncontent-ty', () => {
+    socket.destroy();
+  });
+}
+
+/** Breaks off within the body, as an upstream that dies would. */
+function cutBody(
+  response: ServerResponse,
+  body: Buffer,
+  position: CutPosition,
+): void {
+  const keptBytes =
+    position === 'last-byte' ? body.byteLength - 1 : body.byteLength >> 1;
+  response.write(body.subarray(0, keptBytes), () => {
+    response.destroy();
+  });
+}
--- /dev/null
+++ b/src/emulator/upstream_calls.ts
@@ -0,0 +1,151 @@
+/**
+ * The calls an upstream makes through the local listener of its node on behalf
+ * of a request in progress.
+ */
+import * as http from 'node:http';
+import type {IncomingMessage} from 'node:http';
+import type {Disposable} from '../base/lifecycle.js';
+import {HEADER} from '../protocol/headers.js';
+import {digestOf, findAnswerProblem} from './answer_body.js';
+import type {Execution} from './execution_record.js';
+import {REQUEST_PARAMETER} from './execution_record.js';
+import type {HttpAnswer} from './http_support.js';
+import {LOOPBACK_ADDRESS, sendHttp} from './http_support.js';
+import type {
+  ContextMode,
+  PlannedCall,
+  UpstreamConfig,
+  UpstreamFault,
+} from './upstream_config.js';
+
+/** The request that calls are made for. */
+export interface CallOrigin {
+  readonly request: IncomingMessage;
+  /** The client's name for it. */
+  readonly name: string;
+  /** Stops calls that nobody waits for any more. */
+  readonly signal: AbortSignal;
+}
+
+/** What became of all calls of one request. */
+export interface CallsResult {
+  /** False when a call that is not optional failed. */
+  readonly isSuccess: boolean;
+  /** Status of each call; 0 when no answer came. */
+  readonly statusCodes: readonly number[];
+}
+
+/** Makes calls on behalf of requests. */
+export interface UpstreamCalls extends Disposable {
+  /** Runs stages in order, stopping after one with a failed call. */
+  run(
+    stages: readonly (readonly PlannedCall[])[],
+    origin: CallOrigin,
+    execution: Execution,
+    fault: UpstreamFault,
+  ): Promise<CallsResult>;
+  wrongAnswersCount(): number;
+}
+
+/** Creates the calling side of an upstream. */
+export function createUpstreamCalls(config: UpstreamConfig): UpstreamCalls {
+  const agent = new http.Agent({keepAlive: true});
+  let wrongAnswersCount = 0;
+  let previousToken: string | undefined;
+
+  /** The token sent with calls, as the application's context mode has it. */
+  const chooseToken = (
+    origin: CallOrigin,
+    mode: ContextMode,
+  ): string | undefined => {
+    const own = origin.request.headers[HEADER.context] as string | undefined;
+    const previous = previousToken;
+    previousToken = own;
+    if (mode === 'drop') return undefined;
+    return mode === 'previous' ? (previous ?? own) : own;
+  };
+
+  const sendOnce = async (
+    call: PlannedCall,
+    origin: CallOrigin,
+    token: string | undefined,
+  ): Promise<number> => {
+    const body =
+      call.bodyBytes === undefined
+        ? undefined
+        : Buffer.alloc(call.bodyBytes, `${origin.name};`);
+    const query = `${REQUEST_PARAMETER}=${encodeURIComponent(origin.name)}`;
+    let answer: HttpAnswer;
+    try {
+      answer = await sendHttp({
+        address: config.localAddress ?? LOOPBACK_ADDRESS,
+        port: config.localPort,
+        method: call.method,
+        path: `${call.path}?${query}`,
+        headers: callHeaders(call, origin, token),
+        body,
+        agent,
+        signal: origin.signal,
+      });
+    } catch {
+      return 0;
+    }
+    if (answer.statusCode !== 200) return answer.statusCode;
+    const problem = findAnswerProblem(answer.body, {
+      request: origin.name,
+      path: call.path,
+      requestDigest: digestOf(body),
+    });
+    if (problem === undefined) return answer.statusCode;
+    wrongAnswersCount += 1;
+    return 0;
+  };
+
+  return {
+    run: async (stages, origin, execution, fault) => {
+      const statusCodes: number[] = [];
+      if (stages.length === 0) return {isSuccess: true, statusCodes};
+      const token = chooseToken(origin, fault.contextMode);
+      const send = async (call: PlannedCall): Promise<number> => {
+        let statusCode = 0;
+        for (let i = 0; i <= fault.callRepeatsCount; i += 1) {
+          execution.callsCount += 1;
+          statusCode = await sendOnce(call, origin, token);
+          if (statusCode === 200) break;
+        }
+        return statusCode;
+      };
+      for (const stage of stages) {
+        const results = await Promise.all(stage.map(send));
+        // Work for a client that has gone away is wasted.
+        origin.signal.throwIfAborted();
+        statusCodes.push(...results);
+        const isSuccess = stage.every(
+          (call, i) => call.isOptional === true || results[i] === 200,
+        );
+        if (!isSuccess) return {isSuccess, statusCodes};
+      }
+      return {isSuccess: true, statusCodes};
+    },
+    wrongAnswersCount: () => wrongAnswersCount,
+    dispose: () => {
+      agent.destroy();
+    },
+  };
+}
+
+function callHeaders(
+  call: PlannedCall,
+  origin: CallOrigin,
+  token: string | undefined,
+): http.OutgoingHttpHeaders {
+  const headers: http.OutgoingHttpHeaders = {host: call.service};
+  const trace = origin.request.headers[HEADER.traceParent];
+  const key = origin.request.headers[HEADER.idempotencyKey];
+  if (token !== undefined) headers[HEADER.context] = token;
+  if (trace !== undefined) headers[HEADER.traceParent] = trace;
+  if (call.isKeyed === true && key !== undefined) {
+    headers[HEADER.idempotencyKey] = key;
+  }
+  return headers;
+}
--- /dev/null
+++ b/test/unit/emulator/stand_in_upstream.test.ts
@@ -0,0 +1,167 @@
+import * as http from 'node:http';
+import test from 'ava';
+import type {ExecutionContext} from 'ava';
+import {findAnswerProblem} from '../../../src/emulator/answer_body.js';
+import type {HttpAnswer} from '../../../src/emulator/http_support.js';
+import {
+  LOOPBACK_ADDRESS,
+  sendHttp,
+} from '../../../src/emulator/http_support.js';
+import type {StandInUpstream} from '../../../src/emulator/stand_in_upstream.js';
+import {createStandInUpstream} from '../../../src/emulator/stand_in_upstream.js';
+import type {
+  UpstreamFault,
+  UpstreamRoute,
+} from '../../../src/emulator/upstream_config.js';
+
+const LEAF_ROUTE: UpstreamRoute = {
+  method: 'GET',
+  path: '/tiles/:id',
+  serviceMillis: 0,
+  answerBytes: 1000,
+  hasDigest: true,
+};
+
+async function start(
+  t: ExecutionContext,
+  routes: readonly UpstreamRoute[] = [LEAF_ROUTE],
+  localPort = 0,
+): Promise<StandInUpstream> {
+  const upstream = await createStandInUpstream({
+    hostName: 'h1',
+    service: 'atlas',
+    port: 0,
+    localPort,
+    slotsCount: 2,
+    queueCount: 0,
+    routes,
+  });
+  t.teardown(upstream.close);
+  return upstream;
+}
+
+function get(
+  upstream: StandInUpstream,
+  request: string,
+  headers: http.OutgoingHttpHeaders = {},
+): Promise<HttpAnswer> {
+  return sendHttp({
+    address: LOOPBACK_ADDRESS,
+    port: upstream.port,
+    path: `/tiles/7?request=${request}`,
+    headers,
+  });
+}
+
+test('an answer is whole, names its request and is recorded', async t => {
+  const upstream = await start(t);
+  const answer = await get(upstream, 'r1', {'idempotency-key': 'k1'});
+  const expected = {request: 'r1', path: '/tiles/7', requestDigest: ''};
+  t.is(findAnswerProblem(answer.body, expected), undefined);
+  t.truthy(answer.headers['content-digest']);
+  const other = {...expected, request: 'r2'};
+  t.truthy(findAnswerProblem(answer.body, other));
+  t.truthy(findAnswerProblem(answer.body.subarray(0, -1), expected));
+  const [execution] = upstream.record.find({key: 'k1'});
+  t.like(execution, {request: 'r1', isComplete: true, path: '/tiles/7'});
+});
+
+const FAULTS: readonly {
+  readonly fault: Partial<UpstreamFault>;
+  readonly statusCode: number | 'broken';
+  readonly executionsCount: number;
+}[] = [
+  {
+    fault: {mode: 'cut', cutAt: 'headers'},
+    statusCode: 'broken',
+    executionsCount: 1,
+  },
+  {
+    fault: {mode: 'cut', cutAt: 'middle'},
+    statusCode: 'broken',
+    executionsCount: 1,
+  },
+  {
+    fault: {mode: 'cut', cutAt: 'last-byte'},
+    statusCode: 'broken',
+    executionsCount: 1,
+  },
+  {fault: {mode: 'reset'}, statusCode: 'broken', executionsCount: 1},
+  {fault: {mode: 'reset-unrun'}, statusCode: 'broken', executionsCount: 0},
+  {fault: {mode: 'error'}, statusCode: 500, executionsCount: 1},
+  {fault: {mode: 'unavailable'}, statusCode: 503, executionsCount: 1},
+  {fault: {mode: 'refuse'}, statusCode: 503, executionsCount: 0},
+];
+
+for (const {fault, statusCode, executionsCount} of FAULTS) {
+  test(`fault ${JSON.stringify(fault)} affects one request`, async t => {
+    const upstream = await start(t);
+    upstream.setFault({...fault, remainingCount: 1});
+    if (statusCode === 'broken') await t.throwsAsync(get(upstream, 'r1'));
+    else t.is((await get(upstream, 'r1')).statusCode, statusCode);
+    t.is(upstream.record.find({}).length, executionsCount);
+    t.is((await get(upstream, 'r2')).statusCode, 200);
+  });
+}
+
+test('a full upstream refuses without executing', async t => {
+  const upstream = await start(t);
+  upstream.setFault({mode: 'hold'});
+  const held = [get(upstream, 'r1'), get(upstream, 'r2')];
+  while (upstream.counts().completedCount < 2) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  const refused = await get(upstream, 'r3');
+  t.is(refused.headers['fulmarhollow-upstream-outcome'], 'not-run');
+  upstream.releaseHeld();
+  t.deepEqual(
+    (await Promise.all(held)).map(a => a.statusCode),
+    [200, 200],
+  );
+  t.is(upstream.record.find({}).length, 2);
+});
+
+test('a silent upstream stops when its client goes away', async t => {
+  const upstream = await start(t);
+  upstream.setFault({mode: 'silent'});
+  const controller = new AbortController();
+  const pending = sendHttp({
+    address: LOOPBACK_ADDRESS,
+    port: upstream.port,
+    path: '/tiles/7',
+    signal: controller.signal,
+  });
+  while (upstream.counts().startedCount < 1) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  controller.abort();
+  await t.throwsAsync(pending);
+  while (upstream.counts().cancelledCount < 1) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  t.like(upstream.record.find({})[0], {isComplete: false, isCancelled: true});
+});
+
+test('calls go to the local listener with the token of their request', async t => {
+  const leaf = await start(t);
+  const seen: unknown[] = [];
+  const node = http.createServer((request, response) => {
+    const {host, traceparent} = request.headers;
+    seen.push([host, traceparent, request.headers['fulmarhollow-context']]);
+    void get(leaf, 'r1').then(answer => response.end(answer.body));
+  });
+  await new Promise<void>(resolve => node.listen(0, LOOPBACK_ADDRESS, resolve));
+  t.teardown(() => node.close());
+  const {port} = node.address() as {port: number};
+  const call = {service: 'deep', method: 'GET', path: '/tiles/7'};
+  const route = {...LEAF_ROUTE, callStages: [[call, call], [call]]};
+  const upstream = await start(t, [route], port);
+  const headers = {'fulmarhollow-context': 'token', traceparent: 'trace'};
+  t.is((await get(upstream, 'r1', headers)).statusCode, 200);
+  t.deepEqual(seen, Array(3).fill(['deep', 'trace', 'token']));
+  t.is(upstream.counts().wrongAnswersCount, 0);
+  upstream.setFault({contextMode: 'drop'});
+  t.is((await get(upstream, 'other', headers)).statusCode, 502);
+  t.is(upstream.counts().wrongAnswersCount, 2);
+  t.deepEqual(seen.at(-1), ['deep', 'trace', undefined]);
+});
