--- a/src/connection/control_handlers.ts
+++ b/src/connection/control_handlers.ts
@@ -1,7 +1,10 @@
 /**
  * What the control server delegates to other modules.
  */
-import type {HandOverKeysRequest} from '../protocol/gen/fulmarhollow/control/v1/control_pb.js';
+import type {
+  ControlMessage,
+  HandOverKeysRequest,
+} from '../protocol/gen/fulmarhollow/control/v1/control_pb.js';
 
 /** Takes over idempotency records of a stopping executor. */
 export abstract class KeyHandOverReceiver {
@@ -23,3 +26,15 @@
     listRevision: number,
   ): ViewConfirmation;
 }
+
+/** Takes part in exchanges that peers open. */
+export abstract class ExchangeHandler {
+  /**
+   * Returns the messages for the peer; ends or throws when the exchange is
+   * over. `signal` fires when the peer or the connection has gone.
+   */
+  abstract serve(
+    incoming: AsyncIterable<ControlMessage>,
+    signal: AbortSignal,
+  ): AsyncIterable<ControlMessage>;
+}
