--- a/src/process/host_selector.ts
+++ b/src/process/host_selector.ts
@@ -3,7 +3,7 @@
  */
 import type {HostLoad} from './admission_controller.js';
 import type {KnownHost} from './fleet_view.js';
-import type {EjectionPolicy} from '../version/policy.js';
+import type {EjectionPolicy, TimingPolicy} from '../version/policy.js';
 
 /** What an attempt needs. */
 export interface SelectionRequest {
@@ -23,6 +23,15 @@
 /** How an attempt ended, as far as routing is concerned. */
 export type AttemptVerdict = 'success' | 'refused' | 'failed' | 'silent';
 
+/** The end of an attempt. */
+export interface AttemptEnd {
+  readonly hostName: string;
+  readonly classIndex: number;
+  readonly verdict: AttemptVerdict;
+  /** Load the host reported, if it did. */
+  readonly load: HostLoad | undefined;
+}
+
 /** Per-host state for the state dump. */
 export interface HostRoutingState {
   readonly hostName: string;
@@ -33,15 +42,11 @@
 
 /** Picks hosts by load, availability zone and recent failures. */
 export abstract class HostSelector {
-  abstract configure(ejection: EjectionPolicy, slowStartMillis: number): void;
+  abstract configure(ejection: EjectionPolicy, timing: TimingPolicy): void;
   abstract select(request: SelectionRequest): Selection;
   /** Notes an attempt sent to a host. */
   abstract recordStart(hostName: string): void;
-  /** Notes its end, with the load the host reported, if it did. */
-  abstract recordEnd(
-    hostName: string,
-    verdict: AttemptVerdict,
-    load: HostLoad | undefined,
-  ): void;
+  /** Notes its end; once for each start. */
+  abstract recordEnd(end: AttemptEnd): void;
   abstract states(): readonly HostRoutingState[];
 }
--- /dev/null
+++ b/src/process/priority_admission.ts
@@ -0,0 +1,320 @@
+/**
+ * Admission by importance: an adaptive limit, a reserve for important classes
+ * and a short queue from which the least important calls are shed first.
+ */
+import * as Effect from 'effect/Effect';
+import type {Disposable} from '../base/lifecycle.js';
+import {createTimeoutTimer} from '../base/lifecycle.js';
+import type {TimeSource} from '../base/time_source.js';
+import type {
+  AdmissionConfig,
+  AdmissionRefusal,
+  AdmissionRequest,
+  HostLoad,
+  Permit,
+  PermitResult,
+} from './admission_controller.js';
+import {AdmissionController} from './admission_controller.js';
+import type {QueuedCall, ServiceOrder} from './class_queue.js';
+import {createClassQueue} from './class_queue.js';
+import {createAdaptiveLimit} from './concurrency_limit.js';
+import type {Metrics} from './metrics.js';
+import {createRetryAfter} from './retry_after.js';
+import {createShedLevel} from './shed_level.js';
+
+/** What the controller needs. */
+export interface AdmissionOptions {
+  readonly config: AdmissionConfig;
+  readonly time: TimeSource;
+  readonly metrics: Metrics;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+}
+
+type RefusalReason = AdmissionRefusal['reason'];
+
+/** A call between its arrival and its permit or refusal. */
+interface WaitingCall extends QueuedCall {
+  readonly resume: (outcome: Effect.Effect<Permit, AdmissionRefusal>) => void;
+  /** Set once a permit is the call's, until the caller has received it. */
+  undelivered: Permit | undefined;
+  timer: Disposable | undefined;
+}
+
+/** Guards against rounding 0.3 + 0.7 and the like to one slot too few. */
+const ROUNDING_RATIO = 1e-9;
+
+/** Creates a controller that admits up to the published slots. */
+export function createAdmissionController(
+  options: AdmissionOptions,
+): AdmissionController {
+  const {time, metrics, random} = options;
+  let config = options.config;
+  let inFlightCount = 0;
+  let isDraining = false;
+  const queue = createClassQueue<WaitingCall>();
+  const limit = createAdaptiveLimit({slotsCount: config.slotsCount, time});
+  const shedLevel = createShedLevel(
+    time,
+    config.reservedRatios.length,
+    config.queueWaitMillis,
+  );
+  const retryAfter = createRetryAfter({
+    minimumMillis: config.retryAfterMinimumMillis,
+    maximumMillis: config.retryAfterMaximumMillis,
+    time,
+    random,
+  });
+
+  /** Slots a class may use: all but those reserved for more important ones. */
+  function classLimitCount(classIndex: number): number {
+    const reservedRatio = config.reservedRatios
+      .slice(0, classIndex)
+      .reduce((sum, ratio) => sum + ratio, 0);
+    const share = Math.max(0, 1 - reservedRatio) + ROUNDING_RATIO;
+    return Math.max(1, Math.floor(limit.limitCount() * share));
+  }
+
+  function hasFreeSlot(classIndex: number): boolean {
+    return inFlightCount < classLimitCount(classIndex);
+  }
+
+  function serviceOrder(): ServiceOrder {
+    return shedLevel.isStanding() ? 'newest-first' : 'oldest-first';
+  }
+
+  function createPermit(): Permit {
+    inFlightCount += 1;
+    let isReleased = false;
+    return {
+      release: result => {
+        if (isReleased) return;
+        isReleased = true;
+        limit.record({...result, inFlightCount});
+        inFlightCount -= 1;
+        update();
+      },
+    };
+  }
+
+  function tagsOf(classIndex: number): {readonly class: string} {
+    return {class: String(classIndex)};
+  }
+
+  function admitNow(call: WaitingCall): void {
+    retryAfter.recordAdmitted();
+    metrics.increment('admission.admitted', tagsOf(call.classIndex));
+    call.undelivered = createPermit();
+  }
+
+  function deliver(call: WaitingCall): void {
+    call.timer?.dispose();
+    const permit = call.undelivered;
+    call.undelivered = undefined;
+    if (permit !== undefined) call.resume(Effect.succeed(permit));
+  }
+
+  function refuse(call: WaitingCall, reason: RefusalReason): void {
+    call.timer?.dispose();
+    metrics.increment('admission.refused', {
+      ...tagsOf(call.classIndex),
+      reason,
+    });
+    call.resume(
+      Effect.fail({
+        _tag: 'AdmissionRefusal',
+        reason,
+        retryAfterMillis: retryAfter.recordRefused(),
+      }),
+    );
+  }
+
+  /**
+   * Takes everything less important than the given class out of the queue.
+   * Otherwise a call could be refused for want of a slot and a less important
+   * one, queued with more time left, get that slot a moment later.
+   */
+  function shedBelow(classIndex: number): readonly WaitingCall[] {
+    shedLevel.lowerTo(classIndex + 1);
+    return queue.takeFrom(classIndex + 1);
+  }
+
+  function refuseAll(
+    calls: readonly WaitingCall[],
+    reason: RefusalReason,
+  ): void {
+    for (const call of calls) refuse(call, reason);
+  }
+
+  function dropExpiredCalls(): void {
+    const expired = queue.takeExpired(time.monotonicMillis());
+    if (expired.length === 0) return;
+    const shed = shedBelow(Math.min(...expired.map(call => call.classIndex)));
+    refuseAll(shed, 'shed');
+    refuseAll(expired, 'queue-timeout');
+  }
+
+  function shedStanding(): void {
+    const lowest = queue.lastClassIndex();
+    if (lowest === undefined || lowest === 0) return;
+    if (!shedLevel.mayLower()) return;
+    shedLevel.lowerTo(lowest);
+    refuseAll(queue.takeFrom(lowest), 'shed');
+  }
+
+  function dispatch(): void {
+    const granted: WaitingCall[] = [];
+    for (;;) {
+      const classIndex = queue.firstClassIndex();
+      if (classIndex === undefined || !hasFreeSlot(classIndex)) break;
+      const call = queue.takeFirst(serviceOrder());
+      if (call === undefined) break;
+      admitNow(call);
+      granted.push(call);
+    }
+    // Resuming runs the caller's code at once, so it comes after the last
+    // change of state here.
+    for (const call of granted) deliver(call);
+  }
+
+  function update(): void {
+    shedLevel.observe(queue.oldestEnqueuedMillis());
+    dropExpiredCalls();
+    dispatch();
+    shedStanding();
+  }
+
+  function expectedWaitMillis(classIndex: number): number {
+    const aheadCount =
+      serviceOrder() === 'oldest-first'
+        ? queue.sizeUpTo(classIndex)
+        : queue.sizeUpTo(classIndex - 1);
+    const slotMillis = limit.expectedLatencyMillis() / limit.limitCount();
+    return aheadCount * slotMillis;
+  }
+
+  function enqueue(call: WaitingCall): void {
+    const nowMillis = time.monotonicMillis();
+    const {classIndex} = call;
+    if (classIndex >= shedLevel.refusedFromClassIndex()) {
+      refuseAll([...shedBelow(classIndex), call], 'shed');
+      return;
+    }
+    if (nowMillis + expectedWaitMillis(classIndex) >= call.expiresMillis) {
+      refuseAll([...shedBelow(classIndex), call], 'shed');
+      return;
+    }
+    if (queue.sizeCount() >= config.queueCount && !makeRoom(call)) {
+      refuseAll([...shedBelow(classIndex), call], 'queue-full');
+      return;
+    }
+    queue.push(call);
+    call.timer = armTimer(call);
+  }
+
+  /** Evicts the call that would be served last, if it is less important. */
+  function makeRoom(call: WaitingCall): boolean {
+    const order = serviceOrder();
+    const lowest = queue.lastClassIndex();
+    if (lowest === undefined) return false;
+    const mayEvictPeer = order === 'newest-first' && lowest === call.classIndex;
+    if (lowest <= call.classIndex && !mayEvictPeer) return false;
+    const evicted = queue.takeLast(order);
+    if (evicted !== undefined) refuse(evicted, 'queue-full');
+    return evicted !== undefined;
+  }
+
+  function armTimer(call: WaitingCall): Disposable {
+    const leftMillis = call.expiresMillis - time.monotonicMillis();
+    return createTimeoutTimer(Math.max(1, Math.ceil(leftMillis)), () => {
+      update();
+      // A timer may fire a fraction early; the call would then wait for ever.
+      if (queue.has(call)) call.timer = armTimer(call);
+    });
+  }
+
+  function toWaitingCall(
+    request: AdmissionRequest,
+    resume: WaitingCall['resume'],
+  ): WaitingCall {
+    const nowMillis = time.monotonicMillis();
+    const lastIndex = config.reservedRatios.length - 1;
+    return {
+      classIndex: Math.min(Math.max(0, request.classIndex), lastIndex),
+      enqueuedMillis: nowMillis,
+      expiresMillis: Math.min(
+        nowMillis + config.queueWaitMillis,
+        request.deadlineMonotonicMillis,
+      ),
+      resume,
+      undelivered: undefined,
+      timer: undefined,
+    };
+  }
+
+  function submit(call: WaitingCall): void {
+    if (isDraining) {
+      refuse(call, 'draining');
+      return;
+    }
+    update();
+    const isFirst = queue.sizeUpTo(call.classIndex) === 0;
+    if (isFirst && hasFreeSlot(call.classIndex)) {
+      admitNow(call);
+      deliver(call);
+    } else enqueue(call);
+  }
+
+  function cancel(call: WaitingCall): void {
+    call.timer?.dispose();
+    if (queue.remove(call)) {
+      metrics.increment('admission.cancelled', tagsOf(call.classIndex));
+      return;
+    }
+    call.undelivered?.release(NO_RESULT);
+  }
+
+  return new (class extends AdmissionController {
+    override admit(
+      request: AdmissionRequest,
+    ): Effect.Effect<Permit, AdmissionRefusal> {
+      return Effect.callback<Permit, AdmissionRefusal>(resume => {
+        const call = toWaitingCall(request, resume);
+        submit(call);
+        return Effect.sync(() => {
+          cancel(call);
+        });
+      });
+    }
+    override configure(newConfig: AdmissionConfig): void {
+      config = newConfig;
+      limit.configure(config.slotsCount);
+      shedLevel.configure(config.reservedRatios.length, config.queueWaitMillis);
+      retryAfter.configure(
+        config.retryAfterMinimumMillis,
+        config.retryAfterMaximumMillis,
+      );
+      update();
+    }
+    override startDraining(): void {
+      isDraining = true;
+    }
+    override dropExpired(): void {
+      update();
+    }
+    override load(): HostLoad {
+      update();
+      return {
+        inFlightCount,
+        queuedCount: queue.sizeCount(),
+        limitCount: limit.limitCount(),
+        refusedFromClassIndex: isDraining
+          ? 0
+          : shedLevel.refusedFromClassIndex(),
+      };
+    }
+  })();
+}
+
+/** The result of a call whose permit nobody used. */
+const NO_RESULT: PermitResult = {latencyMillis: undefined, isOverload: false};
