--- a/src/process/state_dump.ts
+++ b/src/process/state_dump.ts
@@ -1,6 +1,7 @@
 /**
  * The dump of a process's state on request: each module contributes a section.
  */
+import {describeError} from '../base/errors.js';
 import type {Disposable} from '../base/lifecycle.js';
 import {toDisposable} from '../base/lifecycle.js';
 
@@ -20,7 +21,7 @@
 export interface StateDump {
   /** Adds a section; disposing of the result removes it. */
   register(name: string, section: StateSection): Disposable;
-  /** Collects all sections now. */
+  /** Collects all sections now; one that fails holds its error instead. */
   collect(): Readonly<Record<string, JsonValue>>;
 }
 
@@ -36,9 +37,21 @@
     },
     collect: () => {
       const entries = [...sections].map(
-        ([name, section]) => [name, section()] as const,
+        ([name, section]) => [name, collectSection(section)] as const,
       );
       return Object.fromEntries(entries);
     },
   };
 }
+
+/**
+ * A dump is asked for when something is broken; one section that throws must
+ * not hide the others.
+ */
+function collectSection(section: StateSection): JsonValue {
+  try {
+    return section();
+  } catch (error) {
+    return {error: describeError(error)};
+  }
+}
