--- /dev/null
+++ b/src/cli/admin_client.ts
@@ -0,0 +1,104 @@
+/**
+ * Reads from the administration listeners of nodes.
+ */
+import * as http from 'node:http';
+
+import {
+  CapacityError,
+  InvalidInputError,
+  TransportError,
+} from '../base/errors.js';
+
+/** Address of one administration listener. */
+export interface AdminAddress {
+  readonly host: string;
+  readonly port: number;
+  /** As the operator wrote it. */
+  readonly text: string;
+}
+
+const ADDRESS =
+  /^(?:\[(?<v6>[0-9a-fA-F:.]+)\]|(?<plain>[^:[\]/\s]+)):(?<port>\d{1,5})$/;
+const PORT_MAXIMUM = 65_535;
+const ANSWER_MILLIS = 5000;
+const ANSWER_MAXIMUM_BYTES = 16_777_216;
+const STATUS_OK = 200;
+
+/** Reads `address:port`, the address in brackets if it is IPv6. */
+export function parseAdminAddress(text: string): AdminAddress {
+  const groups = ADDRESS.exec(text)?.groups;
+  const host = groups?.['v6'] ?? groups?.['plain'];
+  const port = Number(groups?.['port']);
+  if (host !== undefined && port >= 1 && port <= PORT_MAXIMUM) {
+    return {host, port, text};
+  }
+  const message = `${JSON.stringify(text)} is no host; allowed: address:port of an administration listener.`;
+  throw new InvalidInputError(message, {props: {step: 'arguments'}});
+}
+
+/** Fetches a JSON document; rejects with an error that names step and peer. */
+export async function fetchAdminJson(
+  address: AdminAddress,
+  path: string,
+): Promise<unknown> {
+  const peer = address.text;
+  const signal = AbortSignal.timeout(ANSWER_MILLIS);
+  const response = await connect(address, path, signal);
+  const text = await readText(response, peer);
+  const content = parseJson(text, peer);
+  if (response.statusCode === STATUS_OK) return content;
+  const message = `HTTP ${String(response.statusCode)}: ${messageOf(content)}`;
+  throw new TransportError(message, {props: {step: 'answer', peer}});
+}
+
+async function connect(
+  address: AdminAddress,
+  path: string,
+  signal: AbortSignal,
+): Promise<http.IncomingMessage> {
+  const {host, port} = address;
+  const props = {step: 'connect', peer: address.text};
+  return await new Promise((resolve, reject) => {
+    const request = http.get({host, port, path, signal, agent: false}, resolve);
+    request.on('error', cause => {
+      reject(new TransportError('No answer', {cause, props}));
+    });
+  });
+}
+
+async function readText(
+  response: http.IncomingMessage,
+  peer: string,
+): Promise<string> {
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  try {
+    for await (const chunk of response as AsyncIterable<Buffer>) {
+      sizeBytes += chunk.byteLength;
+      if (sizeBytes > ANSWER_MAXIMUM_BYTES) {
+        const message = `The answer is larger than ${String(ANSWER_MAXIMUM_BYTES)} bytes`;
+        throw new CapacityError(message);
+      }
+      chunks.push(chunk);
+    }
+  } catch (cause) {
+    const props = {step: 'read-answer', peer};
+    throw new TransportError('The answer is incomplete', {cause, props});
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+function parseJson(text: string, peer: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch (cause) {
+    const message = 'The answer is not JSON; is this the administration port?';
+    const props = {step: 'read-answer', peer};
+    throw new TransportError(message, {cause, props});
+  }
+}
+
+function messageOf(content: unknown): string {
+  if (typeof content !== 'object' || content === null) return '';
+  return 'message' in content ? String(content.message) : '';
+}
