--- /dev/null
+++ b/src/request/request_scope.ts
@@ -0,0 +1,51 @@
+/**
+ * What one request carries from its entry to every call made on its behalf.
+ */
+import type {CompiledPolicy} from '../version/policy.js';
+import type {HeaderField} from '../connection/header_fields.js';
+import type {RetryGrant} from './retry_grant.js';
+
+/** The request as known on this host. */
+export interface RequestScope {
+  readonly requestId: string;
+  /** The version the request entered under, kept to its end. */
+  readonly policy: CompiledPolicy;
+  readonly classIndex: number;
+  readonly deadlineMonotonicMillis: number;
+  readonly grant: RetryGrant;
+  /** Whether only safe calls made on its behalf may be repeated. */
+  readonly isRepeatBanned: boolean;
+  /** Calls made on its behalf from this host. */
+  readonly children: ChildCalls;
+}
+
+/** How the calls made on behalf of a request went. */
+export interface ChildCalls {
+  recordFailure(): void;
+  hasFailed(): boolean;
+}
+
+/** Creates the record of a request that has made no call yet. */
+export function createChildCalls(): ChildCalls {
+  let hasFailed = false;
+  return {
+    recordFailure: () => {
+      hasFailed = true;
+    },
+    hasFailed: () => hasFailed,
+  };
+}
+
+/** A call to be made on behalf of a request. */
+export interface OutboundCall {
+  readonly scope: RequestScope;
+  readonly service: string;
+  readonly method: string;
+  /** Path with query string. */
+  readonly path: string;
+  readonly headers: readonly HeaderField[];
+  readonly body: Uint8Array;
+  readonly key: string | undefined;
+  /** Whether this call may be repeated once an upstream may have got it. */
+  readonly isRepeatBanned: boolean;
+}
