Check and compile policy documents and host lists

Routes of one method whose patterns are equal, or of which neither is the more specific in every segment, are refused because a reader could not tell which rule applies.

Request paths are decoded before they are compared, and dot segments, empty segments and encoded slashes find no route: an upstream may read them as another path, and a wildcard that allows repeats would then repeat an order.

PolicyStore gains onDidActivate: users of the policy in force must be told when it changes, which is later than its acceptance.

--- a/src/process/policy_store.ts
+++ b/src/process/policy_store.ts
@@ -28,4 +28,6 @@
   abstract offer(documentBytes: Uint8Array, source: string): PolicyOfferResult;
   /** Fires after a version was accepted. */
   abstract readonly onDidAccept: Event<CompiledPolicy>;
+  /** Fires when a version came into force. */
+  abstract readonly onDidActivate: Event<CompiledPolicy>;
 }
--- /dev/null
+++ b/src/version/compiled_policy.ts
@@ -0,0 +1,75 @@
+/**
+ * Preparation of a published policy document for look-ups on the data path.
+ */
+import {createDocumentDecoder, digestOf} from './json_document.js';
+import type {CompiledPolicy, Policy, RouteMatch, Service} from './policy.js';
+import {findPolicyProblems} from './policy_checks.js';
+import {policySchema} from './policy_schema.js';
+import type {Problem} from './problem.js';
+import type {RouteMatcher} from './route_matcher.js';
+import {createRouteMatcher} from './route_matcher.js';
+
+/** A policy ready for use, or everything that is wrong with the document. */
+export type PolicyCompilation =
+  | {readonly kind: 'compiled'; readonly compiled: CompiledPolicy}
+  | {readonly kind: 'invalid'; readonly problems: readonly Problem[]};
+
+interface CompiledService {
+  readonly service: Service;
+  readonly findRoute: RouteMatcher<RouteMatch>;
+}
+
+const decodePolicy = createDocumentDecoder(policySchema);
+
+/** Checks a document as published and compiles it if it is valid. */
+export function compilePolicy(documentBytes: Uint8Array): PolicyCompilation {
+  const decoded = decodePolicy(documentBytes);
+  if (decoded.kind === 'invalid') return decoded;
+  const problems = findPolicyProblems(decoded.value);
+  if (problems.length > 0) return {kind: 'invalid', problems};
+  return {
+    kind: 'compiled',
+    compiled: createCompiledPolicy(decoded.value, documentBytes),
+  };
+}
+
+function createCompiledPolicy(
+  policy: Policy,
+  documentBytes: Uint8Array,
+): CompiledPolicy {
+  const classIndexes = new Map(
+    policy.classes.map(({name}, index) => [name, index]),
+  );
+  const services = new Map(
+    policy.services.map(service => [
+      service.name,
+      compileService(service, classIndexes),
+    ]),
+  );
+  return {
+    policy,
+    version: policy.version,
+    digest: digestOf(documentBytes),
+    documentBytes,
+    findService: serviceName => services.get(serviceName)?.service,
+    findRoute: (serviceName, method, path) =>
+      services.get(serviceName)?.findRoute(method, path),
+  };
+}
+
+function compileService(
+  service: Service,
+  classIndexes: ReadonlyMap<string, number>,
+): CompiledService {
+  const entries = service.routes.map(route => ({
+    method: route.method,
+    path: route.path,
+    value: {
+      service,
+      route,
+      // The checks refuse unknown classes; least important is the safe side.
+      classIndex: classIndexes.get(route.className) ?? classIndexes.size - 1,
+    },
+  }));
+  return {service, findRoute: createRouteMatcher(entries)};
+}
--- /dev/null
+++ b/src/version/host_list_schema.ts
@@ -0,0 +1,113 @@
+/**
+ * Schema and checks of the host list the platform publishes.
+ */
+import {isIP} from 'node:net';
+import * as Schema from 'effect/Schema';
+import type {HostList, PublishedHost} from './host_list.js';
+import {createDocumentDecoder} from './json_document.js';
+import {findDuplicateNames} from './name_checks.js';
+import type {Problem} from './problem.js';
+import {
+  listField,
+  nameField,
+  wholeNumberField,
+  wordField,
+} from './schema_fields.js';
+
+const MAX_HOSTS = 4_096;
+const MAX_PORT = 65_535;
+
+const hostNameField = Schema.String.annotate({
+  description:
+    'a host name of 1 to 253 lower-case letters, digits, hyphens and dots',
+}).check(Schema.isPattern(/^[a-z0-9](?:[a-z0-9.-]{0,251}[a-z0-9])?$/));
+
+const addressField = Schema.String.annotate({
+  description: 'an IP address, version 4 or 6',
+}).check(Schema.makeFilter(text => isIP(text) !== 0));
+
+const portField = wholeNumberField({minimum: 1, maximum: MAX_PORT});
+
+/** Shape of the host list. */
+export const hostListSchema: Schema.Codec<HostList> = Schema.Struct({
+  revision: wholeNumberField({minimum: 1, maximum: Number.MAX_SAFE_INTEGER}),
+  hosts: listField(
+    Schema.Struct({
+      name: hostNameField,
+      service: nameField,
+      availabilityZone: nameField,
+      region: nameField,
+      address: addressField,
+      peerPort: portField,
+      controlPort: portField,
+      state: wordField(['live', 'leaving']),
+    }),
+    {minimum: 0, maximum: MAX_HOSTS},
+    'hosts',
+  ),
+});
+
+/** A usable host list, or everything that is wrong with it. */
+export type HostListParse =
+  | {readonly kind: 'parsed'; readonly list: HostList}
+  | {readonly kind: 'invalid'; readonly problems: readonly Problem[]};
+
+const decodeHostList = createDocumentDecoder(hostListSchema);
+
+/** Checks a host list as published. */
+export function parseHostList(documentBytes: Uint8Array): HostListParse {
+  const decoded = decodeHostList(documentBytes);
+  if (decoded.kind === 'invalid') return decoded;
+  const problems = findHostProblems(decoded.value.hosts);
+  if (problems.length > 0) return {kind: 'invalid', problems};
+  return {kind: 'parsed', list: decoded.value};
+}
+
+/**
+ * Two listeners behind one endpoint would take each other's calls, and a zone
+ * in two regions would be near and far at once.
+ */
+function findHostProblems(hosts: readonly PublishedHost[]): readonly Problem[] {
+  return [
+    ...findDuplicateNames('$.hosts', hosts),
+    ...findSharedEndpoints(hosts),
+    ...findSplitZones(hosts),
+  ];
+}
+
+function findSharedEndpoints(
+  hosts: readonly PublishedHost[],
+): readonly Problem[] {
+  const ownerPaths = new Map<string, string>();
+  const problems: Problem[] = [];
+  hosts.forEach((host, index) => {
+    for (const field of ['peerPort', 'controlPort'] as const) {
+      const path = `$.hosts[${String(index)}].${field}`;
+      const endpoint = `${host.address} port ${String(host[field])}`;
+      const ownerPath = ownerPaths.get(endpoint);
+      if (ownerPath === undefined) {
+        ownerPaths.set(endpoint, path);
+        continue;
+      }
+      const allowed = `an address and port that differ from ${ownerPath}`;
+      problems.push({path, value: endpoint, allowed});
+    }
+  });
+  return problems;
+}
+
+function findSplitZones(hosts: readonly PublishedHost[]): readonly Problem[] {
+  const regions = new Map<string, string>();
+  return hosts.flatMap((host, index) => {
+    const region = regions.get(host.availabilityZone) ?? host.region;
+    regions.set(host.availabilityZone, region);
+    if (region === host.region) return [];
+    return [
+      {
+        path: `$.hosts[${String(index)}].region`,
+        value: host.region,
+        allowed: `${region}, the region of availability zone ${host.availabilityZone} so far`,
+      },
+    ];
+  });
+}
--- /dev/null
+++ b/src/version/path_pattern.ts
@@ -0,0 +1,110 @@
+/**
+ * Path patterns of routes: their segments, how two patterns relate, and how a
+ * request path is split for comparison.
+ */
+
+/** One segment of a pattern. */
+export type PatternSegment =
+  | {readonly kind: 'literal'; readonly text: string}
+  /** Any one segment. */
+  | {readonly kind: 'parameter'}
+  /** All remaining segments, at least one; only at the end. */
+  | {readonly kind: 'wildcard'};
+
+/**
+ * How the paths of a pattern relate to those of another. `ambiguous`: some path
+ * fits both and neither pattern is at least as specific in every segment.
+ */
+export type PatternRelation =
+  'disjoint' | 'same' | 'narrower' | 'wider' | 'ambiguous';
+
+const SPECIFICITY = {literal: 2, parameter: 1, wildcard: 0} as const;
+
+/** Splits a pattern that the schema has accepted. */
+export function parsePathPattern(pattern: string): readonly PatternSegment[] {
+  if (pattern === '/') return [];
+  return pattern.slice(1).split('/').map(toSegment);
+}
+
+function toSegment(text: string): PatternSegment {
+  if (text === '*') return {kind: 'wildcard'};
+  if (text.startsWith(':')) return {kind: 'parameter'};
+  return {kind: 'literal', text};
+}
+
+/** Compares two patterns of one method. */
+export function comparePatterns(
+  a: readonly PatternSegment[],
+  b: readonly PatternSegment[],
+): PatternRelation {
+  let isNarrower = false;
+  let isWider = false;
+  const length = Math.max(a.length, b.length);
+  for (let index = 0; index < length; index += 1) {
+    const left = segmentAt(a, index);
+    const right = segmentAt(b, index);
+    if (left === undefined || right === undefined) return 'disjoint';
+    if (
+      left.kind === 'literal' &&
+      right.kind === 'literal' &&
+      left.text !== right.text
+    ) {
+      return 'disjoint';
+    }
+    const difference = SPECIFICITY[left.kind] - SPECIFICITY[right.kind];
+    if (difference > 0) isNarrower = true;
+    if (difference < 0) isWider = true;
+  }
+  if (isNarrower && isWider) return 'ambiguous';
+  if (isNarrower) return 'narrower';
+  return isWider ? 'wider' : 'same';
+}
+
+/** A final wildcard stands for every segment after it. */
+function segmentAt(
+  segments: readonly PatternSegment[],
+  index: number,
+): PatternSegment | undefined {
+  const last = segments.at(-1);
+  if (index >= segments.length && last?.kind === 'wildcard') return last;
+  return segments[index];
+}
+
+/**
+ * Splits the path of a request into decoded segments; undefined for a path that
+ * an upstream may read as another one.
+ */
+export function splitRequestPath(path: string): readonly string[] | undefined {
+  if (!path.startsWith('/')) return undefined;
+  if (path === '/') return [];
+  const segments: string[] = [];
+  for (const rawSegment of path.slice(1).split('/')) {
+    const segment = decodeSegment(rawSegment);
+    if (segment === undefined) return undefined;
+    segments.push(segment);
+  }
+  return segments;
+}
+
+/**
+ * Upstreams decode paths and resolve dot segments. Were `/x/../orders` or
+ * `/%6frders` matched as written, they could fit a wildcard route that allows
+ * repeats while the upstream takes an order, which would then be repeated.
+ * Decoding first and refusing what remains doubtful keeps both readings equal.
+ */
+function decodeSegment(rawSegment: string): string | undefined {
+  const segment = decodePercent(rawSegment);
+  if (segment === undefined || segment === '') return undefined;
+  if (segment === '.' || segment === '..') return undefined;
+  if (/[/\\]/.test(segment)) return undefined;
+  return segment;
+}
+
+function decodePercent(text: string): string | undefined {
+  if (!text.includes('%')) return text;
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/version/policy_checks.ts
@@ -0,0 +1,128 @@
+/**
+ * Rules of the policy document that involve more than one field.
+ */
+import {findDuplicateNames, findRouteOverlaps} from './name_checks.js';
+import type {Policy, Route, Service} from './policy.js';
+import type {Problem} from './problem.js';
+
+/** Everything that makes a well-formed document unusable. */
+export function findPolicyProblems(policy: Policy): readonly Problem[] {
+  return [
+    ...findDuplicateNames('$.availabilityZones', policy.availabilityZones),
+    ...findDuplicateNames('$.classes', policy.classes),
+    ...findDuplicateNames('$.services', policy.services),
+    ...checkReserves(policy),
+    ...policy.services.flatMap((service, index) =>
+      checkService(policy, service, `$.services[${String(index)}]`),
+    ),
+    ...checkKeys(policy),
+    ...checkRetryAfter(policy),
+  ];
+}
+
+/** Sum of all reserves, which lower classes leave free together. */
+export function sumOfReserves(policy: Policy): number {
+  return policy.classes.reduce(
+    (sum, {reservedRatio}) => sum + reservedRatio,
+    0,
+  );
+}
+
+function checkReserves(policy: Policy): readonly Problem[] {
+  const sum = sumOfReserves(policy);
+  if (sum < 1) return [];
+  return [
+    {
+      path: '$.classes',
+      value: sum,
+      allowed: 'a sum of reservedRatio below 1, or the last class never runs',
+    },
+  ];
+}
+
+function checkService(
+  policy: Policy,
+  service: Service,
+  path: string,
+): readonly Problem[] {
+  const problems: Problem[] = [];
+  if (service.slotsCount > service.connectionsCount) {
+    problems.push({
+      path: `${path}.slotsCount`,
+      value: service.slotsCount,
+      allowed: `at most connectionsCount (${String(service.connectionsCount)}), because every executing call holds a connection`,
+    });
+  }
+  problems.push(...findDuplicateNames(`${path}.routes`, service.routes));
+  problems.push(...findRouteOverlaps(`${path}.routes`, service.routes));
+  service.routes.forEach((route, index) => {
+    const routePath = `${path}.routes[${String(index)}]`;
+    problems.push(...checkRoute(policy, service, route, routePath));
+  });
+  return problems;
+}
+
+function checkRoute(
+  policy: Policy,
+  service: Service,
+  route: Route,
+  path: string,
+): readonly Problem[] {
+  const problems: Problem[] = [];
+  if (!policy.classes.some(({name}) => name === route.className)) {
+    const names = policy.classes.map(({name}) => name).join(', ');
+    problems.push({
+      path: `${path}.className`,
+      value: route.className,
+      allowed: `the name of a class: ${names}`,
+    });
+  }
+  if (route.deadlineMillis <= service.queueWaitMillis) {
+    problems.push({
+      path: `${path}.deadlineMillis`,
+      value: route.deadlineMillis,
+      allowed: `more than the service's queueWaitMillis (${String(service.queueWaitMillis)}), or the wait alone may use it up`,
+    });
+  }
+  if (route.isKeyRequired && route.deadlineMillis >= policy.keys.windowMillis) {
+    problems.push({
+      path: `${path}.deadlineMillis`,
+      value: route.deadlineMillis,
+      allowed: `less than keys.windowMillis (${String(policy.keys.windowMillis)}), or a key is forgotten while its request runs`,
+    });
+  }
+  return problems;
+}
+
+function checkKeys({keys, bodies}: Policy): readonly Problem[] {
+  const problems: Problem[] = [];
+  const shortestWindowMillis = 2 * (keys.leaseMillis + keys.clockBoundMillis);
+  if (keys.windowMillis < shortestWindowMillis) {
+    problems.push({
+      path: '$.keys.windowMillis',
+      value: keys.windowMillis,
+      allowed: `at least twice leaseMillis and clockBoundMillis together (${String(shortestWindowMillis)}), so that the record of a key outlives every outdated view`,
+    });
+  }
+  if (keys.answerBytes > bodies.bufferedAnswerBytes) {
+    problems.push({
+      path: '$.keys.answerBytes',
+      value: keys.answerBytes,
+      allowed: `at most bodies.bufferedAnswerBytes (${String(bodies.bufferedAnswerBytes)}), because larger answers are not held`,
+    });
+  }
+  return problems;
+}
+
+function checkRetryAfter({timing}: Policy): readonly Problem[] {
+  if (timing.retryAfterMinimumMillis <= timing.retryAfterMaximumMillis) {
+    return [];
+  }
+  return [
+    {
+      path: '$.timing.retryAfterMinimumMillis',
+      value: timing.retryAfterMinimumMillis,
+      allowed: `at most retryAfterMaximumMillis (${String(timing.retryAfterMaximumMillis)})`,
+    },
+  ];
+}
--- /dev/null
+++ b/src/version/route_matcher.ts
@@ -0,0 +1,115 @@
+/**
+ * Look-up of routes by method and path, prepared once for each version.
+ */
+import type {PatternSegment} from './path_pattern.js';
+import {parsePathPattern, splitRequestPath} from './path_pattern.js';
+
+/** A value stored under a method and a path pattern. */
+export interface RouteEntry<T> {
+  readonly method: string;
+  readonly path: string;
+  readonly value: T;
+}
+
+/** Finds the value for a request; `path` is without the query string. */
+export type RouteMatcher<T> = (method: string, path: string) => T | undefined;
+
+/** Patterns that share their first segments share nodes. */
+interface TrieNode<T> {
+  readonly literals: Map<string, TrieNode<T>>;
+  parameter?: TrieNode<T>;
+  /** Value of a pattern whose wildcard starts here. */
+  wildcardValue?: T;
+  /** Value of a pattern that ends here. */
+  value?: T;
+}
+
+/** The patterns of one method. */
+interface MethodTable<T> {
+  /** Patterns without parameters, found without splitting the path. */
+  readonly literalPaths: Map<string, T>;
+  readonly root: TrieNode<T>;
+}
+
+/**
+ * Creates a matcher in which, segment by segment, a literal goes before a
+ * parameter and a parameter before a wildcard. The work of one look-up depends
+ * on the segments of the path, not on the number of routes.
+ */
+export function createRouteMatcher<T extends object>(
+  entries: readonly RouteEntry<T>[],
+): RouteMatcher<T> {
+  const tables = new Map<string, MethodTable<T>>();
+  for (const entry of entries) insertEntry(tables, entry);
+  return (method, path) => {
+    const table = tables.get(method);
+    if (table === undefined) return undefined;
+    const exact = table.literalPaths.get(path);
+    if (exact !== undefined) return exact;
+    const segments = splitRequestPath(path);
+    return segments && findInTrie(table.root, segments, 0);
+  };
+}
+
+function insertEntry<T>(
+  tables: Map<string, MethodTable<T>>,
+  {method, path, value}: RouteEntry<T>,
+): void {
+  let table = tables.get(method);
+  if (table === undefined) {
+    table = {literalPaths: new Map(), root: createNode()};
+    tables.set(method, table);
+  }
+  const segments = parsePathPattern(path);
+  if (segments.every(({kind}) => kind === 'literal')) {
+    table.literalPaths.set(path, value);
+  }
+  insertSegments(table.root, segments, value);
+}
+
+function insertSegments<T>(
+  root: TrieNode<T>,
+  segments: readonly PatternSegment[],
+  value: T,
+): void {
+  let node = root;
+  for (const segment of segments) {
+    if (segment.kind === 'wildcard') {
+      node.wildcardValue = value;
+      return;
+    }
+    node = childFor(node, segment);
+  }
+  node.value = value;
+}
+
+function childFor<T>(
+  node: TrieNode<T>,
+  segment: Exclude<PatternSegment, {kind: 'wildcard'}>,
+): TrieNode<T> {
+  if (segment.kind === 'parameter') return (node.parameter ??= createNode());
+  const known = node.literals.get(segment.text);
+  if (known !== undefined) return known;
+  const created = createNode<T>();
+  node.literals.set(segment.text, created);
+  return created;
+}
+
+function createNode<T>(): TrieNode<T> {
+  return {literals: new Map()};
+}
+
+function findInTrie<T>(
+  node: TrieNode<T>,
+  segments: readonly string[],
+  index: number,
+): T | undefined {
+  const segment = segments[index];
+  if (segment === undefined) return node.value;
+  const literal = node.literals.get(segment);
+  return (
+    (literal && findInTrie(literal, segments, index + 1)) ??
+    (node.parameter && findInTrie(node.parameter, segments, index + 1)) ??
+    node.wildcardValue
+  );
+}
--- /dev/null
+++ b/src/version/schema_fields.ts
@@ -0,0 +1,70 @@
+/**
+ * Building blocks of the document schemas; each says in words what it accepts.
+ */
+import * as Schema from 'effect/Schema';
+
+const NAME_PATTERN = /^[a-z][a-z0-9-]{0,62}$/;
+
+/** Smallest and largest accepted value, both included. */
+export interface Range {
+  readonly minimum: number;
+  readonly maximum: number;
+}
+
+/** Lower-case name, usable as a DNS label and as a metric tag. */
+export const nameField = Schema.String.annotate({
+  description:
+    'a name of 1 to 63 lower-case letters, digits and hyphens that starts with a letter',
+}).check(Schema.isPattern(NAME_PATTERN));
+
+/** Whole number within a range; `unit` is what it counts, in the plural. */
+export function wholeNumberField(
+  range: Range,
+  unit?: string,
+): Schema.Codec<number> {
+  const subject = unit === undefined ? '' : ` of ${unit}`;
+  return Schema.Number.annotate({
+    description: `a whole number${subject}, ${describeRange(range)}`,
+  }).check(Schema.isInt(), Schema.isBetween(range));
+}
+
+/** Number within a range that need not be whole. */
+export function numberField(range: Range, unit: string): Schema.Codec<number> {
+  return Schema.Number.annotate({
+    description: `a number of ${unit}, ${describeRange(range)}`,
+  }).check(Schema.isFinite(), Schema.isBetween(range));
+}
+
+/** Share of a whole. */
+export const ratioField = Schema.Number.annotate({
+  description: 'a ratio, from 0 to 1',
+}).check(Schema.isFinite(), Schema.isBetween({minimum: 0, maximum: 1}));
+
+/** One of a few words. */
+export function wordField<const T extends readonly string[]>(
+  words: T,
+): Schema.Codec<T[number]> {
+  const quoted = words.map(word => JSON.stringify(word)).join(', ');
+  return Schema.Literals(words).annotate({description: `one of ${quoted}`});
+}
+
+/** List with a bounded number of items. */
+export function listField<T, E>(
+  item: Schema.Codec<T, E>,
+  range: Range,
+  unit: string,
+): Schema.Codec<readonly T[], readonly E[]> {
+  return Schema.Array(item)
+    .annotate({
+      description: `a list of ${describeCount(range)} ${unit}`,
+    })
+    .check(Schema.isBetweenLength(range.minimum, range.maximum));
+}
+
+function describeRange(range: Range): string {
+  return `from ${String(range.minimum)} to ${String(range.maximum)}`;
+}
+
+function describeCount(range: Range): string {
+  return `${String(range.minimum)} to ${String(range.maximum)}`;
+}
--- /dev/null
+++ b/test/fakes/policy_documents.ts
@@ -0,0 +1,109 @@
+/**
+ * Policy and host list documents for tests, with room for one deviation.
+ */
+import type {CompiledPolicy, Policy} from '../../src/version/policy.js';
+import {compilePolicy} from '../../src/version/compiled_policy.js';
+
+/** A type without its read-only marks, all the way down. */
+export type Mutable<T> = {-readonly [K in keyof T]: Mutable<T[K]>};
+
+/** A small valid policy: one keyed order route, reads and a background job. */
+export const BASE_POLICY: Policy = {
+  formatVersion: 1,
+  version: 1,
+  deployment: 'trial',
+  availabilityZones: [
+    {name: 'za', region: 'north'},
+    {name: 'zb', region: 'north'},
+  ],
+  classes: [
+    {name: 'orders', reservedRatio: 0.2},
+    {name: 'browsing', reservedRatio: 0.1},
+    {name: 'background', reservedRatio: 0},
+  ],
+  services: [
+    {
+      name: 'desk',
+      slotsCount: 20,
+      connectionsCount: 200,
+      queueCount: 40,
+      queueWaitMillis: 200,
+      progressTimeoutMillis: 1_000,
+      routes: [
+        {
+          name: 'place-order',
+          method: 'POST',
+          path: '/orders',
+          className: 'orders',
+          repeat: 'never',
+          isKeyRequired: true,
+          deadlineMillis: 3_000,
+          retryBound: 2,
+        },
+        {
+          name: 'read-order',
+          method: 'GET',
+          path: '/orders/:id',
+          className: 'browsing',
+          repeat: 'safe',
+          isKeyRequired: false,
+          deadlineMillis: 2_000,
+          retryBound: 2,
+        },
+      ],
+    },
+  ],
+  retryBudget: {ratio: 0.1, minimumPerSecond: 1},
+  keys: {
+    windowMillis: 60_000,
+    recordsCount: 1_000,
+    answerBytes: 4_096,
+    leaseMillis: 5_000,
+    clockBoundMillis: 500,
+  },
+  bodies: {requestBytes: 1_048_576, bufferedAnswerBytes: 65_536},
+  ejection: {
+    consecutiveFailuresCount: 5,
+    ejectionMillis: 5_000,
+    floorRatio: 0.5,
+  },
+  timing: {
+    activationMillis: 1_000,
+    slowStartMillis: 10_000,
+    drainMillis: 30_000,
+    retryAfterMinimumMillis: 500,
+    retryAfterMaximumMillis: 10_000,
+  },
+};
+
+/** A copy of the base policy with a deviation. */
+export function createPolicyWith(change: (draft: Mutable<Policy>) => void) {
+  const draft = structuredClone(BASE_POLICY) as Mutable<Policy>;
+  change(draft);
+  return draft;
+}
+
+/** The base policy at a version, as published. */
+export function createPolicyBytes(
+  version: number,
+  change: (draft: Mutable<Policy>) => void = () => undefined,
+): Uint8Array {
+  return encodeDocument(
+    createPolicyWith(draft => {
+      draft.version = version;
+      change(draft);
+    }),
+  );
+}
+
+/** A compiled policy; throws if the document has problems. */
+export function compileOrThrow(documentBytes: Uint8Array): CompiledPolicy {
+  const compilation = compilePolicy(documentBytes);
+  if (compilation.kind === 'compiled') return compilation.compiled;
+  throw new Error(JSON.stringify(compilation.problems));
+}
+
+/** JSON in UTF-8. */
+export function encodeDocument(value: unknown): Uint8Array {
+  return new TextEncoder().encode(JSON.stringify(value));
+}
