--- /dev/null
+++ b/src/process/view_lease.ts
@@ -0,0 +1,172 @@
+/**
+ * Lease on a view: permission to execute keyed work, renewed by rounds in which
+ * a quorum of the zone's electors confirms that it knows of nothing newer.
+ */
+import type {Emitter, Event} from '../base/event.js';
+import {createEmitter} from '../base/event.js';
+import type {Disposable} from '../base/lifecycle.js';
+import type {TimeSource} from '../base/time_source.js';
+import type {KeyView} from './key_view.js';
+import {quorumCount} from './key_view.js';
+import type {ViewAcceptor} from './view_acceptor.js';
+
+/** A lease taken on a view other than the one held before. */
+export interface ViewAcquisition {
+  readonly view: KeyView;
+  /**
+   * The view held until now; undefined when another host may have held a lease
+   * on a conflicting view since.
+   */
+  readonly previous: KeyView | undefined;
+  /** Monotonic time at which the quorum was complete. */
+  readonly atMillis: number;
+}
+
+/** One request for confirmation to every elector. */
+export interface ConfirmationRound {
+  readonly view: KeyView;
+  /** Electors to ask, without the own host. */
+  readonly electors: readonly string[];
+  /** Notes a confirmation; returns whether the lease is now in force. */
+  confirm(electorName: string): boolean;
+}
+
+/** Permission to execute keyed work under a view. */
+export abstract class ViewLease implements Disposable {
+  /** The view under an unexpired lease. */
+  abstract heldView(): KeyView | undefined;
+  /** Starts a round on the current view; undefined while there is none. */
+  abstract beginRound(): ConfirmationRound | undefined;
+  /** Fires when a lease on another view is taken or one is taken anew. */
+  abstract readonly onDidAcquire: Event<ViewAcquisition>;
+  abstract dispose(): void;
+}
+
+/** What a lease reads. */
+export interface ViewLeaseOptions {
+  readonly hostName: string;
+  readonly currentView: () => KeyView | undefined;
+  readonly acceptor: ViewAcceptor;
+  readonly timeSource: TimeSource;
+}
+
+/** The last round that reached a quorum. */
+interface Grant {
+  readonly view: KeyView;
+  /** Monotonic time before the first request of the round left. */
+  readonly sentMillis: number;
+  /** Wall time minus monotonic time at that moment. */
+  readonly clockOffsetMillis: number;
+}
+
+/** Creates a lease that is not held yet. */
+export function createViewLease(options: ViewLeaseOptions): ViewLease {
+  const {hostName, acceptor, timeSource} = options;
+  const acquired: Emitter<ViewAcquisition> = createEmitter();
+  let grant: Grant | undefined;
+
+  const clockOffsetMillis = (): number =>
+    timeSource.wallMillis() - timeSource.monotonicMillis();
+
+  // After a suspension of the machine the monotonic clock may not have counted
+  // the pause: the lease looks unexpired while a successor already executes.
+  // The wall clock, set on resumption, then differs from the monotonic one.
+  const hasClockJumped = (since: Grant): boolean =>
+    Math.abs(clockOffsetMillis() - since.clockOffsetMillis) >
+    since.view.keys.clockBoundMillis;
+
+  const isUnexpired = (candidate: Grant): boolean =>
+    timeSource.monotonicMillis() - candidate.sentMillis <
+      candidate.view.keys.leaseMillis && !hasClockJumped(candidate);
+
+  const acquire = (next: Grant): boolean => {
+    if (!isUnexpired(next)) return false;
+    if (grant !== undefined && grant.sentMillis > next.sentMillis) return true;
+    // A gap of up to one lease between two rounds leaves no room for another
+    // executor: it would have had to settle in that gap, which takes longer.
+    const previous =
+      grant !== undefined && isUnexpired(grant) ? grant.view : undefined;
+    grant = next;
+    if (previous !== next.view) {
+      acquired.fire({
+        view: next.view,
+        previous,
+        atMillis: timeSource.monotonicMillis(),
+      });
+    }
+    return true;
+  };
+
+  return new (class extends ViewLease {
+    override readonly onDidAcquire = acquired.event;
+
+    override heldView(): KeyView | undefined {
+      if (grant === undefined) return undefined;
+      if (!isUnexpired(grant)) return undefined;
+      return grant.view;
+    }
+
+    override beginRound(): ConfirmationRound | undefined {
+      const view = options.currentView();
+      if (view === undefined) return undefined;
+      const next: Grant = {
+        view,
+        sentMillis: timeSource.monotonicMillis(),
+        clockOffsetMillis: clockOffsetMillis(),
+      };
+      const requirements = requirementsOf(view, grant?.view);
+      const confirmed = new Set<string>();
+      const confirm = (electorName: string): boolean => {
+        confirmed.add(electorName);
+        const isQuorum = requirements.every(one => isMet(one, confirmed));
+        return isQuorum && acquire(next);
+      };
+      if (acceptor.accept(view).isCurrent) confirm(hostName);
+      const names = new Set(requirements.flatMap(({electors}) => electors));
+      names.delete(hostName);
+      return {view, electors: [...names], confirm};
+    }
+
+    override dispose(): void {
+      acquired.dispose();
+    }
+  })();
+}
+
+/** Electors of which a number must confirm. */
+interface Requirement {
+  readonly electors: readonly string[];
+  readonly confirmationsCount: number;
+}
+
+/**
+ * Electors that were exchanged all at once could confirm the new view while
+ * the former ones go on confirming the old one, and both views would be in
+ * force. So many of the former electors that are still published must confirm
+ * the new view that the others are no quorum of the old one.
+ */
+function requirementsOf(
+  view: KeyView,
+  previous: KeyView | undefined,
+): readonly Requirement[] {
+  const own: Requirement = {
+    electors: view.electors,
+    confirmationsCount: quorumCount(view.electors.length),
+  };
+  if (previous === undefined) return [own];
+  const remaining = previous.electors.filter(name => view.zoneHosts.has(name));
+  const quorum = quorumCount(previous.electors.length);
+  const former: Requirement = {
+    electors: remaining,
+    confirmationsCount: remaining.length - quorum + 1,
+  };
+  return [own, former];
+}
+
+function isMet(
+  requirement: Requirement,
+  confirmed: ReadonlySet<string>,
+): boolean {
+  const names = requirement.electors.filter(name => confirmed.has(name));
+  return names.length >= requirement.confirmationsCount;
+}
