--- /dev/null
+++ b/test/unit/process/settings_schema.test.ts
@@ -0,0 +1,211 @@
+import test from 'ava';
+
+import {formatSettingsProblem} from '../../../src/process/settings_problem.js';
+import {
+  parseSettings,
+  SETTINGS_MAXIMUM_BYTES,
+} from '../../../src/process/settings_schema.js';
+import {minimalSettings, settingsBytes} from '../../fakes/minimal_settings.js';
+
+const LISTEN = minimalSettings().listen;
+
+function listenWith(changed: Readonly<Record<string, unknown>>) {
+  return {listen: {...LISTEN, ...changed}};
+}
+
+test('a file with only the required fields gets all defaults', t => {
+  const result = parseSettings(settingsBytes());
+  t.is(result.kind, 'parsed');
+  if (result.kind !== 'parsed') return;
+  const {settings} = result;
+  t.like(settings, minimalSettings());
+  t.deepEqual(settings.seedPeers, []);
+  t.is(settings.log.level, 'info');
+  t.is(settings.metrics, undefined);
+  for (const value of Object.values({
+    ...settings.limits,
+    ...settings.control,
+  })) {
+    t.true(value > 0);
+  }
+});
+
+test('one field of a group keeps the defaults of the others', t => {
+  const result = parseSettings(
+    settingsBytes({
+      limits: {headerBytes: 4096},
+      control: {zonePeersCount: 2},
+      metrics: {statsdAddress: '::1', statsdPort: 8125},
+    }),
+  );
+  t.is(result.kind, 'parsed');
+  if (result.kind !== 'parsed') return;
+  t.is(result.settings.limits.headerBytes, 4096);
+  t.true(result.settings.limits.callerConnectionsCount > 0);
+  t.is(result.settings.control.zonePeersCount, 2);
+  t.is(result.settings.metrics?.prefix, 'fulmarhollow');
+});
+
+// Symptom: a node starts and fails later, or serves under a wrong identity.
+// Sequence: the operator writes a value that parses as JSON but has no sense;
+// the daemon opens listeners with it. Cause: values taken unchecked.
+const REFUSED: readonly {
+  readonly title: string;
+  readonly replaced: Readonly<Record<string, unknown>>;
+  readonly line: RegExp;
+}[] = [
+  {
+    title: 'unknown field',
+    replaced: {hostname: 'x'},
+    line: /^hostname: "x"; allowed: /,
+  },
+  {
+    title: 'unknown nested field',
+    replaced: {control: {heartbeatSeconds: 1}},
+    line: /^control\.heartbeatSeconds: 1; allowed: /,
+  },
+  {
+    title: 'missing field',
+    replaced: {region: undefined},
+    line: /^region: absent; allowed: 1 to 128 letters/,
+  },
+  {
+    title: 'missing group',
+    replaced: {listen: undefined},
+    line: /^listen: absent; allowed: an object with caller, local/,
+  },
+  {
+    title: 'null for a field with a default',
+    replaced: {limits: {headerBytes: null}},
+    line: /^limits\.headerBytes: null; allowed: an integer from 1024 to/,
+  },
+  {
+    title: 'number as text',
+    replaced: {upstream: {address: '127.0.0.1', port: '80'}},
+    line: /^upstream\.port: "80"; allowed: an integer from 1 to 65535$/,
+  },
+  {
+    title: 'port of zero where one connects',
+    replaced: {upstream: {address: '127.0.0.1', port: 0}},
+    line: /^upstream\.port: 0; allowed: an integer from 1 to 65535$/,
+  },
+  {
+    title: 'port that is no integer',
+    replaced: listenWith({peer: {address: '127.0.0.1', port: 80.5}}),
+    line: /^listen\.peer\.port: 80\.5; allowed: an integer from 0 to 65535$/,
+  },
+  {
+    title: 'name instead of an address',
+    replaced: {upstream: {address: 'localhost', port: 80}},
+    line: /^upstream\.address: "localhost"; allowed: an IPv4 or IPv6 address/,
+  },
+  {
+    title: 'address with a zone index',
+    replaced: {upstream: {address: 'fe80::1%lo', port: 80}},
+    line: /^upstream\.address: "fe80::1%lo"; allowed: an IPv4 or IPv6/,
+  },
+  {
+    title: 'local listener that other hosts can reach',
+    replaced: listenWith({local: {address: '0.0.0.0', port: 0}}),
+    line: /^listen\.local\.address: "0\.0\.0\.0"; allowed: a loopback address/,
+  },
+  {
+    title: 'platform by name',
+    replaced: {platformUrl: 'http://platform:80'},
+    line: /^platformUrl: "http:\/\/platform:80"; allowed: 'http:\/\/address:port'/,
+  },
+  {
+    title: 'platform with a path',
+    replaced: {platformUrl: 'http://127.0.0.1:80/v1'},
+    line: /^platformUrl: .*; allowed: 'http:\/\/address:port'/,
+  },
+  {
+    title: 'platform over another protocol',
+    replaced: {platformUrl: 'https://127.0.0.1:80'},
+    line: /^platformUrl: .*; allowed: 'http:\/\/address:port'/,
+  },
+  {
+    title: 'service that is no host label',
+    replaced: {service: 'Order.Desk'},
+    line: /^service: "Order\.Desk"; allowed: 1 to 63 lower-case/,
+  },
+  {
+    title: 'unknown log level',
+    replaced: {log: {level: 'trace'}},
+    line: /^log\.level: "trace"; allowed: one of "debug", "info"/,
+  },
+  {
+    title: 'fault in one of several seed peers',
+    replaced: {
+      seedPeers: [
+        {hostName: 'a', address: '127.0.0.1', controlPort: 1},
+        {hostName: 'b', address: '127.0.0.1', controlPort: -1},
+      ],
+    },
+    line: /^seedPeers\[1\]\.controlPort: -1; allowed: an integer from 1/,
+  },
+  {
+    title: 'two listeners on one port',
+    replaced: listenWith({
+      caller: {address: '0.0.0.0', port: 8080},
+      admin: {address: '127.0.0.1', port: 8080},
+    }),
+    line: /^listen\.admin\.port: 8080; allowed: .* other than that of listen\.caller$/,
+  },
+  {
+    title: 'upstream that is a listener of the node',
+    replaced: {
+      ...listenWith({peer: {address: '::', port: 8080}}),
+      upstream: {address: '127.0.0.1', port: 8080},
+    },
+    line: /^upstream\.port: 8080; allowed: .* other than that of listen\.peer$/,
+  },
+  {
+    title: 'silence shorter than two heartbeats',
+    replaced: {control: {heartbeatMillis: 1000, peerSilenceMillis: 1999}},
+    line: /^control\.peerSilenceMillis: 1999; allowed: at least 2000/,
+  },
+];
+
+for (const {title, replaced, line} of REFUSED) {
+  test(`refused with one line: ${title}`, t => {
+    const result = parseSettings(settingsBytes(replaced));
+    t.is(result.kind, 'invalid');
+    if (result.kind !== 'invalid') return;
+    t.is(result.problems.length, 1);
+    t.regex(result.problems.map(formatSettingsProblem).join('\n'), line);
+  });
+}
+
+test('all problems are reported in one go', t => {
+  const result = parseSettings(
+    settingsBytes({hostName: '', platformUrl: 7, log: {level: 1}, extra: 1}),
+  );
+  t.is(result.kind, 'invalid');
+  if (result.kind !== 'invalid') return;
+  const fields = result.problems.map(problem => problem.field).sort();
+  t.deepEqual(fields, ['extra', 'hostName', 'log.level', 'platformUrl']);
+});
+
+// Symptom: the daemon ends with a stack trace, or a problem spans lines.
+// Sequence: a file is cut short while it is copied, or is not a text file.
+// Cause: parser errors that quote the file, line ends included.
+const UNREADABLE: readonly (readonly [title: string, bytes: Uint8Array])[] = [
+  ['empty', Buffer.alloc(0)],
+  ['truncated', settingsBytes().slice(0, 40)],
+  ['broken over several lines', Buffer.from('{\n"hostName":\n]\n')],
+  ['not UTF-8', Buffer.from([0x7b, 0xff, 0xfe, 0x7d])],
+  ['not an object', Buffer.from('[]')],
+  ['too large', Buffer.alloc(SETTINGS_MAXIMUM_BYTES + 1, 0x20)],
+];
+
+for (const [title, bytes] of UNREADABLE) {
+  test(`unreadable file: ${title}`, t => {
+    const result = parseSettings(bytes);
+    t.is(result.kind, 'invalid');
+    if (result.kind !== 'invalid') return;
+    const lines = result.problems.map(formatSettingsProblem);
+    t.is(lines.length, 1);
+    t.regex(lines.join(''), /^settings: .*; allowed: [^\n]+$/);
+  });
+}
