Allow for short stops of the monotonic clock in the settling time

A machine suspended for less than the clock bound is not noticed as a jump, and its lease then lasts longer by as much; the settling time left no room for that. Found by reasoning, before a test.

--- a/src/connection/key_hand_over.ts
+++ b/src/connection/key_hand_over.ts
@@ -81,7 +81,7 @@
  */
 function knowsEverything(options: KeyHandOverOptions): boolean {
   const {lease, records, takeover} = options;
-  if (lease.heldView() === undefined) return false;
+  if (!lease.isHeld()) return false;
   return records.runningCount === 0 && takeover.isFullyExclusive();
 }
 
--- a/src/process/key_takeover.ts
+++ b/src/process/key_takeover.ts
@@ -100,14 +100,13 @@
       if (previous !== undefined && last?.view.placement === view.placement) {
         steps = [...steps.slice(0, -1), {...last, view}];
       } else {
-        const leaseMillis = Math.max(
-          view.keys.leaseMillis,
-          previous?.keys.leaseMillis ?? 0,
-        );
         const step = {
           view,
           atMillis,
-          settlingMillis: settlingMillis(leaseMillis),
+          settlingMillis: Math.max(
+            settlingMillis(view.keys),
+            previous === undefined ? 0 : settlingMillis(previous.keys),
+          ),
         };
         steps = [...steps, step];
       }
--- a/src/process/view_acceptor.ts
+++ b/src/process/view_acceptor.ts
@@ -3,6 +3,7 @@
  * older one afterwards.
  */
 import type {TimeSource} from '../base/time_source.js';
+import type {KeyPolicy} from '../version/policy.js';
 import type {KeyView} from './key_view.js';
 
 /** The versions of a view that a node asks to have confirmed. */
@@ -28,16 +29,18 @@
   readonly timeSource: TimeSource;
 }
 
-const SETTLING_LEASES_COUNT = 2;
+/** Share by which two monotonic clocks may run at different rates. */
 const CLOCK_RATE_MARGIN_RATIO = 0.1;
 
 /**
- * Time after which no lease can matter that was confirmed before: one for the
- * lease itself, one for the longest gap between two rounds that counts as
- * continuous, and a margin for clocks that run at different rates.
+ * Time after which no lease can matter that was confirmed before: one lease,
+ * one more for the longest gap between two rounds that counts as continuous,
+ * and for each a margin for clocks that run at different rates or stood still
+ * for less than a jump.
  */
-export function settlingMillis(leaseMillis: number): number {
-  return leaseMillis * SETTLING_LEASES_COUNT * (1 + CLOCK_RATE_MARGIN_RATIO);
+export function settlingMillis(keys: KeyPolicy): number {
+  const leaseMillis = keys.leaseMillis * (1 + CLOCK_RATE_MARGIN_RATIO);
+  return 2 * (leaseMillis + keys.clockBoundMillis);
 }
 
 /** Creates the acceptor of a node that starts now. */
@@ -50,7 +53,7 @@
   // execute one key. It stays silent until every such lease has ended.
   const isSettled = (view: KeyView): boolean => {
     const upMillis = options.timeSource.monotonicMillis() - startMillis;
-    return upMillis >= settlingMillis(view.keys.leaseMillis);
+    return upMillis >= settlingMillis(view.keys);
   };
 
   return new (class extends ViewAcceptor {
--- a/src/process/view_lease.ts
+++ b/src/process/view_lease.ts
@@ -35,6 +35,8 @@
 export abstract class ViewLease implements Disposable {
   /** The view under an unexpired lease. */
   abstract heldView(): KeyView | undefined;
+  /** Whether there is such a view. */
+  abstract isHeld(): boolean;
   /** Starts a round on the current view; undefined while there is none. */
   abstract beginRound(): ConfirmationRound | undefined;
   /** Fires when a lease on another view is taken or one is taken anew. */
@@ -106,6 +108,10 @@
       return grant.view;
     }
 
+    override isHeld(): boolean {
+      return this.heldView() !== undefined;
+    }
+
     override beginRound(): ConfirmationRound | undefined {
       const view = options.currentView();
       if (view === undefined) return undefined;
