Read settings with the field kinds and problem lines of the documents

Settings and published documents name hosts, services and zones alike, so one set of field kinds decides what such a name is. The wording in the test table follows the shared fields; each case still expects one problem at the same field. A zone index in a published address is refused, as settings already did: it names an interface of one machine.

--- a/src/daemon/program.ts
+++ b/src/daemon/program.ts
@@ -7,9 +7,9 @@
 import type {Metrics} from '../process/metrics.js';
 import type {Settings} from '../process/settings.js';
 import {readSettingsFile} from '../process/settings_file.js';
-import {formatSettingsProblem} from '../process/settings_problem.js';
 import {createStateDump} from '../process/state_dump.js';
 import {createMetrics} from '../process/statsd_metrics.js';
+import {formatProblem} from '../version/problem.js';
 import {EXIT_USAGE, parseCommandLine} from './command_line.js';
 import type {DaemonNode, NodeOptions} from './daemon_node.js';
 
@@ -31,7 +31,7 @@
   const {settingsPath, isCheckOnly} = parseCommandLine(args);
   const result = readSettingsFile(settingsPath);
   if (result.kind === 'invalid') {
-    const lines = result.problems.map(formatSettingsProblem);
+    const lines = result.problems.map(formatProblem);
     process.stderr.write(`${lines.join('\n')}\n`);
     process.exitCode = EXIT_USAGE;
     return;
--- a/src/process/settings_conflicts.ts
+++ b/src/process/settings_conflicts.ts
@@ -1,15 +1,15 @@
 /**
  * Rules that concern several settings fields at once.
  */
+import type {Problem} from '../version/problem.js';
 import type {ListenAddress, Settings} from './settings.js';
-import type {SettingsProblem} from './settings_problem.js';
 
 /** Heartbeats that may be lost before a peer stream is replaced. */
 const SILENCE_HEARTBEATS_MINIMUM = 2;
 const WILDCARD_ADDRESSES: ReadonlySet<string> = new Set(['0.0.0.0', '::']);
 
 /** Problems between fields that are each right on their own. */
-export function findConflicts(settings: Settings): readonly SettingsProblem[] {
+export function findConflicts(settings: Settings): readonly Problem[] {
   return [
     ...findSharedPorts(settings),
     ...findUpstreamLoop(settings),
@@ -17,7 +17,7 @@
   ];
 }
 
-function findSharedPorts(settings: Settings): readonly SettingsProblem[] {
+function findSharedPorts(settings: Settings): readonly Problem[] {
   const listeners = Object.entries(settings.listen);
   return listeners.flatMap(([name, listener], index) => {
     const earlier = listeners
@@ -26,16 +26,16 @@
     if (earlier === undefined) return [];
     return [
       {
-        field: `listen.${name}.port`,
-        value: String(listener.port),
-        allowed: `0 or a port other than that of listen.${earlier[0]}`,
+        path: `$.listen.${name}.port`,
+        value: listener.port,
+        allowed: `0 or a port other than that of $.listen.${earlier[0]}`,
       },
     ];
   });
 }
 
 /** A node whose upstream is one of its own listeners would call itself. */
-function findUpstreamLoop(settings: Settings): readonly SettingsProblem[] {
+function findUpstreamLoop(settings: Settings): readonly Problem[] {
   const {upstream} = settings;
   const own = Object.entries(settings.listen).find(([, listener]) =>
     overlap(upstream, listener),
@@ -43,23 +43,23 @@
   if (own === undefined) return [];
   return [
     {
-      field: 'upstream.port',
-      value: String(upstream.port),
-      allowed: `a port other than that of listen.${own[0]}`,
+      path: '$.upstream.port',
+      value: upstream.port,
+      allowed: `a port other than that of $.listen.${own[0]}`,
     },
   ];
 }
 
 /** A silence shorter than the heartbeat would replace every healthy stream. */
-function findShortSilence(settings: Settings): readonly SettingsProblem[] {
+function findShortSilence(settings: Settings): readonly Problem[] {
   const {heartbeatMillis, peerSilenceMillis} = settings.control;
   const minimumMillis = SILENCE_HEARTBEATS_MINIMUM * heartbeatMillis;
   if (peerSilenceMillis >= minimumMillis) return [];
   return [
     {
-      field: 'control.peerSilenceMillis',
-      value: String(peerSilenceMillis),
-      allowed: `at least ${minimumMillis}, twice control.heartbeatMillis`,
+      path: '$.control.peerSilenceMillis',
+      value: peerSilenceMillis,
+      allowed: `at least ${String(minimumMillis)}, twice $.control.heartbeatMillis`,
     },
   ];
 }
--- a/src/process/settings_file.ts
+++ b/src/process/settings_file.ts
@@ -4,6 +4,7 @@
 import * as fs from 'node:fs';
 
 import {describeError} from '../base/errors.js';
+import {ROOT_PATH} from '../version/problem.js';
 import type {SettingsParseResult} from './settings_schema.js';
 import {parseSettings} from './settings_schema.js';
 
@@ -17,8 +18,8 @@
       kind: 'invalid',
       problems: [
         {
-          field: 'settings',
-          value: JSON.stringify(path),
+          path: ROOT_PATH,
+          value: path,
           allowed: `a readable file; ${describeError(error)}`,
         },
       ],
--- a/src/process/settings_schema.ts
+++ b/src/process/settings_schema.ts
@@ -2,11 +2,19 @@
  * Checks a settings file whole and reports every problem in one go.
  */
 import * as Effect from 'effect/Effect';
-import * as Result from 'effect/Result';
 import * as Schema from 'effect/Schema';
 
-import {describeError} from '../base/errors.js';
+import {addressField, hostNameField} from '../version/host_list_schema.js';
+import {createDocumentDecoder} from '../version/json_document.js';
+import type {Problem} from '../version/problem.js';
+import {
+  listField,
+  nameField,
+  wholeNumberField,
+  wordField,
+} from '../version/schema_fields.js';
 import type {Settings} from './settings.js';
+import {findConflicts} from './settings_conflicts.js';
 import {
   DEFAULT_CONTROL,
   DEFAULT_LIMITS,
@@ -15,195 +23,151 @@
 } from './settings_defaults.js';
 import {
   connectPortField,
-  integerField,
-  ipAddressField,
   listenPortField,
   loopbackAddressField,
   metricPrefixField,
-  nameField,
   platformUrlField,
-  serviceField,
-  wordField,
 } from './settings_fields.js';
-import {findConflicts} from './settings_conflicts.js';
-import type {SettingsProblem} from './settings_problem.js';
-import {describeIssues} from './settings_problem.js';
 
 /** What became of a settings file. */
 export type SettingsParseResult =
   | {readonly kind: 'parsed'; readonly settings: Settings}
-  | {readonly kind: 'invalid'; readonly problems: readonly SettingsProblem[]};
-
-/** Largest settings file that is read. */
-export const SETTINGS_MAXIMUM_BYTES = 262_144;
+  | {readonly kind: 'invalid'; readonly problems: readonly Problem[]};
 
-const SEED_PEERS_MAXIMUM_COUNT = 64;
 const MINUTE_MILLIS = 60_000;
 const HOUR_MILLIS = 60 * MINUTE_MILLIS;
-
-const ListenSchema = Schema.Struct({
-  address: ipAddressField(),
-  port: listenPortField(),
-}).annotateKey({messageMissingKey: 'an object with address and port'});
-
-const LocalListenSchema = Schema.Struct({
-  address: loopbackAddressField(),
-  port: listenPortField(),
-}).annotateKey({messageMissingKey: 'an object with address and port'});
-
-const UpstreamSchema = Schema.Struct({
-  address: ipAddressField(),
-  port: connectPortField(),
-}).annotateKey({messageMissingKey: 'an object with address and port'});
-
-const ListenersSchema = Schema.Struct({
-  caller: ListenSchema,
-  local: LocalListenSchema,
-  peer: ListenSchema,
-  control: ListenSchema,
-  admin: ListenSchema,
-}).annotateKey({
-  messageMissingKey: 'an object with caller, local, peer, control and admin',
+const MAX_CONNECTIONS = 65_536;
+const MAX_SEED_PEERS = 64;
+const MAX_STREAMS = 16;
+
+const listenSchema = Schema.Struct({
+  address: addressField,
+  port: listenPortField,
+}).annotate({description: 'an object with address and port'});
+
+const listenersSchema = Schema.Struct({
+  caller: listenSchema,
+  local: Schema.Struct({
+    address: loopbackAddressField,
+    port: listenPortField,
+  }),
+  peer: listenSchema,
+  control: listenSchema,
+  admin: listenSchema,
+}).annotate({
+  description: 'an object with caller, local, peer, control and admin',
 });
 
-const SeedPeerSchema = Schema.Struct({
-  hostName: nameField(),
-  address: ipAddressField(),
-  controlPort: connectPortField(),
+const seedPeerSchema = Schema.Struct({
+  hostName: hostNameField,
+  address: addressField,
+  controlPort: connectPortField,
 });
 
-const LimitsSchema = Schema.Struct({
+const limitsSchema = Schema.Struct({
   callerConnectionsCount: withDefault(
-    integerField(1, 65_536),
+    wholeNumberField({minimum: 1, maximum: MAX_CONNECTIONS}, 'connections'),
     DEFAULT_LIMITS.callerConnectionsCount,
   ),
   peerConnectionsCount: withDefault(
-    integerField(1, 65_536),
+    wholeNumberField({minimum: 1, maximum: MAX_CONNECTIONS}, 'connections'),
     DEFAULT_LIMITS.peerConnectionsCount,
   ),
   requestsInProgressCount: withDefault(
-    integerField(1, 65_536),
+    wholeNumberField({minimum: 1, maximum: MAX_CONNECTIONS}, 'requests'),
     DEFAULT_LIMITS.requestsInProgressCount,
   ),
   headerBytes: withDefault(
-    integerField(1024, 1_048_576),
+    wholeNumberField({minimum: 1024, maximum: 1_048_576}, 'bytes'),
     DEFAULT_LIMITS.headerBytes,
   ),
   idleConnectionMillis: withDefault(
-    integerField(1000, HOUR_MILLIS),
+    millisField(1000),
     DEFAULT_LIMITS.idleConnectionMillis,
   ),
   socketsPerPeerCount: withDefault(
-    integerField(1, 1024),
+    wholeNumberField({minimum: 1, maximum: 1024}, 'sockets'),
     DEFAULT_LIMITS.socketsPerPeerCount,
   ),
 });
 
-const ControlSchema = Schema.Struct({
+const controlSchema = Schema.Struct({
   heartbeatMillis: withDefault(
-    integerField(50, MINUTE_MILLIS),
+    millisField(50),
     DEFAULT_CONTROL.heartbeatMillis,
   ),
   zonePeersCount: withDefault(
-    integerField(1, 16),
+    wholeNumberField({minimum: 1, maximum: MAX_STREAMS}, 'peers'),
     DEFAULT_CONTROL.zonePeersCount,
   ),
   remotePeersCount: withDefault(
-    integerField(0, 16),
+    wholeNumberField({minimum: 0, maximum: MAX_STREAMS}, 'peers'),
     DEFAULT_CONTROL.remotePeersCount,
   ),
   zoneReadersCount: withDefault(
-    integerField(1, 16),
+    wholeNumberField({minimum: 1, maximum: MAX_STREAMS}, 'nodes'),
     DEFAULT_CONTROL.zoneReadersCount,
   ),
   peerSilenceMillis: withDefault(
-    integerField(100, HOUR_MILLIS),
+    millisField(100),
     DEFAULT_CONTROL.peerSilenceMillis,
   ),
   platformWatchMillis: withDefault(
-    integerField(100, HOUR_MILLIS),
+    millisField(100),
     DEFAULT_CONTROL.platformWatchMillis,
   ),
 });
 
-const LogSchema = Schema.Struct({
+const logSchema = Schema.Struct({
   level: withDefault(
     wordField(['debug', 'info', 'warn', 'error']),
     DEFAULT_LOG.level,
   ),
 });
 
-const MetricsSchema = Schema.Struct({
-  statsdAddress: ipAddressField(),
-  statsdPort: connectPortField(),
-  prefix: withDefault(metricPrefixField(), DEFAULT_METRICS_PREFIX),
+const metricsSchema = Schema.Struct({
+  statsdAddress: addressField,
+  statsdPort: connectPortField,
+  prefix: withDefault(metricPrefixField, DEFAULT_METRICS_PREFIX),
 });
 
-const SettingsSchema = Schema.Struct({
-  hostName: nameField(),
-  service: serviceField(),
-  availabilityZone: nameField(),
-  region: nameField(),
-  listen: ListenersSchema,
-  upstream: UpstreamSchema,
-  platformUrl: platformUrlField(),
+/** Shape of the settings file; groups with defaults may be left out. */
+export const settingsSchema = Schema.Struct({
+  hostName: hostNameField,
+  service: nameField,
+  availabilityZone: nameField,
+  region: nameField,
+  listen: listenersSchema,
+  upstream: Schema.Struct({address: addressField, port: connectPortField}),
+  platformUrl: platformUrlField,
   seedPeers: withDefault(
-    Schema.Array(SeedPeerSchema).check(
-      Schema.makeFilter(peers => peers.length <= SEED_PEERS_MAXIMUM_COUNT, {
-        expected: `at most ${SEED_PEERS_MAXIMUM_COUNT} peers`,
-      }),
+    listField(
+      seedPeerSchema,
+      {minimum: 0, maximum: MAX_SEED_PEERS},
+      'seed peers',
     ),
     [],
   ),
-  limits: withDefault(LimitsSchema, DEFAULT_LIMITS),
-  control: withDefault(ControlSchema, DEFAULT_CONTROL),
-  log: withDefault(LogSchema, DEFAULT_LOG),
-  metrics: Schema.optionalKey(MetricsSchema),
+  limits: withDefault(limitsSchema, DEFAULT_LIMITS),
+  control: withDefault(controlSchema, DEFAULT_CONTROL),
+  log: withDefault(logSchema, DEFAULT_LOG),
+  metrics: Schema.optionalKey(metricsSchema),
 });
 
-const decodeSettings = Schema.decodeUnknownResult(SettingsSchema, {
-  errors: 'all',
-  onExcessProperty: 'error',
-});
+const decodeSettings = createDocumentDecoder(settingsSchema);
 
 /** Checks the content of a settings file. */
 export function parseSettings(bytes: Uint8Array): SettingsParseResult {
-  if (bytes.byteLength > SETTINGS_MAXIMUM_BYTES) {
-    return wholeFileProblem(
-      `${bytes.byteLength} bytes`,
-      `at most ${SETTINGS_MAXIMUM_BYTES} bytes`,
-    );
-  }
-  let document: unknown;
-  try {
-    document = JSON.parse(
-      new TextDecoder('utf-8', {fatal: true}).decode(bytes),
-    );
-  } catch (error) {
-    return wholeFileProblem(
-      `${bytes.byteLength} bytes`,
-      `JSON in UTF-8; ${describeError(error)}`,
-    );
-  }
-  return parseDocument(document);
-}
-
-function parseDocument(document: unknown): SettingsParseResult {
-  const result = decodeSettings(document);
-  if (Result.isFailure(result)) {
-    return {
-      kind: 'invalid',
-      problems: describeIssues(result.failure.issue, document),
-    };
-  }
-  const settings: Settings = result.success;
+  const decoded = decodeSettings(bytes);
+  if (decoded.kind === 'invalid') return decoded;
+  const settings: Settings = decoded.value;
   const problems = findConflicts(settings);
   if (problems.length > 0) return {kind: 'invalid', problems};
   return {kind: 'parsed', settings};
 }
 
-function wholeFileProblem(value: string, allowed: string): SettingsParseResult {
-  return {kind: 'invalid', problems: [{field: 'settings', value, allowed}]};
+function millisField(minimum: number) {
+  return wholeNumberField({minimum, maximum: HOUR_MILLIS}, 'milliseconds');
 }
 
 function withDefault<S extends Schema.Top>(
--- a/src/version/host_list_schema.ts
+++ b/src/version/host_list_schema.ts
@@ -17,14 +17,16 @@
 const MAX_HOSTS = 4_096;
 const MAX_PORT = 65_535;
 
-const hostNameField = Schema.String.annotate({
+/** Name of an upstream host. */
+export const hostNameField = Schema.String.annotate({
   description:
     'a host name of 1 to 253 lower-case letters, digits, hyphens and dots',
 }).check(Schema.isPattern(/^[a-z0-9](?:[a-z0-9.-]{0,251}[a-z0-9])?$/));
 
-const addressField = Schema.String.annotate({
-  description: 'an IP address, version 4 or 6',
-}).check(Schema.makeFilter(text => isIP(text) !== 0));
+/** IP address; names are refused as looking them up can fail later. */
+export const addressField = Schema.String.annotate({
+  description: 'an IP address, version 4 or 6, without a zone index',
+}).check(Schema.makeFilter(isPlainIpAddress));
 
 const portField = wholeNumberField({minimum: 1, maximum: MAX_PORT});
 
@@ -47,6 +49,11 @@
   ),
 });
 
+/** A zone index names an interface of one machine and no other can use it. */
+function isPlainIpAddress(text: string): boolean {
+  return isIP(text) !== 0 && !text.includes('%');
+}
+
 /** A usable host list, or everything that is wrong with it. */
 export type HostListParse =
   | {readonly kind: 'parsed'; readonly list: HostList}
--- a/test/unit/process/settings_schema.test.ts
+++ b/test/unit/process/settings_schema.test.ts
@@ -1,10 +1,8 @@
 import test from 'ava';
 
-import {formatSettingsProblem} from '../../../src/process/settings_problem.js';
-import {
-  parseSettings,
-  SETTINGS_MAXIMUM_BYTES,
-} from '../../../src/process/settings_schema.js';
+import {parseSettings} from '../../../src/process/settings_schema.js';
+import {MAX_DOCUMENT_BYTES} from '../../../src/version/json_document.js';
+import {formatProblem} from '../../../src/version/problem.js';
 import {minimalSettings, settingsBytes} from '../../fakes/minimal_settings.js';
 
 const LISTEN = minimalSettings().listen;
@@ -57,82 +55,82 @@
   {
     title: 'unknown field',
     replaced: {hostname: 'x'},
-    line: /^hostname: "x"; allowed: /,
+    line: /^\$\.hostname: found "x", allowed: /,
   },
   {
     title: 'unknown nested field',
     replaced: {control: {heartbeatSeconds: 1}},
-    line: /^control\.heartbeatSeconds: 1; allowed: /,
+    line: /^\$\.control\.heartbeatSeconds: found 1, allowed: /,
   },
   {
     title: 'missing field',
     replaced: {region: undefined},
-    line: /^region: absent; allowed: 1 to 128 letters/,
+    line: /^\$\.region: found nothing, allowed: a name of 1 to 63/,
   },
   {
     title: 'missing group',
     replaced: {listen: undefined},
-    line: /^listen: absent; allowed: an object with caller, local/,
+    line: /^\$\.listen: found nothing, allowed: an object with caller, local/,
   },
   {
     title: 'null for a field with a default',
     replaced: {limits: {headerBytes: null}},
-    line: /^limits\.headerBytes: null; allowed: an integer from 1024 to/,
+    line: /^\$\.limits\.headerBytes: found null, allowed: a whole number.* from 1024 to/,
   },
   {
     title: 'number as text',
     replaced: {upstream: {address: '127.0.0.1', port: '80'}},
-    line: /^upstream\.port: "80"; allowed: an integer from 1 to 65535$/,
+    line: /^\$\.upstream\.port: found "80", allowed: a whole number.* from 1 to 65535$/,
   },
   {
     title: 'port of zero where one connects',
     replaced: {upstream: {address: '127.0.0.1', port: 0}},
-    line: /^upstream\.port: 0; allowed: an integer from 1 to 65535$/,
+    line: /^\$\.upstream\.port: found 0, allowed: a whole number.* from 1 to 65535$/,
   },
   {
     title: 'port that is no integer',
     replaced: listenWith({peer: {address: '127.0.0.1', port: 80.5}}),
-    line: /^listen\.peer\.port: 80\.5; allowed: an integer from 0 to 65535$/,
+    line: /^\$\.listen\.peer\.port: found 80\.5, allowed: a whole number.* from 0 to 65535$/,
   },
   {
     title: 'name instead of an address',
     replaced: {upstream: {address: 'localhost', port: 80}},
-    line: /^upstream\.address: "localhost"; allowed: an IPv4 or IPv6 address/,
+    line: /^\$\.upstream\.address: found "localhost", allowed: an IP address, version 4 or 6/,
   },
   {
     title: 'address with a zone index',
     replaced: {upstream: {address: 'fe80::1%lo', port: 80}},
-    line: /^upstream\.address: "fe80::1%lo"; allowed: an IPv4 or IPv6/,
+    line: /^\$\.upstream\.address: found "fe80::1%lo", allowed: an IP address, .* without a zone index/,
   },
   {
     title: 'local listener that other hosts can reach',
     replaced: listenWith({local: {address: '0.0.0.0', port: 0}}),
-    line: /^listen\.local\.address: "0\.0\.0\.0"; allowed: a loopback address/,
+    line: /^\$\.listen\.local\.address: found "0\.0\.0\.0", allowed: a loopback address/,
   },
   {
     title: 'platform by name',
     replaced: {platformUrl: 'http://platform:80'},
-    line: /^platformUrl: "http:\/\/platform:80"; allowed: 'http:\/\/address:port'/,
+    line: /^\$\.platformUrl: found "http:\/\/platform:80", allowed: 'http:\/\/address:port'/,
   },
   {
     title: 'platform with a path',
     replaced: {platformUrl: 'http://127.0.0.1:80/v1'},
-    line: /^platformUrl: .*; allowed: 'http:\/\/address:port'/,
+    line: /^\$\.platformUrl: found .*, allowed: 'http:\/\/address:port'/,
   },
   {
     title: 'platform over another protocol',
     replaced: {platformUrl: 'https://127.0.0.1:80'},
-    line: /^platformUrl: .*; allowed: 'http:\/\/address:port'/,
+    line: /^\$\.platformUrl: found .*, allowed: 'http:\/\/address:port'/,
   },
   {
     title: 'service that is no host label',
     replaced: {service: 'Order.Desk'},
-    line: /^service: "Order\.Desk"; allowed: 1 to 63 lower-case/,
+    line: /^\$\.service: found "Order\.Desk", allowed: a name of 1 to 63 lower-case/,
   },
   {
     title: 'unknown log level',
     replaced: {log: {level: 'trace'}},
-    line: /^log\.level: "trace"; allowed: one of "debug", "info"/,
+    line: /^\$\.log\.level: found "trace", allowed: one of "debug", "info"/,
   },
   {
     title: 'fault in one of several seed peers',
@@ -142,7 +140,7 @@
         {hostName: 'b', address: '127.0.0.1', controlPort: -1},
       ],
     },
-    line: /^seedPeers\[1\]\.controlPort: -1; allowed: an integer from 1/,
+    line: /^\$\.seedPeers\[1\]\.controlPort: found -1, allowed: a whole number.* from 1/,
   },
   {
     title: 'two listeners on one port',
@@ -150,7 +148,7 @@
       caller: {address: '0.0.0.0', port: 8080},
       admin: {address: '127.0.0.1', port: 8080},
     }),
-    line: /^listen\.admin\.port: 8080; allowed: .* other than that of listen\.caller$/,
+    line: /^\$\.listen\.admin\.port: found 8080, allowed: .* other than that of \$\.listen\.caller$/,
   },
   {
     title: 'upstream that is a listener of the node',
@@ -158,12 +156,12 @@
       ...listenWith({peer: {address: '::', port: 8080}}),
       upstream: {address: '127.0.0.1', port: 8080},
     },
-    line: /^upstream\.port: 8080; allowed: .* other than that of listen\.peer$/,
+    line: /^\$\.upstream\.port: found 8080, allowed: .* other than that of \$\.listen\.peer$/,
   },
   {
     title: 'silence shorter than two heartbeats',
     replaced: {control: {heartbeatMillis: 1000, peerSilenceMillis: 1999}},
-    line: /^control\.peerSilenceMillis: 1999; allowed: at least 2000/,
+    line: /^\$\.control\.peerSilenceMillis: found 1999, allowed: at least 2000/,
   },
 ];
 
@@ -173,7 +171,7 @@
     t.is(result.kind, 'invalid');
     if (result.kind !== 'invalid') return;
     t.is(result.problems.length, 1);
-    t.regex(result.problems.map(formatSettingsProblem).join('\n'), line);
+    t.regex(result.problems.map(formatProblem).join('\n'), line);
   });
 }
 
@@ -183,8 +181,13 @@
   );
   t.is(result.kind, 'invalid');
   if (result.kind !== 'invalid') return;
-  const fields = result.problems.map(problem => problem.field).sort();
-  t.deepEqual(fields, ['extra', 'hostName', 'log.level', 'platformUrl']);
+  const fields = result.problems.map(problem => problem.path).sort();
+  t.deepEqual(fields, [
+    '$.extra',
+    '$.hostName',
+    '$.log.level',
+    '$.platformUrl',
+  ]);
 });
 
 // Symptom: the daemon ends with a stack trace, or a problem spans lines.
@@ -196,7 +199,7 @@
   ['broken over several lines', Buffer.from('{\n"hostName":\n]\n')],
   ['not UTF-8', Buffer.from([0x7b, 0xff, 0xfe, 0x7d])],
   ['not an object', Buffer.from('[]')],
-  ['too large', Buffer.alloc(SETTINGS_MAXIMUM_BYTES + 1, 0x20)],
+  ['too large', Buffer.alloc(MAX_DOCUMENT_BYTES + 1, 0x20)],
 ];
 
 for (const [title, bytes] of UNREADABLE) {
@@ -204,8 +207,8 @@
     const result = parseSettings(bytes);
     t.is(result.kind, 'invalid');
     if (result.kind !== 'invalid') return;
-    const lines = result.problems.map(formatSettingsProblem);
+    const lines = result.problems.map(formatProblem);
     t.is(lines.length, 1);
-    t.regex(lines.join(''), /^settings: .*; allowed: [^\n]+$/);
+    t.regex(lines.join(''), /^\$: found .*, allowed: [^\n]+$/);
   });
 }
