--- /dev/null
+++ b/src/emulator/demo.ts
@@ -0,0 +1,288 @@
+/**
+ * Program: a small fleet in separate processes that serves member requests and
+ * orders, shows what came back, and stops.
+ */
+import {v7 as uuid} from 'uuid';
+import type {CallerRequest, CallerResult} from './caller.js';
+import {sendCallerRequest} from './caller.js';
+import {keepZones, readExamplePolicy} from './example_deployment.js';
+import type {Fleet} from './fleet_launcher.js';
+import {launchFleet} from './fleet_launcher.js';
+import {createIlorinServices} from './ilorin_services.js';
+import {exitOnSignal, failProcess} from './process_support.js';
+import {formatTable} from './text_table.js';
+import {waitFor} from './wait_for.js';
+
+const ZONES_COUNT = 2;
+const READY_LIMIT_MILLIS = 30_000;
+const VERSION_LIMIT_MILLIS = 10_000;
+const STOP_LIMIT_MILLIS = 40_000;
+const CALLER_TIMEOUT_MILLIS = 5000;
+
+/** A request of the demonstration and what must come back. */
+interface DemoRequest {
+  readonly label: string;
+  readonly host: string;
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+  readonly key?: string | undefined;
+  readonly body?: string | undefined;
+  readonly expectedStatusCode?: number | undefined;
+}
+
+interface DemoResult {
+  readonly request: DemoRequest;
+  readonly result: CallerResult;
+}
+
+async function main(): Promise<void> {
+  const policy = keepZones(await readExamplePolicy('ilorin'), ZONES_COUNT);
+  const fleet = await launchFleet({
+    policy,
+    services: createIlorinServices(1),
+    hasLinks: false,
+  });
+  exitOnSignal(fleet.close);
+  const problems: string[] = [];
+  try {
+    await fleet.waitUntilReady(READY_LIMIT_MILLIS);
+    print(`${String(fleet.hosts.size)} daemons are ready in 2 zones.\n`);
+    problems.push(...(await showReads(fleet)));
+    problems.push(...(await showOrder(fleet)));
+    problems.push(...(await showRetry(fleet)));
+    await fleet.publishPolicy({...policy, version: policy.version + 1});
+    problems.push(...(await showVersions(fleet, policy.version + 1)));
+    problems.push(...(await stopAll(fleet)));
+  } finally {
+    await fleet.close();
+  }
+  for (const problem of problems) print(`WRONG: ${problem}`);
+  if (problems.length > 0) process.exitCode = 1;
+}
+
+/** Reads of every depth through nodes of both zones. */
+async function showReads(fleet: Fleet): Promise<readonly string[]> {
+  const results = await sendAll(fleet, [
+    {
+      label: 'browse a tile',
+      host: 'catalogue-ilorin-a-1',
+      service: 'tileyard',
+      method: 'GET',
+      path: '/tiles/9/1/2',
+    },
+    {
+      label: 'read a record',
+      host: 'orderdesk-ilorin-b-1',
+      service: 'atlas',
+      method: 'GET',
+      path: '/survey-records/r1',
+    },
+    {
+      label: 'download a grid',
+      host: 'atlas-ilorin-b-1',
+      service: 'tileyard',
+      method: 'GET',
+      path: '/elevation-grids/p7',
+    },
+    {
+      label: 'ask for a quote',
+      host: 'tileyard-ilorin-a-1',
+      service: 'orderdesk',
+      method: 'POST',
+      path: '/quotes',
+      body: '{"product":"p7"}',
+    },
+    {
+      label: 'unknown route',
+      host: 'atlas-ilorin-a-1',
+      service: 'orderdesk',
+      method: 'GET',
+      path: '/nothing',
+      expectedStatusCode: 404,
+    },
+  ]);
+  return showResults('Member requests', results);
+}
+
+/** One order sent at once to two nodes, and once more afterwards. */
+async function showOrder(fleet: Fleet): Promise<readonly string[]> {
+  const key = uuid();
+  const order = (label: string, host: string): DemoRequest => ({
+    label,
+    host,
+    service: 'orderdesk',
+    method: 'POST',
+    path: '/terrain-orders',
+    key,
+    body: '{"product":"p7"}',
+  });
+  const name = `order-${key}`;
+  const both = await sendAll(
+    fleet,
+    [
+      order('order', 'orderdesk-ilorin-a-1'),
+      order('same order elsewhere', 'tileyard-ilorin-b-1'),
+    ],
+    name,
+  );
+  const repeat = await sendAll(
+    fleet,
+    [order('same order again', 'atlas-ilorin-a-1')],
+    name,
+  );
+  const problems = showResults('One order, asked three times', [
+    ...both,
+    ...repeat,
+  ]);
+  const executions = await executionsOf(fleet, key, '/terrain-orders');
+  const takings = await executionsOf(fleet, name, '/stock/p7/takings');
+  print(
+    `Executed ${String(executions)} time(s), stock taken ${String(takings)} time(s).\n`,
+  );
+  if (executions === 1 && takings === 1) return problems;
+  return [...problems, 'the order was not executed exactly once'];
+}
+
+/** A read whose first attempt meets an upstream that breaks the connection. */
+async function showRetry(fleet: Fleet): Promise<readonly string[]> {
+  const tileyards = [...fleet.hosts.values()].filter(
+    host => host.identity.service === 'tileyard',
+  );
+  for (const host of tileyards) {
+    await host.setUpstreamFault({mode: 'reset', remainingCount: 1});
+  }
+  const request = (label: string): DemoRequest => ({
+    label,
+    host: 'catalogue-ilorin-b-1',
+    service: 'tileyard',
+    method: 'GET',
+    path: '/elevation-grids/p7',
+  });
+  const first = await sendAll(fleet, [request('upstream breaks off')]);
+  for (const host of tileyards) await host.setUpstreamFault({mode: 'none'});
+  const second = await sendAll(fleet, [request('same when it is well')]);
+  printResults('A connection breaks at the upstream', [...first, ...second]);
+  const isTold = first.every(
+    ({result}) => result.kind === 'answered' || result.outcome === 'unknown',
+  );
+  const problems = findProblems(second);
+  return isTold
+    ? problems
+    : [...problems, 'a broken read was not told as such'];
+}
+
+async function showVersions(
+  fleet: Fleet,
+  version: number,
+): Promise<readonly string[]> {
+  const names = [...fleet.hosts.keys()];
+  const readVersions = (): Promise<readonly number[]> =>
+    Promise.all(names.map(name => fleet.versionInForce(name)));
+  const isInForce = await waitFor(VERSION_LIMIT_MILLIS, async () =>
+    (await readVersions()).every(held => held === version),
+  );
+  const versions = await readVersions();
+  const rows = names.map((name, i) => [name, String(versions[i])]);
+  print(`Policy version in force, after version ${String(version)} came out`);
+  print(formatTable(['host', 'version'], rows));
+  return isInForce ? [] : ['a node did not take up the new version'];
+}
+
+async function stopAll(fleet: Fleet): Promise<readonly string[]> {
+  const exits = await Promise.all(
+    [...fleet.hosts.values()].map(host => host.stopDaemon(STOP_LIMIT_MILLIS)),
+  );
+  const cleanCount = exits.filter(exit => exit.code === 0).length;
+  print(
+    `${String(cleanCount)} of ${String(exits.length)} daemons stopped cleanly.`,
+  );
+  return cleanCount === exits.length ? [] : ['a daemon did not stop cleanly'];
+}
+
+function sendAll(
+  fleet: Fleet,
+  requests: readonly DemoRequest[],
+  name?: string,
+): Promise<readonly DemoResult[]> {
+  return Promise.all(
+    requests.map(async request => {
+      const callerRequest: CallerRequest = {
+        port: fleet.host(request.host).ports.caller,
+        service: request.service,
+        method: request.method,
+        path: request.path,
+        name: name ?? uuid(),
+        key: request.key,
+        body:
+          request.body === undefined ? undefined : Buffer.from(request.body),
+        timeoutMillis: CALLER_TIMEOUT_MILLIS,
+      };
+      return {request, result: await sendCallerRequest(callerRequest)};
+    }),
+  );
+}
+
+/** Executions of a path that carried a key or a caller's name. */
+async function executionsOf(
+  fleet: Fleet,
+  id: string,
+  path: string,
+): Promise<number> {
+  const lists = await Promise.all(
+    [...fleet.hosts.values()].map(host => host.executions()),
+  );
+  return lists
+    .flat()
+    .filter(
+      execution =>
+        execution.path === path &&
+        (execution.key === id || execution.request === id),
+    ).length;
+}
+
+function showResults(
+  title: string,
+  results: readonly DemoResult[],
+): readonly string[] {
+  printResults(title, results);
+  return findProblems(results);
+}
+
+function printResults(title: string, results: readonly DemoResult[]): void {
+  const rows = results.map(({request, result}) => [
+    request.label,
+    request.host,
+    result.kind,
+    String(result.statusCode),
+    String(result.retriesSpentCount),
+    result.outcome ?? '-',
+    String(result.policyVersion),
+  ]);
+  const headings = [
+    'asked',
+    'at node of',
+    'came back',
+    'status',
+    'retries',
+    'outcome',
+    'version',
+  ];
+  print(title);
+  print(formatTable(headings, rows));
+}
+
+function findProblems(results: readonly DemoResult[]): readonly string[] {
+  return results.flatMap(({request, result}) => {
+    const expected = request.expectedStatusCode ?? 200;
+    if (result.kind !== 'wrong' && result.statusCode === expected) return [];
+    const detail = result.problem === '' ? result.reason : result.problem;
+    return [`${request.label}: ${String(result.statusCode)} ${detail}`];
+  });
+}
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+main().catch(failProcess);
--- a/src/emulator/fleet_launcher.ts
+++ b/src/emulator/fleet_launcher.ts
@@ -5,7 +5,6 @@
 import {mkdtemp, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {dirname, join} from 'node:path';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {BaseError, describeError} from '../base/errors.js';
 import type {SeedPeer} from '../process/settings.js';
@@ -23,6 +22,7 @@
 import {claimPortBlock} from './port_block.js';
 import {findSocketOwner} from './socket_owner.js';
 import type {PlatformCounts, PlatformFault} from './stand_in_platform.js';
+import {waitFor} from './wait_for.js';
 
 /** A running fleet. */
 export interface Fleet {
@@ -48,13 +48,12 @@
   /** Version in force at a host; 0 when it has none or does not answer. */
   versionInForce(name: string): Promise<number>;
   isReady(name: string): Promise<boolean>;
-  /** Waits until each of the hosts is ready, all started ones by default. */
+  /** Waits until each host is ready in turn, all published ones by default. */
   waitUntilReady(limitMillis: number, names?: readonly string[]): Promise<void>;
   /** Kills and removes everything; stop daemons first for a planned end. */
   close(): Promise<void>;
 }
 
-const POLL_MILLIS = 25;
 const ADMIN_LIMIT_MILLIS = 1000;
 const STOP_LIMIT_MILLIS = 5000;
 const SEEDS_PER_ZONE_COUNT = 2;
@@ -191,17 +190,12 @@
     limitMillis: number,
     names: readonly string[] = [...states.keys()],
   ): Promise<void> => {
-    const end = Date.now() + limitMillis;
     for (const name of names) {
-      while (!(await isReady(name))) {
-        if (Date.now() > end) {
-          const log = findHost(name).daemon()?.log().slice(-5).join('\n');
-          throw new BaseError(`${name} is not ready: ${String(log)}`, {
-            props: {step: 'wait-until-ready', peer: name},
-          });
-        }
-        await sleep(POLL_MILLIS);
-      }
+      if (await waitFor(limitMillis, () => isReady(name))) continue;
+      const log = findHost(name).daemon()?.log().slice(-5).join('\n');
+      throw new BaseError(`${name} is not ready: ${String(log)}`, {
+        props: {step: 'wait-until-ready', peer: name},
+      });
     }
   };
 
