--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,24 @@
+#!/usr/bin/env node
+/**
+ * Entry of the command-line tool; all commands are wired here.
+ */
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {EXIT, processOutput} from './command_output.js';
+import {policyCommand} from './policy_command.js';
+import {stateCommand} from './state_command.js';
+
+await yargs(hideBin(process.argv))
+  .scriptName('fulmarhollow')
+  .command(policyCommand)
+  .command(stateCommand)
+  .demandCommand(1, 'a command is needed; --help lists them')
+  .strict()
+  .fail((message, error) => {
+    // yargs would exit with 1, which stands for an invalid document here.
+    processOutput.writeErrorLine(message || error.message);
+    process.exit(EXIT.usage);
+  })
+  .help()
+  .version()
+  .parseAsync();
--- /dev/null
+++ b/src/cli/policy_changes.ts
@@ -0,0 +1,157 @@
+/**
+ * Differences between two policies, each with those whom it concerns.
+ */
+import type {Policy, Route, Service} from '../version/policy.js';
+
+/** One difference. */
+export interface PolicyChange {
+  /** Place in the document, with names instead of positions. */
+  readonly path: string;
+  /** Undefined when it is new. */
+  readonly before: unknown;
+  /** Undefined when it is gone. */
+  readonly after: unknown;
+  /** Whom it concerns. */
+  readonly concerns: string;
+}
+
+/** Fields compared one by one; values are plain JSON values. */
+type Fields = Readonly<Record<string, unknown>>;
+
+interface NamedItem {
+  readonly name: string;
+}
+
+interface Scope {
+  readonly path: string;
+  readonly concerns: string;
+}
+
+const SECTIONS = [
+  ['retryBudget', 'every host, for the retries it sends'],
+  ['keys', 'callers of routes with a key, and their home hosts'],
+  ['bodies', 'every caller'],
+  ['ejection', 'every host, for the choice of hosts'],
+  ['timing', 'every host'],
+] as const;
+
+/** Lists the differences in the order of the document. */
+export function findPolicyChanges(
+  before: Policy,
+  after: Policy,
+): readonly PolicyChange[] {
+  return [
+    ...compareFields(
+      {path: '', concerns: 'every host'},
+      {version: before.version, deployment: before.deployment},
+      {version: after.version, deployment: after.deployment},
+    ),
+    ...compareItems(
+      before.availabilityZones,
+      after.availabilityZones,
+      ({name}) => ({
+        path: `availabilityZones.${name}`,
+        concerns: 'callers of routes with a key, whose keys get other homes',
+      }),
+      compareFields,
+    ),
+    ...compareItems(
+      rankClasses(before),
+      rankClasses(after),
+      ({name}) => ({
+        path: `classes.${name}`,
+        concerns: `requests of class ${name} and of those below it`,
+      }),
+      compareFields,
+    ),
+    ...compareItems(
+      before.services,
+      after.services,
+      ({name}) => ({
+        path: `services.${name}`,
+        concerns: `hosts of ${name} and everyone who calls it`,
+      }),
+      compareServices,
+    ),
+    ...SECTIONS.flatMap(([section, concerns]) =>
+      compareFields(
+        {path: section, concerns},
+        {...before[section]},
+        {...after[section]},
+      ),
+    ),
+  ];
+}
+
+/** One line for a terminal. */
+export function formatChange(change: PolicyChange): string {
+  return `${change.path}: ${describeValues(change)} (${change.concerns})`;
+}
+
+function describeValues({before, after}: PolicyChange): string {
+  if (before === undefined) return `new, ${JSON.stringify(after)}`;
+  if (after === undefined) return `gone, was ${JSON.stringify(before)}`;
+  return `${JSON.stringify(before)} -> ${JSON.stringify(after)}`;
+}
+
+/** Adds the position, which decides over importance, as a field. */
+function rankClasses(policy: Policy) {
+  return policy.classes.map((requestClass, index) => ({
+    ...requestClass,
+    rank: index + 1,
+  }));
+}
+
+function compareServices(
+  scope: Scope,
+  before: Service,
+  after: Service,
+): readonly PolicyChange[] {
+  const {routes: routesBefore, ...fieldsBefore} = before;
+  const {routes: routesAfter, ...fieldsAfter} = after;
+  return [
+    ...compareFields(scope, fieldsBefore, fieldsAfter),
+    ...compareItems(
+      routesBefore,
+      routesAfter,
+      (route: Route) => ({
+        path: `${scope.path}.routes.${route.name}`,
+        concerns: `callers of ${route.method} ${route.path} on ${after.name}`,
+      }),
+      compareFields,
+    ),
+  ];
+}
+
+function compareItems<T extends NamedItem>(
+  before: readonly T[],
+  after: readonly T[],
+  scopeOf: (item: T) => Scope,
+  compare: (scope: Scope, before: T, after: T) => readonly PolicyChange[],
+): readonly PolicyChange[] {
+  const gone = before
+    .filter(item => !after.some(({name}) => name === item.name))
+    .map(item => ({...scopeOf(item), before: item, after: undefined}));
+  const rest = after.flatMap(item => {
+    const match = before.find(({name}) => name === item.name);
+    if (match !== undefined) return compare(scopeOf(item), match, item);
+    return [{...scopeOf(item), before: undefined, after: item}];
+  });
+  return [...gone, ...rest];
+}
+
+function compareFields(
+  scope: Scope,
+  before: object,
+  after: object,
+): readonly PolicyChange[] {
+  const fieldsBefore = before as Fields;
+  return Object.entries(after as Fields)
+    .filter(([name, value]) => fieldsBefore[name] !== value)
+    .map(([name, value]) => ({
+      path: scope.path === '' ? name : `${scope.path}.${name}`,
+      before: fieldsBefore[name],
+      after: value,
+      concerns: scope.concerns,
+    }));
+}
--- /dev/null
+++ b/src/cli/policy_command.ts
@@ -0,0 +1,22 @@
+/**
+ * `fulmarhollow policy`: the commands for policy documents.
+ */
+import type {CommandModule} from 'yargs';
+import {policyCheckCommand} from './policy_check_command.js';
+import {policyDiffCommand} from './policy_diff_command.js';
+import {policyExplainCommand} from './policy_explain_command.js';
+import {policyNewCommand} from './policy_new_command.js';
+
+/** The group of commands for yargs. */
+export const policyCommand: CommandModule = {
+  command: 'policy <command>',
+  describe: 'write and check policy documents',
+  builder: parser =>
+    parser
+      .command(policyNewCommand)
+      .command(policyCheckCommand)
+      .command(policyExplainCommand)
+      .command(policyDiffCommand)
+      .demandCommand(),
+  handler: () => undefined,
+};
--- /dev/null
+++ b/src/cli/policy_succession.ts
@@ -0,0 +1,102 @@
+/**
+ * Checks of a policy document against the one it is to replace.
+ */
+import type {Policy} from '../version/policy.js';
+import type {Problem} from '../version/problem.js';
+
+/** What keeps a document from following another, and what to know if it does. */
+export interface SuccessionReport {
+  readonly problems: readonly Problem[];
+  readonly warnings: readonly string[];
+}
+
+/** Compares a document with its predecessor. */
+export function checkSuccession(
+  previous: Policy,
+  next: Policy,
+): SuccessionReport {
+  return {
+    problems: findSuccessionProblems(previous, next),
+    warnings: [
+      ...warnOfZones(previous, next),
+      ...warnOfKeyedServices(previous, next),
+      ...warnOfWindow(previous, next),
+    ],
+  };
+}
+
+function findSuccessionProblems(
+  previous: Policy,
+  next: Policy,
+): readonly Problem[] {
+  const problems: Problem[] = [];
+  if (next.version <= previous.version) {
+    problems.push({
+      path: '$.version',
+      value: next.version,
+      allowed: `more than ${String(previous.version)}, the version to be replaced`,
+    });
+  }
+  if (next.deployment !== previous.deployment) {
+    problems.push({
+      path: '$.deployment',
+      value: next.deployment,
+      allowed: `${previous.deployment}, the deployment of the version to be replaced`,
+    });
+  }
+  return problems;
+}
+
+/** Keys are spread over the zones of the document, so each may move. */
+function warnOfZones(previous: Policy, next: Policy): readonly string[] {
+  const change = describeSetChange(zoneNames(previous), zoneNames(next));
+  if (change === undefined) return [];
+  return [
+    `availability zones ${change}: keys get other home hosts, which refuse or answer "unknown" for up to ${String(next.keys.windowMillis)} ms (keys.windowMillis)`,
+  ];
+}
+
+function warnOfKeyedServices(
+  previous: Policy,
+  next: Policy,
+): readonly string[] {
+  const change = describeSetChange(
+    keyedServices(previous),
+    keyedServices(next),
+  );
+  if (change === undefined) return [];
+  return [
+    `services with keyed routes ${change}: a request that is repeated across the change may be known under its key on one side only`,
+  ];
+}
+
+function warnOfWindow(previous: Policy, next: Policy): readonly string[] {
+  const before = previous.keys.windowMillis;
+  const after = next.keys.windowMillis;
+  if (after >= before) return [];
+  return [
+    `keys.windowMillis falls from ${String(before)} to ${String(after)}: callers that still repeat a request after the shorter time run it again`,
+  ];
+}
+
+function zoneNames(policy: Policy): readonly string[] {
+  return policy.availabilityZones.map(({name}) => name);
+}
+
+function keyedServices(policy: Policy): readonly string[] {
+  return policy.services
+    .filter(({routes}) => routes.some(({isKeyRequired}) => isKeyRequired))
+    .map(({name}) => name);
+}
+
+function describeSetChange(
+  before: readonly string[],
+  after: readonly string[],
+): string | undefined {
+  const added = after.filter(name => !before.includes(name));
+  const removed = before.filter(name => !after.includes(name));
+  const parts: string[] = [];
+  if (added.length > 0) parts.push(`gain ${added.join(', ')}`);
+  if (removed.length > 0) parts.push(`lose ${removed.join(', ')}`);
+  return parts.length > 0 ? parts.join(' and ') : undefined;
+}
--- /dev/null
+++ b/src/cli/route_explanation.ts
@@ -0,0 +1,114 @@
+/**
+ * What a policy says about one kind of request, in figures and in words.
+ */
+import type {
+  CompiledPolicy,
+  RepeatRule,
+  RouteMatch,
+} from '../version/policy.js';
+
+/** The rules that apply to one route. */
+export interface RouteExplanation {
+  readonly policyVersion: number;
+  readonly service: string;
+  readonly route: string;
+  readonly method: string;
+  readonly path: string;
+  readonly className: string;
+  /** Position of the class; 1 is most important. */
+  readonly classRank: number;
+  readonly classesCount: number;
+  /** Classes that are shed before this one. */
+  readonly lessImportantClasses: readonly string[];
+  readonly repeat: RepeatRule;
+  readonly isKeyRequired: boolean;
+  readonly keyWindowMillis: number;
+  readonly retryBound: number;
+  readonly deadlineMillis: number;
+  readonly queueCount: number;
+  readonly queueWaitMillis: number;
+  readonly slotsCount: number;
+  /** Slots of one upstream that the class may use at most. */
+  readonly usableSlotsCount: number;
+  /** Share that lower classes leave free for this class. */
+  readonly reservedRatio: number;
+}
+
+const REPEAT_WORDS: Readonly<Record<RepeatRule, string>> = {
+  safe: 'may be sent again, even on behalf of a request that may not',
+  idempotent: 'may be sent again, unless on behalf of a request that may not',
+  never:
+    'is never sent again once a byte may have reached an upstream, nor is anything done on its behalf unless that is safe',
+};
+
+/** Keeps sums such as 0.1 + 0.2 from costing a slot. */
+const ROUNDING_RATIO = 1e-9;
+
+/** Collects the rules for a route. */
+export function explainRoute(
+  compiled: CompiledPolicy,
+  {service, route, classIndex}: RouteMatch,
+): RouteExplanation {
+  const {classes, keys} = compiled.policy;
+  const reservedAbove = classes
+    .slice(0, classIndex)
+    .reduce((sum, {reservedRatio}) => sum + reservedRatio, 0);
+  const usableSlots = service.slotsCount * (1 - reservedAbove + ROUNDING_RATIO);
+  return {
+    policyVersion: compiled.version,
+    service: service.name,
+    route: route.name,
+    method: route.method,
+    path: route.path,
+    className: route.className,
+    classRank: classIndex + 1,
+    classesCount: classes.length,
+    lessImportantClasses: classes.slice(classIndex + 1).map(({name}) => name),
+    repeat: route.repeat,
+    isKeyRequired: route.isKeyRequired,
+    keyWindowMillis: keys.windowMillis,
+    retryBound: route.retryBound,
+    deadlineMillis: route.deadlineMillis,
+    queueCount: service.queueCount,
+    queueWaitMillis: service.queueWaitMillis,
+    slotsCount: service.slotsCount,
+    usableSlotsCount: Math.max(1, Math.floor(usableSlots)),
+    reservedRatio: classes[classIndex]?.reservedRatio ?? 0,
+  };
+}
+
+/** Renders the rules, one line each. */
+export function formatExplanation(rules: RouteExplanation): readonly string[] {
+  return [
+    `${rules.method} ${rules.path} of ${rules.service} is route ${rules.route} (policy version ${String(rules.policyVersion)})`,
+    `class:    ${describeClass(rules)}`,
+    `repeat:   ${rules.repeat}: ${REPEAT_WORDS[rules.repeat]}`,
+    `key:      ${describeKey(rules)}`,
+    `retries:  ${describeRetries(rules)}`,
+    `deadline: ${String(rules.deadlineMillis)} ms after entry, or the caller's own timeout if that is shorter`,
+    `queue:    at most ${String(rules.queueCount)} calls wait at one upstream, none longer than ${String(rules.queueWaitMillis)} ms`,
+    `slots:    ${describeSlots(rules)}`,
+  ];
+}
+
+function describeClass(rules: RouteExplanation): string {
+  const place = `${rules.className}, ${String(rules.classRank)} of ${String(rules.classesCount)} (1 is most important)`;
+  if (rules.lessImportantClasses.length === 0) return `${place}; shed first`;
+  return `${place}; shed only after ${rules.lessImportantClasses.join(', ')}`;
+}
+
+function describeKey(rules: RouteExplanation): string {
+  if (!rules.isKeyRequired) return 'no Idempotency-Key is required';
+  return `an Idempotency-Key is required; a repeat within ${String(rules.keyWindowMillis)} ms does not run again`;
+}
+
+function describeRetries(rules: RouteExplanation): string {
+  if (rules.retryBound === 0) return 'none on any hop of the chain';
+  return `at most ${String(rules.retryBound)} over the whole chain, for a request that enters here`;
+}
+
+function describeSlots(rules: RouteExplanation): string {
+  const usable = `the class may use ${String(rules.usableSlotsCount)} of ${String(rules.slotsCount)} at one upstream`;
+  if (rules.reservedRatio === 0) return usable;
+  return `${usable}; lower classes leave ${String(rules.reservedRatio)} of the limit free for it`;
+}
--- /dev/null
+++ b/test/unit/cli/policy_check_command.test.ts
@@ -0,0 +1,104 @@
+/**
+ * `policy check`: findings and exit codes.
+ */
+import test from 'ava';
+import type {ExecutionContext} from 'ava';
+import type {ExitCode} from '../../../src/cli/command_output.js';
+import {checkPolicyFiles} from '../../../src/cli/policy_check_command.js';
+import type {Policy} from '../../../src/version/policy.js';
+import type {Mutable} from '../../fakes/policy_documents.js';
+import {createPolicyBytes} from '../../fakes/policy_documents.js';
+import {createRecordedOutput} from '../../fakes/recorded_output.js';
+import {createFileWriter} from '../../fakes/temporary_files.js';
+
+test('all files are checked and the worst result is the exit code', t => {
+  const writeFile = createFileWriter(t);
+  const good = writeFile('good.json', createPolicyBytes(3));
+  const bad = writeFile(
+    'bad.json',
+    createPolicyBytes(3, draft => {
+      draft.bodies.requestBytes = -1;
+      draft.timing.drainMillis = -1;
+    }),
+  );
+  const check = (files: readonly string[]) => {
+    const output = createRecordedOutput();
+    const code = checkPolicyFiles({files, previous: undefined}, output);
+    return {code, output};
+  };
+  t.is(check([good]).code, 0);
+  const mixed = check([bad, good]);
+  t.is(mixed.code, 1);
+  t.is(mixed.output.lines.length, 3);
+  t.regex(mixed.output.lines[0] ?? '', /error: \$\.bodies\.requestBytes/);
+  t.regex(mixed.output.lines[1] ?? '', /error: \$\.timing\.drainMillis/);
+  t.regex(mixed.output.lines[2] ?? '', /ok: trial version 3, SHA-256 [0-9a-f]/);
+  const missing = check([`${good}.gone`, bad, good]);
+  t.is(missing.code, 2);
+  t.is(missing.output.errorLines.length, 1);
+  t.is(missing.output.lines.length, 3);
+});
+
+function checkAgainst(
+  t: ExecutionContext,
+  version: number,
+  change: (draft: Mutable<Policy>) => void,
+) {
+  const writeFile = createFileWriter(t);
+  const previous = writeFile('previous.json', createPolicyBytes(3));
+  const next = writeFile('next.json', createPolicyBytes(version, change));
+  const output = createRecordedOutput();
+  const code = checkPolicyFiles({files: [next], previous}, output);
+  return {code, text: output.lines.join('\n')};
+}
+
+const successions: readonly (readonly [
+  name: string,
+  version: number,
+  change: (draft: Mutable<Policy>) => void,
+  code: ExitCode,
+  finding: RegExp,
+])[] = [
+  ['a higher version', 4, () => undefined, 0, /^[^\n]*: ok: [^\n]*$/],
+  ['an equal version', 3, d => (d.keys.recordsCount = 9), 1, /\$\.version/],
+  ['a lower version', 2, () => undefined, 1, /allowed: more than 3/],
+  ['another deployment', 4, d => (d.deployment = 'x'), 1, /\$\.deployment/],
+  [
+    'another zone',
+    4,
+    d => (d.availabilityZones[1]!.name = 'zc'),
+    0,
+    /warning: availability zones gain zc and lose zb/,
+  ],
+  [
+    'no keyed service any more',
+    4,
+    d => (d.services[0]!.routes[0]!.isKeyRequired = false),
+    0,
+    /warning: services with keyed routes lose desk/,
+  ],
+  [
+    'a shorter window',
+    4,
+    d => (d.keys.windowMillis = 30_000),
+    0,
+    /warning: keys\.windowMillis falls from 60000 to 30000/,
+  ],
+];
+
+for (const [name, version, change, code, finding] of successions) {
+  test(`a successor with ${name}`, t => {
+    const checked = checkAgainst(t, version, change);
+    t.is(checked.code, code);
+    t.regex(checked.text, finding);
+  });
+}
+
+test('a previous version that cannot be used is told', t => {
+  const writeFile = createFileWriter(t);
+  const next = writeFile('next.json', createPolicyBytes(4));
+  const broken = writeFile('broken.json', '{');
+  const output = createRecordedOutput();
+  t.is(checkPolicyFiles({files: [next], previous: broken}, output), 1);
+  t.regex(output.errorLines[0] ?? '', /broken\.json: \$: /);
+});
