--- a/src/connection/admin_routes.ts
+++ b/src/connection/admin_routes.ts
@@ -15,7 +15,7 @@
   readonly settings: Settings;
   readonly stateDump: StateDump;
   readonly metrics: Metrics;
-  readonly policyStore: PolicyStore;
+  readonly policyStore: Pick<PolicyStore, 'inForce'>;
   readonly readiness: Readiness;
 }
 
--- a/src/connection/admin_server.ts
+++ b/src/connection/admin_server.ts
@@ -74,7 +74,10 @@
   return Effect.sync(() => {
     // A reader that stops reading would hold its connection for ever, and a
     // few of them would lock all operators out; the socket is closed instead.
-    response.setTimeout(options.answerMillis ?? ANSWER_MILLIS);
+    response.setTimeout(options.answerMillis ?? ANSWER_MILLIS, () => {
+      options.metrics.increment('admin.answers_cut');
+      response.destroy();
+    });
     const answer = hasBody(request)
       ? refuseBody(options.settings.hostName)
       : answerAdminRequest(
