--- a/src/emulator/execution_record.ts
+++ b/src/emulator/execution_record.ts
@@ -21,8 +21,23 @@
   isAnswered: boolean;
   /** Whether the client's disconnection stopped the work. */
   isCancelled: boolean;
-  /** Calls made on the request's behalf, repeats included. */
-  callsCount: number;
+  /**
+   * Calls made on the request's behalf, the application's own repeats
+   * included, counted by `callTarget`.
+   */
+  readonly calls: Record<string, number>;
+}
+
+/** Names the service and path that a call goes to. */
+export function callTarget(service: string, path: string): string {
+  return `${service} ${path}`;
+}
+
+/** A request that reached an upstream, executed or not. */
+export interface ArrivalCount {
+  readonly request: string;
+  readonly path: string;
+  readonly count: number;
 }
 
 /** Query parameter that carries a client's name for its request. */
@@ -45,6 +60,9 @@
 export interface ExecutionRecord {
   start(start: ExecutionStart): Execution;
   find(filter: ExecutionFilter): readonly Execution[];
+  /** Counts a request at its arrival, before anything is decided about it. */
+  recordArrival(request: string, path: string): void;
+  arrivals(): readonly ArrivalCount[];
   clear(): void;
 }
 
@@ -56,6 +74,7 @@
   maximumCount = MAXIMUM_EXECUTIONS_COUNT,
 ): ExecutionRecord {
   const executions: Execution[] = [];
+  const arrivals = new Map<string, ArrivalCount>();
   let nextSequence = 1;
   return {
     start: start => {
@@ -70,7 +89,7 @@
         isComplete: false,
         isAnswered: false,
         isCancelled: false,
-        callsCount: 0,
+        calls: {},
       };
       nextSequence += 1;
       executions.push(execution);
@@ -84,8 +103,15 @@
           (filter.key === undefined || execution.key === filter.key) &&
           (filter.path === undefined || execution.path === filter.path),
       ),
+    recordArrival: (request, path) => {
+      const id = JSON.stringify([request, path]);
+      const count = (arrivals.get(id)?.count ?? 0) + 1;
+      arrivals.set(id, {request, path, count});
+    },
+    arrivals: () => [...arrivals.values()],
     clear: () => {
       executions.length = 0;
+      arrivals.clear();
     },
   };
 }
--- a/src/emulator/fleet_host.ts
+++ b/src/emulator/fleet_host.ts
@@ -6,7 +6,7 @@
 import {join} from 'node:path';
 import type {ControlSettings, SeedPeer} from '../process/settings.js';
 import type {PublishedHost} from '../version/host_list.js';
-import type {Execution} from './execution_record.js';
+import type {ArrivalCount, Execution} from './execution_record.js';
 import type {FaultyLink, SourceResolver} from './faulty_link.js';
 import {createFaultyLink} from './faulty_link.js';
 import type {HostIdentity} from './fleet_plan.js';
@@ -66,6 +66,7 @@
   releaseUpstream(): Promise<void>;
   upstreamCounts(): Promise<UpstreamCounts>;
   executions(): Promise<readonly Execution[]>;
+  arrivals(): Promise<readonly ArrivalCount[]>;
   /** Ends everything of this host. */
   close(): Promise<void>;
 }
@@ -182,6 +183,8 @@
       (await callUpstream('GET', '/counts')) as UpstreamCounts,
     executions: async () =>
       (await callUpstream('GET', '/executions')) as Execution[],
+    arrivals: async () =>
+      (await callUpstream('GET', '/arrivals')) as ArrivalCount[],
     close: async () => {
       await killDaemon();
       await upstream?.stop(KILL_LIMIT_MILLIS);
--- a/src/emulator/stand_in_upstream.ts
+++ b/src/emulator/stand_in_upstream.ts
@@ -123,6 +123,7 @@
       body,
       signal: controller.signal,
     };
+    record.recordArrival(incoming.name, url.pathname);
     const route = findUpstreamRoute(
       config.routes,
       request.method ?? '',
@@ -288,6 +289,8 @@
         return readCounts();
       case 'GET /executions':
         return record.find(Object.fromEntries(url.searchParams));
+      case 'GET /arrivals':
+        return record.arrivals();
       case 'DELETE /executions':
         record.clear();
         return {};
--- a/src/emulator/upstream_calls.ts
+++ b/src/emulator/upstream_calls.ts
@@ -8,7 +8,7 @@
 import {HEADER} from '../protocol/headers.js';
 import {digestOf, findAnswerProblem} from './answer_body.js';
 import type {Execution} from './execution_record.js';
-import {REQUEST_PARAMETER} from './execution_record.js';
+import {REQUEST_PARAMETER, callTarget} from './execution_record.js';
 import type {HttpAnswer} from './http_support.js';
 import {LOOPBACK_ADDRESS, sendHttp} from './http_support.js';
 import type {
@@ -109,7 +109,8 @@
       const send = async (call: PlannedCall): Promise<number> => {
         let statusCode = 0;
         for (let i = 0; i <= fault.callRepeatsCount; i += 1) {
-          execution.callsCount += 1;
+          const target = callTarget(call.service, call.path);
+          execution.calls[target] = (execution.calls[target] ?? 0) + 1;
           statusCode = await sendOnce(call, origin, token);
           if (statusCode === 200) break;
         }
--- /dev/null
+++ b/test/scenario/policy_change.ts
@@ -0,0 +1,33 @@
+/**
+ * Changes to single fields of a policy document.
+ */
+import type {Policy} from '../../src/version/policy.js';
+
+type Json = string | number | boolean | Json[] | {[name: string]: Json};
+
+/** Returns a policy with one field replaced; list members go by their name. */
+export function changePolicy(
+  policy: Policy,
+  path: readonly string[],
+  value: number | boolean | string,
+): Policy {
+  const copy = structuredClone(policy) as unknown as Json;
+  const last = path.at(-1) ?? '';
+  let node = copy;
+  for (const part of path.slice(0, -1)) node = childOf(node, part, path);
+  if (typeof node !== 'object' || Array.isArray(node) || !(last in node)) {
+    throw new Error(`the policy has no field ${path.join('.')}`);
+  }
+  node[last] = value;
+  return copy as unknown as Policy;
+}
+
+function childOf(node: Json, part: string, path: readonly string[]): Json {
+  const child = Array.isArray(node)
+    ? node.find(member => (member as {name?: Json}).name === part)
+    : (node as {[name: string]: Json})[part];
+  if (child === undefined) {
+    throw new Error(`the policy has no ${part} for ${path.join('.')}`);
+  }
+  return child;
+}
--- /dev/null
+++ b/test/scenario/scenario_measures.ts
@@ -0,0 +1,246 @@
+/**
+ * The counts that conditions of a scenario compare.
+ */
+import type {Execution} from '../../src/emulator/execution_record.js';
+import {callTarget} from '../../src/emulator/execution_record.js';
+import type {Fleet} from '../../src/emulator/fleet_launcher.js';
+import type {Condition, HostRef, HostsRef, Measure} from './scenario_ast.js';
+import type {ScenarioRequests, SentRequest} from './scenario_requests.js';
+import type {VersionWatch} from './version_watch.js';
+
+/** What counts are taken from. */
+export interface MeasureSources {
+  readonly fleet: Fleet;
+  readonly requests: ScenarioRequests;
+  readonly versions: VersionWatch;
+  readonly exitCodes: ReadonlyMap<string, number>;
+  resolveHost(ref: HostRef): string;
+  resolveHosts(ref: HostsRef): readonly string[];
+  /** Hosts whose daemon is supposed to run. */
+  runningHosts(zone?: string): readonly string[];
+}
+
+/** An execution with the service that it happened at. */
+interface PlacedExecution extends Execution {
+  readonly service: string;
+}
+
+/** Exit code reported for a daemon that has not been stopped. */
+const NOT_STOPPED = -1;
+
+/** Takes one count. */
+export async function takeMeasure(
+  sources: MeasureSources,
+  measure: Measure,
+): Promise<number> {
+  const {fleet, requests} = sources;
+  switch (measure.kind) {
+    case 'results':
+      return countResults(requests.group(measure.group).sent, measure.result);
+    case 'status':
+      return requests
+        .group(measure.group)
+        .sent.filter(({result}) => result.statusCode === measure.statusCode)
+        .length;
+    case 'reason':
+      return requests
+        .group(measure.group)
+        .sent.filter(({result}) => result.reason === measure.reason).length;
+    case 'maximum-retries':
+      return Math.max(
+        0,
+        ...requests
+          .group(measure.group)
+          .sent.map(({result}) => result.retriesSpentCount),
+      );
+    case 'key-executions': {
+      const key = requests.keyOf(measure.key);
+      const executions = await readExecutions(fleet);
+      return executions.filter(
+        execution =>
+          execution.key === key &&
+          (measure.service ?? execution.service) === execution.service,
+      ).length;
+    }
+    case 'executions':
+    case 'maximum-executions': {
+      const counts = await countByRequest(sources, measure);
+      return measure.kind === 'executions'
+        ? counts.reduce((sum, count) => sum + count, 0)
+        : Math.max(0, ...counts);
+    }
+    case 'maximum-repeats':
+      return maximumRepeats(sources, measure.group);
+    case 'false-not-run':
+      return countFalseNotRun(sources, measure.group);
+    case 'received': {
+      const counts = await Promise.all(
+        sources
+          .resolveHosts(measure.hosts)
+          .map(name => fleet.host(name).upstreamCounts()),
+      );
+      return counts.reduce((sum, count) => sum + count.receivedCount, 0);
+    }
+    case 'version':
+      return fleet.versionInForce(sources.resolveHost(measure.host));
+    case 'version-bound': {
+      const versions = await Promise.all(
+        sources.runningHosts(measure.zone).map(fleet.versionInForce),
+      );
+      return measure.which === 'lowest'
+        ? Math.min(...versions)
+        : Math.max(...versions);
+    }
+    case 'version-decreases':
+      return sources.versions.decreasesCount();
+    case 'exit-code':
+      return (
+        sources.exitCodes.get(sources.resolveHost(measure.host)) ?? NOT_STOPPED
+      );
+    case 'ready-hosts': {
+      const states = await Promise.all(
+        sources.runningHosts().map(fleet.isReady),
+      );
+      return states.filter(Boolean).length;
+    }
+    case 'platform-calls':
+      return (await fleet.platformCounts()).callsCount;
+    case 'wrong-calls': {
+      const counts = await Promise.all(
+        [...fleet.hosts.values()].map(host => host.upstreamCounts()),
+      );
+      return counts.reduce((sum, count) => sum + count.wrongAnswersCount, 0);
+    }
+  }
+}
+
+/** Compares a count as the condition has it. */
+export function holds(condition: Condition, count: number): boolean {
+  switch (condition.operator) {
+    case '=':
+      return count === condition.value;
+    case '!=':
+      return count !== condition.value;
+    case '<':
+      return count < condition.value;
+    case '<=':
+      return count <= condition.value;
+    case '>':
+      return count > condition.value;
+    case '>=':
+      return count >= condition.value;
+  }
+}
+
+function countResults(
+  sent: readonly SentRequest[],
+  wanted: Extract<Measure, {kind: 'results'}>['result'],
+): number {
+  if (wanted === 'sent') return sent.length;
+  return sent.filter(
+    ({result}) => result.kind === wanted || result.outcome === wanted,
+  ).length;
+}
+
+async function readExecutions(
+  fleet: Fleet,
+): Promise<readonly PlacedExecution[]> {
+  const lists = await Promise.all(
+    [...fleet.hosts.values()].map(async host => {
+      const executions = await host.executions();
+      const {service} = host.identity;
+      return executions.map(execution => ({...execution, service}));
+    }),
+  );
+  return lists.flat();
+}
+
+/** Executions at a service for each request of a group. */
+async function countByRequest(
+  sources: MeasureSources,
+  measure: {readonly group: string; readonly service: string},
+): Promise<readonly number[]> {
+  const executions = await readExecutions(sources.fleet);
+  const counts = new Map<string, number>();
+  for (const {name} of sources.requests.group(measure.group).sent) {
+    counts.set(name, 0);
+  }
+  for (const {request, service} of executions) {
+    const count = counts.get(request);
+    if (count === undefined || service !== measure.service) continue;
+    counts.set(request, count + 1);
+  }
+  return [...counts.values()];
+}
+
+/**
+ * Most retries that upstreams saw for one request: arrivals at a service and
+ * path beyond the calls that upstreams, and for its entry the caller, made.
+ */
+async function maximumRepeats(
+  sources: MeasureSources,
+  group: string,
+): Promise<number> {
+  const made = new Map<string, Map<string, number>>();
+  for (const {name, service, path} of sources.requests.group(group).sent) {
+    addTo(made, name, callTarget(service, path), 1);
+  }
+  for (const {request, calls} of await readExecutions(sources.fleet)) {
+    if (!made.has(request)) continue;
+    for (const [target, count] of Object.entries(calls)) {
+      addTo(made, request, target, count);
+    }
+  }
+  const arrived = await readArrivals(sources.fleet);
+  const repeats = [...made].map(([request, targets]) =>
+    [...(arrived.get(request) ?? [])].reduce(
+      (sum, [target, count]) =>
+        sum + Math.max(0, count - (targets.get(target) ?? 0)),
+      0,
+    ),
+  );
+  return Math.max(0, ...repeats);
+}
+
+/** Arrivals at upstreams by request and target. */
+async function readArrivals(
+  fleet: Fleet,
+): Promise<ReadonlyMap<string, ReadonlyMap<string, number>>> {
+  const arrived = new Map<string, Map<string, number>>();
+  for (const host of fleet.hosts.values()) {
+    for (const {request, path, count} of await host.arrivals()) {
+      const target = callTarget(host.identity.service, path);
+      addTo(arrived, request, target, count);
+    }
+  }
+  return arrived;
+}
+
+function addTo(
+  counts: Map<string, Map<string, number>>,
+  request: string,
+  target: string,
+  count: number,
+): void {
+  const targets = counts.get(request) ?? new Map<string, number>();
+  counts.set(request, targets);
+  targets.set(target, (targets.get(target) ?? 0) + count);
+}
+
+/** Requests told not-run each time they were sent, yet executed. */
+async function countFalseNotRun(
+  sources: MeasureSources,
+  group: string,
+): Promise<number> {
+  const executions = await readExecutions(sources.fleet);
+  const all = sources.requests.all();
+  const names = new Set(
+    sources.requests.group(group).sent.map(({name}) => name),
+  );
+  return [...names].filter(name => {
+    const isAlwaysNotRun = all
+      .filter(sent => sent.name === name)
+      .every(({result}) => result.outcome === 'not-run');
+    return isAlwaysNotRun && executions.some(({request}) => request === name);
+  }).length;
+}
--- /dev/null
+++ b/test/scenario/scenario_parser.ts
@@ -0,0 +1,37 @@
+/**
+ * Reads scenario files by a grammar that is compiled when first needed.
+ */
+import {readFile} from 'node:fs/promises';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import peggy from 'peggy';
+import type {Statement} from './scenario_ast.js';
+
+/** Where scenario files and the grammar lie; they are not compiled. */
+export const SCENARIO_DIRECTORY = fileURLToPath(
+  new URL('../../../test/scenario/', import.meta.url),
+);
+
+/** Turns the text of a file into statements. */
+export type ScenarioParser = (
+  text: string,
+  fileName: string,
+) => readonly Statement[];
+
+/** Compiles the grammar. */
+export async function createScenarioParser(): Promise<ScenarioParser> {
+  const file = join(SCENARIO_DIRECTORY, 'scenario_grammar.peggy');
+  const parser = peggy.generate(await readFile(file, 'utf8'));
+  return (text, fileName) => {
+    try {
+      return parser.parse(text) as readonly Statement[];
+    } catch (error) {
+      if (!(error instanceof parser.SyntaxError)) throw error;
+      const {line, column} = error.location.start;
+      throw new Error(
+        `${fileName}:${String(line)}:${String(column)}: ${error.message}`,
+        {cause: error},
+      );
+    }
+  };
+}
--- /dev/null
+++ b/test/scenario/scenario_requests.ts
@@ -0,0 +1,140 @@
+/**
+ * Requests of a scenario: names, keys, groups and what came back.
+ */
+import * as http from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {v7 as uuid} from 'uuid';
+import type {CallerResult} from '../../src/emulator/caller.js';
+import {sendCallerRequest} from '../../src/emulator/caller.js';
+import type {KeyRef, RequestSpec} from './scenario_ast.js';
+
+/** One request that was sent. */
+export interface SentRequest {
+  readonly name: string;
+  readonly service: string;
+  readonly path: string;
+  readonly result: CallerResult;
+}
+
+/** Requests sent under one group name. */
+export interface RequestGroup {
+  readonly sent: SentRequest[];
+  readonly pending: Set<Promise<void>>;
+}
+
+/** Finds the caller port a request goes to. */
+export type PortResolver = (target: RequestSpec['target']) => number;
+
+/** Sends requests and keeps what came back. */
+export interface ScenarioRequests {
+  /** Starts `count` requests at once. */
+  send(spec: RequestSpec, count: number): Promise<void>;
+  /** Starts requests at even intervals; resolves when all have ended. */
+  load(
+    spec: RequestSpec,
+    ratePerSecond: number,
+    durationMillis: number,
+  ): Promise<void>;
+  /** Key that a name in the scenario stands for. */
+  keyOf(name: string): string;
+  /** Throws for a name that no statement used. */
+  group(name: string): RequestGroup;
+  /** All requests, whatever their group. */
+  all(): readonly SentRequest[];
+  awaitGroup(name: string): Promise<void>;
+  dispose(): void;
+}
+
+const DEFAULT_TIMEOUT_MILLIS = 10_000;
+const MILLIS_PER_SECOND = 1000;
+
+/** Creates the requests of one scenario. */
+export function createScenarioRequests(
+  resolvePort: PortResolver,
+): ScenarioRequests {
+  const agent = new http.Agent({keepAlive: true});
+  const groups = new Map<string, RequestGroup>();
+  const keys = new Map<string, string>();
+
+  const groupFor = (name: string): RequestGroup => {
+    const known = groups.get(name);
+    if (known !== undefined) return known;
+    const created: RequestGroup = {sent: [], pending: new Set()};
+    groups.set(name, created);
+    return created;
+  };
+
+  const makeKey = (ref: KeyRef): string => {
+    const prefix = ref.zone === undefined ? '' : `${ref.zone}.`;
+    if (ref.kind === 'new') return prefix + uuid();
+    const known = keys.get(ref.name);
+    if (known !== undefined) return known;
+    const created = prefix + uuid();
+    keys.set(ref.name, created);
+    return created;
+  };
+
+  const sendOne = async (spec: RequestSpec): Promise<void> => {
+    const key = spec.key === undefined ? undefined : makeKey(spec.key);
+    // Repeats of a key are one request: the answer kept for it is theirs too.
+    const name = key ?? uuid();
+    const body =
+      spec.bodyBytes === undefined
+        ? undefined
+        : Buffer.alloc(spec.bodyBytes, `${name};`);
+    const result = await sendCallerRequest({
+      port: resolvePort(spec.target),
+      ...spec.request,
+      name,
+      key,
+      body,
+      timeoutMillis: spec.timeoutMillis ?? DEFAULT_TIMEOUT_MILLIS,
+      agent,
+    });
+    const {service, path} = spec.request;
+    groupFor(spec.group ?? '').sent.push({name, service, path, result});
+  };
+
+  const begin = (spec: RequestSpec): Promise<void> => {
+    const {pending} = groupFor(spec.group ?? '');
+    const task = sendOne(spec).finally(() => pending.delete(task));
+    pending.add(task);
+    return task;
+  };
+
+  const awaitGroup = async (name: string): Promise<void> => {
+    await Promise.all(groupFor(name).pending);
+  };
+
+  return {
+    send: async (spec, count) => {
+      const tasks = Array.from({length: count}, () => begin(spec));
+      if (spec.group === undefined) await Promise.all(tasks);
+    },
+    load: async (spec, ratePerSecond, durationMillis) => {
+      const count = Math.floor(
+        (ratePerSecond * durationMillis) / MILLIS_PER_SECOND,
+      );
+      const start = Date.now();
+      const tasks: Promise<void>[] = [];
+      for (let i = 0; i < count; i += 1) {
+        const dueMillis = start + (i * MILLIS_PER_SECOND) / ratePerSecond;
+        const waitMillis = dueMillis - Date.now();
+        if (waitMillis > 0) await sleep(waitMillis);
+        tasks.push(begin(spec));
+      }
+      await Promise.all(tasks);
+    },
+    keyOf: name => makeKey({kind: 'named', name}),
+    group: name => {
+      const group = groups.get(name);
+      if (group === undefined) throw new Error(`no requests named '${name}'`);
+      return group;
+    },
+    all: () => [...groups.values()].flatMap(group => group.sent),
+    awaitGroup,
+    dispose: () => {
+      agent.destroy();
+    },
+  };
+}
