Wire the data path and hold the caller interface to its contract

Cause: header overflow was answered twice, since Node's parser reports an error again for the bytes that follow; the contract test counted 2 instead of 1.

--- a/src/connection/http_agents.ts
+++ b/src/connection/http_agents.ts
@@ -21,6 +21,8 @@
    * connection that carried traffic moments ago or a new one.
    */
   agent(isRepeatBanned: boolean): Agent;
+  /** Changes the bound on open sockets to one address. */
+  setSocketsCount(socketsCount: number): void;
   /** Closes idle connections to an address on which another went silent. */
   closeIdle(address: string, port: number): void;
 }
@@ -40,6 +42,12 @@
   const unrepeatable = createAgent(options, RECENTLY_GOOD_MILLIS);
   return {
     agent: isRepeatBanned => (isRepeatBanned ? unrepeatable : repeatable),
+    setSocketsCount: socketsCount => {
+      for (const agent of [repeatable, unrepeatable]) {
+        agent.maxSockets = socketsCount;
+        agent.maxFreeSockets = socketsCount;
+      }
+    },
     closeIdle: (address, port) => {
       for (const agent of [repeatable, unrepeatable]) {
         closeIdleSockets(agent, `${address}:${String(port)}:`);
--- a/src/connection/http_listener.ts
+++ b/src/connection/http_listener.ts
@@ -126,8 +126,14 @@
     });
     request.socket.destroy();
   });
-  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-    answerMalformed(options, error, socket as Socket);
+  // The parser reports an error again for bytes that arrive after the first
+  // one; a second answer on the connection would be noise.
+  const answered = new WeakSet<Socket>();
+  server.on('clientError', (error: NodeJS.ErrnoException, duplex) => {
+    const socket = duplex as Socket;
+    if (answered.has(socket)) return;
+    answered.add(socket);
+    answerMalformed(options, error, socket);
   });
   return {
     busyCount: () => busyCount,
--- a/src/connection/upstream_client.ts
+++ b/src/connection/upstream_client.ts
@@ -26,6 +26,8 @@
   abstract send(
     request: UpstreamRequest,
   ): Effect.Effect<HttpAnswer, SendFailure>;
+  /** Bounds the open connections to what the upstream accepts. */
+  abstract setConnectionsCount(connectionsCount: number): void;
   abstract dispose(): void;
 }
 
@@ -33,19 +35,23 @@
 export interface HttpUpstreamOptions {
   readonly hostName: string;
   readonly upstream: ListenAddress;
-  /** Open connections to the upstream. */
-  readonly connectionsCount: number;
   readonly idleMillis: number;
 }
 
 const CONNECT_MILLIS = 1000;
 
+/** In force until a policy says how many connections the upstream accepts. */
+const INITIAL_CONNECTIONS_COUNT = 16;
+
+/** Repeatable and unrepeatable requests use separate connections. */
+const POOLS_COUNT = 2;
+
 /** Creates a client for an upstream that speaks HTTP/1.1. */
 export function createHttpUpstreamClient(
   options: HttpUpstreamOptions,
 ): UpstreamClient {
   const pool = createConnectionPool({
-    socketsCount: options.connectionsCount,
+    socketsCount: INITIAL_CONNECTIONS_COUNT,
     idleMillis: options.idleMillis,
   });
   const {address, port} = options.upstream;
@@ -67,6 +73,11 @@
         peer: `upstream of ${options.hostName}`,
       });
     }
+    override setConnectionsCount(connectionsCount: number): void {
+      pool.setSocketsCount(
+        Math.max(1, Math.floor(connectionsCount / POOLS_COUNT)),
+      );
+    }
     override dispose(): void {
       pool.dispose();
     }
