--- a/src/emulator/fleet_launcher.ts
+++ b/src/emulator/fleet_launcher.ts
@@ -224,8 +224,8 @@
     }
     await publishPolicyBytes(encode(plan.policy), plan.policy.version);
     await publishHosts(new Map(states));
-    await Promise.all([...hosts.values()].map(host => host.startUpstream()));
-    await Promise.all(
+    await allEnded([...hosts.values()].map(host => host.startUpstream()));
+    await allEnded(
       [...states.keys()].map(name =>
         findHost(name).startDaemon(seedsFor(name)),
       ),
@@ -259,6 +259,15 @@
   };
 }
 
+/**
+ * Like `Promise.all`, but waits for all even when one fails, so that a process
+ * still starting is known by the time everything is closed.
+ */
+async function allEnded(tasks: readonly Promise<void>[]): Promise<void> {
+  await Promise.allSettled(tasks);
+  await Promise.all(tasks);
+}
+
 function startPlatform(fronts: readonly string[]): Promise<ManagedProcess> {
   return startProgram({
     name: 'platform',
--- a/src/emulator/ilorin_services.ts
+++ b/src/emulator/ilorin_services.ts
@@ -3,6 +3,7 @@
  * of orderdesk, tileyard, atlas and catalogue, four deep.
  */
 import type {ServicePlan} from './fleet_plan.js';
+import {createRouteBuilder, readCall} from './service_routes.js';
 import type {PlannedCall, UpstreamRoute} from './upstream_config.js';
 
 /** Median service times, in milliseconds, of one upstream. */
@@ -21,7 +22,6 @@
   catalogueMillis: 5,
 };
 
-const SERVICE_SIGMA = 0.4;
 const SMALL_ANSWER_BYTES = 800;
 const TILE_ANSWER_BYTES = 20_000;
 const GRID_ANSWER_BYTES = 2_000_000;
@@ -45,16 +45,16 @@
 }
 
 function orderdeskRoutes(serviceMillis: number): readonly UpstreamRoute[] {
-  const price = get('catalogue', '/prices/p7');
-  const stock = get('catalogue', '/stock/p7');
-  const tile = get('tileyard', '/tiles/9/1/2');
+  const price = readCall('catalogue', '/prices/p7');
+  const stock = readCall('catalogue', '/stock/p7');
+  const tile = readCall('tileyard', '/tiles/9/1/2');
   const taking: PlannedCall = {
     service: 'catalogue',
     method: 'POST',
     path: '/stock/p7/takings',
     bodyBytes: 120,
   };
-  const route = routeBuilder(serviceMillis, SMALL_ANSWER_BYTES);
+  const route = createRouteBuilder(serviceMillis, SMALL_ANSWER_BYTES);
   return [
     route('POST', '/terrain-orders', [[price, stock], [taking]]),
     route('GET', '/terrain-orders/:orderId', [[stock]]),
@@ -66,10 +66,10 @@
 }
 
 function tileyardRoutes(serviceMillis: number): readonly UpstreamRoute[] {
-  const coverage = get('atlas', '/coverage/9/1/2');
-  const product = get('catalogue', '/products/p7');
-  const tile = routeBuilder(serviceMillis, TILE_ANSWER_BYTES);
-  const grid = routeBuilder(serviceMillis, GRID_ANSWER_BYTES);
+  const coverage = readCall('atlas', '/coverage/9/1/2');
+  const product = readCall('catalogue', '/products/p7');
+  const tile = createRouteBuilder(serviceMillis, TILE_ANSWER_BYTES);
+  const grid = createRouteBuilder(serviceMillis, GRID_ANSWER_BYTES);
   return [
     grid('GET', '/point-clouds/:productId', [[product]]),
     grid('GET', '/elevation-grids/:productId', [[product]]),
@@ -79,8 +79,8 @@
 }
 
 function atlasRoutes(serviceMillis: number): readonly UpstreamRoute[] {
-  const product = get('catalogue', '/products/p7');
-  const route = routeBuilder(serviceMillis, SMALL_ANSWER_BYTES);
+  const product = readCall('catalogue', '/products/p7');
+  const route = createRouteBuilder(serviceMillis, SMALL_ANSWER_BYTES);
   return [
     route('GET', '/survey-records', [[product]]),
     route('GET', '/survey-records/:recordId', [[product]]),
@@ -91,7 +91,7 @@
 }
 
 function catalogueRoutes(serviceMillis: number): readonly UpstreamRoute[] {
-  const route = routeBuilder(serviceMillis, SMALL_ANSWER_BYTES);
+  const route = createRouteBuilder(serviceMillis, SMALL_ANSWER_BYTES);
   return [
     {...route('GET', '/products/:productId', []), isChunked: true},
     {...route('GET', '/prices/:productId', []), hasDigest: true},
@@ -101,22 +101,3 @@
     route('POST', '/stock-recounts', []),
   ];
 }
-
-function get(service: string, path: string): PlannedCall {
-  return {service, method: 'GET', path};
-}
-
-function routeBuilder(serviceMillis: number, answerBytes: number) {
-  return (
-    method: string,
-    path: string,
-    callStages: readonly (readonly PlannedCall[])[],
-  ): UpstreamRoute => ({
-    method,
-    path,
-    serviceMillis,
-    serviceSigma: SERVICE_SIGMA,
-    answerBytes,
-    callStages,
-  });
-}
