--- a/src/connection/connect_control_client.ts
+++ b/src/connection/connect_control_client.ts
@@ -107,7 +107,7 @@
   }
 
   function forget(peer: ControlPeer, connection: Connection): void {
-    metrics.increment('control_connections_replaced');
+    metrics.increment('control.connections_replaced');
     const url = baseUrlOf(peer);
     if (connections.peek(url) === connection) connections.delete(url);
     else discard(connection);
@@ -122,7 +122,7 @@
     return Effect.tryPromise({
       try: signal => callUnary(peer, signal, timeoutMillis, call),
       catch: error => {
-        metrics.increment('control_call_failures', {
+        metrics.increment('control.call_failures', {
           step,
           code: failureCodeOf(error),
         });
--- a/src/connection/control_server.ts
+++ b/src/connection/control_server.ts
@@ -64,14 +64,17 @@
   );
   server.maxConnections = CONNECTIONS_COUNT;
   server.on('drop', () => {
-    metrics.increment('control_connections_refused');
+    metrics.increment('control.connections_refused');
   });
   server.on('session', session => {
     trackSession(session, sessions, metrics);
   });
   // Bytes that are no HTTP/2 end the one session; nothing else is affected.
-  server.on('sessionError', () => {
-    metrics.increment('control_session_errors');
+  server.on('sessionError', error => {
+    metrics.increment('control.session_errors', {code: errorCodeOf(error)});
+  });
+  server.on('error', () => {
+    metrics.increment('control.listener_errors');
   });
   await listen(server, options.listen);
   return {
@@ -89,17 +92,22 @@
   metrics: Metrics,
 ): void {
   sessions.add(session);
-  metrics.gauge('control_sessions', sessions.size);
+  metrics.gauge('control.sessions', sessions.size);
   session.setTimeout(IDLE_SESSION_MILLIS, () => {
-    metrics.increment('control_sessions_idle_closed');
+    metrics.increment('control.sessions_idle_closed');
     session.destroy();
   });
   session.once('close', () => {
     sessions.delete(session);
-    metrics.gauge('control_sessions', sessions.size);
+    metrics.gauge('control.sessions', sessions.size);
   });
 }
 
+/** `ERR_HTTP2_SESSION_ERROR` is a peer's own end, anything else a fault. */
+function errorCodeOf(error: NodeJS.ErrnoException): string {
+  return error.code ?? 'unknown';
+}
+
 function listen(server: Http2Server, address: ListenAddress): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
@@ -185,7 +193,7 @@
     const other = readIdentity(request.header);
     const reason = findIncompatibility(own, other);
     if (reason === undefined) return next(request);
-    options.metrics.increment('control_calls_refused', {reason});
+    options.metrics.increment('control.calls_refused', {reason});
     throw new ConnectError(
       `Refused for ${reason}: this node has protocol version ` +
         `${String(own.protocolVersion)} and deployment '${own.deployment}', ` +
--- a/src/process/host_status_table.ts
+++ b/src/process/host_status_table.ts
@@ -71,7 +71,7 @@
     forgetExpired();
     const isKnown = unlisted.delete(status.hostName);
     if (!isKnown && unlisted.size >= UNLISTED_STATUSES_COUNT) {
-      metrics.increment('fleet_status_dropped', {reason: 'unlisted-full'});
+      metrics.increment('fleet.status_dropped', {reason: 'unlisted-full'});
       return false;
     }
     unlisted.set(status.hostName, {
@@ -87,14 +87,14 @@
     for (const [hostName, entry] of unlisted) {
       if (entry.forgetAtMillis > nowMillis) return;
       unlisted.delete(hostName);
-      metrics.increment('fleet_status_forgotten');
+      metrics.increment('fleet.status_forgotten');
     }
   }
 
   return {
     merge: status => {
       if (!isWellFormed(status)) {
-        metrics.increment('fleet_status_dropped', {reason: 'malformed'});
+        metrics.increment('fleet.status_dropped', {reason: 'malformed'});
         return false;
       }
       const held = get(status.hostName);
--- a/src/process/in_memory_fleet_view.ts
+++ b/src/process/in_memory_fleet_view.ts
@@ -1,27 +1,23 @@
 /**
  * The fleet view of a process: newest host list, merged statuses and indexes.
  */
-import {createHash} from 'node:crypto';
 import type {Emitter} from '../base/event.js';
 import {createEmitter} from '../base/event.js';
 import type {TimeSource} from '../base/time_source.js';
 import type {HostList, PublishedHost} from '../version/host_list.js';
+import {parseHostList} from '../version/host_list_schema.js';
+import {digestOf} from '../version/json_document.js';
+import {formatProblem} from '../version/problem.js';
 import type {HostListOfferResult, HostStatus, KnownHost} from './fleet_view.js';
 import {FleetView} from './fleet_view.js';
 import type {HostStatusTable} from './host_status_table.js';
 import {createHostStatusTable} from './host_status_table.js';
 import type {Metrics} from './metrics.js';
 
-/** Outcome of reading the bytes of a host list. */
-export type HostListParseResult =
-  | {readonly kind: 'parsed'; readonly list: HostList}
-  | {readonly kind: 'invalid'; readonly problems: readonly string[]};
-
 /** Options of `createFleetView`. */
 export interface FleetViewOptions {
   readonly metrics: Metrics;
   readonly time: TimeSource;
-  readonly parseHostList: (bytes: Uint8Array) => HostListParseResult;
 }
 
 interface HeldList {
@@ -39,7 +35,7 @@
 
 /** Creates a view without a list. */
 export function createFleetView(options: FleetViewOptions): FleetView {
-  const {metrics, parseHostList} = options;
+  const {metrics} = options;
   const statuses = createHostStatusTable(options);
   const changeList = createEmitter<HostList>();
   const learnStatuses = createEmitter<readonly HostStatus[]>();
@@ -47,10 +43,12 @@
   let indexes: HostIndexes = buildIndexes([], statuses);
 
   function offer(bytes: Uint8Array): HostListOfferResult {
-    const digest = createHash('sha256').update(bytes).digest('hex');
+    const digest = digestOf(bytes);
     if (held?.digest === digest) return {kind: 'already-held'};
     const parsed = parseHostList(bytes);
-    if (parsed.kind === 'invalid') return parsed;
+    if (parsed.kind === 'invalid') {
+      return {kind: 'invalid', problems: parsed.problems.map(formatProblem)};
+    }
     const {list} = parsed;
     if (held !== undefined && list.revision === held.list.revision) {
       return {kind: 'digest-conflict', revision: list.revision};
@@ -82,7 +80,7 @@
     }
     override offerList(bytes: Uint8Array, source: string): HostListOfferResult {
       const result = offer(bytes);
-      metrics.increment('fleet_list_offers', {source, result: result.kind});
+      metrics.increment('fleet.list_offers', {source, result: result.kind});
       if (result.kind === 'accepted') fireList(changeList, held);
       return result;
     }
@@ -91,7 +89,7 @@
     ): readonly HostStatus[] {
       const news = offered.filter(status => statuses.merge(status));
       if (news.length === 0) return news;
-      metrics.increment('fleet_status_news', {}, news.length);
+      metrics.increment('fleet.status_news', {}, news.length);
       for (const status of news) {
         refreshHost(indexes, status.hostName, statuses);
       }
--- a/src/process/logger.ts
+++ b/src/process/logger.ts
@@ -30,6 +30,7 @@
   | 'platform-reader-stopped'
   | 'platform-reached'
   | 'platform-lost'
+  | 'platform-stale'
   | 'peer-connected'
   | 'peer-lost'
   | 'peer-refused'
