--- /dev/null
+++ b/test/unit/emulator/socket_owner.test.ts
@@ -0,0 +1,29 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {createServer} from 'node:net';
+import type {Socket} from 'node:net';
+import test from 'ava';
+import {LOOPBACK_ADDRESS, listen} from '../../../src/emulator/http_support.js';
+import {
+  canFindOwners,
+  findSocketOwner,
+} from '../../../src/emulator/socket_owner.js';
+
+test('tells which process holds the far end of a connection', async t => {
+  if (!(await canFindOwners())) {
+    t.pass('this system does not tell; statements that cut zones need it');
+    return;
+  }
+  const server = createServer();
+  t.teardown(() => server.close());
+  const port = await listen(server, LOOPBACK_ADDRESS, 0);
+  const script = `require('net').connect(${String(port)}, '${LOOPBACK_ADDRESS}')`;
+  const client = spawn(process.execPath, ['-e', script], {stdio: 'ignore'});
+  t.teardown(() => client.kill('SIGKILL'));
+  const [socket] = (await once(server, 'connection')) as [Socket];
+  t.teardown(() => socket.destroy());
+  const remotePort = socket.remotePort!;
+  const pid = client.pid!;
+  t.is(await findSocketOwner(remotePort, [process.pid, pid]), pid);
+  t.is(await findSocketOwner(remotePort, [process.pid]), undefined);
+});
