Test the state command against hosts that fail

Two-line error messages (cause, then step) broke the one line for each host; the messages now end in a colon, which puts the cause behind them.

--- a/src/cli/admin_client.ts
+++ b/src/cli/admin_client.ts
@@ -61,7 +61,7 @@
   return await new Promise((resolve, reject) => {
     const request = http.get({host, port, path, signal, agent: false}, resolve);
     request.on('error', cause => {
-      reject(new TransportError('No answer', {cause, props}));
+      reject(new TransportError('No answer:', {cause, props}));
     });
   });
 }
@@ -83,7 +83,7 @@
     }
   } catch (cause) {
     const props = {step: 'read-answer', peer};
-    throw new TransportError('The answer is incomplete', {cause, props});
+    throw new TransportError('The answer is incomplete:', {cause, props});
   }
   return Buffer.concat(chunks).toString('utf8');
 }
@@ -92,7 +92,8 @@
   try {
     return JSON.parse(text);
   } catch (cause) {
-    const message = 'The answer is not JSON; is this the administration port?';
+    const message =
+      'The answer is not JSON, as it would be from the administration port:';
     const props = {step: 'read-answer', peer};
     throw new TransportError(message, {cause, props});
   }
--- /dev/null
+++ b/test/unit/cli/state_command.test.ts
@@ -0,0 +1,174 @@
+import * as http from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import type {ExecutionContext} from 'ava';
+import test from 'ava';
+
+import {parseAdminAddress} from '../../../src/cli/admin_client.js';
+import {showState} from '../../../src/cli/state_command.js';
+import {formatStateTable, stateRows} from '../../../src/cli/state_table.js';
+
+type Answer = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+) => void;
+
+async function openHost(t: ExecutionContext, answer: Answer): Promise<string> {
+  const server = http.createServer(answer);
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function answerJson(content: unknown, statusCode = 200): Answer {
+  return (_request, response) => {
+    response.writeHead(statusCode).end(JSON.stringify(content));
+  };
+}
+
+async function run(
+  hosts: readonly string[],
+  options: {readonly section?: string; readonly json?: boolean} = {},
+) {
+  const lines: string[] = [];
+  const errorLines: string[] = [];
+  const exitCode = await showState(
+    {
+      hosts: hosts.map(parseAdminAddress),
+      section: options.section,
+      json: options.json ?? false,
+    },
+    {
+      writeLine: line => lines.push(line),
+      writeErrorLine: line => errorLines.push(line),
+    },
+  );
+  return {exitCode, text: lines.join('\n'), errorLines};
+}
+
+test('the table is aligned, nested values have paths, lists are cut', t => {
+  const rows = stateRows('10.0.0.1:80', {
+    fleet: {
+      hosts: Array.from({length: 22}, (_, index) => ({name: `h${index}`})),
+      zones: [],
+    },
+    phase: 'serving\u001b[2J',
+  });
+  const lines = formatStateTable(rows).split('\n');
+  t.is(lines[0], 'HOST         SECTION  FIELD           VALUE');
+  t.is(lines[1], '10.0.0.1:80  fleet    hosts[0].name   h0');
+  t.is(lines[20], '10.0.0.1:80  fleet    hosts[19].name  h19');
+  t.is(lines[21], '10.0.0.1:80  fleet    hosts           (2 more)');
+  t.is(lines[22], '10.0.0.1:80  fleet    zones           (none)');
+  t.is(lines[23], '10.0.0.1:80  phase                    serving [2J');
+  t.is(lines.length, 24);
+});
+
+test('several hosts are shown in the order given, as table and JSON', async t => {
+  const first = await openHost(t, answerJson({phase: 'serving'}));
+  const second = await openHost(t, answerJson({phase: 'draining'}));
+  const table = await run([first, second]);
+  t.is(table.exitCode, 0);
+  t.regex(table.text, /serving\n.*draining$/);
+  const json = await run([first, second], {json: true});
+  t.deepEqual(JSON.parse(json.text), [
+    {host: first, state: {phase: 'serving'}},
+    {host: second, state: {phase: 'draining'}},
+  ]);
+});
+
+test('one section is asked for by its path', async t => {
+  const host = await openHost(t, (request, response) => {
+    response.end(JSON.stringify({path: request.url}));
+  });
+  const {text} = await run([host], {section: 'admission', json: true});
+  t.deepEqual(JSON.parse(text), [
+    {host, state: {admission: {path: '/state/admission'}}},
+  ]);
+});
+
+// Symptom: the command hangs, ends with a stack trace or hides hosts that did
+// answer. Sequence: one of several hosts cannot be read. Cause: one failure
+// taken for the failure of all.
+const FAULTS: readonly {
+  readonly title: string;
+  readonly answer: Answer;
+  readonly line: RegExp;
+}[] = [
+  {
+    title: 'reset',
+    answer: (_request, response) => response.destroy(),
+    line: /: connect: .*socket hang up/,
+  },
+  {
+    title: 'error answer',
+    answer: answerJson({message: 'No such state section.'}, 404),
+    line: /: answer: HTTP 404: No such state section\.$/,
+  },
+  {
+    title: 'not JSON',
+    answer: (_request, response) => response.end('<html>'),
+    line: /: read-answer: .*not JSON, as it would be from the administration port/,
+  },
+  {
+    title: 'cut answer',
+    answer: (_request, response) => {
+      response.writeHead(200, {'content-length': '100'});
+      response.write('{');
+      setImmediate(() => response.destroy());
+    },
+    line: /: read-answer: .*incomplete/,
+  },
+  {
+    title: 'answer without end',
+    answer: (_request, response) => {
+      const chunk = Buffer.alloc(1_048_576, 0x20);
+      response.on('drain', () => response.write(chunk));
+      response.write(chunk);
+    },
+    line: /: read-answer: .*larger than 16777216 bytes/,
+  },
+];
+
+for (const {title, answer, line} of FAULTS) {
+  for (const json of [false, true]) {
+    test(`a host that fails is listed, exit 1: ${title}, json ${json}`, async t => {
+      const good = await openHost(t, answerJson({phase: 'serving'}));
+      const bad = await openHost(t, answer);
+      const {exitCode, text, errorLines} = await run([bad, good], {json});
+      t.is(exitCode, 1);
+      t.is(errorLines.length, 1);
+      t.regex(errorLines[0] ?? '', line);
+      t.true(errorLines[0]?.startsWith(`${bad}: `));
+      t.false(errorLines[0]?.includes('\n'));
+      t.true(text.includes('serving'));
+      if (json) t.like(JSON.parse(text)[0], {host: bad, error: {peer: bad}});
+    });
+  }
+}
+
+test('nobody listens: listed, exit 1', async t => {
+  const closed = await openHost(t, answerJson({}));
+  const {errorLines, exitCode} = await run([closed.replace(/\d+$/, '1')]);
+  t.is(exitCode, 1);
+  t.regex(errorLines[0] ?? '', /^127\.0\.0\.1:1: connect: .*ECONNREFUSED/);
+});
+
+test('addresses without a usable port are refused', t => {
+  t.like(parseAdminAddress('[::1]:80'), {host: '::1', port: 80});
+  t.like(parseAdminAddress('localhost:80'), {host: 'localhost', port: 80});
+  for (const text of [
+    '',
+    '1.2.3.4',
+    '1.2.3.4:',
+    '::1:80',
+    'a:0',
+    'a:65536',
+    'http://a:1',
+  ]) {
+    t.throws(() => parseAdminAddress(text), {message: /address:port/});
+  }
+});
