Create the maps of route nodes only where they are needed

Cause: every node of the matcher held an empty map. Trial with 34 services, 544 routes, a document of 103 KB and 16 versions kept: heap per version 544 KB before, 360 KB after, besides the document itself. Look-ups in the same trial before the change: 57 ns for a literal path, about 1.3 us with a parameter or a wildcard.

--- a/src/version/route_matcher.ts
+++ b/src/version/route_matcher.ts
@@ -16,7 +16,8 @@
 
 /** Patterns that share their first segments share nodes. */
 interface TrieNode<T> {
-  readonly literals: Map<string, TrieNode<T>>;
+  /** Absent on the many nodes without any, as an empty map takes memory. */
+  literals?: Map<string, TrieNode<T>>;
   parameter?: TrieNode<T>;
   /** Value of a pattern whose wildcard starts here. */
   wildcardValue?: T;
@@ -57,7 +58,7 @@
 ): void {
   let table = tables.get(method);
   if (table === undefined) {
-    table = {literalPaths: new Map(), root: createNode()};
+    table = {literalPaths: new Map(), root: {}};
     tables.set(method, table);
   }
   const segments = parsePathPattern(path);
@@ -87,18 +88,15 @@
   node: TrieNode<T>,
   segment: Exclude<PatternSegment, {kind: 'wildcard'}>,
 ): TrieNode<T> {
-  if (segment.kind === 'parameter') return (node.parameter ??= createNode());
-  const known = node.literals.get(segment.text);
+  if (segment.kind === 'parameter') return (node.parameter ??= {});
+  const literals = (node.literals ??= new Map<string, TrieNode<T>>());
+  const known = literals.get(segment.text);
   if (known !== undefined) return known;
-  const created = createNode<T>();
-  node.literals.set(segment.text, created);
+  const created: TrieNode<T> = {};
+  literals.set(segment.text, created);
   return created;
 }
 
-function createNode<T>(): TrieNode<T> {
-  return {literals: new Map()};
-}
-
 function findInTrie<T>(
   node: TrieNode<T>,
   segments: readonly string[],
@@ -106,7 +104,7 @@
 ): T | undefined {
   const segment = segments[index];
   if (segment === undefined) return node.value;
-  const literal = node.literals.get(segment);
+  const literal = node.literals?.get(segment);
   return (
     (literal && findInTrie(literal, segments, index + 1)) ??
     (node.parameter && findInTrie(node.parameter, segments, index + 1)) ??
