--- a/src/connection/peer_mesh.ts
+++ b/src/connection/peer_mesh.ts
@@ -26,7 +26,12 @@
 import type {ControlMessage} from '../protocol/gen/fulmarhollow/control/v1/control_pb.js';
 import type {ControlClient} from './control_client.js';
 import type {PeerView} from './control_codec.js';
-import {createHeartbeat, decodeView, readOwnView} from './control_codec.js';
+import {
+  createHeartbeat,
+  createStatusUpdate,
+  decodeView,
+  readOwnView,
+} from './control_codec.js';
 import {ExchangeHandler} from './control_handlers.js';
 import {createDocumentPuller} from './document_puller.js';
 import type {ExchangeContext} from './exchange_session.js';
@@ -153,9 +158,16 @@
     links.add(link);
     reportLinks();
     logger.info('peer-connected', describeOrigin(link));
+    sendOwnStatus(link);
     learnView(link);
   }
 
+  /** A host that has just started must not wait for the digests to be compared. */
+  function sendOwnStatus(link: PeerLink): void {
+    const status = announcer.current();
+    if (status !== undefined) link.send(createStatusUpdate([status]));
+  }
+
   /** A new stream of a peer means that its earlier one is of no use to it. */
   function closeEarlierInbound(link: PeerLink): void {
     for (const other of links) {
--- a/src/connection/status_exchange.ts
+++ b/src/connection/status_exchange.ts
@@ -55,6 +55,12 @@
   readonly source: PeerLink | undefined;
 }
 
+/** Statuses that are being merged. */
+interface ReceivedStatuses {
+  readonly link: PeerLink;
+  readonly statuses: ReadonlySet<HostStatus>;
+}
+
 /** Creates the exchange and listens to the fleet view's news. */
 export function createStatusExchange(
   options: StatusExchangeOptions,
@@ -63,7 +69,7 @@
   const store = createDisposableStore();
   const news = new Map<string, NewsItem>();
   let flushTimer: Disposable | undefined;
-  let mergingLink: PeerLink | undefined;
+  let received: ReceivedStatuses | undefined;
   let nextRequestMillis = Number.NEGATIVE_INFINITY;
   let requestIntervalMillis = REQUEST_INTERVAL_MILLIS;
 
@@ -82,7 +88,11 @@
 
   function gather(statuses: readonly HostStatus[]): void {
     for (const status of statuses) {
-      news.set(status.hostName, {status, source: mergingLink});
+      // A correction of the own status, made while a peer's statuses are
+      // merged, must go back to that peer as well.
+      const isReceived = received?.statuses.has(status) === true;
+      const source = isReceived ? received?.link : undefined;
+      news.set(status.hostName, {status, source});
     }
     if (flushTimer !== undefined) return;
     flushTimer = store.add(createTimeoutTimer(GATHER_MILLIS, flush));
@@ -106,9 +116,10 @@
   store.add(fleetView.onDidLearnStatuses(gather));
   return {
     receive: (link, update) => {
-      mergingLink = link;
-      fleetView.mergeStatuses(decodeStatuses(update.statuses));
-      mergingLink = undefined;
+      const statuses = decodeStatuses(update.statuses);
+      received = {link, statuses: new Set(statuses)};
+      fleetView.mergeStatuses(statuses);
+      received = undefined;
     },
     sendAll: link => {
       metrics.increment('control.status_full_answers');
