Start and stop a whole node: drain, hand over keys, announce, close

Cause: parts existed without a process around them. The order of a planned stop is fixed here: announce draining, answer callers, end executions, hand key records over, announce stopped, close.

--- a/src/daemon/data_path.ts
+++ b/src/daemon/data_path.ts
@@ -12,10 +12,7 @@
 import {openHttpListener} from '../connection/http_listener.js';
 import {createHttpPeerClient} from '../connection/peer_client.js';
 import {createHttpUpstreamClient} from '../connection/upstream_client.js';
-import type {
-  AdmissionConfig,
-  AdmissionController,
-} from '../process/admission_controller.js';
+import type {AdmissionConfig} from '../process/admission_controller.js';
 import type {FleetView} from '../process/fleet_view.js';
 import {createHostSelector} from '../process/load_aware_selector.js';
 import type {Metrics} from '../process/metrics.js';
@@ -52,11 +49,17 @@
   readonly callerPort: number;
   readonly localPort: number;
   readonly peerPort: number;
-  readonly admission: AdmissionController;
-  /** Asks clients on open connections to go elsewhere after their answer. */
+  /**
+   * Refuses new calls to the local upstream and asks clients on open
+   * connections to go elsewhere after their answer.
+   */
   startDraining(): void;
-  /** Stops accepting and waits for requests in progress. */
-  close(graceMillis: number): Promise<void>;
+  /** Stops accepting callers and waits for their answers. */
+  closeCallers(graceMillis: number): Promise<void>;
+  /** Waits until the local upstream executes nothing. */
+  awaitExecutions(graceMillis: number): Promise<void>;
+  /** Closes all listeners that are still open. */
+  close(): Promise<void>;
 }
 
 /** Refuses all calls until a policy tells the upstream's slots. */
@@ -78,7 +81,7 @@
   const {settings} = options;
   const store = createDisposableStore();
   const parts = createParts(options, store);
-  const listeners: HttpListener[] = [];
+  const listeners = new Set<HttpListener>();
   const open = async (
     name: string,
     listen: ListenAddress,
@@ -95,11 +98,17 @@
       handle,
       describeMalformed: kind => describeMalformed(kind, settings.hostName),
     });
-    listeners.push(listener);
+    listeners.add(listener);
     return listener;
   };
-  const closeAll = async (graceMillis: number): Promise<void> => {
-    await Promise.all(listeners.map(listener => listener.close(graceMillis)));
+  const close = async (
+    listener: HttpListener,
+    graceMillis: number,
+  ): Promise<void> => {
+    if (listeners.delete(listener)) await listener.close(graceMillis);
+  };
+  const closeAll = async (): Promise<void> => {
+    await Promise.all([...listeners].map(listener => close(listener, 0)));
   };
   const {callerConnectionsCount, peerConnectionsCount} = settings.limits;
   try {
@@ -125,17 +134,20 @@
       callerPort: caller.port,
       localPort: local.port,
       peerPort: peer.port,
-      admission: parts.admission,
       startDraining: () => {
+        parts.admission.startDraining();
         for (const listener of listeners) listener.startDraining();
       },
+      closeCallers: graceMillis => close(caller, graceMillis),
+      awaitExecutions: graceMillis =>
+        waitUntil(() => parts.executingCount() === 0, graceMillis),
       close: closeAll,
       dispose: () => {
         store.dispose();
       },
     };
   } catch (error) {
-    await closeAll(0);
+    await closeAll();
     store.dispose();
     throw error;
   }
@@ -267,7 +279,11 @@
         .map(state => ({...state, load: state.load ? {...state.load} : null})),
     ),
   );
-  return {admission, entry, peerEntry};
+  const executingCount = (): number => {
+    const {inFlightCount, queuedCount} = admission.load();
+    return inFlightCount + queuedCount;
+  };
+  return {admission, entry, peerEntry, executingCount};
 }
 
 function describeMalformed(kind: MalformedKind, hostName: string): string {
@@ -278,3 +294,15 @@
   );
   return rawFailureAnswer(failure);
 }
+
+const POLL_MILLIS = 10;
+
+async function waitUntil(
+  condition: () => boolean,
+  limitMillis: number,
+): Promise<void> {
+  const deadlineMillis = performance.now() + limitMillis;
+  while (!condition() && performance.now() < deadlineMillis) {
+    await new Promise(resolve => setTimeout(resolve, POLL_MILLIS));
+  }
+}
--- a/src/request/outbound_call.ts
+++ b/src/request/outbound_call.ts
@@ -172,6 +172,15 @@
       'No published host is home to this key.',
     );
   }
+  // The list names a stopped host until the platform has noticed. Sending to
+  // it would only break on a closed connection and leave the outcome open.
+  if (host.status?.phase === 'stopped') {
+    return none(
+      options,
+      'key-home-unavailable',
+      `Host ${host.host.name}, home to this key, has stopped.`,
+    );
+  }
   return {kind: 'host', host};
 }
 
--- a/test/fakes/in_process_fleet.ts
+++ b/test/fakes/in_process_fleet.ts
@@ -82,7 +82,7 @@
     },
     dispose: async () => {
       for (const {path, keys, upstream} of hosts) {
-        await path.close(0);
+        await path.close();
         path.dispose();
         keys.dispose();
         await upstream.close();
