Let a node without a host list read the platform itself

Cause: readers are elected from the host list. Ruled out: the watch, the pull between peers (state dumps showed the policy everywhere, listRevision 0 and role standby on all eight nodes). The test failed before ('standby') and passes after ('isolated').

--- a/src/connection/reader_role.ts
+++ b/src/connection/reader_role.ts
@@ -15,7 +15,7 @@
 export type ReaderRole =
   /** Elected for its zone: holds watches. */
   | 'reader'
-  /** Has no peer: reads at a bounded rate. */
+  /** Has no peer or no host list: reads at a bounded rate. */
   | 'isolated'
   /** Relies on the readers. */
   | 'standby';
@@ -58,6 +58,9 @@
 
   function currentRole(): ReaderRole {
     if (isElected) return 'reader';
+    // Readers are elected from the list. Without one, nodes that rely on each
+    // other's reading would wait for good; `platform.role_changes` shows it.
+    if (fleetView.listRevision() === 0) return 'isolated';
     return options.openLinksCount() === 0 ? 'isolated' : 'standby';
   }
 
