--- a/src/daemon/program.ts
+++ b/src/daemon/program.ts
@@ -5,6 +5,7 @@
 import type {Logger} from '../process/logger.js';
 import {createBunyanLogger, errorFields} from '../process/logger.js';
 import type {Metrics} from '../process/metrics.js';
+import {createProcessStateSection} from '../process/process_state.js';
 import type {Settings} from '../process/settings.js';
 import {readSettingsFile} from '../process/settings_file.js';
 import {createStateDump} from '../process/state_dump.js';
@@ -59,13 +60,10 @@
   const stopRequested = watchSignals(logger);
   try {
     const createNode = await loadNode();
-    const node = createNode({
-      settings,
-      logger,
-      metrics,
-      stateDump: createStateDump(),
-      time: createTimeSource(),
-    });
+    const time = createTimeSource();
+    const stateDump = createStateDump();
+    stateDump.register('process', createProcessStateSection(settings, time));
+    const node = createNode({settings, logger, metrics, stateDump, time});
     logger.info('node-starting');
     const ports = await node.start();
     logger.info('node-ready', {...ports});
