--- a/src/connection/control_plane.ts
+++ b/src/connection/control_plane.ts
@@ -22,6 +22,7 @@
 import {createPeerMesh} from './peer_mesh.js';
 import {createPlatformClient} from './platform_client.js';
 import {createPlatformReader} from './platform_reader.js';
+import type {ReaderRole} from './reader_role.js';
 
 /** The control side of a node. */
 export abstract class ControlPlane implements Disposable {
@@ -31,6 +32,8 @@
   abstract awaitFirstPicture(): Effect.Effect<FirstPicture>;
   /** Announces the own phase; returns when it has left for the present peers. */
   abstract announce(phase: HostPhase): Effect.Effect<void>;
+  /** Whether this node reads the platform, and as what. */
+  abstract readerRole(): ReaderRole;
   abstract dispose(): void;
 }
 
@@ -141,6 +144,9 @@
     override announce(phase: HostPhase): Effect.Effect<void> {
       return mesh.announce(phase);
     }
+    override readerRole(): ReaderRole {
+      return reader.role();
+    }
     override dispose(): void {
       store.dispose();
     }
--- a/test/fakes/control_nodes.ts
+++ b/test/fakes/control_nodes.ts
@@ -1,7 +1,6 @@
 /**
  * Control planes of several nodes in one process, over loopback.
  */
-import type * as Effect from 'effect/Effect';
 import {createTimeSource} from '../../src/base/time_source.js';
 import {createDisposableStore} from '../../src/base/lifecycle.js';
 import {createControlClient} from '../../src/connection/connect_control_client.js';
@@ -15,6 +14,7 @@
 import {createPolicyStore} from '../../src/process/in_memory_policy_store.js';
 import {Logger} from '../../src/process/logger.js';
 import type {LogEvent} from '../../src/process/logger.js';
+import type {MetricTags, MetricTotal} from '../../src/process/metrics.js';
 import {createPauseDetector} from '../../src/process/pause_detector.js';
 import type {PolicyStore} from '../../src/process/policy_store.js';
 import type {
@@ -60,6 +60,8 @@
   readonly events: readonly LogEvent[];
   /** This node as a seed of others. */
   readonly seed: SeedPeer;
+  /** Sum of a counter over all its tags that include the given ones. */
+  count(name: string, tags?: MetricTags): number;
   stop(): void;
 }
 
@@ -72,6 +74,8 @@
   readonly control?: Partial<ControlSettings>;
   /** Policy held from the start. */
   readonly policy?: Uint8Array;
+  /** Host list held from the start. */
+  readonly hostList?: Uint8Array;
 }
 
 /** Starts a node on loopback. */
@@ -92,6 +96,9 @@
     policyStore.newest()?.policy.deployment ?? '';
   const client = store.add(createControlClient({metrics, deployment}));
   if (options.policy !== undefined) policyStore.offer(options.policy, 'test');
+  if (options.hostList !== undefined) {
+    fleetView.offerList(options.hostList, 'test');
+  }
   const plane = store.add(
     createControlPlane({
       settings: settingsOf(options),
@@ -122,12 +129,26 @@
     stateDump,
     events,
     seed: {hostName, address: '127.0.0.1', controlPort: port},
+    count: (name, tags = {}) => sumOf(metrics.totals(), name, tags),
     stop: () => {
       store.dispose();
     },
   };
 }
 
+function sumOf(
+  totals: readonly MetricTotal[],
+  name: string,
+  tags: MetricTags,
+): number {
+  const matching = totals.filter(
+    total =>
+      total.name === name &&
+      Object.entries(tags).every(([tag, value]) => total.tags[tag] === value),
+  );
+  return matching.reduce((sum, total) => sum + total.value, 0);
+}
+
 function settingsOf(options: ControlNodeOptions): Settings {
   return {
     ...minimalSettings(),
@@ -190,6 +211,3 @@
     })),
   });
 }
-
-/** The effect type tests run. */
-export type TestEffect<A> = Effect.Effect<A, unknown>;
--- a/test/unit/process/peer_selection.test.ts
+++ b/test/unit/process/peer_selection.test.ts
@@ -62,16 +62,20 @@
   }));
 }
 
+interface PeerCounts {
+  readonly zonePeersCount: number;
+  readonly remotePeersCount: number;
+}
+
 /** The peers each host opens a stream to when all answer. */
 function choosePeers(
   own: SelectingHost,
   view: FleetView,
-  remotePeersCount: number,
+  counts: PeerCounts,
 ): readonly string[] {
   const chosen: string[] = [];
-  const slots = createPeerSlots({zonePeersCount: 3, remotePeersCount});
-  for (const slot of slots) {
-    const peer = orderCandidates(slot, own, view, remotePeersCount)
+  for (const slot of createPeerSlots(counts)) {
+    const peer = orderCandidates(slot, own, view, counts.remotePeersCount)
       .map(candidate => candidate.known.host.name)
       .find(name => !chosen.includes(name));
     if (peer !== undefined) chosen.push(peer);
@@ -81,12 +85,9 @@
 
 type Graph = ReadonlyMap<string, readonly string[]>;
 
-function chooseAll(view: FleetView, remotePeersCount: number): Graph {
+function chooseAll(view: FleetView, counts: PeerCounts): Graph {
   return new Map(
-    hostsOf(view).map(own => [
-      own.hostName,
-      choosePeers(own, view, remotePeersCount),
-    ]),
+    hostsOf(view).map(own => [own.hostName, choosePeers(own, view, counts)]),
   );
 }
 
@@ -126,12 +127,17 @@
   }
 }
 
-for (const remotePeersCount of [1, 2]) {
-  test(`any fleet is connected, whole, without a zone and in each zone alone, with ${String(remotePeersCount)} remote peers`, t => {
+const COUNTS: readonly PeerCounts[] = [
+  {zonePeersCount: 1, remotePeersCount: 1},
+  {zonePeersCount: 3, remotePeersCount: 2},
+];
+
+for (const counts of COUNTS) {
+  test(`any fleet is connected, whole, without a zone and in each zone alone: ${JSON.stringify(counts)}`, t => {
     fc.assert(
       fc.property(SHAPES, shape => {
         const view = createFleet(shape);
-        const graph = chooseAll(view, remotePeersCount);
+        const graph = chooseAll(view, counts);
         assertConnected(view, graph, (isHeld, what) => {
           if (!isHeld) throw new Error(`Not connected: ${what}`);
         });
@@ -144,7 +150,7 @@
 
 test('830 hosts in 10 zones and 3 regions: connected, few streams, short paths', t => {
   const view = createFleet(TODAY_AT_LARGEST);
-  const graph = chooseAll(view, 1);
+  const graph = chooseAll(view, {zonePeersCount: 3, remotePeersCount: 1});
   assertConnected(view, graph, (isHeld, what) => {
     t.true(isHeld, what);
   });
@@ -193,7 +199,7 @@
 test('with two remote peers one is in another region when there is one', t => {
   const view = createFleet({...TODAY_AT_LARGEST, zoneSizes: [9, 9, 9, 9]});
   for (const own of hostsOf(view)) {
-    const peers = choosePeers(own, view, 2);
+    const peers = choosePeers(own, view, COUNTS[1]!);
     const regions = peers.map(peer => view.host(peer)?.host.region);
     t.true(regions.some(region => region !== own.region));
   }
