--- a/src/daemon/data_path.ts
+++ b/src/daemon/data_path.ts
@@ -205,7 +205,6 @@
     hostName,
     records: keys.records,
     execution,
-    metrics,
   });
   const callee = createCallee({
     hostName,
--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -195,8 +195,9 @@
   await Effect.runPromise(parts.control.announce('draining'));
   dataPath.startDraining();
   await settle();
+  const deadlineMillis = time.monotonicMillis() + drainMillis;
   await dataPath.closeCallers(drainMillis);
-  await dataPath.awaitExecutions(drainMillis);
+  await dataPath.awaitExecutions(deadlineMillis - time.monotonicMillis());
   const report = await Effect.runPromise(
     handOverKeys({
       ...parts,
--- a/src/request/keyed_execution.ts
+++ b/src/request/keyed_execution.ts
@@ -11,7 +11,6 @@
   KeyRecords,
   KeyResult,
 } from '../process/key_records.js';
-import type {Metrics} from '../process/metrics.js';
 import {createCallFailure} from './failures.js';
 import type {GuardedCall, GuardedExecution} from './guarded_execution.js';
 
@@ -20,7 +19,6 @@
   readonly hostName: string;
   readonly records: KeyRecords;
   readonly execution: GuardedExecution;
-  readonly metrics: Metrics;
 }
 
 /** Executes keyed calls. */
@@ -40,7 +38,6 @@
       Effect.suspend(() => {
         const fingerprint = fingerprintOf(call);
         const decision = options.records.begin({key, fingerprint});
-        options.metrics.increment('key.decision', {kind: decision.kind});
         return follow(options, call, decision);
       }),
   };
