Move the admission limit by throughput; keep the order of shedding strict

A limit that falls when latency rises costs goodput when the cause is a slow dependency: fewer calls at once are then no faster. The limit now compares throughput at two settings and keeps the lower one only where it costs nothing.

The property test over random arrivals, ends, pauses and interruptions found that calls expiring together with less important ones could be told in the wrong order; they are told least important first now. Standing delay was restarted by an expiring call and no class was shed; fixed, with a test.

AdmissionRefusal has a new reason, deadline-exceeded: too little time left even with a free slot.

--- a/src/process/admission_controller.ts
+++ b/src/process/admission_controller.ts
@@ -24,10 +24,20 @@
   release(result: PermitResult): void;
 }
 
+/**
+ * - `shed`: less important than what the host has room for.
+ * - `queue-full`: no place in the queue.
+ * - `queue-timeout`: no slot came free in the time it could wait.
+ * - `draining`: the host is leaving.
+ * - `deadline-exceeded`: less time is left than the upstream takes at best.
+ */
+export type AdmissionRefusalReason =
+  'shed' | 'queue-full' | 'queue-timeout' | 'draining' | 'deadline-exceeded';
+
 /** Why a call was refused before execution. */
 export interface AdmissionRefusal {
   readonly _tag: 'AdmissionRefusal';
-  readonly reason: 'shed' | 'queue-full' | 'queue-timeout' | 'draining';
+  readonly reason: AdmissionRefusalReason;
   /** When to come back, already jittered and scaled with load. */
   readonly retryAfterMillis: number;
 }
--- a/src/process/class_queue.ts
+++ b/src/process/class_queue.ts
@@ -31,9 +31,9 @@
   abstract takeFirst(order: ServiceOrder): T | undefined;
   /** Removes the call that would be served last. */
   abstract takeLast(order: ServiceOrder): T | undefined;
-  /** Removes all calls of the given class and of less important ones. */
+  /** Removes all calls from the given class on, least important first. */
   abstract takeFrom(classIndex: number): readonly T[];
-  /** Removes all calls that have expired. */
+  /** Removes all calls that have expired, least important first. */
   abstract takeExpired(nowMillis: number): readonly T[];
   /** Removes one call; false if it is no longer queued. */
   abstract remove(call: T): boolean;
@@ -97,13 +97,17 @@
       return takeEnd(list, order === 'oldest-first');
     }
     override takeFrom(classIndex: number): readonly T[] {
-      const taken = lists.slice(classIndex).flatMap(list => list.splice(0));
+      const taken = lists
+        .slice(classIndex)
+        .toReversed()
+        .flatMap(list => list.splice(0));
       sizeCount -= taken.length;
       return taken;
     }
     override takeExpired(nowMillis: number): readonly T[] {
       const taken: T[] = [];
-      for (const [index, list] of lists.entries()) {
+      for (let index = lists.length - 1; index >= 0; index -= 1) {
+        const list = listOf(index);
         const expired = list.filter(call => call.expiresMillis <= nowMillis);
         if (expired.length === 0) continue;
         lists[index] = list.filter(call => call.expiresMillis > nowMillis);
--- a/src/process/concurrency_limit.ts
+++ b/src/process/concurrency_limit.ts
@@ -1,7 +1,10 @@
 /**
- * How many calls the local upstream may execute at once.
+ * How many calls the local upstream may execute at once: at most its published
+ * slots, fewer while that makes its calls faster or while it signals overload.
  */
 import type {TimeSource} from '../base/time_source.js';
+import type {ThroughputTrial} from './throughput_trial.js';
+import {createThroughputTrial} from './throughput_trial.js';
 
 /** One finished call as the limit sees it. */
 export interface LimitSample {
@@ -20,8 +23,6 @@
   /** Applies a new number of published slots. */
   abstract configure(slotsCount: number): void;
   abstract record(sample: LimitSample): void;
-  /** Expected time of one call in the upstream; 0 before any sample. */
-  abstract expectedLatencyMillis(): number;
 }
 
 /** What an adaptive limit needs. */
@@ -33,14 +34,20 @@
 /** Share of the limit kept when the upstream signals overload. */
 const OVERLOAD_BACKOFF_RATIO = 0.9;
 
-/** Shortest time between two reductions; one burst counts once. */
+/** Shortest time between two reductions; signals of one burst count once. */
 const BACKOFF_PAUSE_MILLIS = 100;
 
-/** Share of the published slots below which the limit never falls. */
+/** Share of the published slots below which signals do not push the limit. */
 const FLOOR_RATIO = 0.1;
 
-/** Weight of one sample in the moving average of latency. */
-const LATENCY_WEIGHT = 0.05;
+/** Growth over one limit's worth of answers, away from the last overload. */
+const FAST_GROWTH_RATIO = 0.1;
+
+/** Growth over one limit's worth of answers near the last overload, in slots. */
+const SLOW_GROWTH_COUNT = 0.5;
+
+/** How long the limit at the last overload is approached with care. */
+const OVERLOAD_MEMORY_MILLIS = 1_000;
 
 /** Creates a limit that starts at the published slots and never exceeds them. */
 export function createAdaptiveLimit(
@@ -48,45 +55,58 @@
 ): ConcurrencyLimit {
   const {time} = options;
   let slotsCount = options.slotsCount;
-  let limitCount = slotsCount;
-  let latencyMillis = 0;
-  let backedOffMillis = Number.NEGATIVE_INFINITY;
+  let signalLimitCount = slotsCount;
+  let overloadLimitCount = Infinity;
+  let overloadMillis = Number.NEGATIVE_INFINITY;
+  const trial: ThroughputTrial = createThroughputTrial(time, slotsCount);
 
-  function floorCount(): number {
-    return Math.max(1, slotsCount * FLOOR_RATIO);
+  function limitCount(): number {
+    const lowest = Math.min(signalLimitCount, trial.limitCount());
+    return Math.max(1, Math.floor(lowest));
   }
 
   function recordOverload(): void {
     const nowMillis = time.monotonicMillis();
-    if (nowMillis - backedOffMillis < BACKOFF_PAUSE_MILLIS) return;
-    backedOffMillis = nowMillis;
-    limitCount = Math.max(floorCount(), limitCount * OVERLOAD_BACKOFF_RATIO);
+    if (nowMillis - overloadMillis < BACKOFF_PAUSE_MILLIS) return;
+    overloadMillis = nowMillis;
+    overloadLimitCount = limitCount();
+    signalLimitCount = Math.max(
+      slotsCount * FLOOR_RATIO,
+      limitCount() * OVERLOAD_BACKOFF_RATIO,
+    );
   }
 
-  function recordLatency(sampleMillis: number): void {
-    latencyMillis =
-      latencyMillis === 0
-        ? sampleMillis
-        : latencyMillis + LATENCY_WEIGHT * (sampleMillis - latencyMillis);
-    limitCount = Math.min(slotsCount, limitCount + 1 / limitCount);
+  function grow(): void {
+    if (signalLimitCount >= slotsCount) return;
+    const sinceMillis = time.monotonicMillis() - overloadMillis;
+    const isNear =
+      sinceMillis < OVERLOAD_MEMORY_MILLIS &&
+      signalLimitCount >= overloadLimitCount * OVERLOAD_BACKOFF_RATIO;
+    const growthCount = isNear
+      ? SLOW_GROWTH_COUNT
+      : Math.max(1, signalLimitCount * FAST_GROWTH_RATIO);
+    signalLimitCount = Math.min(
+      slotsCount,
+      signalLimitCount + growthCount / signalLimitCount,
+    );
   }
 
   return new (class extends ConcurrencyLimit {
     override limitCount(): number {
-      return Math.max(1, Math.floor(limitCount));
+      return limitCount();
     }
     override configure(newSlotsCount: number): void {
-      limitCount = newSlotsCount * (limitCount / slotsCount);
+      if (newSlotsCount === slotsCount) return;
+      signalLimitCount *= newSlotsCount / slotsCount;
       slotsCount = newSlotsCount;
+      trial.configure(newSlotsCount);
     }
     override record(sample: LimitSample): void {
       if (sample.isOverload) recordOverload();
-      else if (sample.latencyMillis !== undefined) {
-        recordLatency(sample.latencyMillis);
-      }
-    }
-    override expectedLatencyMillis(): number {
-      return latencyMillis;
+      if (sample.latencyMillis === undefined) return;
+      const isSaturated = sample.inFlightCount >= limitCount();
+      trial.record(sample.latencyMillis, isSaturated);
+      if (!sample.isOverload) grow();
     }
   })();
 }
--- a/src/process/priority_admission.ts
+++ b/src/process/priority_admission.ts
@@ -9,6 +9,7 @@
 import type {
   AdmissionConfig,
   AdmissionRefusal,
+  AdmissionRefusalReason,
   AdmissionRequest,
   HostLoad,
   Permit,
@@ -18,6 +19,7 @@
 import type {QueuedCall, ServiceOrder} from './class_queue.js';
 import {createClassQueue} from './class_queue.js';
 import {createAdaptiveLimit} from './concurrency_limit.js';
+import {createLatencyEstimate} from './latency_estimate.js';
 import type {Metrics} from './metrics.js';
 import {createRetryAfter} from './retry_after.js';
 import {createShedLevel} from './shed_level.js';
@@ -31,16 +33,22 @@
   readonly random: () => number;
 }
 
-type RefusalReason = AdmissionRefusal['reason'];
+type AdmissionOutcome = Effect.Effect<Permit, AdmissionRefusal>;
 
 /** A call between its arrival and its permit or refusal. */
 interface WaitingCall extends QueuedCall {
-  readonly resume: (outcome: Effect.Effect<Permit, AdmissionRefusal>) => void;
+  readonly resume: (outcome: AdmissionOutcome) => void;
   /** Set once a permit is the call's, until the caller has received it. */
   undelivered: Permit | undefined;
   timer: Disposable | undefined;
 }
 
+/** An outcome that is decided and has yet to reach its caller. */
+interface Delivery {
+  readonly call: WaitingCall;
+  readonly outcome: AdmissionOutcome;
+}
+
 /** Guards against rounding 0.3 + 0.7 and the like to one slot too few. */
 const ROUNDING_RATIO = 1e-9;
 
@@ -52,7 +60,10 @@
   let config = options.config;
   let inFlightCount = 0;
   let isDraining = false;
+  let isChanging = false;
+  const deliveries: Delivery[] = [];
   const queue = createClassQueue<WaitingCall>();
+  const latency = createLatencyEstimate(time);
   const limit = createAdaptiveLimit({slotsCount: config.slotsCount, time});
   const shedLevel = createShedLevel(
     time,
@@ -66,6 +77,31 @@
     random,
   });
 
+  /**
+   * Runs a change of state and then tells the callers concerned. Telling a
+   * caller runs its code at once, which may ask for admission again: done in
+   * the middle of a change it would find, say, a queue with room that is
+   * already promised, and overfill it.
+   */
+  function change(action: () => void): void {
+    if (isChanging) {
+      action();
+      return;
+    }
+    isChanging = true;
+    try {
+      action();
+      for (;;) {
+        const delivery = deliveries.shift();
+        if (delivery === undefined) break;
+        delivery.call.undelivered = undefined;
+        delivery.call.resume(delivery.outcome);
+      }
+    } finally {
+      isChanging = false;
+    }
+  }
+
   /** Slots a class may use: all but those reserved for more important ones. */
   function classLimitCount(classIndex: number): number {
     const reservedRatio = config.reservedRatios
@@ -91,8 +127,11 @@
         if (isReleased) return;
         isReleased = true;
         limit.record({...result, inFlightCount});
+        if (result.latencyMillis !== undefined) {
+          latency.record(result.latencyMillis);
+        }
         inFlightCount -= 1;
-        update();
+        change(update);
       },
     };
   }
@@ -102,31 +141,32 @@
   }
 
   function admitNow(call: WaitingCall): void {
-    retryAfter.recordAdmitted();
-    metrics.increment('admission.admitted', tagsOf(call.classIndex));
-    call.undelivered = createPermit();
-  }
-
-  function deliver(call: WaitingCall): void {
     call.timer?.dispose();
-    const permit = call.undelivered;
-    call.undelivered = undefined;
-    if (permit !== undefined) call.resume(Effect.succeed(permit));
+    retryAfter.recordAdmitted();
+    const tags = tagsOf(call.classIndex);
+    metrics.increment('admission.admitted', tags);
+    metrics.timing(
+      'admission.queue_delay',
+      time.monotonicMillis() - call.enqueuedMillis,
+      tags,
+    );
+    const permit = createPermit();
+    call.undelivered = permit;
+    deliveries.push({call, outcome: Effect.succeed(permit)});
   }
 
-  function refuse(call: WaitingCall, reason: RefusalReason): void {
+  function refuse(call: WaitingCall, reason: AdmissionRefusalReason): void {
     call.timer?.dispose();
     metrics.increment('admission.refused', {
       ...tagsOf(call.classIndex),
       reason,
     });
-    call.resume(
-      Effect.fail({
-        _tag: 'AdmissionRefusal',
-        reason,
-        retryAfterMillis: retryAfter.recordRefused(),
-      }),
-    );
+    const refusal: AdmissionRefusal = {
+      _tag: 'AdmissionRefusal',
+      reason,
+      retryAfterMillis: retryAfter.recordRefused(),
+    };
+    deliveries.push({call, outcome: Effect.fail(refusal)});
   }
 
   /**
@@ -141,7 +181,7 @@
 
   function refuseAll(
     calls: readonly WaitingCall[],
-    reason: RefusalReason,
+    reason: AdmissionRefusalReason,
   ): void {
     for (const call of calls) refuse(call, reason);
   }
@@ -149,9 +189,14 @@
   function dropExpiredCalls(): void {
     const expired = queue.takeExpired(time.monotonicMillis());
     if (expired.length === 0) return;
-    const shed = shedBelow(Math.min(...expired.map(call => call.classIndex)));
-    refuseAll(shed, 'shed');
-    refuseAll(expired, 'queue-timeout');
+    const important = expired.at(-1)?.classIndex ?? 0;
+    const refused = [...shedBelow(important), ...expired].sort(
+      (a, b) => b.classIndex - a.classIndex,
+    );
+    // Told in this order, nobody sees a call refused before a lesser one is.
+    for (const call of refused) {
+      refuse(call, expired.includes(call) ? 'queue-timeout' : 'shed');
+    }
   }
 
   function shedStanding(): void {
@@ -163,18 +208,12 @@
   }
 
   function dispatch(): void {
-    const granted: WaitingCall[] = [];
     for (;;) {
       const classIndex = queue.firstClassIndex();
-      if (classIndex === undefined || !hasFreeSlot(classIndex)) break;
+      if (classIndex === undefined || !hasFreeSlot(classIndex)) return;
       const call = queue.takeFirst(serviceOrder());
-      if (call === undefined) break;
-      admitNow(call);
-      granted.push(call);
+      if (call !== undefined) admitNow(call);
     }
-    // Resuming runs the caller's code at once, so it comes after the last
-    // change of state here.
-    for (const call of granted) deliver(call);
   }
 
   function update(): void {
@@ -189,7 +228,7 @@
       serviceOrder() === 'oldest-first'
         ? queue.sizeUpTo(classIndex)
         : queue.sizeUpTo(classIndex - 1);
-    const slotMillis = limit.expectedLatencyMillis() / limit.limitCount();
+    const slotMillis = latency.meanMillis() / limit.limitCount();
     return aheadCount * slotMillis;
   }
 
@@ -217,8 +256,9 @@
     const order = serviceOrder();
     const lowest = queue.lastClassIndex();
     if (lowest === undefined) return false;
-    const mayEvictPeer = order === 'newest-first' && lowest === call.classIndex;
-    if (lowest <= call.classIndex && !mayEvictPeer) return false;
+    // Newest first, the oldest call of the same class has the least chance.
+    const isPeerLast = order === 'newest-first' && lowest === call.classIndex;
+    if (lowest <= call.classIndex && !isPeerLast) return false;
     const evicted = queue.takeLast(order);
     if (evicted !== undefined) refuse(evicted, 'queue-full');
     return evicted !== undefined;
@@ -227,7 +267,7 @@
   function armTimer(call: WaitingCall): Disposable {
     const leftMillis = call.expiresMillis - time.monotonicMillis();
     return createTimeoutTimer(Math.max(1, Math.ceil(leftMillis)), () => {
-      update();
+      change(update);
       // A timer may fire a fraction early; the call would then wait for ever.
       if (queue.has(call)) call.timer = armTimer(call);
     });
@@ -244,7 +284,7 @@
       enqueuedMillis: nowMillis,
       expiresMillis: Math.min(
         nowMillis + config.queueWaitMillis,
-        request.deadlineMonotonicMillis,
+        request.deadlineMonotonicMillis - latency.lowestMillis(),
       ),
       resume,
       undelivered: undefined,
@@ -258,19 +298,23 @@
       return;
     }
     update();
+    if (call.expiresMillis <= time.monotonicMillis()) {
+      refuse(call, 'deadline-exceeded');
+      return;
+    }
     const isFirst = queue.sizeUpTo(call.classIndex) === 0;
     if (isFirst && hasFreeSlot(call.classIndex)) {
       admitNow(call);
-      deliver(call);
-    } else enqueue(call);
+    } else {
+      enqueue(call);
+    }
   }
 
+  /** Withdraws a call whose caller was interrupted before it was told. */
   function cancel(call: WaitingCall): void {
     call.timer?.dispose();
-    if (queue.remove(call)) {
-      metrics.increment('admission.cancelled', tagsOf(call.classIndex));
-      return;
-    }
+    metrics.increment('admission.cancelled', tagsOf(call.classIndex));
+    queue.remove(call);
     call.undelivered?.release(NO_RESULT);
   }
 
@@ -280,7 +324,9 @@
     ): Effect.Effect<Permit, AdmissionRefusal> {
       return Effect.callback<Permit, AdmissionRefusal>(resume => {
         const call = toWaitingCall(request, resume);
-        submit(call);
+        change(() => {
+          submit(call);
+        });
         return Effect.sync(() => {
           cancel(call);
         });
@@ -294,16 +340,16 @@
         config.retryAfterMinimumMillis,
         config.retryAfterMaximumMillis,
       );
-      update();
+      change(update);
     }
     override startDraining(): void {
       isDraining = true;
     }
     override dropExpired(): void {
-      update();
+      change(update);
     }
     override load(): HostLoad {
-      update();
+      change(update);
       return {
         inFlightCount,
         queuedCount: queue.sizeCount(),
--- a/src/process/shed_level.ts
+++ b/src/process/shed_level.ts
@@ -7,6 +7,9 @@
 /** Share of the longest queue wait that counts as a standing delay. */
 const TARGET_RATIO = 0.25;
 
+/** Share of the longest queue wait that the delay must stand. */
+const INTERVAL_RATIO = 0.5;
+
 /** Shortest time the delay must stand, so that one burst does not shed. */
 const MINIMUM_INTERVAL_MILLIS = 20;
 
@@ -23,7 +26,7 @@
   abstract observe(oldestEnqueuedMillis: number | undefined): void;
   /** Whether the queue delay has been above its target for an interval. */
   abstract isStanding(): boolean;
-  /** Whether an interval has passed since the level was lowered. */
+  /** Whether the delay stands and the last lowering has had time to show. */
   abstract mayLower(): boolean;
   /** Lets no class from the given one on wait; the first may always wait. */
   abstract lowerTo(classIndex: number): void;
@@ -42,6 +45,8 @@
   let targetMillis = initialQueueWaitMillis * TARGET_RATIO;
   let level = classCount;
   let belowTargetMillis = time.monotonicMillis();
+  let observedMillis = belowTargetMillis;
+  let loweredMillis = Number.NEGATIVE_INFINITY;
   let changedMillis = Number.NEGATIVE_INFINITY;
 
   /**
@@ -70,10 +75,11 @@
     override observe(oldestEnqueuedMillis: number | undefined): void {
       const nowMillis = time.monotonicMillis();
       const crossedMillis = (oldestEnqueuedMillis ?? nowMillis) + targetMillis;
-      belowTargetMillis = Math.max(
-        belowTargetMillis,
-        Math.min(nowMillis, crossedMillis),
-      );
+      // Earlier than the last look, an older call may have been there.
+      if (crossedMillis > observedMillis) {
+        belowTargetMillis = Math.min(nowMillis, crossedMillis);
+      }
+      observedMillis = nowMillis;
       if (this.isStanding()) changedMillis = nowMillis;
       else recover();
     }
@@ -81,11 +87,15 @@
       return time.monotonicMillis() - belowTargetMillis >= intervalMillis;
     }
     override mayLower(): boolean {
-      return this.isStanding();
+      const sinceMillis = time.monotonicMillis() - loweredMillis;
+      return this.isStanding() && sinceMillis >= intervalMillis;
     }
     override lowerTo(classIndex: number): void {
-      level = Math.min(level, Math.max(1, classIndex));
       changedMillis = time.monotonicMillis();
+      const newLevel = Math.max(1, classIndex);
+      if (newLevel >= level) return;
+      level = newLevel;
+      loweredMillis = changedMillis;
     }
     override refusedFromClassIndex(): number {
       recover();
@@ -95,5 +105,5 @@
 }
 
 function toIntervalMillis(queueWaitMillis: number): number {
-  return Math.max(MINIMUM_INTERVAL_MILLIS, queueWaitMillis);
+  return Math.max(MINIMUM_INTERVAL_MILLIS, queueWaitMillis * INTERVAL_RATIO);
 }
