Console: forms for the policy document on loopback

Operators had only an editor and the check command. The forms are derived from the policy schema, hold every value as typed, and show each problem that `policy check` finds beside its field, with what the draft changes. The only output is a document without problems under a higher version.

Ruled out: one page per service, which needs drafts kept on the server; number inputs of the browser, which send nothing for text they cannot read.

--- /dev/null
+++ b/src/cli/console/change_summary.ts
@@ -0,0 +1,176 @@
+/**
+ * What a draft does, as data: importance, shares of upstreams, rules of routes,
+ * and each difference from the previous document in words.
+ */
+import {labelOf, singularOf, unitOf} from './field_words.js';
+import type {PolicyChange} from '../policy_changes.js';
+import {findPolicyChanges} from '../policy_changes.js';
+import type {RouteExplanation} from '../route_explanation.js';
+import {explainRoute} from '../route_explanation.js';
+import type {CompiledPolicy, Policy} from '../../version/policy.js';
+
+/** One class, the most important first. */
+export interface ClassSummary {
+  readonly name: string;
+  readonly reservedRatio: number;
+  /** Share of an upstream's limit that the class may use. */
+  readonly usableRatio: number;
+  readonly routesCount: number;
+  /** Classes that are shed before this one. */
+  readonly shedBefore: readonly string[];
+}
+
+/** Slots of one upstream that each class may use, in the order of classes. */
+export interface ServiceSummary {
+  readonly name: string;
+  readonly slotsCount: number;
+  readonly usableSlotsCounts: readonly number[];
+}
+
+/** One difference as a sentence. */
+export interface ChangeSentence {
+  readonly sentence: string;
+  readonly concerns: string;
+}
+
+/** Everything shown about a valid draft. */
+export interface ChangeSummary {
+  readonly classes: readonly ClassSummary[];
+  readonly services: readonly ServiceSummary[];
+  readonly routes: readonly RouteExplanation[];
+  /** Undefined for a first document. */
+  readonly previousVersion: number | undefined;
+  readonly changes: readonly ChangeSentence[];
+}
+
+/** Collects what a draft does. */
+export function summarizeChange(
+  compiled: CompiledPolicy,
+  previous: Policy | undefined,
+): ChangeSummary {
+  const {policy} = compiled;
+  const changes = previous ? findPolicyChanges(previous, policy) : [];
+  return {
+    classes: summarizeClasses(policy),
+    services: summarizeServices(compiled),
+    routes: explainRoutes(compiled),
+    previousVersion: previous?.version,
+    changes: changes.map(describeChange),
+  };
+}
+
+function summarizeClasses(policy: Policy): readonly ClassSummary[] {
+  const routes = policy.services.flatMap(service => service.routes);
+  let reservedAbove = 0;
+  return policy.classes.map(({name, reservedRatio}, index) => {
+    const usableRatio = 1 - reservedAbove;
+    reservedAbove += reservedRatio;
+    return {
+      name,
+      reservedRatio,
+      usableRatio,
+      routesCount: routes.filter(({className}) => className === name).length,
+      shedBefore: policy.classes.slice(index + 1).map(other => other.name),
+    };
+  });
+}
+
+function summarizeServices(
+  compiled: CompiledPolicy,
+): readonly ServiceSummary[] {
+  const {classes, services} = compiled.policy;
+  return services.map(service => {
+    const [route] = service.routes;
+    if (route === undefined) throw new Error('A service has no route.');
+    const usableSlotsCounts = classes.map(
+      (_, classIndex) =>
+        explainRoute(compiled, {service, route, classIndex}).usableSlotsCount,
+    );
+    const {name, slotsCount} = service;
+    return {name, slotsCount, usableSlotsCounts};
+  });
+}
+
+function explainRoutes(compiled: CompiledPolicy): readonly RouteExplanation[] {
+  const {classes, services} = compiled.policy;
+  const classIndexes = new Map(classes.map(({name}, index) => [name, index]));
+  return services.flatMap(service =>
+    service.routes.map(route => {
+      const classIndex = classIndexes.get(route.className) ?? 0;
+      return explainRoute(compiled, {service, route, classIndex});
+    }),
+  );
+}
+
+/** Tells a difference as a sentence. */
+export function describeChange(change: PolicyChange): ChangeSentence {
+  return {sentence: `${subjectOf(change)}.`, concerns: change.concerns};
+}
+
+function subjectOf({path, before, after}: PolicyChange): string {
+  const place = readPlace(path);
+  if (place.fieldName === undefined) {
+    const verb = before === undefined ? 'is new' : 'is removed';
+    return `${capitalize(place.owner)} ${verb}`;
+  }
+  const label = labelOf(place.fieldName);
+  const subject = place.owner === '' ? label : `${label} of ${place.owner}`;
+  const unit = unitOf(place.schemaPath);
+  const suffix = unit === '' ? '' : ` ${unit}`;
+  return `${subject} ${verbOf(before, after)} from ${wordOf(before)} to ${wordOf(after)}${suffix}`;
+}
+
+interface ChangePlace {
+  /** The item or section, for example `route read-tile of service tileyard`. */
+  readonly owner: string;
+  /** Undefined if the item as a whole is new or gone. */
+  readonly fieldName: string | undefined;
+  readonly schemaPath: string;
+}
+
+const LIST_NAMES: ReadonlySet<string> = new Set([
+  'availabilityZones',
+  'classes',
+  'services',
+]);
+
+/** Names have no dots, so that a path of names can be split again. */
+function readPlace(path: string): ChangePlace {
+  const [section = '', name, member, routeName, routeField] = path.split('.');
+  if (name === undefined) {
+    return {owner: '', fieldName: section, schemaPath: section};
+  }
+  if (!LIST_NAMES.has(section)) {
+    return {
+      owner: labelOf(section).toLowerCase(),
+      fieldName: name,
+      schemaPath: `${section}.${name}`,
+    };
+  }
+  if (section === 'services' && member === 'routes') {
+    return {
+      owner: `route ${String(routeName)} of service ${name}`,
+      fieldName: routeField,
+      schemaPath: `services[].routes[].${String(routeField)}`,
+    };
+  }
+  return {
+    owner: `${singularOf(section)} ${name}`,
+    fieldName: member,
+    schemaPath: `${section}[].${String(member)}`,
+  };
+}
+
+function verbOf(before: unknown, after: unknown): string {
+  if (typeof before !== 'number' || typeof after !== 'number') return 'changes';
+  return after > before ? 'rises' : 'falls';
+}
+
+function wordOf(value: unknown): string {
+  if (typeof value === 'boolean') return value ? 'yes' : 'no';
+  return String(value);
+}
+
+function capitalize(text: string): string {
+  return text.charAt(0).toUpperCase() + text.slice(1);
+}
--- /dev/null
+++ b/src/cli/console/console_pages.ts
@@ -0,0 +1,144 @@
+/**
+ * What the console answers to each page asked for.
+ */
+import {readFileSync} from 'node:fs';
+import type * as http from 'node:http';
+import {summarizeChange} from './change_summary.js';
+import type {ConsoleSession} from './console_session.js';
+import {createNextDraft} from './document_builder.js';
+import type {DraftReport} from './document_builder.js';
+import type {DraftGroup} from './draft.js';
+import {applyEdit, parseEdit} from './draft_edits.js';
+import {toFieldProblems} from './field_problems.js';
+import {readFormBody} from './form_body.js';
+import type {FormSubmission} from './form_fields.js';
+import {readSubmission} from './form_fields.js';
+import {policyFormModel} from './form_model.js';
+import type {HttpAnswer} from './http_answer.js';
+import {pageAnswer, textAnswer} from './http_answer.js';
+import {createStartingDraft} from './new_items.js';
+import type {PageView, SavedNotice} from './page_renderer.js';
+import {renderLiveParts, renderPage} from './page_renderer.js';
+import {STYLESHEET} from './stylesheet.js';
+
+/** Answers a request that passed the guard. */
+export type PageHandler = (
+  request: http.IncomingMessage,
+  page: string,
+) => Promise<HttpAnswer>;
+
+const OK = 200;
+const NOT_FOUND = 404;
+const METHOD_NOT_ALLOWED = 405;
+const UNPROCESSABLE = 422;
+
+/** Creates the handler of all pages. */
+export function createPageHandler(session: ConsoleSession): PageHandler {
+  const script = readFileSync(new URL('live_check_client.js', import.meta.url));
+  return async (request, page) => {
+    if (request.method === 'GET') return answerRead(session, script, page);
+    if (request.method !== 'POST') {
+      return textAnswer(METHOD_NOT_ALLOWED, 'Only GET and POST.');
+    }
+    const fields = await readFormBody(request);
+    const submission = readSubmission(policyFormModel, fields);
+    return answerForm(session, page, submission);
+  };
+}
+
+function answerRead(
+  session: ConsoleSession,
+  script: Uint8Array,
+  page: string,
+): HttpAnswer {
+  switch (page) {
+    case '':
+      return pageAnswer(
+        OK,
+        renderPage(createView(session, startDraft(session))),
+      );
+    case 'console.css':
+      return {statusCode: OK, contentType: 'text/css', body: STYLESHEET};
+    case 'live_check.js':
+      return {statusCode: OK, contentType: 'text/javascript', body: script};
+    case 'document':
+      return answerDownload(session);
+    default:
+      return textAnswer(NOT_FOUND, 'No such page.');
+  }
+}
+
+function answerForm(
+  session: ConsoleSession,
+  page: string,
+  {draft, action}: FormSubmission,
+): HttpAnswer {
+  switch (page) {
+    case 'edit': {
+      const edited =
+        action === '' ? draft : applyEdit(draft, parseEdit(action));
+      return pageAnswer(OK, renderPage(createView(session, edited)));
+    }
+    case 'check':
+      return pageAnswer(OK, renderLiveParts(createView(session, draft)));
+    case 'save':
+      return answerSave(session, draft);
+    default:
+      return textAnswer(NOT_FOUND, 'No such page.');
+  }
+}
+
+function answerSave(session: ConsoleSession, draft: DraftGroup): HttpAnswer {
+  const result = session.save(draft);
+  if (result.kind === 'refused') {
+    const report = {...session.check(draft), problems: result.problems};
+    const view = createView(session, draft, report);
+    return pageAnswer(UNPROCESSABLE, renderPage(view));
+  }
+  const {policy, version, digest} = result.compiled;
+  const saved = {
+    deployment: policy.deployment,
+    version,
+    digest,
+    file: session.outputFile,
+  };
+  const next = createNextDraft(policy);
+  const view = createView(session, next, session.check(next), saved);
+  return pageAnswer(OK, renderPage(view));
+}
+
+function answerDownload(session: ConsoleSession): HttpAnswer {
+  const saved = session.saved();
+  if (saved === undefined) return textAnswer(NOT_FOUND, 'Nothing saved yet.');
+  // The checks allow only letters, digits and hyphens in the name.
+  const fileName = `${saved.policy.deployment}-v${String(saved.version)}.json`;
+  return {
+    statusCode: OK,
+    contentType: 'application/json',
+    body: saved.documentBytes,
+    fileName,
+  };
+}
+
+function startDraft(session: ConsoleSession): DraftGroup {
+  const previous = session.previous();
+  return previous ? createNextDraft(previous.policy) : createStartingDraft();
+}
+
+function createView(
+  session: ConsoleSession,
+  draft: DraftGroup,
+  report: DraftReport = session.check(draft),
+  saved?: SavedNotice,
+): PageView {
+  const {compiled, problems, warnings} = report;
+  const previous = session.previous()?.policy;
+  return {
+    draft,
+    problems: toFieldProblems(problems),
+    warnings,
+    summary: compiled && summarizeChange(compiled, previous),
+    saved,
+    outputFile: session.outputFile,
+  };
+}
--- /dev/null
+++ b/src/cli/console/console_server.ts
@@ -0,0 +1,104 @@
+/**
+ * HTTP server of the console, on the loopback interface only.
+ */
+import {randomBytes} from 'node:crypto';
+import {once} from 'node:events';
+import * as http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {createPageHandler} from './console_pages.js';
+import type {PageHandler} from './console_pages.js';
+import type {ConsoleSession} from './console_session.js';
+import type {HttpAnswer} from './http_answer.js';
+import {pageAnswer, sendAnswer, textAnswer} from './http_answer.js';
+import {renderFailure} from './page_renderer.js';
+import type {GuardOptions} from './request_guard.js';
+import {checkRequest} from './request_guard.js';
+import {
+  CapacityError,
+  describeError,
+  InvalidInputError,
+  TransportError,
+} from '../../base/errors.js';
+import type {Disposable} from '../../base/lifecycle.js';
+import {toDisposable} from '../../base/lifecycle.js';
+
+/** A console that listens. */
+export interface ConsoleServer extends Disposable {
+  /** Address with the token; whoever knows it can use the console. */
+  readonly url: string;
+}
+
+/** How to serve a session. */
+export interface ConsoleServerOptions {
+  readonly session: ConsoleSession;
+  /** 0 for any free port. */
+  readonly port: number;
+  /** Told about failures that no input explains. */
+  readonly onFailure: (message: string) => void;
+}
+
+const LOOPBACK = '127.0.0.1';
+const TOKEN_BYTES = 32;
+const MAX_CONNECTIONS_COUNT = 64;
+const REQUEST_TIMEOUT_MILLIS = 30_000;
+
+/** Starts to listen; rejects if the port is taken. */
+export async function createConsoleServer(
+  options: ConsoleServerOptions,
+): Promise<ConsoleServer> {
+  const token = randomBytes(TOKEN_BYTES).toString('base64url');
+  const handle = createPageHandler(options.session);
+  const server = http.createServer({requestTimeout: REQUEST_TIMEOUT_MILLIS});
+  server.maxConnections = MAX_CONNECTIONS_COUNT;
+  server.listen(options.port, LOOPBACK);
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  server.on('request', (request, response) => {
+    const guard = {token, port};
+    void answerRequest(request, guard, handle, options.onFailure).then(
+      answer => {
+        // What is left of a refused body would be read as the next request.
+        if (!request.complete) response.setHeader('connection', 'close');
+        sendAnswer(response, answer);
+      },
+    );
+  });
+  const closing = toDisposable(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const url = `http://${LOOPBACK}:${String(port)}/${token}/`;
+  return {url, dispose: closing.dispose};
+}
+
+async function answerRequest(
+  request: http.IncomingMessage,
+  guard: GuardOptions,
+  handle: PageHandler,
+  onFailure: (message: string) => void,
+): Promise<HttpAnswer> {
+  const result = checkRequest(request, guard);
+  if (result.kind === 'refused') {
+    return textAnswer(result.statusCode, result.message);
+  }
+  try {
+    return await handle(request, result.page);
+  } catch (error) {
+    return answerFailure(error, onFailure);
+  }
+}
+
+function answerFailure(
+  error: unknown,
+  onFailure: (message: string) => void,
+): HttpAnswer {
+  const message = describeError(error);
+  if (error instanceof CapacityError) {
+    return pageAnswer(413, renderFailure('The form is too large', message));
+  }
+  if (error instanceof InvalidInputError || error instanceof TransportError) {
+    return pageAnswer(400, renderFailure('The form was not read', message));
+  }
+  onFailure(message);
+  return pageAnswer(500, renderFailure('The console failed', message));
+}
--- /dev/null
+++ b/src/cli/console/document_file.ts
@@ -0,0 +1,54 @@
+/**
+ * Writing of a validated document to a file of the operator.
+ */
+import {existsSync, renameSync, rmSync, writeFileSync} from 'node:fs';
+import {v4 as createUuid} from 'uuid';
+import {readPolicyFile} from '../policy_file.js';
+import {checkSuccession} from '../policy_succession.js';
+import {describeError} from '../../base/errors.js';
+import type {CompiledPolicy} from '../../version/policy.js';
+import type {Problem} from '../../version/problem.js';
+import {ROOT_PATH} from '../../version/problem.js';
+
+/** Writes the document whole; returns why it was not written. */
+export function saveDocumentFile(
+  filePath: string,
+  compiled: CompiledPolicy,
+): Problem | undefined {
+  const obstacle = findObstacle(filePath, compiled);
+  if (obstacle !== undefined) return obstacle;
+  const draftPath = `${filePath}.${createUuid()}.tmp`;
+  try {
+    // A full disk would otherwise leave half a document under the final name.
+    writeFileSync(draftPath, compiled.documentBytes, {flag: 'wx'});
+    renameSync(draftPath, filePath);
+    return undefined;
+  } catch (error) {
+    rmSync(draftPath, {force: true});
+    return fileProblem(describeError(error), `${filePath} as a file to write`);
+  }
+}
+
+/** A mistyped name must not cost another file, nor a newer version. */
+function findObstacle(
+  filePath: string,
+  compiled: CompiledPolicy,
+): Problem | undefined {
+  if (!existsSync(filePath)) return undefined;
+  const existing = readPolicyFile(filePath);
+  if (existing.kind !== 'compiled') {
+    return fileProblem(
+      `${filePath} exists and is no usable policy document`,
+      'a new file, or one with an older version of this policy',
+    );
+  }
+  const [problem] = checkSuccession(
+    existing.compiled.policy,
+    compiled.policy,
+  ).problems;
+  return problem;
+}
+
+function fileProblem(value: string, allowed: string): Problem {
+  return {path: ROOT_PATH, value, allowed};
+}
--- /dev/null
+++ b/src/cli/console/draft.ts
@@ -0,0 +1,97 @@
+/**
+ * A document under edit: every value as the text that the operator typed, valid
+ * or not, so that nothing typed is lost between two pages.
+ */
+import type {FieldModel, FormModel, GroupModel} from './form_model.js';
+
+/** Any part of a draft. */
+export type DraftNode = string | DraftList | DraftGroup;
+
+/** Items in their order. */
+export type DraftList = readonly DraftGroup[];
+
+/** Members by name. */
+export interface DraftGroup {
+  readonly [name: string]: DraftNode;
+}
+
+/** JSON grammar of a number; anything else stays text for the check to refuse. */
+const NUMBER = /^-?(?:0|[1-9]\d*)(?:\.\d+)?(?:[eE][+-]?\d+)?$/;
+
+/** Turns a value of the document into text for the forms. */
+export function toDraft(model: GroupModel, value: object): DraftGroup {
+  const fields = value as Readonly<Record<string, unknown>>;
+  return Object.fromEntries(
+    model.members.map(member => [
+      member.name,
+      toDraftNode(member, fields[member.name]),
+    ]),
+  );
+}
+
+function toDraftNode(model: FormModel, value: unknown): DraftNode {
+  switch (model.kind) {
+    case 'field':
+      return value === undefined ? '' : String(value);
+    case 'group':
+      return toDraft(model, value as object);
+    case 'list':
+      return (value as readonly object[]).map(item =>
+        toDraft(model.item, item),
+      );
+  }
+}
+
+/**
+ * Turns a draft into a document, which may be invalid: empty fields are left
+ * out, and text that is no value of its field stays text.
+ */
+export function toDocument(model: GroupModel, draft: DraftGroup): object {
+  return Object.fromEntries(
+    model.members.map(member => [
+      member.name,
+      toDocumentNode(member, draft[member.name]),
+    ]),
+  );
+}
+
+function toDocumentNode(
+  model: FormModel,
+  node: DraftNode | undefined,
+): unknown {
+  if (node === undefined) return undefined;
+  switch (model.kind) {
+    case 'field':
+      return typeof node === 'string' ? toValue(model, node) : undefined;
+    case 'group':
+      return toDocument(model, node as DraftGroup);
+    case 'list':
+      return (node as DraftList).map(item => toDocument(model.item, item));
+  }
+}
+
+function toValue({input}: FieldModel, text: string): unknown {
+  const trimmed = text.trim();
+  if (trimmed === '') return undefined;
+  switch (input.kind) {
+    case 'number':
+      return toNumber(trimmed);
+    case 'switch':
+      return toBoolean(trimmed);
+    case 'fixed':
+      return trimmed === String(input.value) ? input.value : trimmed;
+    default:
+      return trimmed;
+  }
+}
+
+function toNumber(text: string): number | string {
+  const value = NUMBER.test(text) ? Number(text) : NaN;
+  // JSON has no infinity, which would turn into null.
+  return Number.isFinite(value) ? value : text;
+}
+
+function toBoolean(text: string): boolean | string {
+  if (text === 'true') return true;
+  return text === 'false' ? false : text;
+}
--- /dev/null
+++ b/src/cli/console/form_renderer.ts
@@ -0,0 +1,293 @@
+/**
+ * Forms for a draft, section by section.
+ */
+import type {DraftGroup, DraftList, DraftNode} from './draft.js';
+import {formatEdit} from './draft_edits.js';
+import type {EditVerb} from './draft_edits.js';
+import {renderGuide} from './field_guide_renderer.js';
+import {renderInput} from './field_input_renderer.js';
+import type {FieldProblems} from './field_problems.js';
+import {effectOf, labelOf, singularOf, unitOf} from './field_words.js';
+import {ACTION_FIELD, COUNT_NAME, joinName} from './form_fields.js';
+import type {
+  FieldModel,
+  FormModel,
+  GroupModel,
+  ListModel,
+} from './form_model.js';
+import type {Html} from './html.js';
+import {html, NO_HTML, renderCodeWords} from './html.js';
+
+/** Draws the whole draft. */
+export function renderForm(
+  model: GroupModel,
+  draft: DraftGroup,
+  problems: FieldProblems,
+): Html {
+  const identity = model.members.filter(isField);
+  const sections = model.members.filter(member => !isField(member));
+  return html`<section class="section" id="section-identity">
+      <h2>Identity</h2>
+      ${identity.map(field => renderField(field, field.name, draft, problems))}
+    </section>
+    ${sections.map(section =>
+      renderSection(section, draft[section.name], problems),
+    )}`;
+}
+
+function renderSection(
+  model: FormModel,
+  node: DraftNode | undefined,
+  problems: FieldProblems,
+): Html {
+  return html`<section class="section" id="section-${model.name}">
+    <h2>${labelOf(model.name)}</h2>
+    ${
+      model.kind === 'list'
+        ? renderList(model, model.name, node as DraftList, problems)
+        : renderGroup(
+            model as GroupModel,
+            model.name,
+            node as DraftGroup,
+            problems,
+          )
+    }
+  </section>`;
+}
+
+function renderGroup(
+  model: GroupModel,
+  name: string,
+  draft: DraftGroup,
+  problems: FieldProblems,
+): Html {
+  return html`${renderProblem(name, problems)}
+  ${model.members
+    .filter(isField)
+    .map(field =>
+      renderField(field, joinName(name, field.name), draft, problems),
+    )}`;
+}
+
+function renderField(
+  field: FieldModel,
+  name: string,
+  draft: DraftGroup,
+  problems: FieldProblems,
+): Html {
+  return html`<div class="field">
+    ${renderLabel(field, name)}
+    <div>
+      ${renderEntry(field, name, draft, problems)}
+      <p class="help">
+        ${renderCodeWords(effectOf(field.path))}
+        <span class="allowed">Allowed: ${renderCodeWords(field.allowed)}.</span>
+      </p>
+    </div>
+  </div>`;
+}
+
+function renderLabel(field: FieldModel, name: string): Html {
+  return html`<label for="${name}"
+    >${labelOf(field.name)}<code class="field-name">${field.name}</code></label
+  >`;
+}
+
+function renderEntry(
+  field: FieldModel,
+  name: string,
+  draft: DraftGroup,
+  problems: FieldProblems,
+): Html {
+  const unit = unitOf(field.path);
+  return html`<div class="entry">
+      ${renderInput(field, name, textOf(draft, field), problems.has(name))}
+      ${unit === '' ? NO_HTML : html`<span class="unit">${unit}</span>`}
+    </div>
+    ${renderProblem(name, problems)}`;
+}
+
+function renderList(
+  model: ListModel,
+  name: string,
+  items: DraftList,
+  problems: FieldProblems,
+): Html {
+  const hasLists = model.item.members.some(member => member.kind === 'list');
+  const isNested = name.includes('.');
+  return html`<p class="help">
+      ${renderCodeWords(effectOf(model.path))}
+      <span class="allowed">Allowed: ${model.allowed}.</span>
+    </p>
+    ${isNested ? NO_HTML : renderGuide(model)}
+    <input
+      type="hidden"
+      name="${joinName(name, COUNT_NAME)}"
+      value="${items.length}"
+    />
+    ${renderProblem(name, problems)}
+    ${
+      hasLists
+        ? items.map((item, index) =>
+            renderCard(model, joinName(name, index), item, problems),
+          )
+        : renderTable(model, name, items, problems)
+    }
+    <p>
+      ${renderButton('add', name, `Add ${singularOf(model.name)}`, 'add')}
+    </p>`;
+}
+
+/** An item with a list of its own. */
+function renderCard(
+  model: ListModel,
+  name: string,
+  item: DraftGroup,
+  problems: FieldProblems,
+): Html {
+  const {members} = model.item;
+  const lists = members.filter(member => member.kind === 'list');
+  return html`<fieldset class="card" id="${name}">
+    <legend>${singularOf(model.name)} ${String(item['name'] ?? '')}</legend>
+    <div class="card-buttons">${renderItemButtons(name, item)}</div>
+    ${renderProblem(name, problems)}
+    <div class="card-fields">
+      ${members
+        .filter(isField)
+        .map(field =>
+          renderCompactField(field, joinName(name, field.name), item, problems),
+        )}
+    </div>
+    ${lists.map(list => renderNestedList(list, name, item, problems))}
+  </fieldset>`;
+}
+
+function renderNestedList(
+  list: ListModel,
+  parentName: string,
+  parent: DraftGroup,
+  problems: FieldProblems,
+): Html {
+  const name = joinName(parentName, list.name);
+  return html`<h3 id="${name}">${labelOf(list.name)}</h3>
+    ${renderList(list, name, parent[list.name] as DraftList, problems)}`;
+}
+
+function renderCompactField(
+  field: FieldModel,
+  name: string,
+  draft: DraftGroup,
+  problems: FieldProblems,
+): Html {
+  return html`<div class="compact-field">
+    ${renderLabel(field, name)} ${renderEntry(field, name, draft, problems)}
+  </div>`;
+}
+
+function renderTable(
+  model: ListModel,
+  name: string,
+  items: DraftList,
+  problems: FieldProblems,
+): Html {
+  const fields = model.item.members.filter(isField);
+  return html`<div class="table-scroll">
+    <table class="items">
+      <thead>
+        <tr>
+          <th scope="col">#</th>
+          ${fields.map(renderColumnHead)}
+          <th scope="col"><span class="hidden">Order</span></th>
+        </tr>
+      </thead>
+      <tbody>
+        ${items.map((item, index) =>
+          renderRow(fields, joinName(name, index), item, index, problems),
+        )}
+      </tbody>
+    </table>
+  </div>`;
+}
+
+function renderColumnHead(field: FieldModel): Html {
+  const unit = unitOf(field.path);
+  return html`<th scope="col" title="Allowed: ${field.allowed}">
+    ${labelOf(field.name)}
+    ${unit === '' ? NO_HTML : html`<span class="unit">${unit}</span>`}
+  </th>`;
+}
+
+function renderRow(
+  fields: readonly FieldModel[],
+  name: string,
+  item: DraftGroup,
+  index: number,
+  problems: FieldProblems,
+): Html {
+  return html`<tr id="${name}">
+    <td class="rank">${index + 1}</td>
+    ${fields.map(field =>
+      renderCell(field, joinName(name, field.name), item, problems),
+    )}
+    <td class="row-buttons">${renderItemButtons(name, item)}</td>
+  </tr>`;
+}
+
+function renderCell(
+  field: FieldModel,
+  name: string,
+  item: DraftGroup,
+  problems: FieldProblems,
+): Html {
+  return html`<td>
+    ${renderInput(field, name, textOf(item, field), problems.has(name))}
+    ${renderProblem(name, problems)}
+  </td>`;
+}
+
+function renderItemButtons(name: string, item: DraftGroup): Html {
+  const shown = String(item['name'] || name);
+  return html`${renderButton('up', name, '\u2191', `Move ${shown} up`)}
+  ${renderButton('down', name, '\u2193', `Move ${shown} down`)}
+  ${renderButton('remove', name, '\u2715', `Remove ${shown}`)}`;
+}
+
+/** The answer opens at the section, so that the operator keeps the place. */
+function renderButton(
+  verb: EditVerb,
+  target: string,
+  text: string,
+  title: string,
+): Html {
+  return html`<button
+    type="submit"
+    class="edit ${verb}"
+    name="${ACTION_FIELD}"
+    value="${formatEdit({verb, target})}"
+    formaction="edit#${anchorAfter(verb, target)}"
+    title="${title}"
+  >
+    ${text}
+  </button>`;
+}
+
+function anchorAfter(verb: EditVerb, target: string): string {
+  const segments = target.split('.');
+  // The last item of a list is gone from the page once it is removed.
+  const kept = verb === 'remove' ? segments.slice(0, -1) : segments;
+  return kept.length === 1 ? `section-${String(kept[0])}` : kept.join('.');
+}
+
+function renderProblem(name: string, problems: FieldProblems): Html {
+  const message = problems.get(name) ?? '';
+  return html`<p class="problem" data-problem-of="${name}">${message}</p>`;
+}
+
+function textOf(draft: DraftGroup, field: FieldModel): string {
+  const node = draft[field.name];
+  return typeof node === 'string' ? node : '';
+}
+
+function isField(model: FormModel): model is FieldModel {
+  return model.kind === 'field';
+}
--- /dev/null
+++ b/src/cli/console/html.ts
@@ -0,0 +1,67 @@
+/**
+ * HTML in which every inserted value is escaped, whoever wrote it.
+ */
+
+/** Markup that is safe to send; only `html` creates it. */
+export interface Html {
+  readonly markup: string;
+}
+
+/** What may be inserted; text is escaped. */
+export type HtmlPart = Html | string | number | readonly HtmlPart[];
+
+const ENTITIES: Readonly<Record<string, string>> = {
+  '&': '&amp;',
+  '<': '&lt;',
+  '>': '&gt;',
+  '"': '&quot;',
+  "'": '&#39;',
+};
+
+/**
+ * Template tag. A value may stand between tags or inside a quoted attribute
+ * value, where the escapes hold.
+ */
+export function html(
+  literals: TemplateStringsArray,
+  ...parts: readonly HtmlPart[]
+): Html {
+  const [first = '', ...rest] = literals.map(dropIndentation);
+  const tail = rest.map((literal, index) => {
+    const part = parts[index];
+    return (part === undefined ? '' : render(part)) + literal;
+  });
+  return {markup: first + tail.join('')};
+}
+
+/** Indentation of this source would make up half of a large page. */
+function dropIndentation(literal: string): string {
+  return literal.replace(/\n\s+/g, '\n');
+}
+
+/** Nothing. */
+export const NO_HTML: Html = {markup: ''};
+
+function render(part: HtmlPart): string {
+  if (typeof part === 'string') return escapeText(part);
+  if (typeof part === 'number') return String(part);
+  if (isList(part)) return part.map(render).join('');
+  return part.markup;
+}
+
+function isList(part: HtmlPart): part is readonly HtmlPart[] {
+  return Array.isArray(part);
+}
+
+function escapeText(text: string): string {
+  return text.replace(/[&<>"']/g, character => ENTITIES[character] ?? '');
+}
+
+/** Text in which words between back-quotes are shown as code. */
+export function renderCodeWords(text: string): readonly Html[] {
+  return text
+    .split('`')
+    .map((part, index) =>
+      index % 2 === 0 ? html`${part}` : html`<code>${part}</code>`,
+    );
+}
--- /dev/null
+++ b/src/cli/console/new_items.ts
@@ -0,0 +1,81 @@
+/**
+ * Drafts to start from: the document of `policy new` with everything left empty
+ * that only the operator can know.
+ */
+import type {DraftGroup} from './draft.js';
+import {toDraft} from './draft.js';
+import {malformed} from './form_fields.js';
+import type {FormModel, GroupModel} from './form_model.js';
+import {policyFormModel} from './form_model.js';
+import {createStartingPolicy} from '../starting_policy.js';
+
+const TEMPLATE = createStartingPolicy({
+  deployment: '',
+  availabilityZones: [{name: '', region: ''}],
+});
+
+/** Words of a route that are wrong for some routes whatever is preset. */
+const CHOSEN_BY_OPERATOR: ReadonlySet<string> = new Set([
+  'name',
+  'path',
+  'className',
+  'method',
+  'repeat',
+  'isKeyRequired',
+]);
+
+/** A draft of a first document. */
+export function createStartingDraft(): DraftGroup {
+  return toDraft(policyFormModel, TEMPLATE);
+}
+
+/** A new item for the list of that form name, for example `services.0.routes`. */
+export function createNewItem(listName: string): DraftGroup {
+  const segments = listName.split('.');
+  const path = segments.filter(segment => !/^\d+$/.test(segment)).join('.');
+  switch (path) {
+    case 'availabilityZones':
+      return createBlank(path, TEMPLATE.availabilityZones[0]);
+    case 'classes':
+      return {...createBlank(path, TEMPLATE.classes[0]), reservedRatio: '0'};
+    case 'services':
+      return createBlank(path, TEMPLATE.services[0]);
+    case 'services.routes':
+      return createBlank(path, TEMPLATE.services[0]?.routes[0]);
+    default:
+      throw malformed(`there is no list ${listName}`);
+  }
+}
+
+function createBlank(path: string, template: object | undefined): DraftGroup {
+  const model = findItemModel(path);
+  if (template === undefined) throw malformed(`no template for ${path}`);
+  return blankOut(model, toDraft(model, template));
+}
+
+function blankOut(model: GroupModel, draft: DraftGroup): DraftGroup {
+  return Object.fromEntries(
+    model.members.map(member => {
+      const node = draft[member.name] ?? '';
+      if (CHOSEN_BY_OPERATOR.has(member.name)) return [member.name, ''];
+      // One empty item: a list without any would be invalid.
+      if (member.kind !== 'list' || !Array.isArray(node)) {
+        return [member.name, node];
+      }
+      const items = (node as readonly DraftGroup[]).slice(0, 1);
+      return [member.name, items.map(item => blankOut(member.item, item))];
+    }),
+  );
+}
+
+function findItemModel(path: string): GroupModel {
+  let group: GroupModel = policyFormModel;
+  for (const segment of path.split('.')) {
+    const member: FormModel | undefined = group.members.find(
+      ({name}) => name === segment,
+    );
+    if (member?.kind !== 'list') throw malformed(`there is no list ${path}`);
+    group = member.item;
+  }
+  return group;
+}
--- /dev/null
+++ b/src/cli/console/summary_renderer.ts
@@ -0,0 +1,130 @@
+/**
+ * What a draft does, drawn beside its forms.
+ */
+import type {
+  ChangeSummary,
+  ClassSummary,
+  ServiceSummary,
+} from './change_summary.js';
+import type {Html} from './html.js';
+import {html, NO_HTML} from './html.js';
+import type {RouteExplanation} from '../route_explanation.js';
+import {formatExplanation} from '../route_explanation.js';
+
+const INVALID_NOTE = 'Shown once the document has no problems of its own.';
+
+/** Each difference from the previous document. */
+export function renderChanges(summary: ChangeSummary | undefined): Html {
+  if (summary === undefined) return renderNote(INVALID_NOTE);
+  const {previousVersion, changes} = summary;
+  if (previousVersion === undefined) {
+    return renderNote('A first document: there is none to compare it with.');
+  }
+  return html`<p class="help">
+      Compared with version ${previousVersion}, the document to be replaced:
+    </p>
+    <ul class="changes">
+      ${changes.map(
+        ({sentence, concerns}) =>
+          html`<li>
+            ${sentence} <span class="concerns">Concerns ${concerns}.</span>
+          </li>`,
+      )}
+    </ul>`;
+}
+
+/** The classes in their order, with their reserves. */
+export function renderClasses(summary: ChangeSummary | undefined): Html {
+  if (summary === undefined) return renderNote(INVALID_NOTE);
+  return html`<table class="figures">
+    <thead>
+      <tr>
+        <th scope="col">Class</th>
+        <th scope="col">Reserve</th>
+        <th scope="col">May use</th>
+        <th scope="col">Routes</th>
+      </tr>
+    </thead>
+    <tbody>
+      ${summary.classes.map(renderClass)}
+    </tbody>
+  </table>`;
+}
+
+function renderClass(item: ClassSummary, index: number): Html {
+  const order =
+    item.shedBefore.length === 0
+      ? 'shed first'
+      : `shed only after ${item.shedBefore.join(', ')}`;
+  return html`<tr>
+    <th scope="row">
+      ${index + 1}. ${item.name}<span class="concerns">${order}</span>
+    </th>
+    <td>${formatShare(item.reservedRatio)}</td>
+    <td>${formatShare(item.usableRatio)}</td>
+    <td>${item.routesCount}</td>
+  </tr>`;
+}
+
+/** How many slots of an upstream each class may use. */
+export function renderServices(summary: ChangeSummary | undefined): Html {
+  if (summary === undefined) return renderNote(INVALID_NOTE);
+  return html`<p class="help">
+      Slots of one upstream that a class may use at most; numbers are the places
+      of the classes above.
+    </p>
+    <table class="figures">
+      <thead>
+        <tr>
+          <th scope="col">Service</th>
+          <th scope="col">Slots</th>
+          ${summary.classes.map(
+            ({name}, index) =>
+              html`<th scope="col" title="${name}">${index + 1}</th>`,
+          )}
+        </tr>
+      </thead>
+      <tbody>
+        ${summary.services.map(renderService)}
+      </tbody>
+    </table>`;
+}
+
+function renderService(item: ServiceSummary): Html {
+  return html`<tr>
+    <th scope="row">${item.name}</th>
+    <td>${item.slotsCount}</td>
+    ${item.usableSlotsCounts.map(count => html`<td>${count}</td>`)}
+  </tr>`;
+}
+
+/** The rules of each route, as `policy explain` tells them. */
+export function renderRoutes(summary: ChangeSummary | undefined): Html {
+  if (summary === undefined) return renderNote(INVALID_NOTE);
+  return html`${summary.routes.map(renderRoute)}`;
+}
+
+function renderRoute(rules: RouteExplanation): Html {
+  const [, ...lines] = formatExplanation(rules);
+  return html`<h4>
+      ${rules.service}: ${rules.method} ${rules.path}
+      <span class="concerns">${rules.route}</span>
+    </h4>
+    <dl class="rules">${lines.map(renderRule)}</dl>`;
+}
+
+function renderRule(line: string): Html {
+  const separatorIndex = line.indexOf(':');
+  if (separatorIndex < 0) return NO_HTML;
+  return html`<dt>${line.slice(0, separatorIndex)}</dt>
+    <dd>${line.slice(separatorIndex + 1).trim()}</dd>`;
+}
+
+function renderNote(text: string): Html {
+  return html`<p class="help">${text}</p>`;
+}
+
+/** Two decimals of a per cent are more than limits of 100,000 need. */
+function formatShare(ratio: number): string {
+  return `${String(Math.round(ratio * 10_000) / 100)}%`;
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,12 +5,14 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {EXIT, processOutput} from './command_output.js';
+import {consoleCommand} from './console/console_command.js';
 import {policyCommand} from './policy_command.js';
 import {stateCommand} from './state_command.js';
 
 await yargs(hideBin(process.argv))
   .scriptName('fulmarhollow')
   .command(policyCommand)
+  .command(consoleCommand)
   .command(stateCommand)
   .demandCommand(1, 'a command is needed; --help lists them')
   .strict()
