--- a/src/daemon/daemon_node.ts
+++ b/src/daemon/daemon_node.ts
@@ -6,6 +6,7 @@
 import type {Metrics} from '../process/metrics.js';
 import type {Settings} from '../process/settings.js';
 import type {StateDump} from '../process/state_dump.js';
+import type {DecisionsFactory} from './decisions.js';
 
 /** Ports the listeners are bound to. */
 export interface ListenerPorts {
@@ -23,6 +24,8 @@
   readonly metrics: Metrics;
   readonly stateDump: StateDump;
   readonly time: TimeSource;
+  /** The product's own decisions when absent; benches replace single ones. */
+  readonly createDecisions?: DecisionsFactory | undefined;
 }
 
 /** One node of the layer. */
--- a/src/process/concurrency_limit.ts
+++ b/src/process/concurrency_limit.ts
@@ -31,6 +31,11 @@
   readonly time: TimeSource;
 }
 
+/** Creates a limit; the adaptive one is what a node uses. */
+export type ConcurrencyLimitFactory = (
+  options: ConcurrencyLimitOptions,
+) => ConcurrencyLimit;
+
 /** Share of the limit kept when the upstream signals overload. */
 const OVERLOAD_BACKOFF_RATIO = 0.9;
 
--- a/src/process/priority_admission.ts
+++ b/src/process/priority_admission.ts
@@ -18,6 +18,7 @@
 import {AdmissionController} from './admission_controller.js';
 import type {QueuedCall, ServiceOrder} from './class_queue.js';
 import {createClassQueue} from './class_queue.js';
+import type {ConcurrencyLimitFactory} from './concurrency_limit.js';
 import {createAdaptiveLimit} from './concurrency_limit.js';
 import {createLatencyEstimate} from './latency_estimate.js';
 import type {Metrics} from './metrics.js';
@@ -31,6 +32,8 @@
   readonly metrics: Metrics;
   /** Uniform in [0, 1). */
   readonly random: () => number;
+  /** The adaptive limit when absent. */
+  readonly createLimit?: ConcurrencyLimitFactory | undefined;
 }
 
 type AdmissionOutcome = Effect.Effect<Permit, AdmissionRefusal>;
@@ -64,7 +67,8 @@
   const deliveries: Delivery[] = [];
   const queue = createClassQueue<WaitingCall>();
   const latency = createLatencyEstimate(time);
-  const limit = createAdaptiveLimit({slotsCount: config.slotsCount, time});
+  const createLimit = options.createLimit ?? createAdaptiveLimit;
+  const limit = createLimit({slotsCount: config.slotsCount, time});
   const shedLevel = createShedLevel(
     time,
     config.reservedRatios.length,
--- a/src/request/callee.ts
+++ b/src/request/callee.ts
@@ -2,7 +2,6 @@
  * The node's side that answers calls for the upstream on its host.
  */
 import * as Effect from 'effect/Effect';
-import type {TimeSource} from '../base/time_source.js';
 import type {
   CallAnswer,
   CallFailure,
@@ -15,7 +14,7 @@
 import type {GuardedCall, GuardedExecution} from './guarded_execution.js';
 import type {KeyedExecution} from './keyed_execution.js';
 import {createChildCalls} from './request_scope.js';
-import {createRetryGrant} from './shared_retry_grant.js';
+import type {RetryGrantFactory} from './retry_grant.js';
 
 /** What the callee needs. */
 export interface CalleeOptions {
@@ -24,7 +23,9 @@
   readonly policies: PolicyStore;
   readonly execution: GuardedExecution;
   readonly keyedExecution: KeyedExecution;
-  readonly time: TimeSource;
+  readonly createGrant: RetryGrantFactory;
+  /** Monotonic time at which a call with this much time left is worthless. */
+  readonly deadlineOf: (leftMillis: number) => number;
 }
 
 /** Answers calls addressed to this host. */
@@ -71,9 +72,8 @@
       requestId: context.requestId,
       policy,
       classIndex: context.classIndex,
-      deadlineMonotonicMillis:
-        options.time.monotonicMillis() + context.leftMillis,
-      grant: createRetryGrant(context.grantCount),
+      deadlineMonotonicMillis: options.deadlineOf(context.leftMillis),
+      grant: options.createGrant(context.grantCount),
       isRepeatBanned: context.isRepeatBanned,
       children: createChildCalls(),
     },
--- a/src/request/entry.ts
+++ b/src/request/entry.ts
@@ -24,7 +24,7 @@
 import type {OutboundCalls} from './outbound_call.js';
 import type {OutboundCall, RequestScope} from './request_scope.js';
 import {createChildCalls} from './request_scope.js';
-import {createRetryGrant} from './shared_retry_grant.js';
+import type {RetryGrantFactory} from './retry_grant.js';
 
 /** What an entry needs. */
 export interface EntryOptions {
@@ -32,6 +32,7 @@
   readonly policies: PolicyStore;
   readonly calls: OutboundCalls;
   readonly inProgress: InProgressRequests;
+  readonly createGrant: RetryGrantFactory;
   readonly time: TimeSource;
   readonly metrics: Metrics;
   /** Requests in progress from callers and the upstream together. */
@@ -170,7 +171,7 @@
     policy,
     classIndex: isCaller ? classIndex : policy.policy.classes.length - 1,
     deadlineMonotonicMillis: ownDeadline(options, entry),
-    grant: createRetryGrant(isCaller ? route.retryBound : 0),
+    grant: options.createGrant(isCaller ? route.retryBound : 0),
     isRepeatBanned: route.repeat === 'never',
     children: createChildCalls(),
   };
--- a/src/request/retry_grant.ts
+++ b/src/request/retry_grant.ts
@@ -11,6 +11,9 @@
   forfeit(): void;
 }
 
+/** Creates the grant of a request that may cause `count` retries. */
+export type RetryGrantFactory = (count: number) => RetryGrant;
+
 /** Retries available to one request on this host, shared by its parallel calls. */
 export abstract class RetryGrant {
   abstract remaining(): number;
