Release subscriptions of the lease task when the view changes

The clean-up of an Effect callback runs on interruption, not when it resumes, so two subscriptions stayed behind with every change of policy or list. The new test counted 2 subscriptions to list changes where 1 was due; now 1, and 0 after the task has ended.

--- a/src/connection/view_lease_task.ts
+++ b/src/connection/view_lease_task.ts
@@ -2,6 +2,7 @@
  * Task that keeps the view lease: one round of confirmations after another.
  */
 import * as Effect from 'effect/Effect';
+import {createDisposableStore} from '../base/lifecycle.js';
 import type {FleetView} from '../process/fleet_view.js';
 import type {Metrics} from '../process/metrics.js';
 import type {PolicyStore} from '../process/policy_store.js';
@@ -134,19 +135,22 @@
   {policies, fleet}: ViewLeaseTaskOptions,
 ): Effect.Effect<void> {
   return Effect.callback<undefined>(resume => {
+    const subscriptions = createDisposableStore();
     const isNewer = (): boolean =>
       (policies.newest()?.version ?? 0) > view.policyVersion ||
       fleet.listRevision() > view.listRevision;
+    // The clean-up that this function returns runs on interruption only; a
+    // subscription would stay behind with every change of the view.
     const check = (): void => {
-      if (isNewer()) resume(Effect.succeed(undefined));
+      if (!isNewer()) return;
+      subscriptions.dispose();
+      resume(Effect.succeed(undefined));
     };
-    const subscriptions = [
-      policies.onDidAccept(check),
-      fleet.onDidChangeList(check),
-    ];
+    subscriptions.add(policies.onDidAccept(check));
+    subscriptions.add(fleet.onDidChangeList(check));
     check();
     return Effect.sync(() => {
-      for (const subscription of subscriptions) subscription.dispose();
+      subscriptions.dispose();
     });
   });
 }
