Close a request's grant when its answer or failure leaves the host

Cause: a guard that gave up on its upstream reported the remaining grant to the calling node while the upstream's own calls went on spending it: the same retry was counted on both sides and the bound broke. Found by the property test over random graphs (depth 1 to 8, fan-out 1 to 4, lost answers, refusals, silence, contexts dropped and reused). Ruled out: leftovers of an earlier run, by waiting for every call to end and counting per call.

--- a/src/request/guarded_execution.ts
+++ b/src/request/guarded_execution.ts
@@ -180,7 +180,7 @@
     // Calls made while a streamed body is still being produced could spend
     // more, so nothing of the grant is given back with its first byte.
     unspentCount:
-      answer.body.kind === 'streamed' ? 0 : call.scope.grant.remaining(),
+      answer.body.kind === 'streamed' ? 0 : call.scope.grant.close(),
     load: options.admission.load(),
     isDependencyFailed: call.scope.children.hasFailed(),
   };
@@ -205,7 +205,7 @@
     },
     {
       retryAfterMillis: refusal.retryAfterMillis,
-      unspent: call.scope.grant.remaining(),
+      unspent: call.scope.grant.close(),
       load: options.admission.load(),
     },
   );
@@ -230,7 +230,7 @@
     },
     {
       retryAfterMillis: call.scope.policy.policy.timing.retryAfterMinimumMillis,
-      unspent: call.scope.grant.remaining(),
+      unspent: call.scope.grant.close(),
       load: options.admission.load(),
     },
   );
@@ -252,7 +252,7 @@
       message: sent.error.message,
     },
     {
-      unspent: call.scope.grant.remaining(),
+      unspent: call.scope.grant.close(),
       load: options.admission.load(),
       isSilent: sent.kind === 'silent',
     },
--- a/src/request/keyed_execution.ts
+++ b/src/request/keyed_execution.ts
@@ -182,7 +182,7 @@
     statusCode: kept.statusCode,
     headers: kept.headers.map(([name, value]) => ({name, value})),
     body: {kind: 'whole', bytes: Buffer.from(kept.body)},
-    unspentCount: call.scope.grant.remaining(),
+    unspentCount: call.scope.grant.close(),
     load: undefined,
     isDependencyFailed: false,
   };
@@ -200,6 +200,6 @@
       peer: options.hostName,
       message: 'An earlier execution for this key may have taken place.',
     },
-    {unspent: call.scope.grant.remaining()},
+    {unspent: call.scope.grant.close()},
   );
 }
--- a/src/request/retry_grant.ts
+++ b/src/request/retry_grant.ts
@@ -21,4 +21,9 @@
   abstract trySpend(): boolean;
   /** Lends a part of the grant to an attempt. */
   abstract lend(): RetryLoan;
+  /**
+   * Ends the grant and returns what remains, to be given back. Calls that are
+   * still being made for the request get nothing more from it.
+   */
+  abstract close(): number;
 }
--- a/src/request/shared_retry_grant.ts
+++ b/src/request/shared_retry_grant.ts
@@ -4,9 +4,24 @@
 import type {RetryLoan} from './retry_grant.js';
 import {RetryGrant} from './retry_grant.js';
 
-/** Creates a grant of `count` retries; what is not a positive integer is 0. */
-export function createRetryGrant(count: number): RetryGrant {
+/** Part of the remaining retries that goes with one attempt. */
+export type LendingRule = (remainingCount: number) => number;
+
+/**
+ * Lends all but one. The deeper a retry, the less work it repeats, so most of
+ * the grant goes down; but an answer that is lost forfeits what was lent, and
+ * only a retry kept back can then repeat the attempt from here.
+ */
+export const lendAllButOne: LendingRule = remainingCount =>
+  Math.max(0, remainingCount - 1);
+
+/** Creates a grant; a count that is not a number of at least 1 is 0. */
+export function createRetryGrant(
+  count: number,
+  lendingRule: LendingRule = lendAllButOne,
+): RetryGrant {
   let remainingCount = toCount(count);
+  let isClosed = false;
 
   function createLoan(lentCount: number): RetryLoan {
     let isSettled = false;
@@ -15,6 +30,10 @@
       settle: unspentCount => {
         if (isSettled) return;
         isSettled = true;
+        // What comes back after the rest was given away is lost: a parent that
+        // gave up reports its remainder while its calls still run, and a retry
+        // that both sides count as theirs would be spent twice.
+        if (isClosed) return;
         // A callee that is mistaken or corrupted could claim more than it was
         // lent and so create retries out of nothing; the bound would break.
         remainingCount += Math.min(toCount(unspentCount), lentCount);
@@ -35,21 +54,19 @@
       return true;
     }
     override lend(): RetryLoan {
-      const lentCount = loanCount(remainingCount);
+      const lentCount = lendingRule(remainingCount);
       remainingCount -= lentCount;
       return createLoan(lentCount);
     }
+    override close(): number {
+      const leftCount = remainingCount;
+      remainingCount = 0;
+      isClosed = true;
+      return leftCount;
+    }
   })();
 }
 
-/**
- * Half of what is left, rounded up: a lost answer forfeits at most that, and
- * a sibling call or a retry of this hop finds the rest.
- */
-function loanCount(remainingCount: number): number {
-  return Math.ceil(remainingCount / 2);
-}
-
 /** Reads a count from outside: whole, not negative, 0 when not a number. */
 function toCount(value: number): number {
   return value >= 1 && Number.isFinite(value) ? Math.floor(value) : 0;
