Console: places told by name, problems short beside fields, route rows that fit

Cause, seen in screenshots: the columns for deadline and retry bound and the buttons of a route were outside a window of 1600 pixels; messages at empty fields made a row twenty lines high; places were told as list positions; a page with changes could be closed by mistake.

--- a/src/cli/console/change_summary.ts
+++ b/src/cli/console/change_summary.ts
@@ -16,8 +16,8 @@
   /** Share of an upstream's limit that the class may use. */
   readonly usableRatio: number;
   readonly routesCount: number;
-  /** Classes that are shed before this one. */
-  readonly shedBefore: readonly string[];
+  /** The next less important class; undefined for the one shed first. */
+  readonly shedAfter: string | undefined;
 }
 
 /** Slots of one upstream that each class may use, in the order of classes. */
@@ -70,7 +70,7 @@
       reservedRatio,
       usableRatio,
       routesCount: routes.filter(({className}) => className === name).length,
-      shedBefore: policy.classes.slice(index + 1).map(other => other.name),
+      shedAfter: policy.classes[index + 1]?.name,
     };
   });
 }
@@ -113,11 +113,15 @@
     const verb = before === undefined ? 'is new' : 'is removed';
     return `${capitalize(place.owner)} ${verb}`;
   }
+  if (place.fieldName === 'rank') {
+    const direction = Number(after) < Number(before) ? 'up' : 'down';
+    return `${capitalize(place.owner)} moves ${direction} in importance from place ${String(before)} to place ${String(after)}`;
+  }
   const label = labelOf(place.fieldName);
   const subject = place.owner === '' ? label : `${label} of ${place.owner}`;
   const unit = unitOf(place.schemaPath);
   const suffix = unit === '' ? '' : ` ${unit}`;
-  return `${subject} ${verbOf(before, after)} from ${wordOf(before)} to ${wordOf(after)}${suffix}`;
+  return `${subject}: ${directionOf(before, after)} from ${String(before)} to ${String(after)}${suffix}`;
 }
 
 interface ChangePlace {
@@ -161,14 +165,11 @@
   };
 }
 
-function verbOf(before: unknown, after: unknown): string {
-  if (typeof before !== 'number' || typeof after !== 'number') return 'changes';
-  return after > before ? 'rises' : 'falls';
-}
-
-function wordOf(value: unknown): string {
-  if (typeof value === 'boolean') return value ? 'yes' : 'no';
-  return String(value);
+function directionOf(before: unknown, after: unknown): string {
+  if (typeof before !== 'number' || typeof after !== 'number') {
+    return 'changed';
+  }
+  return after > before ? 'up' : 'down';
 }
 
 function capitalize(text: string): string {
--- /dev/null
+++ b/src/cli/console/checks_renderer.ts
@@ -0,0 +1,135 @@
+/**
+ * What the checks say about a draft and what it does, drawn beside the forms.
+ */
+import type {ChangeSummary} from './change_summary.js';
+import type {DraftGroup} from './draft.js';
+import type {FieldProblem} from './field_problems.js';
+import {policyFormModel} from './form_model.js';
+import type {Html} from './html.js';
+import {html, NO_HTML, renderCodeWords} from './html.js';
+import {describePlace} from './place_names.js';
+import {
+  renderChanges,
+  renderClasses,
+  renderRoutes,
+  renderServices,
+} from './summary_renderer.js';
+
+/** What is known about a draft. */
+export interface ChecksView {
+  readonly draft: DraftGroup;
+  readonly problems: readonly FieldProblem[];
+  /** Accepted settings to think about. */
+  readonly warnings: readonly FieldProblem[];
+  /** What to know about the step from the previous document. */
+  readonly notes: readonly string[];
+  /** Undefined while the document by itself is invalid. */
+  readonly summary: ChangeSummary | undefined;
+  /** Whether this very document was just saved. */
+  readonly isSaved: boolean;
+}
+
+/** Problems listed; a large document can have thousands. */
+const LISTED_PROBLEMS_COUNT = 100;
+
+/** The state of the draft in a few words. */
+export function renderState({problems, isSaved}: ChecksView): Html {
+  const count = problems.length;
+  if (count > 0) {
+    const noun = count === 1 ? 'problem' : 'problems';
+    return html`<a class="state bad" href="#checks">${count} ${noun}</a>`;
+  }
+  const text = isSaved ? 'Saved' : 'Valid, not saved yet';
+  return html`<a class="state good" href="#checks">${text}</a>`;
+}
+
+/** All parts in their order; those marked live are renewed as one types. */
+export function renderChecks(view: ChecksView): Html {
+  const {summary} = view;
+  return html`<aside id="checks" aria-label="Checks and effects">
+    <section>
+      <h2>Problems</h2>
+      <div id="live-problems" data-live>${renderProblems(view)}</div>
+    </section>
+    <section>
+      <h2>What changes</h2>
+      <div id="live-changes" data-live>${renderChanges(summary)}</div>
+    </section>
+    <section>
+      <h2>Classes, most important first</h2>
+      <div id="live-classes" data-live>${renderClasses(summary)}</div>
+    </section>
+    <section>
+      <h2>Slots by class</h2>
+      <div id="live-services" data-live>${renderServices(summary)}</div>
+    </section>
+    <details>
+      <summary>Rules of each route</summary>
+      <div id="live-routes" data-live>${renderRoutes(summary)}</div>
+    </details>
+  </aside>`;
+}
+
+function renderProblems(view: ChecksView): Html {
+  const {draft, problems, warnings, notes} = view;
+  return html`${
+    problems.length === 0
+      ? html`<p class="help">None: the document may be saved.</p>`
+      : renderProblemList(draft, problems)
+  }
+  ${
+    view.summary === undefined
+      ? html`<p class="help">
+          More may follow: rules that involve several fields are checked once
+          each field is valid by itself.
+        </p>`
+      : NO_HTML
+  }
+  ${
+    warnings.length + notes.length > 0
+      ? renderWarnings(draft, warnings, notes)
+      : NO_HTML
+  }`;
+}
+
+function renderProblemList(
+  draft: DraftGroup,
+  problems: readonly FieldProblem[],
+): Html {
+  const listed = problems.slice(0, LISTED_PROBLEMS_COUNT);
+  const hiddenCount = problems.length - listed.length;
+  return html`<ol class="problems">
+      ${listed.map(problem => renderProblem(draft, problem))}
+    </ol>
+    ${hiddenCount > 0 ? html`<p>and ${hiddenCount} more</p>` : NO_HTML}`;
+}
+
+function renderWarnings(
+  draft: DraftGroup,
+  warnings: readonly FieldProblem[],
+  notes: readonly string[],
+): Html {
+  return html`<h3>Warnings</h3>
+    <ul class="warnings">
+      ${warnings.map(warning => renderProblem(draft, warning))}
+      ${notes.map(note => html`<li>${note}.</li>`)}
+    </ul>`;
+}
+
+function renderProblem(
+  draft: DraftGroup,
+  {name, found, allowed}: FieldProblem,
+): Html {
+  return html`<li>
+    <a href="#${anchorOf(name)}">${describePlace(draft, name)}</a>: ${found}
+    Allowed: ${renderCodeWords(allowed)}.
+  </li>`;
+}
+
+/** Fields, items and inner lists have ids of their own, top lists sections. */
+function anchorOf(name: string): string {
+  if (name === '') return 'section-identity';
+  const member = policyFormModel.members.find(model => model.name === name);
+  const hasSection = member !== undefined && member.kind !== 'field';
+  return hasSection ? `section-${name}` : name;
+}
--- a/src/cli/console/console_pages.ts
+++ b/src/cli/console/console_pages.ts
@@ -3,9 +3,9 @@
  */
 import {readFileSync} from 'node:fs';
 import type * as http from 'node:http';
+import {isDeepStrictEqual} from 'node:util';
 import {summarizeChange} from './change_summary.js';
 import type {ConsoleSession} from './console_session.js';
-import {createNextDraft} from './document_builder.js';
 import type {DraftReport} from './document_builder.js';
 import type {DraftGroup} from './draft.js';
 import {applyEdit, parseEdit} from './draft_edits.js';
@@ -16,7 +16,6 @@
 import {policyFormModel} from './form_model.js';
 import type {HttpAnswer} from './http_answer.js';
 import {pageAnswer, textAnswer} from './http_answer.js';
-import {createStartingDraft} from './new_items.js';
 import type {PageView, SavedNotice} from './page_renderer.js';
 import {renderLiveParts, renderPage} from './page_renderer.js';
 import {STYLESHEET} from './stylesheet.js';
@@ -55,7 +54,7 @@
     case '':
       return pageAnswer(
         OK,
-        renderPage(createView(session, startDraft(session))),
+        renderPage(createView(session, session.startDraft())),
       );
     case 'console.css':
       return {statusCode: OK, contentType: 'text/css', body: STYLESHEET};
@@ -102,7 +101,7 @@
     digest,
     file: session.outputFile,
   };
-  const next = createNextDraft(policy);
+  const next = session.startDraft();
   const view = createView(session, next, session.check(next), saved);
   return pageAnswer(OK, renderPage(view));
 }
@@ -120,25 +119,23 @@
   };
 }
 
-function startDraft(session: ConsoleSession): DraftGroup {
-  const previous = session.previous();
-  return previous ? createNextDraft(previous.policy) : createStartingDraft();
-}
-
 function createView(
   session: ConsoleSession,
   draft: DraftGroup,
   report: DraftReport = session.check(draft),
   saved?: SavedNotice,
 ): PageView {
-  const {compiled, problems, warnings} = report;
+  const {compiled, problems, warnings, notes} = report;
   const previous = session.previous()?.policy;
   return {
     draft,
     problems: toFieldProblems(problems),
-    warnings,
+    warnings: toFieldProblems(warnings),
+    notes,
     summary: compiled && summarizeChange(compiled, previous),
     saved,
+    isSaved: saved !== undefined,
+    isChanged: !isDeepStrictEqual(draft, session.startDraft()),
     outputFile: session.outputFile,
   };
 }
--- a/src/cli/console/console_session.ts
+++ b/src/cli/console/console_session.ts
@@ -2,10 +2,11 @@
  * What one run of the console remembers: the document to be replaced and the
  * one saved last. Drafts live in the pages alone.
  */
-import {checkDraft} from './document_builder.js';
+import {checkDraft, createNextDraft} from './document_builder.js';
 import type {DraftReport} from './document_builder.js';
 import type {DraftGroup} from './draft.js';
 import {saveDocumentFile} from './document_file.js';
+import {createStartingDraft} from './new_items.js';
 import type {CompiledPolicy} from '../../version/policy.js';
 import type {Problem} from '../../version/problem.js';
 
@@ -29,6 +30,8 @@
   previous(): CompiledPolicy | undefined;
   /** The document saved last, for download. */
   saved(): CompiledPolicy | undefined;
+  /** What a page starts with. */
+  startDraft(): DraftGroup;
   check(draft: DraftGroup): DraftReport;
   /** Saves a draft without problems; from then on it is the previous one. */
   save(draft: DraftGroup): SaveResult;
@@ -46,6 +49,8 @@
     outputFile,
     previous: () => previous,
     saved: () => saved,
+    startDraft: () =>
+      previous ? createNextDraft(previous.policy) : createStartingDraft(),
     check,
     save: draft => {
       const {compiled, problems} = check(draft);
--- a/src/cli/console/document_builder.ts
+++ b/src/cli/console/document_builder.ts
@@ -11,7 +11,6 @@
 import type {CompiledPolicy, Policy} from '../../version/policy.js';
 import {findPolicyWarnings} from '../../version/policy_warnings.js';
 import type {Problem} from '../../version/problem.js';
-import {formatProblem} from '../../version/problem.js';
 
 /** What the checks say about a draft. */
 export interface DraftReport {
@@ -20,7 +19,9 @@
   /** Also those against the previous document; none: it may be saved. */
   readonly problems: readonly Problem[];
   /** Accepted settings to think about. */
-  readonly warnings: readonly string[];
+  readonly warnings: readonly Problem[];
+  /** What to know about the step from the previous document. */
+  readonly notes: readonly string[];
 }
 
 /** Writes a draft as it would be saved. */
@@ -41,7 +42,7 @@
   const compilation = compilePolicy(encodeDraft(draft));
   if (compilation.kind === 'invalid') {
     const {problems} = compilation;
-    return {compiled: undefined, problems, warnings: []};
+    return {compiled: undefined, problems, warnings: [], notes: []};
   }
   const {compiled} = compilation;
   const succession = previous
@@ -50,10 +51,8 @@
   return {
     compiled,
     problems: succession.problems,
-    warnings: [
-      ...findPolicyWarnings(compiled.policy).map(formatProblem),
-      ...succession.warnings,
-    ],
+    warnings: findPolicyWarnings(compiled.policy),
+    notes: succession.warnings,
   };
 }
 
--- a/src/cli/console/field_guide_renderer.ts
+++ b/src/cli/console/field_guide_renderer.ts
@@ -1,7 +1,7 @@
 /**
  * A table of what the fields of a list mean, shown once beside all its items.
  */
-import {effectOf, labelOf, singularOf, unitOf} from './field_words.js';
+import {effectOf, labelOf, unitOf} from './field_words.js';
 import type {FieldModel, FormModel, ListModel} from './form_model.js';
 import type {Html} from './html.js';
 import {html, renderCodeWords} from './html.js';
@@ -10,11 +10,12 @@
 export function renderGuide(list: ListModel): Html {
   const fields = list.item.members.filter(isField);
   const nested = list.item.members.filter(member => member.kind === 'list');
-  return html`<details class="guide">
-      <summary>
-        Units, allowed values and effects of the fields of a
-        ${singularOf(list.name)}
-      </summary>
+  return html`<p class="help">
+      ${renderCodeWords(effectOf(list.path))}
+      <span class="allowed">Allowed: ${list.allowed}.</span>
+    </p>
+    <details class="guide">
+      <summary>Units, allowed values and effects of these fields</summary>
       <table>
         <thead>
           <tr>
@@ -29,7 +30,12 @@
         </tbody>
       </table>
     </details>
-    ${nested.map(renderGuide)}`;
+    ${nested.map(renderNestedGuide)}`;
+}
+
+function renderNestedGuide(list: ListModel): Html {
+  return html`<h3>${labelOf(list.name)}</h3>
+    ${renderGuide(list)}`;
 }
 
 function renderGuideRow(field: FieldModel): Html {
--- a/src/cli/console/field_input_renderer.ts
+++ b/src/cli/console/field_input_renderer.ts
@@ -1,6 +1,7 @@
 /**
  * The control by which one value is entered.
  */
+import {labelOf} from './field_words.js';
 import type {FieldModel} from './form_model.js';
 import type {Html} from './html.js';
 import {html, NO_HTML} from './html.js';
@@ -10,15 +11,7 @@
 
 const CLASS_REFERENCE_PATH = 'services[].routes[].className';
 
-interface Option {
-  readonly value: string;
-  readonly text: string;
-}
-
-const SWITCH_OPTIONS: readonly Option[] = [
-  {value: 'true', text: 'yes'},
-  {value: 'false', text: 'no'},
-];
+const SWITCH_WORDS = ['true', 'false'];
 
 /** Draws the control with the text typed so far. */
 export function renderInput(
@@ -32,12 +25,10 @@
     case 'text':
     case 'number':
       return renderTextInput(field, name, text, isInvalid);
-    case 'choice': {
-      const options = input.words.map(word => ({value: word, text: word}));
-      return renderSelect(field, name, text, isInvalid, options);
-    }
+    case 'choice':
+      return renderSelect(field, name, text, isInvalid, input.words);
     case 'switch':
-      return renderSelect(field, name, text, isInvalid, SWITCH_OPTIONS);
+      return renderSelect(field, name, text, isInvalid, SWITCH_WORDS);
     case 'fixed':
       return html`<input
         id="${name}"
@@ -72,7 +63,7 @@
     autocomplete="off"
     spellcheck="false"
     title="Allowed: ${field.allowed}"
-    aria-label="${field.name}"
+    aria-label="${labelOf(field.name)}"
     aria-invalid="${String(isInvalid)}"
     ${suggestions}
   />`;
@@ -83,21 +74,21 @@
   name: string,
   text: string,
   isInvalid: boolean,
-  options: readonly Option[],
+  words: readonly string[],
 ): Html {
   return html`<select
     id="${name}"
     name="${name}"
     title="Allowed: ${field.allowed}"
-    aria-label="${field.name}"
+    aria-label="${labelOf(field.name)}"
     aria-invalid="${String(isInvalid)}"
   >
-    ${renderOption({value: '', text: 'choose'}, text)}
-    ${options.map(option => renderOption(option, text))}
+    ${renderOption('', 'choose', text)}
+    ${words.map(word => renderOption(word, word, text))}
   </select>`;
 }
 
-function renderOption({value, text}: Option, selected: string): Html {
+function renderOption(value: string, text: string, selected: string): Html {
   if (value !== selected) {
     return html`<option value="${value}">${text}</option>`;
   }
--- a/src/cli/console/field_problems.ts
+++ b/src/cli/console/field_problems.ts
@@ -8,34 +8,42 @@
 export interface FieldProblem {
   /** Name of a field, an item or a list; empty for the whole document. */
   readonly name: string;
-  readonly message: string;
+  /** What is there, as a sentence. */
+  readonly found: string;
+  /** What would be accepted, as a phrase. */
+  readonly allowed: string;
 }
 
 /** Messages by the name of what they are shown at. */
-export type FieldProblems = ReadonlyMap<string, string>;
+export type FieldMessages = ReadonlyMap<string, string>;
 
 /** Longest excerpt of a value in a message. */
 const SHOWN_VALUE_CHARS = 60;
 
-/** Problems listed on one page; a large paste can have thousands. */
-export const SHOWN_PROBLEMS_COUNT = 100;
+const NOTHING_FOUND = 'Nothing entered.';
 
 /** Translates problems of the document into problems of the form. */
 export function toFieldProblems(
   problems: readonly Problem[],
 ): readonly FieldProblem[] {
-  return problems.map(problem => ({
-    name: toFormName(problem.path),
-    message: describeProblem(problem),
+  return problems.map(({path, value, allowed}) => ({
+    name: toFormName(path),
+    found: describeFound(value),
+    allowed,
   }));
 }
 
-/** Joins the messages of each place. */
-export function groupProblems(
+/**
+ * Joins the messages of each place. One about an empty field is kept short, as
+ * what is allowed stands in the guide and would crowd a row of empty fields.
+ */
+export function groupMessages(
   problems: readonly FieldProblem[],
-): FieldProblems {
+): FieldMessages {
   const messages = new Map<string, string>();
-  for (const {name, message} of problems) {
+  for (const {name, found, allowed} of problems) {
+    const message =
+      found === NOTHING_FOUND ? found : `${found} Allowed: ${allowed}.`;
     const earlier = messages.get(name);
     messages.set(name, earlier ? `${earlier} ${message}` : message);
   }
@@ -43,19 +51,16 @@
 }
 
 /** `$.services[0].name` as `services.0.name`. */
-export function toFormName(path: string): string {
+function toFormName(path: string): string {
   return path
     .slice(ROOT_PATH.length)
     .replace(/\[(\d+)\]/g, '.$1')
     .replace(/^\./, '');
 }
 
-function describeProblem({value, allowed}: Problem): string {
-  if (value === undefined) return `Nothing entered. Allowed: ${allowed}.`;
+function describeFound(value: unknown): string {
+  if (value === undefined) return NOTHING_FOUND;
   const text = JSON.stringify(value);
-  const shown =
-    text.length <= SHOWN_VALUE_CHARS
-      ? text
-      : `${text.slice(0, SHOWN_VALUE_CHARS)}...`;
-  return `Found ${shown}. Allowed: ${allowed}.`;
+  if (text.length <= SHOWN_VALUE_CHARS) return `Found ${text}.`;
+  return `Found ${text.slice(0, SHOWN_VALUE_CHARS)}...`;
 }
--- a/src/cli/console/form_renderer.ts
+++ b/src/cli/console/form_renderer.ts
@@ -6,7 +6,7 @@
 import type {EditVerb} from './draft_edits.js';
 import {renderGuide} from './field_guide_renderer.js';
 import {renderInput} from './field_input_renderer.js';
-import type {FieldProblems} from './field_problems.js';
+import type {FieldMessages} from './field_problems.js';
 import {effectOf, labelOf, singularOf, unitOf} from './field_words.js';
 import {ACTION_FIELD, COUNT_NAME, joinName} from './form_fields.js';
 import type {
@@ -22,7 +22,7 @@
 export function renderForm(
   model: GroupModel,
   draft: DraftGroup,
-  problems: FieldProblems,
+  problems: FieldMessages,
 ): Html {
   const identity = model.members.filter(isField);
   const sections = model.members.filter(member => !isField(member));
@@ -38,7 +38,7 @@
 function renderSection(
   model: FormModel,
   node: DraftNode | undefined,
-  problems: FieldProblems,
+  problems: FieldMessages,
 ): Html {
   return html`<section class="section" id="section-${model.name}">
     <h2>${labelOf(model.name)}</h2>
@@ -59,7 +59,7 @@
   model: GroupModel,
   name: string,
   draft: DraftGroup,
-  problems: FieldProblems,
+  problems: FieldMessages,
 ): Html {
   return html`${renderProblem(name, problems)}
   ${model.members
@@ -73,7 +73,7 @@
   field: FieldModel,
   name: string,
   draft: DraftGroup,
-  problems: FieldProblems,
+  problems: FieldMessages,
 ): Html {
   return html`<div class="field">
     ${renderLabel(field, name)}
@@ -97,7 +97,7 @@
   field: FieldModel,
   name: string,
   draft: DraftGroup,
-  problems: FieldProblems,
+  problems: FieldMessages,
 ): Html {
   const unit = unitOf(field.path);
   return html`<div class="entry">
@@ -111,15 +111,11 @@
   model: ListModel,
   name: string,
   items: DraftList,
-  problems: FieldProblems,
+  problems: FieldMessages,
 ): Html {
   const hasLists = model.item.members.some(member => member.kind === 'list');
   const isNested = name.includes('.');
-  return html`<p class="help">
-      ${renderCodeWords(effectOf(model.path))}
-      <span class="allowed">Allowed: ${model.allowed}.</span>
-    </p>
-    ${isNested ? NO_HTML : renderGuide(model)}
+  return html`${isNested ? NO_HTML : renderGuide(model)}
     <input
       type="hidden"
       name="${joinName(name, COUNT_NAME)}"
@@ -143,7 +139,7 @@
   model: ListModel,
   name: string,
   item: DraftGroup,
-  problems: FieldProblems,
+  problems: FieldMessages,
 ): Html {
   const {members} = model.item;
   const lists = members.filter(member => member.kind === 'list');
@@ -166,7 +162,7 @@
   list: ListModel,
   parentName: string,
   parent: DraftGroup,
-  problems: FieldProblems,
+  problems: FieldMessages,
 ): Html {
   const name = joinName(parentName, list.name);
   return html`<h3 id="${name}">${labelOf(list.name)}</h3>
@@ -177,7 +173,7 @@
   field: FieldModel,
   name: string,
   draft: DraftGroup,
-  problems: FieldProblems,
+  problems: FieldMessages,
 ): Html {
   return html`<div class="compact-field">
     ${renderLabel(field, name)} ${renderEntry(field, name, draft, problems)}
@@ -188,7 +184,7 @@
   model: ListModel,
   name: string,
   items: DraftList,
-  problems: FieldProblems,
+  problems: FieldMessages,
 ): Html {
   const fields = model.item.members.filter(isField);
   return html`<div class="table-scroll">
@@ -222,14 +218,14 @@
   name: string,
   item: DraftGroup,
   index: number,
-  problems: FieldProblems,
+  problems: FieldMessages,
 ): Html {
   return html`<tr id="${name}">
     <td class="rank">${index + 1}</td>
     ${fields.map(field =>
       renderCell(field, joinName(name, field.name), item, problems),
     )}
-    <td class="row-buttons">${renderItemButtons(name, item)}</td>
+    <td class="row-buttons"><div>${renderItemButtons(name, item)}</div></td>
   </tr>`;
 }
 
@@ -237,7 +233,7 @@
   field: FieldModel,
   name: string,
   item: DraftGroup,
-  problems: FieldProblems,
+  problems: FieldMessages,
 ): Html {
   return html`<td>
     ${renderInput(field, name, textOf(item, field), problems.has(name))}
@@ -278,7 +274,7 @@
   return kept.length === 1 ? `section-${String(kept[0])}` : kept.join('.');
 }
 
-function renderProblem(name: string, problems: FieldProblems): Html {
+function renderProblem(name: string, problems: FieldMessages): Html {
   const message = problems.get(name) ?? '';
   return html`<p class="problem" data-problem-of="${name}">${message}</p>`;
 }
--- a/src/cli/console/live_check_client.ts
+++ b/src/cli/console/live_check_client.ts
@@ -15,6 +15,10 @@
   addEventListener(type: string, listener: () => void): void;
 }
 
+interface LeaveEvent {
+  preventDefault(): void;
+}
+
 interface Page {
   getElementById(id: string): PageNode | null;
   querySelectorAll(selector: string): Iterable<PageNode>;
@@ -25,15 +29,23 @@
   readonly DOMParser: new () => {
     parseFromString(text: string, type: string): Page;
   };
+  addEventListener(
+    type: 'beforeunload',
+    listener: (event: LeaveEvent) => void,
+  ): void;
   readonly FormData: new (form: PageNode) => Iterable<[string, string]>;
 }
 
-const {document: page, DOMParser, FormData} = globalThis as unknown as Browser;
+const browser = globalThis as unknown as Browser;
+const {document: page, DOMParser, FormData} = browser;
 
 const PAUSE_MILLIS = 300;
 
 const form = page.getElementById('policy-form');
-if (form !== null) watchForm(form);
+if (form !== null) {
+  watchForm(form);
+  warnOfLoss(form);
+}
 
 function watchForm(watched: PageNode): void {
   let timer: ReturnType<typeof setTimeout> | undefined;
@@ -49,6 +61,20 @@
   });
 }
 
+/** Drafts live in the page alone; closing it by mistake would lose one. */
+function warnOfLoss(watched: PageNode): void {
+  let isChanged = watched.dataset['changed'] === 'true';
+  watched.addEventListener('input', () => {
+    isChanged = true;
+  });
+  watched.addEventListener('submit', () => {
+    isChanged = false;
+  });
+  browser.addEventListener('beforeunload', event => {
+    if (isChanged) event.preventDefault();
+  });
+}
+
 async function checkForm(
   watched: PageNode,
   signal: AbortSignal,
--- a/src/cli/console/page_renderer.ts
+++ b/src/cli/console/page_renderer.ts
@@ -1,22 +1,16 @@
 /**
  * The pages of the console.
  */
-import type {ChangeSummary} from './change_summary.js';
+import type {ChecksView} from './checks_renderer.js';
+import {renderChecks, renderState} from './checks_renderer.js';
 import type {DraftGroup} from './draft.js';
 import {CLASS_NAMES_ID} from './field_input_renderer.js';
-import type {FieldProblem} from './field_problems.js';
-import {groupProblems, SHOWN_PROBLEMS_COUNT} from './field_problems.js';
+import {groupMessages} from './field_problems.js';
 import {labelOf} from './field_words.js';
 import {policyFormModel} from './form_model.js';
 import {renderForm} from './form_renderer.js';
 import type {Html} from './html.js';
 import {html, NO_HTML} from './html.js';
-import {
-  renderChanges,
-  renderClasses,
-  renderRoutes,
-  renderServices,
-} from './summary_renderer.js';
 
 /** A document that was just saved. */
 export interface SavedNotice {
@@ -28,15 +22,12 @@
 }
 
 /** Everything a page shows. */
-export interface PageView {
-  readonly draft: DraftGroup;
-  readonly problems: readonly FieldProblem[];
-  readonly warnings: readonly string[];
-  /** Undefined while the document by itself is invalid. */
-  readonly summary: ChangeSummary | undefined;
+export interface PageView extends ChecksView {
   readonly saved: SavedNotice | undefined;
   /** File that saving writes; undefined if documents are downloaded. */
   readonly outputFile: string | undefined;
+  /** Whether closing the page would lose something. */
+  readonly isChanged: boolean;
 }
 
 /** The page with all forms. */
@@ -44,7 +35,12 @@
   const title = `Policy of ${String(view.draft['deployment'] || 'a new deployment')}`;
   return renderDocument(
     title,
-    html`<form id="policy-form" method="post" action="edit">
+    html`<form
+      id="policy-form"
+      method="post"
+      action="edit"
+      data-changed="${String(view.isChanged)}"
+    >
       <header class="bar">
         <h1>${title}</h1>
         <span id="live-state" data-live>${renderState(view)}</span>
@@ -66,11 +62,11 @@
           ${renderForm(
             policyFormModel,
             view.draft,
-            groupProblems(view.problems),
+            groupMessages(view.problems),
           )}
           ${renderClassNames(view.draft)}
         </main>
-        ${renderAside(view)}
+        ${renderChecks(view)}
       </div>
     </form>`,
   );
@@ -81,9 +77,9 @@
   return renderDocument(
     'Check',
     html`<span id="live-state" data-live>${renderState(view)}</span>
-      ${renderAside(view)}
+      ${renderChecks(view)}
       <ul id="field-problems">
-        ${[...groupProblems(view.problems)].map(
+        ${[...groupMessages(view.problems)].map(
           ([name, message]) => html`<li data-name="${name}">${message}</li>`,
         )}
       </ul>`,
@@ -122,16 +118,6 @@
     </html>`;
 }
 
-function renderState({problems, summary}: PageView): Html {
-  const count = problems.length;
-  if (count > 0) {
-    const noun = count === 1 ? 'problem' : 'problems';
-    return html`<strong class="state bad">${count} ${noun}</strong>`;
-  }
-  if (summary === undefined) return NO_HTML;
-  return html`<strong class="state good">Valid, not saved yet</strong>`;
-}
-
 function renderSaved(saved: SavedNotice): Html {
   const where =
     saved.file === undefined
@@ -161,77 +147,10 @@
     .map(({name}) => html`<a href="#section-${name}">${labelOf(name)}</a>`);
   return html`<nav aria-label="Sections">
     <a href="#section-identity">Identity</a> ${links}
+    <a href="#checks">Checks and effects</a>
   </nav>`;
 }
 
-function renderAside(view: PageView): Html {
-  const {summary} = view;
-  return html`<aside aria-label="Checks and effects">
-    <section>
-      <h2>Problems</h2>
-      <div id="live-problems" data-live>${renderProblems(view)}</div>
-    </section>
-    <section>
-      <h2>What changes</h2>
-      <div id="live-changes" data-live>${renderChanges(summary)}</div>
-    </section>
-    <section>
-      <h2>Classes, most important first</h2>
-      <div id="live-classes" data-live>${renderClasses(summary)}</div>
-    </section>
-    <section>
-      <h2>Slots by class</h2>
-      <div id="live-services" data-live>${renderServices(summary)}</div>
-    </section>
-    <details>
-      <summary>Rules of each route</summary>
-      <div id="live-routes" data-live>${renderRoutes(summary)}</div>
-    </details>
-  </aside>`;
-}
-
-function renderProblems({problems, warnings, summary}: PageView): Html {
-  const shown = problems.slice(0, SHOWN_PROBLEMS_COUNT);
-  const hiddenCount = problems.length - shown.length;
-  return html`${
-      problems.length === 0
-        ? html`<p class="help">None: the document may be saved.</p>`
-        : NO_HTML
-    }
-    <ol class="problems">
-      ${shown.map(renderProblemLink)}
-    </ol>
-    ${hiddenCount > 0 ? html`<p>and ${hiddenCount} more</p>` : NO_HTML}
-    ${
-      summary === undefined && problems.length > 0
-        ? html`<p class="help">
-            Rules over several fields are checked once each field is valid.
-          </p>`
-        : NO_HTML
-    }
-    ${warnings.length > 0 ? renderWarnings(warnings) : NO_HTML}`;
-}
-
-function renderWarnings(warnings: readonly string[]): Html {
-  return html`<h3>Warnings</h3>
-    <ul class="warnings">
-      ${warnings.map(warning => html`<li>${warning}</li>`)}
-    </ul>`;
-}
-
-function renderProblemLink({name, message}: FieldProblem): Html {
-  const target = name === '' ? 'section-identity' : anchorOf(name);
-  const place = name === '' ? 'The document' : name;
-  return html`<li><a href="#${target}">${place}</a>: ${message}</li>`;
-}
-
-/** Fields, items and inner lists have ids of their own, top lists sections. */
-function anchorOf(name: string): string {
-  const member = policyFormModel.members.find(model => model.name === name);
-  const hasSection = member !== undefined && member.kind !== 'field';
-  return hasSection ? `section-${name}` : name;
-}
-
 /** Suggestions for the class of a route. */
 function renderClassNames(draft: DraftGroup): Html {
   const classes = draft['classes'];
--- a/src/cli/console/stylesheet.ts
+++ b/src/cli/console/stylesheet.ts
@@ -38,7 +38,7 @@
   background: var(--surface); border-bottom: 1px solid var(--line);
 }
 .bar h1 { margin-right: auto; }
-.state { font-size: 0.92rem; }
+.state { font-size: 0.92rem; font-weight: 700; text-decoration: none; }
 .state.bad { color: var(--bad); }
 .state.good { color: var(--good); }
 button {
@@ -61,7 +61,7 @@
 .notice p { margin: 0.15rem 0; }
 .download { margin-left: 0.5rem; font-weight: 600; }
 .columns {
-  display: grid; grid-template-columns: minmax(0, 1fr) 27rem;
+  display: grid; grid-template-columns: minmax(0, 1fr) 22rem;
   gap: 1.25rem; padding: 1rem 1.25rem 3rem; align-items: start;
 }
 .section, aside > section, aside > details {
@@ -98,7 +98,7 @@
 .allowed { display: block; }
 .problem { margin: 0.25rem 0 0; color: var(--bad); font-size: 0.9rem; }
 .problem:empty { display: none; }
-.card { border: 1px solid var(--line); border-radius: 6px; margin: 1rem 0; padding: 0.5rem 1rem 0.75rem; min-width: 0; }
+.card { border: 1px solid var(--line); border-radius: 6px; margin: 1rem 0; padding: 0.5rem 0.6rem 0.75rem; min-width: 0; }
 .card legend { font-weight: 700; padding: 0 0.4rem; }
 .card-buttons { float: right; }
 .card-fields { display: grid; grid-template-columns: repeat(auto-fill, minmax(15rem, 1fr)); gap: 0.75rem 1.25rem; clear: both; }
@@ -106,21 +106,28 @@
 table { border-collapse: collapse; }
 th { text-align: left; font-weight: 600; }
 th, td { padding: 0.3rem 0.4rem; vertical-align: top; }
-.items th, .items td { padding: 0.25rem 0.3rem; }
+.items th, .items td { padding: 0.25rem 0.2rem; }
 .items thead th { font-size: 0.88rem; vertical-align: bottom; }
 .items .unit { display: block; font-size: 0.85rem; }
 .items tbody tr { border-top: 1px solid var(--line); }
 .items .problem { max-width: 18rem; }
 .items td.rank { color: var(--faint); text-align: right; padding-top: 0.55rem; }
-.items input.number { width: 6rem; }
-.items input.retryBound { width: 4rem; }
-.items input.className, .items input.name { width: 12.5rem; }
-.items input.path { width: 15rem; }
-.row-buttons { white-space: nowrap; }
+.items { max-width: 100%; }
+.items input.number { width: 5.5rem; }
+.items input.deadlineMillis { width: 4.5rem; }
+.items input.retryBound { width: 3.5rem; }
+.items input.className { width: 11.5rem; }
+.items input.name { width: 12.5rem; }
+.items input.path { width: 12rem; }
+.card .items input.name { width: 11.5rem; }
+.card .items input, .card .items select { font-size: 0.88rem; padding: 0.2rem 0.3rem; }
+.card .items button { padding: 0.05rem 0.35rem; }
+.row-buttons > div { display: flex; gap: 0.15rem; }
 .guide { margin: 0.6rem 0; font-size: 0.9rem; }
 .guide summary { cursor: pointer; color: var(--accent); }
 .guide table, .figures { width: 100%; }
 .guide th, .guide td, .figures th, .figures td { border-top: 1px solid var(--line); }
+.figures .note td { border-top: 0; padding-top: 0; text-align: left; white-space: normal; color: var(--faint); }
 .guide thead th { border-top: 0; }
 .figures td, .figures thead th:not(:first-child) { text-align: right; white-space: nowrap; }
 .figures tbody th { font-weight: 400; }
@@ -131,7 +138,7 @@
 .rules dd { margin: 0; }
 .failure { max-width: 40rem; margin: 3rem auto; padding: 1.5rem; background: var(--surface); border: 1px solid var(--line); border-radius: 6px; }
 .failure h1 { color: var(--bad); }
-@media (max-width: 75rem) {
+@media (max-width: 84rem) {
   .columns { grid-template-columns: minmax(0, 1fr); }
   aside { position: static; max-height: none; }
 }
--- a/src/cli/console/summary_renderer.ts
+++ b/src/cli/console/summary_renderer.ts
@@ -11,7 +11,7 @@
 import type {RouteExplanation} from '../route_explanation.js';
 import {formatExplanation} from '../route_explanation.js';
 
-const INVALID_NOTE = 'Shown once the document has no problems of its own.';
+const INVALID_NOTE = 'Shown once each field is valid.';
 
 /** Each difference from the previous document. */
 export function renderChanges(summary: ChangeSummary | undefined): Html {
@@ -52,18 +52,19 @@
 }
 
 function renderClass(item: ClassSummary, index: number): Html {
-  const order =
-    item.shedBefore.length === 0
-      ? 'shed first'
-      : `shed only after ${item.shedBefore.join(', ')}`;
   return html`<tr>
-    <th scope="row">
-      ${index + 1}. ${item.name}<span class="concerns">${order}</span>
-    </th>
-    <td>${formatShare(item.reservedRatio)}</td>
-    <td>${formatShare(item.usableRatio)}</td>
-    <td>${item.routesCount}</td>
-  </tr>`;
+      <th scope="row">${index + 1}. ${item.name}</th>
+      <td>${formatShare(item.reservedRatio)}</td>
+      <td>${formatShare(item.usableRatio)}</td>
+      <td>${item.routesCount}</td>
+    </tr>
+    <tr class="note">
+      <td colspan="4">${describeShedding(item)}</td>
+    </tr>`;
+}
+
+function describeShedding({shedAfter}: ClassSummary): string {
+  return shedAfter === undefined ? 'shed first' : `shed after ${shedAfter}`;
 }
 
 /** How many slots of an upstream each class may use. */
