--- a/src/emulator/fleet_host.ts
+++ b/src/emulator/fleet_host.ts
@@ -9,7 +9,7 @@
 import type {ArrivalCount, Execution} from './execution_record.js';
 import type {FaultyLink, SourceResolver} from './faulty_link.js';
 import {createFaultyLink} from './faulty_link.js';
-import type {HostIdentity} from './fleet_plan.js';
+import type {DaemonProgram, HostIdentity} from './fleet_plan.js';
 import {LOOPBACK_ADDRESS, callControl} from './http_support.js';
 import type {ManagedProcess, ProcessExit} from './managed_process.js';
 import {startProgram} from './managed_process.js';
@@ -39,6 +39,8 @@
   readonly identity: HostIdentity;
   readonly directory: string;
   readonly programDirectory: string;
+  /** The product's own daemon when absent. */
+  readonly daemonProgram: DaemonProgram | undefined;
   readonly platformPort: number;
   readonly slotsCount: number;
   readonly routes: readonly UpstreamRoute[];
@@ -136,10 +138,14 @@
   const startDaemon = async (seedPeers: readonly SeedPeer[]): Promise<void> => {
     const file = join(options.directory, `${identity.name}.settings.json`);
     await writeFile(file, JSON.stringify(settingsOf(options, seedPeers)));
+    const program = options.daemonProgram ?? {
+      file: join(options.programDirectory, 'daemon/main.js'),
+      args: [],
+    };
     daemon = await startProgram({
+      ...program,
       name: identity.name,
-      file: join(options.programDirectory, 'daemon/main.js'),
-      args: ['--settings', file],
+      args: [...program.args, '--settings', file],
     });
     await setAccepting(true);
   };
--- a/src/emulator/fleet_launcher.ts
+++ b/src/emulator/fleet_launcher.ts
@@ -118,6 +118,7 @@
       identity,
       directory,
       programDirectory: PROGRAM_DIRECTORY,
+      daemonProgram: plan.daemonProgram,
       platformPort: frontPort(platform, identity.availabilityZone),
       slotsCount: service?.slotsCount ?? policyService?.slotsCount ?? 1,
       routes: service?.routes ?? [],
--- a/src/emulator/fleet_plan.ts
+++ b/src/emulator/fleet_plan.ts
@@ -15,6 +15,16 @@
   readonly slotsCount?: number | undefined;
 }
 
+/** The program that runs as daemon of every host. */
+export interface DaemonProgram {
+  /** JavaScript file. */
+  readonly file: string;
+  /** Arguments besides the settings file. */
+  readonly args: readonly string[];
+  /** Arguments of the runtime. */
+  readonly nodeArgs?: readonly string[] | undefined;
+}
+
 /** A fleet; its availability zones are those of the policy. */
 export interface FleetPlan {
   readonly policy: Policy;
@@ -23,6 +33,8 @@
   readonly hasLinks: boolean;
   readonly control?: Partial<ControlSettings> | undefined;
   readonly logLevel?: LogSettings['level'] | undefined;
+  /** The product's own daemon when absent. */
+  readonly daemonProgram?: DaemonProgram | undefined;
   /** Hosts that are neither started nor published at first. */
   readonly spareHosts?: readonly string[] | undefined;
 }
--- a/src/emulator/load_generator.ts
+++ b/src/emulator/load_generator.ts
@@ -25,6 +25,8 @@
   readonly random: SeededRandom;
   /** Scheduled time on the monotonic clock. */
   readonly scheduledMillis: number;
+  /** Time since the start of the run at which it was sent first. */
+  readonly arrivedMillis: number;
 }
 
 /**
@@ -42,15 +44,19 @@
   const maximumCount = plan.maximumInProgressCount ?? DEFAULT_IN_PROGRESS_COUNT;
   const startMillis = performance.now();
   const inProgress = new Set<Promise<void>>();
+  const goodNames: string[] = [];
+  const startUnixMillis = Date.now();
   let droppedCount = 0;
   let arrivalLagMaximumMillis = 0;
 
-  const arrive = (arrival: Arrival): void => {
+  const arrive = (scheduled: Omit<Arrival, 'arrivedMillis'>): void => {
     const nowMillis = performance.now();
+    const arrivedMillis = nowMillis - startMillis;
+    const arrival = {...scheduled, arrivedMillis};
     const lagMillis = nowMillis - arrival.scheduledMillis;
     arrivalLagMaximumMillis = Math.max(arrivalLagMaximumMillis, lagMillis);
     arrival.recorder.recordOffered();
-    buckets.recordOffered(nowMillis - startMillis, arrival.flow.className);
+    buckets.recordOffered(arrivedMillis, arrival.flow.className);
     if (inProgress.size >= maximumCount) {
       droppedCount += 1;
       return;
@@ -90,7 +96,12 @@
         const nowMillis = performance.now();
         if (nowMillis > endMillis) return;
         recorder.recordGood(Math.max(0, nowMillis - scheduledMillis));
-        buckets.recordGood(nowMillis - startMillis, flow.className);
+        buckets.recordGood({
+          className: flow.className,
+          arrivedMillis: arrival.arrivedMillis,
+          answeredMillis: nowMillis - startMillis,
+        });
+        if (plan.areNamesKept === true) goodNames.push(name);
         return;
       }
       if (!isRepeated(habits, result)) return;
@@ -125,11 +136,13 @@
   await Promise.all(inProgress);
   agent.destroy();
   return {
+    startUnixMillis,
     durationMillis: performance.now() - startMillis,
     flows: flows.map(({recorder}) => recorder.report()),
     buckets: buckets.report(),
     droppedCount,
     arrivalLagMaximumMillis,
+    goodNames,
   };
 }
 
--- a/src/emulator/load_plan.ts
+++ b/src/emulator/load_plan.ts
@@ -50,4 +50,6 @@
   readonly maximumInProgressCount?: number | undefined;
   /** Width of the steps in which goodput over time is reported. */
   readonly bucketMillis?: number | undefined;
+  /** Lists the names of good requests in the report. */
+  readonly areNamesKept?: boolean | undefined;
 }
--- a/src/emulator/load_report.ts
+++ b/src/emulator/load_report.ts
@@ -41,10 +41,13 @@
   readonly offered: Readonly<Record<string, number>>;
   /** Good answers by class, counted where they came back. */
   readonly good: Readonly<Record<string, number>>;
+  /** Good answers by class, counted where their requests arrived. */
+  readonly goodByArrival: Readonly<Record<string, number>>;
 }
 
 /** The whole report. */
 export interface LoadReport {
+  readonly startUnixMillis: number;
   readonly durationMillis: number;
   readonly flows: readonly FlowReport[];
   readonly buckets: readonly LoadBucket[];
@@ -52,6 +55,8 @@
   readonly droppedCount: number;
   /** Largest delay of an arrival against its schedule. */
   readonly arrivalLagMaximumMillis: number;
+  /** Names of good requests, if the plan asks for them. */
+  readonly goodNames: readonly string[];
 }
 
 /** Gathers the figures of one flow. */
@@ -118,10 +123,17 @@
   };
 }
 
+/** A good answer; times count from the start of the run. */
+export interface GoodAnswer {
+  readonly className: string;
+  readonly arrivedMillis: number;
+  readonly answeredMillis: number;
+}
+
 /** Gathers arrivals and good answers over time. */
 export interface BucketRecorder {
   recordOffered(elapsedMillis: number, className: string): void;
-  recordGood(elapsedMillis: number, className: string): void;
+  recordGood(answer: GoodAnswer): void;
   report(): readonly LoadBucket[];
 }
 
@@ -130,24 +142,30 @@
   const buckets: {
     offered: Record<string, number>;
     good: Record<string, number>;
+    goodByArrival: Record<string, number>;
   }[] = [];
   const bucketAt = (elapsedMillis: number) => {
     const index = Math.floor(elapsedMillis / bucketMillis);
-    while (buckets.length <= index) buckets.push({offered: {}, good: {}});
-    return buckets[index] ?? {offered: {}, good: {}};
+    while (buckets.length <= index) buckets.push(createBucket());
+    return buckets[index] ?? createBucket();
   };
   return {
     recordOffered: (elapsedMillis, className) => {
       addOne(bucketAt(elapsedMillis).offered, className);
     },
-    recordGood: (elapsedMillis, className) => {
-      addOne(bucketAt(elapsedMillis).good, className);
+    recordGood: ({className, arrivedMillis, answeredMillis}) => {
+      addOne(bucketAt(answeredMillis).good, className);
+      addOne(bucketAt(arrivedMillis).goodByArrival, className);
     },
     report: () =>
       buckets.map((bucket, i) => ({startMillis: i * bucketMillis, ...bucket})),
   };
 }
 
+function createBucket() {
+  return {offered: {}, good: {}, goodByArrival: {}};
+}
+
 function addOne(counts: Record<string, number>, name: string): void {
   counts[name] = (counts[name] ?? 0) + 1;
 }
