--- a/src/connection/connect_control_client.ts
+++ b/src/connection/connect_control_client.ts
@@ -4,6 +4,7 @@
 import type {Client, Interceptor} from '@connectrpc/connect';
 import {Code, ConnectError, createClient} from '@connectrpc/connect';
 import {
+  compressionGzip,
   createConnectTransport,
   Http2SessionManager,
 } from '@connectrpc/connect-node';
@@ -24,6 +25,7 @@
   CONTROL_HEADER,
   CONTROL_MESSAGE_BYTES,
   CONTROL_PROTOCOL_VERSION,
+  COMPRESSED_BYTES,
 } from '../protocol/control_protocol.js';
 import type {Metrics} from '../process/metrics.js';
 import type {ControlCallError, ControlPeer, Fields} from './control_client.js';
@@ -209,7 +211,9 @@
     httpVersion: '2',
     sessionManager: manager,
     interceptors: [identify],
-    acceptCompression: [],
+    acceptCompression: [compressionGzip],
+    sendCompression: compressionGzip,
+    compressMinBytes: COMPRESSED_BYTES,
     readMaxBytes: CONTROL_MESSAGE_BYTES,
     writeMaxBytes: CONTROL_MESSAGE_BYTES,
   });
--- a/src/connection/control_server.ts
+++ b/src/connection/control_server.ts
@@ -6,7 +6,7 @@
 import type {AddressInfo} from 'node:net';
 import type {Interceptor, ServiceImpl} from '@connectrpc/connect';
 import {Code, ConnectError} from '@connectrpc/connect';
-import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {compressionGzip, connectNodeAdapter} from '@connectrpc/connect-node';
 import type {Disposable} from '../base/lifecycle.js';
 import type {FleetView} from '../process/fleet_view.js';
 import type {Metrics} from '../process/metrics.js';
@@ -22,6 +22,7 @@
   CONTROL_HEADER,
   CONTROL_MESSAGE_BYTES,
   CONTROL_PROTOCOL_VERSION,
+  COMPRESSED_BYTES,
   findIncompatibility,
 } from '../protocol/control_protocol.js';
 import type {
@@ -124,7 +125,8 @@
   return connectNodeAdapter({
     routes: router => router.service(ControlService, createService(options)),
     interceptors: [createIdentityCheck(options)],
-    acceptCompression: [],
+    acceptCompression: [compressionGzip],
+    compressMinBytes: COMPRESSED_BYTES,
     readMaxBytes: CONTROL_MESSAGE_BYTES,
     writeMaxBytes: CONTROL_MESSAGE_BYTES,
     grpc: false,
--- a/src/connection/document_puller.ts
+++ b/src/connection/document_puller.ts
@@ -48,8 +48,8 @@
 
 interface Source {
   readonly peer: ControlPeer;
-  readonly versionText: string;
-  readonly version: number;
+  /** Kind, version and digest as the peer told them. */
+  readonly documentName: string;
 }
 
 /**
@@ -81,23 +81,37 @@
 
   /** The peer with the newest document of a kind, if newer than the held one. */
   function findSource(kind: DocumentKind): Source | undefined {
+    let newestVersion = heldVersion(kind);
     let best: Source | undefined;
     for (const link of options.links()) {
-      const source = sourceOf(kind, link);
-      if (source === undefined || source.version <= heldVersion(kind)) continue;
-      if (rejected.has(source.versionText)) continue;
-      if (failedPeers.has(source.peer.hostName)) continue;
-      if (best === undefined || source.version > best.version) best = source;
+      const {view} = link;
+      if (view === undefined || versionIn(view, kind) <= newestVersion) {
+        continue;
+      }
+      const source = sourceOf(kind, link, view);
+      if (source === undefined || isBarred(source)) continue;
+      newestVersion = versionIn(view, kind);
+      best = source;
     }
     return best;
   }
 
-  function sourceOf(kind: DocumentKind, link: PeerLink): Source | undefined {
+  function sourceOf(
+    kind: DocumentKind,
+    link: PeerLink,
+    view: PeerView,
+  ): Source | undefined {
     const peer = addressOf(link, fleetView);
-    if (link.view === undefined || peer === undefined) return undefined;
-    const version = versionIn(link.view, kind);
-    const digest = digestIn(link.view, kind);
-    return {peer, version, versionText: `${kind}/${version}/${digest}`};
+    if (peer === undefined) return undefined;
+    const version = String(versionIn(view, kind));
+    const digest = String(digestIn(view, kind));
+    return {peer, documentName: `${kind}/${version}/${digest}`};
+  }
+
+  function isBarred(source: Source): boolean {
+    return (
+      rejected.has(source.documentName) || failedPeers.has(source.peer.hostName)
+    );
   }
 
   function fetch(
@@ -126,7 +140,7 @@
     }
     const result = offer(kind, bytes);
     metrics.increment('control.pulls', {kind, result});
-    if (result !== 'accepted') rejected.set(source.versionText, true);
+    if (result !== 'accepted') rejected.set(source.documentName, true);
   }
 
   function pullAll(kind: DocumentKind): Effect.Effect<void> {
--- a/src/protocol/control_protocol.ts
+++ b/src/protocol/control_protocol.ts
@@ -17,6 +17,9 @@
 /** Largest control message: a document and the fields around it. */
 export const CONTROL_MESSAGE_BYTES = DOCUMENT_BYTES + 65_536;
 
+/** Size from which messages are compressed: documents and full status sets. */
+export const COMPRESSED_BYTES = 4096;
+
 /** What two nodes must agree on before they exchange anything. */
 export interface ControlIdentity {
   readonly protocolVersion: number;
--- a/test/contract/platform.test.ts
+++ b/test/contract/platform.test.ts
@@ -4,8 +4,12 @@
 import test from 'ava';
 import type {ExecutionContext} from 'ava';
 import * as Effect from 'effect/Effect';
+import {createFleetView} from '../../src/process/in_memory_fleet_view.js';
+import {electReaders} from '../../src/process/reader_election.js';
 import type {ControlNode, ControlNodeOptions} from '../fakes/control_nodes.js';
 import {createHostListBytes, startControlNode} from '../fakes/control_nodes.js';
+import {createCountingMetrics} from '../fakes/counting_metrics.js';
+import {createManualTimeSource} from '../fakes/manual_time_source.js';
 import {createPolicyBytes, encodeDocument} from '../fakes/policy_documents.js';
 import type {
   PlatformScript,
@@ -284,6 +288,50 @@
   t.pass();
 });
 
+/*
+ * Symptom: a zone does not hear of new versions although its platform works.
+ * Events: all its readers end without a word; the list still names them, so
+ * the other nodes elect them again and again.
+ * Cause: nobody notices that no answer of the platform arrives any more.
+ */
+test('a node that is no reader reads when no reader is heard of', async t => {
+  const platform = await startPlatform(
+    t,
+    serveDocuments(NEWER, {version: 3, bytes: HELD_LIST}),
+  );
+  const peer = await startNode(t, {hostName: 'peer'});
+  const hosts = Array.from({length: 2}, (_, index) => ({
+    hostName: `n-${String(index)}`,
+    port: 2001 + index,
+  }));
+  const hostList = createHostListBytes(3, hosts);
+  const view = createFleetView({
+    metrics: createCountingMetrics(),
+    time: createManualTimeSource(),
+  });
+  view.offerList(hostList, 'test');
+  const [reader] = electReaders('zone-a', 1, view);
+  const standby = hosts.find(host => host.hostName !== reader);
+  const node = await startNode(t, {
+    hostName: standby?.hostName ?? '',
+    hostList,
+    seedPeers: [peer.seed],
+    platformUrl: platform.url,
+    // The reader counts as silent at once, and reads are shared by few.
+    control: {platformWatchMillis: 0, zoneReadersCount: 1},
+  });
+  await waitUntil(
+    'the version',
+    () => node.policyStore.newest()?.version === 5,
+  );
+  t.is(node.plane.readerRole(), 'standby');
+  t.true(node.count('platform.reads', {role: 'standby'}) > 0);
+  await waitUntil(
+    'the news of it at the peer',
+    () => peer.freshness.platformAgeMillis() !== undefined,
+  );
+});
+
 /*
  * Symptom: the log of every node fills while the platform is down.
  * Events: the platform is down for long, then back.
