--- a/src/process/host_scores.ts
+++ b/src/process/host_scores.ts
@@ -51,16 +51,16 @@
 }
 
 /**
- * Expected use of the host's limit with one more call, 0 and up. Calls of this
- * node count as known, those of others as reported, less with age: a busy
- * report would otherwise keep every call away that could replace it.
+ * Share of the host's limit in use, 0 and up; may exceed 1. Calls of this node
+ * count as known, those of others as reported, less with age: a busy report
+ * would otherwise keep every call away that could replace it.
  */
 export function loadScore(
   record: HostRecord,
   fallbackLimitCount: number,
   nowMillis: number,
 ): number {
-  const ownCount = record.outstandingCount + 1;
+  const ownCount = record.outstandingCount;
   const {load} = record;
   if (load === undefined) return ownCount / fallbackLimitCount;
   const reportedCount = load.inFlightCount + load.queuedCount;
--- a/src/process/load_aware_selector.ts
+++ b/src/process/load_aware_selector.ts
@@ -122,19 +122,25 @@
   function withoutEjected(
     candidates: readonly Candidate[],
   ): readonly Candidate[] {
-    const ejected = candidates.filter(({record}) =>
-      ejection.isEjected(record.failures),
-    );
-    if (ejected.length === 0) return candidates;
-    const inUseCount = candidates.length - ejected.length;
-    const missingCount = ejection.floorCount(candidates.length) - inUseCount;
-    const readmitted = new Set(
-      ejected.sort(byEndOfEjection).slice(0, Math.max(0, missingCount)),
-    );
-    return candidates.filter(
-      candidate =>
-        readmitted.has(candidate) ||
-        !ejection.isEjected(candidate.record.failures),
+    const inUse = candidates.filter(isInUse);
+    const missingCount = ejection.floorCount(candidates.length) - inUse.length;
+    if (inUse.length === candidates.length || missingCount <= 0) return inUse;
+    const readmitted = candidates
+      .filter(candidate => !isInUse(candidate))
+      .sort(byEndOfEjection)
+      .slice(0, missingCount);
+    return [...inUse, ...readmitted];
+  }
+
+  /**
+   * Whether the host counts as working. After an ejection one call at a time
+   * finds out: a host that is still silent would otherwise take a whole burst
+   * of calls with it at the end of each ejection.
+   */
+  function isInUse({record}: Candidate): boolean {
+    if (ejection.isEjected(record.failures)) return false;
+    return (
+      record.outstandingCount === 0 || !ejection.isOnProbation(record.failures)
     );
   }
 
@@ -145,21 +151,24 @@
     return candidates.filter(({known}) => distanceTo(known) === distance);
   }
 
+  function warmShareOf(candidate: Candidate): number {
+    return warmShareRatio(candidate.known, slowStartMillis, time);
+  }
+
   /** Draws one host; cold ones in proportion to the traffic they may get. */
   function draw(candidates: readonly Candidate[]): Candidate {
     for (let count = 1; ; count += 1) {
       const index = Math.floor(random() * candidates.length);
       const candidate = candidates[index] as Candidate;
-      const share = warmShareRatio(candidate.known, slowStartMillis, time);
-      if (share >= 1 || count >= MAX_DRAWS_COUNT) return candidate;
-      if (random() < share) return candidate;
+      if (count >= MAX_DRAWS_COUNT) return candidate;
+      if (random() < warmShareOf(candidate)) return candidate;
     }
   }
 
   function scoreOf(candidate: Candidate, fallbackLimitCount: number): number {
     const nowMillis = time.monotonicMillis();
-    const share = warmShareRatio(candidate.known, slowStartMillis, time);
-    return loadScore(candidate.record, fallbackLimitCount, nowMillis) / share;
+    const score = loadScore(candidate.record, fallbackLimitCount, nowMillis);
+    return score / warmShareOf(candidate);
   }
 
   function better(a: Candidate, b: Candidate): Candidate {
@@ -172,15 +181,19 @@
       : a;
   }
 
-  /** Own host first: at equal load it saves a hop. */
+  /** The own host, once warm, is always compared: equally loaded it saves a hop. */
   function pick(candidates: readonly Candidate[]): Candidate {
-    const first =
-      candidates.find(({known}) => known.host.name === hostName) ??
-      draw(candidates);
+    const first = candidates.find(isWarmOwnHost) ?? draw(candidates);
     const others = candidates.filter(candidate => candidate !== first);
     return others.length === 0 ? first : better(first, draw(others));
   }
 
+  function isWarmOwnHost(candidate: Candidate): boolean {
+    return (
+      candidate.known.host.name === hostName && warmShareOf(candidate) >= 1
+    );
+  }
+
   function select(request: SelectionRequest): Selection {
     const {service, classIndex, triedHostNames} = request;
     const isFirstAttempt = triedHostNames.size === 0;
@@ -220,6 +233,7 @@
 
   function recordVerdict(end: AttemptEnd, record: HostRecord): void {
     if (end.verdict === 'success') ejection.recordSuccess(record.failures);
+    if (end.verdict === 'refused') ejection.recordSignOfLife(record.failures);
     if (end.verdict !== 'failed' && end.verdict !== 'silent') return;
     const isSilent = end.verdict === 'silent';
     if (ejection.recordFailure(record.failures, isSilent)) {
--- a/src/process/outlier_ejection.ts
+++ b/src/process/outlier_ejection.ts
@@ -31,9 +31,13 @@
 export abstract class OutlierEjection {
   abstract configure(policy: EjectionPolicy): void;
   abstract recordSuccess(record: FailureRecord): void;
+  /** Notes that the host is alive, as by a refusal. */
+  abstract recordSignOfLife(record: FailureRecord): void;
   /** Returns whether the host is ejected by this failure. */
   abstract recordFailure(record: FailureRecord, isSilent: boolean): boolean;
   abstract isEjected(record: FailureRecord): boolean;
+  /** Whether the host has been ejected and has not shown life since. */
+  abstract isOnProbation(record: FailureRecord): boolean;
   /** Hosts out of `hostCount` that stay in use whatever fails. */
   abstract floorCount(hostCount: number): number;
 }
@@ -61,19 +65,25 @@
       record.consecutiveFailuresCount = 0;
       record.ejectionsCount = 0;
     }
+    override recordSignOfLife(record: FailureRecord): void {
+      record.ejectionsCount = 0;
+    }
     override recordFailure(record: FailureRecord, isSilent: boolean): boolean {
       // Late failures of attempts sent before the ejection do not prolong it.
       if (this.isEjected(record)) return false;
       record.consecutiveFailuresCount += isSilent ? SILENT_WEIGHT_COUNT : 1;
-      if (record.consecutiveFailuresCount < policy.consecutiveFailuresCount) {
-        return false;
-      }
+      const isOut =
+        record.consecutiveFailuresCount >= policy.consecutiveFailuresCount;
+      if (!isOut && !this.isOnProbation(record)) return false;
       eject(record);
       return true;
     }
     override isEjected(record: FailureRecord): boolean {
       return record.ejectedUntilMillis > time.monotonicMillis();
     }
+    override isOnProbation(record: FailureRecord): boolean {
+      return record.ejectionsCount > 0 && !this.isEjected(record);
+    }
     override floorCount(hostCount: number): number {
       return Math.max(1, Math.ceil(hostCount * policy.floorRatio));
     }
