Ask no more electors than a quorum needs

Asking all six others is half as much again as the four that a quorum of five needs; the rest are now asked only when one of those fails, and those that failed are asked last.

--- a/src/connection/view_lease_task.ts
+++ b/src/connection/view_lease_task.ts
@@ -13,6 +13,9 @@
 /** Rounds begun in the time of one lease, so that one may fail. */
 const ROUNDS_PER_LEASE_COUNT = 3;
 
+/** Parts of the time between rounds in which electors are asked. */
+const WAVES_PER_ROUND_COUNT = 2;
+
 /** Time until the next look for a policy and a list, while one is missing. */
 const NO_VIEW_RETRY_MILLIS = 200;
 
@@ -34,11 +37,12 @@
 export function runViewLease(
   options: ViewLeaseTaskOptions,
 ): Effect.Effect<never> {
+  const silentElectors = new Set<string>();
   const step = Effect.suspend(() => {
     if (!takesKeys(options)) return Effect.sleep(NO_VIEW_RETRY_MILLIS);
     const round = options.lease.beginRound();
     if (round === undefined) return Effect.sleep(NO_VIEW_RETRY_MILLIS);
-    return renew(round, options);
+    return renew(round, silentElectors, options);
   });
   return Effect.forever(step);
 }
@@ -52,31 +56,70 @@
 /** One round, then a pause until the next is due or the view has changed. */
 function renew(
   round: ConfirmationRound,
+  silentElectors: Set<string>,
   options: ViewLeaseTaskOptions,
 ): Effect.Effect<void> {
   const intervalMillis = round.view.keys.leaseMillis / ROUNDS_PER_LEASE_COUNT;
-  const asks = Effect.forEach(
-    round.electors,
-    name => ask(name, round, intervalMillis, options),
-    {concurrency: 'unbounded', discard: true},
-  );
   const pause = Effect.race(
     Effect.sleep(intervalMillis),
     awaitViewChange(round, options),
   );
+  const asks = askElectors(
+    round,
+    silentElectors,
+    intervalMillis / WAVES_PER_ROUND_COUNT,
+    options,
+  );
   return Effect.all([asks, pause], {concurrency: 2, discard: true});
 }
 
-/** Asks one elector; no answer counts as no confirmation. */
+/**
+ * Asks as many electors as a quorum needs, those that were silent last; the
+ * others only if the first ones do not suffice, because each ask costs CPU time
+ * on both sides.
+ */
+function askElectors(
+  round: ConfirmationRound,
+  silentElectors: Set<string>,
+  timeoutMillis: number,
+  options: ViewLeaseTaskOptions,
+): Effect.Effect<void> {
+  const askAll = (names: readonly string[]): Effect.Effect<void> =>
+    Effect.forEach(
+      names,
+      name =>
+        Effect.map(ask(name, round, timeoutMillis, options), isConfirmed => {
+          if (isConfirmed) silentElectors.delete(name);
+          else silentElectors.add(name);
+        }),
+      {concurrency: 'unbounded', discard: true},
+    );
+  for (const name of silentElectors) {
+    if (!round.electors.includes(name)) silentElectors.delete(name);
+  }
+  const ordered = round.electors.toSorted(
+    (a, b) => Number(silentElectors.has(a)) - Number(silentElectors.has(b)),
+  );
+  const missingCount = round.missingCount();
+  const first = askAll(ordered.slice(0, missingCount));
+  const others = Effect.suspend(() =>
+    round.missingCount() === 0
+      ? Effect.void
+      : askAll(ordered.slice(missingCount)),
+  );
+  return Effect.andThen(first, others);
+}
+
+/** Asks one elector; true if it confirmed. */
 function ask(
   electorName: string,
   round: ConfirmationRound,
   timeoutMillis: number,
   options: ViewLeaseTaskOptions,
-): Effect.Effect<void> {
+): Effect.Effect<boolean> {
   const {fleet, client, metrics, hostName} = options;
   const host = fleet.host(electorName)?.host;
-  if (host === undefined) return Effect.void;
+  if (host === undefined) return Effect.succeed(false);
   const peer: ControlPeer = {
     hostName: host.name,
     address: host.address,
@@ -92,11 +135,15 @@
       const result = response.isCurrent ? 'confirmed' : 'denied';
       metrics.increment('keys.confirmations', {result});
       if (response.isCurrent) round.confirm(electorName);
-      return fetchNewer(response, peer, round, timeoutMillis, options);
+      return Effect.as(
+        fetchNewer(response, peer, round, timeoutMillis, options),
+        response.isCurrent,
+      );
     }),
     Effect.catch(() =>
       Effect.sync(() => {
         metrics.increment('keys.confirmations', {result: 'failed'});
+        return false;
       }),
     ),
   );
--- a/src/process/view_lease.ts
+++ b/src/process/view_lease.ts
@@ -27,6 +27,8 @@
   readonly view: KeyView;
   /** Electors to ask, without the own host. */
   readonly electors: readonly string[];
+  /** Confirmations still needed for a quorum. */
+  missingCount(): number;
   /** Notes a confirmation; returns whether the lease is now in force. */
   confirm(electorName: string): boolean;
 }
@@ -122,13 +124,15 @@
       };
       const {electors} = view;
       const confirmed = new Set<string>();
+      const missingCount = (): number =>
+        Math.max(0, quorumCount(electors.length) - confirmed.size);
       const confirm = (electorName: string): boolean => {
         if (electors.includes(electorName)) confirmed.add(electorName);
-        return confirmed.size >= quorumCount(electors.length) && acquire(next);
+        return missingCount() === 0 && acquire(next);
       };
       if (acceptor.accept(view).isCurrent) confirm(hostName);
       const others = electors.filter(name => name !== hostName);
-      return {view, electors: others, confirm};
+      return {view, electors: others, missingCount, confirm};
     }
 
     override dispose(): void {
