Bench: goodput and recovery on the scaled example deployments

The story of a slow deep service under a surge with callers that retry at once, for the product, two baselines and the product with single mechanisms off. Success is counted by time of arrival, because a rate of completions over one second varies by more than the 5% that recovery is judged by.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,10 +7,14 @@
 import {hideBin} from 'yargs/helpers';
 import {failProcess} from '../src/emulator/process_support.js';
 import type {BenchCommand, BenchOptions} from './bench_command.js';
+import {createGoodputBench} from './goodput_bench.js';
 import {createLatencyBench} from './latency_bench.js';
 
 /** In the order in which `all` runs them. */
-const COMMANDS: readonly BenchCommand[] = [createLatencyBench()];
+const COMMANDS: readonly BenchCommand[] = [
+  createLatencyBench(),
+  createGoodputBench(),
+];
 
 const DEPLOYMENTS = ['ilorin', 'tunis'] as const;
 const DEFAULT_DIRECTORY = 'dist/bench-results';
--- a/src/daemon/decisions.ts
+++ b/src/daemon/decisions.ts
@@ -7,6 +7,7 @@
   AdmissionConfig,
   AdmissionController,
 } from '../process/admission_controller.js';
+import type {ConcurrencyLimitFactory} from '../process/concurrency_limit.js';
 import type {FleetView} from '../process/fleet_view.js';
 import type {HostSelector} from '../process/host_selector.js';
 import {createHostSelector} from '../process/load_aware_selector.js';
@@ -37,6 +38,8 @@
   readonly metrics: Metrics;
   /** Uniform in [0, 1). */
   readonly random: () => number;
+  /** The adaptive limit when absent. */
+  readonly createLimit?: ConcurrencyLimitFactory | undefined;
 }
 
 /** Creates the decisions of one node. */
@@ -56,13 +59,14 @@
 
 /** Creates the decisions as the product takes them. */
 export function createDecisions(options: DecisionsOptions): Decisions {
-  const {settings, fleet, time, metrics, random} = options;
+  const {settings, fleet, time, metrics, random, createLimit} = options;
   return {
     admission: createAdmissionController({
       config: INITIAL_ADMISSION,
       time,
       metrics,
       random,
+      createLimit,
     }),
     selector: createHostSelector({
       fleet,
