--- a/src/process/admission_controller.ts
+++ b/src/process/admission_controller.ts
@@ -48,8 +48,9 @@
   readonly queuedCount: number;
   readonly limitCount: number;
   /**
-   * Classes with an index at or above this are refused at present; equal to
-   * the number of classes when nothing is refused.
+   * Classes with an index at or above this are refused at present unless a
+   * slot is free or about to be; equal to the number of classes when nothing
+   * is refused, 0 when the host is draining.
    */
   readonly refusedFromClassIndex: number;
 }
--- a/src/process/load_aware_selector.ts
+++ b/src/process/load_aware_selector.ts
@@ -5,12 +5,7 @@
 import type {EjectionPolicy, TimingPolicy} from '../version/policy.js';
 import type {FleetView, KnownHost} from './fleet_view.js';
 import type {HostRecord} from './host_scores.js';
-import {
-  createHostRecord,
-  isRefusing,
-  loadScore,
-  warmShareRatio,
-} from './host_scores.js';
+import {createHostRecord, isRefusing} from './host_scores.js';
 import type {
   AttemptEnd,
   HostRoutingState,
@@ -21,6 +16,8 @@
 import type {Metrics} from './metrics.js';
 import {createOutlierEjection} from './outlier_ejection.js';
 import {createRefusalThrottle} from './refusal_throttle.js';
+import type {Candidate} from './two_choices.js';
+import {createTwoChoices} from './two_choices.js';
 
 /** What the selector needs. */
 export interface HostSelectorOptions {
@@ -35,12 +32,6 @@
   readonly metrics: Metrics;
 }
 
-/** A host that may get the attempt. */
-interface Candidate {
-  readonly known: KnownHost;
-  readonly record: HostRecord;
-}
-
 /** In force until the first policy arrives. */
 const INITIAL_EJECTION: EjectionPolicy = {
   consecutiveFailuresCount: 5,
@@ -51,17 +42,12 @@
 const INITIAL_RETRY_AFTER_MINIMUM_MILLIS = 200;
 const INITIAL_RETRY_AFTER_MAXIMUM_MILLIS = 5_000;
 
-/** Draws for one of the two hosts before a cold one is taken anyway. */
-const MAX_DRAWS_COUNT = 4;
-
-/** Limit assumed of hosts when none of the compared ones has reported. */
-const UNKNOWN_LIMIT_COUNT = 1;
-
 /** Creates a selector that has called no host yet. */
 export function createHostSelector(options: HostSelectorOptions): HostSelector {
   const {fleet, ownZone, ownRegion, hostName, time, random, metrics} = options;
   const ejection = createOutlierEjection(time, INITIAL_EJECTION);
   const throttle = createRefusalThrottle(time, random);
+  const choices = createTwoChoices({hostName, time, random});
   const records = new Map<string, HostRecord>();
   let prunedRevision = fleet.listRevision();
   let slowStartMillis = INITIAL_SLOW_START_MILLIS;
@@ -151,49 +137,6 @@
     return candidates.filter(({known}) => distanceTo(known) === distance);
   }
 
-  function warmShareOf(candidate: Candidate): number {
-    return warmShareRatio(candidate.known, slowStartMillis, time);
-  }
-
-  /** Draws one host; cold ones in proportion to the traffic they may get. */
-  function draw(candidates: readonly Candidate[]): Candidate {
-    for (let count = 1; ; count += 1) {
-      const index = Math.floor(random() * candidates.length);
-      const candidate = candidates[index] as Candidate;
-      if (count >= MAX_DRAWS_COUNT) return candidate;
-      if (random() < warmShareOf(candidate)) return candidate;
-    }
-  }
-
-  function scoreOf(candidate: Candidate, fallbackLimitCount: number): number {
-    const nowMillis = time.monotonicMillis();
-    const score = loadScore(candidate.record, fallbackLimitCount, nowMillis);
-    return score / warmShareOf(candidate);
-  }
-
-  function better(a: Candidate, b: Candidate): Candidate {
-    const fallbackLimitCount =
-      a.record.load?.limitCount ??
-      b.record.load?.limitCount ??
-      UNKNOWN_LIMIT_COUNT;
-    return scoreOf(b, fallbackLimitCount) < scoreOf(a, fallbackLimitCount)
-      ? b
-      : a;
-  }
-
-  /** The own host, once warm, is always compared: equally loaded it saves a hop. */
-  function pick(candidates: readonly Candidate[]): Candidate {
-    const first = candidates.find(isWarmOwnHost) ?? draw(candidates);
-    const others = candidates.filter(candidate => candidate !== first);
-    return others.length === 0 ? first : better(first, draw(others));
-  }
-
-  function isWarmOwnHost(candidate: Candidate): boolean {
-    return (
-      candidate.known.host.name === hostName && warmShareOf(candidate) >= 1
-    );
-  }
-
   function select(request: SelectionRequest): Selection {
     const {service, classIndex, triedHostNames} = request;
     const isFirstAttempt = triedHostNames.size === 0;
@@ -207,9 +150,11 @@
     const open = usable.filter(
       ({record}) => !isRefusing(record, classIndex, nowMillis),
     );
-    if (open.length > 0) return selected(pick(open), classIndex);
+    if (open.length > 0) {
+      return selected(choices.pick(open, slowStartMillis), classIndex);
+    }
     if (isFirstAttempt && throttle.mayPass(service, classIndex)) {
-      return selected(pick(usable), classIndex);
+      return selected(choices.pick(usable, slowStartMillis), classIndex);
     }
     return allRefuse();
   }
--- a/src/process/shed_level.ts
+++ b/src/process/shed_level.ts
@@ -1,6 +1,5 @@
 /**
- * The class from which on calls are no longer queued, moved by standing queue
- * delay.
+ * The class from which on calls may hardly wait, moved by standing queue delay.
  */
 import type {TimeSource} from '../base/time_source.js';
 
@@ -28,10 +27,15 @@
   abstract isStanding(): boolean;
   /** Whether the delay stands and the last lowering has had time to show. */
   abstract mayLower(): boolean;
-  /** Lets no class from the given one on wait; the first may always wait. */
+  /** Shortens the wait from the given class on, never that of the first. */
   abstract lowerTo(classIndex: number): void;
-  /** First class that may not wait; the number of classes when all may. */
+  /**
+   * First class with a short wait, reported as refused; the number of classes
+   * when there is none.
+   */
   abstract refusedFromClassIndex(): number;
+  /** Longest wait of a class: that of the policy, or the target delay. */
+  abstract waitMillis(classIndex: number): number;
 }
 
 /** Creates a level at which every class may wait. */
@@ -42,7 +46,8 @@
 ): ShedLevel {
   let classCount = initialClassCount;
   let intervalMillis = toIntervalMillis(initialQueueWaitMillis);
-  let targetMillis = initialQueueWaitMillis * TARGET_RATIO;
+  let queueWaitMillis = initialQueueWaitMillis;
+  let targetMillis = queueWaitMillis * TARGET_RATIO;
   let level = classCount;
   let belowTargetMillis = time.monotonicMillis();
   let observedMillis = belowTargetMillis;
@@ -65,10 +70,14 @@
   }
 
   return new (class extends ShedLevel {
-    override configure(newClassCount: number, queueWaitMillis: number): void {
+    override configure(
+      newClassCount: number,
+      newQueueWaitMillis: number,
+    ): void {
       level = level === classCount ? newClassCount : level;
       level = Math.min(level, newClassCount);
       classCount = newClassCount;
+      queueWaitMillis = newQueueWaitMillis;
       intervalMillis = toIntervalMillis(queueWaitMillis);
       targetMillis = queueWaitMillis * TARGET_RATIO;
     }
@@ -101,6 +110,10 @@
       recover();
       return level;
     }
+    override waitMillis(classIndex: number): number {
+      const isShort = classIndex >= this.refusedFromClassIndex();
+      return isShort ? targetMillis : queueWaitMillis;
+    }
   })();
 }
 
--- a/test/unit/process/priority_admission.test.ts
+++ b/test/unit/process/priority_admission.test.ts
@@ -165,6 +165,8 @@
     time.advance(20);
   }
   t.deepEqual(levels, [3, 3, 3, 3, 2, 2, 2, 1], 'above 25 ms for 50 ms each');
+  time.advance(25);
+  controller.dropExpired();
   t.true(calls.every(shed => shed.refusal));
   running.permit?.release(DONE);
   const recovered = [1, 2, 3].map(() => {
