--- a/src/cli/console/page_renderer.ts
+++ b/src/cli/console/page_renderer.ts
@@ -119,19 +119,16 @@
 }
 
 function renderSaved(saved: SavedNotice): Html {
+  const {deployment, version, file} = saved;
   const where =
-    saved.file === undefined
+    file === undefined
       ? html`<a class="download" href="document" download
-          >Download ${saved.deployment}-v${saved.version}.json</a
+          >Download ${deployment}-v${version}.json</a
         >`
-      : html`It was written to <code>${saved.file}</code>.`;
+      : html`It was written to <code>${file}</code>.`;
   return html`<div class="notice" role="status">
     <p>
-      <strong
-        >Version ${saved.version} of ${saved.deployment} is valid and
-        saved.</strong
-      >
-      ${where}
+      <strong>Version ${version} of ${deployment} is valid.</strong> ${where}
     </p>
     <p class="help">SHA-256 <code>${saved.digest}</code></p>
     <p class="help">
--- a/src/cli/console/stylesheet.ts
+++ b/src/cli/console/stylesheet.ts
@@ -116,9 +116,9 @@
 .items input.number { width: 5.5rem; }
 .items input.deadlineMillis { width: 4.5rem; }
 .items input.retryBound { width: 3.5rem; }
-.items input.className { width: 11.5rem; }
+.items input.className { width: 12rem; }
 .items input.name { width: 12.5rem; }
-.items input.path { width: 12rem; }
+.items input.path { width: 11rem; }
 .card .items input.name { width: 11.5rem; }
 .card .items input, .card .items select { font-size: 0.88rem; padding: 0.2rem 0.3rem; }
 .card .items button { padding: 0.05rem 0.35rem; }
@@ -127,9 +127,11 @@
 .guide summary { cursor: pointer; color: var(--accent); }
 .guide table, .figures { width: 100%; }
 .guide th, .guide td, .figures th, .figures td { border-top: 1px solid var(--line); }
-.figures .note td { border-top: 0; padding-top: 0; text-align: left; white-space: normal; color: var(--faint); }
+.figures .heading + tr td { border-top: 0; padding-top: 0; }
+.figures tbody th { overflow-wrap: normal; }
 .guide thead th { border-top: 0; }
-.figures td, .figures thead th:not(:first-child) { text-align: right; white-space: nowrap; }
+.figures td, .figures thead th { text-align: right; white-space: nowrap; }
+.table-scroll .figures th:first-child { text-align: left; }
 .figures tbody th { font-weight: 400; }
 .concerns { display: block; color: var(--faint); font-weight: 400; }
 .warnings li { color: #7a4b00; }
--- a/src/cli/console/summary_renderer.ts
+++ b/src/cli/console/summary_renderer.ts
@@ -39,28 +39,29 @@
   return html`<table class="figures">
     <thead>
       <tr>
-        <th scope="col">Class</th>
         <th scope="col">Reserve</th>
-        <th scope="col">May use</th>
+        <th scope="col">May use at most</th>
         <th scope="col">Routes</th>
       </tr>
     </thead>
-    <tbody>
-      ${summary.classes.map(renderClass)}
-    </tbody>
+    ${summary.classes.map(renderClass)}
   </table>`;
 }
 
 function renderClass(item: ClassSummary, index: number): Html {
-  return html`<tr>
-      <th scope="row">${index + 1}. ${item.name}</th>
+  return html`<tbody>
+    <tr class="heading">
+      <th scope="rowgroup" colspan="3">
+        ${index + 1}. ${item.name}
+        <span class="concerns">${describeShedding(item)}</span>
+      </th>
+    </tr>
+    <tr>
       <td>${formatShare(item.reservedRatio)}</td>
       <td>${formatShare(item.usableRatio)}</td>
       <td>${item.routesCount}</td>
     </tr>
-    <tr class="note">
-      <td colspan="4">${describeShedding(item)}</td>
-    </tr>`;
+  </tbody>`;
 }
 
 function describeShedding({shedAfter}: ClassSummary): string {
@@ -74,21 +75,23 @@
       Slots of one upstream that a class may use at most; numbers are the places
       of the classes above.
     </p>
-    <table class="figures">
-      <thead>
-        <tr>
-          <th scope="col">Service</th>
-          <th scope="col">Slots</th>
-          ${summary.classes.map(
-            ({name}, index) =>
-              html`<th scope="col" title="${name}">${index + 1}</th>`,
-          )}
-        </tr>
-      </thead>
-      <tbody>
-        ${summary.services.map(renderService)}
-      </tbody>
-    </table>`;
+    <div class="table-scroll">
+      <table class="figures">
+        <thead>
+          <tr>
+            <th scope="col">Service</th>
+            <th scope="col">Slots</th>
+            ${summary.classes.map(
+              ({name}, index) =>
+                html`<th scope="col" title="${name}">${index + 1}</th>`,
+            )}
+          </tr>
+        </thead>
+        <tbody>
+          ${summary.services.map(renderService)}
+        </tbody>
+      </table>
+    </div>`;
 }
 
 function renderService(item: ServiceSummary): Html {
