--- a/src/connection/key_hand_over.ts
+++ b/src/connection/key_hand_over.ts
@@ -82,8 +82,9 @@
  */
 function fullyKnownPlacement(options: KeyHandOverOptions): bigint | undefined {
   const {lease, records, takeover} = options;
-  if (records.runningCount > 0 || !takeover.isFullyExclusive())
+  if (records.runningCount > 0 || !takeover.isFullyExclusive()) {
     return undefined;
+  }
   return lease.heldView()?.placementDigest;
 }
 
