--- a/src/process/view_acceptor.ts
+++ b/src/process/view_acceptor.ts
@@ -43,27 +43,52 @@
   return Math.ceil(2 * (leaseMillis + keys.clockBoundMillis));
 }
 
+/** Versions beyond those held, with the time of the last request for them. */
+interface Promised {
+  readonly versions: ViewVersions;
+  readonly atMillis: number;
+}
+
 /** Creates the acceptor of a node that starts now. */
 export function createViewAcceptor(options: ViewAcceptorOptions): ViewAcceptor {
-  const startMillis = options.timeSource.monotonicMillis();
-  let newest: ViewVersions = {policyVersion: 0, listRevision: 0};
+  const {currentView, timeSource} = options;
+  const startMillis = timeSource.monotonicMillis();
+  let promise: Promised | undefined;
 
   // A restarted host has forgotten what it confirmed. It could then confirm an
   // older view while a lease on a newer one is in force, and two hosts would
   // execute one key. It stays silent until every such lease has ended.
   const isSettled = (view: KeyView): boolean => {
-    const upMillis = options.timeSource.monotonicMillis() - startMillis;
+    const upMillis = timeSource.monotonicMillis() - startMillis;
     return upMillis >= settlingMillis(view.keys);
   };
 
+  // A faulty process may ask for a version that was never published; were it
+  // remembered for ever, no host of the zone would get a lease again. After the
+  // settling time it no longer matters, as after a restart.
+  const newestKnown = (held: KeyView): ViewVersions => {
+    if (promise === undefined) return held;
+    const ageMillis = timeSource.monotonicMillis() - promise.atMillis;
+    if (ageMillis >= settlingMillis(held.keys)) {
+      promise = undefined;
+      return held;
+    }
+    return newerOf(held, promise.versions);
+  };
+
   return new (class extends ViewAcceptor {
     override accept(versions: ViewVersions): ViewAcceptance {
-      const held = options.currentView();
-      if (held !== undefined) newest = newerOf(newest, held);
-      const isCurrent = isAtLeast(versions, newest);
-      newest = newerOf(newest, versions);
+      const held = currentView();
+      if (held === undefined) {
+        return {isCurrent: false, policyVersion: 0, listRevision: 0};
+      }
+      const known = newestKnown(held);
+      const newest = newerOf(known, versions);
+      if (!isAtLeast(held, versions)) {
+        promise = {versions: newest, atMillis: timeSource.monotonicMillis()};
+      }
       return {
-        isCurrent: isCurrent && held !== undefined && isSettled(held),
+        isCurrent: isAtLeast(versions, known) && isSettled(held),
         policyVersion: newest.policyVersion,
         listRevision: newest.listRevision,
       };
