Send whole milliseconds as the time limit of control calls

Cause: since a round of the view lease asks in two waves, the time limit of an ask is a third of the lease halved, 333.33 ms for the examples' 2,000 ms. The protocol's header takes whole numbers, so every confirmation was refused with InvalidArgument and no host of the examples ever held its lease.

--- a/src/connection/connect_control_client.ts
+++ b/src/connection/connect_control_client.ts
@@ -94,8 +94,11 @@
   ): Promise<T> {
     const connection = connectionTo(peer);
     connection.callsCount += 1;
+    // A fraction in the protocol's time limit makes the peer refuse the call as
+    // invalid; seen as confirmations that all fail with InvalidArgument.
+    const timeoutMs = Math.ceil(timeoutMillis);
     try {
-      return await call(connection.client, {signal, timeoutMs: timeoutMillis});
+      return await call(connection.client, {signal, timeoutMs});
     } catch (error) {
       // An open connection may have gone silent for good while a new one
       // works; seen as calls that time out one after the other. So the next
