Keep a seed that stands in for listed hosts

Cause: a peer taken from the seeds is not among the candidates it is compared with, so each look at the choice took another seed, opened a stream to it and closed the one before, without a pause. It also happened when no host was unreachable at all: a random slot with every host already joined by a stream. Ruled out: compression of control messages, which came in just before.

--- a/src/connection/peer_chooser.ts
+++ b/src/connection/peer_chooser.ts
@@ -63,11 +63,26 @@
     return leastSuspect(free, seed => seed.hostName, suspicion);
   }
 
+  /**
+   * The current seed, if it is one, or the least suspect of the others. Taking
+   * another each time would change streams without end, since a seed is not
+   * among the candidates that the current peer is compared with.
+   */
+  function keepOrChooseSeed(
+    current: ControlPeer | undefined,
+  ): ControlPeer | undefined {
+    const isSeed = seedPeers.some(seed => seed.hostName === current?.hostName);
+    return isSeed ? current : chooseSeed();
+  }
+
   function chooseListed(
     slot: PeerSlot,
     candidates: readonly PeerCandidate[],
-    current: PeerCandidate | undefined,
+    currentPeer: ControlPeer | undefined,
   ): ControlPeer | undefined {
+    const current = candidates.find(
+      candidate => nameOfCandidate(candidate) === currentPeer?.hostName,
+    );
     const free = candidates.filter(candidate =>
       isFree(slot, candidate.known.host.name),
     );
@@ -78,7 +93,8 @@
       best !== undefined && (current === undefined || best.tier < current.tier);
     if (isBetter) return toPeer(best);
     if (current !== undefined) return toPeer(current);
-    const seed = chooseSeed();
+    if (free.length === 0) return undefined;
+    const seed = keepOrChooseSeed(currentPeer);
     if (seed !== undefined && !suspicion.isSuspect(seed.hostName)) return seed;
     const last = leastSuspect(free, nameOfCandidate, suspicion);
     return last === undefined ? undefined : toPeer(last);
@@ -92,10 +108,7 @@
         if (isListKnown && slot.kind !== 'zone-ring') return undefined;
         return current ?? chooseSeed();
       }
-      const held = candidates.find(
-        candidate => nameOfCandidate(candidate) === current?.hostName,
-      );
-      return chooseListed(slot, candidates, held);
+      return chooseListed(slot, candidates, current);
     },
     claim: peer => {
       claimed.add(peer.hostName);
