--- a/bench/goodput_bench.ts
+++ b/bench/goodput_bench.ts
@@ -2,6 +2,7 @@
  * Measures goodput and recovery of whole requests on the scaled example
  * deployments, for the product, baselines and single mechanisms switched off.
  */
+import {writeFile} from 'node:fs/promises';
 import type {ExampleName} from '../src/emulator/example_deployment.js';
 import type {BenchOptions, BenchResult} from './bench_command.js';
 import {BenchCommand} from './bench_command.js';
@@ -19,6 +20,7 @@
 import {formatDeployment} from './goodput_table.js';
 import {findVariants} from './goodput_variants.js';
 import {describeMachine} from './process_usage.js';
+import {buildReport} from './report_html.js';
 
 const DEPLOYMENTS: readonly ExampleName[] = ['ilorin', 'tunis'];
 
@@ -30,6 +32,17 @@
   readonly variants: readonly GoodputFigures[];
 }
 
+/** Figures of the whole measurement. */
+export interface GoodputReport {
+  readonly machine: string;
+  readonly measuredAt: string;
+  /** What happens in every run. */
+  readonly story: string;
+  readonly deployments: readonly DeploymentFigures[];
+}
+
+const STORY = `Trigger: demand times ${String(SURGE_FACTOR)}, service time of the bottleneck times ${String(SLOW_FACTOR)}, callers retry at once`;
+
 /** Creates the measurement. */
 export function createGoodputBench(): BenchCommand {
   return new (class extends BenchCommand {
@@ -43,11 +56,16 @@
         if ((options.deployment ?? name) !== name) continue;
         deployments.push(await measureDeployment(name, options));
       }
-      const machine = describeMachine();
-      return {
-        text: formatAll(machine, deployments),
-        figures: {machine, measuredAt, deployments},
+      const report: GoodputReport = {
+        machine: describeMachine(),
+        measuredAt,
+        story: STORY,
+        deployments,
       };
+      if (options.reportPath !== undefined) {
+        await writeFile(options.reportPath, buildReport(report));
+      }
+      return {text: formatAll(report), figures: report};
     }
   })();
 }
@@ -67,13 +85,9 @@
   return {deployment: name, bottleneck: deployment.bottleneck, times, variants};
 }
 
-function formatAll(
-  machine: string,
-  deployments: readonly DeploymentFigures[],
-): string {
-  const story = `Trigger: demand times ${String(SURGE_FACTOR)}, service time of the bottleneck times ${String(SLOW_FACTOR)}, callers retry at once`;
-  const tables = deployments.map(({deployment, bottleneck, variants}) =>
+function formatAll(report: GoodputReport): string {
+  const tables = report.deployments.map(({deployment, bottleneck, variants}) =>
     formatDeployment(`${deployment}, bottleneck ${bottleneck}`, variants),
   );
-  return [`Machine: ${machine}`, story, '', ...tables].join('\n');
+  return [`Machine: ${report.machine}`, report.story, '', ...tables].join('\n');
 }
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,7 @@
 import {hideBin} from 'yargs/helpers';
 import {failProcess} from '../src/emulator/process_support.js';
 import type {BenchCommand, BenchOptions} from './bench_command.js';
+import {createCapacityBench} from './capacity_bench.js';
 import {createGoodputBench} from './goodput_bench.js';
 import {createLatencyBench} from './latency_bench.js';
 
@@ -14,6 +15,7 @@
 const COMMANDS: readonly BenchCommand[] = [
   createLatencyBench(),
   createGoodputBench(),
+  createCapacityBench(),
 ];
 
 const DEPLOYMENTS = ['ilorin', 'tunis'] as const;
