Give back the grant of streamed answers at their first byte

Cause: a streamed answer forfeited its loan, so callers were told of a retry that never happened (demo: 'download a grid', retries 1, no retry sent). The grant is now closed when the answer starts, which makes the remainder safe to return.

--- a/src/request/guarded_execution.ts
+++ b/src/request/guarded_execution.ts
@@ -210,10 +210,9 @@
     statusCode: answer.statusCode,
     headers: endToEndFields(answer.rawHeaders),
     body: answer.body,
-    // Calls made while a streamed body is still being produced could spend
-    // more, so nothing of the grant is given back with its first byte.
-    unspentCount:
-      answer.body.kind === 'streamed' ? 0 : call.scope.grant.close(),
+    // Calls made while a streamed body is still being produced find the grant
+    // closed, so what is given back here cannot be spent a second time.
+    unspentCount: call.scope.grant.close(),
     load: options.admission.load(),
     isDependencyFailed: call.scope.children.hasFailed(),
   };
