--- a/bench/capacity_documents.ts
+++ b/bench/capacity_documents.ts
@@ -1,6 +1,7 @@
 /**
  * Host lists and policy documents of any size for capacity measurements.
  */
+import {hash64} from '../src/base/hash.js';
 import type {HostList, PublishedHost} from '../src/version/host_list.js';
 import type {Policy, Route, Service} from '../src/version/policy.js';
 import {createSmallPolicy} from '../src/emulator/small_deployment.js';
@@ -28,6 +29,11 @@
   return `region-${String((index % TARGET.zonesCount) % TARGET.regionsCount)}`;
 }
 
+/** Path of a request that the first route of a service answers. */
+export function firstPathOf(service: Service): string {
+  return (service.routes[0]?.path ?? '').replace(':id', '7');
+}
+
 /** Name of a service by its number. */
 export function serviceOf(index: number): string {
   return `service-${String(index)}`;
@@ -49,7 +55,7 @@
       ),
       availabilityZone: zoneOf(index),
       region: regionOf(index),
-      address: '10.0.0.1',
+      address: `10.0.${String(index >> 8)}.${String(index & 255)}`,
       peerPort: 7001,
       controlPort: 7002,
       state: 'live',
@@ -105,7 +111,7 @@
 
 function createService(name: string, routesCount: number): Service {
   const routes = Array.from({length: routesCount}, (_, index) =>
-    createRoute(index),
+    createRoute(`${name}-${String(index)}`),
   );
   return {
     name,
@@ -118,11 +124,13 @@
   };
 }
 
-function createRoute(index: number): Route {
+/** Names without a pattern, or compression would flatter the figures. */
+function createRoute(seed: string): Route {
+  const word = hash64(seed).toString(36).padStart(13, '0');
   return {
-    name: `route-${String(index)}`,
+    name: `r${word}`,
     method: 'GET',
-    path: `/records-${String(index)}/:id`,
+    path: `/${word}/:id`,
     className: 'records',
     repeat: 'safe',
     isKeyRequired: false,
