Bench: compute platform calls at a start and asks on electors

Cause: two lines of the size to design for are decided by counts, not by a slope: calls on the platform when many nodes start at once, and how the asks of a zone's hosts spread over its electors. Ruled out: measuring 830 processes; the product's own rules are counted instead.

--- a/bench/capacity_bench.ts
+++ b/bench/capacity_bench.ts
@@ -12,6 +12,7 @@
 import {TARGET} from './capacity_documents.js';
 import type {OverlayShape} from './capacity_overlay.js';
 import {computeOverlay} from './capacity_overlay.js';
+import {computeElectorLoad, computeStartCalls} from './capacity_platform.js';
 import type {CapacityProbe, Line, ProbeFigures} from './capacity_probe.js';
 import {fitLine, medianOf} from './capacity_probe.js';
 import {createCapacityProbes} from './capacity_probes.js';
@@ -53,6 +54,8 @@
       const results: ProbeResult[] = [];
       for (const probe of probes) results.push(await grow(probe, options));
       const overlays = computeOverlays();
+      const startCalls = computeStartCalls();
+      const electorLoad = computeElectorLoad();
       const busy = busyRatio(before, await readMachineUsage());
       const machine = `${describeMachine()}, ${String(Math.round(busy * 100))} % busy with everything, load ${loadavg()
         .map(load => load.toFixed(1))
@@ -61,8 +64,13 @@
         machine,
         ...results.map(describeResult),
         describeOverlays(overlays),
+        describeRows('platform calls at a start (computed)', startCalls),
+        describeRows('electors of one zone (computed)', [electorLoad]),
       ].join('\n\n');
-      return {text, figures: {machine, results, overlays}};
+      return {
+        text,
+        figures: {machine, results, overlays, startCalls, electorLoad},
+      };
     }
   })();
 }
@@ -163,6 +171,16 @@
   return `overlay (computed)\n${formatTable(header, rows)}`;
 }
 
+function describeRows(title: string, rows: readonly object[]): string {
+  const headings = Object.keys(rows[0] ?? {});
+  const cells = rows.map(row =>
+    Object.values(row).map(value =>
+      typeof value === 'number' ? formatFigure(value) : String(value),
+    ),
+  );
+  return `${title}\n${formatTable(headings, cells)}`;
+}
+
 const FIGURE_DIGITS = 3;
 
 function formatFigure(value: number | undefined): string {
