--- a/test/fakes/in_process_fleet.ts
+++ b/test/fakes/in_process_fleet.ts
@@ -38,6 +38,11 @@
   readonly zone: string;
 }
 
+/** A host that is listed but not run: a test plays its node. */
+export interface ListedPeer extends TestHostPlace {
+  readonly peerPort: number;
+}
+
 /** The fleet. */
 export interface TestFleet {
   readonly hosts: readonly TestHost[];
@@ -49,20 +54,24 @@
 export async function startTestFleet(
   policyBytes: Uint8Array,
   places: readonly TestHostPlace[],
-  settings: Readonly<Record<string, unknown>> = {},
+  listedPeers: readonly ListedPeer[] = [],
 ): Promise<TestFleet> {
   const hosts = await Promise.all(
-    places.map(place => startHost(place, policyBytes, settings)),
+    places.map(place => startHost(place, policyBytes)),
   );
+  const runPeers = hosts.map(({path}, index) => ({
+    ...(places[index] as TestHostPlace),
+    peerPort: path.peerPort,
+  }));
   const listBytes = encodeDocument({
     revision: 1,
-    hosts: places.map((place, index) => ({
+    hosts: [...runPeers, ...listedPeers].map((place, index) => ({
       name: place.name,
       service: place.service,
       availabilityZone: place.zone,
       region: 'north',
       address: '127.0.0.1',
-      peerPort: hosts[index]?.path.peerPort,
+      peerPort: place.peerPort,
       controlPort: index + 1,
       state: 'live',
     })),
@@ -94,7 +103,6 @@
 async function startHost(
   place: TestHostPlace,
   policyBytes: Uint8Array,
-  overrides: Readonly<Record<string, unknown>>,
 ): Promise<TestHost> {
   const upstream = await startScriptedUpstream();
   const parsed = parseSettings(
@@ -104,7 +112,6 @@
       availabilityZone: place.zone,
       region: 'north',
       upstream: {address: '127.0.0.1', port: upstream.port},
-      ...overrides,
     }),
   );
   if (parsed.kind === 'invalid') throw new Error(JSON.stringify(parsed));
