Console: page for operators, narrower route rows, links to each service

Cause, seen in screenshots at 1440, 1520 and 1600 pixels: route rows hid their buttons in windows below 1600 pixels, and a document with many services had no way to one of them. Below 1440 pixels the checks now stand under the forms.

--- a/src/cli/console/field_input_renderer.ts
+++ b/src/cli/console/field_input_renderer.ts
@@ -49,7 +49,7 @@
   const isNumber = field.input.kind === 'number';
   const suggestions =
     field.path === CLASS_REFERENCE_PATH
-      ? html` list="${CLASS_NAMES_ID}"`
+      ? html`list="${CLASS_NAMES_ID}"`
       : NO_HTML;
   // No `type=number`: browsers send nothing for text they cannot read, and
   // the operator would not see what was refused.
@@ -59,13 +59,9 @@
     name="${name}"
     class="${isNumber ? 'number' : 'text'} ${field.name}"
     value="${text}"
-    inputmode="${isNumber ? 'decimal' : 'text'}"
-    autocomplete="off"
-    spellcheck="false"
-    title="Allowed: ${field.allowed}"
     aria-label="${labelOf(field.name)}"
-    aria-invalid="${String(isInvalid)}"
     ${suggestions}
+    ${markInvalid(isInvalid)}
   />`;
 }
 
@@ -79,9 +75,8 @@
   return html`<select
     id="${name}"
     name="${name}"
-    title="Allowed: ${field.allowed}"
     aria-label="${labelOf(field.name)}"
-    aria-invalid="${String(isInvalid)}"
+    ${markInvalid(isInvalid)}
   >
     ${renderOption('', 'choose', text)}
     ${words.map(word => renderOption(word, word, text))}
@@ -94,3 +89,7 @@
   }
   return html`<option value="${value}" selected>${text}</option>`;
 }
+
+function markInvalid(isInvalid: boolean): Html {
+  return isInvalid ? html`aria-invalid="true"` : NO_HTML;
+}
--- a/src/cli/console/form_renderer.ts
+++ b/src/cli/console/form_renderer.ts
@@ -88,7 +88,7 @@
 }
 
 function renderLabel(field: FieldModel, name: string): Html {
-  return html`<label for="${name}"
+  return html`<label for="${name}" title="Allowed: ${field.allowed}"
     >${labelOf(field.name)}<code class="field-name">${field.name}</code></label
   >`;
 }
@@ -124,9 +124,7 @@
     ${renderProblem(name, problems)}
     ${
       hasLists
-        ? items.map((item, index) =>
-            renderCard(model, joinName(name, index), item, problems),
-          )
+        ? renderCards(model, name, items, problems)
         : renderTable(model, name, items, problems)
     }
     <p>
@@ -134,7 +132,30 @@
     </p>`;
 }
 
-/** An item with a list of its own. */
+/** Items with lists of their own, and links to each, as they are long. */
+function renderCards(
+  model: ListModel,
+  name: string,
+  items: DraftList,
+  problems: FieldMessages,
+): Html {
+  return html`<p class="jumps">
+      ${items.map(
+        (item, index) =>
+          html`<a href="#${joinName(name, index)}"
+            >${titleOf(model, item)}</a
+          > `,
+      )}
+    </p>
+    ${items.map((item, index) =>
+      renderCard(model, joinName(name, index), item, problems),
+    )}`;
+}
+
+function titleOf(model: ListModel, item: DraftGroup): string {
+  return String(item['name'] || `unnamed ${singularOf(model.name)}`);
+}
+
 function renderCard(
   model: ListModel,
   name: string,
@@ -144,7 +165,7 @@
   const {members} = model.item;
   const lists = members.filter(member => member.kind === 'list');
   return html`<fieldset class="card" id="${name}">
-    <legend>${singularOf(model.name)} ${String(item['name'] ?? '')}</legend>
+    <legend>${labelOf(singularOf(model.name))} ${titleOf(model, item)}</legend>
     <div class="card-buttons">${renderItemButtons(name, item)}</div>
     ${renderProblem(name, problems)}
     <div class="card-fields">
--- a/src/cli/console/html.ts
+++ b/src/cli/console/html.ts
@@ -34,7 +34,7 @@
   return {markup: first + tail.join('')};
 }
 
-/** Indentation of this source would make up half of a large page. */
+/** The indentation of this source would make up much of a large page. */
 function dropIndentation(literal: string): string {
   return literal.replace(/\n\s+/g, '\n');
 }
--- a/src/cli/console/stylesheet.ts
+++ b/src/cli/console/stylesheet.ts
@@ -99,6 +99,7 @@
 .problem { margin: 0.25rem 0 0; color: var(--bad); font-size: 0.9rem; }
 .problem:empty { display: none; }
 .card { border: 1px solid var(--line); border-radius: 6px; margin: 1rem 0; padding: 0.5rem 0.6rem 0.75rem; min-width: 0; }
+.jumps { display: flex; flex-wrap: wrap; gap: 0.2rem 1rem; margin: 0.75rem 0 0; }
 .card legend { font-weight: 700; padding: 0 0.4rem; }
 .card-buttons { float: right; }
 .card-fields { display: grid; grid-template-columns: repeat(auto-fill, minmax(15rem, 1fr)); gap: 0.75rem 1.25rem; clear: both; }
@@ -118,10 +119,13 @@
 .items input.retryBound { width: 3.5rem; }
 .items input.className { width: 12rem; }
 .items input.name { width: 12.5rem; }
-.items input.path { width: 11rem; }
-.card .items input.name { width: 11.5rem; }
+.card .items input.path { width: 100%; min-width: 9rem; }
+.card .items { width: 100%; }
+.card .items input.name { width: 100%; min-width: 9rem; }
+.card .items input.className { width: 100%; min-width: 9.5rem; }
 .card .items input, .card .items select { font-size: 0.88rem; padding: 0.2rem 0.3rem; }
 .card .items button { padding: 0.05rem 0.35rem; }
+.row-buttons { position: sticky; right: 0; background: var(--surface); }
 .row-buttons > div { display: flex; gap: 0.15rem; }
 .guide { margin: 0.6rem 0; font-size: 0.9rem; }
 .guide summary { cursor: pointer; color: var(--accent); }
@@ -140,7 +144,7 @@
 .rules dd { margin: 0; }
 .failure { max-width: 40rem; margin: 3rem auto; padding: 1.5rem; background: var(--surface); border: 1px solid var(--line); border-radius: 6px; }
 .failure h1 { color: var(--bad); }
-@media (max-width: 84rem) {
+@media (max-width: 90rem) {
   .columns { grid-template-columns: minmax(0, 1fr); }
   aside { position: static; max-height: none; }
 }
