--- a/src/cli/console/change_summary.ts
+++ b/src/cli/console/change_summary.ts
@@ -80,11 +80,13 @@
 ): readonly ServiceSummary[] {
   const {classes, services} = compiled.policy;
   return services.map(service => {
-    const [route] = service.routes;
-    if (route === undefined) throw new Error('A service has no route.');
-    const usableSlotsCounts = classes.map(
-      (_, classIndex) =>
-        explainRoute(compiled, {service, route, classIndex}).usableSlotsCount,
+    // Each route has the same slots; the schema lets no service be without.
+    const routes = service.routes.slice(0, 1);
+    const usableSlotsCounts = classes.flatMap((_, classIndex) =>
+      routes.map(
+        route =>
+          explainRoute(compiled, {service, route, classIndex}).usableSlotsCount,
+      ),
     );
     const {name, slotsCount} = service;
     return {name, slotsCount, usableSlotsCounts};
--- a/src/cli/console/document_file.ts
+++ b/src/cli/console/document_file.ts
@@ -17,14 +17,14 @@
 ): Problem | undefined {
   const obstacle = findObstacle(filePath, compiled);
   if (obstacle !== undefined) return obstacle;
-  const draftPath = `${filePath}.${createUuid()}.tmp`;
+  const temporaryPath = `${filePath}.${createUuid()}.tmp`;
   try {
     // A full disk would otherwise leave half a document under the final name.
-    writeFileSync(draftPath, compiled.documentBytes, {flag: 'wx'});
-    renameSync(draftPath, filePath);
+    writeFileSync(temporaryPath, compiled.documentBytes, {flag: 'wx'});
+    renameSync(temporaryPath, filePath);
     return undefined;
   } catch (error) {
-    rmSync(draftPath, {force: true});
+    rmSync(temporaryPath, {force: true});
     return fileProblem(describeError(error), `${filePath} as a file to write`);
   }
 }
