Draw context tokens from pooled random bytes; build header lists in one pass

Cause: a profile of calls through two nodes in one process showed 2.2% in a system call for random bytes and 1.5% in a flat map of headers. Ruled out as single causes: Effect's run loop (1.3%), garbage collection (6%), hashing (0.9%); most of the time is Node's http.

--- a/src/connection/header_fields.ts
+++ b/src/connection/header_fields.ts
@@ -60,5 +60,7 @@
 
 /** Flat list of names and values as Node's `http` takes it. */
 export function toRawHeaders(fields: readonly HeaderField[]): string[] {
-  return fields.flatMap(field => [field.name, field.value]);
+  const rawHeaders: string[] = [];
+  for (const field of fields) rawHeaders.push(field.name, field.value);
+  return rawHeaders;
 }
--- a/src/request/in_progress.ts
+++ b/src/request/in_progress.ts
@@ -1,7 +1,7 @@
 /**
  * Requests being executed by the local upstream, found by their context token.
  */
-import {randomBytes} from 'node:crypto';
+import {randomUUID} from 'node:crypto';
 import type {RequestScope} from './request_scope.js';
 
 /** Requests in progress on this host. */
@@ -19,14 +19,14 @@
   close(): void;
 }
 
-const TOKEN_BYTES = 12;
-
 /** Creates an empty table; its size is bounded by the admitted calls. */
 export function createInProgressRequests(): InProgressRequests {
   const scopes = new Map<string, RequestScope>();
   return {
     open: scope => {
-      const token = randomBytes(TOKEN_BYTES).toString('base64url');
+      // Node draws these from a pool of random bytes; a system call for each
+      // request took 2% of the processor time of a call.
+      const token = randomUUID();
       scopes.set(token, scope);
       return {
         token,
--- a/test/contract/call_outcomes.test.ts
+++ b/test/contract/call_outcomes.test.ts
@@ -75,7 +75,9 @@
   peerPort: number,
 ): Promise<TestFleet> {
   const listed = {name: 'desk-9', service: 'desk', zone: 'za', peerPort};
-  const fleet = await startTestFleet(POLICY, [ENTRY], [listed]);
+  const fleet = await startTestFleet(POLICY, [ENTRY], {
+    listedPeers: [listed],
+  });
   t.teardown(() => fleet.dispose());
   return fleet;
 }
@@ -195,7 +197,9 @@
     peerPort: peer.port,
   };
   const desk = {name: 'desk-1', service: 'desk', zone: 'za'};
-  const fleet = await startTestFleet(POLICY, [ENTRY, desk], [listed]);
+  const fleet = await startTestFleet(POLICY, [ENTRY, desk], {
+    listedPeers: [listed],
+  });
   t.teardown(() => fleet.dispose());
   const answers = await Promise.all(
     Array.from({length: 20}, () => sendOrder(fleet)),
--- a/test/fakes/in_process_fleet.ts
+++ b/test/fakes/in_process_fleet.ts
@@ -43,6 +43,13 @@
   readonly peerPort: number;
 }
 
+/** What a fleet may have besides its places. */
+export interface TestFleetOptions {
+  readonly listedPeers?: readonly ListedPeer[];
+  /** Fields that replace those of the minimal settings. */
+  readonly settings?: Readonly<Record<string, unknown>>;
+}
+
 /** The fleet. */
 export interface TestFleet {
   readonly hosts: readonly TestHost[];
@@ -54,10 +61,10 @@
 export async function startTestFleet(
   policyBytes: Uint8Array,
   places: readonly TestHostPlace[],
-  listedPeers: readonly ListedPeer[] = [],
+  {listedPeers = [], settings = {}}: TestFleetOptions = {},
 ): Promise<TestFleet> {
   const hosts = await Promise.all(
-    places.map(place => startHost(place, policyBytes)),
+    places.map(place => startHost(place, policyBytes, settings)),
   );
   const runPeers = hosts.map(({path}, index) => ({
     ...(places[index] as TestHostPlace),
@@ -103,6 +110,7 @@
 async function startHost(
   place: TestHostPlace,
   policyBytes: Uint8Array,
+  replaced: Readonly<Record<string, unknown>>,
 ): Promise<TestHost> {
   const upstream = await startScriptedUpstream();
   const parsed = parseSettings(
@@ -112,6 +120,7 @@
       availabilityZone: place.zone,
       region: 'north',
       upstream: {address: '127.0.0.1', port: upstream.port},
+      ...replaced,
     }),
   );
   if (parsed.kind === 'invalid') throw new Error(JSON.stringify(parsed));
