--- a/src/connection/http_send.ts
+++ b/src/connection/http_send.ts
@@ -6,6 +6,7 @@
 import {request as startRequest} from 'node:http';
 import * as Effect from 'effect/Effect';
 import {TransportError} from '../base/errors.js';
+import type {FailureReason} from '../protocol/outcome.js';
 import type {AnswerBody} from './answer_body.js';
 import {declaredSha256, digestOf} from './answer_body.js';
 import type {HeaderField} from './header_fields.js';
@@ -42,6 +43,19 @@
 export type SendFailureKind =
   'connect' | 'silent' | 'broken' | 'incomplete' | 'digest';
 
+const REASON_OF_KIND: Readonly<Record<SendFailureKind, FailureReason>> = {
+  connect: 'connect-failed',
+  silent: 'attempt-timeout',
+  broken: 'connection-lost',
+  incomplete: 'answer-incomplete',
+  digest: 'answer-incomplete',
+};
+
+/** Reason told for a failed send. */
+export function reasonOfSendFailure(kind: SendFailureKind): FailureReason {
+  return REASON_OF_KIND[kind];
+}
+
 /** Failure of a send. */
 export interface SendFailure {
   readonly _tag: 'SendFailure';
--- a/src/connection/peer_client.ts
+++ b/src/connection/peer_client.ts
@@ -8,7 +8,7 @@
 import type {CallResult} from '../protocol/call_result.js';
 import {decodeCallResult} from '../protocol/call_result.js';
 import {HEADER} from '../protocol/headers.js';
-import type {FailureReason, Outcome} from '../protocol/outcome.js';
+import type {Outcome} from '../protocol/outcome.js';
 import type {PublishedHost} from '../version/host_list.js';
 import {decodeFailureMessage} from '../protocol/failure_body.js';
 import type {AnswerBody} from './answer_body.js';
@@ -18,8 +18,8 @@
 import {endToEndFields} from './header_fields.js';
 import type {ConnectionPool} from './http_agents.js';
 import {createConnectionPool} from './http_agents.js';
-import type {HttpAnswer, SendFailure, SendFailureKind} from './http_send.js';
-import {sendHttp} from './http_send.js';
+import type {HttpAnswer, SendFailure} from './http_send.js';
+import {reasonOfSendFailure, sendHttp} from './http_send.js';
 
 /** Bounds of one call. */
 export interface PeerCallBounds {
@@ -48,14 +48,6 @@
 
 const CONNECT_MILLIS = 500;
 
-const REASON_OF_KIND: Readonly<Record<SendFailureKind, FailureReason>> = {
-  connect: 'connect-failed',
-  silent: 'attempt-timeout',
-  broken: 'connection-lost',
-  incomplete: 'answer-incomplete',
-  digest: 'answer-incomplete',
-};
-
 /** Creates a peer client over HTTP/1.1 keep-alive connections. */
 export function createHttpPeerClient(
   options: HttpPeerClientOptions,
@@ -126,7 +118,7 @@
     _tag: 'CallFailure',
     failure: {
       outcome,
-      reason: REASON_OF_KIND[sent.kind],
+      reason: reasonOfSendFailure(sent.kind),
       step: `peer-${sent.kind}`,
       peer: hostName,
       message: sent.error.message,
--- a/src/request/guarded_execution.ts
+++ b/src/request/guarded_execution.ts
@@ -10,11 +10,8 @@
 } from '../connection/call_messages.js';
 import type {HeaderField} from '../connection/header_fields.js';
 import {endToEndFields} from '../connection/header_fields.js';
-import type {
-  HttpAnswer,
-  SendFailure,
-  SendFailureKind,
-} from '../connection/http_send.js';
+import type {HttpAnswer, SendFailure} from '../connection/http_send.js';
+import {reasonOfSendFailure} from '../connection/http_send.js';
 import type {UpstreamClient} from '../connection/upstream_client.js';
 import type {
   AdmissionController,
@@ -23,7 +20,7 @@
 } from '../process/admission_controller.js';
 import type {Metrics} from '../process/metrics.js';
 import {HEADER} from '../protocol/headers.js';
-import type {FailureReason, Outcome} from '../protocol/outcome.js';
+import type {Outcome} from '../protocol/outcome.js';
 import type {Service} from '../version/policy.js';
 import {createCallFailure} from './failures.js';
 import type {InProgressRequests} from './in_progress.js';
@@ -53,14 +50,6 @@
 
 const STATUS_OVERLOADED = 503;
 
-const REASON_OF_KIND: Readonly<Record<SendFailureKind, FailureReason>> = {
-  connect: 'connect-failed',
-  silent: 'attempt-timeout',
-  broken: 'connection-lost',
-  incomplete: 'answer-incomplete',
-  digest: 'answer-incomplete',
-};
-
 /** Creates the execution path of the local upstream. */
 export function createGuardedExecution(
   options: GuardedExecutionOptions,
@@ -278,7 +267,7 @@
   return createCallFailure(
     {
       outcome,
-      reason: REASON_OF_KIND[sent.kind],
+      reason: reasonOfSendFailure(sent.kind),
       step: `upstream-${sent.kind}`,
       peer: options.hostName,
       message: sent.error.message,
