Survive foreign answers at a peer's address; mend three faults of the mesh

Found by running the contract tests four at a time on a busy machine:

- A peer address that answered in another protocol ended the process.
Cause: connect-node's session manager takes its error listener off a broken connection before the error is raised.
- A node that is no reader could skip the policy for good: its read of the host list made the platform look answered.
Both are now read together.
- A peer that sends but reads nothing stayed linked after its queue had overflowed.
The stream now ends.
- announce waits until the peers show the own digest: frames that were only handed to the socket are lost when the process ends at once.

The order at a start no longer depends on the speed of the machine.

--- a/src/base/message_queue.ts
+++ b/src/base/message_queue.ts
@@ -10,6 +10,7 @@
   close(error?: unknown): void;
   /** Messages that the consumer has not taken yet. */
   readonly length: number;
+  readonly isClosed: boolean;
   /** Resolves when the consumer has taken all and asks for more, or at close. */
   whenDrained(): Promise<void>;
 }
@@ -78,6 +79,9 @@
     get length() {
       return messages.length;
     },
+    get isClosed() {
+      return isClosed;
+    },
     whenDrained: () =>
       new Promise(resolve => {
         if (isClosed || waiter !== undefined) resolve();
--- a/src/connection/connect_control_client.ts
+++ b/src/connection/connect_control_client.ts
@@ -6,7 +6,6 @@
 import {
   compressionGzip,
   createConnectTransport,
-  Http2SessionManager,
 } from '@connectrpc/connect-node';
 import * as Effect from 'effect/Effect';
 import {LRUCache} from 'lru-cache';
@@ -30,11 +29,10 @@
 import type {Metrics} from '../process/metrics.js';
 import type {ControlCallError, ControlPeer, Fields} from './control_client.js';
 import {ControlClient} from './control_client.js';
+import type {ControlSession} from './control_session.js';
+import {createControlSession} from './control_session.js';
 
 const DEFAULT_TIMEOUT_MILLIS = 2_000;
-const PING_INTERVAL_MILLIS = 2_000;
-const PING_TIMEOUT_MILLIS = 2_000;
-const IDLE_CONNECTION_MILLIS = 10_000;
 const CACHED_CONNECTIONS_COUNT = 32;
 
 /** Failures after which the connection itself is in doubt. */
@@ -56,7 +54,7 @@
 /** One HTTP/2 connection to a peer and the calls on it. */
 interface Connection {
   readonly client: Client<typeof ControlService>;
-  readonly manager: Http2SessionManager;
+  readonly session: ControlSession;
   callsCount: number;
   isDiscarded: boolean;
 }
@@ -81,7 +79,7 @@
     const url = baseUrlOf(peer);
     const cached = connections.get(url);
     if (cached !== undefined) return cached;
-    const connection = openConnection(url, identify);
+    const connection = openConnection(url, identify, metrics);
     connections.set(url, connection);
     return connection;
   }
@@ -112,10 +110,10 @@
   }
 
   function forget(peer: ControlPeer, connection: Connection): void {
-    metrics.increment('control.connections_replaced');
     const url = baseUrlOf(peer);
-    if (connections.peek(url) === connection) connections.delete(url);
-    else discard(connection);
+    if (connections.peek(url) !== connection) return;
+    metrics.increment('control.connections_replaced');
+    connections.delete(url);
   }
 
   function unary<T>(
@@ -141,13 +139,13 @@
     outgoing: AsyncIterable<ControlMessage>,
     signal: AbortSignal,
   ): AsyncGenerator<ControlMessage> {
-    const connection = openConnection(baseUrlOf(peer), identify);
+    const connection = openConnection(baseUrlOf(peer), identify, metrics);
     try {
       yield* connection.client.exchange(outgoing, {signal});
     } catch (error) {
       throw toTransportError(error, 'exchange', peer);
     } finally {
-      connection.manager.abort();
+      connection.session.dispose();
     }
   }
 
@@ -203,16 +201,16 @@
   })();
 }
 
-function openConnection(url: string, identify: Interceptor): Connection {
-  const manager = new Http2SessionManager(url, {
-    pingIntervalMs: PING_INTERVAL_MILLIS,
-    pingTimeoutMs: PING_TIMEOUT_MILLIS,
-    idleConnectionTimeoutMs: IDLE_CONNECTION_MILLIS,
-  });
+function openConnection(
+  url: string,
+  identify: Interceptor,
+  metrics: Metrics,
+): Connection {
+  const session = createControlSession(url, metrics);
   const transport = createConnectTransport({
     baseUrl: url,
     httpVersion: '2',
-    sessionManager: manager,
+    sessionManager: session,
     interceptors: [identify],
     acceptCompression: [compressionGzip],
     sendCompression: compressionGzip,
@@ -222,7 +220,7 @@
   });
   return {
     client: createClient(ControlService, transport),
-    manager,
+    session,
     callsCount: 0,
     isDiscarded: false,
   };
@@ -250,7 +248,7 @@
 
 function closeIfUnused(connection: Connection): void {
   if (!connection.isDiscarded || connection.callsCount > 0) return;
-  connection.manager.abort();
+  connection.session.dispose();
 }
 
 function baseUrlOf(peer: ControlPeer): string {
--- a/src/connection/control_plane.ts
+++ b/src/connection/control_plane.ts
@@ -30,7 +30,7 @@
   abstract start(): Promise<number>;
   /** Waits, for a bounded time, until a peer has shared what it holds. */
   abstract awaitFirstPicture(): Effect.Effect<FirstPicture>;
-  /** Announces the own phase; returns when it has left for the present peers. */
+  /** Announces the own phase; returns when the present peers have it, within a bound. */
   abstract announce(phase: HostPhase): Effect.Effect<void>;
   /** Whether this node reads the platform, and as what. */
   abstract readerRole(): ReaderRole;
@@ -51,6 +51,8 @@
   readonly logger: Logger;
   readonly stateDump: StateDump;
   readonly time: TimeSource;
+  /** Longest wait of a starting node for what its seeds hold. */
+  readonly firstPictureMillis?: number | undefined;
 }
 
 const ANY_ADDRESSES: ReadonlySet<string> = new Set(['0.0.0.0', '::']);
--- a/src/connection/exchange_session.ts
+++ b/src/connection/exchange_session.ts
@@ -59,7 +59,9 @@
     yield* Effect.sync(() => {
       context.onDidOpen(link);
     });
-    while (true) {
+    // A peer that sends but does not read is cut off at the bound of its queue;
+    // without this look it would still count as linked and hear nothing.
+    while (!link.outgoing.isClosed) {
       const message = yield* receive(link, iterator, context);
       if (message === undefined) return;
       if (message.message.case === 'hello') {
--- a/src/connection/peer_link.ts
+++ b/src/connection/peer_link.ts
@@ -50,6 +50,7 @@
     // A difference seen on a new link needs no second look.
     statusMismatchesCount: 1,
     send: message => {
+      if (outgoing.isClosed) return;
       if (outgoing.push(message)) {
         metrics.increment('control.messages_sent', {
           kind: message.message.case ?? 'none',
--- a/src/connection/peer_mesh.ts
+++ b/src/connection/peer_mesh.ts
@@ -37,22 +37,21 @@
 import type {ExchangeContext} from './exchange_session.js';
 import {sendHello} from './exchange_session.js';
 import {createInboundStreams} from './inbound_streams.js';
+import {createLinkSet} from './link_set.js';
 import {createPeerChooser} from './peer_chooser.js';
 import type {PeerLink} from './peer_link.js';
 import {peerNameOf} from './peer_link.js';
 import {createPeerStreams} from './peer_streams.js';
 import {createPeerSuspicion} from './peer_suspicion.js';
 import {createStatusExchange} from './status_exchange.js';
+import {awaitStatusReceipt} from './status_receipt.js';
 import {createVersionConflicts} from './version_conflicts.js';
 
 /** Inbound streams accepted for each stream this node opens itself. */
 const INBOUND_RATIO = 4;
 const INBOUND_MINIMUM_COUNT = 16;
 
-/** Longest wait until an announcement has left for the present peers. */
-const ANNOUNCE_MILLIS = 300;
-
-/** Longest wait of a starting node for what its seeds hold. */
+/** Default of the wait for the first picture. */
 const FIRST_PICTURE_MILLIS = 1_500;
 
 /** Longest time without a look at the choice of peers. */
@@ -65,7 +64,7 @@
 export abstract class PeerMesh extends ExchangeHandler implements Disposable {
   /** Opens the streams; `controlPort` is where this node listens. */
   abstract start(controlPort: number): void;
-  /** Announces the own phase; returns when it has left for the present peers. */
+  /** Announces the own phase; returns when the present peers have it, within a bound. */
   abstract announce(phase: HostPhase): Effect.Effect<void>;
   /** Waits, for a bounded time, until a peer has shared what it holds. */
   abstract awaitFirstPicture(): Effect.Effect<FirstPicture>;
@@ -94,16 +93,19 @@
   readonly metrics: Metrics;
   readonly time: TimeSource;
   readonly logger: Logger;
+  /** Longest wait of a starting node for what its seeds hold. */
+  readonly firstPictureMillis?: number | undefined;
 }
 
 /** Creates a mesh without streams. */
 export function createPeerMesh(options: PeerMeshOptions): PeerMesh {
   const {own, settings, seedPeers, client, metrics, time, logger} = options;
   const {policyStore, fleetView, freshness} = options;
+  const {firstPictureMillis = FIRST_PICTURE_MILLIS} = options;
   const store = createDisposableStore();
-  const links = new Set<PeerLink>();
+  const links = store.add(createLinkSet());
   const choiceChanged = store.add(createEmitter<undefined>());
-  const linksChanged = store.add(createEmitter<number>());
+  const viewLearned = store.add(createEmitter<PeerLink>());
   const firstPicture = Deferred.makeUnsafe<FirstPicture>();
   const suspicion = createPeerSuspicion(time);
   const conflicts = createVersionConflicts({metrics, logger});
@@ -154,9 +156,8 @@
   }
 
   function openLink(link: PeerLink): void {
-    if (link.direction === 'inbound') closeEarlierInbound(link);
     links.add(link);
-    reportLinks();
+    metrics.gauge('control.links', links.size);
     logger.info('peer-connected', describeOrigin(link));
     sendOwnStatus(link);
     learnView(link);
@@ -168,26 +169,13 @@
     if (status !== undefined) link.send(createStatusUpdate([status]));
   }
 
-  /** A new stream of a peer means that its earlier one is of no use to it. */
-  function closeEarlierInbound(link: PeerLink): void {
-    for (const other of links) {
-      const isSame = other.hello?.hostName === link.hello?.hostName;
-      if (other.direction === 'inbound' && isSame) other.outgoing.close();
-    }
-  }
-
   function closeLink(link: PeerLink): void {
     if (!links.delete(link)) return;
-    reportLinks();
+    metrics.gauge('control.links', links.size);
     logger.info('peer-lost', describeOrigin(link));
     choiceChanged.fire(undefined);
   }
 
-  function reportLinks(): void {
-    metrics.gauge('control.links', links.size);
-    linksChanged.fire(links.size);
-  }
-
   function receive(link: PeerLink, {message}: ControlMessage): void {
     const kind = message.case ?? 'none';
     metrics.increment('control.messages_received', {kind});
@@ -223,6 +211,7 @@
     conflicts.compare(link, view, held);
     statusExchange.compare(link, view, held);
     puller.notice();
+    viewLearned.fire(link);
     if (isNewer(view, held)) return;
     freshness.confirm('peer');
     settleFirstPicture();
@@ -267,27 +256,16 @@
   function noticeLeaving(statuses: readonly HostStatus[]): void {
     const leaving = statuses.filter(status => status.phase !== 'serving');
     const isPeer = leaving.some(status =>
-      isLinked('outbound', status.hostName),
+      links.isLinked('outbound', status.hostName),
     );
     if (isPeer) choiceChanged.fire(undefined);
   }
 
-  function isLinked(
-    direction: PeerLink['direction'],
-    hostName: string,
-  ): boolean {
-    for (const link of links) {
-      const isSame = peerNameOf(link) === hostName;
-      if (link.direction === direction && isSame) return true;
-    }
-    return false;
-  }
-
   function start(listeningPort: number): void {
     controlPort = listeningPort;
     if (seedPeers.length === 0) endFirstPicture('no-seeds');
     store.add(
-      createTimeoutTimer(FIRST_PICTURE_MILLIS, () => {
+      createTimeoutTimer(firstPictureMillis, () => {
         endFirstPicture('timeout');
       }),
     );
@@ -316,7 +294,7 @@
       seedPeers,
       fleetView,
       suspicion,
-      isLinkedInbound: hostName => isLinked('inbound', hostName),
+      isLinkedInbound: hostName => links.isLinked('inbound', hostName),
     });
     return createPeerStreams({
       slots: createPeerSlots(settings),
@@ -330,16 +308,8 @@
     });
   }
 
-  function awaitDrained(): Effect.Effect<void> {
-    const drained = [...links].map(link => link.outgoing.whenDrained());
-    return Effect.promise(() => Promise.all(drained)).pipe(
-      Effect.timeoutOption(ANNOUNCE_MILLIS),
-      Effect.asVoid,
-    );
-  }
-
   return new (class extends PeerMesh {
-    override readonly onDidChangeLinks = linksChanged.event;
+    override readonly onDidChangeLinks = links.onDidChange;
 
     override start(listeningPort: number): void {
       start(listeningPort);
@@ -354,7 +324,12 @@
       return Effect.suspend(() => {
         announcer.announce(phase);
         statusExchange.flush();
-        return awaitDrained();
+        return awaitStatusReceipt({
+          links,
+          onDidLearnView: viewLearned.event,
+          ownDigest: () => fleetView.statusDigest(),
+          askPeers: probe,
+        });
       });
     }
     override awaitFirstPicture(): Effect.Effect<FirstPicture> {
--- a/src/connection/platform_reader.ts
+++ b/src/connection/platform_reader.ts
@@ -36,6 +36,9 @@
 
 const DOCUMENTS: readonly PlatformDocument[] = ['policy', 'host-list'];
 
+/** The document whose task guards both. */
+const GUARDED_DOCUMENT: PlatformDocument = 'policy';
+
 /** Shortest time between two questions about one document. */
 const PAUSE_MILLIS = 100;
 const ISOLATED_READ_MILLIS = 2_000;
@@ -165,13 +168,15 @@
   /**
    * All readers of a zone that is cut off may be gone without having said so;
    * the age of the platform's latest answer then grows on all its nodes. The
-   * nodes share out one low rate of reads among them.
+   * nodes share out one low rate of reads among them. Both documents are read
+   * together: an answer about one hides the age from a guard of the other.
    */
-  function guardReaders(document: PlatformDocument): Effect.Effect<never> {
+  function guardReaders(): Effect.Effect<never> {
     return Effect.gen(function* () {
       while (true) {
         yield* Effect.sleep(jitter(safetyIntervalMillis()));
-        if (isReadersSilent()) yield* ask(document, undefined);
+        if (!isReadersSilent()) continue;
+        yield* Effect.all(DOCUMENTS.map(document => ask(document)));
       }
     });
   }
@@ -207,7 +212,7 @@
       case 'isolated':
         return keepReading(document);
       case 'standby':
-        return guardReaders(document);
+        return document === GUARDED_DOCUMENT ? guardReaders() : Effect.never;
     }
   }
 
--- a/test/contract/platform.test.ts
+++ b/test/contract/platform.test.ts
@@ -220,6 +220,8 @@
     hostList: HELD_LIST,
     platformUrl: platform.url,
     seedPeers: [peer.seed],
+    // A busy machine must not decide the order.
+    firstPictureMillis: 60_000,
   });
   const versions: number[] = [];
   node.policyStore.onDidAccept(policy => versions.push(policy.version));
--- a/test/fakes/control_nodes.ts
+++ b/test/fakes/control_nodes.ts
@@ -76,6 +76,8 @@
   readonly policy?: Uint8Array;
   /** Host list held from the start. */
   readonly hostList?: Uint8Array;
+  /** Longest wait for the seeds; the product's own when left out. */
+  readonly firstPictureMillis?: number;
 }
 
 /** Starts a node on loopback. */
@@ -102,6 +104,7 @@
   const plane = store.add(
     createControlPlane({
       settings: settingsOf(options),
+      firstPictureMillis: options.firstPictureMillis,
       client,
       policyStore,
       fleetView,
