Count an answer that tells a failure as a failed call

Cause: a refusal three services down reaches the upstream in the middle as a failure, the one above it as an answer 502 of that upstream. Only failures were noted, so the upper host's own 502 was taken for its fault: after five in a row the entries ejected healthy hosts while a deep service shed.

--- a/src/request/attempt_verdict.ts
+++ b/src/request/attempt_verdict.ts
@@ -46,10 +46,14 @@
   return failure.failure.step.startsWith('upstream');
 }
 
+/** Whether an answer tells that the call failed. */
+export function isFailedAnswer(answer: CallAnswer): boolean {
+  return answer.statusCode >= FIRST_SERVER_ERROR;
+}
+
 /** Verdict on a host that answered. */
 export function answerVerdict(answer: CallAnswer): AttemptVerdict {
-  const isOwnFault =
-    answer.statusCode >= FIRST_SERVER_ERROR && !answer.isDependencyFailed;
+  const isOwnFault = isFailedAnswer(answer) && !answer.isDependencyFailed;
   return isOwnFault ? 'failed' : 'success';
 }
 
--- a/src/request/outbound_call.ts
+++ b/src/request/outbound_call.ts
@@ -16,7 +16,12 @@
 import type {RetryBudget} from '../process/retry_budget.js';
 import type {Outcome} from '../protocol/outcome.js';
 import {combineOutcomes} from '../protocol/outcome.js';
-import {answerVerdict, failureVerdict, isRetryable} from './attempt_verdict.js';
+import {
+  answerVerdict,
+  failureVerdict,
+  isFailedAnswer,
+  isRetryable,
+} from './attempt_verdict.js';
 import type {Callee} from './callee.js';
 import {createCallFailure} from './failures.js';
 import type {OutboundCall} from './request_scope.js';
@@ -86,6 +91,15 @@
     options.budget.recordFirstAttempt();
     return next();
   }).pipe(
+    Effect.tap(answer =>
+      Effect.sync(() => {
+        // A failure two services down reaches this upstream as an answer.
+        // Unless it counts as a failed call, the upstream's own failure that
+        // follows from it is taken for its fault; seen as healthy hosts that
+        // are ejected while a deep service sheds.
+        if (isFailedAnswer(answer)) call.scope.children.recordFailure();
+      }),
+    ),
     Effect.tapError(() =>
       Effect.sync(() => {
         call.scope.children.recordFailure();
