Drop expired calls from the queue after a process pause

Cause: the pause detector told the control side only; calls that expired in the queue during a pause kept their places until their turn came. The dropping itself is tested with the admission controller; the wiring was read, not run under SIGSTOP with a queue.

--- a/src/daemon/data_path.ts
+++ b/src/daemon/data_path.ts
@@ -25,6 +25,8 @@
    * connections to go elsewhere after their answer.
    */
   startDraining(): void;
+  /** Refuses queued calls whose deadline passed, as after a pause. */
+  dropExpired(): void;
   /** Stops accepting callers and waits for their answers. */
   closeCallers(graceMillis: number): Promise<void>;
   /** Waits until the local upstream executes nothing. */
@@ -97,6 +99,9 @@
         parts.admission.startDraining();
         for (const listener of listeners) listener.startDraining();
       },
+      dropExpired: () => {
+        parts.admission.dropExpired();
+      },
       closeCallers: graceMillis => close(caller, graceMillis),
       awaitExecutions: graceMillis =>
         waitUntil(() => parts.executingCount() === 0, graceMillis),
--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -15,6 +15,7 @@
 import {runViewLease} from '../connection/view_lease_task.js';
 import {createFleetView} from '../process/in_memory_fleet_view.js';
 import {createPolicyStore} from '../process/in_memory_policy_store.js';
+import type {PauseDetector} from '../process/pause_detector.js';
 import {createPauseDetector} from '../process/pause_detector.js';
 import {Readiness} from '../process/readiness.js';
 import {createViewFreshness} from '../process/view_freshness.js';
@@ -35,6 +36,7 @@
   readonly policies: ReturnType<typeof createPolicyStore>;
   readonly fleet: ReturnType<typeof createFleetView>;
   readonly client: ControlClient;
+  readonly pauseDetector: PauseDetector;
   readonly keys: KeyParts;
   readonly control: ControlPlane;
   readonly admin: AdminServer;
@@ -66,6 +68,7 @@
           ...parts,
         });
         dataPath = store.add(opened);
+        store.add(parts.pauseDetector.onDidResume(opened.dropExpired));
         return await startControl(options, parts, opened, store, phase);
       } catch (error) {
         await release();
@@ -134,7 +137,7 @@
     policyStore: policies,
     readiness,
   });
-  return {policies, fleet, client, keys, control, admin};
+  return {policies, fleet, client, pauseDetector, keys, control, admin};
 }
 
 /**
