--- a/src/emulator/fleet_launcher.ts
+++ b/src/emulator/fleet_launcher.ts
@@ -21,7 +21,7 @@
 import type {ManagedProcess} from './managed_process.js';
 import {startProgram} from './managed_process.js';
 import {claimPortBlock} from './port_block.js';
-import {findSocketOwner} from './socket_owner.js';
+import {createSocketOwnerFinder} from './socket_owner.js';
 import type {PlatformCounts, PlatformFault} from './stand_in_platform.js';
 import {waitFor} from './wait_for.js';
 
@@ -96,16 +96,21 @@
     });
   };
 
-  /** Zone of the daemon at the far end of a loopback connection. */
-  const resolveZone = async (remotePort: number): Promise<string> => {
-    const zones = new Map<number, string>();
+  const runningDaemons = (): ReadonlyMap<number, FleetHost> => {
+    const daemons = new Map<number, FleetHost>();
     for (const host of hosts.values()) {
       const daemon = host.daemon();
-      if (daemon === undefined || daemon.hasExited()) continue;
-      zones.set(daemon.pid, host.identity.availabilityZone);
+      if (daemon?.hasExited() === false) daemons.set(daemon.pid, host);
     }
-    const pid = await findSocketOwner(remotePort, [...zones.keys()]);
-    return zones.get(pid ?? 0) ?? 'outside';
+    return daemons;
+  };
+  const findOwner = createSocketOwnerFinder(() => [...runningDaemons().keys()]);
+
+  /** Zone of the daemon at the far end of a loopback connection. */
+  const resolveZone = async (remotePort: number): Promise<string> => {
+    const pid = await findOwner(remotePort);
+    const host = runningDaemons().get(pid ?? 0);
+    return host?.identity.availabilityZone ?? 'outside';
   };
 
   const createHost = async (identity: HostIdentity): Promise<FleetHost> => {
--- a/src/emulator/small_deployment.ts
+++ b/src/emulator/small_deployment.ts
@@ -8,7 +8,10 @@
 
 const REGION = 'west';
 
-/** Builds the policy; zones are named `a`, `b`, `c` and so on. */
+/**
+ * Builds the policy. Its times are generous, so that a busy machine alone causes
+ * no failure. Zones are named `a`, `b`, `c` and so on.
+ */
 export function createSmallPolicy(zonesCount: number): Policy {
   return {
     formatVersion: 1,
@@ -24,7 +27,7 @@
       {name: 'browse', reservedRatio: 0},
     ],
     services: [
-      service('orderdesk', 20, [
+      service('orderdesk', {slotsCount: 20, progressTimeoutMillis: 7000}, [
         route('place-order', 'POST', '/orders', {
           className: 'orders',
           repeat: 'never',
@@ -33,7 +36,7 @@
         route('show-order', 'GET', '/orders/:id', {className: 'records'}),
         route('browse', 'GET', '/browse/:id', {className: 'browse'}),
       ]),
-      service('tileyard', 20, [
+      service('tileyard', {slotsCount: 20, progressTimeoutMillis: 4000}, [
         route('reserve-tile', 'POST', '/reservations', {
           className: 'orders',
           repeat: 'never',
@@ -41,7 +44,7 @@
         route('show-tile', 'GET', '/tiles/:id', {className: 'records'}),
         route('download-grid', 'GET', '/grids/:id', {className: 'records'}),
       ]),
-      service('catalogue', 10, [
+      service('catalogue', {slotsCount: 10, progressTimeoutMillis: 2000}, [
         route('show-price', 'GET', '/prices/:id', {className: 'records'}),
         route('show-record', 'GET', '/records/:id', {className: 'browse'}),
       ]),
@@ -116,18 +119,22 @@
   },
 ];
 
+/**
+ * A service that calls others waits longer than those do, or it would give up
+ * on its upstream while that one is still retrying deeper.
+ */
 function service(
   name: string,
-  slotsCount: number,
+  limits: Pick<Service, 'slotsCount' | 'progressTimeoutMillis'>,
   routes: readonly Route[],
 ): Service {
+  const {slotsCount} = limits;
   return {
+    ...limits,
     name,
-    slotsCount,
     connectionsCount: 10 * slotsCount,
     queueCount: 2 * slotsCount,
-    queueWaitMillis: 500,
-    progressTimeoutMillis: 1000,
+    queueWaitMillis: 1000,
     routes,
   };
 }
@@ -144,7 +151,7 @@
     path,
     repeat: 'safe',
     isKeyRequired: false,
-    deadlineMillis: 4000,
+    deadlineMillis: 12_000,
     retryBound: 3,
     ...rest,
   };
--- a/src/emulator/socket_owner.ts
+++ b/src/emulator/socket_owner.ts
@@ -2,57 +2,88 @@
  * Finds the process that holds the far end of a loopback connection, so that a
  * relay can tell availability zones apart although all share one address.
  */
-import {readFile, readdir, readlink} from 'node:fs/promises';
+import {existsSync, readFileSync, readdirSync, readlinkSync} from 'node:fs';
 
-const PORT_HEX_DIGITS = 4;
+const SOCKET_TABLE = '/proc/net/tcp';
 const LOCAL_FIELD = 1;
 const INODE_FIELD = 9;
+const HEX_RADIX = 16;
 
 /** Whether this system tells who owns a socket. */
-export async function canFindOwners(): Promise<boolean> {
-  return (await readQuietly('/proc/net/tcp')) !== '';
+export function canFindOwners(): boolean {
+  return existsSync(SOCKET_TABLE);
 }
 
-/** Finds which of the processes owns the socket bound to a local port. */
-export async function findSocketOwner(
-  port: number,
-  pids: readonly number[],
-): Promise<number | undefined> {
-  const inode = await findInode(port);
-  if (inode === undefined) return undefined;
+/** Finds which process owns the socket bound to a local port. */
+export type SocketOwnerFinder = (port: number) => Promise<number | undefined>;
+
+/**
+ * Creates a finder that searches the given processes. Questions that come up
+ * in one turn share one search: with one search for each connection, a burst
+ * of connections kept relays busy for seconds.
+ */
+export function createSocketOwnerFinder(
+  listPids: () => readonly number[],
+): SocketOwnerFinder {
+  let search: Promise<ReadonlyMap<number, number>> | undefined;
+  return async port => {
+    search ??= new Promise(resolve => {
+      setImmediate(() => {
+        search = undefined;
+        resolve(findOwners(listPids()));
+      });
+    });
+    return (await search).get(port);
+  };
+}
+
+/** Maps local ports to the processes among the given ones that hold them. */
+function findOwners(pids: readonly number[]): ReadonlyMap<number, number> {
+  const ports = readPortsByInode();
+  const owners = new Map<number, number>();
   for (const pid of pids) {
-    if (await holdsSocket(pid, inode)) return pid;
+    for (const inode of readSocketInodes(pid)) {
+      const port = ports.get(inode);
+      if (port !== undefined) owners.set(port, pid);
+    }
   }
-  return undefined;
+  return owners;
 }
 
-async function findInode(port: number): Promise<string | undefined> {
-  const suffix = `:${port.toString(16).toUpperCase().padStart(PORT_HEX_DIGITS, '0')}`;
-  const table = await readQuietly('/proc/net/tcp');
+function readPortsByInode(): ReadonlyMap<string, number> {
+  const ports = new Map<string, number>();
+  const table = canFindOwners() ? readFileSync(SOCKET_TABLE, 'utf8') : '';
   for (const line of table.split('\n').slice(1)) {
     const fields = line.trim().split(/\s+/);
-    const isOwn = fields[LOCAL_FIELD]?.endsWith(suffix) === true;
+    const portText = fields[LOCAL_FIELD]?.split(':')[1] ?? '';
+    const inode = fields[INODE_FIELD] ?? '0';
     // A closed connection lingers in the table without an owner.
-    if (isOwn && fields[INODE_FIELD] !== '0') return fields[INODE_FIELD];
+    if (inode !== '0') ports.set(inode, Number.parseInt(portText, HEX_RADIX));
   }
-  return undefined;
+  return ports;
 }
 
-async function holdsSocket(pid: number, inode: string): Promise<boolean> {
+function readSocketInodes(pid: number): readonly string[] {
   const directory = `/proc/${String(pid)}/fd`;
+  const inodes: string[] = [];
   try {
-    for (const descriptor of await readdir(directory)) {
-      const target = await readlink(`${directory}/${descriptor}`).catch(
-        () => '',
-      );
-      if (target === `socket:[${inode}]`) return true;
+    for (const descriptor of readdirSync(directory)) {
+      const match = SOCKET_LINK.exec(readLinkQuietly(directory, descriptor));
+      if (match?.[1] !== undefined) inodes.push(match[1]);
     }
   } catch {
     // The process has ended.
   }
-  return false;
+  return inodes;
 }
 
-async function readQuietly(file: string): Promise<string> {
-  return readFile(file, 'utf8').catch(() => '');
+const SOCKET_LINK = /^socket:\[(\d+)\]$/;
+
+function readLinkQuietly(directory: string, descriptor: string): string {
+  try {
+    return readlinkSync(`${directory}/${descriptor}`);
+  } catch {
+    // It was closed in the meantime.
+    return '';
+  }
 }
--- a/test/scenario/scenario_ast.ts
+++ b/test/scenario/scenario_ast.ts
@@ -88,6 +88,11 @@
       readonly group: string;
     }
   | {readonly kind: 'received'; readonly hosts: HostsRef}
+  | {
+      readonly kind: 'arrivals';
+      readonly group: string;
+      readonly hosts: HostsRef;
+    }
   | {readonly kind: 'version' | 'exit-code'; readonly host: HostRef}
   | {
       readonly kind: 'version-bound';
--- a/test/scenario/scenario_grammar.peggy
+++ b/test/scenario/scenario_grammar.peggy
@@ -214,6 +214,8 @@
   / "reason" __ reason:Name __ "of" __ group:Name { return {kind: 'reason', reason, group}; }
   / result:("sent" / "answered" / "wrong" / "failed" / "broken" / "not-run" / "unknown" / "ran")
     __ "of" __ group:Name { return {kind: 'results', result, group}; }
+  / "arrivals" __ "of" __ group:Name __ "at" __ hosts:Hosts
+    { return {kind: 'arrivals', group, hosts}; }
   / "requests" __ "at" __ hosts:Hosts { return {kind: 'received', hosts}; }
   / "version" __ "at" __ host:Host { return {kind: 'version', host}; }
   / which:("lowest" / "highest") __ "version" zone:(__ "in" __ "zone" __ @Name)?
