--- a/bench/capacity_peer_main.ts
+++ b/bench/capacity_peer_main.ts
@@ -6,7 +6,7 @@
 import type {ControlNode} from '../test/fakes/control_nodes.js';
 import {startControlNode} from '../test/fakes/control_nodes.js';
 import type {PeerCommand, PeerReply} from './capacity_peers.js';
-import {readCpuMillis, readLiveBytes} from './capacity_memory.js';
+import {readCpuMillis} from './capacity_memory.js';
 
 const MILLIS_PER_SECOND = 1000;
 
@@ -66,7 +66,7 @@
       );
       return {};
     case 'usage':
-      return {cpuMillis: readCpuMillis(), liveBytes: await readLiveBytes()};
+      return {cpuMillis: readCpuMillis()};
   }
 }
 
