Ask electors in an order of each host's own

Cause: all hosts of a zone asked its electors in one order and stopped at a quorum, so of seven electors the first five answered for all and two for none.

--- a/bench/capacity_platform.ts
+++ b/bench/capacity_platform.ts
@@ -2,6 +2,7 @@
  * Calls on the platform when many nodes start at once, and asks on the electors
  * of a large zone. Computed from the product's rules, not measured.
  */
+import {orderElectors} from '../src/process/elector_order.js';
 import {createKeyView, quorumCount} from '../src/process/key_view.js';
 import {DEFAULT_CONTROL} from '../src/process/settings_defaults.js';
 import {createHostList, createPolicy, TARGET} from './capacity_documents.js';
@@ -109,7 +110,8 @@
     const isElector = electors.includes(host.name);
     const neededCount = quorumCount(electors.length) - Number(isElector);
     const others = electors.filter(name => name !== host.name);
-    for (const elector of others.slice(0, neededCount)) {
+    const asked = orderElectors(host.name, others, new Set());
+    for (const elector of asked.slice(0, neededCount)) {
       asks.set(elector, (asks.get(elector) ?? 0) + 1);
     }
   }
--- a/src/connection/view_lease_task.ts
+++ b/src/connection/view_lease_task.ts
@@ -6,6 +6,7 @@
 import type {FleetView} from '../process/fleet_view.js';
 import type {Metrics} from '../process/metrics.js';
 import type {PolicyStore} from '../process/policy_store.js';
+import {orderElectors} from '../process/elector_order.js';
 import type {ConfirmationRound, ViewLease} from '../process/view_lease.js';
 import type {ConfirmViewResponse} from '../protocol/gen/fulmarhollow/control/v1/control_pb.js';
 import type {ControlClient, ControlPeer} from './control_client.js';
@@ -97,8 +98,10 @@
   for (const name of silentElectors) {
     if (!round.electors.includes(name)) silentElectors.delete(name);
   }
-  const ordered = round.electors.toSorted(
-    (a, b) => Number(silentElectors.has(a)) - Number(silentElectors.has(b)),
+  const ordered = orderElectors(
+    options.hostName,
+    round.electors,
+    silentElectors,
   );
   const missingCount = round.missingCount();
   const first = askAll(ordered.slice(0, missingCount));
