Scenario language: readers of a zone, version conflicts, lost answers

Scenarios of publications need to name the readers of a zone and to see two documents under one version. The version watch now follows every process from its start on, not only hosts that are ready: a starting host that took an older policy for a moment went unseen.

unanswered executions counts requests that ran and whose caller got no whole answer, which tells an order cut off from one refused for safety. A platform can give a document another version than its own (with etag).

--- a/src/emulator/fleet_launcher.ts
+++ b/src/emulator/fleet_launcher.ts
@@ -32,7 +32,8 @@
   host(name: string): FleetHost;
   /** Starts the daemon of a host with some of the others as seeds. */
   startDaemon(name: string): Promise<void>;
-  publishPolicy(policy: Policy): Promise<void>;
+  /** Publishes a policy under its own version, or under another one. */
+  publishPolicy(policy: Policy, etagVersion?: number): Promise<void>;
   /** Publishes bytes that need not be a valid policy. */
   publishPolicyBytes(bytes: Uint8Array, version: number): Promise<void>;
   /** Publishes the hosts with these states; others are left out. */
@@ -48,6 +49,8 @@
   setZoneLinkMode(zoneA: string, zoneB: string, mode: LinkMode): void;
   /** Version in force at a host; 0 when it has none or does not answer. */
   versionInForce(name: string): Promise<number>;
+  /** `NO_POLICY` when the host has none or does not answer. */
+  policyInForce(name: string): Promise<PolicyInForce>;
   isReady(name: string): Promise<boolean>;
   /** Whether a host holds the lease that keyed work needs. */
   isLeaseHeld(name: string): Promise<boolean>;
@@ -57,6 +60,15 @@
   close(): Promise<void>;
 }
 
+/** The policy that a host goes by. */
+export interface PolicyInForce {
+  readonly version: number;
+  readonly digest: string;
+}
+
+/** What a host without a policy goes by. */
+export const NO_POLICY: PolicyInForce = {version: 0, digest: ''};
+
 const ADMIN_LIMIT_MILLIS = 1000;
 const STOP_LIMIT_MILLIS = 5000;
 const SEEDS_PER_ZONE_COUNT = 2;
@@ -192,11 +204,18 @@
     }
   };
 
-  const versionInForce = async (name: string): Promise<number> => {
+  const policyInForce = async (name: string): Promise<PolicyInForce> => {
     const answer = await readAdmin(name, '/policy');
-    return Number(answer?.headers[HEADER.policyVersion] ?? '0');
+    if (answer?.statusCode !== 200) return NO_POLICY;
+    return {
+      version: Number(answer.headers[HEADER.policyVersion] ?? '0'),
+      digest: answer.headers.etag ?? '',
+    };
   };
 
+  const versionInForce = async (name: string): Promise<number> =>
+    (await policyInForce(name)).version;
+
   const isReady = async (name: string): Promise<boolean> =>
     (await readAdmin(name, '/ready'))?.statusCode === 200;
 
@@ -265,7 +284,8 @@
     hosts,
     host: findHost,
     startDaemon: name => findHost(name).startDaemon(seedsFor(name)),
-    publishPolicy: policy => publishPolicyBytes(encode(policy), policy.version),
+    publishPolicy: (policy, etagVersion = policy.version) =>
+      publishPolicyBytes(encode(policy), etagVersion),
     publishPolicyBytes,
     publishHosts,
     publishedStates: () => new Map(states),
@@ -276,6 +296,7 @@
       (await callPlatform('GET', '/counts')) as PlatformCounts,
     setZoneLinkMode,
     versionInForce,
+    policyInForce,
     isReady,
     isLeaseHeld,
     waitUntilReady,
--- a/test/scenario/scenario_ast.ts
+++ b/test/scenario/scenario_ast.ts
@@ -17,7 +17,9 @@
       readonly kind: 'every';
       readonly service?: string | undefined;
       readonly zone?: string | undefined;
-    };
+    }
+  /** The hosts elected from the list to read the platform for their zone. */
+  | {readonly kind: 'readers'; readonly zone: string};
 
 /** Key a request carries; a zone makes it a prefixed key. */
 export type KeyRef =
@@ -55,7 +57,8 @@
 /** What a condition counts. */
 export type Measure =
   | {
-      readonly kind: 'executions' | 'maximum-executions';
+      readonly kind:
+        'executions' | 'maximum-executions' | 'unanswered-executions';
       readonly group: string;
       readonly service: string;
     }
@@ -101,7 +104,11 @@
     }
   | {
       readonly kind:
-        'version-decreases' | 'ready-hosts' | 'platform-calls' | 'wrong-calls';
+        | 'version-decreases'
+        | 'version-conflicts'
+        | 'ready-hosts'
+        | 'platform-calls'
+        | 'wrong-calls';
     };
 
 /** Comparison of a count with a number. */
@@ -134,7 +141,12 @@
       readonly value: number;
     }
   | {readonly kind: 'start'; readonly limitMillis: number}
-  | {readonly kind: 'publish-policy'; readonly version?: number | undefined}
+  | {
+      readonly kind: 'publish-policy';
+      readonly version?: number | undefined;
+      /** Version that the platform gives for the document, if another. */
+      readonly etagVersion?: number | undefined;
+    }
   | {
       readonly kind: 'publish-document';
       readonly text: string;
--- a/test/scenario/scenario_grammar.peggy
+++ b/test/scenario/scenario_grammar.peggy
@@ -50,7 +50,14 @@
 
 PublishPolicy
   = "publish" __ "policy" version:(__ "as" __ "version" __ @Integer)?
-    { return {kind: 'publish-policy', version: version ?? undefined}; }
+    etagVersion:(__ "with" __ "etag" __ @Integer)?
+    {
+      return {
+        kind: 'publish-policy',
+        version: version ?? undefined,
+        etagVersion: etagVersion ?? undefined,
+      };
+    }
 
 PublishDocument
   = "publish" __ "document" __ text:Text __ "as" __ "version" __ version:Integer
@@ -126,6 +133,7 @@
 Hosts
   = "every" __ "host" service:(__ "of" __ @Name)? zone:(__ "in" __ "zone" __ @Name)?
     { return {kind: 'every', service: service ?? undefined, zone: zone ?? undefined}; }
+  / "readers" __ "of" __ "zone" __ zone:Name { return {kind: 'readers', zone}; }
   / host:Host { return {kind: 'one', host}; }
 
 Host
@@ -201,7 +209,9 @@
     { return {measure, operator, value, text: text()}; }
 
 Measure
-  = "maximum" __ "executions" __ "of" __ group:Name at:At
+  = "unanswered" __ "executions" __ "of" __ group:Name at:At
+    { return {kind: 'unanswered-executions', group, service: at}; }
+  / "maximum" __ "executions" __ "of" __ group:Name at:At
     { return {kind: 'maximum-executions', group, service: at}; }
   / "executions" __ "of" __ "key" __ key:Name at:At?
     { return {kind: 'key-executions', key, service: at ?? undefined}; }
@@ -221,6 +231,7 @@
   / which:("lowest" / "highest") __ "version" zone:(__ "in" __ "zone" __ @Name)?
     { return {kind: 'version-bound', which, zone: zone ?? undefined}; }
   / "version" __ "decreases" { return {kind: 'version-decreases'}; }
+  / "version" __ "conflicts" { return {kind: 'version-conflicts'}; }
   / "exit" __ "code" __ "of" __ host:Host { return {kind: 'exit-code', host}; }
   / "ready" __ "hosts" { return {kind: 'ready-hosts'}; }
   / "platform" __ "calls" { return {kind: 'platform-calls'}; }
@@ -260,7 +271,7 @@
   = digits:$[0-9]+ { return Number(digits); }
 
 Number
-  = digits:$([0-9]+ ("." [0-9]+)?) { return Number(digits); }
+  = digits:$("-"? [0-9]+ ("." [0-9]+)?) { return Number(digits); }
 
 Comment
   = "#" [^\r\n]*
--- a/test/scenario/scenario_measures.ts
+++ b/test/scenario/scenario_measures.ts
@@ -62,12 +62,20 @@
           (measure.service ?? execution.service) === execution.service,
       ).length;
     }
-    case 'executions':
+    case 'executions': {
+      const counts = await countByRequest(sources, measure);
+      return [...counts.values()].reduce((sum, count) => sum + count, 0);
+    }
     case 'maximum-executions': {
       const counts = await countByRequest(sources, measure);
-      return measure.kind === 'executions'
-        ? counts.reduce((sum, count) => sum + count, 0)
-        : Math.max(0, ...counts);
+      return Math.max(0, ...counts.values());
+    }
+    case 'unanswered-executions': {
+      const counts = await countByRequest(sources, measure);
+      for (const {name, result} of requests.group(measure.group).sent) {
+        if (result.kind === 'answered') counts.delete(name);
+      }
+      return [...counts.values()].filter(count => count > 0).length;
     }
     case 'maximum-repeats':
       return maximumRepeats(sources, measure.group);
@@ -95,6 +103,8 @@
     }
     case 'version-decreases':
       return sources.versions.decreasesCount();
+    case 'version-conflicts':
+      return sources.versions.conflictsCount();
     case 'exit-code':
       return (
         sources.exitCodes.get(sources.resolveHost(measure.host)) ?? NOT_STOPPED
@@ -161,7 +171,7 @@
 async function countByRequest(
   sources: MeasureSources,
   measure: {readonly group: string; readonly service: string},
-): Promise<readonly number[]> {
+): Promise<Map<string, number>> {
   const executions = await readExecutions(sources.fleet);
   const counts = new Map<string, number>();
   for (const {name} of sources.requests.group(measure.group).started) {
@@ -172,7 +182,7 @@
     if (count === undefined || service !== measure.service) continue;
     counts.set(request, count + 1);
   }
-  return [...counts.values()];
+  return counts;
 }
 
 /**
--- a/test/scenario/scenario_parser.test.ts
+++ b/test/scenario/scenario_parser.test.ts
@@ -12,6 +12,8 @@
       'policy services.orderdesk.routes.browse.retryBound = 2  # why',
       'send 3 POST orderdesk /orders at home of k at orderdesk with key k as g',
       'upstreams of every host of tileyard in zone a cut at middle for 1 request',
+      'kill readers of zone b',
+      'publish policy as version 5 with etag 8',
       'wait until maximum executions of g at tileyard <= 3 within 1.5 s',
     ].join('\n'),
     'file',
@@ -23,7 +25,9 @@
       ['policy-set', 4],
       ['send', 5],
       ['upstream', 6],
-      ['wait-until', 7],
+      ['daemon', 7],
+      ['publish-policy', 8],
+      ['wait-until', 9],
     ],
   );
   t.like(statements[0], {hasLinks: true, spareHosts: ['orderdesk-a-1']});
@@ -40,7 +44,9 @@
     hosts: {kind: 'every', service: 'tileyard', zone: 'a'},
     change: {mode: 'cut', cutAt: 'middle', remainingCount: 1},
   });
-  t.like(statements[4], {limitMillis: 1500, condition: {value: 3}});
+  t.like(statements[4], {hosts: {kind: 'readers', zone: 'b'}});
+  t.like(statements[5], {version: 5, etagVersion: 8});
+  t.like(statements[6], {limitMillis: 1500, condition: {value: 3}});
 });
 
 for (const text of ['start\nkill', 'expect answered of g', 'send GET a b']) {
--- a/test/scenario/scenario_run.ts
+++ b/test/scenario/scenario_run.ts
@@ -4,9 +4,14 @@
 import type {Fleet} from '../../src/emulator/fleet_launcher.js';
 import type {ManagedProcess} from '../../src/emulator/managed_process.js';
 import {createSmallPolicy} from '../../src/emulator/small_deployment.js';
+import {createFleetView} from '../../src/process/in_memory_fleet_view.js';
 import {createKeyView} from '../../src/process/key_view.js';
+import {electReaders} from '../../src/process/reader_election.js';
+import {DEFAULT_CONTROL} from '../../src/process/settings_defaults.js';
 import type {HostList} from '../../src/version/host_list.js';
 import type {Policy} from '../../src/version/policy.js';
+import {createCountingMetrics} from '../fakes/counting_metrics.js';
+import {createManualTimeSource} from '../fakes/manual_time_source.js';
 import type {
   HostRef,
   HostsRef,
@@ -105,6 +110,7 @@
 
 export function resolveHosts(run: Run, ref: HostsRef): readonly string[] {
   if (ref.kind === 'one') return [resolveHost(run, ref.host)];
+  if (ref.kind === 'readers') return electedReaders(run, ref.zone);
   return [...fleetOf(run).hosts.values()]
     .map(({identity}) => identity)
     .filter(
@@ -115,6 +121,26 @@
     .map(({name}) => name);
 }
 
+/** The readers of a zone as nodes elect them from the published list. */
+function electedReaders(run: Run, zone: string): readonly string[] {
+  const view = createFleetView({
+    metrics: createCountingMetrics(),
+    time: createManualTimeSource(),
+  });
+  view.offerList(Buffer.from(JSON.stringify(listOf(run))), 'platform');
+  const count =
+    run.control['zoneReadersCount'] ?? DEFAULT_CONTROL.zoneReadersCount;
+  return electReaders(zone, count, view);
+}
+
+/** Hosts whose daemon is a process that is not frozen, ready or not. */
+export function watchedHosts(run: Run): readonly string[] {
+  return [...fleetOf(run).hosts]
+    .filter(([, host]) => host.daemon()?.hasExited() === false)
+    .map(([name]) => name)
+    .filter(name => !run.frozen.has(name));
+}
+
 /** Hosts that run and are not frozen. */
 export function runningHosts(run: Run, zone?: string): readonly string[] {
   return [...run.running].filter(name => {
--- a/test/scenario/scenario_runner.ts
+++ b/test/scenario/scenario_runner.ts
@@ -29,6 +29,7 @@
   resolveHosts,
   runningHosts,
   versionsOf,
+  watchedHosts,
 } from './scenario_run.js';
 import {watchVersions} from './version_watch.js';
 
@@ -77,7 +78,10 @@
     case 'publish-policy': {
       const version = statement.version ?? run.policy.version + 1;
       run.policy = {...run.policy, version};
-      return fleetOf(run).publishPolicy(run.policy);
+      return fleetOf(run).publishPolicy(
+        run.policy,
+        statement.etagVersion ?? version,
+      );
     }
     case 'publish-document':
       return fleetOf(run).publishPolicyBytes(
@@ -147,7 +151,7 @@
   for (const name of fleet.publishedStates().keys()) run.running.add(name);
   run.list = hostListOf(fleet);
   run.requests = createScenarioRequests(target => portOf(run, target));
-  run.versions = watchVersions(fleet, () => runningHosts(run));
+  run.versions = watchVersions(fleet, () => watchedHosts(run));
   await fleet.waitUntilReady(statement.limitMillis);
 }
 
--- a/test/scenario/version_watch.ts
+++ b/test/scenario/version_watch.ts
@@ -1,12 +1,16 @@
 /**
- * Watches the policy version in force at every host for steps backwards.
+ * Watches the policy in force at every host, from its start on, for steps
+ * backwards and for documents that differ under one version.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Fleet} from '../../src/emulator/fleet_launcher.js';
+import {NO_POLICY} from '../../src/emulator/fleet_launcher.js';
 
 /** A watch that runs until stopped. */
 export interface VersionWatch {
   decreasesCount(): number;
+  /** Documents seen beyond the first of each version. */
+  conflictsCount(): number;
   stop(): Promise<void>;
 }
 
@@ -18,18 +22,21 @@
  */
 export function watchVersions(
   fleet: Fleet,
-  runningHosts: () => readonly string[],
+  watchedHosts: () => readonly string[],
 ): VersionWatch {
   const highest = new Map<string, number>();
+  const digests = new Map<number, Set<string>>();
   let decreasesCount = 0;
   let isStopped = false;
   const run = async (): Promise<void> => {
     while (!isStopped) {
-      const names = runningHosts();
-      const versions = await Promise.all(names.map(fleet.versionInForce));
+      const names = watchedHosts();
+      const policies = await Promise.all(names.map(fleet.policyInForce));
       names.forEach((name, i) => {
-        const version = versions[i] ?? 0;
+        const {version, digest} = policies[i] ?? NO_POLICY;
         if (version === 0) return;
+        const known = digests.get(version) ?? new Set();
+        digests.set(version, known.add(digest));
         const before = highest.get(name) ?? 0;
         if (version < before) decreasesCount += 1;
         highest.set(name, Math.max(before, version));
@@ -40,6 +47,8 @@
   const running = run();
   return {
     decreasesCount: () => decreasesCount,
+    conflictsCount: () =>
+      [...digests.values()].reduce((sum, known) => sum + known.size - 1, 0),
     stop: () => {
       isStopped = true;
       return running;
