Refuse requests as they enter while deeper services refuse their like

Cause: a host reports its own load only, so a request refused three services down had been executed by two of them; callers that repeat multiplied that work.

--- a/src/connection/call_messages.ts
+++ b/src/connection/call_messages.ts
@@ -30,6 +30,8 @@
   readonly load: ReportedLoad | undefined;
   /** Whether a call made on behalf of this one failed. */
   readonly isDependencyFailed: boolean;
+  /** Whether it failed because a service deeper in the graph refused it. */
+  readonly isDependencyRefused: boolean;
 }
 
 /**
--- a/src/connection/peer_client.ts
+++ b/src/connection/peer_client.ts
@@ -152,6 +152,7 @@
     unspentCount: result.unspentCount,
     load: result.load,
     isDependencyFailed: result.isDependencyFailed,
+    isDependencyRefused: result.isDependencyRefused,
   });
 }
 
--- a/src/daemon/data_path_parts.ts
+++ b/src/daemon/data_path_parts.ts
@@ -84,6 +84,7 @@
     }),
     inProgress,
     createGrant: decisions.createGrant,
+    throttle: decisions.throttle,
     time: options.time,
     metrics: options.metrics,
     requestsCount: options.settings.limits.requestsInProgressCount,
--- a/src/daemon/decisions.ts
+++ b/src/daemon/decisions.ts
@@ -14,6 +14,8 @@
 import type {Metrics} from '../process/metrics.js';
 import {createAdmissionController} from '../process/priority_admission.js';
 import type {RetryBudget} from '../process/retry_budget.js';
+import type {RouteThrottle} from '../process/route_throttle.js';
+import {createRouteThrottle} from '../process/route_throttle.js';
 import type {Settings} from '../process/settings.js';
 import {createRetryBudget} from '../process/token_bucket_retry_budget.js';
 import type {RetryGrantFactory} from '../request/retry_grant.js';
@@ -25,6 +27,7 @@
   readonly admission: AdmissionController;
   readonly selector: HostSelector;
   readonly budget: RetryBudget;
+  readonly throttle: RouteThrottle;
   readonly createGrant: RetryGrantFactory;
   /** Monotonic time at which a call with this much time left is worthless. */
   readonly deadlineOf: (leftMillis: number) => number;
@@ -82,6 +85,7 @@
       minimumPerSecond: INITIAL_RETRIES_PER_SECOND,
       time,
     }),
+    throttle: createRouteThrottle(time, random),
     createGrant: createRetryGrant,
     deadlineOf: leftMillis => time.monotonicMillis() + leftMillis,
   };
--- a/src/protocol/call_result.ts
+++ b/src/protocol/call_result.ts
@@ -34,6 +34,8 @@
   readonly load: ReportedLoad;
   /** Whether a call made on behalf of this one failed. */
   readonly isDependencyFailed: boolean;
+  /** Whether it failed because a service deeper in the graph refused it. */
+  readonly isDependencyRefused: boolean;
   /** SHA-256 of a body sent whole, base64url; absent on streamed answers. */
   readonly bodyDigest?: string | undefined;
   /** Present when the node, not its upstream, produced the answer. */
@@ -50,6 +52,7 @@
     lim: result.load.limitCount,
     ref: result.load.refusedFromClassIndex,
     dep: result.isDependencyFailed ? 1 : 0,
+    over: result.isDependencyRefused ? 1 : 0,
     dig: result.bodyDigest,
     why: result.failure?.reason,
     step: result.failure?.step,
@@ -72,6 +75,7 @@
       refusedFromClassIndex: fields.count('ref', MAX_COUNT),
     },
     isDependencyFailed: fields.flag('dep'),
+    isDependencyRefused: fields.flag('over'),
     bodyDigest: fields.has('dig')
       ? fields.text('dig', MAX_TEXT_LENGTH)
       : undefined,
--- a/src/request/attempt_verdict.ts
+++ b/src/request/attempt_verdict.ts
@@ -57,6 +57,18 @@
   return isOwnFault ? 'failed' : 'success';
 }
 
+/** Reasons that state that a service has no room for the call. */
+const OVERLOAD: ReadonlySet<FailureReason> = new Set([
+  'shed',
+  'queue-full',
+  'queue-timeout',
+]);
+
+/** Whether the call failed because a service refused it for its load. */
+export function isRefusedByLoad(failure: CallFailure): boolean {
+  return OVERLOAD.has(failure.failure.reason);
+}
+
 /** Verdict on a host that did not. */
 export function failureVerdict(failure: CallFailure): AttemptVerdict {
   if (failure.isSilent) return 'silent';
--- a/src/request/entry.ts
+++ b/src/request/entry.ts
@@ -9,6 +9,7 @@
 import type {HttpExchange} from '../connection/http_listener.js';
 import type {Metrics} from '../process/metrics.js';
 import type {PolicyStore} from '../process/policy_store.js';
+import type {RouteThrottle} from '../process/route_throttle.js';
 import {HEADER} from '../protocol/headers.js';
 import type {Failure} from '../protocol/outcome.js';
 import type {CompiledPolicy} from '../version/policy.js';
@@ -26,6 +27,7 @@
 import type {OutboundCall, RequestScope} from './request_scope.js';
 import {createChildCalls} from './request_scope.js';
 import type {RetryGrantFactory} from './retry_grant.js';
+import {runThrottled} from './throttled_call.js';
 
 /** What an entry needs. */
 export interface EntryOptions {
@@ -34,6 +36,7 @@
   readonly calls: OutboundCalls;
   readonly inProgress: InProgressRequests;
   readonly createGrant: RetryGrantFactory;
+  readonly throttle: RouteThrottle;
   readonly time: TimeSource;
   readonly metrics: Metrics;
   /** Requests in progress from callers and the upstream together. */
@@ -135,7 +138,7 @@
         const call = createCall(entry, scope);
         const answered =
           parent === undefined
-            ? options.calls.run(call)
+            ? runThrottled(options, call, entry.match.route.name)
             : untilCancelled(options, call);
         return serveCall(options, exchange, call, answered);
       },
--- a/src/request/guarded_execution.ts
+++ b/src/request/guarded_execution.ts
@@ -204,6 +204,7 @@
     unspentCount: call.scope.grant.close(),
     load: options.admission.load(),
     isDependencyFailed: call.scope.children.hasFailed(),
+    isDependencyRefused: call.scope.children.wasRefused(),
   };
 }
 
--- a/src/request/keyed_execution.ts
+++ b/src/request/keyed_execution.ts
@@ -193,6 +193,7 @@
     unspentCount: call.scope.grant.close(),
     load: undefined,
     isDependencyFailed: false,
+    isDependencyRefused: false,
   };
 }
 
--- a/src/request/outbound_call.ts
+++ b/src/request/outbound_call.ts
@@ -20,6 +20,7 @@
   answerVerdict,
   failureVerdict,
   isFailedAnswer,
+  isRefusedByLoad,
   isRetryable,
 } from './attempt_verdict.js';
 import type {Callee} from './callee.js';
@@ -97,12 +98,13 @@
         // Unless it counts as a failed call, the upstream's own failure that
         // follows from it is taken for its fault; seen as healthy hosts that
         // are ejected while a deep service sheds.
-        if (isFailedAnswer(answer)) call.scope.children.recordFailure();
+        if (!isFailedAnswer(answer)) return;
+        call.scope.children.recordFailure(answer.isDependencyRefused);
       }),
     ),
-    Effect.tapError(() =>
+    Effect.tapError(failure =>
       Effect.sync(() => {
-        call.scope.children.recordFailure();
+        call.scope.children.recordFailure(isRefusedByLoad(failure));
       }),
     ),
   );
--- a/src/request/peer_entry.ts
+++ b/src/request/peer_entry.ts
@@ -148,6 +148,7 @@
     unspentCount: answer.unspentCount,
     load: answer.load ?? options.admission.load(),
     isDependencyFailed: answer.isDependencyFailed,
+    isDependencyRefused: answer.isDependencyRefused,
     bodyDigest:
       answer.body.kind === 'whole' ? digestOf(answer.body.bytes) : undefined,
   });
@@ -176,6 +177,7 @@
     unspentCount: unspentCountOf(failed),
     load: failed.load ?? options.admission.load(),
     isDependencyFailed: false,
+    isDependencyRefused: false,
     failure: {
       reason: failure.reason,
       step: failure.step,
--- a/src/request/request_scope.ts
+++ b/src/request/request_scope.ts
@@ -25,8 +25,10 @@
 
 /** The calls made on behalf of a request from this host. */
 export interface ChildCalls {
-  recordFailure(): void;
+  /** Notes a failed call, and whether a service refused it for its load. */
+  recordFailure(isRefusal: boolean): void;
   hasFailed(): boolean;
+  wasRefused(): boolean;
   /** Ends the calls in progress, because nobody waits for the request. */
   cancel(): void;
   /** Completes when the calls are to end. */
@@ -37,11 +39,14 @@
 export function createChildCalls(): ChildCalls {
   const cancelled = Deferred.makeUnsafe<undefined>();
   let hasFailed = false;
+  let wasRefused = false;
   return {
-    recordFailure: () => {
+    recordFailure: isRefusal => {
       hasFailed = true;
+      wasRefused ||= isRefusal;
     },
     hasFailed: () => hasFailed,
+    wasRefused: () => wasRefused,
     cancel: () => {
       Deferred.doneUnsafe(cancelled, Effect.succeed(undefined));
     },
--- a/test/unit/protocol/call_headers.test.ts
+++ b/test/unit/protocol/call_headers.test.ts
@@ -38,6 +38,7 @@
     refusedFromClassIndex: COUNT,
   }),
   isDependencyFailed: fc.boolean(),
+  isDependencyRefused: fc.boolean(),
   bodyDigest: fc.option(TEXT, {nil: undefined}),
   failure: fc.option(
     fc.record({
