--- a/test/scenario/scenario_run.ts
+++ b/test/scenario/scenario_run.ts
@@ -63,14 +63,15 @@
   };
 }
 
-/** The last results that are not answers, for messages. */
+/** Results that are not answers, alike ones counted together, for messages. */
 export function describeResults(run: Run): string {
+  const counts = new Map<string, number>();
   const lines = requestsOf(run)
     .all()
     .filter(({result}) => result.kind !== 'answered')
-    .map(({name, result}) =>
+    .map(({path, result}) =>
       [
-        name,
+        path,
         result.kind,
         result.statusCode,
         result.outcome ?? '-',
@@ -79,7 +80,11 @@
         result.peer,
       ].join(' '),
     );
-  return [...new Set(lines)].slice(-RESULTS_COUNT).join('\n');
+  for (const line of lines) counts.set(line, (counts.get(line) ?? 0) + 1);
+  return [...counts]
+    .map(([line, count]) => `${String(count)} x ${line}`)
+    .slice(-RESULTS_COUNT)
+    .join('\n');
 }
 
 /**
