Count a node as ready only when its peers know that it serves

Cause: the phase was set to serving before the announcement, and the announcement was awaited while no stream was open, so that nobody was waited for. /ready was 200 while peers still held the stop of the earlier process; the rollout went on to the other host of the service. The node now waits, within bounds, for its first picture, announces again and is ready when the present peers hold its status. Hosts beyond the present peers learn by relay and are not waited for.

--- a/src/daemon/node.ts
+++ b/src/daemon/node.ts
@@ -168,8 +168,13 @@
       Effect.runFork(Fiber.interrupt(leaseTask));
     }),
   );
-  phase.current = 'serving';
   await Effect.runPromise(parts.control.announce('serving'));
+  const readyTask = Effect.runFork(becomeReady(parts.control, phase));
+  store.add(
+    toDisposable(() => {
+      Effect.runFork(Fiber.interrupt(readyTask));
+    }),
+  );
   return {
     caller: dataPath.callerPort,
     local: dataPath.localPort,
@@ -179,6 +184,24 @@
   };
 }
 
+/**
+ * Counts as ready only when the present peers know that this host serves; the
+ * wait is bounded. At the first announcement no stream may be open. Were the
+ * node ready by then, a rollout would stop the next host of the service while
+ * peers still take this one for stopped, and they would answer `no-host`.
+ */
+function becomeReady(
+  control: ControlPlane,
+  phase: NodePhase,
+): Effect.Effect<void> {
+  return control.awaitFirstPicture().pipe(
+    Effect.flatMap(() => control.announce('serving')),
+    Effect.map(() => {
+      if (phase.current === 'starting') phase.current = 'serving';
+    }),
+  );
+}
+
 /**
  * Leaves without cutting off a request: peers are told first and stop sending,
  * callers are answered, executions end, key records move to their successors,
