--- /dev/null
+++ b/test/scenario/scenarios_second.test.ts
@@ -0,0 +1,3 @@
+import {registerScenarios} from './scenario_suite.js';
+
+registerScenarios(1);
