Wait for a pooled socket apart from connecting; no reuse of freed test ports

Its test runs found another fault, in a test: a port that one test had freed was given to another test's listener, so an order meant for nobody reached it (one run of three: 'host cannot be reached' and 'order without a key' failed together). The test now uses a port below the range that the system gives out.

--- a/src/connection/http_send.ts
+++ b/src/connection/http_send.ts
@@ -112,17 +112,29 @@
     }, options.silenceMillis);
   };
 
-  timer = setTimeout(() => {
-    fail('connect', `not connected within ${String(options.connectMillis)} ms`);
-  }, options.connectMillis);
+  const watchConnect = (boundMillis: number): void => {
+    clearTimeout(timer);
+    timer = setTimeout(() => {
+      fail('connect', `not connected within ${String(boundMillis)} ms`);
+    }, boundMillis);
+  };
+
+  // While all sockets of the pool are taken the request waits for one. That
+  // wait says nothing about the receiver; taken for a failed connection it
+  // would eject a healthy host for being busy.
+  watchConnect(options.silenceMillis);
   request.on('socket', socket => {
     const onConnected = (): void => {
       if (isSettled) return;
       isConnected = true;
       watchSilence();
     };
-    if (socket.connecting) socket.once('connect', onConnected);
-    else onConnected();
+    if (socket.connecting) {
+      watchConnect(options.connectMillis);
+      socket.once('connect', onConnected);
+    } else {
+      onConnected();
+    }
   });
   request.on('information', watchSilence);
   request.on('error', error => {
--- a/test/contract/call_outcomes.test.ts
+++ b/test/contract/call_outcomes.test.ts
@@ -5,7 +5,6 @@
 import type {RequestListener} from 'node:http';
 import {createServer} from 'node:http';
 import type {AddressInfo, Server, Socket} from 'node:net';
-import {createServer as createTcpServer} from 'node:net';
 import type {ExecutionContext} from 'ava';
 import test from 'ava';
 import type {CallerAnswer, TestFleet} from '../fakes/in_process_fleet.js';
@@ -59,16 +58,11 @@
   return {port, arrivedCount: () => arrivedCount};
 }
 
-/** A port that refuses connections. */
-async function closedPort(): Promise<number> {
-  const server = createTcpServer();
-  await new Promise<void>(resolve => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const {port} = server.address() as AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return port;
-}
+/**
+ * A port that refuses connections. A port that the system gave out and took
+ * back may be given to another test at once, which then got this one's order.
+ */
+const CLOSED_PORT = 9;
 
 async function startWithPeer(
   t: ExecutionContext,
@@ -177,7 +171,7 @@
 }
 
 test('an order whose host cannot be reached is told as not run', async t => {
-  const answer = await sendOrder(await startWithPeer(t, await closedPort()));
+  const answer = await sendOrder(await startWithPeer(t, CLOSED_PORT));
   t.is(answer.statusCode, 503);
   t.is(answer.headers['fulmarhollow-outcome'], 'not-run');
   t.is(answer.headers['fulmarhollow-reason'], 'connect-failed');
