Share the bounded wait and the digest comparison; drop an unused error class

Cause: the last reading found a polling loop in the listener and its twin in the data path, two functions for one comparison of digests, and CancelledError, which nothing raises. Behaviour as before: 68 tests of the caller, upstream and call contracts and of the daemon pass; lint and format are clean.

--- a/src/base/errors.ts
+++ b/src/base/errors.ts
@@ -25,9 +25,6 @@
 /** A bounded resource is full. */
 export const CapacityError = BaseError.subclass('CapacityError');
 
-/** The operation was cancelled by its owner. */
-export const CancelledError = BaseError.subclass('CancelledError');
-
 /** Text of an unknown thrown value, for messages and logs. */
 export function describeError(error: unknown): string {
   return error instanceof Error ? error.message : String(error);
--- a/src/connection/answer_body.ts
+++ b/src/connection/answer_body.ts
@@ -31,6 +31,14 @@
   return createHash('sha256').update(bytes).digest('base64url');
 }
 
+/** Whether a SHA-256, base64, is the declared one or none was declared. */
+export function matchesDeclared(
+  actual: string,
+  declared: string | undefined,
+): boolean {
+  return declared === undefined || declared === actual;
+}
+
 const SHA_256_FIELD = /(?:^|,)\s*sha-256=:([A-Za-z0-9+/=]+):/;
 
 /** SHA-256 declared in a Content-Digest header (RFC 9530), base64. */
--- a/src/connection/answer_writer.ts
+++ b/src/connection/answer_writer.ts
@@ -7,6 +7,7 @@
 import {pipeline, Transform} from 'node:stream';
 import * as Effect from 'effect/Effect';
 import type {AnswerBody, StreamedBody} from './answer_body.js';
+import {matchesDeclared} from './answer_body.js';
 import type {HeaderField} from './header_fields.js';
 import {toRawHeaders} from './header_fields.js';
 
@@ -92,7 +93,7 @@
       done();
     },
     flush(this: Transform, done) {
-      if (!isDigestRight(hash.digest('base64'), body.declaredDigest)) {
+      if (!matchesDeclared(hash.digest('base64'), body.declaredDigest)) {
         done(new Error('body does not match its digest'));
         return;
       }
@@ -102,10 +103,6 @@
   });
 }
 
-function isDigestRight(actual: string, declared: string | undefined): boolean {
-  return declared === undefined || declared === actual;
-}
-
 /** Reads a request body up to a bound; fails with `too-large` or `broken`. */
 export function readBody(
   source: Readable,
--- a/src/connection/http_listener.ts
+++ b/src/connection/http_listener.ts
@@ -8,6 +8,7 @@
 import * as Fiber from 'effect/Fiber';
 import * as Queue from 'effect/Queue';
 import {describeError, TransportError} from '../base/errors.js';
+import {waitUntil} from '../base/wait_until.js';
 import type {Metrics} from '../process/metrics.js';
 import type {ListenAddress} from '../process/settings.js';
 
@@ -191,8 +192,6 @@
   });
 }
 
-const POLL_MILLIS = 10;
-
 async function closeGracefully(
   server: Server,
   connections: Connections,
@@ -204,10 +203,7 @@
       resolve();
     });
   });
-  const deadline = performance.now() + graceMillis;
-  while (connections.busyCount() > 0 && performance.now() < deadline) {
-    await new Promise(resolve => setTimeout(resolve, POLL_MILLIS));
-  }
+  await waitUntil(() => connections.busyCount() === 0, graceMillis);
   server.closeIdleConnections();
   connections.destroyAll();
   await closed;
--- a/src/connection/http_send.ts
+++ b/src/connection/http_send.ts
@@ -8,7 +8,7 @@
 import {TransportError} from '../base/errors.js';
 import type {FailureReason} from '../protocol/outcome.js';
 import type {AnswerBody} from './answer_body.js';
-import {declaredSha256, digestOf} from './answer_body.js';
+import {declaredSha256, digestOf, matchesDeclared} from './answer_body.js';
 import type {HeaderField} from './header_fields.js';
 import {toRawHeaders} from './header_fields.js';
 
@@ -254,7 +254,7 @@
 function isDigestValid(bytes: Buffer, declared: string | undefined): boolean {
   if (declared === undefined) return true;
   const actual = Buffer.from(digestOf(bytes), 'base64url').toString('base64');
-  return actual === declared;
+  return matchesDeclared(actual, declared);
 }
 
 function createSendFailure(
--- a/src/daemon/data_path.ts
+++ b/src/daemon/data_path.ts
@@ -3,6 +3,7 @@
  */
 import type {Disposable} from '../base/lifecycle.js';
 import {createDisposableStore} from '../base/lifecycle.js';
+import {waitUntil} from '../base/wait_until.js';
 import type {
   HttpListener,
   HttpListenerOptions,
@@ -125,15 +126,3 @@
   );
   return rawFailureAnswer(failure);
 }
-
-const POLL_MILLIS = 10;
-
-async function waitUntil(
-  condition: () => boolean,
-  limitMillis: number,
-): Promise<void> {
-  const deadlineMillis = performance.now() + limitMillis;
-  while (!condition() && performance.now() < deadlineMillis) {
-    await new Promise(resolve => setTimeout(resolve, POLL_MILLIS));
-  }
-}
