--- a/eslint.config.js
+++ b/eslint.config.js
@@ -38,10 +38,23 @@
     from: ['./test', './bench'],
     message: 'Product code does not import tests or benches.',
   },
+  {
+    target: './src',
+    from: './platform',
+    message: 'Only programs start from the platform; nothing in src knows it.',
+  },
 ];
 
 export default tseslint.config(
-  {ignores: ['dist/**', 'node_modules/**', 'src/protocol/gen/**']},
+  {
+    ignores: [
+      'dist/**',
+      'target/**',
+      'journal/**',
+      'node_modules/**',
+      'src/protocol/gen/**',
+    ],
+  },
   js.configs.recommended,
   ...tseslint.configs.strict,
   {
--- /dev/null
+++ b/src/connection/kept_connections.ts
@@ -0,0 +1,70 @@
+/**
+ * Pools of client connections that are kept open between requests.
+ */
+import http from 'node:http';
+import type {Socket} from 'node:net';
+
+/** How long idle connections are kept. */
+export interface KeptConnectionsOptions {
+  readonly maxIdleMillis: number;
+  readonly maxSocketsCount: number;
+}
+
+/**
+ * Share of the idle time that the other side announces: a request written as
+ * the other side closes an idle connection is lost, and nobody can tell
+ * whether it ran.
+ */
+const ANNOUNCED_RATIO = 0.5;
+
+const MILLIS_PER_SECOND = 1000;
+
+/** Node.js keeps the request that a connection last served here. */
+type PooledSocket = Socket & {readonly _httpMessage?: LastMessage};
+
+/** Creates a pool; the most recently used connection is used first. */
+export function createKeptConnections(
+  options: KeptConnectionsOptions,
+): http.Agent {
+  return new (class extends http.Agent {
+    /** Called by Node.js when a connection becomes idle. */
+    override keepSocketAlive(socket: PooledSocket): boolean {
+      const announced = announcedIdleMillis(socket);
+      if (announced === 0) return false;
+      socket.unref();
+      socket.setTimeout(Math.min(options.maxIdleMillis, announced));
+      // A faulty server may send more after a complete answer. On a connection
+      // that is used again those bytes would be taken for the next answer.
+      socket.on('data', destroyOnData);
+      return true;
+    }
+    /** Called by Node.js when an idle connection is used again. */
+    override reuseSocket(
+      socket: PooledSocket,
+      request: http.ClientRequest,
+    ): void {
+      socket.removeListener('data', destroyOnData);
+      socket.setTimeout(0);
+      super.reuseSocket(socket, request);
+    }
+  })({
+    keepAlive: true,
+    scheduling: 'lifo',
+    maxSockets: options.maxSocketsCount,
+  });
+}
+
+function destroyOnData(this: Socket): void {
+  this.destroy();
+}
+
+interface LastMessage {
+  readonly res?: http.IncomingMessage;
+}
+
+function announcedIdleMillis(socket: PooledSocket): number {
+  const header = socket._httpMessage?.res?.headers['keep-alive'];
+  const match = /timeout=(\d+)/.exec(String(header));
+  if (match === null) return Infinity;
+  return Number(match[1]) * MILLIS_PER_SECOND * ANNOUNCED_RATIO;
+}
--- /dev/null
+++ b/src/connection/node_listener.ts
@@ -0,0 +1,144 @@
+/**
+ * A listener that tells each request when its client has left.
+ */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import type {Socket} from 'node:net';
+import type {CancelSignal, CancelSource} from '../base/cancel_signal.js';
+import {createCancelSource} from '../base/cancel_signal.js';
+import {describeError, TransportError} from '../base/errors.js';
+import type {Endpoint} from '../process/node_settings.js';
+
+/** One request with the response that answers it. */
+export interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Cancelled when the connection closes before the answer has ended. */
+  readonly cancel: CancelSignal;
+  /** The sender holds the body back until it is asked for. */
+  readonly isBodyHeldBack: boolean;
+}
+
+/** What a listener is made of. */
+export interface NodeListenerOptions {
+  readonly endpoint: Endpoint;
+  /** Answers one request; must not reject. */
+  readonly handle: (exchange: Exchange) => Promise<void>;
+}
+
+/** An open listener. */
+export interface NodeListener {
+  /** Requests that were read and not yet answered. */
+  readonly busyCount: number;
+  /** How long idle connections stay open, and how slow headers may be. */
+  setLimits(idleMillis: number, headerMillis: number): void;
+  /** Asks clients to go elsewhere after each answer. */
+  startDraining(): void;
+  readonly isDraining: boolean;
+  close(): void;
+}
+
+/**
+ * Idle time of connections until operators' limits are known, and for
+ * connections between nodes, whose clients close them far sooner.
+ */
+const IDLE_MILLIS = 30_000;
+const HEADER_MILLIS = 10_000;
+
+/** Bound on the header of one message; the parser needs one from the start. */
+const HEADER_BYTES = 65_536;
+
+/** Opens a listener; rejects if the address cannot be bound. */
+export async function openNodeListener(
+  options: NodeListenerOptions,
+): Promise<NodeListener> {
+  const server = createServer({
+    keepAliveTimeout: IDLE_MILLIS,
+    headersTimeout: HEADER_MILLIS,
+    requestTimeout: 0,
+    maxHeaderSize: HEADER_BYTES,
+    noDelay: true,
+  });
+  const openSources = new WeakMap<Socket, Set<CancelSource>>();
+  let busyCount = 0;
+  let isDraining = false;
+
+  const sourcesOf = (socket: Socket): Set<CancelSource> => {
+    const known = openSources.get(socket);
+    if (known !== undefined) return known;
+    const created = new Set<CancelSource>();
+    openSources.set(socket, created);
+    socket.once('close', () => {
+      for (const source of created) source.cancel();
+    });
+    return created;
+  };
+
+  const accept = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    isBodyHeldBack: boolean,
+  ): void => {
+    const source = createCancelSource();
+    const sources = sourcesOf(request.socket);
+    sources.add(source);
+    busyCount += 1;
+    let isOpen = true;
+    const finish = (): void => {
+      if (!isOpen) return;
+      isOpen = false;
+      busyCount -= 1;
+      sources.delete(source);
+    };
+    response.once('finish', finish);
+    response.once('close', finish);
+    source.signal.onCancel(finish);
+    response.sendDate = false;
+    request.on('error', () => undefined);
+    response.on('error', () => undefined);
+    void options.handle({
+      request,
+      response,
+      cancel: source.signal,
+      isBodyHeldBack,
+    });
+  };
+
+  server.on('request', (request, response) => {
+    accept(request, response, false);
+  });
+  server.on('checkContinue', (request, response) => {
+    accept(request, response, true);
+  });
+  await listen(server, options.endpoint);
+  return {
+    get busyCount() {
+      return busyCount;
+    },
+    setLimits: (idleMillis, headerMillis) => {
+      server.keepAliveTimeout = idleMillis;
+      server.headersTimeout = headerMillis;
+    },
+    startDraining: () => {
+      isDraining = true;
+    },
+    get isDraining() {
+      return isDraining;
+    },
+    close: () => {
+      server.close();
+      server.closeIdleConnections();
+    },
+  };
+}
+
+function listen(server: Server, endpoint: Endpoint): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', error => {
+      const peer = `${endpoint.address}:${String(endpoint.port)}`;
+      const message = `Cannot listen on ${peer}: ${describeError(error)}`;
+      reject(new TransportError(message, {props: {step: 'listen', peer}}));
+    });
+    server.listen(endpoint.port, endpoint.address, 1024, resolve);
+  });
+}
--- /dev/null
+++ b/src/connection/raw_headers.ts
@@ -0,0 +1,59 @@
+/**
+ * Lists of header fields as they stand on the wire: name, value, name, value.
+ */
+import {HOP_HEADER_PREFIX} from '../protocol/hop_headers.js';
+
+/** Names and values in turn, in the order received. */
+export type RawHeaders = readonly string[];
+
+/** Headers that concern one connection only (RFC 9110, 7.6.1). */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Headers that frame a body; set anew by the sender of each message. */
+const FRAMING_HEADERS: ReadonlySet<string> = new Set([
+  'content-length',
+  'expect',
+]);
+
+/**
+ * Fields to pass on: without those of the connection, of the framing, of the
+ * hop between nodes, and those named.
+ */
+export function passedOnHeaders(
+  headers: RawHeaders,
+  dropped: ReadonlySet<string>,
+): string[] {
+  const named = namedByConnection(headers);
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const name = headers[index] ?? '';
+    const lower = name.toLowerCase();
+    if (CONNECTION_HEADERS.has(lower) || FRAMING_HEADERS.has(lower)) continue;
+    if (lower.startsWith(HOP_HEADER_PREFIX)) continue;
+    if (dropped.has(lower) || named.has(lower)) continue;
+    kept.push(name, headers[index + 1] ?? '');
+  }
+  return kept;
+}
+
+const NO_NAMES: ReadonlySet<string> = new Set();
+
+function namedByConnection(headers: RawHeaders): ReadonlySet<string> {
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (headers[index]?.toLowerCase() !== 'connection') continue;
+    const value = headers[index + 1] ?? '';
+    const names = value.split(',').map(name => name.trim().toLowerCase());
+    return new Set(names);
+  }
+  return NO_NAMES;
+}
--- /dev/null
+++ b/src/connection/received_answer.ts
@@ -0,0 +1,73 @@
+/**
+ * An answer as received: whole if it is small, or its beginning and the stream
+ * of the rest.
+ */
+import type {IncomingMessage} from 'node:http';
+import type {RawHeaders} from './raw_headers.js';
+
+/** An answer with its body. */
+export interface ReceivedAnswer {
+  readonly statusCode: number;
+  readonly headers: RawHeaders;
+  /** The whole body, or its beginning. */
+  readonly start: Buffer;
+  /** The rest of the body, paused; `undefined` if `start` is all of it. */
+  readonly rest: IncomingMessage | undefined;
+}
+
+/**
+ * Bodies up to this size are held until complete, so that one that breaks off
+ * can be repeated or be answered with a clear failure.
+ */
+const WHOLE_BYTES = 65_536;
+
+/** Receives the body; rejects if it breaks off before it is held. */
+export function receiveAnswer(
+  message: IncomingMessage,
+): Promise<ReceivedAnswer> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    const finish = (rest: IncomingMessage | undefined): void => {
+      message.removeListener('data', onData);
+      message.removeListener('end', onEnd);
+      message.removeListener('error', onBroken);
+      message.removeListener('close', onBroken);
+      resolve({
+        statusCode: message.statusCode ?? 0,
+        headers: message.rawHeaders,
+        start: Buffer.concat(chunks),
+        rest,
+      });
+    };
+    const onData = (chunk: Buffer): void => {
+      chunks.push(chunk);
+      bytes += chunk.length;
+      if (bytes <= WHOLE_BYTES) return;
+      message.pause();
+      finish(message);
+    };
+    const onEnd = (): void => {
+      if (message.complete) finish(undefined);
+      else onBroken();
+    };
+    const onBroken = (error?: Error): void => {
+      reject(error ?? new Error('the answer broke off'));
+    };
+    message.on('data', onData);
+    message.on('end', onEnd);
+    message.on('error', onBroken);
+    message.on('close', onBroken);
+  });
+}
+
+/** Value of a header; `undefined` if absent. */
+export function headerOf(
+  headers: RawHeaders,
+  lowerName: string,
+): string | undefined {
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (headers[index]?.toLowerCase() === lowerName) return headers[index + 1];
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/connection/remote_execution.ts
@@ -0,0 +1,166 @@
+/**
+ * Sends requests to the nodes beside other upstreams and reads what came of
+ * them, with the loads that the answers report.
+ */
+import type {Disposable} from '../base/lifecycle.js';
+import type {LoadBoard} from '../process/load_board.js';
+import type {UpstreamEntry} from '../process/upstream_entry.js';
+import {
+  decodeCalls,
+  decodeLoads,
+  decodeOutcome,
+  encodeOrigin,
+  HOP_HEADER,
+} from '../protocol/hop_headers.js';
+import type {WireHeaders} from '../protocol/wire_headers.js';
+import type {ExecutionCall, ExecutionEnd} from './execution.js';
+import {createKeptConnections} from './kept_connections.js';
+import type {ReceivedAnswer} from './received_answer.js';
+import {headerOf} from './received_answer.js';
+import type {SendEnd} from './send_request.js';
+import {sendRequest} from './send_request.js';
+
+/** Executes requests at other hosts. */
+export interface RemoteExecution extends Disposable {
+  execute(target: UpstreamEntry, call: ExecutionCall): Promise<ExecutionEnd>;
+}
+
+/** What it needs. */
+export interface RemoteExecutionOptions {
+  /** Port at which every node receives requests of other nodes. */
+  readonly inboundPort: number;
+  readonly names: WireHeaders;
+  readonly board: LoadBoard;
+  readonly nowMillis: () => number;
+}
+
+/**
+ * Bound on opening a connection: some round trips between regions of tens of
+ * milliseconds each. A lost first packet is sent again only after a second,
+ * when another node has long answered.
+ */
+const CONNECT_TIMEOUT_MILLIS = 250;
+
+/** Idle connections between nodes; bursts come some seconds apart. */
+const MAX_IDLE_MILLIS = 8000;
+
+/** Connections to one node: four times the slots of large upstreams. */
+const MAX_SOCKETS_COUNT = 512;
+
+/** Creates the sending side of one node. */
+export function createRemoteExecution(
+  options: RemoteExecutionOptions,
+): RemoteExecution {
+  const agent = createKeptConnections({
+    maxIdleMillis: MAX_IDLE_MILLIS,
+    maxSocketsCount: MAX_SOCKETS_COUNT,
+  });
+  return {
+    execute: async (target, call) => {
+      const end = await sendRequest({
+        to: {address: target.hostAddress, port: options.inboundPort},
+        agent,
+        method: call.method,
+        target: call.target,
+        headers: hopHeaders(options, target, call),
+        body: call.body,
+        isBodyHeldBack: !call.isRepeatable,
+        connectTimeoutMillis: CONNECT_TIMEOUT_MILLIS,
+        cancel: call.cancel,
+      });
+      return interpret(options, end, call);
+    },
+    dispose: () => {
+      agent.destroy();
+    },
+  };
+}
+
+function hopHeaders(
+  options: RemoteExecutionOptions,
+  target: UpstreamEntry,
+  call: ExecutionCall,
+): readonly string[] {
+  const {names, nowMillis} = options;
+  const {origin} = call;
+  const now = nowMillis();
+  const originText = encodeOrigin({
+    importance: origin.importance,
+    rootId: origin.rootId,
+    rootRouteName: origin.rootRouteName,
+    rootAgeMillis: now - origin.rootBeganAtMillis,
+    isRepeat: origin.isRepeat,
+  });
+  return [
+    ...call.headers,
+    names.timeoutMillis,
+    String(Math.max(1, Math.floor(call.deadlineMillis - now))),
+    names.expectedUpstreamId,
+    target.id,
+    names.callerService,
+    call.callerService,
+    HOP_HEADER.origin,
+    originText,
+    HOP_HEADER.startWithin,
+    String(Math.max(0, Math.round(call.startByMillis - now))),
+    'connection',
+    'keep-alive',
+  ];
+}
+
+function interpret(
+  options: RemoteExecutionOptions,
+  end: SendEnd,
+  call: ExecutionCall,
+): ExecutionEnd {
+  const isCancelled = call.cancel.isCancelled;
+  if (end.kind === 'not-sent') {
+    const reason = isCancelled ? 'cancelled' : 'unreachable';
+    return {kind: 'refused', reason, retryAfterMillis: 0};
+  }
+  if (end.kind === 'lost') {
+    const reason = isCancelled ? 'cancelled' : 'connection-lost';
+    return {kind: 'unknown', reason, hasFailedCall: false};
+  }
+  observeLoads(options, end.answer);
+  const ended = readOutcome(end.answer);
+  if (ended === undefined) {
+    end.discardConnection();
+    return {kind: 'unknown', reason: 'broken-answer', hasFailedCall: false};
+  }
+  return ended;
+}
+
+function observeLoads(
+  options: RemoteExecutionOptions,
+  answer: ReceivedAnswer,
+): void {
+  const text = headerOf(answer.headers, HOP_HEADER.loads);
+  if (text === undefined || text === '') return;
+  const now = options.nowMillis();
+  for (const load of decodeLoads(text)) {
+    options.board.observe({...load, madeAtMillis: now - load.ageMillis});
+  }
+}
+
+function readOutcome(answer: ReceivedAnswer): ExecutionEnd | undefined {
+  const text = headerOf(answer.headers, HOP_HEADER.outcome);
+  const fields = text === undefined ? undefined : decodeOutcome(text);
+  if (fields === undefined) return undefined;
+  const {reason, hasFailedCall, retryAfterMillis} = fields;
+  switch (fields.outcome) {
+    case 'answered': {
+      const calls = headerOf(answer.headers, HOP_HEADER.calls) ?? '';
+      return {
+        kind: 'answered',
+        answer,
+        calls: decodeCalls(calls),
+        hasFailedCall,
+      };
+    }
+    case 'refused':
+      return {kind: 'refused', reason, retryAfterMillis};
+    case 'unknown':
+      return {kind: 'unknown', reason, hasFailedCall};
+  }
+}
--- /dev/null
+++ b/src/connection/request_body.ts
@@ -0,0 +1,58 @@
+/**
+ * Reads the body of a request whole, within a bound.
+ */
+import type {IncomingMessage} from 'node:http';
+
+/** How the reading ended. */
+export type BodyRead =
+  | {readonly kind: 'whole'; readonly bytes: Buffer}
+  | {readonly kind: 'too-large'}
+  | {readonly kind: 'broken'};
+
+const EMPTY: BodyRead = {kind: 'whole', bytes: Buffer.alloc(0)};
+
+/** Whether the header of a request announces a body. */
+export function hasBody(request: IncomingMessage): boolean {
+  const length = request.headers['content-length'];
+  const isChunked = request.headers['transfer-encoding'] !== undefined;
+  return isChunked || (length !== undefined && length !== '0');
+}
+
+/** Reads to the end of the body, to its bound, or to the end of the client. */
+export function readRequestBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<BodyRead> {
+  if (!hasBody(request)) {
+    request.resume();
+    return Promise.resolve(EMPTY);
+  }
+  if (Number(request.headers['content-length']) > maxBytes) {
+    return Promise.resolve({kind: 'too-large'});
+  }
+  return collect(request, maxBytes);
+}
+
+function collect(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<BodyRead> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    request.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > maxBytes) resolve({kind: 'too-large'});
+      else chunks.push(chunk);
+    });
+    request.on('end', () => {
+      resolve({kind: 'whole', bytes: Buffer.concat(chunks)});
+    });
+    request.on('error', () => {
+      resolve({kind: 'broken'});
+    });
+    request.on('close', () => {
+      resolve({kind: 'broken'});
+    });
+  });
+}
--- /dev/null
+++ b/src/connection/upstream_sender.ts
@@ -0,0 +1,150 @@
+/**
+ * Hands requests to the upstream of this host and tells what came of each.
+ */
+import type {CancelSignal} from '../base/cancel_signal.js';
+import type {Disposable} from '../base/lifecycle.js';
+import type {Endpoint} from '../process/node_settings.js';
+import type {HopReason} from '../protocol/hop_headers.js';
+import type {WireHeaders} from '../protocol/wire_headers.js';
+import {createKeptConnections} from './kept_connections.js';
+import type {RawHeaders} from './raw_headers.js';
+import type {ReceivedAnswer} from './received_answer.js';
+import {headerOf} from './received_answer.js';
+import type {SendEnd} from './send_request.js';
+import {sendRequest} from './send_request.js';
+
+/** A request for the upstream. */
+export interface UpstreamRequest {
+  readonly attemptId: string;
+  readonly upstreamId: string;
+  readonly callerService: string;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+  readonly timeoutMillis: number;
+  readonly cancel: CancelSignal;
+}
+
+/** What came of it. */
+export type UpstreamEnd =
+  | {readonly kind: 'answered'; readonly answer: ReceivedAnswer}
+  /** Not run, and it will not be. */
+  | {readonly kind: 'not-run'; readonly reason: HopReason}
+  /** It may have run. */
+  | {
+      readonly kind: 'unknown';
+      readonly reason: HopReason;
+      readonly wasReused: boolean;
+    };
+
+/** Sends requests to one upstream. */
+export interface UpstreamSender extends Disposable {
+  send(request: UpstreamRequest): Promise<UpstreamEnd>;
+}
+
+/**
+ * Bound on opening a connection within one host, where it takes about a
+ * millisecond: beyond it the upstream is dead or cannot accept.
+ */
+const CONNECT_TIMEOUT_MILLIS = 300;
+
+/** Idle connections are closed before an upstream that announces no limit. */
+const MAX_IDLE_MILLIS = 4000;
+
+/** Connections to the upstream; its slots are the tighter bound. */
+const MAX_SOCKETS_COUNT = 1024;
+
+const STATUS_MISDIRECTED = 421;
+
+/** Creates a sender with an empty pool. */
+export function createUpstreamSender(
+  upstream: Endpoint,
+  names: WireHeaders,
+): UpstreamSender {
+  const agent = createKeptConnections({
+    maxIdleMillis: MAX_IDLE_MILLIS,
+    maxSocketsCount: MAX_SOCKETS_COUNT,
+  });
+  return {
+    send: async request => {
+      const end = await sendRequest({
+        to: upstream,
+        agent,
+        method: request.method,
+        target: request.target,
+        headers: upstreamHeaders(request, names),
+        body: request.body,
+        isBodyHeldBack: false,
+        connectTimeoutMillis: CONNECT_TIMEOUT_MILLIS,
+        cancel: request.cancel,
+      });
+      return interpret(end, request, names);
+    },
+    dispose: () => {
+      agent.destroy();
+    },
+  };
+}
+
+function upstreamHeaders(
+  request: UpstreamRequest,
+  names: WireHeaders,
+): readonly string[] {
+  return [
+    ...request.headers,
+    names.timeoutMillis,
+    String(request.timeoutMillis),
+    names.expectedUpstreamId,
+    request.upstreamId,
+    names.callerService,
+    request.callerService,
+    'connection',
+    'keep-alive',
+  ];
+}
+
+function interpret(
+  end: SendEnd,
+  request: UpstreamRequest,
+  names: WireHeaders,
+): UpstreamEnd {
+  if (end.kind === 'not-sent') return {kind: 'not-run', reason: 'unreachable'};
+  if (end.kind === 'lost') {
+    const reason = request.cancel.isCancelled ? 'cancelled' : 'connection-lost';
+    return {kind: 'unknown', reason, wasReused: end.wasReused};
+  }
+  const {answer} = end;
+  if (isForeign(answer, request, names)) {
+    end.discardConnection();
+    return {kind: 'unknown', reason: 'broken-answer', wasReused: false};
+  }
+  if (answer.statusCode === STATUS_MISDIRECTED) {
+    return {kind: 'not-run', reason: 'other-upstream'};
+  }
+  if (headerOf(answer.headers, names.notExecuted) !== undefined) {
+    return {kind: 'not-run', reason: 'not-executed'};
+  }
+  return {kind: 'answered', answer};
+}
+
+/**
+ * Whether the answer is not the upstream's answer to this request. A faulty
+ * upstream sends a second answer late, which then stands where the next one is
+ * expected; the caller would receive what belongs to somebody else.
+ */
+function isForeign(
+  answer: ReceivedAnswer,
+  request: UpstreamRequest,
+  names: WireHeaders,
+): boolean {
+  const {headers, statusCode} = answer;
+  const echoedId = headerOf(headers, names.attemptId);
+  if (echoedId !== undefined && echoedId !== request.attemptId) return true;
+  if (headerOf(headers, 'content-encoding') !== undefined) return true;
+  const isSuccess = statusCode >= 200 && statusCode < 300;
+  if (!isSuccess) return false;
+  return (
+    echoedId === undefined || headerOf(headers, names.signature) === undefined
+  );
+}
--- /dev/null
+++ b/src/daemon/document_feeds.ts
@@ -0,0 +1,168 @@
+/**
+ * Brings published documents into force: the configuration and the upstreams.
+ */
+import * as Effect from 'effect/Effect';
+import * as Fiber from 'effect/Fiber';
+import type {Disposable} from '../base/lifecycle.js';
+import {createDisposableStore, toDisposable} from '../base/lifecycle.js';
+import type {DocumentListener} from '../connection/document_follower.js';
+import {followDocuments} from '../connection/document_follower.js';
+import type {ConfigurationHolder} from '../process/configuration_holder.js';
+import type {DecisionLog} from '../process/decision_log.js';
+import type {DocumentChange} from '../process/document_source.js';
+import type {NodeMetrics} from '../process/node_metrics.js';
+import type {PublishedDocuments} from '../process/published_documents.js';
+import type {UpstreamDirectory} from '../process/upstream_directory.js';
+import type {UpstreamEntry} from '../process/upstream_entry.js';
+import type {ClientLimits} from '../version/route_configuration.js';
+
+/** What the feeds need. */
+export interface DocumentFeedsOptions {
+  readonly documents: PublishedDocuments;
+  readonly configuration: ConfigurationHolder;
+  readonly directory: UpstreamDirectory;
+  readonly log: DecisionLog;
+  readonly metrics: NodeMetrics;
+  readonly nowMillis: () => number;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+  /** Called with the limits of each configuration that comes into force. */
+  readonly onLimits: (limits: ClientLimits) => void;
+}
+
+/** Running feeds. */
+export interface DocumentFeeds extends Disposable {
+  /** All upstreams were read at least once. */
+  readonly hasUpstreams: boolean;
+}
+
+/** A loss of the source shorter than this lets no entry lapse. */
+const LAPSE_MILLIS = 1000;
+
+/** Starts to follow both kinds of documents. */
+export function startDocumentFeeds(
+  options: DocumentFeedsOptions,
+): DocumentFeeds {
+  const {documents, directory} = options;
+  const store = createDisposableStore();
+  let hasUpstreams = false;
+
+  const offer = (changes: readonly DocumentChange[]): void => {
+    for (const change of changes) offerConfiguration(options, change);
+  };
+  store.add(
+    follow(options, documents.configurationPrefix, {
+      ...sourceEvents(options, 'configuration'),
+      onSnapshot: offer,
+      onChanges: offer,
+    }),
+  );
+  const events = sourceEvents(options, 'upstreams');
+  store.add(
+    follow(options, documents.upstreamsPrefix, {
+      onLost: events.onLost,
+      onReached: wasLostMillis => {
+        if (wasLostMillis > LAPSE_MILLIS) directory.markSourceRegained();
+        events.onReached(wasLostMillis);
+      },
+      onSnapshot: changes => {
+        hasUpstreams = true;
+        directory.replace(decodeEntries(options, changes));
+      },
+      onChanges: changes => {
+        for (const change of changes) applyUpstream(options, change);
+      },
+    }),
+  );
+  return {
+    get hasUpstreams() {
+      return hasUpstreams;
+    },
+    dispose: store.dispose,
+  };
+}
+
+function follow(
+  options: DocumentFeedsOptions,
+  prefix: string,
+  listener: DocumentListener,
+): Disposable {
+  const fiber = Effect.runFork(
+    followDocuments({
+      source: options.documents.source,
+      prefix,
+      listener,
+      nowMillis: options.nowMillis,
+      random: options.random,
+    }),
+  );
+  return toDisposable(() => {
+    Effect.runFork(Fiber.interrupt(fiber));
+  });
+}
+
+type SourceEvents = Pick<DocumentListener, 'onLost' | 'onReached'>;
+
+function sourceEvents(
+  options: DocumentFeedsOptions,
+  documents: string,
+): SourceEvents {
+  const {log, metrics} = options;
+  return {
+    onLost: reason => {
+      metrics.recordStoreLost();
+      log.state('store-lost', {documents, reason});
+    },
+    onReached: wasLostMillis => {
+      const lostMillis = Math.round(wasLostMillis);
+      log.state('store-reached', {documents, lostMillis});
+    },
+  };
+}
+
+function offerConfiguration(
+  options: DocumentFeedsOptions,
+  change: DocumentChange,
+): void {
+  const {log, configuration} = options;
+  const decoded = options.documents.decodeConfiguration(change);
+  if (decoded.kind === 'other') return;
+  if (decoded.kind === 'invalid') {
+    log.state('configuration-invalid', {reason: decoded.reason});
+    return;
+  }
+  const verdict = configuration.offer(decoded.value);
+  log.state(`configuration-${verdict}`, {
+    configurationVersion: decoded.value.version,
+    revision: change.revision,
+  });
+  if (verdict === 'accepted') options.onLimits(decoded.value.limits);
+}
+
+function applyUpstream(
+  options: DocumentFeedsOptions,
+  change: DocumentChange,
+): void {
+  const {directory, documents} = options;
+  if (change.text === undefined) {
+    directory.remove([documents.upstreamIdOf(change.key)]);
+  } else {
+    directory.put(decodeEntries(options, [change]));
+  }
+}
+
+function decodeEntries(
+  options: DocumentFeedsOptions,
+  changes: readonly DocumentChange[],
+): readonly UpstreamEntry[] {
+  const entries: UpstreamEntry[] = [];
+  for (const change of changes) {
+    const decoded = options.documents.decodeUpstream(change);
+    if (decoded.kind === 'valid') {
+      entries.push(decoded.value);
+    } else if (decoded.kind === 'invalid') {
+      options.log.state('upstream-invalid', {reason: decoded.reason});
+    }
+  }
+  return entries;
+}
--- /dev/null
+++ b/src/process/importance.ts
@@ -0,0 +1,42 @@
+/**
+ * Importance of a client's attempt: one number that every call made for it
+ * carries, so that all services shed the same requests.
+ *
+ * Shedding by rank alone takes a whole rank at once; shedding each call by
+ * chance ruins a request of many calls almost surely. The rank is therefore
+ * divided into buckets by the attempt's id: a request is in or out at every
+ * service alike, and a service can shed a sixty-fourth of a rank.
+ */
+
+/** Steps within one rank; one step is 1.6% of its traffic. */
+export const BUCKETS_COUNT = 64;
+
+/** Ranks beyond this one are treated alike. */
+const MAX_RANK = 7;
+
+/** The least important value. */
+export const LEAST_IMPORTANT = (MAX_RANK + 1) * BUCKETS_COUNT - 1;
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/** Importance of an attempt; lower is more important. */
+export function importanceOf(rank: number, attemptId: string): number {
+  const bounded = Math.min(MAX_RANK, Math.max(0, Math.floor(rank)));
+  return bounded * BUCKETS_COUNT + bucketOf(attemptId);
+}
+
+/** The rank that an importance belongs to. */
+export function rankOf(importance: number): number {
+  return Math.floor(importance / BUCKETS_COUNT);
+}
+
+/** FNV-1a, since ids may differ in few characters only. */
+function bucketOf(attemptId: string): number {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < attemptId.length; index += 1) {
+    hash ^= attemptId.charCodeAt(index);
+    hash = Math.imul(hash, FNV_PRIME);
+  }
+  return (hash >>> 8) % BUCKETS_COUNT;
+}
--- /dev/null
+++ b/src/process/node_metrics.ts
@@ -0,0 +1,94 @@
+/**
+ * Counters and latency histograms of a node, served as text.
+ */
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {HopReason} from '../protocol/hop_headers.js';
+
+/** Metrics of one node. */
+export interface NodeMetrics {
+  /** A request ended at the entry with a status and after a time. */
+  recordAnswer(routeName: string, statusCode: number, millis: number): void;
+  recordShed(service: string): void;
+  recordRetry(reason: HopReason): void;
+  recordRefusal(reason: HopReason): void;
+  recordUnknown(reason: HopReason): void;
+  recordParent(isFound: boolean): void;
+  recordStoreLost(): void;
+  setGauge(name: GaugeName, value: number): void;
+  /** All metrics in the Prometheus text format. */
+  text(): Promise<string>;
+}
+
+/** Gauges. */
+export type GaugeName =
+  | 'admission_level'
+  | 'queue_length'
+  | 'in_flight'
+  | 'configuration_version'
+  | 'known_upstreams';
+
+/** Upper bounds in milliseconds: the objectives of today's routes and between. */
+const BUCKETS_MILLIS = [5, 10, 25, 50, 100, 200, 400, 800, 1500, 5000];
+
+const PREFIX = 'fulmarhollow_';
+
+/** Creates metrics at zero. */
+export function createNodeMetrics(): NodeMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const counter = <T extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly T[],
+  ): Counter<T> =>
+    new Counter({name: `${PREFIX}${name}`, help, labelNames, registers});
+  const answers = new Histogram({
+    name: `${PREFIX}answer_millis`,
+    help: 'Time from a request to its answer at the entry',
+    labelNames: ['route', 'status'],
+    buckets: BUCKETS_MILLIS,
+    registers,
+  });
+  const sheds = counter('shed_total', 'Requests turned away at the entry', [
+    'service',
+  ]);
+  const retries = counter('retries_total', 'Requests sent again', ['reason']);
+  const refusals = counter('refusals_total', 'Attempts not run', ['reason']);
+  const unknowns = counter('unknown_total', 'Attempts that may have run', [
+    'reason',
+  ]);
+  const parents = counter('calls_total', 'Calls of the upstream', ['parent']);
+  const storeLosses = counter('store_lost_total', 'Losses of the store', []);
+  const gauges = new Map<GaugeName, Gauge>();
+  return {
+    recordAnswer: (route, statusCode, millis) => {
+      answers.observe({route, status: String(statusCode)}, millis);
+    },
+    recordShed: service => {
+      sheds.inc({service});
+    },
+    recordRetry: reason => {
+      retries.inc({reason});
+    },
+    recordRefusal: reason => {
+      refusals.inc({reason});
+    },
+    recordUnknown: reason => {
+      unknowns.inc({reason});
+    },
+    recordParent: isFound => {
+      parents.inc({parent: isFound ? 'found' : 'missing'});
+    },
+    recordStoreLost: () => {
+      storeLosses.inc();
+    },
+    setGauge: (name, value) => {
+      const gauge =
+        gauges.get(name) ??
+        new Gauge({name: `${PREFIX}${name}`, help: name, registers});
+      gauges.set(name, gauge);
+      gauge.set(value);
+    },
+    text: () => registry.metrics(),
+  };
+}
--- /dev/null
+++ b/src/process/placement.ts
@@ -0,0 +1,223 @@
+/**
+ * Chooses the upstream that a request is sent to.
+ *
+ * Load pattern: upstreams of one service differ in speed, some turn slow or
+ * fail part of their requests, some have just started. The choice is the one
+ * that is expected to answer first, by what its node reported last and what
+ * this node has sent there since; distance counts as time, so that requests
+ * stay in their zone unless another one serves them sooner.
+ */
+import type {LoadBoard, LoadReport} from './load_board.js';
+import type {KnownUpstream, UpstreamDirectory} from './upstream_directory.js';
+
+/** How an attempt ended, as far as the choice of upstreams is concerned. */
+export type AttemptEnd =
+  | 'served'
+  /** The upstream answered with a failure of its own, or broke off. */
+  | 'failed'
+  /** The node or the upstream could not be reached, or is leaving. */
+  | 'unreachable'
+  /** Nothing about the upstream follows. */
+  | 'neutral';
+
+/** An upstream chosen for one attempt. */
+export interface Placement {
+  readonly upstream: KnownUpstream;
+  /** Must be called once when the attempt has ended. */
+  end(how: AttemptEnd): void;
+}
+
+/** Chooses upstreams. */
+export interface PlacementChooser {
+  choose(
+    service: string,
+    excludedIds: ReadonlySet<string>,
+  ): Placement | undefined;
+  /** Forgets upstreams that are no longer known. */
+  expire(): void;
+}
+
+/** What a chooser needs. */
+export interface PlacementOptions {
+  readonly directory: UpstreamDirectory;
+  readonly board: LoadBoard;
+  readonly hostAddress: string;
+  readonly zone: string;
+  readonly regionOfZone: ReadonlyMap<string, string>;
+  readonly nowMillis: () => number;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+}
+
+interface Record {
+  ownCount: number;
+  lastSentMillis: number;
+  /** Share of recent attempts that failed. */
+  failedRatio: number;
+  failuresInARow: number;
+  avoidUntilMillis: number;
+}
+
+/** Expected to add to an answer: a round trip, and bytes between zones. */
+const SAME_ZONE_MILLIS = 1;
+const OTHER_ZONE_MILLIS = 6;
+const OTHER_REGION_MILLIS = 40;
+
+/** Service time assumed of an upstream nobody reported on. */
+const UNKNOWN_AVERAGE_MILLIS = 50;
+
+/** A cold upstream is taken to need this many times its usual time. */
+const COLD_FACTOR = 2;
+
+/** Above this share of slots in use, delay grows before a queue shows. */
+const BUSY_RATIO = 0.7;
+
+/** Weight of one new sample in the share of failures: about the last ten. */
+const FAILED_WEIGHT = 0.1;
+
+/** Time that a certain failure costs: what a repeat elsewhere takes. */
+const FAILURE_MILLIS = 400;
+
+/** First and longest time for which an unreachable upstream is left alone. */
+const MIN_AVOID_MILLIS = 150;
+const MAX_AVOID_MILLIS = 1200;
+
+/**
+ * An upstream that this node has sent nothing for this long gets the next
+ * request: otherwise a slow past, or no past at all, would last for ever.
+ */
+const PROBE_MILLIS = 1500;
+
+/** Random part of a score, so that nodes with equal pictures spread. */
+const NOISE_RATIO = 0.1;
+
+/** Creates a chooser without history. */
+export function createPlacementChooser(
+  options: PlacementOptions,
+): PlacementChooser {
+  const {directory, board, nowMillis, random} = options;
+  const records = new Map<string, Record>();
+
+  const recordOf = (upstream: KnownUpstream): Record => {
+    const known = records.get(upstream.entry.id);
+    if (known !== undefined) return known;
+    const created: Record = {
+      ownCount: 0,
+      lastSentMillis: upstream.firstSeenMillis - PROBE_MILLIS * random(),
+      failedRatio: 0,
+      failuresInARow: 0,
+      avoidUntilMillis: 0,
+    };
+    records.set(upstream.entry.id, created);
+    return created;
+  };
+
+  const distanceMillis = (upstream: KnownUpstream): number => {
+    const {hostAddress, zone} = upstream.entry;
+    if (hostAddress === options.hostAddress) return 0;
+    if (zone === options.zone) return SAME_ZONE_MILLIS;
+    const region = options.regionOfZone.get(zone);
+    return region === options.regionOfZone.get(options.zone)
+      ? OTHER_ZONE_MILLIS
+      : OTHER_REGION_MILLIS;
+  };
+
+  const score = (upstream: KnownUpstream, now: number): number => {
+    const record = recordOf(upstream);
+    const report = board.find(upstream.entry.id);
+    const answerMillis = expectedMillis(upstream, record, report, now);
+    const failureMillis = record.failedRatio * FAILURE_MILLIS;
+    const noise = 1 + NOISE_RATIO * random();
+    return (answerMillis + failureMillis) * noise + distanceMillis(upstream);
+  };
+
+  const pick = (
+    candidates: readonly KnownUpstream[],
+    now: number,
+  ): KnownUpstream | undefined => {
+    let best: KnownUpstream | undefined;
+    let bestScore = Infinity;
+    for (const candidate of candidates) {
+      if (recordOf(candidate).lastSentMillis + PROBE_MILLIS < now) {
+        return candidate;
+      }
+      const candidateScore = score(candidate, now);
+      if (candidateScore >= bestScore) continue;
+      best = candidate;
+      bestScore = candidateScore;
+    }
+    return best;
+  };
+
+  return {
+    choose: (service, excludedIds) => {
+      const now = nowMillis();
+      const allowed = directory
+        .ready(service)
+        .filter(upstream => !excludedIds.has(upstream.entry.id));
+      const usable = allowed.filter(
+        upstream => recordOf(upstream).avoidUntilMillis <= now,
+      );
+      const chosen = pick(usable.length > 0 ? usable : allowed, now);
+      if (chosen === undefined) return undefined;
+      return openPlacement(chosen, recordOf(chosen), nowMillis);
+    },
+    expire: () => {
+      for (const id of records.keys()) {
+        if (directory.find(id) === undefined) records.delete(id);
+      }
+    },
+  };
+}
+
+function expectedMillis(
+  upstream: KnownUpstream,
+  record: Record,
+  report: LoadReport | undefined,
+  now: number,
+): number {
+  const cold = upstream.coldUntilMillis > now ? COLD_FACTOR : 1;
+  const average = (report?.averageMillis ?? UNKNOWN_AVERAGE_MILLIS) * cold;
+  const limit = Math.max(1, report?.limitCount ?? upstream.entry.slotsCount);
+  const reported = (report?.inFlightCount ?? 0) + (report?.queuedCount ?? 0);
+  const inFlight = Math.max(reported, record.ownCount);
+  const ratio = inFlight / limit;
+  const waitMillis = Math.max(0, ratio - 1) * average;
+  const busyMillis = Math.max(0, Math.min(1, ratio) - BUSY_RATIO) * average;
+  return average + waitMillis + busyMillis;
+}
+
+function openPlacement(
+  upstream: KnownUpstream,
+  record: Record,
+  nowMillis: () => number,
+): Placement {
+  let isOpen = true;
+  record.ownCount += 1;
+  record.lastSentMillis = nowMillis();
+  return {
+    upstream,
+    end: how => {
+      if (!isOpen) return;
+      isOpen = false;
+      record.ownCount -= 1;
+      learn(record, how, nowMillis());
+    },
+  };
+}
+
+function learn(record: Record, how: AttemptEnd, now: number): void {
+  if (how === 'neutral') return;
+  const sample = how === 'failed' ? 1 : 0;
+  record.failedRatio += (sample - record.failedRatio) * FAILED_WEIGHT;
+  if (how !== 'unreachable') {
+    record.failuresInARow = 0;
+    return;
+  }
+  const avoidMillis = Math.min(
+    MAX_AVOID_MILLIS,
+    MIN_AVOID_MILLIS * 2 ** record.failuresInARow,
+  );
+  record.failuresInARow += 1;
+  record.avoidUntilMillis = now + avoidMillis;
+}
--- /dev/null
+++ b/src/process/upstream_directory.ts
@@ -0,0 +1,165 @@
+/**
+ * The upstreams a node knows, by service, with what is published about each.
+ */
+import type {UpstreamEntry} from './upstream_entry.js';
+
+/** A published entry and when this node learned it. */
+export interface KnownUpstream {
+  readonly entry: UpstreamEntry;
+  /** Until when the upstream is slow after its start. */
+  readonly coldUntilMillis: number;
+  /** When this node first saw the entry. */
+  readonly firstSeenMillis: number;
+}
+
+/** A change that deserves a log line. */
+export interface DirectoryChange {
+  readonly kind: 'joined' | 'draining' | 'ready' | 'left' | 'kept';
+  readonly entry: UpstreamEntry;
+}
+
+/** Directory of upstreams. */
+export interface UpstreamDirectory {
+  /** Takes new or changed entries. */
+  put(entries: readonly UpstreamEntry[]): void;
+  remove(ids: readonly string[]): void;
+  /** Replaces all; entries that are missing have left. */
+  replace(entries: readonly UpstreamEntry[]): void;
+  /** Tells the directory that the source answers again after a loss. */
+  markSourceRegained(): void;
+  /** Forgets entries whose time to reappear is over. */
+  expire(): void;
+  /** Upstreams of a service that may take new work. */
+  ready(service: string): readonly KnownUpstream[];
+  find(id: string): KnownUpstream | undefined;
+  /** Whether an upstream was known and has left. */
+  hasLeft(id: string): boolean;
+  /** The newest upstream that listens at an address. */
+  atAddress(listenAddress: string): KnownUpstream | undefined;
+  /** Upstreams of all services, one for each node of the fleet. */
+  count(): number;
+}
+
+/** What a directory needs. */
+export interface UpstreamDirectoryOptions {
+  readonly nowMillis: () => number;
+  readonly onChange: (change: DirectoryChange) => void;
+}
+
+/**
+ * How long an entry that vanished while the source was away stays in use after
+ * the source's return: entries that lapsed meanwhile are back within two
+ * seconds if the upstream lives; one that is still missing then is gone.
+ */
+const REAPPEAR_MILLIS = 2000;
+
+/** Ids of upstreams that left; requests for them arrive for seconds only. */
+const LEFT_IDS_COUNT = 256;
+
+/** Creates an empty directory. */
+export function createUpstreamDirectory(
+  options: UpstreamDirectoryOptions,
+): UpstreamDirectory {
+  const known = new Map<string, KnownUpstream>();
+  const missingSince = new Set<string>();
+  const leftIds = new Set<string>();
+  let readyByService = new Map<string, KnownUpstream[]>();
+  let keepUntilMillis = 0;
+
+  const index = (): void => {
+    readyByService = new Map();
+    for (const upstream of known.values()) {
+      if (upstream.entry.isDraining) continue;
+      const list = readyByService.get(upstream.entry.service) ?? [];
+      list.push(upstream);
+      readyByService.set(upstream.entry.service, list);
+    }
+  };
+
+  const putOne = (entry: UpstreamEntry): void => {
+    const before = known.get(entry.id);
+    const nowMillis = options.nowMillis();
+    missingSince.delete(entry.id);
+    leftIds.delete(entry.id);
+    known.set(entry.id, {
+      entry,
+      coldUntilMillis: nowMillis + entry.coldLeftMillis,
+      firstSeenMillis: before?.firstSeenMillis ?? nowMillis,
+    });
+    if (before === undefined) {
+      options.onChange({kind: 'joined', entry});
+    } else if (before.entry.isDraining !== entry.isDraining) {
+      options.onChange({kind: entry.isDraining ? 'draining' : 'ready', entry});
+    }
+  };
+
+  const removeOne = (id: string): void => {
+    const upstream = known.get(id);
+    if (upstream === undefined) return;
+    if (options.nowMillis() < keepUntilMillis) {
+      if (missingSince.has(id)) return;
+      missingSince.add(id);
+      options.onChange({kind: 'kept', entry: upstream.entry});
+      return;
+    }
+    missingSince.delete(id);
+    known.delete(id);
+    rememberLeft(leftIds, id);
+    options.onChange({kind: 'left', entry: upstream.entry});
+  };
+
+  return {
+    put: entries => {
+      for (const entry of entries) putOne(entry);
+      index();
+    },
+    remove: ids => {
+      for (const id of ids) removeOne(id);
+      index();
+    },
+    replace: entries => {
+      const present = new Set(entries.map(entry => entry.id));
+      for (const entry of entries) putOne(entry);
+      for (const id of [...known.keys()]) {
+        if (!present.has(id)) removeOne(id);
+      }
+      index();
+    },
+    markSourceRegained: () => {
+      keepUntilMillis = options.nowMillis() + REAPPEAR_MILLIS;
+    },
+    expire: () => {
+      if (missingSince.size === 0) return;
+      if (options.nowMillis() < keepUntilMillis) return;
+      for (const id of [...missingSince]) removeOne(id);
+      index();
+    },
+    ready: service => readyByService.get(service) ?? [],
+    find: id => known.get(id),
+    hasLeft: id => leftIds.has(id),
+    atAddress: listenAddress => newestAt(known, listenAddress),
+    count: () => known.size,
+  };
+}
+
+function rememberLeft(leftIds: Set<string>, id: string): void {
+  leftIds.add(id);
+  if (leftIds.size <= LEFT_IDS_COUNT) return;
+  for (const oldest of leftIds) {
+    leftIds.delete(oldest);
+    return;
+  }
+}
+
+function newestAt(
+  known: ReadonlyMap<string, KnownUpstream>,
+  listenAddress: string,
+): KnownUpstream | undefined {
+  let newest: KnownUpstream | undefined;
+  for (const upstream of known.values()) {
+    if (upstream.entry.listenAddress !== listenAddress) continue;
+    if (newest && newest.firstSeenMillis > upstream.firstSeenMillis) continue;
+    newest = upstream;
+  }
+  return newest;
+}
--- /dev/null
+++ b/src/request/entry_answers.ts
@@ -0,0 +1,220 @@
+/**
+ * Answers at the entry, with the line and the counters that explain each.
+ */
+import {sendAnswer} from '../connection/answer_sender.js';
+import type {Exchange} from '../connection/node_listener.js';
+import {passedOnHeaders} from '../connection/raw_headers.js';
+import {hasBody} from '../connection/request_body.js';
+import type {DecisionLog} from '../process/decision_log.js';
+import type {NodeMetrics} from '../process/node_metrics.js';
+import type {ServiceRoute} from '../version/route_configuration.js';
+import type {AttemptsEnd} from './attempts.js';
+
+/** A request as far as its answer is concerned. */
+export interface AnsweredRequest {
+  readonly exchange: Exchange;
+  readonly attemptId: string;
+  readonly route: ServiceRoute;
+  readonly service: string;
+  readonly arrivedMillis: number;
+  readonly deadlineMillis: number;
+}
+
+/** A request that the gate kept out. */
+export interface ShedRequest {
+  readonly attemptId: string;
+  readonly route: ServiceRoute;
+  readonly shedBy: string;
+  readonly importance: number;
+  readonly arrivedMillis: number;
+}
+
+/** Writes answers. */
+export interface EntryAnswers {
+  /** Passes on what came of the attempts. */
+  finish(request: AnsweredRequest, end: AttemptsEnd): void;
+  /** The client left before the answer. */
+  noteLeft(request: AnsweredRequest, end: AttemptsEnd): void;
+  /** Not run: the gate kept it out. */
+  shed(exchange: Exchange, request: ShedRequest): void;
+  /** Not run: this node cannot serve anything yet. */
+  refuse(exchange: Exchange, refusal: {readonly reason: string}): void;
+  /** The request itself is not acceptable. */
+  reject(exchange: Exchange, statusCode: number, reason: string): void;
+  /** Counts a call of the own upstream. */
+  countCall(isParentFound: boolean): void;
+}
+
+/** What answers need. */
+export interface EntryAnswersOptions {
+  readonly log: DecisionLog;
+  readonly metrics: NodeMetrics;
+  readonly isDraining: () => boolean;
+  readonly configurationVersion: () => number;
+  readonly levelOf: (service: string) => number;
+  readonly onCall: (isParentFound: boolean) => void;
+  readonly nowMillis: () => number;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+}
+
+const STATUS_BAD_GATEWAY = 502;
+const STATUS_UNAVAILABLE = 503;
+const STATUS_GATEWAY_TIMEOUT = 504;
+
+/**
+ * Window in which a refused client is asked to come back, as shares of the
+ * route's objective: late enough for some of the excess to pass, early enough
+ * to be answered in time, and spread so that not all come back together.
+ */
+const RETURN_EARLIEST_RATIO = 0.2;
+const RETURN_LATEST_RATIO = 0.7;
+
+/** Asked of clients whose request has no route yet to take an objective from. */
+const RETURN_UNKNOWN_MILLIS = 500;
+
+const MILLIS_PER_SECOND = 1000;
+
+const NO_HEADERS: ReadonlySet<string> = new Set();
+
+/** Creates the answers of one node. */
+export function createEntryAnswers(options: EntryAnswersOptions): EntryAnswers {
+  const {log, metrics, nowMillis} = options;
+
+  const returnMillis = (route: ServiceRoute | undefined): number => {
+    if (route === undefined) return RETURN_UNKNOWN_MILLIS;
+    const width = RETURN_LATEST_RATIO - RETURN_EARLIEST_RATIO;
+    const ratio = RETURN_EARLIEST_RATIO + width * options.random();
+    return route.objectiveMillis * ratio;
+  };
+
+  const write = (
+    exchange: Exchange,
+    statusCode: number,
+    headers: readonly string[],
+  ): void => {
+    const {request, response} = exchange;
+    if (response.destroyed || response.headersSent) return;
+    const isUnread = hasBody(request) && !request.complete;
+    const closing =
+      options.isDraining() || isUnread ? ['connection', 'close'] : [];
+    response.writeHead(statusCode, [
+      ...headers,
+      ...closing,
+      'content-length',
+      '0',
+    ]);
+    response.end();
+  };
+
+  const writeRefusal = (
+    exchange: Exchange,
+    route: ServiceRoute | undefined,
+  ): number => {
+    const millis = returnMillis(route);
+    const seconds = (millis / MILLIS_PER_SECOND).toFixed(3);
+    write(exchange, STATUS_UNAVAILABLE, ['retry-after', seconds]);
+    return millis;
+  };
+
+  const record = (
+    request: {route: ServiceRoute; arrivedMillis: number},
+    statusCode: number,
+  ): number => {
+    const millis = nowMillis() - request.arrivedMillis;
+    metrics.recordAnswer(request.route.name, statusCode, millis);
+    return Math.round(millis);
+  };
+
+  const describe = (request: AnsweredRequest, end: AttemptsEnd) => ({
+    requestId: request.attemptId,
+    route: request.route.name,
+    service: request.service,
+    upstream: end.upstreamId,
+    sentCount: end.sentCount,
+    configurationVersion: options.configurationVersion(),
+    reason: end.last.kind === 'answered' ? 'answered' : end.last.reason,
+  });
+
+  const finishAnswered = (request: AnsweredRequest, end: AttemptsEnd): void => {
+    if (end.last.kind !== 'answered') return;
+    const {answer} = end.last;
+    const {exchange} = request;
+    const headers = passedOnHeaders(answer.headers, NO_HEADERS);
+    if (options.isDraining()) headers.push('connection', 'close');
+    const method = exchange.request.method ?? 'GET';
+    sendAnswer(exchange.response, answer, headers, {method});
+    const millis = record(request, answer.statusCode);
+    if (answer.statusCode < 500) return;
+    log.request('answered-failure', {
+      ...describe(request, end),
+      statusCode: answer.statusCode,
+      hasFailedCall: end.last.hasFailedCall,
+      millis,
+    });
+  };
+
+  return {
+    finish: (request, end) => {
+      const {exchange, route} = request;
+      if (end.last.kind === 'answered') {
+        finishAnswered(request, end);
+        return;
+      }
+      if (!end.mayHaveRun) {
+        const returnAfter = writeRefusal(exchange, route);
+        const millis = record(request, STATUS_UNAVAILABLE);
+        log.request('refused', {
+          ...describe(request, end),
+          retryAfterMillis: Math.round(returnAfter),
+          millis,
+        });
+        return;
+      }
+      // Nobody but the deadline cancels a request whose client is still there.
+      const statusCode =
+        end.last.reason === 'cancelled'
+          ? STATUS_GATEWAY_TIMEOUT
+          : STATUS_BAD_GATEWAY;
+      write(exchange, statusCode, []);
+      const millis = record(request, statusCode);
+      log.request('failed', {...describe(request, end), statusCode, millis});
+    },
+    noteLeft: (request, end) => {
+      const millis = Math.round(nowMillis() - request.arrivedMillis);
+      log.request('client-left', {...describe(request, end), millis});
+    },
+    shed: (exchange, request) => {
+      const returnAfter = writeRefusal(exchange, request.route);
+      metrics.recordShed(request.shedBy);
+      record(request, STATUS_UNAVAILABLE);
+      log.request('shed', {
+        requestId: request.attemptId,
+        route: request.route.name,
+        shedBy: request.shedBy,
+        importance: request.importance,
+        level: Math.round(options.levelOf(request.shedBy)),
+        configurationVersion: options.configurationVersion(),
+        retryAfterMillis: Math.round(returnAfter),
+      });
+    },
+    refuse: (exchange, refusal) => {
+      writeRefusal(exchange, undefined);
+      log.request('refused', {reason: refusal.reason});
+    },
+    reject: (exchange, statusCode, reason) => {
+      write(exchange, statusCode, []);
+      log.request('rejected', {
+        statusCode,
+        reason,
+        host: exchange.request.headers.host,
+        target: exchange.request.url,
+        configurationVersion: options.configurationVersion(),
+      });
+    },
+    countCall: isParentFound => {
+      metrics.recordParent(isParentFound);
+      options.onCall(isParentFound);
+    },
+  };
+}
--- /dev/null
+++ b/src/request/inbound_exchange.ts
@@ -0,0 +1,178 @@
+/**
+ * Requests that other nodes send for the upstream of this host.
+ */
+import type {AnswerForm} from '../connection/answer_sender.js';
+import {sendAnswer} from '../connection/answer_sender.js';
+import type {ExecutionEnd} from '../connection/execution.js';
+import type {Exchange} from '../connection/node_listener.js';
+import {passedOnHeaders} from '../connection/raw_headers.js';
+import {readRequestBody} from '../connection/request_body.js';
+import type {CallOrigin} from '../process/in_flight_parents.js';
+import {LEAST_IMPORTANT} from '../process/importance.js';
+import type {LoadReport} from '../process/load_board.js';
+import type {HopReason, OutcomeFields} from '../protocol/hop_headers.js';
+import {
+  decodeOrigin,
+  encodeCalls,
+  encodeLoads,
+  encodeOutcome,
+  HOP_HEADER,
+} from '../protocol/hop_headers.js';
+import type {WireHeaders} from '../protocol/wire_headers.js';
+import type {LocalCall, LocalExecution} from './local_execution.js';
+
+/** Answers requests of other nodes. */
+export interface InboundExchanges {
+  handle(exchange: Exchange): Promise<void>;
+}
+
+/** What it needs. */
+export interface InboundOptions {
+  readonly names: WireHeaders;
+  readonly execution: LocalExecution;
+  /** Loads to report: that of the own upstream first. */
+  readonly loads: () => readonly LoadReport[];
+  readonly bodyBytes: () => number;
+  readonly nowMillis: () => number;
+  readonly onEnd: (call: LocalCall, end: ExecutionEnd) => void;
+}
+
+/** Creates the receiving side of one node. */
+export function createInboundExchanges(
+  options: InboundOptions,
+): InboundExchanges {
+  const ownHeaders: ReadonlySet<string> = new Set([
+    options.names.timeoutMillis,
+    options.names.expectedUpstreamId,
+    options.names.callerService,
+  ]);
+  return {
+    handle: async exchange => {
+      const call = readCall(options, exchange, ownHeaders);
+      if (call === undefined) {
+        exchange.response.writeHead(400);
+        exchange.response.end();
+        return;
+      }
+      const end = await options.execution.execute(call);
+      options.onEnd(call, end);
+      writeEnd(options, exchange, end, {method: call.method});
+    },
+  };
+}
+
+function readCall(
+  options: InboundOptions,
+  exchange: Exchange,
+  ownHeaders: ReadonlySet<string>,
+): LocalCall | undefined {
+  const {names, nowMillis} = options;
+  const {request} = exchange;
+  const text = (name: string): string | undefined => {
+    const value = request.headers[name];
+    return typeof value === 'string' ? value : undefined;
+  };
+  const now = nowMillis();
+  const attemptId = text(names.attemptId);
+  const upstreamId = text(names.expectedUpstreamId);
+  const origin = readOrigin(text(HOP_HEADER.origin), now);
+  const leftMillis = Number(text(names.timeoutMillis));
+  const startWithinMillis = Number(text(HOP_HEADER.startWithin));
+  if (attemptId === undefined || upstreamId === undefined) return undefined;
+  if (origin === undefined || !Number.isFinite(leftMillis)) return undefined;
+  return {
+    attemptId,
+    upstreamId,
+    origin,
+    callerService: text(names.callerService) ?? '',
+    method: request.method ?? 'GET',
+    target: request.url ?? '/',
+    headers: passedOnHeaders(request.rawHeaders, ownHeaders),
+    isRepeatable: !exchange.isBodyHeldBack,
+    deadlineMillis: now + leftMillis,
+    startByMillis: now + startWithinMillis,
+    fetchBody: () => fetchBody(options, exchange),
+    cancel: exchange.cancel,
+  };
+}
+
+function readOrigin(
+  text: string | undefined,
+  now: number,
+): CallOrigin | undefined {
+  const fields = text === undefined ? undefined : decodeOrigin(text);
+  if (fields === undefined) return undefined;
+  const importance = Math.floor(fields.importance);
+  return {
+    importance: Math.min(LEAST_IMPORTANT, Math.max(0, importance)),
+    rootId: fields.rootId,
+    rootRouteName: fields.rootRouteName,
+    rootBeganAtMillis: now - fields.rootAgeMillis,
+    isRepeat: fields.isRepeat,
+  };
+}
+
+/** A body that was held back is asked for now: from here on it may run. */
+async function fetchBody(
+  options: InboundOptions,
+  exchange: Exchange,
+): Promise<Buffer | undefined> {
+  if (exchange.isBodyHeldBack) exchange.response.writeContinue();
+  const read = await readRequestBody(exchange.request, options.bodyBytes());
+  return read.kind === 'whole' ? read.bytes : undefined;
+}
+
+const STATUS_BAD_GATEWAY = 502;
+const STATUS_UNAVAILABLE = 503;
+
+const NO_HEADERS: ReadonlySet<string> = new Set();
+
+function writeEnd(
+  options: InboundOptions,
+  exchange: Exchange,
+  end: ExecutionEnd,
+  form: AnswerForm,
+): void {
+  const {response} = exchange;
+  const fields = outcomeOf(end);
+  const headers = [HOP_HEADER.outcome, encodeOutcome(fields)];
+  const now = options.nowMillis();
+  const loads = options.loads().map(report => ({
+    ...report,
+    ageMillis: now - report.madeAtMillis,
+  }));
+  headers.push(HOP_HEADER.loads, encodeLoads(loads));
+  if (end.kind === 'answered') {
+    if (end.calls.size > 0) {
+      headers.push(HOP_HEADER.calls, encodeCalls(end.calls));
+    }
+    const passed = passedOnHeaders(end.answer.headers, NO_HEADERS);
+    sendAnswer(response, end.answer, [...passed, ...headers], form);
+    return;
+  }
+  if (response.destroyed) return;
+  const isRefused = end.kind === 'refused';
+  const statusCode = isRefused ? STATUS_UNAVAILABLE : STATUS_BAD_GATEWAY;
+  response.writeHead(statusCode, [...headers, 'content-length', '0']);
+  response.end();
+}
+
+function outcomeOf(end: ExecutionEnd): OutcomeFields {
+  switch (end.kind) {
+    case 'answered':
+      return fieldsOf('answered', 'none', end.hasFailedCall, 0);
+    case 'refused':
+      return fieldsOf('refused', end.reason, false, end.retryAfterMillis);
+    case 'unknown':
+      return fieldsOf('unknown', end.reason, end.hasFailedCall, 0);
+  }
+}
+
+function fieldsOf(
+  outcome: OutcomeFields['outcome'],
+  reason: HopReason,
+  hasFailedCall: boolean,
+  retryAfterMillis: number,
+): OutcomeFields {
+  return {outcome, reason, hasFailedCall, retryAfterMillis};
+}
--- /dev/null
+++ b/src/request/local_execution.ts
@@ -0,0 +1,209 @@
+/**
+ * Executes requests at the upstream of this host: waits for a slot, hands the
+ * request over, and tells what came of it.
+ */
+import {createCancelSource} from '../base/cancel_signal.js';
+import type {ExecutionCall, ExecutionEnd} from '../connection/execution.js';
+import type {
+  UpstreamEnd,
+  UpstreamSender,
+} from '../connection/upstream_sender.js';
+import type {AdmissionLevel} from '../process/admission_level.js';
+import type {
+  InFlightParent,
+  InFlightParents,
+} from '../process/in_flight_parents.js';
+import type {SlotRequest, UpstreamQueue} from '../process/upstream_queue.js';
+import type {HopReason} from '../protocol/hop_headers.js';
+import type {LocalUpstream} from './local_upstream.js';
+
+/** A request to execute here. */
+export interface LocalCall extends Omit<ExecutionCall, 'body'> {
+  /** Id of the upstream that the sender chose. */
+  readonly upstreamId: string;
+  /** Fetches the body once a slot is held; `undefined` if the sender left. */
+  readonly fetchBody: () => Promise<Buffer | undefined>;
+}
+
+/** Executes requests. */
+export interface LocalExecution {
+  execute(call: LocalCall): Promise<ExecutionEnd>;
+}
+
+/** What execution needs. */
+export interface LocalExecutionOptions {
+  readonly upstream: LocalUpstream;
+  readonly queue: UpstreamQueue;
+  readonly level: AdmissionLevel;
+  readonly parents: InFlightParents;
+  readonly sender: UpstreamSender;
+  readonly nowMillis: () => number;
+}
+
+/** Less time than this is not worth handing over. */
+const MIN_LEFT_MILLIS = 8;
+
+/** Creates the execution of one node. */
+export function createLocalExecution(
+  options: LocalExecutionOptions,
+): LocalExecution {
+  return {execute: call => execute(options, call)};
+}
+
+async function execute(
+  options: LocalExecutionOptions,
+  call: LocalCall,
+): Promise<ExecutionEnd> {
+  const {upstream, queue, level, nowMillis} = options;
+  const refusal = upstream.refusalFor(call.upstreamId);
+  if (refusal !== undefined) return refused(options, refusal);
+  level.recordArrival(call.origin.importance, queue.load().averageMillis);
+  const waitEnd = await waitForSlot(options, call);
+  if (waitEnd !== 'started') return refused(options, waitEnd);
+  const body = await call.fetchBody();
+  const late = upstream.refusalFor(call.upstreamId) ?? tooLate(options, call);
+  if (body === undefined || late !== undefined || call.cancel.isCancelled) {
+    queue.releaseUnused();
+    return refused(options, late ?? 'cancelled');
+  }
+  const startedMillis = nowMillis();
+  const leftMillis = call.deadlineMillis - startedMillis;
+  const parent = options.parents.open(call.origin, leftMillis);
+  const end = await handOver(options, call, body, parent);
+  parent.close();
+  settle(options, end, nowMillis() - startedMillis);
+  return executionEnd(options, end, parent);
+}
+
+type WaitEnd = 'started' | 'queue-full' | 'too-late' | 'cancelled';
+
+function waitForSlot(
+  options: LocalExecutionOptions,
+  call: LocalCall,
+): Promise<WaitEnd> | WaitEnd {
+  const {queue} = options;
+  const {nowMillis} = options;
+  let finish: (end: WaitEnd) => void = () => undefined;
+  const startByMillis = Math.min(
+    call.startByMillis,
+    call.deadlineMillis - MIN_LEFT_MILLIS,
+  );
+  const slotRequest: SlotRequest = {
+    importance: call.origin.importance,
+    beganAtMillis: call.origin.rootBeganAtMillis,
+    startByMillis,
+    start: () => {
+      finish('started');
+    },
+    expire: () => {
+      finish('too-late');
+    },
+  };
+  const verdict = queue.offer(slotRequest);
+  if (verdict === 'started') return 'started';
+  if (verdict === 'refused') return 'queue-full';
+  return new Promise(resolve => {
+    const cancelled = call.cancel.onCancel(() => {
+      if (queue.withdraw(slotRequest)) finish('cancelled');
+    });
+    const timer = setTimeout(
+      () => {
+        if (queue.withdraw(slotRequest)) finish('too-late');
+      },
+      Math.max(0, startByMillis - nowMillis()),
+    );
+    finish = end => {
+      clearTimeout(timer);
+      cancelled.dispose();
+      resolve(end);
+    };
+  });
+}
+
+function tooLate(
+  options: LocalExecutionOptions,
+  call: LocalCall,
+): HopReason | undefined {
+  const leftMillis = call.deadlineMillis - options.nowMillis();
+  return leftMillis < MIN_LEFT_MILLIS ? 'too-late' : undefined;
+}
+
+/** Hands the request over and ends it at its deadline at the latest. */
+async function handOver(
+  options: LocalExecutionOptions,
+  call: LocalCall,
+  body: Buffer,
+  parent: InFlightParent,
+): Promise<UpstreamEnd> {
+  const source = createCancelSource();
+  const left = call.cancel.onCancel(source.cancel);
+  const abandoned = options.upstream.onLost(source.cancel);
+  const leftMillis = call.deadlineMillis - options.nowMillis();
+  const timer = setTimeout(source.cancel, Math.max(0, leftMillis));
+  const end = await options.sender.send({
+    attemptId: call.attemptId,
+    upstreamId: call.upstreamId,
+    callerService: call.callerService,
+    method: call.method,
+    target: call.target,
+    headers: call.headers,
+    body,
+    timeoutMillis: parent.timeoutMillis,
+    cancel: source.signal,
+  });
+  clearTimeout(timer);
+  left.dispose();
+  abandoned.dispose();
+  return end;
+}
+
+/** Gives the slot back and learns from how the upstream did. */
+function settle(
+  options: LocalExecutionOptions,
+  end: UpstreamEnd,
+  heldMillis: number,
+): void {
+  const {queue, upstream} = options;
+  if (end.kind === 'answered') queue.release(heldMillis);
+  else queue.releaseUnused();
+  if (end.kind === 'not-run' && end.reason === 'unreachable') {
+    upstream.markUnreachable();
+  } else if (end.kind === 'answered') {
+    upstream.markReached();
+  }
+}
+
+function executionEnd(
+  options: LocalExecutionOptions,
+  end: UpstreamEnd,
+  parent: InFlightParent,
+): ExecutionEnd {
+  switch (end.kind) {
+    case 'answered':
+      return {
+        kind: 'answered',
+        answer: end.answer,
+        calls: parent.calls,
+        hasFailedCall: parent.hasFailedCall,
+      };
+    case 'not-run':
+      return refused(options, end.reason);
+    case 'unknown':
+      return {
+        kind: 'unknown',
+        reason: end.reason,
+        hasFailedCall: parent.hasFailedCall,
+      };
+  }
+}
+
+/** Time for the present queue to drain, as the time to come back. */
+function refused(
+  options: LocalExecutionOptions,
+  reason: HopReason,
+): ExecutionEnd {
+  const load = options.queue.load();
+  const drainMillis =
+    (load.queuedCount * load.averageMillis) / Math.max(1, load.limitCount);
+  return {kind: 'refused', reason, retryAfterMillis: drainMillis};
+}
--- /dev/null
+++ b/src/request/local_upstream.ts
@@ -0,0 +1,92 @@
+/**
+ * Whether the upstream of this host takes work, from what is published and
+ * from whether it can be reached.
+ */
+import type {Disposable} from '../base/lifecycle.js';
+import type {UpstreamDirectory} from '../process/upstream_directory.js';
+import type {HopReason} from '../protocol/hop_headers.js';
+
+/** State of the upstream beside this node. */
+export interface LocalUpstream {
+  /** Why a request for this upstream must not be handed over now. */
+  refusalFor(upstreamId: string): HopReason | undefined;
+  markUnreachable(): void;
+  markReached(): void;
+  /** False while it cannot be reached. */
+  readonly isReachable: boolean;
+  /** Calls the listener when the upstream is taken for dead. */
+  onLost(listener: () => void): Disposable;
+  /** This node stops: nothing new is handed over. */
+  startDraining(): void;
+}
+
+/** What it needs. */
+export interface LocalUpstreamOptions {
+  readonly directory: UpstreamDirectory;
+  readonly nowMillis: () => number;
+  readonly onChange: (isReachable: boolean) => void;
+}
+
+/**
+ * Time between attempts to reach an upstream that did not accept: one request
+ * is spent on each, and gets its refusal at once if it fails.
+ */
+const RETRY_MILLIS = 150;
+
+/** Attempts in a row that must fail until requests at work are given up. */
+const LOST_COUNT = 2;
+
+/** Creates the state of an upstream that is taken to be well. */
+export function createLocalUpstream(
+  options: LocalUpstreamOptions,
+): LocalUpstream {
+  const {directory, nowMillis} = options;
+  const listeners = new Set<() => void>();
+  let failuresInARow = 0;
+  let retryAtMillis = 0;
+  let isDraining = false;
+
+  const unreachable = (): HopReason | undefined => {
+    if (failuresInARow === 0) return undefined;
+    const now = nowMillis();
+    if (now < retryAtMillis) return 'unreachable';
+    retryAtMillis = now + RETRY_MILLIS;
+    return undefined;
+  };
+
+  return {
+    refusalFor: upstreamId => {
+      if (isDraining) return 'draining';
+      if (directory.hasLeft(upstreamId)) return 'other-upstream';
+      if (directory.find(upstreamId)?.entry.isDraining) return 'draining';
+      return unreachable();
+    },
+    markUnreachable: () => {
+      failuresInARow += 1;
+      retryAtMillis = nowMillis() + RETRY_MILLIS;
+      if (failuresInARow === 1) options.onChange(false);
+      if (failuresInARow !== LOST_COUNT) return;
+      // The upstream ended without a word; what it was working on would hold
+      // its slots and its callers until their deadlines.
+      for (const listener of [...listeners]) listener();
+    },
+    markReached: () => {
+      if (failuresInARow > 0) options.onChange(true);
+      failuresInARow = 0;
+    },
+    get isReachable() {
+      return failuresInARow === 0;
+    },
+    onLost: listener => {
+      listeners.add(listener);
+      return {
+        dispose: () => {
+          listeners.delete(listener);
+        },
+      };
+    },
+    startDraining: () => {
+      isDraining = true;
+    },
+  };
+}
--- /dev/null
+++ b/src/request/outbound_exchange.ts
@@ -0,0 +1,290 @@
+/**
+ * Requests that enter at this host: from its clients, and from its upstream,
+ * which calls deeper into the graph.
+ */
+import type {CancelSource} from '../base/cancel_signal.js';
+import {createCancelSource} from '../base/cancel_signal.js';
+import type {ExecutionCall} from '../connection/execution.js';
+import type {Exchange} from '../connection/node_listener.js';
+import {passedOnHeaders} from '../connection/raw_headers.js';
+import {readRequestBody} from '../connection/request_body.js';
+import type {CallTrees} from '../process/call_trees.js';
+import type {ConfigurationHolder} from '../process/configuration_holder.js';
+import type {EntryGate} from '../process/entry_gate.js';
+import type {
+  CallOrigin,
+  InFlightParent,
+  InFlightParents,
+} from '../process/in_flight_parents.js';
+import {importanceOf} from '../process/importance.js';
+import type {RepeatBudget} from '../process/repeat_budget.js';
+import type {WeightedTargets} from '../process/weighted_targets.js';
+import type {WireHeaders} from '../protocol/wire_headers.js';
+import type {ServiceRoute} from '../version/route_configuration.js';
+import type {AttemptsEnd, Attempts} from './attempts.js';
+import type {EntryAnswers} from './entry_answers.js';
+
+/** Answers requests that enter here. */
+export interface OutboundExchanges {
+  handle(exchange: Exchange): Promise<void>;
+}
+
+/** What it needs. */
+export interface OutboundOptions {
+  readonly names: WireHeaders;
+  readonly hostAddress: string;
+  readonly ownService: () => string;
+  readonly configuration: ConfigurationHolder;
+  readonly gate: EntryGate;
+  readonly targets: WeightedTargets;
+  readonly trees: CallTrees;
+  readonly budget: RepeatBudget;
+  readonly parents: InFlightParents;
+  readonly attempts: Attempts;
+  readonly answers: EntryAnswers;
+  readonly nowMillis: () => number;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+}
+
+/** A request that was read and has a route. */
+interface EnteredRequest {
+  readonly exchange: Exchange;
+  readonly attemptId: string;
+  readonly route: ServiceRoute;
+  readonly service: string;
+  readonly arrivedMillis: number;
+  readonly deadlineMillis: number;
+  readonly parent: InFlightParent | undefined;
+  readonly origin: CallOrigin;
+}
+
+/**
+ * Share of a route's objective that a client's request may wait for a slot:
+ * held longer, it can hardly be answered in time, and the client would come
+ * back too late as well.
+ */
+const WAIT_RATIO = 0.25;
+
+/** Time left for the last answer to reach a client before it gives up. */
+const ANSWER_MARGIN_MILLIS = 15;
+
+/** Creates the entry of one node. */
+export function createOutboundExchanges(
+  options: OutboundOptions,
+): OutboundExchanges {
+  const ownHeaders: ReadonlySet<string> = new Set([
+    options.names.timeoutMillis,
+    options.names.expectedUpstreamId,
+    options.names.callerService,
+  ]);
+  return {
+    handle: exchange => handle(options, exchange, ownHeaders),
+  };
+}
+
+async function handle(
+  options: OutboundOptions,
+  exchange: Exchange,
+  ownHeaders: ReadonlySet<string>,
+): Promise<void> {
+  const {answers, configuration} = options;
+  const table = configuration.current();
+  if (table === undefined) {
+    answers.refuse(exchange, {reason: 'no-configuration'});
+    return;
+  }
+  const {request} = exchange;
+  const route = table.match(request.headers.host ?? '', request.url ?? '/');
+  if (route === undefined) {
+    answers.reject(exchange, 404, 'no-route');
+    return;
+  }
+  const attemptId = request.headers[options.names.attemptId];
+  if (typeof attemptId !== 'string' || attemptId === '') {
+    answers.reject(exchange, 400, 'no-attempt-id');
+    return;
+  }
+  const entered = enter(options, exchange, route, attemptId);
+  if (!passesGate(options, entered)) return;
+  if (exchange.isBodyHeldBack) exchange.response.writeContinue();
+  const bodyBytes = table.configuration.limits.bodyBytes;
+  const body = await readRequestBody(request, bodyBytes);
+  if (body.kind === 'too-large') {
+    answers.reject(exchange, 413, 'body-too-large');
+    return;
+  }
+  if (body.kind === 'broken') return;
+  const headers = passedOnHeaders(request.rawHeaders, ownHeaders);
+  await serve(options, entered, headers, body.bytes);
+}
+
+function enter(
+  options: OutboundOptions,
+  exchange: Exchange,
+  route: ServiceRoute,
+  attemptId: string,
+): EnteredRequest {
+  const arrivedMillis = options.nowMillis();
+  const timeoutMillis = readTimeout(options, exchange) ?? route.timeoutMillis;
+  const parent = findParent(options, exchange, timeoutMillis);
+  const origin = parent?.origin ?? {
+    importance: importanceOf(route.rank, attemptId),
+    rootId: attemptId,
+    rootRouteName: route.name,
+    rootBeganAtMillis: arrivedMillis,
+    isRepeat: false,
+  };
+  return {
+    exchange,
+    attemptId,
+    route,
+    service: options.targets.choose(route),
+    arrivedMillis,
+    deadlineMillis:
+      arrivedMillis +
+      Math.min(route.timeoutMillis, timeoutMillis - ANSWER_MARGIN_MILLIS),
+    parent,
+    origin,
+  };
+}
+
+function readTimeout(
+  options: OutboundOptions,
+  exchange: Exchange,
+): number | undefined {
+  const text = exchange.request.headers[options.names.timeoutMillis];
+  const millis = Number(text);
+  return text !== undefined && Number.isFinite(millis) ? millis : undefined;
+}
+
+function isOwnUpstream(options: OutboundOptions, exchange: Exchange): boolean {
+  return exchange.request.socket.remoteAddress === options.hostAddress;
+}
+
+function findParent(
+  options: OutboundOptions,
+  exchange: Exchange,
+  timeoutMillis: number,
+): InFlightParent | undefined {
+  if (!isOwnUpstream(options, exchange)) return undefined;
+  const parent = options.parents.find(timeoutMillis);
+  options.answers.countCall(parent !== undefined);
+  return parent;
+}
+
+/** Turns a client's request away if a service on its way sheds its like. */
+function passesGate(
+  options: OutboundOptions,
+  entered: EnteredRequest,
+): boolean {
+  const {route, service, origin} = entered;
+  const tree = options.trees.countsOf(route.name);
+  if (isOwnUpstream(options, entered.exchange)) {
+    options.budget.recordRequest(new Map([[service, 1]]));
+    return true;
+  }
+  options.budget.recordRequest(tree.size > 0 ? tree : new Map([[service, 1]]));
+  const shedBy = options.gate.sheddingService(origin.importance, service, tree);
+  if (shedBy === undefined) return true;
+  options.answers.shed(entered.exchange, {
+    attemptId: entered.attemptId,
+    route,
+    shedBy,
+    importance: origin.importance,
+    arrivedMillis: entered.arrivedMillis,
+  });
+  return false;
+}
+
+async function serve(
+  options: OutboundOptions,
+  entered: EnteredRequest,
+  headers: readonly string[],
+  body: Buffer,
+): Promise<void> {
+  const {exchange, route, service, parent} = entered;
+  const source = createCancelSource();
+  const left = exchange.cancel.onCancel(source.cancel);
+  const timer = startDeadline(options, entered, source);
+  const call = createCall(options, entered, {headers, body, source});
+  const end = await options.attempts.run({route, service, call});
+  clearTimeout(timer);
+  left.dispose();
+  learn(options, entered, end);
+  if (parent !== undefined) reportToParent(parent, service, end);
+  if (exchange.cancel.isCancelled) {
+    options.answers.noteLeft(entered, end);
+    return;
+  }
+  options.answers.finish(entered, end);
+}
+
+function startDeadline(
+  options: OutboundOptions,
+  entered: EnteredRequest,
+  source: CancelSource,
+): NodeJS.Timeout {
+  const leftMillis = entered.deadlineMillis - options.nowMillis();
+  return setTimeout(source.cancel, Math.max(0, leftMillis));
+}
+
+interface CallParts {
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  readonly source: CancelSource;
+}
+
+function createCall(
+  options: OutboundOptions,
+  entered: EnteredRequest,
+  parts: CallParts,
+): ExecutionCall {
+  const {route, arrivedMillis, deadlineMillis} = entered;
+  const {request} = entered.exchange;
+  const isClients = !isOwnUpstream(options, entered.exchange);
+  const waitMillis = isClients
+    ? route.objectiveMillis * WAIT_RATIO
+    : route.timeoutMillis;
+  return {
+    attemptId: entered.attemptId,
+    callerService: options.ownService(),
+    method: request.method ?? 'GET',
+    target: request.url ?? '/',
+    headers: parts.headers,
+    body: parts.body,
+    isRepeatable: route.repeat === 'repeatable',
+    origin: entered.origin,
+    deadlineMillis,
+    startByMillis: Math.min(deadlineMillis, arrivedMillis + waitMillis),
+    cancel: parts.source.signal,
+  };
+}
+
+/** Learns the tree of calls from requests that succeeded. */
+function learn(
+  options: OutboundOptions,
+  entered: EnteredRequest,
+  end: AttemptsEnd,
+): void {
+  const {last} = end;
+  if (last.kind !== 'answered' || last.answer.statusCode >= 300) return;
+  const counts = new Map(last.calls);
+  counts.set(entered.service, (counts.get(entered.service) ?? 0) + 1);
+  options.trees.observe(entered.route.name, counts);
+}
+
+function reportToParent(
+  parent: InFlightParent,
+  service: string,
+  end: AttemptsEnd,
+): void {
+  const {last} = end;
+  parent.addCalls(new Map([[service, 1]]));
+  if (last.kind === 'answered') {
+    parent.addCalls(last.calls);
+    if (last.answer.statusCode >= 500) parent.markFailedCall(false);
+  } else {
+    parent.markFailedCall(last.kind === 'refused');
+  }
+}
--- /dev/null
+++ b/src/version/route_configuration.ts
@@ -0,0 +1,48 @@
+/**
+ * The routing configuration of one version, as operators publish it.
+ */
+
+/** Whether a request may be run more than once. */
+export type RepeatRule = 'repeatable' | 'once';
+
+/** One service that takes a share of a route's requests. */
+export interface WeightedService {
+  readonly service: string;
+  /** Relative to the sum of all weights of the route. */
+  readonly weightRatio: number;
+}
+
+/** How requests of one host name below one path prefix are treated. */
+export interface ServiceRoute {
+  readonly name: string;
+  /** Host name in lower case, without a port. */
+  readonly hostName: string;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  readonly repeat: RepeatRule;
+  /** Longest time a client is kept waiting. */
+  readonly timeoutMillis: number;
+  /** Time within which an answer has its full value. */
+  readonly objectiveMillis: number;
+  /** Upstreams that one attempt of a client may reach. */
+  readonly maxAttemptsCount: number;
+  /** Importance; 0 is the most important. */
+  readonly rank: number;
+  /** One entry, or more where a route is split. */
+  readonly targets: readonly WeightedService[];
+}
+
+/** What a client may send and how slowly. */
+export interface ClientLimits {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  readonly headerMillis: number;
+  readonly idleMillis: number;
+}
+
+/** Everything of one version. */
+export interface RouteConfiguration {
+  readonly version: number;
+  readonly routes: readonly ServiceRoute[];
+  readonly limits: ClientLimits;
+}
