Match calls to their request by id; shed at the entry

Change: a call's parent is the request in progress whose id its own begins with. Ruled out: deadlines kept apart by 4 ms.

--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -84,12 +84,11 @@
   const queue = createUpstreamQueue(nowMillis);
   const level = createAdmissionLevel();
   const board = createLoadBoard(nowMillis);
-  const parents = createInFlightParents(nowMillis);
+  const parents = createInFlightParents();
   const trees = createCallTrees();
   const ownAddress = `${settings.upstream.address}:${String(settings.upstream.port)}`;
   let isStopping = false;
   let executingCount = 0;
-  const parentCounts = {found: 0, missing: 0};
 
   const directory = createUpstreamDirectory({
     nowMillis,
@@ -179,10 +178,6 @@
     isDraining: () => isStopping,
     configurationVersion,
     levelOf: board.levelOf,
-    onCall: isParentFound => {
-      if (isParentFound) parentCounts.found += 1;
-      else parentCounts.missing += 1;
-    },
     nowMillis,
     random,
   });
@@ -210,7 +205,6 @@
   });
   const outbound = createOutboundExchanges({
     names,
-    hostAddress: settings.hostAddress,
     ownService: () => settings.service,
     configuration,
     gate: createEntryGate(board),
@@ -307,8 +301,6 @@
         executingCount,
         upstreamsCount: directory.count(),
         configurationVersion: configurationVersion(),
-        callsFoundCount: parentCounts.found,
-        callsMissingCount: parentCounts.missing,
       });
     }),
   );
--- a/src/process/in_flight_parents.ts
+++ b/src/process/in_flight_parents.ts
@@ -2,10 +2,10 @@
  * Requests that the upstream of this host works on, and the search for the one
  * that a call of the upstream is made for.
  *
- * A call carries nothing of its parent but the moment at which it expires. So
- * each request is handed to the upstream with a deadline that differs from
- * those of all others in progress by a few milliseconds, and the parent of a
- * call is the request whose deadline it has.
+ * Upstreams derive the id of a call from the id of the request it is made for:
+ * the parent's id, a dot, and a part of its own. A call is taken for one of the
+ * upstream's only if its parent is in progress here, so an id that merely looks
+ * derived changes nothing.
  */
 import type {CallCounts} from './call_trees.js';
 
@@ -25,14 +25,11 @@
 /** A request in progress at the upstream. */
 export interface InFlightParent {
   readonly origin: CallOrigin;
-  /** Milliseconds the upstream was told that are left. */
-  readonly timeoutMillis: number;
   /** Adds the calls that one call caused below. */
   addCalls(counts: CallCounts): void;
   /** Notes that a call made for this request failed. */
-  markFailedCall(wasRefused: boolean): void;
+  markFailedCall(): void;
   readonly hasFailedCall: boolean;
-  readonly hasRefusedCall: boolean;
   readonly calls: CallCounts;
   /** Ends the record. */
   close(): void;
@@ -40,101 +37,51 @@
 
 /** Registry of one node. */
 export interface InFlightParents {
-  /** Records a request that is handed over now with so much time left. */
-  open(origin: CallOrigin, leftMillis: number): InFlightParent;
-  /** The request that expires in so many milliseconds, if exactly one fits. */
-  find(leftMillis: number): InFlightParent | undefined;
-  count(): number;
+  /** Records a request that is handed over now. */
+  open(attemptId: string, origin: CallOrigin): InFlightParent;
+  /** The request that a call with this id is made for. */
+  find(callId: string): InFlightParent | undefined;
 }
 
-/** Distance between deadlines; a call's expiry is rounded to milliseconds. */
-const SPACING_MILLIS = 4;
-
-/** A call's expiry may lie this much after that of its parent, by rounding. */
-const AFTER_MILLIS = 1;
-
-/** And this much before it, by the time the request and the call travel. */
-const BEFORE_MILLIS = 3;
-
-/** Most that a deadline is shortened to keep it apart from the others. */
-const MAX_SHORTENED_MILLIS = 80;
-
-interface Entry extends InFlightParent {
-  readonly deadlineMillis: number;
-}
+const ID_SEPARATOR = '.';
 
 /** Creates an empty registry. */
-export function createInFlightParents(
-  nowMillis: () => number,
-): InFlightParents {
-  const bySlot = new Map<number, Entry>();
-
-  const chooseSlot = (latestMillis: number): number => {
-    const latest = Math.floor(latestMillis / SPACING_MILLIS);
-    const count = MAX_SHORTENED_MILLIS / SPACING_MILLIS;
-    for (let step = 1; step <= count; step += 1) {
-      if (!bySlot.has(latest - step)) return latest - step;
-    }
-    return latest - 1;
-  };
-
+export function createInFlightParents(): InFlightParents {
+  const byAttemptId = new Map<string, InFlightParent>();
   return {
-    open: (origin, leftMillis) => {
-      const now = nowMillis();
-      const slot = chooseSlot(now + leftMillis);
-      const deadlineMillis = slot * SPACING_MILLIS + BEFORE_MILLIS;
-      const timeoutMillis = Math.max(1, Math.round(deadlineMillis - now));
-      const entry = createEntry(origin, timeoutMillis, deadlineMillis, () => {
-        if (bySlot.get(slot) === entry) bySlot.delete(slot);
+    open: (attemptId, origin) => {
+      const parent = createParent(origin, () => {
+        if (byAttemptId.get(attemptId) === parent) {
+          byAttemptId.delete(attemptId);
+        }
       });
-      bySlot.set(slot, entry);
-      return entry;
+      byAttemptId.set(attemptId, parent);
+      return parent;
     },
-    find: leftMillis => {
-      const deadline = nowMillis() + leftMillis;
-      const slot = Math.floor((deadline + AFTER_MILLIS) / SPACING_MILLIS);
-      return [bySlot.get(slot), bySlot.get(slot - 1), bySlot.get(slot + 1)]
-        .filter(entry => entry !== undefined)
-        .find(entry => fits(entry, deadline));
+    find: callId => {
+      const end = callId.lastIndexOf(ID_SEPARATOR);
+      return end < 0 ? undefined : byAttemptId.get(callId.slice(0, end));
     },
-    count: () => bySlot.size,
   };
 }
 
-function fits(entry: Entry, deadlineMillis: number): boolean {
-  const difference = entry.deadlineMillis - deadlineMillis;
-  return difference <= BEFORE_MILLIS && difference >= -AFTER_MILLIS;
-}
-
-function createEntry(
-  origin: CallOrigin,
-  timeoutMillis: number,
-  deadlineMillis: number,
-  close: () => void,
-): Entry {
+function createParent(origin: CallOrigin, close: () => void): InFlightParent {
   const calls = new Map<string, number>();
   let hasFailedCall = false;
-  let hasRefusedCall = false;
   return {
     origin,
-    timeoutMillis,
-    deadlineMillis,
     calls,
     close,
     get hasFailedCall() {
       return hasFailedCall;
     },
-    get hasRefusedCall() {
-      return hasRefusedCall;
-    },
     addCalls: counts => {
       for (const [service, count] of counts) {
         calls.set(service, (calls.get(service) ?? 0) + count);
       }
     },
-    markFailedCall: wasRefused => {
+    markFailedCall: () => {
       hasFailedCall = true;
-      hasRefusedCall ||= wasRefused;
     },
   };
 }
--- a/src/process/node_metrics.ts
+++ b/src/process/node_metrics.ts
@@ -12,7 +12,8 @@
   recordRetry(reason: HopReason): void;
   recordRefusal(reason: HopReason): void;
   recordUnknown(reason: HopReason): void;
-  recordParent(isFound: boolean): void;
+  /** A request entered, from the own upstream or from a client. */
+  recordEntered(isUpstreams: boolean): void;
   recordStoreLost(): void;
   setGauge(name: GaugeName, value: number): void;
   /** All metrics in the Prometheus text format. */
@@ -57,7 +58,9 @@
   const unknowns = counter('unknown_total', 'Attempts that may have run', [
     'reason',
   ]);
-  const parents = counter('calls_total', 'Calls of the upstream', ['parent']);
+  const entered = counter('entered_total', 'Requests by their sender', [
+    'sender',
+  ]);
   const storeLosses = counter('store_lost_total', 'Losses of the store', []);
   const gauges = new Map<GaugeName, Gauge>();
   return {
@@ -76,8 +79,8 @@
     recordUnknown: reason => {
       unknowns.inc({reason});
     },
-    recordParent: isFound => {
-      parents.inc({parent: isFound ? 'found' : 'missing'});
+    recordEntered: isUpstreams => {
+      entered.inc({sender: isUpstreams ? 'upstream' : 'client'});
     },
     recordStoreLost: () => {
       storeLosses.inc();
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -41,8 +41,8 @@
   refuse(exchange: Exchange, refusal: {readonly reason: string}): void;
   /** The request itself is not acceptable. */
   reject(exchange: Exchange, statusCode: number, reason: string): void;
-  /** Counts a call of the own upstream. */
-  countCall(isParentFound: boolean): void;
+  /** Counts a request that entered, by who sent it. */
+  countEntered(isUpstreams: boolean): void;
 }
 
 /** What answers need. */
@@ -52,7 +52,6 @@
   readonly isDraining: () => boolean;
   readonly configurationVersion: () => number;
   readonly levelOf: (service: string) => number;
-  readonly onCall: (isParentFound: boolean) => void;
   readonly nowMillis: () => number;
   /** Uniform in [0, 1). */
   readonly random: () => number;
@@ -212,9 +211,6 @@
         configurationVersion: options.configurationVersion(),
       });
     },
-    countCall: isParentFound => {
-      metrics.recordParent(isParentFound);
-      options.onCall(isParentFound);
-    },
+    countEntered: metrics.recordEntered,
   };
 }
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -67,9 +67,8 @@
     return refused(options, late ?? 'cancelled');
   }
   const startedMillis = nowMillis();
-  const leftMillis = call.deadlineMillis - startedMillis;
-  const parent = options.parents.open(call.origin, leftMillis);
-  const end = await handOver(options, call, body, parent);
+  const parent = options.parents.open(call.attemptId, call.origin);
+  const end = await handOver(options, call, body);
   parent.close();
   settle(options, end, nowMillis() - startedMillis);
   return executionEnd(options, end, parent);
@@ -133,7 +132,6 @@
   options: LocalExecutionOptions,
   call: LocalCall,
   body: Buffer,
-  parent: InFlightParent,
 ): Promise<UpstreamEnd> {
   const source = createCancelSource();
   const left = call.cancel.onCancel(source.cancel);
@@ -148,7 +146,7 @@
     target: call.target,
     headers: call.headers,
     body,
-    timeoutMillis: parent.timeoutMillis,
+    timeoutMillis: Math.max(1, Math.floor(leftMillis)),
     cancel: source.signal,
   });
   clearTimeout(timer);
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -32,7 +32,6 @@
 /** What it needs. */
 export interface OutboundOptions {
   readonly names: WireHeaders;
-  readonly hostAddress: string;
   readonly ownService: () => string;
   readonly configuration: ConfigurationHolder;
   readonly gate: EntryGate;
@@ -127,7 +126,8 @@
 ): EnteredRequest {
   const arrivedMillis = options.nowMillis();
   const timeoutMillis = readTimeout(options, exchange) ?? route.timeoutMillis;
-  const parent = findParent(options, exchange, timeoutMillis);
+  const parent = options.parents.find(attemptId);
+  options.answers.countEntered(parent !== undefined);
   const origin = parent?.origin ?? {
     importance: importanceOf(route.rank, attemptId),
     rootId: attemptId,
@@ -158,21 +158,6 @@
   return text !== undefined && Number.isFinite(millis) ? millis : undefined;
 }
 
-function isOwnUpstream(options: OutboundOptions, exchange: Exchange): boolean {
-  return exchange.request.socket.remoteAddress === options.hostAddress;
-}
-
-function findParent(
-  options: OutboundOptions,
-  exchange: Exchange,
-  timeoutMillis: number,
-): InFlightParent | undefined {
-  if (!isOwnUpstream(options, exchange)) return undefined;
-  const parent = options.parents.find(timeoutMillis);
-  options.answers.countCall(parent !== undefined);
-  return parent;
-}
-
 /** Turns a client's request away if a service on its way sheds its like. */
 function passesGate(
   options: OutboundOptions,
@@ -180,7 +165,7 @@
 ): boolean {
   const {route, service, origin} = entered;
   const tree = options.trees.countsOf(route.name);
-  if (isOwnUpstream(options, entered.exchange)) {
+  if (entered.parent !== undefined) {
     options.budget.recordRequest(new Map([[service, 1]]));
     return true;
   }
@@ -242,10 +227,10 @@
 ): ExecutionCall {
   const {route, arrivedMillis, deadlineMillis} = entered;
   const {request} = entered.exchange;
-  const isClients = !isOwnUpstream(options, entered.exchange);
-  const waitMillis = isClients
-    ? route.objectiveMillis * WAIT_RATIO
-    : route.timeoutMillis;
+  const waitMillis =
+    entered.parent === undefined
+      ? route.objectiveMillis * WAIT_RATIO
+      : route.timeoutMillis;
   return {
     attemptId: entered.attemptId,
     callerService: options.ownService(),
@@ -283,8 +268,8 @@
   parent.addCalls(new Map([[service, 1]]));
   if (last.kind === 'answered') {
     parent.addCalls(last.calls);
-    if (last.answer.statusCode >= 500) parent.markFailedCall(false);
+    if (last.answer.statusCode >= 500) parent.markFailedCall();
   } else {
-    parent.markFailedCall(last.kind === 'refused');
+    parent.markFailedCall();
   }
 }
