Judge a service by the share of its capacity that takes a request

Cause: upstreams of one service shed at different levels; their mean level says nothing where ranks are sparse. Change: an attempt is in where its place lies below the share of capacity that takes its importance; overload is judged by the service's mean time.

--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -177,7 +177,7 @@
     metrics,
     isDraining: () => isStopping,
     configurationVersion,
-    levelOf: board.levelOf,
+    takingRatio: board.takingRatio,
     nowMillis,
     random,
   });
@@ -270,7 +270,11 @@
   store.add(
     createIntervalTimer(LEVEL_WINDOW_MILLIS, () => {
       const before = level.level();
-      level.update({...queue.load(), windowMillis: LEVEL_WINDOW_MILLIS});
+      level.update({
+        ...queue.load(),
+        windowMillis: LEVEL_WINDOW_MILLIS,
+        serviceAverageMillis: board.averageMillisOf(settings.service),
+      });
       const after = level.level();
       metrics.setGauge('admission_level', after);
       if (before === after) return;
--- a/src/process/admission_level.ts
+++ b/src/process/admission_level.ts
@@ -15,6 +15,8 @@
   readonly limitCount: number;
   readonly queuedCount: number;
   readonly averageMillis: number;
+  /** The same over all upstreams of the service, if known. */
+  readonly serviceAverageMillis: number | undefined;
   readonly windowMillis: number;
 }
 
@@ -46,8 +48,9 @@
 const MIN_GROWTH_RATIO = 1.03;
 
 /**
- * Queue that counts as overload, in mean times for which a slot is held:
- * a shorter one is the ordinary unevenness of arrivals.
+ * Queue that counts as overload, in mean times for which a slot is held: a
+ * shorter one is the ordinary unevenness of arrivals. The mean is that of the
+ * service, since a fast upstream rightly has a queue while slow ones have none.
  */
 const BACKLOG_RATIO = 0.75;
 const MIN_BACKLOG_MILLIS = 10;
@@ -95,9 +98,13 @@
       const utilization = total / capacity;
       const backlogMillis =
         (state.queuedCount * state.averageMillis) / state.limitCount;
+      const typicalMillis = Math.max(
+        state.averageMillis,
+        state.serviceAverageMillis ?? 0,
+      );
       const allowedMillis = Math.min(
         MAX_BACKLOG_MILLIS,
-        Math.max(MIN_BACKLOG_MILLIS, state.averageMillis * BACKLOG_RATIO),
+        Math.max(MIN_BACKLOG_MILLIS, typicalMillis * BACKLOG_RATIO),
       );
       const fitting = TARGET_RATIO / Math.max(utilization, 0.01);
       if (backlogMillis > allowedMillis) {
--- a/src/process/importance.ts
+++ b/src/process/importance.ts
@@ -17,6 +17,10 @@
 /** The least important value. */
 export const LEAST_IMPORTANT = (MAX_RANK + 1) * BUCKETS_COUNT - 1;
 
+/** Low bits of the hash that place an attempt apart from its bucket. */
+const SPREAD_BITS = 12;
+const SPREAD_MASK = 2 ** SPREAD_BITS - 1;
+
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
 
@@ -31,12 +35,21 @@
   return Math.floor(importance / BUCKETS_COUNT);
 }
 
-/** FNV-1a, since ids may differ in few characters only. */
+/** Place of an attempt in [0, 1), independent of its bucket. */
+export function spreadOf(attemptId: string): number {
+  return (hashOf(attemptId) & SPREAD_MASK) / (SPREAD_MASK + 1);
+}
+
 function bucketOf(attemptId: string): number {
+  return (hashOf(attemptId) >>> SPREAD_BITS) % BUCKETS_COUNT;
+}
+
+/** FNV-1a, since ids may differ in few characters only. */
+function hashOf(attemptId: string): number {
   let hash = FNV_OFFSET;
   for (let index = 0; index < attemptId.length; index += 1) {
     hash ^= attemptId.charCodeAt(index);
     hash = Math.imul(hash, FNV_PRIME);
   }
-  return (hash >>> 8) % BUCKETS_COUNT;
+  return hash >>> 0;
 }
--- a/src/process/load_board.ts
+++ b/src/process/load_board.ts
@@ -23,8 +23,10 @@
 export interface LoadBoard {
   observe(report: LoadReport): void;
   find(upstreamId: string): LoadReport | undefined;
-  /** Least important value that a service as a whole takes now. */
-  levelOf(service: string): number;
+  /** Share of a service's capacity that takes this importance now. */
+  takingRatio(service: string, importance: number): number;
+  /** Mean time for which upstreams of a service hold a slot. */
+  averageMillisOf(service: string): number | undefined;
   /** Fresh reports of upstreams that shed, the newest first. */
   shedding(): readonly LoadReport[];
   /** Forgets what has aged. */
@@ -40,31 +42,34 @@
 /** Reports beyond this age are dropped. */
 const FORGET_MILLIS = 10_000;
 
-/** How long a computed level of a service is reused, to spare the hot path. */
+/** How long a summary of a service is reused, to spare the hot path. */
 const CACHE_MILLIS = 20;
 
-interface CachedLevel {
+/** One upstream's part in its service. */
+interface Part {
   readonly level: number;
+  readonly weight: number;
+}
+
+interface Summary {
+  readonly parts: readonly Part[];
+  readonly weight: number;
+  readonly averageMillis: number | undefined;
   readonly untilMillis: number;
 }
 
 /** Creates an empty board. */
 export function createLoadBoard(nowMillis: () => number): LoadBoard {
   const reports = new Map<string, LoadReport>();
-  const cache = new Map<string, CachedLevel>();
+  const cache = new Map<string, Summary>();
 
-  const compute = (service: string): number => {
+  const summaryOf = (service: string): Summary => {
     const now = nowMillis();
-    let weighted = 0;
-    let weight = 0;
-    for (const report of reports.values()) {
-      if (report.service !== service) continue;
-      // An upstream that answers faster takes a larger share of the work.
-      const share = report.limitCount / Math.max(1, report.averageMillis);
-      weighted += share * currentLevel(report, now);
-      weight += share;
-    }
-    return weight > 0 ? weighted / weight : LEAST_IMPORTANT;
+    const cached = cache.get(service);
+    if (cached && cached.untilMillis > now) return cached;
+    const summary = summarize(reports.values(), service, now);
+    cache.set(service, summary);
+    return summary;
   };
 
   return {
@@ -74,14 +79,16 @@
       reports.set(report.upstreamId, report);
     },
     find: upstreamId => reports.get(upstreamId),
-    levelOf: service => {
-      const now = nowMillis();
-      const cached = cache.get(service);
-      if (cached && cached.untilMillis > now) return cached.level;
-      const level = compute(service);
-      cache.set(service, {level, untilMillis: now + CACHE_MILLIS});
-      return level;
+    takingRatio: (service, importance) => {
+      const {parts, weight} = summaryOf(service);
+      if (weight === 0) return 1;
+      let taking = 0;
+      for (const part of parts) {
+        if (importance <= part.level) taking += part.weight;
+      }
+      return taking / weight;
     },
+    averageMillisOf: service => summaryOf(service).averageMillis,
     shedding: () => {
       const since = nowMillis() - FRESH_MILLIS;
       return [...reports.values()]
@@ -97,6 +104,30 @@
   };
 }
 
+function summarize(
+  reports: Iterable<LoadReport>,
+  service: string,
+  now: number,
+): Summary {
+  const parts: Part[] = [];
+  let weight = 0;
+  let limitCount = 0;
+  for (const report of reports) {
+    if (report.service !== service) continue;
+    // An upstream that answers faster takes a larger share of the work.
+    const share = report.limitCount / Math.max(1, report.averageMillis);
+    parts.push({level: currentLevel(report, now), weight: share});
+    weight += share;
+    limitCount += report.limitCount;
+  }
+  return {
+    parts,
+    weight,
+    averageMillis: weight > 0 ? limitCount / weight : undefined,
+    untilMillis: now + CACHE_MILLIS,
+  };
+}
+
 function isShedding(report: LoadReport): boolean {
   return report.level < LEAST_IMPORTANT;
 }
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -51,7 +51,8 @@
   readonly metrics: NodeMetrics;
   readonly isDraining: () => boolean;
   readonly configurationVersion: () => number;
-  readonly levelOf: (service: string) => number;
+  /** Share of a service's capacity that takes an importance. */
+  readonly takingRatio: (service: string, importance: number) => number;
   readonly nowMillis: () => number;
   /** Uniform in [0, 1). */
   readonly random: () => number;
@@ -192,7 +193,7 @@
         route: request.route.name,
         shedBy: request.shedBy,
         importance: request.importance,
-        level: Math.round(options.levelOf(request.shedBy)),
+        takingRatio: options.takingRatio(request.shedBy, request.importance),
         configurationVersion: options.configurationVersion(),
         retryAfterMillis: Math.round(returnAfter),
       });
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -170,7 +170,11 @@
     return true;
   }
   options.budget.recordRequest(tree.size > 0 ? tree : new Map([[service, 1]]));
-  const shedBy = options.gate.sheddingService(origin.importance, service, tree);
+  const gated = {
+    importance: origin.importance,
+    attemptId: entered.attemptId,
+  };
+  const shedBy = options.gate.sheddingService(gated, service, tree);
   if (shedBy === undefined) return true;
   options.answers.shed(entered.exchange, {
     attemptId: entered.attemptId,
