Let the second check pass the request that tries a lost upstream

Change: the second check asks only whether the upstream leaves; a new entry at the own address counts as reached. Test: local_upstream.test.ts, fails on the code before.

--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -101,7 +101,9 @@
         zone: entry.zone,
         slotsCount: entry.slotsCount,
       });
-      if (entry.listenAddress === ownAddress) queue.setSlots(entry.slotsCount);
+      if (entry.listenAddress !== ownAddress) return;
+      queue.setSlots(entry.slotsCount);
+      if (change.kind === 'joined') upstream.markReached();
     },
   });
   const upstream = createLocalUpstream({
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -61,7 +61,8 @@
   const waitEnd = await waitForSlot(options, call);
   if (waitEnd !== 'started') return refused(options, waitEnd);
   const body = await call.fetchBody();
-  const late = upstream.refusalFor(call.upstreamId) ?? tooLate(options, call);
+  const late =
+    upstream.leavingReason(call.upstreamId) ?? tooLate(options, call);
   if (body === undefined || late !== undefined || call.cancel.isCancelled) {
     queue.releaseUnused();
     return refused(options, late ?? 'cancelled');
--- a/src/request/local_upstream.ts
+++ b/src/request/local_upstream.ts
@@ -8,8 +8,10 @@
 
 /** State of the upstream beside this node. */
 export interface LocalUpstream {
-  /** Why a request for this upstream must not be handed over now. */
+  /** Why a request for this upstream is refused as it arrives. */
   refusalFor(upstreamId: string): HopReason | undefined;
+  /** Why a request that was let in must not be handed over any more. */
+  leavingReason(upstreamId: string): HopReason | undefined;
   markUnreachable(): void;
   markReached(): void;
   /** False while it cannot be reached. */
@@ -54,13 +56,16 @@
     return undefined;
   };
 
+  const leavingReason = (upstreamId: string): HopReason | undefined => {
+    if (isDraining) return 'draining';
+    if (directory.hasLeft(upstreamId)) return 'other-upstream';
+    if (directory.find(upstreamId)?.entry.isDraining) return 'draining';
+    return undefined;
+  };
+
   return {
-    refusalFor: upstreamId => {
-      if (isDraining) return 'draining';
-      if (directory.hasLeft(upstreamId)) return 'other-upstream';
-      if (directory.find(upstreamId)?.entry.isDraining) return 'draining';
-      return unreachable();
-    },
+    refusalFor: upstreamId => leavingReason(upstreamId) ?? unreachable(),
+    leavingReason,
     markUnreachable: () => {
       failuresInARow += 1;
       retryAtMillis = nowMillis() + RETRY_MILLIS;
