End work when a client leaves; contract tests of the path

Cause: the close of an answer comes before that of its socket and was taken for its end, so work of clients that had left went on to the deadline. Change: a close without 'finish' cancels.

--- a/src/connection/node_listener.ts
+++ b/src/connection/node_listener.ts
@@ -91,7 +91,12 @@
       sources.delete(source);
     };
     response.once('finish', finish);
-    response.once('close', finish);
+    response.once('close', () => {
+      // Comes before the close of the socket, and without 'finish' if the
+      // client has left: its work would otherwise go on to the deadline.
+      if (!response.writableFinished) source.cancel();
+      finish();
+    });
     source.signal.onCancel(finish);
     response.sendDate = false;
     request.on('error', () => undefined);
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -54,6 +54,8 @@
   isReady(): boolean;
   /** Finishes what it holds and ends, within the grace period. */
   stop(): Promise<void>;
+  /** Ends at once, whatever it holds. */
+  dispose(): void;
   /** State for operators. */
   dump(): object;
 }
@@ -326,6 +328,11 @@
       closeAll([outboundListener, inboundListener]);
       store.dispose();
     },
+    dispose: () => {
+      closeAll([outboundListener, inboundListener]);
+      store.dispose();
+      documents.source.dispose();
+    },
     dump: () => ({
       node: settings.nodeName,
       service: settings.service,
--- /dev/null
+++ b/test/contract/platform_path.test.ts
@@ -0,0 +1,342 @@
+import {once} from 'node:events';
+import http from 'node:http';
+import net from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {ExecutionContext} from 'ava';
+import test from 'ava';
+import type {FleetOptions, PlatformFleet} from '../fakes/platform_fleet.js';
+import {
+  FLEET_HOST_NAME,
+  fleetPath,
+  startPlatformFleet,
+} from '../fakes/platform_fleet.js';
+import {signatureOf} from '../fakes/stand_in_backend.js';
+import {waitUntil} from '../fakes/wait_until.js';
+
+const SAFE = fleetPath();
+const UNSAFE = fleetPath({name: 'r-2', prefix: '/order/', kind: 'unsafe'});
+
+async function startFleet(
+  t: ExecutionContext,
+  options: FleetOptions,
+): Promise<PlatformFleet> {
+  const fleet = await startPlatformFleet(options);
+  t.teardown(() => fleet.close());
+  return fleet;
+}
+
+test('a request reaches an upstream of its service unchanged', async t => {
+  const fleet = await startFleet(t, {
+    services: ['atlas', 'orders'],
+    paths: [SAFE, UNSAFE],
+  });
+  const [atlas, orders] = fleet.hosts;
+  let seen: http.IncomingHttpHeaders = {};
+  let seenBody = '';
+  orders!.backend.setBehaviour(request => {
+    seen = request.headers;
+    seenBody = `${request.method} ${request.target} ${request.body}`;
+    request.answer(201, 'made');
+  });
+  const answer = await fleet.send(atlas!, {
+    attemptId: 'c1',
+    method: 'POST',
+    path: '/order/1?x=%20y',
+    body: 'two maps',
+    timeoutMillis: 4000,
+    headers: {
+      'caller-service': 'forged',
+      'expect-instance': 'forged',
+      'fh-origin': 'forged',
+      'x-kept': 'yes',
+      connection: 'close, x-dropped',
+      'x-dropped': 'no',
+    },
+  });
+  t.is(answer.statusCode, 201);
+  t.is(answer.body, 'made');
+  t.is(answer.headers['response-signature'], signatureOf('i-2', 'c1'));
+  t.is(answer.headers['fh-outcome'], undefined);
+  t.is(seenBody, 'POST /order/1?x=%20y two maps');
+  t.like(seen, {
+    host: FLEET_HOST_NAME,
+    'attempt-id': 'c1',
+    'caller-service': 'atlas',
+    'expect-instance': 'i-2',
+    'x-kept': 'yes',
+  });
+  t.is(seen['x-dropped'], undefined);
+  t.is(seen['fh-origin'], undefined);
+  t.true(Number(seen['timeout-ms']) > 0 && Number(seen['timeout-ms']) <= 4000);
+});
+
+test('a body in chunks arrives whole', async t => {
+  const fleet = await startFleet(t, {
+    services: ['atlas', 'orders'],
+    paths: [UNSAFE],
+  });
+  const [atlas, orders] = fleet.hosts;
+  let seenBody = '';
+  orders!.backend.setBehaviour(request => {
+    seenBody = request.body;
+    request.answer(200, '');
+  });
+  const answer = await fleet.send(atlas!, {
+    attemptId: 'c1',
+    method: 'POST',
+    path: '/order/1',
+    body: 'x'.repeat(30_000),
+    headers: {'transfer-encoding': 'chunked'},
+  });
+  t.is(answer.statusCode, 200);
+  t.is(seenBody.length, 30_000);
+});
+
+test('what has no route is answered 404, without a configuration 503', async t => {
+  const fleet = await startFleet(t, {services: ['orders']});
+  const [host] = fleet.hosts;
+  const early = await fleet.send(host!, {attemptId: 'c1', path: '/a/1'});
+  t.is(early.statusCode, 503);
+  t.true(Number(early.headers['retry-after']) > 0);
+  t.false(host!.node.isReady());
+  fleet.configure([SAFE]);
+  await waitUntil('ready', () => host!.node.isReady());
+  const unknown = await fleet.send(host!, {attemptId: 'c2', path: '/b/1'});
+  t.is(unknown.statusCode, 404);
+  const known = await fleet.send(host!, {attemptId: 'c3', path: '/a/1'});
+  t.is(known.statusCode, 200);
+});
+
+test('a draining upstream gets nothing new, nor does one that left', async t => {
+  const fleet = await startFleet(t, {
+    services: ['orders', 'orders', 'atlas'],
+    paths: [SAFE],
+  });
+  const [first, second, atlas] = fleet.hosts;
+  fleet.publish(first!, {state: 'draining'});
+  await waitUntil('all know', () =>
+    fleet.hosts.every(host =>
+      host.events.some(({event}) => event === 'upstream-draining'),
+    ),
+  );
+  for (let index = 0; index < 10; index += 1) {
+    await fleet.send(atlas!, {attemptId: `a${String(index)}`, path: '/a/1'});
+  }
+  t.is(first!.backend.runIds.length, 0);
+  t.is(second!.backend.runIds.length, 10);
+  fleet.withdraw(second!);
+  await waitUntil('left', () =>
+    atlas!.events.some(({event}) => event === 'upstream-left'),
+  );
+  const none = await fleet.send(atlas!, {attemptId: 'b', path: '/a/1'});
+  t.is(none.statusCode, 503);
+});
+
+test('work ends when the client leaves', async t => {
+  // Symptom: upstreams work on for clients that have gone. The close of the
+  // answer was taken for its end, so only the deadline ended the work.
+  const fleet = await startFleet(t, {
+    services: ['atlas', 'orders'],
+    paths: [fleetPath({timeoutS: 120})],
+  });
+  const [atlas, orders] = fleet.hosts;
+  orders!.backend.setBehaviour(() => undefined);
+  const request = http.get({
+    host: atlas!.address,
+    port: fleet.outboundPort,
+    path: '/a/1',
+    headers: {
+      host: FLEET_HOST_NAME,
+      'attempt-id': 'c1',
+      'timeout-ms': '120000',
+    },
+  });
+  request.on('error', () => undefined);
+  await waitUntil('at work', () => orders!.backend.runIds.length === 1);
+  request.destroy();
+  await waitUntil('cut', () => orders!.backend.cutCount === 1);
+  t.pass();
+});
+
+test('a route is answered at its timeout, and its work ends', async t => {
+  const fleet = await startFleet(t, {
+    services: ['atlas', 'orders'],
+    paths: [fleetPath({timeoutS: 0.3}), UNSAFE],
+  });
+  const [atlas, orders] = fleet.hosts;
+  orders!.backend.setBehaviour(() => undefined);
+  const answer = await fleet.send(atlas!, {attemptId: 'c1', path: '/a/1'});
+  t.is(answer.statusCode, 504);
+  await waitUntil('cut', () => orders!.backend.cutCount === 1);
+});
+
+test('pipelined requests are answered in order', async t => {
+  const fleet = await startFleet(t, {
+    services: ['atlas', 'orders'],
+    paths: [SAFE],
+  });
+  const [atlas, orders] = fleet.hosts;
+  orders!.backend.setBehaviour(request => {
+    const delayMillis = request.attemptId === 'c0' ? 80 : 1;
+    setTimeout(() => {
+      request.answer(200, `[${request.attemptId}]`);
+    }, delayMillis);
+  });
+  const socket = net.connect(fleet.outboundPort, atlas!.address);
+  let received = '';
+  socket.on('data', chunk => {
+    received += chunk.toString();
+  });
+  for (let index = 0; index < 5; index += 1) {
+    socket.write(
+      `GET /a/1 HTTP/1.1\r\nhost: ${FLEET_HOST_NAME}\r\nattempt-id: c${String(index)}\r\ntimeout-ms: 9000\r\n\r\n`,
+    );
+  }
+  await waitUntil('all', () => received.includes('[c4]'));
+  socket.destroy();
+  t.deepEqual(received.match(/\[c\d\]/g), [
+    '[c0]',
+    '[c1]',
+    '[c2]',
+    '[c3]',
+    '[c4]',
+  ]);
+});
+
+test('an upstream never has more at work than its slots', async t => {
+  const fleet = await startFleet(t, {
+    services: ['orders', 'atlas'],
+    paths: [SAFE],
+    slots: 3,
+  });
+  const [orders, atlas] = fleet.hosts;
+  orders!.backend.setBehaviour(request => {
+    setTimeout(() => {
+      request.answer(200, '');
+    }, 20);
+  });
+  const answers = await Promise.all(
+    Array.from({length: 40}, (_, index) =>
+      fleet.send(index % 2 === 0 ? orders! : atlas!, {
+        attemptId: `c${String(index)}`,
+        path: '/a/1',
+      }),
+    ),
+  );
+  t.is(orders!.backend.maxAtOnce, 3);
+  for (const {statusCode, headers} of answers) {
+    if (statusCode === 503) t.true(Number(headers['retry-after']) > 0);
+    else t.is(statusCode, 200);
+  }
+});
+
+test('a refused order has not run', async t => {
+  const fleet = await startFleet(t, {
+    services: ['orders', 'atlas'],
+    paths: [fleetPath({prefix: '/order/', kind: 'unsafe', sloS: 0.2})],
+    slots: 1,
+  });
+  const [orders, atlas] = fleet.hosts;
+  orders!.backend.setBehaviour(request => {
+    setTimeout(() => {
+      request.answer(200, '');
+    }, 60);
+  });
+  const ids = Array.from({length: 20}, (_, index) => `c${String(index)}`);
+  const answers = await Promise.all(
+    ids.map(attemptId =>
+      fleet.send(atlas!, {
+        attemptId,
+        method: 'POST',
+        path: '/order/1',
+        body: 'x',
+      }),
+    ),
+  );
+  const refused = ids.filter((_, index) => answers[index]?.statusCode === 503);
+  t.true(refused.length > 0);
+  const runs = orders!.backend.runIds;
+  t.deepEqual(
+    refused.filter(id => runs.includes(id)),
+    [],
+  );
+  t.is(new Set(runs).size, runs.length);
+});
+
+test('a lost store stops nobody, and news come with its return', async t => {
+  const fleet = await startFleet(t, {
+    services: ['orders', 'atlas'],
+    paths: [SAFE],
+  });
+  const [, atlas] = fleet.hosts;
+  for (const mode of ['busy', 'reset', 'silent'] as const) {
+    fleet.store.setMode(mode);
+    const answer = await fleet.send(atlas!, {attemptId: mode, path: '/a/1'});
+    t.is(answer.statusCode, 200);
+    t.true(atlas!.node.isReady());
+  }
+  fleet.configure([fleetPath({prefix: '/new/'})]);
+  fleet.store.compact();
+  fleet.store.setMode('well');
+  const isAccepted = (): boolean =>
+    atlas!.events.filter(({event}) => event === 'configuration-accepted')
+      .length === 2;
+  await waitUntil('accepted', isAccepted);
+  const answer = await fleet.send(atlas!, {attemptId: 'n', path: '/new/1'});
+  t.is(answer.statusCode, 200);
+});
+
+test('a node that stops finishes what it holds', async t => {
+  // Symptom: a planned restart cuts answers off. Cause: the process ends while
+  // its upstream still works.
+  const fleet = await startFleet(t, {
+    services: ['orders', 'orders'],
+    paths: [SAFE],
+  });
+  const [first, second] = fleet.hosts;
+  const release: Array<() => void> = [];
+  for (const host of [first!, second!]) {
+    host.backend.setBehaviour(request => {
+      release.push(() => {
+        request.answer(200, 'done');
+      });
+    });
+  }
+  const pending = fleet.send(first!, {attemptId: 'held', path: '/a/1'});
+  await waitUntil('at work', () => release.length === 1);
+  const stopped = first!.node.stop();
+  t.false(first!.node.isReady());
+  for (const finish of release) finish();
+  const answer = await pending;
+  t.is(answer.statusCode, 200);
+  t.is(answer.headers.connection, 'close');
+  for (const host of [first!, second!]) {
+    host.backend.setBehaviour(request => {
+      request.answer(200, 'other');
+    });
+  }
+  const next = await fleet.send(second!, {attemptId: 'next', path: '/a/1'});
+  t.is(next.statusCode, 200);
+  t.true(second!.backend.runIds.includes('next'));
+  await stopped;
+});
+
+test('a client that leaves an unfinished request leaves nothing behind', async t => {
+  const fleet = await startFleet(t, {services: ['orders'], paths: [UNSAFE]});
+  const [host] = fleet.hosts;
+  const socket = net.connect(fleet.outboundPort, host!.address);
+  await once(socket, 'connect');
+  socket.write(
+    `POST /order/1 HTTP/1.1\r\nhost: ${FLEET_HOST_NAME}\r\nattempt-id: c1\r\ncontent-length: 100\r\n\r\nhalf`,
+  );
+  await sleep(50);
+  socket.destroy();
+  const after = await fleet.send(host!, {
+    attemptId: 'c2',
+    method: 'POST',
+    path: '/order/1',
+    body: 'x',
+  });
+  t.is(after.statusCode, 200);
+  t.deepEqual(host!.backend.runIds, ['c2']);
+});
--- /dev/null
+++ b/test/fakes/platform_fleet.ts
@@ -0,0 +1,295 @@
+/**
+ * A small fleet on the platform in one process: a store, and hosts of one
+ * upstream and one node each, every host with a loopback address of its own.
+ */
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {createServer} from 'node:net';
+import {createDocuments} from '../../platform/documents.js';
+import {HEADERS} from '../../platform/names.js';
+import type {ServiceNode} from '../../src/daemon/service_node.js';
+import {startServiceNode} from '../../src/daemon/service_node.js';
+import type {DecisionFields} from '../../src/process/decision_log.js';
+import {DecisionLog} from '../../src/process/decision_log.js';
+import {createNodeMetrics} from '../../src/process/node_metrics.js';
+import type {NodeSettings} from '../../src/process/node_settings.js';
+import type {StandInBackend} from './stand_in_backend.js';
+import {startStandInBackend} from './stand_in_backend.js';
+import type {StandInStore} from './stand_in_store.js';
+import {startStandInStore} from './stand_in_store.js';
+import {waitUntil} from './wait_until.js';
+
+/** One host. */
+export interface FleetHost {
+  readonly address: string;
+  readonly service: string;
+  readonly backend: StandInBackend;
+  readonly node: ServiceNode;
+  readonly events: readonly LoggedEvent[];
+}
+
+/** One line that a node would have logged. */
+export interface LoggedEvent {
+  readonly event: string;
+  readonly fields: DecisionFields;
+}
+
+/** A request of a client. */
+export interface ClientRequest {
+  readonly attemptId: string;
+  readonly method?: string;
+  readonly path: string;
+  readonly timeoutMillis?: number;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+}
+
+/** What a client received. */
+export interface ClientAnswer {
+  readonly statusCode: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** The answer broke off before its end. */
+  readonly isBroken: boolean;
+}
+
+/** The fleet. */
+export interface PlatformFleet {
+  readonly store: StandInStore;
+  readonly hosts: readonly FleetHost[];
+  readonly outboundPort: number;
+  /** Sends a request to the node of a host, as its clients do. */
+  send(host: FleetHost, request: ClientRequest): Promise<ClientAnswer>;
+  /** Publishes a configuration with the given routes as the next version. */
+  configure(paths: readonly object[]): void;
+  /** Publishes the state of a host's upstream. */
+  publish(host: FleetHost, fields?: EntryFields): void;
+  withdraw(host: FleetHost): void;
+  close(): Promise<void>;
+}
+
+/** What an entry says, where it differs from a ready upstream of 20 slots. */
+export interface EntryFields {
+  readonly state?: 'ready' | 'draining';
+  readonly slots?: number;
+}
+
+/** A fleet to start. */
+export interface FleetOptions {
+  /** Service of each host. */
+  readonly services: readonly string[];
+  /** Routes of the first version; none is published if left out. */
+  readonly paths?: readonly object[];
+  readonly slots?: number;
+}
+
+/** Name under which clients address every route. */
+export const FLEET_HOST_NAME = 'shop.example';
+
+/** A route as operators write it. */
+export function fleetPath(fields: object = {}): object {
+  return {
+    name: 'r-1',
+    prefix: '/a/',
+    kind: 'safe',
+    timeoutS: 5,
+    sloS: 2,
+    priority: 0,
+    maxAttempts: 2,
+    service: 'orders',
+    ...fields,
+  };
+}
+
+/** Fleets of one test process use address blocks of their own. */
+let fleetsCount = 0;
+
+/** Starts a fleet; every node is ready if there is a configuration. */
+export async function startPlatformFleet(
+  options: FleetOptions,
+): Promise<PlatformFleet> {
+  fleetsCount += 1;
+  const block = `127.${String(process.pid % 200)}.${String(fleetsCount)}`;
+  const store = await startStandInStore();
+  const ports = await freePorts(`${block}.1`, 4);
+  const [appPort = 0, inboundPort = 0, outboundPort = 0, readyPort = 0] = ports;
+  let version = 0;
+
+  const publishEntry = (
+    id: string,
+    service: string,
+    address: string,
+    fields: EntryFields,
+  ): void => {
+    store.put(`servers/${id}`, {
+      address: `${address}:${String(appPort)}`,
+      info: {
+        service,
+        version: 'v1',
+        zone: 'zone-a',
+        slots: fields.slots ?? options.slots ?? 20,
+      },
+      status: {state: fields.state ?? 'ready', seq: 1, coldLeftS: 0},
+    });
+  };
+
+  const configure = (paths: readonly object[]): void => {
+    version += 1;
+    store.put('op/config', {
+      version: version.toString(16).padStart(8, '0'),
+      services: [],
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 1_000_000,
+        headerTimeoutS: 3,
+        idleTimeoutS: 15,
+      },
+      virtualHosts: [{host: FLEET_HOST_NAME, paths}],
+    });
+  };
+
+  if (options.paths !== undefined) configure(options.paths);
+  const hosts: FleetHost[] = [];
+  for (const [index, service] of options.services.entries()) {
+    const address = `${block}.${String(index + 1)}`;
+    const id = `i-${String(index + 1)}`;
+    const backend = await startStandInBackend({id, address, port: appPort});
+    publishEntry(id, service, address, {});
+    const settings = createSettings({
+      address,
+      service,
+      appPort,
+      inboundPort,
+      outboundPort,
+      readyPort,
+      storePort: store.port,
+    });
+    const events: LoggedEvent[] = [];
+    const node = await startServiceNode({
+      settings,
+      names: HEADERS,
+      documents: createDocuments(settings.store),
+      log: createRecordingLog(events),
+      metrics: createNodeMetrics(),
+      nowMillis: () => performance.now(),
+      random: Math.random,
+    });
+    hosts.push({address, service, backend, node, events});
+  }
+  if (options.paths !== undefined) {
+    await waitUntil('nodes ready', () => hosts.every(h => h.node.isReady()));
+  }
+  return {
+    store,
+    hosts,
+    outboundPort,
+    configure,
+    send: (host, request) => sendRequest(host.address, outboundPort, request),
+    publish: (host, fields = {}) => {
+      publishEntry(host.backend.id, host.service, host.address, fields);
+    },
+    withdraw: host => {
+      store.remove(`servers/${host.backend.id}`);
+    },
+    close: async () => {
+      await Promise.all(hosts.map(host => host.backend.close()));
+      for (const host of hosts) host.node.dispose();
+      store.close();
+    },
+  };
+}
+
+function createRecordingLog(events: LoggedEvent[]): DecisionLog {
+  return new (class extends DecisionLog {
+    override request(event: string, fields: DecisionFields): void {
+      events.push({event, fields});
+    }
+    override state(event: string, fields: DecisionFields = {}): void {
+      events.push({event, fields});
+    }
+  })();
+}
+
+interface SettingsParts {
+  readonly address: string;
+  readonly service: string;
+  readonly appPort: number;
+  readonly inboundPort: number;
+  readonly outboundPort: number;
+  readonly readyPort: number;
+  readonly storePort: number;
+}
+
+function createSettings(parts: SettingsParts): NodeSettings {
+  const {address} = parts;
+  return {
+    nodeName: address,
+    zone: 'zone-a',
+    region: 'region',
+    regionOfZone: new Map([['zone-a', 'region']]),
+    hostAddress: address,
+    outbound: {address, port: parts.outboundPort},
+    inbound: {address, port: parts.inboundPort},
+    ready: {address, port: parts.readyPort},
+    upstream: {address, port: parts.appPort},
+    service: parts.service,
+    store: {address: '127.0.0.1', port: parts.storePort},
+    graceMillis: 6000,
+    drainMillis: 2000,
+    repeatBound: {ratio: 0.2, windowMillis: 10_000, slackCount: 200},
+  };
+}
+
+/** Ports that are free on the address of the first host. */
+async function freePorts(
+  address: string,
+  count: number,
+): Promise<readonly number[]> {
+  const servers = Array.from({length: count}, () => createServer());
+  for (const server of servers) {
+    await new Promise<void>(resolve => server.listen(0, address, resolve));
+  }
+  const ports = servers.map(server => (server.address() as AddressInfo).port);
+  for (const server of servers) {
+    await new Promise(resolve => server.close(resolve));
+  }
+  return ports;
+}
+
+function sendRequest(
+  address: string,
+  port: number,
+  request: ClientRequest,
+): Promise<ClientAnswer> {
+  return new Promise((resolve, reject) => {
+    const outgoing = http.request({
+      host: address,
+      port,
+      method: request.method ?? 'GET',
+      path: request.path,
+      agent: false,
+      headers: {
+        host: FLEET_HOST_NAME,
+        'attempt-id': request.attemptId,
+        'timeout-ms': String(request.timeoutMillis ?? 10_000),
+        ...request.headers,
+      },
+    });
+    outgoing.on('error', reject);
+    outgoing.on('response', response => {
+      const chunks: Buffer[] = [];
+      const finish = (): void => {
+        resolve({
+          statusCode: response.statusCode ?? 0,
+          headers: response.headers,
+          body: Buffer.concat(chunks).toString('utf8'),
+          isBroken: !response.complete,
+        });
+      };
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('error', finish);
+      response.on('end', finish);
+    });
+    outgoing.end(request.body);
+  });
+}
--- /dev/null
+++ b/test/fakes/stand_in_backend.ts
@@ -0,0 +1,135 @@
+/**
+ * A stand-in for an application's upstream on the platform.
+ */
+import {createServer} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+/** One request as the upstream received it. */
+export interface ReceivedRequest {
+  readonly attemptId: string;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  readonly socket: Socket;
+  readonly response: ServerResponse;
+  /** Answers like a sound upstream. */
+  answer(statusCode: number, body: string): void;
+}
+
+/** What an upstream does with a request that it runs. */
+export type Behaviour = (request: ReceivedRequest) => void;
+
+/** The stand-in. */
+export interface StandInBackend {
+  readonly id: string;
+  /** Ids of the attempts that it began to work on, in order. */
+  readonly runIds: readonly string[];
+  /** Most requests that it worked on at the same time. */
+  readonly maxAtOnce: number;
+  /** Connections that were closed while a request was at work. */
+  readonly cutCount: number;
+  setBehaviour(behaviour: Behaviour): void;
+  close(): Promise<void>;
+}
+
+/** What an upstream is made of. */
+export interface StandInBackendOptions {
+  readonly id: string;
+  readonly address: string;
+  readonly port: number;
+}
+
+/** Signature of every sound answer of one upstream. */
+export function signatureOf(id: string, attemptId: string): string {
+  return `sig.${id}.${attemptId}`;
+}
+
+/** Starts an upstream that answers every request with 200. */
+export async function startStandInBackend(
+  options: StandInBackendOptions,
+): Promise<StandInBackend> {
+  const runIds: string[] = [];
+  let atWorkCount = 0;
+  let maxAtOnce = 0;
+  let cutCount = 0;
+  let behaviour: Behaviour = request => {
+    request.answer(200, `body of ${request.attemptId}`);
+  };
+
+  const run = (received: ReceivedRequest): void => {
+    runIds.push(received.attemptId);
+    atWorkCount += 1;
+    maxAtOnce = Math.max(maxAtOnce, atWorkCount);
+    received.response.once('close', () => {
+      atWorkCount -= 1;
+      if (!received.response.writableFinished) cutCount += 1;
+    });
+    behaviour(received);
+  };
+
+  const server = createServer((request, response) => {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('error', () => undefined);
+    request.on('end', () => {
+      const expected = request.headers['expect-instance'];
+      if (expected !== undefined && expected !== options.id) {
+        response.writeHead(421, {'instance-id': options.id});
+        response.end();
+        return;
+      }
+      run(receivedRequest(options.id, request, response, chunks));
+    });
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(options.port, options.address, resolve);
+  });
+  return {
+    id: options.id,
+    runIds,
+    get maxAtOnce() {
+      return maxAtOnce;
+    },
+    get cutCount() {
+      return cutCount;
+    },
+    setBehaviour: next => {
+      behaviour = next;
+    },
+    close: () =>
+      new Promise(resolve => {
+        server.close(() => {
+          resolve();
+        });
+        server.closeAllConnections();
+      }),
+  };
+}
+
+function receivedRequest(
+  id: string,
+  request: IncomingMessage,
+  response: ServerResponse,
+  chunks: readonly Buffer[],
+): ReceivedRequest {
+  const attemptId = String(request.headers['attempt-id']);
+  return {
+    attemptId,
+    method: request.method ?? '',
+    target: request.url ?? '',
+    headers: request.headers,
+    body: Buffer.concat(chunks).toString('utf8'),
+    socket: request.socket,
+    response,
+    answer: (statusCode, body) => {
+      response.writeHead(statusCode, {
+        'attempt-id': attemptId,
+        'response-signature': signatureOf(id, attemptId),
+      });
+      response.end(body);
+    },
+  };
+}
--- /dev/null
+++ b/test/fakes/stand_in_store.ts
@@ -0,0 +1,177 @@
+/**
+ * A stand-in for the platform's metadata store: reads by prefix, watches, and
+ * the faults it is known for.
+ */
+import {createServer} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+/** How the store treats calls. */
+export type StoreMode = 'well' | 'busy' | 'silent' | 'reset';
+
+/** The stand-in. */
+export interface StandInStore {
+  readonly port: number;
+  /** Calls received so far. */
+  readonly callsCount: number;
+  put(key: string, value: object): void;
+  remove(key: string): void;
+  setMode(mode: StoreMode): void;
+  /** Forgets the history: watches from the past get 410. */
+  compact(): void;
+  /** Items a page of a range holds. */
+  setPageItems(count: number): void;
+  close(): void;
+}
+
+interface Change {
+  readonly key: string;
+  readonly rev: number;
+  readonly value?: string;
+  readonly created?: number;
+  readonly lease?: number;
+  readonly deleted?: true;
+}
+
+interface Watch {
+  readonly prefix: string;
+  readonly after: number;
+  readonly response: ServerResponse;
+}
+
+const DEFAULT_PAGE_ITEMS = 500;
+
+/** Starts a store without items. */
+export async function startStandInStore(): Promise<StandInStore> {
+  const items = new Map<string, Change>();
+  let history: Change[] = [];
+  let oldestRevision = 0;
+  let revision = 100;
+  let mode: StoreMode = 'well';
+  let callsCount = 0;
+  let pageItemsCount = DEFAULT_PAGE_ITEMS;
+  const watches = new Set<Watch>();
+
+  const sendJson = (
+    response: ServerResponse,
+    statusCode: number,
+    body: object,
+  ): void => {
+    response.writeHead(statusCode, {'content-type': 'application/json'});
+    response.end(JSON.stringify(body));
+  };
+
+  const record = (change: Change): void => {
+    history.push(change);
+    for (const watch of [...watches]) {
+      if (!change.key.startsWith(watch.prefix)) continue;
+      watches.delete(watch);
+      sendJson(watch.response, 200, {events: [change], atRev: revision});
+    }
+  };
+
+  const range = (query: URLSearchParams, response: ServerResponse): void => {
+    const prefix = query.get('prefix') ?? '';
+    const after = query.get('after') ?? '';
+    const found = [...items.values()]
+      .filter(item => item.key.startsWith(prefix) && item.key > after)
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    sendJson(response, 200, {
+      items: found.slice(0, pageItemsCount),
+      hasMore: found.length > pageItemsCount,
+      atRev: revision,
+    });
+  };
+
+  const watch = (query: URLSearchParams, response: ServerResponse): void => {
+    const prefix = query.get('prefix') ?? '';
+    const after = Number(query.get('after'));
+    if (after < oldestRevision) {
+      sendJson(response, 410, {error: 'history'});
+      return;
+    }
+    const events = history.filter(
+      change => change.rev > after && change.key.startsWith(prefix),
+    );
+    if (events.length > 0) {
+      sendJson(response, 200, {events, atRev: revision});
+      return;
+    }
+    const waiting: Watch = {prefix, after, response};
+    watches.add(waiting);
+    const timer = setTimeout(
+      () => {
+        if (!watches.delete(waiting)) return;
+        sendJson(response, 200, {events: [], atRev: revision});
+      },
+      Number(query.get('waitMs')),
+    );
+    timer.unref();
+    response.on('close', () => {
+      clearTimeout(timer);
+      watches.delete(waiting);
+    });
+  };
+
+  const handle = (request: IncomingMessage, response: ServerResponse): void => {
+    callsCount += 1;
+    if (mode === 'silent') return;
+    if (mode === 'reset') {
+      request.socket.resetAndDestroy();
+      return;
+    }
+    if (mode === 'busy') {
+      sendJson(response, 503, {error: 'busy'});
+      return;
+    }
+    const url = new URL(request.url ?? '/', 'http://store');
+    if (url.pathname === '/kv-range') range(url.searchParams, response);
+    else if (url.pathname === '/kv-watch') watch(url.searchParams, response);
+    else sendJson(response, 404, {error: 'unknown'});
+  };
+
+  const server = createServer(handle);
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  return {
+    port: (server.address() as AddressInfo).port,
+    get callsCount() {
+      return callsCount;
+    },
+    put: (key, value) => {
+      revision += 1;
+      const change: Change = {
+        key,
+        rev: revision,
+        created: items.get(key)?.created ?? revision,
+        lease: 0,
+        value: Buffer.from(JSON.stringify(value)).toString('base64'),
+      };
+      items.set(key, change);
+      record(change);
+    },
+    remove: key => {
+      revision += 1;
+      items.delete(key);
+      record({key, rev: revision, deleted: true});
+    },
+    setMode: next => {
+      mode = next;
+      if (next === 'well') return;
+      for (const waiting of watches) waiting.response.destroy();
+      watches.clear();
+    },
+    compact: () => {
+      history = [];
+      oldestRevision = revision;
+      for (const waiting of watches) waiting.response.destroy();
+      watches.clear();
+    },
+    setPageItems: count => {
+      pageItemsCount = count;
+    },
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
