Ask peers about hops that stay silent

Cause: a partition, a frozen node and a silent connection look like a slow upstream; requests waited for their deadline. Change: a peer that owes an answer and is silent is asked on fresh connections; what it does not have is refused from then on and proven not run. Ruled out: a shorter timeout, which would end answers that are merely slow. Tests: peer_watch.test.ts.

--- /dev/null
+++ b/src/connection/peer_watch.ts
@@ -0,0 +1,163 @@
+/**
+ * Watches over requests on their way to other nodes.
+ *
+ * A node behind a network partition, a frozen one, and a connection that went
+ * silent all look like a slow upstream: nothing comes. Without a question of
+ * its own the sender would wait until the deadline and send the next request
+ * the same way. So it asks the node on a fresh connection, and gives up what
+ * the node does not have or, if there is no reply, what may be sent elsewhere.
+ */
+import type {Disposable} from '../base/lifecycle.js';
+import {createIntervalTimer} from '../base/lifecycle.js';
+import type {HopState} from '../process/hop_registry.js';
+
+/** A request on its way. */
+export interface WatchedHop {
+  readonly hopId: string;
+  readonly peerAddress: string;
+  readonly startedMillis: number;
+  /** Sent elsewhere it could do no harm, or it cannot run before a reply. */
+  readonly isExpendable: () => boolean;
+  /** The peer does not have it and never will. */
+  readonly giveUpNotRun: () => void;
+  /** It may have run, and no answer is to be expected. */
+  readonly giveUp: () => void;
+}
+
+/** Watches over hops. */
+export interface PeerWatch extends Disposable {
+  watch(hop: WatchedHop): Disposable;
+  /** Something arrived from a peer. */
+  noteHeard(peerAddress: string): void;
+}
+
+/** Asks a peer for the states of hops; `undefined` if it does not reply. */
+export type AskPeer = (
+  peerAddress: string,
+  hopIds: readonly string[],
+) => Promise<readonly HopState[] | undefined>;
+
+/** What a watch needs. */
+export interface PeerWatchOptions {
+  readonly ask: AskPeer;
+  readonly nowMillis: () => number;
+  readonly onPeerLost: (peerAddress: string, hopsCount: number) => void;
+  readonly onHopLost: (peerAddress: string, state: HopState) => void;
+}
+
+const TICK_MILLIS = 100;
+
+/**
+ * Silence of a peer that owes an answer after which it is asked: many times
+ * the way between regions, and short against a request's own time.
+ */
+const PEER_SILENT_MILLIS = 200;
+
+/** Age of one hop at which it is asked for although its peer is heard. */
+const HOP_SILENT_MILLIS = 500;
+
+interface Peer {
+  readonly hops: Set<WatchedHop>;
+  readonly finished: Set<WatchedHop>;
+  heardMillis: number;
+  askedMillis: number;
+  isAsking: boolean;
+}
+
+/** Creates a watch without hops. */
+export function createPeerWatch(options: PeerWatchOptions): PeerWatch {
+  const peers = new Map<string, Peer>();
+  const {nowMillis} = options;
+
+  const peerOf = (address: string): Peer => {
+    const known = peers.get(address);
+    if (known !== undefined) return known;
+    const created: Peer = {
+      hops: new Set(),
+      finished: new Set(),
+      heardMillis: 0,
+      askedMillis: 0,
+      isAsking: false,
+    };
+    peers.set(address, created);
+    return created;
+  };
+
+  const check = async (address: string, peer: Peer): Promise<void> => {
+    const asked = [...peer.hops];
+    peer.isAsking = true;
+    peer.askedMillis = nowMillis();
+    const states = await options.ask(
+      address,
+      asked.map(hop => hop.hopId),
+    );
+    peer.isAsking = false;
+    if (states === undefined) {
+      if (peer.heardMillis < peer.askedMillis) losePeer(address, peer, asked);
+      return;
+    }
+    peer.heardMillis = nowMillis();
+    for (const [index, hop] of asked.entries()) {
+      settle(peer, hop, states[index] ?? 'working');
+    }
+  };
+
+  const losePeer = (
+    address: string,
+    peer: Peer,
+    asked: readonly WatchedHop[],
+  ): void => {
+    const lost = asked.filter(hop => peer.hops.has(hop) && hop.isExpendable());
+    options.onPeerLost(address, lost.length);
+    for (const hop of lost) hop.giveUp();
+  };
+
+  /** An answer that was written and does not come is given up at the second asking. */
+  const settle = (peer: Peer, hop: WatchedHop, state: HopState): void => {
+    if (!peer.hops.has(hop) || state === 'working') return;
+    if (state === 'finished' && !peer.finished.has(hop)) {
+      peer.finished.add(hop);
+      return;
+    }
+    options.onHopLost(hop.peerAddress, state);
+    if (state === 'unknown') hop.giveUpNotRun();
+    else hop.giveUp();
+  };
+
+  const isDue = (peer: Peer, now: number): boolean => {
+    if (peer.isAsking || peer.hops.size === 0) return false;
+    let oldestMillis = now;
+    for (const hop of peer.hops) {
+      oldestMillis = Math.min(oldestMillis, hop.startedMillis);
+    }
+    const since = Math.max(oldestMillis, peer.askedMillis);
+    const silentSince = Math.max(since, peer.heardMillis);
+    return (
+      now - silentSince > PEER_SILENT_MILLIS || now - since > HOP_SILENT_MILLIS
+    );
+  };
+
+  const timer = createIntervalTimer(TICK_MILLIS, () => {
+    const now = nowMillis();
+    for (const [address, peer] of peers) {
+      if (isDue(peer, now)) void check(address, peer);
+    }
+  });
+
+  return {
+    watch: hop => {
+      const peer = peerOf(hop.peerAddress);
+      peer.hops.add(hop);
+      return {
+        dispose: () => {
+          peer.hops.delete(hop);
+          peer.finished.delete(hop);
+        },
+      };
+    },
+    noteHeard: address => {
+      peerOf(address).heardMillis = nowMillis();
+    },
+    dispose: timer.dispose,
+  };
+}
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -2,7 +2,11 @@
  * Sends requests to the nodes beside other upstreams and reads what came of
  * them, with the loads that the answers report.
  */
+import {randomBytes} from 'node:crypto';
+import type http from 'node:http';
+import {createCancelSource} from '../base/cancel_signal.js';
 import type {Disposable} from '../base/lifecycle.js';
+import type {HopState} from '../process/hop_registry.js';
 import type {LoadBoard} from '../process/load_board.js';
 import type {UpstreamEntry} from '../process/upstream_entry.js';
 import {
@@ -14,7 +18,10 @@
 } from '../protocol/hop_headers.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {ExecutionCall, ExecutionEnd} from './execution.js';
+import {createAskPeer} from './hop_questions.js';
 import {createKeptConnections} from './kept_connections.js';
+import type {PeerWatch} from './peer_watch.js';
+import {createPeerWatch} from './peer_watch.js';
 import type {ReceivedAnswer} from './received_answer.js';
 import {headerOf} from './received_answer.js';
 import type {SendEnd} from './send_request.js';
@@ -32,6 +39,10 @@
   readonly names: WireHeaders;
   readonly board: LoadBoard;
   readonly nowMillis: () => number;
+  /** A node did not reply; so many requests for it were given up. */
+  readonly onPeerLost: (peerAddress: string, hopsCount: number) => void;
+  /** A connection fell silent while its node is well. */
+  readonly onHopLost: (peerAddress: string, state: HopState) => void;
 }
 
 /**
@@ -47,6 +58,9 @@
 /** Connections to one node: four times the slots of large upstreams. */
 const MAX_SOCKETS_COUNT = 512;
 
+/** Random bytes of a hop's id. */
+const HOP_ID_BYTES = 8;
+
 /** Creates the sending side of one node. */
 export function createRemoteExecution(
   options: RemoteExecutionOptions,
@@ -55,31 +69,95 @@
     maxIdleMillis: MAX_IDLE_MILLIS,
     maxSocketsCount: MAX_SOCKETS_COUNT,
   });
+  const watch = createPeerWatch({
+    ask: createAskPeer(options.inboundPort),
+    nowMillis: options.nowMillis,
+    onPeerLost: options.onPeerLost,
+    onHopLost: options.onHopLost,
+  });
   return {
-    execute: async (target, call) => {
-      const end = await sendRequest({
-        to: {address: target.hostAddress, port: options.inboundPort},
-        agent,
-        method: call.method,
-        target: call.target,
-        headers: hopHeaders(options, target, call),
-        body: call.body,
-        isBodyHeldBack: !call.isRepeatable,
-        connectTimeoutMillis: CONNECT_TIMEOUT_MILLIS,
-        cancel: call.cancel,
-      });
-      return interpret(options, end, call);
-    },
+    execute: (target, call) =>
+      executeHop(options, {agent, watch}, target, call),
     dispose: () => {
+      watch.dispose();
       agent.destroy();
     },
   };
 }
 
+interface HopParts {
+  readonly agent: http.Agent;
+  readonly watch: PeerWatch;
+}
+
+/** Why a hop was given up by this node while its caller still waits. */
+type GivenUp = 'not-run' | 'unknown';
+
+async function executeHop(
+  options: RemoteExecutionOptions,
+  {agent, watch}: HopParts,
+  target: UpstreamEntry,
+  call: ExecutionCall,
+): Promise<ExecutionEnd> {
+  const source = createCancelSource();
+  const callers = call.cancel.onCancel(source.cancel);
+  const hopId = newHopId();
+  let isBodySent = false;
+  let givenUp: GivenUp | undefined;
+  const giveUp = (how: GivenUp): void => {
+    givenUp = how;
+    source.cancel();
+  };
+  const watched = watch.watch({
+    hopId,
+    peerAddress: target.hostAddress,
+    startedMillis: options.nowMillis(),
+    isExpendable: () => call.isRepeatable || !isBodySent,
+    giveUpNotRun: () => {
+      giveUp('not-run');
+    },
+    giveUp: () => {
+      giveUp('unknown');
+    },
+  });
+  const end = await sendRequest({
+    to: {address: target.hostAddress, port: options.inboundPort},
+    agent,
+    method: call.method,
+    target: call.target,
+    headers: hopHeaders(options, target, call, hopId),
+    body: call.body,
+    isBodyHeldBack: !call.isRepeatable,
+    connectTimeoutMillis: CONNECT_TIMEOUT_MILLIS,
+    cancel: source.signal,
+    onHeard: () => {
+      watch.noteHeard(target.hostAddress);
+    },
+    onBodySent: () => {
+      isBodySent = true;
+    },
+  });
+  watched.dispose();
+  callers.dispose();
+  if (givenUp === 'not-run') {
+    return {kind: 'refused', reason: 'silent', retryAfterMillis: 0};
+  }
+  if (givenUp === 'unknown' && end.kind === 'lost') {
+    return {kind: 'unknown', reason: 'silent', hasFailedCall: false};
+  }
+  return interpret(options, end, call);
+}
+
+/** Unique among nodes for as long as it is remembered. */
+function newHopId(): string {
+  return randomBytes(HOP_ID_BYTES).toString('hex');
+}
+
 function hopHeaders(
   options: RemoteExecutionOptions,
   target: UpstreamEntry,
   call: ExecutionCall,
+  hopId: string,
 ): readonly string[] {
   const {names, nowMillis} = options;
   const {origin} = call;
@@ -99,6 +177,8 @@
     target.id,
     names.callerService,
     call.callerService,
+    HOP_HEADER.hopId,
+    hopId,
     HOP_HEADER.origin,
     originText,
     HOP_HEADER.startWithin,
--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -24,6 +24,10 @@
   readonly isBodyHeldBack: boolean;
   readonly connectTimeoutMillis: number;
   readonly cancel: CancelSignal;
+  /** Something arrived from the other side. */
+  readonly onHeard?: () => void;
+  /** The whole request is on its way. */
+  readonly onBodySent?: () => void;
 }
 
 /** How a request ended. */
@@ -76,13 +80,17 @@
       }
       request.destroy();
     };
+    const noteBodySent = (): void => {
+      isBodySent = true;
+      outgoing.onBodySent?.();
+    };
     const cancelled = outgoing.cancel.onCancel(() => {
       fail('cancelled');
     });
 
     request.on('socket', socket => {
       if (!socket.connecting) {
-        isBodySent ||= !outgoing.isBodyHeldBack;
+        if (!outgoing.isBodyHeldBack) noteBodySent();
         return;
       }
       // A peer behind a network partition answers no connection attempt, and
@@ -92,18 +100,20 @@
       }, outgoing.connectTimeoutMillis);
       socket.once('connect', () => {
         clearTimeout(timer);
-        isBodySent ||= !outgoing.isBodyHeldBack;
+        if (!outgoing.isBodyHeldBack) noteBodySent();
       });
     });
     request.on('continue', () => {
       if (isEnded) return;
-      isBodySent = true;
+      outgoing.onHeard?.();
+      noteBodySent();
       request.end(outgoing.body);
     });
     request.on('error', error => {
       fail(describeError(error));
     });
     request.on('response', message => {
+      outgoing.onHeard?.();
       const discardConnection = (): void => {
         request.destroy();
         message.socket?.destroy();
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -15,6 +15,7 @@
 import {createConfigurationHolder} from '../process/configuration_holder.js';
 import type {DecisionLog} from '../process/decision_log.js';
 import {createEntryGate} from '../process/entry_gate.js';
+import {createHopRegistry} from '../process/hop_registry.js';
 import {createInFlightParents} from '../process/in_flight_parents.js';
 import type {LoadReport} from '../process/load_board.js';
 import {createLoadBoard} from '../process/load_board.js';
@@ -121,6 +122,12 @@
     names,
     board,
     nowMillis,
+    onPeerLost: (peer, hopsCount) => {
+      log.request('peer-lost', {peer, hopsCount});
+    },
+    onHopLost: (peer, state) => {
+      log.request('connection-silent', {peer, state});
+    },
   });
   store.add(toDisposable(sender.dispose));
   store.add(toDisposable(remote.dispose));
@@ -224,6 +231,7 @@
   const inbound = createInboundExchanges({
     names,
     execution: counted,
+    hops: createHopRegistry(),
     loads: () => {
       const own = ownReport();
       const others = board
--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -214,6 +214,9 @@
     record.failuresInARow = 0;
     return;
   }
+  // What was on its way when the upstream was lost fails at the same moment and
+  // counts once.
+  if (record.avoidUntilMillis > now) return;
   const avoidMillis = Math.min(
     MAX_AVOID_MILLIS,
     MIN_AVOID_MILLIS * 2 ** record.failuresInARow,
--- a/src/protocol/hop_headers.ts
+++ b/src/protocol/hop_headers.ts
@@ -6,6 +6,9 @@
 export const HOP_HEADER = {
   /** Identity of this hop, for questions about it. */
   hopId: 'fh-hop',
+  /** Ids of hops that a node asks about, and the states in reply. */
+  question: 'fh-question',
+  reply: 'fh-reply',
   /** What the calls of the request inherit. */
   origin: 'fh-origin',
   /** Latest useful start, in milliseconds from the arrival. */
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -190,11 +190,11 @@
     case 'draining':
     case 'other-upstream':
     case 'unreachable':
+    case 'silent':
       return 'unreachable';
     case 'not-executed':
     case 'broken-answer':
     case 'connection-lost':
-    case 'silent':
       return 'failed';
     default:
       return 'neutral';
--- a/src/request/inbound_exchange.ts
+++ b/src/request/inbound_exchange.ts
@@ -4,9 +4,11 @@
 import type {AnswerForm} from '../connection/answer_sender.js';
 import {sendAnswer} from '../connection/answer_sender.js';
 import type {ExecutionEnd} from '../connection/execution.js';
+import {answerQuestion} from '../connection/hop_questions.js';
 import type {Exchange} from '../connection/node_listener.js';
 import {passedOnHeaders} from '../connection/raw_headers.js';
 import {readRequestBody} from '../connection/request_body.js';
+import type {HopRegistry} from '../process/hop_registry.js';
 import type {CallOrigin} from '../process/in_flight_parents.js';
 import {LEAST_IMPORTANT} from '../process/importance.js';
 import type {LoadReport} from '../process/load_board.js';
@@ -30,6 +32,7 @@
 export interface InboundOptions {
   readonly names: WireHeaders;
   readonly execution: LocalExecution;
+  readonly hops: HopRegistry;
   /** Loads to report: that of the own upstream first. */
   readonly loads: () => readonly LoadReport[];
   readonly bodyBytes: () => number;
@@ -48,19 +51,36 @@
   ]);
   return {
     handle: async exchange => {
+      if (answerQuestion(exchange, options.hops)) return;
       const call = readCall(options, exchange, ownHeaders);
       if (call === undefined) {
         exchange.response.writeHead(400);
         exchange.response.end();
         return;
       }
-      const end = await options.execution.execute(call);
+      const hopId = exchange.request.headers[HOP_HEADER.hopId];
+      const end = await executeOnce(options, call, String(hopId));
       options.onEnd(call, end);
       writeEnd(options, exchange, end, {method: call.method});
     },
   };
 }
 
+/** A hop that its sender has given up as not run must not run any more. */
+async function executeOnce(
+  options: InboundOptions,
+  call: LocalCall,
+  hopId: string,
+): Promise<ExecutionEnd> {
+  const {hops} = options;
+  if (!hops.begin(hopId)) {
+    return {kind: 'refused', reason: 'silent', retryAfterMillis: 0};
+  }
+  const end = await options.execution.execute(call);
+  hops.end(hopId);
+  return end;
+}
+
 function readCall(
   options: InboundOptions,
   exchange: Exchange,
--- /dev/null
+++ b/test/unit/connection/peer_watch.test.ts
@@ -0,0 +1,111 @@
+import type {ExecutionContext} from 'ava';
+import test from 'ava';
+import {createPeerWatch} from '../../../src/connection/peer_watch.js';
+import type {HopState} from '../../../src/process/hop_registry.js';
+import {createHopRegistry} from '../../../src/process/hop_registry.js';
+import {waitUntil} from '../../fakes/wait_until.js';
+
+type Reply = readonly HopState[] | undefined;
+
+/** A watch over one peer whose replies a test chooses. */
+function createFixture(t: ExecutionContext, reply: (asking: number) => Reply) {
+  let now = 1000;
+  let asksCount = 0;
+  const events: string[] = [];
+  const watch = createPeerWatch({
+    ask: () => {
+      asksCount += 1;
+      return Promise.resolve(reply(asksCount));
+    },
+    nowMillis: () => now,
+    onPeerLost: (peer, hopsCount) => {
+      events.push(`peer ${peer} ${String(hopsCount)}`);
+    },
+    onHopLost: (_peer, state) => {
+      events.push(`hop ${state}`);
+    },
+  });
+  t.teardown(watch.dispose);
+  const send = (hopId: string, isExpendable: boolean): void => {
+    const watched = watch.watch({
+      hopId,
+      peerAddress: 'p',
+      startedMillis: now,
+      isExpendable: () => isExpendable,
+      giveUp: () => {
+        events.push(`${hopId} given up`);
+        watched.dispose();
+      },
+      giveUpNotRun: () => {
+        events.push(`${hopId} not run`);
+        watched.dispose();
+      },
+    });
+  };
+  return {
+    watch,
+    send,
+    events,
+    asksCount: () => asksCount,
+    advance: (millis: number) => {
+      now += millis;
+    },
+  };
+}
+
+test('a peer that does not reply loses what may be sent elsewhere', async t => {
+  // Symptom: during a partition every request to the other zone waits for its
+  // deadline. Kept connections carry it, and nothing comes back. Cause: silence
+  // was taken for slowness.
+  const {send, events, advance} = createFixture(t, () => undefined);
+  send('lookup', true);
+  send('order', false);
+  advance(250);
+  await waitUntil('given up', () => events.length === 2);
+  t.deepEqual(events, ['peer p 1', 'lookup given up']);
+});
+
+test('what the peer does not have is given up as not run', async t => {
+  // Symptom: an order hangs on a connection that something between the nodes
+  // has forgotten, while new connections work.
+  const {send, events, advance} = createFixture(t, () => ['unknown']);
+  send('order', false);
+  advance(250);
+  await waitUntil('given up', () => events.includes('order not run'));
+  t.deepEqual(events, ['hop unknown', 'order not run']);
+});
+
+test('an answer that was written is waited for until the next question', async t => {
+  const {send, events, advance, asksCount} = createFixture(t, () => [
+    'finished',
+  ]);
+  send('order', false);
+  advance(250);
+  await waitUntil('asked', () => asksCount() === 1);
+  t.deepEqual(events, []);
+  advance(600);
+  await waitUntil('given up', () => events.includes('order given up'));
+  t.is(asksCount(), 2);
+});
+
+test('work in progress is left alone', async t => {
+  const {send, events, advance, asksCount} = createFixture(t, () => [
+    'working',
+  ]);
+  send('lookup', true);
+  for (let round = 1; round <= 3; round += 1) {
+    advance(600);
+    await waitUntil('asked', () => asksCount() === round);
+  }
+  t.deepEqual(events, []);
+});
+
+test('a hop that was given up as unknown is refused when it arrives', t => {
+  const registry = createHopRegistry();
+  t.is(registry.ask('late'), 'unknown');
+  t.false(registry.begin('late'));
+  t.true(registry.begin('other'));
+  t.is(registry.ask('other'), 'working');
+  registry.end('other');
+  t.is(registry.ask('other'), 'finished');
+});
