--- /dev/null
+++ b/src/daemon/node_decisions.ts
@@ -0,0 +1,148 @@
+/**
+ * The decisions of one node and the pictures they are made from.
+ */
+import type {AdmissionLevel} from '../process/admission_level.js';
+import {createAdmissionLevel} from '../process/admission_level.js';
+import type {CallTrees} from '../process/call_trees.js';
+import {createCallTrees} from '../process/call_trees.js';
+import type {ConfigurationHolder} from '../process/configuration_holder.js';
+import {createConfigurationHolder} from '../process/configuration_holder.js';
+import type {DecisionLog} from '../process/decision_log.js';
+import type {InFlightParents} from '../process/in_flight_parents.js';
+import {createInFlightParents} from '../process/in_flight_parents.js';
+import type {LoadBoard, LoadReport} from '../process/load_board.js';
+import {createLoadBoard} from '../process/load_board.js';
+import type {NodeSettings} from '../process/node_settings.js';
+import type {PlacementChooser} from '../process/placement.js';
+import {createPlacementChooser} from '../process/placement.js';
+import type {RepeatBudget} from '../process/repeat_budget.js';
+import {createRepeatBudget} from '../process/repeat_budget.js';
+import type {UpstreamDirectory} from '../process/upstream_directory.js';
+import {createUpstreamDirectory} from '../process/upstream_directory.js';
+import type {UpstreamQueue} from '../process/upstream_queue.js';
+import {createUpstreamQueue} from '../process/upstream_queue.js';
+import type {LocalUpstream} from '../request/local_upstream.js';
+import {createLocalUpstream} from '../request/local_upstream.js';
+
+/** What decisions are made of. */
+export interface NodeDecisionsOptions {
+  /** The settings of now. */
+  readonly settings: () => NodeSettings;
+  readonly log: DecisionLog;
+  readonly nowMillis: () => number;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+}
+
+/** Decisions and pictures of one node. */
+export interface NodeDecisions {
+  readonly configuration: ConfigurationHolder;
+  readonly directory: UpstreamDirectory;
+  readonly upstream: LocalUpstream;
+  readonly queue: UpstreamQueue;
+  readonly level: AdmissionLevel;
+  readonly board: LoadBoard;
+  readonly parents: InFlightParents;
+  readonly trees: CallTrees;
+  readonly budget: RepeatBudget;
+  readonly placement: PlacementChooser;
+  /** Load of the own upstream of now, which is put on the board as well. */
+  reportOwnLoad(): LoadReport | undefined;
+  /** Version in force; 0 before the first. */
+  configurationVersion(): number;
+}
+
+/** Creates the decisions of one node, which know of nothing yet. */
+export function createNodeDecisions(
+  options: NodeDecisionsOptions,
+): NodeDecisions {
+  const {settings, nowMillis, random} = options;
+  const {hostAddress, zone, regionOfZone, upstream: own} = settings();
+  const ownAddress = `${own.address}:${String(own.port)}`;
+  const configuration = createConfigurationHolder();
+  const queue = createUpstreamQueue(nowMillis);
+  const level = createAdmissionLevel();
+  const board = createLoadBoard(nowMillis);
+  const directory = createLoggedDirectory(options, entry => {
+    if (entry.listenAddress !== ownAddress) return;
+    queue.setSlots(entry.slotsCount);
+    if (entry.hasJoined) upstream.markReached();
+  });
+  const upstream = createLocalUpstream({
+    directory,
+    nowMillis,
+    onChange: isReachable => {
+      options.log.state(
+        isReachable ? 'own-upstream-reached' : 'own-upstream-lost',
+      );
+    },
+  });
+  return {
+    configuration,
+    directory,
+    upstream,
+    queue,
+    level,
+    board,
+    parents: createInFlightParents(),
+    trees: createCallTrees(),
+    budget: createRepeatBudget({
+      bound: () => settings().repeatBound,
+      nowMillis,
+      nodesCount: directory.count,
+    }),
+    placement: createPlacementChooser({
+      directory,
+      board,
+      hostAddress,
+      zone,
+      regionOfZone,
+      nowMillis,
+      random,
+    }),
+    reportOwnLoad: () => {
+      const known = directory.atAddress(ownAddress);
+      if (known === undefined) return undefined;
+      const load = queue.load();
+      const report: LoadReport = {
+        ...load,
+        upstreamId: known.entry.id,
+        service: known.entry.service,
+        limitCount: upstream.isReachable ? load.limitCount : 0,
+        level: level.level(),
+        madeAtMillis: nowMillis(),
+      };
+      board.observe(report);
+      return report;
+    },
+    configurationVersion: () =>
+      configuration.current()?.configuration.version ?? 0,
+  };
+}
+
+/** What the own upstream's entry says when it changes. */
+interface ChangedEntry {
+  readonly listenAddress: string;
+  readonly slotsCount: number;
+  readonly hasJoined: boolean;
+}
+
+function createLoggedDirectory(
+  options: NodeDecisionsOptions,
+  onChange: (entry: ChangedEntry) => void,
+): UpstreamDirectory {
+  return createUpstreamDirectory({
+    nowMillis: options.nowMillis,
+    onChange: ({kind, entry}) => {
+      const {listenAddress, slotsCount} = entry;
+      options.log.state(`upstream-${kind}`, {
+        upstream: entry.id,
+        service: entry.service,
+        address: listenAddress,
+        zone: entry.zone,
+        slotsCount,
+      });
+      onChange({listenAddress, slotsCount, hasJoined: kind === 'joined'});
+    },
+  });
+}
--- /dev/null
+++ b/src/daemon/node_exchanges.ts
@@ -0,0 +1,194 @@
+/**
+ * Wiring of the requests of one node: what enters, and what other nodes send.
+ */
+import type {Disposable} from '../base/lifecycle.js';
+import type {ExecutionEnd} from '../connection/execution.js';
+import type {RemoteExecution} from '../connection/remote_execution.js';
+import {createRemoteExecution} from '../connection/remote_execution.js';
+import {createUpstreamSender} from '../connection/upstream_sender.js';
+import type {DecisionLog} from '../process/decision_log.js';
+import {createEntryGate} from '../process/entry_gate.js';
+import {createHopRegistry} from '../process/hop_registry.js';
+import type {LoadReport} from '../process/load_board.js';
+import type {NodeMetrics} from '../process/node_metrics.js';
+import type {NodeSettings} from '../process/node_settings.js';
+import {createWeightedTargets} from '../process/weighted_targets.js';
+import type {WireHeaders} from '../protocol/wire_headers.js';
+import type {AttemptedRequest} from '../request/attempts.js';
+import {createAttempts} from '../request/attempts.js';
+import {createEntryAnswers} from '../request/entry_answers.js';
+import type {InboundExchanges} from '../request/inbound_exchange.js';
+import {createInboundExchanges} from '../request/inbound_exchange.js';
+import type {LocalCall, LocalExecution} from '../request/local_execution.js';
+import {createLocalExecution} from '../request/local_execution.js';
+import type {OutboundExchanges} from '../request/outbound_exchange.js';
+import {createOutboundExchanges} from '../request/outbound_exchange.js';
+import type {NodeDecisions} from './node_decisions.js';
+
+/** What the exchanges need. */
+export interface NodeExchangesOptions {
+  readonly settings: () => NodeSettings;
+  readonly names: WireHeaders;
+  readonly decisions: NodeDecisions;
+  readonly log: DecisionLog;
+  readonly metrics: NodeMetrics;
+  readonly isStopping: () => boolean;
+  readonly nowMillis: () => number;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+}
+
+/** Handlers of both listeners. */
+export interface NodeExchanges extends Disposable {
+  readonly outbound: OutboundExchanges;
+  readonly inbound: InboundExchanges;
+  /** Requests at the own upstream or waiting for it. */
+  readonly executingCount: number;
+}
+
+/** Loads of other upstreams that one answer reports at most. */
+const REPORTED_LOADS_COUNT = 6;
+
+/** Creates the handlers of one node. */
+export function createNodeExchanges(
+  options: NodeExchangesOptions,
+): NodeExchanges {
+  const {settings, names, decisions, nowMillis, random} = options;
+  const {upstream, queue, level, parents} = decisions;
+  const sender = createUpstreamSender(settings().upstream, names);
+  const remote = createRemote(options);
+  const execution = createLocalExecution({
+    upstream,
+    queue,
+    level,
+    parents,
+    sender,
+    nowMillis,
+  });
+  let executingCount = 0;
+  const local: LocalExecution = {
+    execute: async call => {
+      executingCount += 1;
+      const end = await execution.execute(call);
+      executingCount -= 1;
+      decisions.reportOwnLoad();
+      return end;
+    },
+  };
+  const outbound = createOutboundExchanges({
+    ...decisions,
+    names,
+    ownService: () => settings().service,
+    gate: createEntryGate(decisions.board),
+    targets: createWeightedTargets(random),
+    attempts: createAttempts({
+      ...decisions,
+      hostAddress: settings().hostAddress,
+      local,
+      remote,
+      nowMillis,
+      onAttempt: end => {
+        countAttempt(options, end);
+      },
+      onRetry: (request, reason) => {
+        options.metrics.recordRetry(reason);
+        logRetry(options, request, reason);
+      },
+    }),
+    answers: createEntryAnswers({
+      log: options.log,
+      metrics: options.metrics,
+      isDraining: options.isStopping,
+      configurationVersion: decisions.configurationVersion,
+      takingRatio: decisions.board.takingRatio,
+      nowMillis,
+      random,
+    }),
+    nowMillis,
+  });
+  const inbound = createInboundExchanges({
+    names,
+    execution: local,
+    hops: createHopRegistry(),
+    loads: () => reportedLoads(decisions),
+    bodyBytes: () =>
+      decisions.configuration.current()?.configuration.limits.bodyBytes ??
+      Infinity,
+    nowMillis,
+    onEnd: (call, end) => {
+      logEnd(options, call, end);
+    },
+  });
+  return {
+    outbound,
+    inbound,
+    get executingCount() {
+      return executingCount;
+    },
+    dispose: () => {
+      sender.dispose();
+      remote.dispose();
+    },
+  };
+}
+
+function createRemote(options: NodeExchangesOptions): RemoteExecution {
+  return createRemoteExecution({
+    inboundPort: options.settings().inbound.port,
+    names: options.names,
+    board: options.decisions.board,
+    nowMillis: options.nowMillis,
+    onPeerLost: (peer, hopsCount) => {
+      options.log.request('peer-lost', {peer, hopsCount});
+    },
+    onHopLost: (peer, state) => {
+      options.log.request('connection-silent', {peer, state});
+    },
+  });
+}
+
+function countAttempt(options: NodeExchangesOptions, end: ExecutionEnd): void {
+  if (end.kind === 'refused') options.metrics.recordRefusal(end.reason);
+  else if (end.kind === 'unknown') options.metrics.recordUnknown(end.reason);
+}
+
+function logRetry(
+  options: NodeExchangesOptions,
+  request: AttemptedRequest,
+  reason: string,
+): void {
+  options.log.request('retry', {
+    requestId: request.call.attemptId,
+    route: request.route.name,
+    service: request.service,
+    reason,
+  });
+}
+
+/** The line that tells what became of a request at the own upstream. */
+function logEnd(
+  options: NodeExchangesOptions,
+  call: LocalCall,
+  end: ExecutionEnd,
+): void {
+  if (end.kind === 'answered') return;
+  const {queue, level} = options.decisions;
+  options.log.request('not-executed', {
+    requestId: call.attemptId,
+    rootId: call.origin.rootId,
+    outcome: end.kind,
+    reason: end.reason,
+    ...queue.load(),
+    admissionLevel: level.level(),
+  });
+}
+
+/** The own upstream's load, and what has been heard of others that shed. */
+function reportedLoads(decisions: NodeDecisions): readonly LoadReport[] {
+  const own = decisions.reportOwnLoad();
+  const others = decisions.board
+    .shedding()
+    .filter(report => report.upstreamId !== own?.upstreamId)
+    .slice(0, REPORTED_LOADS_COUNT);
+  return own === undefined ? others : [own, ...others];
+}
--- a/src/daemon/node_program.ts
+++ b/src/daemon/node_program.ts
@@ -64,7 +64,7 @@
     await openReadyListener(settings.ready, options.readyPath, node);
     openOperatorListener(settings.hostAddress, {node, metrics, log});
     log.state('node-started', {startMillis: Math.round(nowMillis())});
-    watchSettings(options, log);
+    watchSettings(options, node, log);
     watchStop(node, log);
   } catch (error) {
     log.state('start-failed', {message: describeError(error)});
@@ -135,12 +135,16 @@
 }
 
 /** Looks at the settings again on SIGHUP and when the file has changed. */
-function watchSettings(options: NodeProgramOptions, log: DecisionLog): void {
+function watchSettings(
+  options: NodeProgramOptions,
+  node: ServiceNode,
+  log: DecisionLog,
+): void {
   let changedMillis = modifiedMillis(options.settingsPath);
   const reload = (cause: string): void => {
     try {
-      options.readSettings();
-      log.state('settings-reloaded', {cause});
+      const outcome = node.applySettings(options.readSettings());
+      log.state('settings-reloaded', {cause, outcome});
     } catch (error) {
       log.state('settings-refused', {cause, message: describeError(error)});
     }
--- a/src/process/node_settings.ts
+++ b/src/process/node_settings.ts
@@ -35,7 +35,5 @@
   readonly store: Endpoint;
   /** Time from SIGTERM until the process is killed. */
   readonly graceMillis: number;
-  /** Longest time for which requests may still reach a draining upstream. */
-  readonly drainMillis: number;
   readonly repeatBound: RepeatBound;
 }
--- a/src/process/repeat_budget.ts
+++ b/src/process/repeat_budget.ts
@@ -21,7 +21,8 @@
 
 /** What a budget needs. */
 export interface RepeatBudgetOptions {
-  readonly bound: RepeatBound;
+  /** The bound of now; settings may change it. */
+  readonly bound: () => RepeatBound;
   readonly nowMillis: () => number;
   /** Nodes of the fleet that may spend. */
   readonly nodesCount: () => number;
@@ -45,11 +46,11 @@
 
 /** Creates a budget without usage. */
 export function createRepeatBudget(options: RepeatBudgetOptions): RepeatBudget {
-  const {bound, nowMillis} = options;
+  const {nowMillis} = options;
   const usages = new Map<string, Usage>();
-  const partMillis = bound.windowMillis / PARTS_COUNT;
 
   const usageOf = (service: string): Usage => {
+    const partMillis = options.bound().windowMillis / PARTS_COUNT;
     const part = Math.floor(nowMillis() / partMillis);
     const usage = usages.get(service) ?? createUsage(part);
     usages.set(service, usage);
@@ -58,6 +59,7 @@
   };
 
   const allowedCount = (usage: Usage): number => {
+    const bound = options.bound();
     const own = bound.ratio * sum(usage.requests);
     const slack = bound.slackCount / Math.max(1, options.nodesCount());
     return (own + slack) * SPENT_RATIO;
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -44,11 +44,7 @@
   readonly budget: RepeatBudget;
   readonly trees: CallTrees;
   readonly nowMillis: () => number;
-  readonly onAttempt: (
-    request: AttemptedRequest,
-    upstreamId: string,
-    end: ExecutionEnd,
-  ) => void;
+  readonly onAttempt: (end: ExecutionEnd) => void;
   readonly onRetry: (request: AttemptedRequest, reason: HopReason) => void;
 }
 
@@ -95,7 +91,7 @@
     triedIds.add(entry.id);
     last = await attemptAt(options, entry, call);
     placement.end(lessonOf(last));
-    options.onAttempt(request, entry.id, last);
+    options.onAttempt(last);
     if (wasHandedOver(last)) sentCount += 1;
     if (mayRun(last)) mayHaveRun = true;
     if (last.kind === 'refused' && isFull(last.reason)) fullCount += 1;
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -42,8 +42,6 @@
   readonly attempts: Attempts;
   readonly answers: EntryAnswers;
   readonly nowMillis: () => number;
-  /** Uniform in [0, 1). */
-  readonly random: () => number;
 }
 
 /** A request that was read and has a route. */
--- a/test/unit/process/repeat_budget.test.ts
+++ b/test/unit/process/repeat_budget.test.ts
@@ -6,7 +6,7 @@
 function createFixture(nodesCount: number) {
   let now = 0;
   const budget = createRepeatBudget({
-    bound: BOUND,
+    bound: () => BOUND,
     nowMillis: () => now,
     nodesCount: () => nodesCount,
   });
