Keep answers without a length without one

Change: such an answer ends with the client's connection too; nodes tell each other. Test fails before.

--- a/src/connection/answer_sender.ts
+++ b/src/connection/answer_sender.ts
@@ -2,15 +2,18 @@
  * Writes an answer on a connection, so that an incomplete one never looks
  * complete.
  */
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {pipeline} from 'node:stream';
+import {HOP_HEADER} from '../protocol/hop_headers.js';
 import type {ReceivedAnswer} from './received_answer.js';
 import {headerOf} from './received_answer.js';
 
-/** How the body of a request asks for its answer. */
+/** Who receives an answer, and how it was asked for. */
 export interface AnswerForm {
   /** `HEAD` is answered without a body. */
   readonly method: string;
+  /** The answer goes to another node, which learns how it was framed. */
+  readonly isForNode: boolean;
 }
 
 /** Sends an answer with the given headers in place of its own. */
@@ -25,6 +28,13 @@
     return;
   }
   const fields = [...headers];
+  if (answer.isUnframed && hasBody(answer, form)) {
+    if (form.isForNode) fields.push(HOP_HEADER.unframed, '1');
+    else {
+      sendUnframed(response, answer, fields);
+      return;
+    }
+  }
   if (answer.rest === undefined) {
     addLength(fields, answer, form);
     response.writeHead(answer.statusCode, fields);
@@ -34,10 +44,51 @@
   const length = headerOf(answer.headers, 'content-length');
   if (length !== undefined) fields.push('content-length', length);
   response.writeHead(answer.statusCode, fields);
+  writeWithRest(response, answer, answer.rest);
+}
+
+/**
+ * Ends the body with the connection, as the upstream did. A length would
+ * vouch for a body that may have been cut short by a crash.
+ */
+function sendUnframed(
+  response: ServerResponse,
+  answer: ReceivedAnswer,
+  fields: readonly string[],
+): void {
+  response.useChunkedEncodingByDefault = false;
+  response.shouldKeepAlive = false;
+  const others = withoutConnection(fields);
+  response.writeHead(answer.statusCode, [...others, 'connection', 'close']);
+  if (answer.rest === undefined) response.end(answer.start);
+  else writeWithRest(response, answer, answer.rest);
+}
+
+function withoutConnection(fields: readonly string[]): readonly string[] {
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < fields.length; index += 2) {
+    const name = fields[index] ?? '';
+    if (name === 'connection') continue;
+    kept.push(name, fields[index + 1] ?? '');
+  }
+  return kept;
+}
+
+/**
+ * `pipeline` destroys the connection if the rest breaks off: an answer that
+ * merely ended would look complete to a client that expects chunks.
+ */
+function writeWithRest(
+  response: ServerResponse,
+  answer: ReceivedAnswer,
+  rest: IncomingMessage,
+): void {
   response.write(answer.start);
-  // `pipeline` destroys the connection if the rest breaks off: an answer that
-  // merely ended would look complete to a client that expects chunks.
-  pipeline(answer.rest, response, () => undefined);
+  pipeline(rest, response, () => undefined);
+}
+
+function hasBody(answer: ReceivedAnswer, form: AnswerForm): boolean {
+  return form.method !== 'HEAD' && !NO_BODY_STATUS_CODES.has(answer.statusCode);
 }
 
 const NO_BODY_STATUS_CODES: ReadonlySet<number> = new Set([204, 304]);
@@ -47,11 +98,12 @@
   answer: ReceivedAnswer,
   form: AnswerForm,
 ): void {
-  if (NO_BODY_STATUS_CODES.has(answer.statusCode)) return;
-  if (form.method === 'HEAD') {
-    const length = headerOf(answer.headers, 'content-length');
-    if (length !== undefined) fields.push('content-length', length);
+  if (hasBody(answer, form)) {
+    fields.push('content-length', String(answer.start.length));
     return;
   }
-  fields.push('content-length', String(answer.start.length));
+  const length = headerOf(answer.headers, 'content-length');
+  if (form.method === 'HEAD' && length !== undefined) {
+    fields.push('content-length', length);
+  }
 }
--- a/src/connection/received_answer.ts
+++ b/src/connection/received_answer.ts
@@ -3,6 +3,7 @@
  * of the rest.
  */
 import type {IncomingMessage} from 'node:http';
+import {HOP_HEADER} from '../protocol/hop_headers.js';
 import type {RawHeaders} from './raw_headers.js';
 
 /** An answer with its body. */
@@ -13,6 +14,11 @@
   readonly start: Buffer;
   /** The rest of the body, paused; `undefined` if `start` is all of it. */
   readonly rest: IncomingMessage | undefined;
+  /**
+   * The upstream told no length: the end of its connection was the only sign
+   * that the body is complete, and may as well be that of a crash.
+   */
+  readonly isUnframed: boolean;
 }
 
 /**
@@ -38,6 +44,7 @@
         headers: message.rawHeaders,
         start: Buffer.concat(chunks),
         rest,
+        isUnframed: isUnframed(message),
       });
     };
     const onData = (chunk: Buffer): void => {
@@ -61,6 +68,16 @@
   });
 }
 
+/** A node beside an upstream frames what it passes on, and says so. */
+function isUnframed(message: IncomingMessage): boolean {
+  const {headers} = message;
+  if (headers[HOP_HEADER.unframed] !== undefined) return true;
+  return (
+    headers['content-length'] === undefined &&
+    headers['transfer-encoding'] === undefined
+  );
+}
+
 /** Value of a header; `undefined` if absent. */
 export function headerOf(
   headers: RawHeaders,
--- a/src/protocol/hop_headers.ts
+++ b/src/protocol/hop_headers.ts
@@ -15,6 +15,8 @@
   startWithin: 'fh-start-within',
   /** How the attempt ended at the node beside the upstream. */
   outcome: 'fh-outcome',
+  /** The upstream told no length of the body. */
+  unframed: 'fh-unframed',
   /** Loads of upstreams. */
   loads: 'fh-loads',
   /** Calls made below. */
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -143,7 +143,7 @@
     const headers = passedOnHeaders(answer.headers, NO_HEADERS);
     if (options.isDraining()) headers.push('connection', 'close');
     const method = exchange.request.method ?? 'GET';
-    sendAnswer(exchange.response, answer, headers, {method});
+    sendAnswer(exchange.response, answer, headers, {method, isForNode: false});
     const millis = record(request, answer.statusCode);
     if (answer.statusCode < 500) return;
     log.request('answered-failure', {
--- a/src/request/inbound_exchange.ts
+++ b/src/request/inbound_exchange.ts
@@ -61,7 +61,7 @@
       const hopId = exchange.request.headers[HOP_HEADER.hopId];
       const end = await executeOnce(options, call, String(hopId));
       options.onEnd(call, end);
-      writeEnd(options, exchange, end, {method: call.method});
+      writeEnd(options, exchange, end, {method: call.method, isForNode: true});
     },
   };
 }
--- a/test/contract/platform_answers.test.ts
+++ b/test/contract/platform_answers.test.ts
@@ -184,3 +184,29 @@
   t.is(answer.statusCode, 200);
   t.deepEqual(second!.backend.runIds, ['c1']);
 });
+
+for (const [title, services] of [
+  ['on this host', ['orders']],
+  ['through another node', ['atlas', 'orders']],
+] as const) {
+  test(`an answer without a length is not given one: ${title}`, async t => {
+    // Symptom: a member receives half a map that looks whole. The upstream
+    // tells no length and crashes midway; its connection ends as if it were
+    // done. Cause: the node measured what it had and vouched for it.
+    const fleet = await startFleet(t, {services, paths: [SAFE]});
+    const orders = fleet.hosts.at(-1)!;
+    orders.backend.setBehaviour(({attemptId, socket}) => {
+      socket.end(
+        `HTTP/1.1 200 OK\r\nattempt-id: ${attemptId}\r\nresponse-signature: s\r\n\r\nhalf`,
+      );
+    });
+    const answer = await fleet.send(fleet.hosts[0]!, {
+      attemptId: 'c1',
+      path: '/a/1',
+    });
+    t.is(answer.body, 'half');
+    t.is(answer.headers['content-length'], undefined);
+    t.is(answer.headers['transfer-encoding'], undefined);
+    t.is(answer.headers.connection, 'close');
+  });
+}
