--- a/src/cli/console/field_guide.ts
+++ b/src/cli/console/field_guide.ts
@@ -29,8 +29,7 @@
   },
   'availabilityZones[].name': {
     unit: undefined,
-    effect:
-      'Name as in the settings of the hosts and in the host list. `NAME.` at the start of a key makes this zone its home.',
+    effect: 'Name as in the settings of the hosts and in the host list.',
   },
   'availabilityZones[].region': {
     unit: undefined,
@@ -102,15 +101,10 @@
     effect:
       '`safe`: reads only, may always be sent again. `idempotent`: may be sent again unless on behalf of a request that may not. `never`: not sent again once a byte may have reached an upstream.',
   },
-  'services[].routes[].isKeyRequired': {
-    unit: undefined,
-    effect:
-      '`true`: a request without `Idempotency-Key` is refused. Set it on every `never` route that callers use; without it `check` warns, since a caller that repeats by itself would run the request twice.',
-  },
   'services[].routes[].deadlineMillis': {
     unit: 'ms',
     effect:
-      'Time from entry to the last byte of the answer; work past it is dropped. On routes with a key it must be below `keys.windowMillis`.',
+      'Time from entry to the last byte of the answer; work past it is dropped.',
   },
   'services[].routes[].retryBound': {
     unit: 'retries',
@@ -127,31 +121,6 @@
     effect:
       'Retries a node may send without any first attempt, so that quiet nodes can retry.',
   },
-  'keys.windowMillis': {
-    unit: 'ms',
-    effect:
-      "How long a key is remembered after its execution. Also how long a replaced host's keys may be answered `unknown`: longer protects against later repeats and costs availability after a host is lost.",
-  },
-  'keys.recordsCount': {
-    unit: 'records',
-    effect:
-      'Keys one host remembers. When full, new keyed requests are refused as not run with `key-capacity`; provide for the keyed requests of one host within the window.',
-  },
-  'keys.answerBytes': {
-    unit: 'bytes',
-    effect:
-      'Largest answer kept for a repeat; above it a repeat is told that the request ran, without its answer. At most `bodies.bufferedAnswerBytes`.',
-  },
-  'keys.leaseMillis': {
-    unit: 'ms',
-    effect:
-      'How long a confirmed view of the fleet allows keyed work. Longer rides out longer breaks of control traffic and delays a change of home.',
-  },
-  'keys.clockBoundMillis': {
-    unit: 'ms',
-    effect:
-      'Largest difference between the wall clocks of two hosts that is tolerated. Hosts must keep time within it, or keys may be refused.',
-  },
   'bodies.requestBytes': {
     unit: 'bytes',
     effect:
--- a/src/cli/console/new_items.ts
+++ b/src/cli/console/new_items.ts
@@ -21,7 +21,6 @@
   'className',
   'method',
   'repeat',
-  'isKeyRequired',
 ]);
 
 /** A draft of a first document. */
--- a/src/cli/policy_changes.ts
+++ b/src/cli/policy_changes.ts
@@ -29,7 +29,6 @@
 
 const SECTIONS = [
   ['retryBudget', 'every host, for the retries it sends'],
-  ['keys', 'callers of routes with a key, and their home hosts'],
   ['bodies', 'every caller'],
   ['ejection', 'every host, for the choice of hosts'],
   ['timing', 'every host'],
@@ -51,7 +50,7 @@
       after.availabilityZones,
       ({name}) => ({
         path: `availabilityZones.${name}`,
-        concerns: 'callers of routes with a key, whose keys get other homes',
+        concerns: 'nodes, which place requests by zone',
       }),
       compareFields,
     ),
--- a/src/cli/policy_succession.ts
+++ b/src/cli/policy_succession.ts
@@ -17,11 +17,7 @@
 ): SuccessionReport {
   return {
     problems: findSuccessionProblems(previous, next),
-    warnings: [
-      ...warnOfZones(previous, next),
-      ...warnOfKeyedServices(previous, next),
-      ...warnOfWindow(previous, next),
-    ],
+    warnings: warnOfZones(previous, next),
   };
 }
 
@@ -47,48 +43,17 @@
   return problems;
 }
 
-/** Keys are spread over the zones of the document, so each may move. */
+/** Hosts of a zone that is not in the document count as far away. */
 function warnOfZones(previous: Policy, next: Policy): readonly string[] {
   const change = describeSetChange(zoneNames(previous), zoneNames(next));
   if (change === undefined) return [];
-  return [
-    `availability zones ${change}: keys get other home hosts, which refuse or answer "unknown" for up to ${String(next.keys.windowMillis)} ms (keys.windowMillis)`,
-  ];
-}
-
-function warnOfKeyedServices(
-  previous: Policy,
-  next: Policy,
-): readonly string[] {
-  const change = describeSetChange(
-    keyedServices(previous),
-    keyedServices(next),
-  );
-  if (change === undefined) return [];
-  return [
-    `services with keyed routes ${change}: a request that is repeated across the change may be known under its key on one side only`,
-  ];
-}
-
-function warnOfWindow(previous: Policy, next: Policy): readonly string[] {
-  const before = previous.keys.windowMillis;
-  const after = next.keys.windowMillis;
-  if (after >= before) return [];
-  return [
-    `keys.windowMillis falls from ${String(before)} to ${String(after)}: callers that still repeat a request after the shorter time run it again`,
-  ];
+  return [`availability zones ${change}: hosts must be listed in the new ones`];
 }
 
 function zoneNames(policy: Policy): readonly string[] {
   return policy.availabilityZones.map(({name}) => name);
 }
 
-function keyedServices(policy: Policy): readonly string[] {
-  return policy.services
-    .filter(({routes}) => routes.some(({isKeyRequired}) => isKeyRequired))
-    .map(({name}) => name);
-}
-
 function describeSetChange(
   before: readonly string[],
   after: readonly string[],
--- a/src/cli/route_explanation.ts
+++ b/src/cli/route_explanation.ts
@@ -21,8 +21,6 @@
   /** Classes that are shed before this one. */
   readonly lessImportantClasses: readonly string[];
   readonly repeat: RepeatRule;
-  readonly isKeyRequired: boolean;
-  readonly keyWindowMillis: number;
   readonly retryBound: number;
   readonly deadlineMillis: number;
   readonly queueCount: number;
@@ -49,7 +47,7 @@
   compiled: CompiledPolicy,
   {service, route, classIndex}: RouteMatch,
 ): RouteExplanation {
-  const {classes, keys} = compiled.policy;
+  const {classes} = compiled.policy;
   const reservedAbove = classes
     .slice(0, classIndex)
     .reduce((sum, {reservedRatio}) => sum + reservedRatio, 0);
@@ -65,8 +63,6 @@
     classesCount: classes.length,
     lessImportantClasses: classes.slice(classIndex + 1).map(({name}) => name),
     repeat: route.repeat,
-    isKeyRequired: route.isKeyRequired,
-    keyWindowMillis: keys.windowMillis,
     retryBound: route.retryBound,
     deadlineMillis: route.deadlineMillis,
     queueCount: service.queueCount,
@@ -83,7 +79,6 @@
     `${rules.method} ${rules.path} of ${rules.service} is route ${rules.route} (policy version ${String(rules.policyVersion)})`,
     `class:    ${describeClass(rules)}`,
     `repeat:   ${rules.repeat}: ${REPEAT_WORDS[rules.repeat]}`,
-    `key:      ${describeKey(rules)}`,
     `retries:  ${describeRetries(rules)}`,
     `deadline: ${String(rules.deadlineMillis)} ms after entry, or the caller's own timeout if that is shorter`,
     `queue:    at most ${String(rules.queueCount)} calls wait at one upstream, none longer than ${String(rules.queueWaitMillis)} ms`,
@@ -97,11 +92,6 @@
   return `${place}; shed only after ${rules.lessImportantClasses.join(', ')}`;
 }
 
-function describeKey(rules: RouteExplanation): string {
-  if (!rules.isKeyRequired) return 'no Idempotency-Key is required';
-  return `an Idempotency-Key is required; a repeat within ${String(rules.keyWindowMillis)} ms does not run again`;
-}
-
 function describeRetries(rules: RouteExplanation): string {
   if (rules.retryBound === 0) return 'none on any hop of the chain';
   return `at most ${String(rules.retryBound)} over the whole chain, for a request that enters here`;
--- a/src/connection/hop_questions.ts
+++ b/src/connection/hop_questions.ts
@@ -4,6 +4,7 @@
  */
 import http from 'node:http';
 import type {HopRegistry, HopState} from '../process/hop_registry.js';
+import type {Endpoint} from '../process/node_settings.js';
 import {HOP_HEADER} from '../protocol/hop_headers.js';
 import type {Exchange} from './node_listener.js';
 import type {AskPeer} from './peer_watch.js';
@@ -25,28 +26,23 @@
 
 const SEPARATOR = ',';
 
-/** Creates the asking side. */
-export function createAskPeer(inboundPort: number): AskPeer {
-  return async (peerAddress, hopIds) => {
-    const ids = hopIds.slice(0, MAX_IDS_COUNT);
-    const replies = await Promise.all(
-      Array.from({length: QUESTIONS_COUNT}, () =>
-        askOnce(peerAddress, inboundPort, ids),
-      ),
-    );
-    return replies.find(reply => reply !== undefined);
-  };
-}
+/** Asks a node for the states of hops. */
+export const askPeer: AskPeer = async (peer, hopIds) => {
+  const ids = hopIds.slice(0, MAX_IDS_COUNT);
+  const replies = await Promise.all(
+    Array.from({length: QUESTIONS_COUNT}, () => askOnce(peer, ids)),
+  );
+  return replies.find(reply => reply !== undefined);
+};
 
 function askOnce(
-  host: string,
-  port: number,
+  peer: Endpoint,
   ids: readonly string[],
 ): Promise<readonly HopState[] | undefined> {
   return new Promise(resolve => {
     const request = http.get({
-      host,
-      port,
+      host: peer.address,
+      port: peer.port,
       agent: false,
       headers: {[HOP_HEADER.question]: ids.join(SEPARATOR)},
     });
--- a/src/connection/kept_connections.ts
+++ b/src/connection/kept_connections.ts
@@ -3,6 +3,7 @@
  */
 import http from 'node:http';
 import type {Socket} from 'node:net';
+import type {Endpoint} from '../process/node_settings.js';
 
 /** How long idle connections are kept. */
 export interface KeptConnectionsOptions {
@@ -19,6 +20,15 @@
 
 const MILLIS_PER_SECOND = 1000;
 
+/**
+ * Closes the idle connections to one address. Where one connection fell silent
+ * without a word, those that are idle most likely did as well.
+ */
+export function dropIdleConnections(agent: http.Agent, to: Endpoint): void {
+  const name = agent.getName({host: to.address, port: to.port});
+  for (const socket of agent.freeSockets[name] ?? []) socket.destroy();
+}
+
 /** Node.js keeps the request that a connection last served here. */
 type PooledSocket = Socket & {readonly _httpMessage?: LastMessage};
 
--- a/src/connection/node_listener.ts
+++ b/src/connection/node_listener.ts
@@ -3,7 +3,7 @@
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
-import type {Socket} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import type {CancelSignal, CancelSource} from '../base/cancel_signal.js';
 import {createCancelSource} from '../base/cancel_signal.js';
 import {describeError, TransportError} from '../base/errors.js';
@@ -28,13 +28,11 @@
 
 /** An open listener. */
 export interface NodeListener {
+  readonly port: number;
   /** Requests that were read and not yet answered. */
   readonly busyCount: number;
   /** How long idle connections stay open, and how slow headers may be. */
   setLimits(idleMillis: number, headerMillis: number): void;
-  /** Asks clients to go elsewhere after each answer. */
-  startDraining(): void;
-  readonly isDraining: boolean;
   close(): void;
 }
 
@@ -61,7 +59,6 @@
   });
   const openSources = new WeakMap<Socket, Set<CancelSource>>();
   let busyCount = 0;
-  let isDraining = false;
 
   const sourcesOf = (socket: Socket): Set<CancelSource> => {
     const known = openSources.get(socket);
@@ -117,6 +114,7 @@
   });
   await listen(server, options.endpoint);
   return {
+    port: (server.address() as AddressInfo).port,
     get busyCount() {
       return busyCount;
     },
@@ -124,12 +122,6 @@
       server.keepAliveTimeout = idleMillis;
       server.headersTimeout = headerMillis;
     },
-    startDraining: () => {
-      isDraining = true;
-    },
-    get isDraining() {
-      return isDraining;
-    },
     close: () => {
       server.close();
       server.closeIdleConnections();
--- a/src/connection/peer_watch.ts
+++ b/src/connection/peer_watch.ts
@@ -9,12 +9,13 @@
  */
 import type {Disposable} from '../base/lifecycle.js';
 import {createIntervalTimer} from '../base/lifecycle.js';
+import type {Endpoint} from '../process/node_settings.js';
 import type {HopState} from '../process/hop_registry.js';
 
 /** A request on its way. */
 export interface WatchedHop {
   readonly hopId: string;
-  readonly peerAddress: string;
+  readonly peer: Endpoint;
   readonly startedMillis: number;
   /** Sent elsewhere it could do no harm, or it cannot run before a reply. */
   readonly isExpendable: () => boolean;
@@ -27,13 +28,15 @@
 /** Watches over hops. */
 export interface PeerWatch extends Disposable {
   watch(hop: WatchedHop): Disposable;
+  /** A peer did not reply when it was asked last. */
+  isLost(peer: Endpoint): boolean;
   /** Something arrived from a peer. */
-  noteHeard(peerAddress: string): void;
+  noteHeard(peer: Endpoint): void;
 }
 
 /** Asks a peer for the states of hops; `undefined` if it does not reply. */
 export type AskPeer = (
-  peerAddress: string,
+  peer: Endpoint,
   hopIds: readonly string[],
 ) => Promise<readonly HopState[] | undefined>;
 
@@ -41,8 +44,9 @@
 export interface PeerWatchOptions {
   readonly ask: AskPeer;
   readonly nowMillis: () => number;
-  readonly onPeerLost: (peerAddress: string, hopsCount: number) => void;
-  readonly onHopLost: (peerAddress: string, state: HopState) => void;
+  readonly onPeerLost: (peer: Endpoint, hopsCount: number) => void;
+  readonly onPeerFound: (peer: Endpoint) => void;
+  readonly onHopLost: (peer: Endpoint, state: HopState) => void;
 }
 
 const TICK_MILLIS = 100;
@@ -53,15 +57,20 @@
  */
 const PEER_SILENT_MILLIS = 200;
 
+/** Interval at which a peer that did not reply is asked again. */
+const LOST_ASK_MILLIS = 500;
+
 /** Age of one hop at which it is asked for although its peer is heard. */
 const HOP_SILENT_MILLIS = 500;
 
 interface Peer {
+  readonly endpoint: Endpoint;
   readonly hops: Set<WatchedHop>;
   readonly finished: Set<WatchedHop>;
   heardMillis: number;
   askedMillis: number;
   isAsking: boolean;
+  isLost: boolean;
 }
 
 /** Creates a watch without hops. */
@@ -69,46 +78,47 @@
   const peers = new Map<string, Peer>();
   const {nowMillis} = options;
 
-  const peerOf = (address: string): Peer => {
-    const known = peers.get(address);
+  const peerOf = (endpoint: Endpoint): Peer => {
+    const key = `${endpoint.address}:${String(endpoint.port)}`;
+    const known = peers.get(key);
     if (known !== undefined) return known;
     const created: Peer = {
+      endpoint,
       hops: new Set(),
       finished: new Set(),
       heardMillis: 0,
       askedMillis: 0,
       isAsking: false,
+      isLost: false,
     };
-    peers.set(address, created);
+    peers.set(key, created);
     return created;
   };
 
-  const check = async (address: string, peer: Peer): Promise<void> => {
+  const check = async (peer: Peer): Promise<void> => {
     const asked = [...peer.hops];
     peer.isAsking = true;
     peer.askedMillis = nowMillis();
     const states = await options.ask(
-      address,
+      peer.endpoint,
       asked.map(hop => hop.hopId),
     );
     peer.isAsking = false;
     if (states === undefined) {
-      if (peer.heardMillis < peer.askedMillis) losePeer(address, peer, asked);
+      if (peer.heardMillis < peer.askedMillis) losePeer(peer, asked);
       return;
     }
-    peer.heardMillis = nowMillis();
+    hear(peer);
     for (const [index, hop] of asked.entries()) {
       settle(peer, hop, states[index] ?? 'working');
     }
   };
 
-  const losePeer = (
-    address: string,
-    peer: Peer,
-    asked: readonly WatchedHop[],
-  ): void => {
+  const losePeer = (peer: Peer, asked: readonly WatchedHop[]): void => {
+    const wasLost = peer.isLost;
+    peer.isLost = true;
     const lost = asked.filter(hop => peer.hops.has(hop) && hop.isExpendable());
-    options.onPeerLost(address, lost.length);
+    if (!wasLost) options.onPeerLost(peer.endpoint, lost.length);
     for (const hop of lost) hop.giveUp();
   };
 
@@ -119,13 +129,22 @@
       peer.finished.add(hop);
       return;
     }
-    options.onHopLost(hop.peerAddress, state);
+    options.onHopLost(hop.peer, state);
     if (state === 'unknown') hop.giveUpNotRun();
     else hop.giveUp();
   };
 
+  const hear = (peer: Peer): void => {
+    peer.heardMillis = nowMillis();
+    if (!peer.isLost) return;
+    peer.isLost = false;
+    options.onPeerFound(peer.endpoint);
+  };
+
   const isDue = (peer: Peer, now: number): boolean => {
-    if (peer.isAsking || peer.hops.size === 0) return false;
+    if (peer.isAsking) return false;
+    if (peer.isLost) return now - peer.askedMillis > LOST_ASK_MILLIS;
+    if (peer.hops.size === 0) return false;
     let oldestMillis = now;
     for (const hop of peer.hops) {
       oldestMillis = Math.min(oldestMillis, hop.startedMillis);
@@ -139,14 +158,14 @@
 
   const timer = createIntervalTimer(TICK_MILLIS, () => {
     const now = nowMillis();
-    for (const [address, peer] of peers) {
-      if (isDue(peer, now)) void check(address, peer);
+    for (const peer of peers.values()) {
+      if (isDue(peer, now)) void check(peer);
     }
   });
 
   return {
     watch: hop => {
-      const peer = peerOf(hop.peerAddress);
+      const peer = peerOf(hop.peer);
       peer.hops.add(hop);
       return {
         dispose: () => {
@@ -155,8 +174,9 @@
         },
       };
     },
-    noteHeard: address => {
-      peerOf(address).heardMillis = nowMillis();
+    isLost: endpoint => peerOf(endpoint).isLost,
+    noteHeard: endpoint => {
+      hear(peerOf(endpoint));
     },
     dispose: timer.dispose,
   };
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -8,6 +8,8 @@
 import type {Disposable} from '../base/lifecycle.js';
 import type {HopState} from '../process/hop_registry.js';
 import type {LoadBoard} from '../process/load_board.js';
+import type {Endpoint} from '../process/node_settings.js';
+import type {RetryLoan} from '../process/retry_grant.js';
 import type {UpstreamEntry} from '../process/upstream_entry.js';
 import {
   decodeCalls,
@@ -18,8 +20,11 @@
 } from '../protocol/hop_headers.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {ExecutionCall, ExecutionEnd} from './execution.js';
-import {createAskPeer} from './hop_questions.js';
-import {createKeptConnections} from './kept_connections.js';
+import {askPeer} from './hop_questions.js';
+import {
+  createKeptConnections,
+  dropIdleConnections,
+} from './kept_connections.js';
 import type {PeerWatch} from './peer_watch.js';
 import {createPeerWatch} from './peer_watch.js';
 import type {ReceivedAnswer} from './received_answer.js';
@@ -30,19 +35,20 @@
 /** Executes requests at other hosts. */
 export interface RemoteExecution extends Disposable {
   execute(target: UpstreamEntry, call: ExecutionCall): Promise<ExecutionEnd>;
+  /** The node beside an upstream did not reply when it was asked last. */
+  isLost(target: UpstreamEntry): boolean;
 }
 
 /** What it needs. */
 export interface RemoteExecutionOptions {
-  /** Port at which every node receives requests of other nodes. */
-  readonly inboundPort: number;
   readonly names: WireHeaders;
   readonly board: LoadBoard;
   readonly nowMillis: () => number;
   /** A node did not reply; so many requests for it were given up. */
-  readonly onPeerLost: (peerAddress: string, hopsCount: number) => void;
+  readonly onPeerLost: (peer: Endpoint, hopsCount: number) => void;
+  readonly onPeerFound: (peer: Endpoint) => void;
   /** A connection fell silent while its node is well. */
-  readonly onHopLost: (peerAddress: string, state: HopState) => void;
+  readonly onHopLost: (peer: Endpoint, state: HopState) => void;
 }
 
 /**
@@ -70,14 +76,19 @@
     maxSocketsCount: MAX_SOCKETS_COUNT,
   });
   const watch = createPeerWatch({
-    ask: createAskPeer(options.inboundPort),
+    ask: askPeer,
     nowMillis: options.nowMillis,
     onPeerLost: options.onPeerLost,
-    onHopLost: options.onHopLost,
+    onPeerFound: options.onPeerFound,
+    onHopLost: (peer, state) => {
+      dropIdleConnections(agent, peer);
+      options.onHopLost(peer, state);
+    },
   });
   return {
     execute: (target, call) =>
-      executeHop(options, {agent, watch}, target, call),
+      executeResent(options, {agent, watch}, target, call),
+    isLost: target => watch.isLost(target.node),
     dispose: () => {
       watch.dispose();
       agent.destroy();
@@ -90,9 +101,31 @@
   readonly watch: PeerWatch;
 }
 
+/** What one hop is known by, and what goes with it. */
+interface HopIdentity {
+  readonly hopId: string;
+  readonly loan: RetryLoan;
+}
+
 /** Why a hop was given up by this node while its caller still waits. */
 type GivenUp = 'not-run' | 'unknown';
 
+/**
+ * A hop that its node never received was lost with its connection. It cannot
+ * run any more, so it is sent once again on another connection.
+ */
+async function executeResent(
+  options: RemoteExecutionOptions,
+  parts: HopParts,
+  target: UpstreamEntry,
+  call: ExecutionCall,
+): Promise<ExecutionEnd> {
+  const end = await executeHop(options, parts, target, call);
+  const isSilent = end.kind === 'refused' && end.reason === 'silent';
+  if (!isSilent || call.cancel.isCancelled) return end;
+  return executeHop(options, parts, target, call);
+}
+
 async function executeHop(
   options: RemoteExecutionOptions,
   {agent, watch}: HopParts,
@@ -102,6 +135,7 @@
   const source = createCancelSource();
   const callers = call.cancel.onCancel(source.cancel);
   const hopId = newHopId();
+  const loan = call.origin.grant.lend();
   let isBodySent = false;
   let givenUp: GivenUp | undefined;
   const giveUp = (how: GivenUp): void => {
@@ -110,7 +144,7 @@
   };
   const watched = watch.watch({
     hopId,
-    peerAddress: target.hostAddress,
+    peer: target.node,
     startedMillis: options.nowMillis(),
     isExpendable: () => call.isRepeatable || !isBodySent,
     giveUpNotRun: () => {
@@ -121,17 +155,17 @@
     },
   });
   const end = await sendRequest({
-    to: {address: target.hostAddress, port: options.inboundPort},
+    to: target.node,
     agent,
     method: call.method,
     target: call.target,
-    headers: hopHeaders(options, target, call, hopId),
+    headers: hopHeaders(options, target, call, {hopId, loan}),
     body: call.body,
     isBodyHeldBack: !call.isRepeatable,
     connectTimeoutMillis: CONNECT_TIMEOUT_MILLIS,
     cancel: source.signal,
     onHeard: () => {
-      watch.noteHeard(target.hostAddress);
+      watch.noteHeard(target.node);
     },
     onBodySent: () => {
       isBodySent = true;
@@ -140,12 +174,13 @@
   watched.dispose();
   callers.dispose();
   if (givenUp === 'not-run') {
+    loan.settle(loan.count);
     return {kind: 'refused', reason: 'silent', retryAfterMillis: 0};
   }
   if (givenUp === 'unknown' && end.kind === 'lost') {
     return {kind: 'unknown', reason: 'silent', hasFailedCall: false};
   }
-  return interpret(options, end, call);
+  return interpret(options, end, call, loan);
 }
 
 /** Unique among nodes for as long as it is remembered. */
@@ -157,7 +192,7 @@
   options: RemoteExecutionOptions,
   target: UpstreamEntry,
   call: ExecutionCall,
-  hopId: string,
+  {hopId, loan}: HopIdentity,
 ): readonly string[] {
   const {names, nowMillis} = options;
   const {origin} = call;
@@ -168,9 +203,11 @@
     rootRouteName: origin.rootRouteName,
     rootAgeMillis: now - origin.rootBeganAtMillis,
     isRepeat: origin.isRepeat,
+    repeatsCount: loan.count,
   });
   return [
     ...call.headers,
+    ...(names.isAttemptIdRequired ? [] : [names.attemptId, call.attemptId]),
     names.timeoutMillis,
     String(Math.max(1, Math.floor(call.deadlineMillis - now))),
     names.expectedUpstreamId,
@@ -192,10 +229,12 @@
   options: RemoteExecutionOptions,
   end: SendEnd,
   call: ExecutionCall,
+  loan: RetryLoan,
 ): ExecutionEnd {
   const isCancelled = call.cancel.isCancelled;
   if (end.kind === 'not-sent') {
     const reason = isCancelled ? 'cancelled' : 'unreachable';
+    loan.settle(loan.count);
     return {kind: 'refused', reason, retryAfterMillis: 0};
   }
   if (end.kind === 'lost') {
@@ -203,7 +242,7 @@
     return {kind: 'unknown', reason, hasFailedCall: false};
   }
   observeLoads(options, end.answer);
-  const ended = readOutcome(end.answer);
+  const ended = readOutcome(end.answer, loan);
   if (ended === undefined) {
     end.discardConnection();
     return {kind: 'unknown', reason: 'broken-answer', hasFailedCall: false};
@@ -223,10 +262,14 @@
   }
 }
 
-function readOutcome(answer: ReceivedAnswer): ExecutionEnd | undefined {
+function readOutcome(
+  answer: ReceivedAnswer,
+  loan: RetryLoan,
+): ExecutionEnd | undefined {
   const text = headerOf(answer.headers, HOP_HEADER.outcome);
   const fields = text === undefined ? undefined : decodeOutcome(text);
   if (fields === undefined) return undefined;
+  loan.settle(fields.unspentCount);
   const {reason, hasFailedCall, retryAfterMillis} = fields;
   switch (fields.outcome) {
     case 'answered': {
--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -6,7 +6,10 @@
 import type {Endpoint} from '../process/node_settings.js';
 import type {HopReason} from '../protocol/hop_headers.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
-import {createKeptConnections} from './kept_connections.js';
+import {
+  createKeptConnections,
+  dropIdleConnections,
+} from './kept_connections.js';
 import type {RawHeaders} from './raw_headers.js';
 import type {ReceivedAnswer} from './received_answer.js';
 import {headerOf} from './received_answer.js';
@@ -79,6 +82,11 @@
         connectTimeoutMillis: CONNECT_TIMEOUT_MILLIS,
         cancel: request.cancel,
       });
+      // A request that hung to its end on a kept connection may have been lost
+      // with it, and the other idle ones fell silent at the same moment.
+      if (end.kind === 'lost' && end.wasReused) {
+        dropIdleConnections(agent, upstream);
+      }
       return interpret(end, request, names);
     },
     dispose: () => {
@@ -93,6 +101,7 @@
 ): readonly string[] {
   return [
     ...request.headers,
+    ...(names.isAttemptIdRequired ? [] : [names.attemptId, request.attemptId]),
     names.timeoutMillis,
     String(request.timeoutMillis),
     names.expectedUpstreamId,
@@ -143,7 +152,7 @@
   if (echoedId !== undefined && echoedId !== request.attemptId) return true;
   if (headerOf(headers, 'content-encoding') !== undefined) return true;
   const isSuccess = statusCode >= 200 && statusCode < 300;
-  if (!isSuccess) return false;
+  if (!isSuccess || names.signature === undefined) return false;
   return (
     echoedId === undefined || headerOf(headers, names.signature) === undefined
   );
--- a/src/daemon/document_feeds.ts
+++ b/src/daemon/document_feeds.ts
@@ -47,8 +47,14 @@
   const store = createDisposableStore();
   let hasUpstreams = false;
 
+  let wholeChanges: readonly DocumentChange[] = [];
+
   const offer = (changes: readonly DocumentChange[]): void => {
     for (const change of changes) offerConfiguration(options, change);
+    // A configuration may tell more about upstreams that are listed already.
+    if (documents.listsAllUpstreams && wholeChanges.length > 0) {
+      directory.replace(decodeEntries(options, wholeChanges));
+    }
   };
   store.add(
     follow(options, documents.configurationPrefix, {
@@ -58,6 +64,10 @@
     }),
   );
   const events = sourceEvents(options, 'upstreams');
+  const replaceAll = (changes: readonly DocumentChange[]): void => {
+    wholeChanges = changes;
+    directory.replace(decodeEntries(options, changes));
+  };
   store.add(
     follow(options, documents.upstreamsPrefix, {
       onLost: events.onLost,
@@ -66,10 +76,15 @@
         events.onReached(wasLostMillis);
       },
       onSnapshot: changes => {
-        hasUpstreams = true;
-        directory.replace(decodeEntries(options, changes));
+        hasUpstreams = changes.length > 0 || !documents.listsAllUpstreams;
+        replaceAll(changes);
       },
       onChanges: changes => {
+        if (documents.listsAllUpstreams) {
+          hasUpstreams = true;
+          replaceAll(changes);
+          return;
+        }
         for (const change of changes) applyUpstream(options, change);
       },
     }),
@@ -157,9 +172,9 @@
 ): readonly UpstreamEntry[] {
   const entries: UpstreamEntry[] = [];
   for (const change of changes) {
-    const decoded = options.documents.decodeUpstream(change);
+    const decoded = options.documents.decodeUpstreams(change);
     if (decoded.kind === 'valid') {
-      entries.push(decoded.value);
+      entries.push(...decoded.value);
     } else if (decoded.kind === 'invalid') {
       options.log.state('upstream-invalid', {reason: decoded.reason});
     }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,11 +1,75 @@
 #!/usr/bin/env node
 /**
- * Entry point of `fulmarhollowd`.
+ * Entry point of `fulmarhollowd` with the product's own settings and documents.
  */
-import {runProgram} from './program.js';
+import {OWN_HEADERS} from '../protocol/own_headers.js';
+import type {NodeSettings} from '../process/node_settings.js';
+import type {OwnSettings} from '../process/own_settings.js';
+import {readSettingsFile} from '../process/own_settings_file.js';
+import {InvalidInputError} from '../base/errors.js';
+import {formatProblem} from '../version/problem.js';
+import {EXIT_USAGE, parseCommandLine} from './command_line.js';
+import {runNodeProgram} from './node_program.js';
+import {createOwnDocuments} from './own_documents.js';
 
-// The node is loaded last so that checking settings stays quick and light.
-await runProgram(process.argv.slice(2), async () => {
-  const {createNode} = await import('./node.js');
-  return createNode;
-});
+/**
+ * Bound on the repeats that one service receives from the whole fleet: a fifth
+ * of its requests, and a few for services that hardly receive any.
+ */
+const REPEAT_BOUND = {ratio: 0.2, windowMillis: 10_000, slackCount: 50};
+
+const {settingsPath, isCheckOnly} = parseCommandLine(process.argv.slice(2));
+
+if (isCheckOnly) checkSettings();
+else await run();
+
+function checkSettings(): void {
+  try {
+    readSettings();
+    process.stdout.write('settings are valid\n');
+  } catch (error) {
+    process.stderr.write(`${(error as Error).message}\n`);
+    process.exitCode = EXIT_USAGE;
+  }
+}
+
+async function run(): Promise<void> {
+  let platformUrl = '';
+  await runNodeProgram({
+    settingsPath,
+    readSettings: () => {
+      const settings = readSettings();
+      platformUrl = settings.platformUrl;
+      return nodeSettingsOf(settings);
+    },
+    createDocuments: () => createOwnDocuments(platformUrl),
+    names: OWN_HEADERS,
+    readyPath: '/ready',
+  });
+}
+
+function readSettings(): OwnSettings {
+  const result = readSettingsFile(settingsPath);
+  if (result.kind === 'parsed') return result.settings;
+  const message = result.problems.map(formatProblem).join('\n');
+  throw new InvalidInputError(message, {props: {step: 'settings'}});
+}
+
+function nodeSettingsOf(settings: OwnSettings): NodeSettings {
+  const platform = new URL(settings.platformUrl);
+  return {
+    nodeName: settings.hostName,
+    zone: settings.availabilityZone,
+    region: settings.region,
+    hostKey: settings.hostName,
+    outbound: settings.listen.caller,
+    inbound: settings.listen.peer,
+    ready: undefined,
+    operators: settings.listen.admin,
+    upstream: settings.upstream,
+    service: settings.service,
+    store: {address: platform.hostname, port: Number(platform.port)},
+    graceMillis: settings.graceMillis,
+    repeatBound: REPEAT_BOUND,
+  };
+}
--- a/src/daemon/node_decisions.ts
+++ b/src/daemon/node_decisions.ts
@@ -57,14 +57,13 @@
   options: NodeDecisionsOptions,
 ): NodeDecisions {
   const {settings, nowMillis, random} = options;
-  const {hostAddress, zone, regionOfZone, upstream: own} = settings();
-  const ownAddress = `${own.address}:${String(own.port)}`;
+  const {hostKey, zone, region} = settings();
   const configuration = createConfigurationHolder();
   const queue = createUpstreamQueue(nowMillis);
   const level = createAdmissionLevel();
   const board = createLoadBoard(nowMillis);
   const directory = createLoggedDirectory(options, entry => {
-    if (entry.listenAddress !== ownAddress) return;
+    if (entry.hostKey !== hostKey) return;
     queue.setSlots(entry.slotsCount);
     if (entry.hasJoined) upstream.markReached();
   });
@@ -94,14 +93,14 @@
     placement: createPlacementChooser({
       directory,
       board,
-      hostAddress,
+      hostKey,
       zone,
-      regionOfZone,
+      region,
       nowMillis,
       random,
     }),
     reportOwnLoad: () => {
-      const known = directory.atAddress(ownAddress);
+      const known = directory.atHost(hostKey);
       if (known === undefined) return undefined;
       const load = queue.load();
       const report: LoadReport = {
@@ -115,14 +114,13 @@
       board.observe(report);
       return report;
     },
-    configurationVersion: () =>
-      configuration.current()?.configuration.version ?? 0,
+    configurationVersion: () => configuration.current()?.version ?? 0,
   };
 }
 
 /** What the own upstream's entry says when it changes. */
 interface ChangedEntry {
-  readonly listenAddress: string;
+  readonly hostKey: string;
   readonly slotsCount: number;
   readonly hasJoined: boolean;
 }
@@ -134,15 +132,15 @@
   return createUpstreamDirectory({
     nowMillis: options.nowMillis,
     onChange: ({kind, entry}) => {
-      const {listenAddress, slotsCount} = entry;
+      const {hostKey, slotsCount} = entry;
       options.log.state(`upstream-${kind}`, {
         upstream: entry.id,
         service: entry.service,
-        address: listenAddress,
+        host: hostKey,
         zone: entry.zone,
         slotsCount,
       });
-      onChange({listenAddress, slotsCount, hasJoined: kind === 'joined'});
+      onChange({hostKey, slotsCount, hasJoined: kind === 'joined'});
     },
   });
 }
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -83,7 +83,7 @@
     targets: createWeightedTargets(random),
     attempts: createAttempts({
       ...decisions,
-      hostAddress: settings().hostAddress,
+      hostKey: settings().hostKey,
       local,
       remote,
       nowMillis,
@@ -98,6 +98,7 @@
     answers: createEntryAnswers({
       log: options.log,
       metrics: options.metrics,
+      notes: names.notes,
       isDraining: options.isStopping,
       configurationVersion: decisions.configurationVersion,
       takingRatio: decisions.board.takingRatio,
@@ -112,8 +113,7 @@
     hops: createHopRegistry(),
     loads: () => reportedLoads(decisions),
     bodyBytes: () =>
-      decisions.configuration.current()?.configuration.limits.bodyBytes ??
-      Infinity,
+      decisions.configuration.current()?.limits.bodyBytes ?? Infinity,
     nowMillis,
     onEnd: (call, end) => {
       logEnd(options, call, end);
@@ -134,15 +134,17 @@
 
 function createRemote(options: NodeExchangesOptions): RemoteExecution {
   return createRemoteExecution({
-    inboundPort: options.settings().inbound.port,
     names: options.names,
     board: options.decisions.board,
     nowMillis: options.nowMillis,
     onPeerLost: (peer, hopsCount) => {
-      options.log.request('peer-lost', {peer, hopsCount});
+      options.log.request('peer-lost', {peer: peer.address, hopsCount});
+    },
+    onPeerFound: peer => {
+      options.log.request('peer-found', {peer: peer.address});
     },
     onHopLost: (peer, state) => {
-      options.log.request('connection-silent', {peer, state});
+      options.log.request('connection-silent', {peer: peer.address, state});
     },
   });
 }
--- a/src/daemon/node_program.ts
+++ b/src/daemon/node_program.ts
@@ -3,12 +3,11 @@
  */
 import {statSync} from 'node:fs';
 import {createServer} from 'node:http';
-import type {Server, ServerResponse} from 'node:http';
 import {describeError} from '../base/errors.js';
 import {createIntervalTimer} from '../base/lifecycle.js';
+import {openOperatorListener} from '../connection/operator_listener.js';
 import type {DecisionLog} from '../process/decision_log.js';
 import {createDecisionLog} from '../process/decision_log.js';
-import type {NodeMetrics} from '../process/node_metrics.js';
 import {createNodeMetrics} from '../process/node_metrics.js';
 import type {Endpoint, NodeSettings} from '../process/node_settings.js';
 import type {PublishedDocuments} from '../process/published_documents.js';
@@ -23,18 +22,24 @@
   readonly readSettings: () => NodeSettings;
   readonly createDocuments: (settings: NodeSettings) => PublishedDocuments;
   readonly names: WireHeaders;
-  /** Path at which readiness is asked for. */
+  /** Path at which readiness alone is asked for. */
   readonly readyPath: string;
 }
 
-/** Port on which a node serves its metrics and its state. */
-const METRICS_PORT = 9464;
-
 /** Interval at which the settings file is looked at for changes. */
 const SETTINGS_CHECK_MILLIS = 1000;
 
+/** Time for the last log lines and answers to leave the process. */
+const EXIT_DELAY_MILLIS = 100;
+
+const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
+
+/** Exit code of a process that could not start, or was stopped twice. */
 const EXIT_FAILURE = 1;
 
+/** Exit code for settings that are wrong. */
+const EXIT_USAGE = 2;
+
 /** Runs the program to its end. */
 export async function runNodeProgram(
   options: NodeProgramOptions,
@@ -44,7 +49,8 @@
   const nowMillis = (): number => performance.now();
   const log = createDecisionLog(settings.nodeName, nowMillis);
   const metrics = createNodeMetrics();
-  log.state('node-starting', {service: settings.service, zone: settings.zone});
+  const {service, zone} = settings;
+  log.state('node-starting', {service, availabilityZone: zone});
   process.on('uncaughtException', error => {
     log.state('internal-error', {message: error.stack ?? error.message});
   });
@@ -61,14 +67,17 @@
       nowMillis,
       random: Math.random,
     });
-    await openReadyListener(settings.ready, options.readyPath, node);
-    openOperatorListener(settings.hostAddress, {node, metrics, log});
-    log.state('node-started', {startMillis: Math.round(nowMillis())});
+    if (settings.ready !== undefined) {
+      await openReadyListener(settings.ready, options.readyPath, node);
+    }
+    await openOperators(settings, node, metrics.text, log);
+    const startMillis = Math.round(nowMillis());
+    log.state('node-started', {startMillis, ...node.ports});
     watchSettings(options, node, log);
     watchStop(node, log);
   } catch (error) {
     log.state('start-failed', {message: describeError(error)});
-    process.exitCode = EXIT_FAILURE;
+    endProcess(EXIT_FAILURE);
   }
 }
 
@@ -78,9 +87,8 @@
   try {
     return options.readSettings();
   } catch (error) {
-    const message = `Settings '${options.settingsPath}': ${describeError(error)}`;
-    process.stderr.write(`${message}\n`);
-    process.exitCode = EXIT_FAILURE;
+    process.stderr.write(`${describeError(error)}\n`);
+    process.exitCode = EXIT_USAGE;
     return undefined;
   }
 }
@@ -93,7 +101,10 @@
 ): Promise<void> {
   const server = createServer((request, response) => {
     const isAsked = request.url === readyPath;
-    answer(response, isAsked ? (node.isReady() ? 200 : 503) : 404, '');
+    const isReady = node.waitingFor().length === 0;
+    const statusCode = isAsked ? (isReady ? 200 : 503) : 404;
+    response.writeHead(statusCode, {'content-length': '0'});
+    response.end();
   });
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
@@ -101,37 +112,24 @@
   });
 }
 
-interface Shown {
-  readonly node: ServiceNode;
-  readonly metrics: NodeMetrics;
-  readonly log: DecisionLog;
-}
-
-/** Serves metrics and state; a node serves without it if the port is taken. */
-function openOperatorListener(address: string, shown: Shown): Server {
-  const server = createServer((request, response) => {
-    if (request.url === '/state') {
-      answer(response, 200, JSON.stringify(shown.node.dump()));
-      return;
-    }
-    void shown.metrics.text().then(text => {
-      answer(response, 200, text);
+/** A node serves its clients even if the operators' port is taken. */
+async function openOperators(
+  settings: NodeSettings,
+  node: ServiceNode,
+  metricsText: () => Promise<string>,
+  log: DecisionLog,
+): Promise<void> {
+  try {
+    await openOperatorListener(settings.operators, {
+      nodeName: settings.nodeName,
+      waitingFor: node.waitingFor,
+      metricsText,
+      state: node.state,
+      configuration: node.configuration,
     });
-  });
-  server.on('error', error => {
-    shown.log.state('metrics-unavailable', {message: describeError(error)});
-  });
-  server.listen(METRICS_PORT, address);
-  return server;
-}
-
-function answer(
-  response: ServerResponse,
-  statusCode: number,
-  text: string,
-): void {
-  response.writeHead(statusCode, {'content-length': Buffer.byteLength(text)});
-  response.end(text);
+  } catch (error) {
+    log.state('operators-unavailable', {message: describeError(error)});
+  }
 }
 
 /** Looks at the settings again on SIGHUP and when the file has changed. */
@@ -164,15 +162,25 @@
   return statSync(path, {throwIfNoEntry: false})?.mtimeMs ?? 0;
 }
 
+/** The first signal begins a planned stop, a second one ends the process. */
 function watchStop(node: ServiceNode, log: DecisionLog): void {
-  process.once('SIGTERM', () => {
-    log.state('node-stopping', {signal: 'SIGTERM'});
-    void node.stop().then(() => {
-      log.state('node-stopped');
-      setTimeout(() => process.exit(0), EXIT_DELAY_MILLIS);
+  let signalsCount = 0;
+  for (const signal of STOP_SIGNALS) {
+    process.on(signal, () => {
+      signalsCount += 1;
+      log.state('node-stopping', {signal, signalsCount});
+      if (signalsCount > 1) {
+        endProcess(EXIT_FAILURE);
+        return;
+      }
+      void node.stop().then(() => {
+        log.state('node-stopped');
+        endProcess(0);
+      });
     });
-  });
+  }
 }
 
-/** Time for the last log lines and answers to leave the process. */
-const EXIT_DELAY_MILLIS = 100;
+function endProcess(exitCode: number): void {
+  setTimeout(() => process.exit(exitCode), EXIT_DELAY_MILLIS);
+}
--- /dev/null
+++ b/src/daemon/own_documents.ts
@@ -0,0 +1,190 @@
+/**
+ * The product's own documents, a policy and a list of hosts, read from a
+ * configuration service over HTTP.
+ */
+import http from 'node:http';
+import {describeError, TransportError} from '../base/errors.js';
+import type {
+  DocumentChange,
+  DocumentRead,
+  DocumentSource,
+} from '../process/document_source.js';
+import type {
+  Decoded,
+  PublishedDocuments,
+} from '../process/published_documents.js';
+import type {UpstreamEntry} from '../process/upstream_entry.js';
+import {compilePolicy} from '../version/compiled_policy.js';
+import type {PublishedHost} from '../version/host_list.js';
+import {parseHostList} from '../version/host_list_schema.js';
+import {MAX_DOCUMENT_BYTES} from '../version/json_document.js';
+import type {Policy} from '../version/policy.js';
+import {createPolicyRouteTable} from '../version/policy_routes.js';
+import type {Problem} from '../version/problem.js';
+import {formatProblem} from '../version/problem.js';
+
+/** Paths of the configuration service. */
+const PATH = {policy: '/v1/policy', hosts: '/v1/hosts'} as const;
+
+/** Time beyond the requested wait after which no answer is expected. */
+const ANSWER_MILLIS = 3000;
+
+/** Slots of an upstream whose service no policy names yet. */
+const UNKNOWN_SLOTS_COUNT = 1;
+
+/** Problems of one document that are told; a log line holds them all. */
+const TOLD_PROBLEMS_COUNT = 50;
+
+const STATUS_OK = 200;
+const STATUS_NOT_MODIFIED = 304;
+const STATUS_NOT_FOUND = 404;
+
+/** Creates access to the documents behind `platformUrl`. */
+export function createOwnDocuments(platformUrl: string): PublishedDocuments {
+  let policy: Policy | undefined;
+  return {
+    source: createDocumentSource(platformUrl),
+    configurationPrefix: PATH.policy,
+    upstreamsPrefix: PATH.hosts,
+    listsAllUpstreams: true,
+    decodeConfiguration: ({text}) => {
+      if (text === undefined) return {kind: 'other'};
+      const result = compilePolicy(Buffer.from(text));
+      if (result.kind === 'invalid') return invalid(result.problems);
+      const {deployment} = result.compiled.policy;
+      // A mistaken publication would put another deployment's routes in force.
+      if (policy !== undefined && policy.deployment !== deployment) {
+        const allowed = policy.deployment;
+        return invalid([{path: '$.deployment', value: deployment, allowed}]);
+      }
+      policy = result.compiled.policy;
+      return {kind: 'valid', value: createPolicyRouteTable(result.compiled)};
+    },
+    decodeUpstreams: ({text}) => {
+      if (text === undefined) return {kind: 'other'};
+      const result = parseHostList(Buffer.from(text));
+      if (result.kind === 'invalid') return invalid(result.problems);
+      const entries = result.list.hosts.map(host =>
+        entryOf(host, slotsOf(policy, host.service)),
+      );
+      return {kind: 'valid', value: entries};
+    },
+    upstreamIdOf: key => key,
+  };
+}
+
+function invalid<T>(problems: readonly Problem[]): Decoded<T> {
+  const told = problems.slice(0, TOLD_PROBLEMS_COUNT).map(formatProblem);
+  const moreCount = problems.length - told.length;
+  if (moreCount > 0) told.push(`and ${String(moreCount)} more`);
+  return {kind: 'invalid', reason: told.join('; ')};
+}
+
+function slotsOf(policy: Policy | undefined, service: string): number {
+  const known = policy?.services.find(({name}) => name === service);
+  return known?.slotsCount ?? UNKNOWN_SLOTS_COUNT;
+}
+
+/** The list knows hosts, not starts of upstreams: a host's name is the id. */
+function entryOf(host: PublishedHost, slotsCount: number): UpstreamEntry {
+  return {
+    id: host.name,
+    service: host.service,
+    hostKey: host.name,
+    node: {address: host.address, port: host.peerPort},
+    zone: host.availabilityZone,
+    region: host.region,
+    slotsCount,
+    isDraining: host.state === 'leaving',
+    coldLeftMillis: 0,
+  };
+}
+
+/** Both documents have the path as their key, and a version of their own. */
+function createDocumentSource(platformUrl: string): DocumentSource {
+  const agent = new http.Agent({keepAlive: true});
+  return {
+    read: path => getDocument(new URL(path, platformUrl), agent, 0),
+    watch: (path, afterRevision, waitMillis) => {
+      const url = new URL(path, platformUrl);
+      url.searchParams.set('after', String(afterRevision));
+      url.searchParams.set('wait_ms', String(waitMillis));
+      return getDocument(url, agent, waitMillis);
+    },
+    dispose: () => {
+      agent.destroy();
+    },
+  };
+}
+
+function getDocument(
+  url: URL,
+  agent: http.Agent,
+  waitMillis: number,
+): Promise<DocumentRead> {
+  return new Promise((resolve, reject) => {
+    const request = http.get(url, {agent});
+    const timer = setTimeout(() => {
+      request.destroy(new Error('no answer in time'));
+    }, waitMillis + ANSWER_MILLIS);
+    const fail = (error: unknown): void => {
+      clearTimeout(timer);
+      request.destroy();
+      const props = {step: 'read-documents', peer: url.host};
+      reject(new TransportError(describeError(error), {props}));
+    };
+    request.on('error', fail);
+    request.on('response', response => {
+      readText(response, fail, text => {
+        clearTimeout(timer);
+        const read = toRead(url.pathname, response, text);
+        if (read !== undefined) resolve(read);
+        else fail(new Error(`status ${String(response.statusCode)}`));
+      });
+    });
+  });
+}
+
+function readText(
+  response: http.IncomingMessage,
+  onFailure: (error: unknown) => void,
+  onText: (text: string) => void,
+): void {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  response.on('data', (chunk: Buffer) => {
+    chunks.push(chunk);
+    bytes += chunk.length;
+    if (bytes > MAX_DOCUMENT_BYTES) onFailure(new Error('too large'));
+  });
+  response.on('error', onFailure);
+  response.on('end', () => {
+    onText(Buffer.concat(chunks).toString('utf8'));
+  });
+}
+
+/** A document whose version went back counts as one that is not newer. */
+function toRead(
+  key: string,
+  response: http.IncomingMessage,
+  text: string,
+): DocumentRead | undefined {
+  const revision = revisionOf(response.headers.etag);
+  switch (response.statusCode) {
+    case STATUS_OK: {
+      const change: DocumentChange = {key, revision, text};
+      return {documents: [change], revision};
+    }
+    case STATUS_NOT_MODIFIED:
+    case STATUS_NOT_FOUND:
+      return {documents: [], revision: 0};
+    default:
+      return undefined;
+  }
+}
+
+/** Reads the version from an entity tag of the form `"12"`. */
+function revisionOf(etag: string | undefined): number {
+  const digits = /^"(\d+)"$/.exec(etag ?? '')?.[1];
+  return digits === undefined ? 0 : Number(digits);
+}
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -2,6 +2,7 @@
  * Wiring of one node: listeners, what it follows, and its decisions.
  */
 import {createDisposableStore} from '../base/lifecycle.js';
+import type {ShownConfiguration} from '../connection/operator_listener.js';
 import type {NodeListener} from '../connection/node_listener.js';
 import {openNodeListener} from '../connection/node_listener.js';
 import type {DecisionLog} from '../process/decision_log.js';
@@ -28,8 +29,10 @@
 
 /** A running node. */
 export interface ServiceNode {
-  /** It can serve, and does not stop. */
-  isReady(): boolean;
+  /** Ports that its listeners have. */
+  readonly ports: NodePorts;
+  /** What is missing until it can serve; empty if nothing is. */
+  waitingFor(): readonly string[];
   /** Finishes what it holds and ends, within the grace period. */
   stop(): Promise<void>;
   /** Ends at once, whatever it holds. */
@@ -39,8 +42,16 @@
    * tells whether any of these has changed.
    */
   applySettings(next: NodeSettings): 'applied' | 'needs-restart';
-  /** State for operators. */
-  dump(): object;
+  /** State for operators, by section. */
+  state(): Readonly<Record<string, unknown>>;
+  /** The configuration in force. */
+  configuration(): ShownConfiguration | undefined;
+}
+
+/** Ports of a node's listeners. */
+export interface NodePorts {
+  readonly outboundPort: number;
+  readonly inboundPort: number;
 }
 
 /** Time that clients take to learn that this host is not ready any more. */
@@ -109,11 +120,15 @@
     }),
   );
 
+  const waitingFor = (): readonly string[] => [
+    ...(isStopping ? ['stopping'] : []),
+    ...(configuration.current() === undefined ? ['configuration'] : []),
+    ...(feeds.hasUpstreams ? [] : ['upstreams']),
+  ];
+
   return {
-    isReady: () =>
-      !isStopping &&
-      feeds.hasUpstreams &&
-      configuration.current() !== undefined,
+    ports: {outboundPort: outbound.port, inboundPort: inbound.port},
+    waitingFor,
     stop: async () => {
       isStopping = true;
       decisions.upstream.startDraining();
@@ -134,17 +149,23 @@
       store.dispose();
       documents.source.dispose();
     },
-    dump: () => ({
-      node: settings.nodeName,
-      service: current.service,
-      isReady: !isStopping && feeds.hasUpstreams,
-      configurationVersion: decisions.configurationVersion(),
-      upstreamsCount: directory.count(),
-      queue: queue.load(),
-      level: level.level(),
-      shedding: board.shedding(),
-      busyCount: busyCount(),
+    state: () => ({
+      node: {
+        name: settings.nodeName,
+        service: current.service,
+        availabilityZone: current.zone,
+        waitingFor: waitingFor(),
+        busyCount: busyCount(),
+        residentBytes: process.memoryUsage.rss(),
+      },
+      admission: {...queue.load(), level: level.level()},
+      fleet: {
+        configurationVersion: decisions.configurationVersion(),
+        upstreamsCount: directory.count(),
+        shedding: board.shedding(),
+      },
     }),
+    configuration: configuration.current,
   };
 
   async function untilIdle(
@@ -169,6 +190,6 @@
 function addressesOf(settings: NodeSettings): string {
   const {outbound, inbound, ready, upstream, store} = settings;
   return [outbound, inbound, ready, upstream, store]
-    .map(({address, port}) => `${address}:${String(port)}`)
+    .map(at => `${at?.address ?? ''}:${String(at?.port ?? 0)}`)
     .join(' ');
 }
--- a/src/emulator/caller.ts
+++ b/src/emulator/caller.ts
@@ -3,9 +3,7 @@
  */
 import type {Agent} from 'node:http';
 import {performance} from 'node:perf_hooks';
-import type {BaseError} from '../base/errors.js';
-import {HEADER} from '../protocol/headers.js';
-import type {Outcome} from '../protocol/outcome.js';
+import {OWN_HEADERS} from '../protocol/own_headers.js';
 import {digestOf, findAnswerProblem} from './answer_body.js';
 import {REQUEST_PARAMETER} from './execution_record.js';
 import type {HttpAnswer} from './http_support.js';
@@ -20,13 +18,15 @@
   readonly path: string;
   /** The caller's own name for the request, which the answer must repeat. */
   readonly name: string;
-  readonly key?: string | undefined;
   readonly body?: Uint8Array | undefined;
   /** How long the caller waits. */
   readonly timeoutMillis: number;
   readonly agent?: Agent | undefined;
 }
 
+/** What a node tells of a request that it did not answer. */
+export type Outcome = 'not-run' | 'unknown';
+
 /** What came back. */
 export interface CallerResult {
   readonly kind:
@@ -41,8 +41,6 @@
   readonly statusCode: number;
   readonly outcome: Outcome | undefined;
   readonly reason: string;
-  readonly step: string;
-  readonly peer: string;
   readonly retriesSpentCount: number;
   readonly policyVersion: number;
   readonly retryAfterMillis: number | undefined;
@@ -77,8 +75,6 @@
       statusCode: 0,
       outcome: undefined,
       reason: '',
-      step: (error as InstanceType<typeof BaseError>).step,
-      peer: '',
       retriesSpentCount: 0,
       policyVersion: 0,
       retryAfterMillis: undefined,
@@ -89,12 +85,10 @@
 }
 
 function headersOf(request: CallerRequest): Record<string, string> {
-  const headers: Record<string, string> = {
+  return {
     host: request.service,
-    [HEADER.timeoutMillis]: String(request.timeoutMillis),
+    [OWN_HEADERS.timeoutMillis]: String(request.timeoutMillis),
   };
-  if (request.key !== undefined) headers[HEADER.idempotencyKey] = request.key;
-  return headers;
 }
 
 function judge(
@@ -112,16 +106,17 @@
         requestDigest: digestOf(request.body),
       })
     : undefined;
-  const retryAfter = header(HEADER.retryAfter);
+  const retryAfter = header('retry-after');
   return {
     kind: !isSuccess ? 'failed' : problem === undefined ? 'answered' : 'wrong',
     statusCode: answer.statusCode,
-    outcome: (header(HEADER.outcome) || undefined) as Outcome | undefined,
-    reason: header(HEADER.reason),
-    step: header(HEADER.step),
-    peer: header(HEADER.peer),
-    retriesSpentCount: Number(header(HEADER.retriesSpent) || '0'),
-    policyVersion: Number(header(HEADER.policyVersion) || '0'),
+    outcome: (header(OWN_HEADERS.notes.outcome) || undefined) as
+      Outcome | undefined,
+    reason: header(OWN_HEADERS.notes.reason),
+    retriesSpentCount: Number(header(OWN_HEADERS.notes.repeatsCount) || '0'),
+    policyVersion: Number(
+      header(OWN_HEADERS.notes.configurationVersion) || '0',
+    ),
     retryAfterMillis:
       retryAfter === '' ? undefined : Number(retryAfter) * MILLIS_PER_SECOND,
     latencyMillis,
--- a/src/emulator/demo.ts
+++ b/src/emulator/demo.ts
@@ -10,7 +10,6 @@
 import {launchFleet} from './fleet_launcher.js';
 import type {Policy} from '../version/policy.js';
 import {createIlorinServices} from './ilorin_services.js';
-import {waitForKeyedWork} from './key_readiness.js';
 import {exitOnSignal, failProcess} from './process_support.js';
 import {formatTable} from './text_table.js';
 import {waitFor} from './wait_for.js';
@@ -28,7 +27,6 @@
   readonly service: string;
   readonly method: string;
   readonly path: string;
-  readonly key?: string | undefined;
   readonly body?: string | undefined;
   readonly expectedStatusCode?: number | undefined;
 }
@@ -51,13 +49,6 @@
     await fleet.waitUntilReady(READY_LIMIT_MILLIS);
     print(`${String(fleet.hosts.size)} daemons are ready in 2 zones.\n`);
     problems.push(...(await showReads(fleet)));
-    print('Waiting until hosts that have just started may run orders.\n');
-    await waitForKeyedWork(
-      fleet,
-      policy,
-      [...fleet.hosts.keys()],
-      READY_LIMIT_MILLIS,
-    );
     problems.push(...(await showOrder(fleet)));
     problems.push(...(await showRetry(fleet)));
     await fleet.publishPolicy({...policy, version: policy.version + 1});
@@ -70,11 +61,9 @@
   if (problems.length > 0) process.exitCode = 1;
 }
 
-/** Two zones, and a short lease so that a cold start takes seconds. */
+/** The example policy in two of its zones. */
 async function createDemoPolicy(): Promise<Policy> {
-  const policy = keepZones(await readExamplePolicy('ilorin'), ZONES_COUNT);
-  const keys = {...policy.keys, leaseMillis: 1500, clockBoundMillis: 100};
-  return {...policy, keys};
+  return keepZones(await readExamplePolicy('ilorin'), ZONES_COUNT);
 }
 
 /** Reads of every depth through nodes of both zones. */
@@ -121,37 +110,28 @@
   return showResults('Member requests', results);
 }
 
-/** One order sent at once to two nodes, and once more afterwards. */
+/** An order whose first host is down: it goes on to another, and runs once. */
 async function showOrder(fleet: Fleet): Promise<readonly string[]> {
-  const key = uuid();
-  const order = (label: string, host: string): DemoRequest => ({
-    label,
-    host,
-    service: 'orderdesk',
-    method: 'POST',
-    path: '/terrain-orders',
-    key,
-    body: '{"product":"p7"}',
-  });
-  const name = `order-${key}`;
-  const both = await sendAll(
+  await fleet.host('orderdesk-ilorin-a-1').killDaemon();
+  const name = uuid();
+  const results = await sendAll(
     fleet,
     [
-      order('order', 'orderdesk-ilorin-a-1'),
-      order('same order elsewhere', 'tileyard-ilorin-b-1'),
+      {
+        label: 'order',
+        host: 'tileyard-ilorin-a-1',
+        service: 'orderdesk',
+        method: 'POST',
+        path: '/terrain-orders',
+        body: '{"product":"p7"}',
+      },
     ],
     name,
   );
-  const repeat = await sendAll(
-    fleet,
-    [order('same order again', 'atlas-ilorin-a-1')],
-    name,
-  );
-  const problems = showResults('One order, asked three times', [
-    ...both,
-    ...repeat,
-  ]);
-  const executions = await executionsOf(fleet, key, '/terrain-orders');
+  await fleet.startDaemon('orderdesk-ilorin-a-1');
+  await fleet.waitUntilReady(READY_LIMIT_MILLIS, ['orderdesk-ilorin-a-1']);
+  const problems = showResults('An order while a host is down', results);
+  const executions = await executionsOf(fleet, name, '/terrain-orders');
   const takings = await executionsOf(fleet, name, '/stock/p7/takings');
   print(
     `Executed ${String(executions)} time(s), stock taken ${String(takings)} time(s).\n`,
@@ -220,7 +200,6 @@
         method: request.method,
         path: request.path,
         name: name ?? uuid(),
-        key: request.key,
         body:
           request.body === undefined ? undefined : Buffer.from(request.body),
         timeoutMillis: CALLER_TIMEOUT_MILLIS,
@@ -230,10 +209,10 @@
   );
 }
 
-/** Executions of a path that carried a key or a caller's name. */
+/** Executions of a path for the request of a caller's name. */
 async function executionsOf(
   fleet: Fleet,
-  id: string,
+  name: string,
   path: string,
 ): Promise<number> {
   const lists = await Promise.all(
@@ -241,11 +220,8 @@
   );
   return lists
     .flat()
-    .filter(
-      execution =>
-        execution.path === path &&
-        (execution.key === id || execution.request === id),
-    ).length;
+    .filter(execution => execution.path === path && execution.request === name)
+    .length;
 }
 
 function showResults(
--- a/src/emulator/execution_record.ts
+++ b/src/emulator/execution_record.ts
@@ -8,8 +8,6 @@
   readonly sequence: number;
   /** Name the client gave its request, see REQUEST_PARAMETER. */
   readonly request: string;
-  /** Idempotency-Key, empty when there was none. */
-  readonly key: string;
   readonly method: string;
   /** Path without the query string. */
   readonly path: string;
@@ -46,15 +44,11 @@
 /** Fields that select executions; an absent field selects all. */
 export interface ExecutionFilter {
   readonly request?: string | undefined;
-  readonly key?: string | undefined;
   readonly path?: string | undefined;
 }
 
 /** What a new execution is known by. */
-export type ExecutionStart = Pick<
-  Execution,
-  'request' | 'key' | 'method' | 'path'
->;
+export type ExecutionStart = Pick<Execution, 'request' | 'method' | 'path'>;
 
 /** Executions in order of start. */
 export interface ExecutionRecord {
@@ -100,7 +94,6 @@
         execution =>
           (filter.request === undefined ||
             execution.request === filter.request) &&
-          (filter.key === undefined || execution.key === filter.key) &&
           (filter.path === undefined || execution.path === filter.path),
       ),
     recordArrival: (request, path) => {
--- a/src/emulator/fleet_host.ts
+++ b/src/emulator/fleet_host.ts
@@ -4,7 +4,6 @@
  */
 import {writeFile} from 'node:fs/promises';
 import {join} from 'node:path';
-import type {ControlSettings, SeedPeer} from '../process/settings.js';
 import type {PublishedHost} from '../version/host_list.js';
 import type {ArrivalCount, Execution} from './execution_record.js';
 import type {FaultyLink, SourceResolver} from './faulty_link.js';
@@ -20,9 +19,7 @@
 /** Ports of a host that stay the same over restarts. */
 export interface FleetHostPorts {
   readonly caller: number;
-  readonly local: number;
   readonly peer: number;
-  readonly control: number;
   readonly admin: number;
   readonly upstream: number;
 }
@@ -30,7 +27,6 @@
 /** Links in front of a host's ports. */
 export interface FleetHostLinks {
   readonly peer: FaultyLink;
-  readonly control: FaultyLink;
   readonly upstream: FaultyLink;
 }
 
@@ -44,8 +40,6 @@
   readonly platformPort: number;
   readonly slotsCount: number;
   readonly routes: readonly UpstreamRoute[];
-  readonly control: Partial<ControlSettings>;
-  readonly logLevel: string;
   readonly ports: FleetHostPorts;
   readonly links: FleetHostLinks | undefined;
 }
@@ -60,7 +54,7 @@
   /** The daemon started last, running or not. */
   daemon(): ManagedProcess | undefined;
   startUpstream(): Promise<void>;
-  startDaemon(seedPeers: readonly SeedPeer[]): Promise<void>;
+  startDaemon(): Promise<void>;
   /** SIGTERM; resolves when the daemon has ended. */
   stopDaemon(limitMillis: number): Promise<ProcessExit>;
   killDaemon(): Promise<void>;
@@ -79,9 +73,7 @@
 export async function takeHostPorts(block: PortBlock): Promise<FleetHostPorts> {
   return {
     caller: await block.take(),
-    local: await block.take(),
     peer: await block.take(),
-    control: await block.take(),
     admin: await block.take(),
     upstream: await block.take(),
   };
@@ -94,7 +86,6 @@
 ): Promise<FleetHostLinks> {
   return {
     peer: await createFaultyLink({targetPort: ports.peer, resolveSource}),
-    control: await createFaultyLink({targetPort: ports.control, resolveSource}),
     upstream: await createFaultyLink({targetPort: ports.upstream}),
   };
 }
@@ -114,7 +105,6 @@
 
   const setAccepting = async (isAccepting: boolean): Promise<void> => {
     await links?.peer.setAccepting(isAccepting);
-    await links?.control.setAccepting(isAccepting);
   };
 
   const startUpstream = async (): Promise<void> => {
@@ -123,7 +113,7 @@
       hostName: identity.name,
       service: identity.service,
       port: ports.upstream,
-      localPort: ports.local,
+      localPort: ports.caller,
       slotsCount: options.slotsCount,
       routes: options.routes,
     };
@@ -135,9 +125,9 @@
     });
   };
 
-  const startDaemon = async (seedPeers: readonly SeedPeer[]): Promise<void> => {
+  const startDaemon = async (): Promise<void> => {
     const file = join(options.directory, `${identity.name}.settings.json`);
-    await writeFile(file, JSON.stringify(settingsOf(options, seedPeers)));
+    await writeFile(file, JSON.stringify(settingsOf(options)));
     const program = options.daemonProgram ?? {
       file: join(options.programDirectory, 'daemon/main.js'),
       args: [],
@@ -171,7 +161,6 @@
       ...identity,
       address: LOOPBACK_ADDRESS,
       peerPort: links?.peer.port ?? ports.peer,
-      controlPort: links?.control.port ?? ports.control,
       state: 'live',
     },
     daemon: () => daemon,
@@ -195,17 +184,13 @@
       await killDaemon();
       await upstream?.stop(KILL_LIMIT_MILLIS);
       links?.peer.close();
-      links?.control.close();
       links?.upstream.close();
     },
   };
 }
 
 /** Content of the daemon's settings file. */
-function settingsOf(
-  options: FleetHostOptions,
-  seedPeers: readonly SeedPeer[],
-): object {
+function settingsOf(options: FleetHostOptions): object {
   const {identity, ports, links} = options;
   const address = LOOPBACK_ADDRESS;
   return {
@@ -215,15 +200,10 @@
     region: identity.region,
     listen: {
       caller: {address, port: ports.caller},
-      local: {address, port: ports.local},
       peer: {address, port: ports.peer},
-      control: {address, port: ports.control},
       admin: {address, port: ports.admin},
     },
     upstream: {address, port: links?.upstream.port ?? ports.upstream},
     platformUrl: `http://${address}:${String(options.platformPort)}`,
-    seedPeers,
-    control: options.control,
-    log: {level: options.logLevel},
   };
 }
--- a/src/emulator/fleet_launcher.ts
+++ b/src/emulator/fleet_launcher.ts
@@ -7,8 +7,7 @@
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {BaseError, describeError} from '../base/errors.js';
-import type {SeedPeer} from '../process/settings.js';
-import {HEADER} from '../protocol/headers.js';
+import {VERSION_HEADER} from '../connection/operator_listener.js';
 import type {HostList, PublishedState} from '../version/host_list.js';
 import type {Policy} from '../version/policy.js';
 import type {LinkMode} from './faulty_link.js';
@@ -30,7 +29,6 @@
   readonly hosts: ReadonlyMap<string, FleetHost>;
   /** Throws for a name that the plan does not have. */
   host(name: string): FleetHost;
-  /** Starts the daemon of a host with some of the others as seeds. */
   startDaemon(name: string): Promise<void>;
   /** Publishes a policy under its own version, or under another one. */
   publishPolicy(policy: Policy, etagVersion?: number): Promise<void>;
@@ -52,8 +50,6 @@
   /** `NO_POLICY` when the host has none or does not answer. */
   policyInForce(name: string): Promise<PolicyInForce>;
   isReady(name: string): Promise<boolean>;
-  /** Whether a host holds the lease that keyed work needs. */
-  isLeaseHeld(name: string): Promise<boolean>;
   /** Waits until each host is ready in turn, all published ones by default. */
   waitUntilReady(limitMillis: number, names?: readonly string[]): Promise<void>;
   /** Kills and removes everything; stop daemons first for a planned end. */
@@ -71,7 +67,6 @@
 
 const ADMIN_LIMIT_MILLIS = 1000;
 const STOP_LIMIT_MILLIS = 5000;
-const SEEDS_PER_ZONE_COUNT = 2;
 
 /** Directory of the compiled sources. */
 const PROGRAM_DIRECTORY = dirname(dirname(fileURLToPath(import.meta.url)));
@@ -139,8 +134,6 @@
       platformPort: frontPort(platform, identity.availabilityZone),
       slotsCount: service?.slotsCount ?? policyService?.slotsCount ?? 1,
       routes: service?.routes ?? [],
-      control: plan.control ?? {},
-      logLevel: plan.logLevel ?? 'info',
       ports,
       links: plan.hasLinks
         ? await openHostLinks(ports, resolveZone)
@@ -148,22 +141,6 @@
     });
   };
 
-  /** Some hosts of every zone besides the host itself. */
-  const seedsFor = (name: string): readonly SeedPeer[] =>
-    zoneNames.flatMap(zone =>
-      [...hosts.values()]
-        .filter(
-          ({identity}) =>
-            identity.availabilityZone === zone && identity.name !== name,
-        )
-        .slice(0, SEEDS_PER_ZONE_COUNT)
-        .map(({published}) => ({
-          hostName: published.name,
-          address: published.address,
-          controlPort: published.controlPort,
-        })),
-    );
-
   const publishPolicyBytes = async (
     bytes: Uint8Array,
     version: number,
@@ -205,10 +182,10 @@
   };
 
   const policyInForce = async (name: string): Promise<PolicyInForce> => {
-    const answer = await readAdmin(name, '/policy');
+    const answer = await readAdmin(name, '/configuration');
     if (answer?.statusCode !== 200) return NO_POLICY;
     return {
-      version: Number(answer.headers[HEADER.policyVersion] ?? '0'),
+      version: Number(answer.headers[VERSION_HEADER] ?? '0'),
       digest: answer.headers.etag ?? '',
     };
   };
@@ -219,15 +196,6 @@
   const isReady = async (name: string): Promise<boolean> =>
     (await readAdmin(name, '/ready'))?.statusCode === 200;
 
-  const isLeaseHeld = async (name: string): Promise<boolean> => {
-    const answer = await readAdmin(name, '/state');
-    if (answer?.statusCode !== 200) return false;
-    const state = JSON.parse(answer.body.toString()) as {
-      readonly keys?: {readonly isLeaseHeld?: boolean};
-    };
-    return state.keys?.isLeaseHeld === true;
-  };
-
   const waitUntilReady = async (
     limitMillis: number,
     names: readonly string[] = [...states.keys()],
@@ -253,7 +221,6 @@
         zone === zoneA ? zoneB : zone === zoneB ? zoneA : undefined;
       if (source === undefined) continue;
       links.peer.setMode(source, mode);
-      links.control.setMode(source, mode);
     }
   };
 
@@ -268,9 +235,7 @@
     await publishHosts(new Map(states));
     await allEnded([...hosts.values()].map(host => host.startUpstream()));
     await allEnded(
-      [...states.keys()].map(name =>
-        findHost(name).startDaemon(seedsFor(name)),
-      ),
+      [...states.keys()].map(name => findHost(name).startDaemon()),
     );
   } catch (error) {
     await close();
@@ -283,7 +248,7 @@
   return {
     hosts,
     host: findHost,
-    startDaemon: name => findHost(name).startDaemon(seedsFor(name)),
+    startDaemon: name => findHost(name).startDaemon(),
     publishPolicy: (policy, etagVersion = policy.version) =>
       publishPolicyBytes(encode(policy), etagVersion),
     publishPolicyBytes,
@@ -298,7 +263,6 @@
     versionInForce,
     policyInForce,
     isReady,
-    isLeaseHeld,
     waitUntilReady,
     close,
   };
--- a/src/emulator/fleet_plan.ts
+++ b/src/emulator/fleet_plan.ts
@@ -1,7 +1,6 @@
 /**
  * Description of a small fleet to start on this machine.
  */
-import type {ControlSettings, LogSettings} from '../process/settings.js';
 import type {Policy} from '../version/policy.js';
 import type {UpstreamRoute} from './upstream_config.js';
 
@@ -29,10 +28,8 @@
 export interface FleetPlan {
   readonly policy: Policy;
   readonly services: readonly ServicePlan[];
-  /** Puts a relay in front of peer, control and upstream ports. */
+  /** Puts a relay in front of peer and upstream ports. */
   readonly hasLinks: boolean;
-  readonly control?: Partial<ControlSettings> | undefined;
-  readonly logLevel?: LogSettings['level'] | undefined;
   /** The product's own daemon when absent. */
   readonly daemonProgram?: DaemonProgram | undefined;
   /** Hosts that are neither started nor published at first. */
--- a/src/emulator/load_generator.ts
+++ b/src/emulator/load_generator.ts
@@ -84,7 +84,6 @@
         method: flow.method,
         path: flow.path,
         name,
-        key: flow.isKeyed === true ? name : undefined,
         body,
         timeoutMillis: Math.ceil(
           Math.min(leftMillis, habits.attemptTimeoutMillis),
--- a/src/emulator/load_plan.ts
+++ b/src/emulator/load_plan.ts
@@ -26,8 +26,6 @@
   readonly method: string;
   readonly path: string;
   readonly ratePerSecond: number;
-  /** Sends a new Idempotency-Key, the same one in all attempts. */
-  readonly isKeyed?: boolean | undefined;
   readonly bodyBytes?: number | undefined;
   readonly habits: CallerHabits;
 }
--- a/src/emulator/managed_process.ts
+++ b/src/emulator/managed_process.ts
@@ -120,7 +120,8 @@
 }
 
 function parseReadyLine(line: string): ReadyLine | undefined {
-  if (!line.startsWith('{"ready":true')) return undefined;
+  const isDaemon = line.includes('"event":"node-started"');
+  if (!isDaemon && !line.startsWith('{"ready":true')) return undefined;
   return JSON.parse(line) as ReadyLine;
 }
 
--- a/src/emulator/small_deployment.ts
+++ b/src/emulator/small_deployment.ts
@@ -31,7 +31,6 @@
         route('place-order', 'POST', '/orders', {
           className: 'orders',
           repeat: 'never',
-          isKeyRequired: true,
         }),
         route('show-order', 'GET', '/orders/:id', {className: 'records'}),
         route('browse', 'GET', '/browse/:id', {className: 'browse'}),
@@ -50,13 +49,6 @@
       ]),
     ],
     retryBudget: {ratio: 0.2, minimumPerSecond: 10},
-    keys: {
-      windowMillis: 60_000,
-      recordsCount: 10_000,
-      answerBytes: 65_536,
-      leaseMillis: 1500,
-      clockBoundMillis: 100,
-    },
     bodies: {requestBytes: 1_048_576, bufferedAnswerBytes: 65_536},
     ejection: {
       consecutiveFailuresCount: 5,
@@ -150,7 +142,6 @@
     method,
     path,
     repeat: 'safe',
-    isKeyRequired: false,
     deadlineMillis: 12_000,
     retryBound: 3,
     ...rest,
--- a/src/emulator/upstream_calls.ts
+++ b/src/emulator/upstream_calls.ts
@@ -5,7 +5,7 @@
 import * as http from 'node:http';
 import type {IncomingMessage} from 'node:http';
 import type {Disposable} from '../base/lifecycle.js';
-import {HEADER} from '../protocol/headers.js';
+import {OWN_HEADERS} from '../protocol/own_headers.js';
 import {digestOf, findAnswerProblem} from './answer_body.js';
 import type {Execution} from './execution_record.js';
 import {REQUEST_PARAMETER, callTarget} from './execution_record.js';
@@ -51,24 +51,34 @@
 export function createUpstreamCalls(config: UpstreamConfig): UpstreamCalls {
   const agent = new http.Agent({keepAlive: true});
   let wrongAnswersCount = 0;
-  let previousToken: string | undefined;
+  let previousId: string | undefined;
+  let callsCount = 0;
 
-  /** The token sent with calls, as the application's context mode has it. */
-  const chooseToken = (
+  /** The id that calls derive theirs from, as the application's mode has it. */
+  const chooseParentId = (
     origin: CallOrigin,
     mode: ContextMode,
   ): string | undefined => {
-    const own = origin.request.headers[HEADER.context] as string | undefined;
-    const previous = previousToken;
-    previousToken = own;
+    const own = origin.request.headers[OWN_HEADERS.attemptId] as
+      string | undefined;
+    const previous = previousId;
+    previousId = own;
     if (mode === 'drop') return undefined;
     return mode === 'previous' ? (previous ?? own) : own;
   };
 
+  /** Each call has an id of its own below that of its request. */
+  const nextId = (parentId: string | undefined): string | undefined => {
+    callsCount += 1;
+    return parentId === undefined
+      ? undefined
+      : `${parentId}.${callsCount.toString(36)}`;
+  };
+
   const sendOnce = async (
     call: PlannedCall,
     origin: CallOrigin,
-    token: string | undefined,
+    parentId: string | undefined,
   ): Promise<number> => {
     const body =
       call.bodyBytes === undefined
@@ -82,7 +92,7 @@
         port: config.localPort,
         method: call.method,
         path: `${call.path}?${query}`,
-        headers: callHeaders(call, origin, token),
+        headers: callHeaders(call, nextId(parentId)),
         body,
         agent,
         signal: origin.signal,
@@ -105,13 +115,13 @@
     run: async (stages, origin, execution, fault) => {
       const statusCodes: number[] = [];
       if (stages.length === 0) return {isSuccess: true, statusCodes};
-      const token = chooseToken(origin, fault.contextMode);
+      const parentId = chooseParentId(origin, fault.contextMode);
       const send = async (call: PlannedCall): Promise<number> => {
         let statusCode = 0;
         for (let i = 0; i <= fault.callRepeatsCount; i += 1) {
           const target = callTarget(call.service, call.path);
           execution.calls[target] = (execution.calls[target] ?? 0) + 1;
-          statusCode = await sendOnce(call, origin, token);
+          statusCode = await sendOnce(call, origin, parentId);
           if (statusCode === 200) break;
         }
         return statusCode;
@@ -137,16 +147,9 @@
 
 function callHeaders(
   call: PlannedCall,
-  origin: CallOrigin,
-  token: string | undefined,
+  id: string | undefined,
 ): http.OutgoingHttpHeaders {
   const headers: http.OutgoingHttpHeaders = {host: call.service};
-  const trace = origin.request.headers[HEADER.traceParent];
-  const key = origin.request.headers[HEADER.idempotencyKey];
-  if (token !== undefined) headers[HEADER.context] = token;
-  if (trace !== undefined) headers[HEADER.traceParent] = trace;
-  if (call.isKeyed === true && key !== undefined) {
-    headers[HEADER.idempotencyKey] = key;
-  }
+  if (id !== undefined) headers[OWN_HEADERS.attemptId] = id;
   return headers;
 }
--- a/src/emulator/upstream_config.ts
+++ b/src/emulator/upstream_config.ts
@@ -10,8 +10,6 @@
   readonly bodyBytes?: number | undefined;
   /** The request succeeds without this call. */
   readonly isOptional?: boolean | undefined;
-  /** Passes the request's own Idempotency-Key on. */
-  readonly isKeyed?: boolean | undefined;
 }
 
 /** How requests of one route are executed. */
@@ -55,11 +53,11 @@
 /** Where an answer breaks off. */
 export type CutPosition = 'headers' | 'middle' | 'last-byte';
 
-/** How an upstream treats the context token of its own calls. */
+/** From which request's id an upstream derives the ids of its calls. */
 export type ContextMode =
   | 'copy'
   | 'drop'
-  /** Sends the token of the request before this one. */
+  /** From the request before this one. */
   | 'previous';
 
 /** Behaviour that can be changed while an upstream runs. */
--- a/src/process/in_flight_parents.ts
+++ b/src/process/in_flight_parents.ts
@@ -8,6 +8,7 @@
  * derived changes nothing.
  */
 import type {CallCounts} from './call_trees.js';
+import type {RetryGrant} from './retry_grant.js';
 
 /** What calls inherit from a client's request. */
 export interface CallOrigin {
@@ -20,6 +21,8 @@
   readonly rootBeganAtMillis: number;
   /** The root, or a request on the way, was sent to a second upstream. */
   readonly isRepeat: boolean;
+  /** Repeats that the request may still cause, shared by all its calls here. */
+  readonly grant: RetryGrant;
 }
 
 /** A request in progress at the upstream. */
--- a/src/process/node_settings.ts
+++ b/src/process/node_settings.ts
@@ -22,16 +22,19 @@
   readonly nodeName: string;
   readonly zone: string;
   readonly region: string;
-  /** Region of each availability zone. */
-  readonly regionOfZone: ReadonlyMap<string, string>;
-  readonly hostAddress: string;
+  /** The own host, as entries of upstreams tell hosts apart. */
+  readonly hostKey: string;
   /** Where clients of this host and its upstream send requests. */
   readonly outbound: Endpoint;
   /** Where other nodes send requests for the upstream of this host. */
   readonly inbound: Endpoint;
-  readonly ready: Endpoint;
+  /** Where only readiness is asked for, if apart from `operators`. */
+  readonly ready: Endpoint | undefined;
+  /** Where operators read metrics and state. */
+  readonly operators: Endpoint;
   readonly upstream: Endpoint;
   readonly service: string;
+  /** Source of the published documents. */
   readonly store: Endpoint;
   /** Time from SIGTERM until the process is killed. */
   readonly graceMillis: number;
--- /dev/null
+++ b/src/process/own_settings_schema.ts
@@ -0,0 +1,125 @@
+/**
+ * Checks a settings file whole and reports every problem in one go.
+ */
+import {isIP} from 'node:net';
+import * as Effect from 'effect/Effect';
+import * as Schema from 'effect/Schema';
+
+import {addressField, hostNameField} from '../version/host_list_schema.js';
+import {createDocumentDecoder} from '../version/json_document.js';
+import type {Problem} from '../version/problem.js';
+import {nameField, wholeNumberField} from '../version/schema_fields.js';
+import type {ListenAddress, OwnSettings} from './own_settings.js';
+
+/** What became of a settings file. */
+export type SettingsParseResult =
+  | {readonly kind: 'parsed'; readonly settings: OwnSettings}
+  | {readonly kind: 'invalid'; readonly problems: readonly Problem[]};
+
+const PORT_MAXIMUM = 65_535;
+const HOUR_MILLIS = 3_600_000;
+
+/** Grace period of process supervisors that name none. */
+const DEFAULT_GRACE_MILLIS = 10_000;
+
+const WILDCARD_ADDRESSES: ReadonlySet<string> = new Set(['0.0.0.0', '::']);
+
+const listenSchema = Schema.Struct({
+  address: addressField,
+  port: wholeNumberField({minimum: 0, maximum: PORT_MAXIMUM}),
+}).annotate({description: 'an object with address and port'});
+
+const connectSchema = Schema.Struct({
+  address: addressField,
+  port: wholeNumberField({minimum: 1, maximum: PORT_MAXIMUM}),
+});
+
+const platformUrlField = Schema.String.annotate({
+  description:
+    "'http://address:port' with an IP address and nothing after the port",
+}).check(Schema.makeFilter(isPlatformUrl));
+
+/** Shape of the settings file. */
+export const settingsSchema = Schema.Struct({
+  hostName: hostNameField,
+  service: nameField,
+  availabilityZone: nameField,
+  region: nameField,
+  listen: Schema.Struct({
+    caller: listenSchema,
+    peer: listenSchema,
+    admin: listenSchema,
+  }).annotate({description: 'an object with caller, peer and admin'}),
+  upstream: connectSchema,
+  platformUrl: platformUrlField,
+  graceMillis: wholeNumberField(
+    {minimum: 1000, maximum: HOUR_MILLIS},
+    'milliseconds',
+  ).pipe(Schema.withDecodingDefaultKey(Effect.succeed(DEFAULT_GRACE_MILLIS))),
+});
+
+const decodeSettings = createDocumentDecoder(settingsSchema);
+
+/** Checks the content of a settings file. */
+export function parseSettings(bytes: Uint8Array): SettingsParseResult {
+  const decoded = decodeSettings(bytes);
+  if (decoded.kind === 'invalid') return decoded;
+  const settings: OwnSettings = decoded.value;
+  const problems = [
+    ...findSharedPorts(settings),
+    ...findUpstreamLoop(settings),
+  ];
+  if (problems.length > 0) return {kind: 'invalid', problems};
+  return {kind: 'parsed', settings};
+}
+
+function isPlatformUrl(text: string): boolean {
+  if (!URL.canParse(text)) return false;
+  const {host, hostname, origin} = new URL(text);
+  // Comparing with the rebuilt form refuses paths, queries and credentials,
+  // and numeric shorthand that the URL parser would turn into an address.
+  const isPlain = text === `http://${host}` || text === `${origin}/`;
+  return isPlain && isIP(hostname.replace(/^\[|\]$/g, '')) !== 0;
+}
+
+function findSharedPorts(settings: OwnSettings): readonly Problem[] {
+  const listeners = Object.entries(settings.listen);
+  return listeners.flatMap(([name, listener], index) => {
+    const earlier = listeners
+      .slice(0, index)
+      .find(([, other]) => overlap(listener, other));
+    if (earlier === undefined) return [];
+    return [
+      {
+        path: `$.listen.${name}.port`,
+        value: listener.port,
+        allowed: `0 or a port other than that of $.listen.${earlier[0]}`,
+      },
+    ];
+  });
+}
+
+/** A node whose upstream is one of its own listeners would call itself. */
+function findUpstreamLoop(settings: OwnSettings): readonly Problem[] {
+  const {upstream} = settings;
+  const own = Object.entries(settings.listen).find(([, listener]) =>
+    overlap(upstream, listener),
+  );
+  if (own === undefined) return [];
+  return [
+    {
+      path: '$.upstream.port',
+      value: upstream.port,
+      allowed: `a port other than that of $.listen.${own[0]}`,
+    },
+  ];
+}
+
+function overlap(a: ListenAddress, b: ListenAddress): boolean {
+  if (a.port === 0 || a.port !== b.port) return false;
+  return (
+    a.address === b.address ||
+    WILDCARD_ADDRESSES.has(a.address) ||
+    WILDCARD_ADDRESSES.has(b.address)
+  );
+}
--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -8,6 +8,7 @@
  * stay in their zone unless another one serves them sooner.
  */
 import type {LoadBoard, LoadReport} from './load_board.js';
+import type {UpstreamEntry} from './upstream_entry.js';
 import type {KnownUpstream, UpstreamDirectory} from './upstream_directory.js';
 
 /** How an attempt ended, as far as the choice of upstreams is concerned. */
@@ -32,6 +33,7 @@
   choose(
     service: string,
     excludedIds: ReadonlySet<string>,
+    isLost?: (entry: UpstreamEntry) => boolean,
   ): Placement | undefined;
   /** Forgets upstreams that are no longer known. */
   expire(): void;
@@ -41,9 +43,9 @@
 export interface PlacementOptions {
   readonly directory: UpstreamDirectory;
   readonly board: LoadBoard;
-  readonly hostAddress: string;
+  readonly hostKey: string;
   readonly zone: string;
-  readonly regionOfZone: ReadonlyMap<string, string>;
+  readonly region: string;
   readonly nowMillis: () => number;
   /** Uniform in [0, 1). */
   readonly random: () => number;
@@ -113,13 +115,10 @@
   };
 
   const distanceMillis = (upstream: KnownUpstream): number => {
-    const {hostAddress, zone} = upstream.entry;
-    if (hostAddress === options.hostAddress) return 0;
+    const {hostKey, zone, region} = upstream.entry;
+    if (hostKey === options.hostKey) return 0;
     if (zone === options.zone) return SAME_ZONE_MILLIS;
-    const region = options.regionOfZone.get(zone);
-    return region === options.regionOfZone.get(options.zone)
-      ? OTHER_ZONE_MILLIS
-      : OTHER_REGION_MILLIS;
+    return region === options.region ? OTHER_ZONE_MILLIS : OTHER_REGION_MILLIS;
   };
 
   const score = (upstream: KnownUpstream, now: number): number => {
@@ -150,13 +149,14 @@
   };
 
   return {
-    choose: (service, excludedIds) => {
+    choose: (service, excludedIds, isLost = () => false) => {
       const now = nowMillis();
       const allowed = directory
         .ready(service)
         .filter(upstream => !excludedIds.has(upstream.entry.id));
       const usable = allowed.filter(
-        upstream => recordOf(upstream).avoidUntilMillis <= now,
+        upstream =>
+          recordOf(upstream).avoidUntilMillis <= now && !isLost(upstream.entry),
       );
       const chosen = pick(usable.length > 0 ? usable : allowed, now);
       if (chosen === undefined) return undefined;
--- a/src/process/published_documents.ts
+++ b/src/process/published_documents.ts
@@ -1,7 +1,7 @@
 /**
  * The documents that a deployment publishes for nodes, and how to read them.
  */
-import type {RouteConfiguration} from '../version/route_configuration.js';
+import type {RouteTable} from '../version/route_table.js';
 import type {DocumentChange, DocumentSource} from './document_source.js';
 import type {UpstreamEntry} from './upstream_entry.js';
 
@@ -17,8 +17,10 @@
   readonly source: DocumentSource;
   readonly configurationPrefix: string;
   readonly upstreamsPrefix: string;
-  decodeConfiguration(change: DocumentChange): Decoded<RouteConfiguration>;
-  decodeUpstream(change: DocumentChange): Decoded<UpstreamEntry>;
-  /** Id of the upstream that a key belongs to. */
+  /** One document lists all upstreams, so that who is missing has left. */
+  readonly listsAllUpstreams: boolean;
+  decodeConfiguration(change: DocumentChange): Decoded<RouteTable>;
+  decodeUpstreams(change: DocumentChange): Decoded<readonly UpstreamEntry[]>;
+  /** Id of the upstream that a key belongs to, where each has its own. */
   upstreamIdOf(key: string): string;
 }
--- a/src/process/repeat_budget.ts
+++ b/src/process/repeat_budget.ts
@@ -17,6 +17,8 @@
   recordRequest(counts: CallCounts): void;
   /** Takes one repeat and the calls it will cause, or nothing at all. */
   tryTake(counts: CallCounts): boolean;
+  /** Takes a repeat whatever is left. */
+  take(counts: CallCounts): void;
 }
 
 /** What a budget needs. */
@@ -86,6 +88,9 @@
     recordRequest: counts => {
       for (const [service, count] of counts) record(service, count);
     },
+    take: counts => {
+      for (const [service, count] of counts) spend(service, count);
+    },
     tryTake: counts => {
       for (const [service, count] of counts) {
         if (!fits(service, count)) return false;
--- a/src/process/upstream_directory.ts
+++ b/src/process/upstream_directory.ts
@@ -34,8 +34,8 @@
   find(id: string): KnownUpstream | undefined;
   /** Whether an upstream was known and has left. */
   hasLeft(id: string): boolean;
-  /** The newest upstream that listens at an address. */
-  atAddress(listenAddress: string): KnownUpstream | undefined;
+  /** The newest upstream of a host. */
+  atHost(hostKey: string): KnownUpstream | undefined;
   /** Upstreams of all services, one for each node of the fleet. */
   count(): number;
 }
@@ -137,7 +137,7 @@
     ready: service => readyByService.get(service) ?? [],
     find: id => known.get(id),
     hasLeft: id => leftIds.has(id),
-    atAddress: listenAddress => newestAt(known, listenAddress),
+    atHost: hostKey => newestAt(known, hostKey),
     count: () => known.size,
   };
 }
@@ -153,11 +153,11 @@
 
 function newestAt(
   known: ReadonlyMap<string, KnownUpstream>,
-  listenAddress: string,
+  hostKey: string,
 ): KnownUpstream | undefined {
   let newest: KnownUpstream | undefined;
   for (const upstream of known.values()) {
-    if (upstream.entry.listenAddress !== listenAddress) continue;
+    if (upstream.entry.hostKey !== hostKey) continue;
     if (newest && newest.firstSeenMillis > upstream.firstSeenMillis) continue;
     newest = upstream;
   }
--- a/src/protocol/hop_headers.ts
+++ b/src/protocol/hop_headers.ts
@@ -34,6 +34,8 @@
   /** Age of the root's attempt. */
   readonly rootAgeMillis: number;
   readonly isRepeat: boolean;
+  /** Repeats that go with the request. */
+  readonly repeatsCount: number;
 }
 
 /** How an attempt ended at the node beside the upstream. */
@@ -68,6 +70,8 @@
   readonly hasFailedCall: boolean;
   /** Milliseconds after which there may be room. */
   readonly retryAfterMillis: number;
+  /** Repeats that went with the request and were not spent. */
+  readonly unspentCount: number;
 }
 
 /** Load of one upstream, as sent. */
@@ -93,12 +97,14 @@
     encodeURIComponent(origin.rootRouteName),
     Math.round(origin.rootAgeMillis),
     origin.isRepeat ? 1 : 0,
+    origin.repeatsCount,
   ].join(FIELD);
 }
 
 /** Reads an origin; `undefined` if the text is none. */
 export function decodeOrigin(text: string): OriginFields | undefined {
-  const [importance, rootId, rootRouteName, age, repeat] = text.split(FIELD);
+  const [importance, rootId, rootRouteName, age, repeat, repeats] =
+    text.split(FIELD);
   if (rootId === undefined || rootRouteName === undefined) return undefined;
   return {
     importance: numberOf(importance),
@@ -106,6 +112,7 @@
     rootRouteName: decodeURIComponent(rootRouteName),
     rootAgeMillis: numberOf(age),
     isRepeat: repeat === '1',
+    repeatsCount: numberOf(repeats),
   };
 }
 
@@ -116,18 +123,20 @@
     fields.reason,
     fields.hasFailedCall ? 1 : 0,
     Math.round(fields.retryAfterMillis),
+    fields.unspentCount,
   ].join(FIELD);
 }
 
 /** Reads an outcome; `undefined` if the text is none. */
 export function decodeOutcome(text: string): OutcomeFields | undefined {
-  const [outcome, reason, failed, retryAfter] = text.split(FIELD);
+  const [outcome, reason, failed, retryAfter, unspent] = text.split(FIELD);
   if (!isOutcome(outcome)) return undefined;
   return {
     outcome,
     reason: (reason ?? 'none') as HopReason,
     hasFailedCall: failed === '1',
     retryAfterMillis: numberOf(retryAfter),
+    unspentCount: numberOf(unspent),
   };
 }
 
--- /dev/null
+++ b/src/protocol/own_headers.ts
@@ -0,0 +1,20 @@
+/**
+ * Headers of the product's own interface to callers and upstreams.
+ */
+import type {WireHeaders} from './wire_headers.js';
+
+/** Lower-case names. */
+export const OWN_HEADERS: Required<Omit<WireHeaders, 'signature'>> = {
+  attemptId: 'fulmarhollow-request-id',
+  isAttemptIdRequired: false,
+  timeoutMillis: 'fulmarhollow-timeout-ms',
+  expectedUpstreamId: 'fulmarhollow-host',
+  notExecuted: 'fulmarhollow-not-run',
+  callerService: 'fulmarhollow-caller',
+  notes: {
+    outcome: 'fulmarhollow-outcome',
+    reason: 'fulmarhollow-reason',
+    configurationVersion: 'fulmarhollow-policy-version',
+    repeatsCount: 'fulmarhollow-repeats',
+  },
+};
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -37,7 +37,7 @@
 
 /** What attempts need. */
 export interface AttemptsOptions {
-  readonly hostAddress: string;
+  readonly hostKey: string;
   readonly placement: PlacementChooser;
   readonly local: LocalExecution;
   readonly remote: RemoteExecution;
@@ -84,7 +84,11 @@
   let call = request.call;
 
   for (let offer = 1; offer <= MAX_OFFERS_COUNT; offer += 1) {
-    const placement = options.placement.choose(request.service, triedIds);
+    const placement = options.placement.choose(
+      request.service,
+      triedIds,
+      options.remote.isLost,
+    );
     if (placement === undefined) break;
     const {entry} = placement.upstream;
     upstreamId = entry.id;
@@ -110,7 +114,7 @@
   entry: UpstreamEntry,
   call: ExecutionCall,
 ): Promise<ExecutionEnd> {
-  if (entry.hostAddress !== options.hostAddress) {
+  if (entry.hostKey !== options.hostKey) {
     return options.remote.execute(entry, call);
   }
   return options.local.execute({
@@ -137,7 +141,26 @@
   if (sentCount >= route.maxAttemptsCount) return false;
   // A repeat below a repeat multiplies; the one nearest the client decides.
   if (call.origin.isRepeat) return false;
-  return options.budget.tryTake(expectedCalls(options, request));
+  if (call.origin.grant.remaining() < 1) return false;
+  if (!mayRepeat(options, request, end)) return false;
+  return call.origin.grant.trySpend();
+}
+
+/**
+ * What went to a node that then fell silent most likely never arrived, so the
+ * budget, which bounds what services receive, is charged but not asked.
+ */
+function mayRepeat(
+  options: AttemptsOptions,
+  request: AttemptedRequest,
+  end: ExecutionEnd,
+): boolean {
+  const counts = expectedCalls(options, request);
+  if (end.kind !== 'unknown' || end.reason !== 'silent') {
+    return options.budget.tryTake(counts);
+  }
+  options.budget.take(counts);
+  return true;
 }
 
 /** Only a failure of the upstream itself: one below it would fail again. */
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -6,7 +6,9 @@
 import {passedOnHeaders} from '../connection/raw_headers.js';
 import {hasBody} from '../connection/request_body.js';
 import type {DecisionLog} from '../process/decision_log.js';
+import type {CallOrigin} from '../process/in_flight_parents.js';
 import type {NodeMetrics} from '../process/node_metrics.js';
+import type {NoteHeaders} from '../protocol/wire_headers.js';
 import type {ServiceRoute} from '../version/route_configuration.js';
 import type {AttemptsEnd} from './attempts.js';
 
@@ -18,6 +20,7 @@
   readonly service: string;
   readonly arrivedMillis: number;
   readonly deadlineMillis: number;
+  readonly origin: CallOrigin;
 }
 
 /** A request that the gate kept out. */
@@ -49,6 +52,8 @@
 export interface EntryAnswersOptions {
   readonly log: DecisionLog;
   readonly metrics: NodeMetrics;
+  /** Headers of notes, where clients want them. */
+  readonly notes: NoteHeaders | undefined;
   readonly isDraining: () => boolean;
   readonly configurationVersion: () => number;
   /** Share of a service's capacity that takes an importance. */
@@ -110,13 +115,38 @@
   const writeRefusal = (
     exchange: Exchange,
     route: ServiceRoute | undefined,
+    reason: string,
   ): number => {
     const millis = returnMillis(route);
     const seconds = (millis / MILLIS_PER_SECOND).toFixed(3);
-    write(exchange, STATUS_UNAVAILABLE, ['retry-after', seconds]);
+    write(exchange, STATUS_UNAVAILABLE, [
+      'retry-after',
+      seconds,
+      ...failureNotes('not-run', reason),
+    ]);
     return millis;
   };
 
+  const failureNotes = (outcome: string, reason: string): readonly string[] => {
+    const {notes} = options;
+    if (notes === undefined) return [];
+    return [notes.outcome, outcome, notes.reason, reason, ...versionNotes()];
+  };
+
+  const versionNotes = (): readonly string[] => {
+    const {notes} = options;
+    if (notes === undefined) return [];
+    return [notes.configurationVersion, String(options.configurationVersion())];
+  };
+
+  /** Repeats that a request has spent of its grant. */
+  const repeatNotes = ({route, origin}: AnsweredRequest): readonly string[] => {
+    const {notes} = options;
+    if (notes === undefined) return [];
+    const spentCount = route.repeatsCount - origin.grant.remaining();
+    return [notes.repeatsCount, String(Math.max(0, spentCount))];
+  };
+
   const record = (
     request: {route: ServiceRoute; arrivedMillis: number},
     statusCode: number,
@@ -140,7 +170,11 @@
     if (end.last.kind !== 'answered') return;
     const {answer} = end.last;
     const {exchange} = request;
-    const headers = passedOnHeaders(answer.headers, NO_HEADERS);
+    const headers = [
+      ...passedOnHeaders(answer.headers, NO_HEADERS),
+      ...versionNotes(),
+      ...repeatNotes(request),
+    ];
     if (options.isDraining()) headers.push('connection', 'close');
     const method = exchange.request.method ?? 'GET';
     sendAnswer(exchange.response, answer, headers, {method, isForNode: false});
@@ -162,7 +196,8 @@
         return;
       }
       if (!end.mayHaveRun) {
-        const returnAfter = writeRefusal(exchange, route);
+        const {reason} = end.last;
+        const returnAfter = writeRefusal(exchange, route, reason);
         const millis = record(request, STATUS_UNAVAILABLE);
         log.request('refused', {
           ...describe(request, end),
@@ -176,7 +211,10 @@
         end.last.reason === 'cancelled'
           ? STATUS_GATEWAY_TIMEOUT
           : STATUS_BAD_GATEWAY;
-      write(exchange, statusCode, []);
+      write(exchange, statusCode, [
+        ...failureNotes('unknown', end.last.reason),
+        ...repeatNotes(request),
+      ]);
       const millis = record(request, statusCode);
       log.request('failed', {...describe(request, end), statusCode, millis});
     },
@@ -185,7 +223,7 @@
       log.request('client-left', {...describe(request, end), millis});
     },
     shed: (exchange, request) => {
-      const returnAfter = writeRefusal(exchange, request.route);
+      const returnAfter = writeRefusal(exchange, request.route, 'shed');
       metrics.recordShed(request.shedBy);
       record(request, STATUS_UNAVAILABLE);
       log.request('shed', {
@@ -199,11 +237,11 @@
       });
     },
     refuse: (exchange, refusal) => {
-      writeRefusal(exchange, undefined);
+      writeRefusal(exchange, undefined, refusal.reason);
       log.request('refused', {reason: refusal.reason});
     },
     reject: (exchange, statusCode, reason) => {
-      write(exchange, statusCode, []);
+      write(exchange, statusCode, failureNotes('not-run', reason));
       log.request('rejected', {
         statusCode,
         reason,
--- a/src/request/inbound_exchange.ts
+++ b/src/request/inbound_exchange.ts
@@ -1,7 +1,6 @@
 /**
  * Requests that other nodes send for the upstream of this host.
  */
-import type {AnswerForm} from '../connection/answer_sender.js';
 import {sendAnswer} from '../connection/answer_sender.js';
 import type {ExecutionEnd} from '../connection/execution.js';
 import {answerQuestion} from '../connection/hop_questions.js';
@@ -11,6 +10,7 @@
 import type {HopRegistry} from '../process/hop_registry.js';
 import type {CallOrigin} from '../process/in_flight_parents.js';
 import {LEAST_IMPORTANT} from '../process/importance.js';
+import {createRetryGrant} from '../process/shared_retry_grant.js';
 import type {LoadReport} from '../process/load_board.js';
 import type {HopReason, OutcomeFields} from '../protocol/hop_headers.js';
 import {
@@ -48,6 +48,7 @@
     options.names.timeoutMillis,
     options.names.expectedUpstreamId,
     options.names.callerService,
+    ...(options.names.isAttemptIdRequired ? [] : [options.names.attemptId]),
   ]);
   return {
     handle: async exchange => {
@@ -61,7 +62,8 @@
       const hopId = exchange.request.headers[HOP_HEADER.hopId];
       const end = await executeOnce(options, call, String(hopId));
       options.onEnd(call, end);
-      writeEnd(options, exchange, end, {method: call.method, isForNode: true});
+      const unspentCount = call.origin.grant.close();
+      writeEnd(options, exchange, {end, unspentCount}, call.method);
     },
   };
 }
@@ -129,6 +131,7 @@
     rootRouteName: fields.rootRouteName,
     rootBeganAtMillis: now - fields.rootAgeMillis,
     isRepeat: fields.isRepeat,
+    grant: createRetryGrant(fields.repeatsCount),
   };
 }
 
@@ -147,14 +150,21 @@
 
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
+/** What is told to the node that sent the request. */
+interface InboundEnd {
+  readonly end: ExecutionEnd;
+  /** Repeats that came with the request and were not spent. */
+  readonly unspentCount: number;
+}
+
 function writeEnd(
   options: InboundOptions,
   exchange: Exchange,
-  end: ExecutionEnd,
-  form: AnswerForm,
+  {end, unspentCount}: InboundEnd,
+  method: string,
 ): void {
   const {response} = exchange;
-  const fields = outcomeOf(end);
+  const fields = {...outcomeOf(end), unspentCount};
   const headers = [HOP_HEADER.outcome, encodeOutcome(fields)];
   const now = options.nowMillis();
   const loads = options.loads().map(report => ({
@@ -167,7 +177,10 @@
       headers.push(HOP_HEADER.calls, encodeCalls(end.calls));
     }
     const passed = passedOnHeaders(end.answer.headers, NO_HEADERS);
-    sendAnswer(response, end.answer, [...passed, ...headers], form);
+    sendAnswer(response, end.answer, [...passed, ...headers], {
+      method,
+      isForNode: true,
+    });
     return;
   }
   if (response.destroyed) return;
@@ -177,7 +190,9 @@
   response.end();
 }
 
-function outcomeOf(end: ExecutionEnd): OutcomeFields {
+type OutcomeOfEnd = Omit<OutcomeFields, 'unspentCount'>;
+
+function outcomeOf(end: ExecutionEnd): OutcomeOfEnd {
   switch (end.kind) {
     case 'answered':
       return fieldsOf('answered', 'none', end.hasFailedCall, 0);
@@ -193,6 +208,6 @@
   reason: HopReason,
   hasFailedCall: boolean,
   retryAfterMillis: number,
-): OutcomeFields {
+): OutcomeOfEnd {
   return {outcome, reason, hasFailedCall, retryAfterMillis};
 }
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -2,6 +2,7 @@
  * Requests that enter at this host: from its clients, and from its upstream,
  * which calls deeper into the graph.
  */
+import {randomUUID} from 'node:crypto';
 import type {CancelSource} from '../base/cancel_signal.js';
 import {createCancelSource} from '../base/cancel_signal.js';
 import type {ExecutionCall} from '../connection/execution.js';
@@ -16,6 +17,7 @@
   InFlightParent,
   InFlightParents,
 } from '../process/in_flight_parents.js';
+import {createRetryGrant} from '../process/shared_retry_grant.js';
 import {importanceOf} from '../process/importance.js';
 import type {RepeatBudget} from '../process/repeat_budget.js';
 import type {WeightedTargets} from '../process/weighted_targets.js';
@@ -74,6 +76,7 @@
     options.names.timeoutMillis,
     options.names.expectedUpstreamId,
     options.names.callerService,
+    ...(options.names.isAttemptIdRequired ? [] : [options.names.attemptId]),
   ]);
   return {
     handle: exchange => handle(options, exchange, ownHeaders),
@@ -92,20 +95,24 @@
     return;
   }
   const {request} = exchange;
-  const route = table.match(request.headers.host ?? '', request.url ?? '/');
+  const route = table.match({
+    method: request.method ?? 'GET',
+    host: request.headers.host ?? '',
+    target: request.url ?? '/',
+  });
   if (route === undefined) {
     answers.reject(exchange, 404, 'no-route');
     return;
   }
-  const attemptId = request.headers[options.names.attemptId];
-  if (typeof attemptId !== 'string' || attemptId === '') {
+  const attemptId = readAttemptId(options, exchange);
+  if (attemptId === undefined) {
     answers.reject(exchange, 400, 'no-attempt-id');
     return;
   }
   const entered = enter(options, exchange, route, attemptId);
   if (!passesGate(options, entered)) return;
   if (exchange.isBodyHeldBack) exchange.response.writeContinue();
-  const bodyBytes = table.configuration.limits.bodyBytes;
+  const bodyBytes = table.limits.bodyBytes;
   const body = await readRequestBody(request, bodyBytes);
   if (body.kind === 'too-large') {
     answers.reject(exchange, 413, 'body-too-large');
@@ -116,6 +123,16 @@
   await serve(options, entered, headers, body.bytes);
 }
 
+/** The client's id, or one of this node's where clients need not give one. */
+function readAttemptId(
+  options: OutboundOptions,
+  exchange: Exchange,
+): string | undefined {
+  const id = exchange.request.headers[options.names.attemptId];
+  if (typeof id === 'string' && id !== '') return id;
+  return options.names.isAttemptIdRequired ? undefined : randomUUID();
+}
+
 function enter(
   options: OutboundOptions,
   exchange: Exchange,
@@ -132,6 +149,7 @@
     rootRouteName: route.name,
     rootBeganAtMillis: arrivedMillis,
     isRepeat: false,
+    grant: createRetryGrant(route.repeatsCount),
   };
   return {
     exchange,
--- a/src/version/host_list.ts
+++ b/src/version/host_list.ts
@@ -15,8 +15,6 @@
   readonly address: string;
   /** Port of the node for calls from other nodes. */
   readonly peerPort: number;
-  /** Port of the node for control traffic. */
-  readonly controlPort: number;
   readonly state: PublishedState;
 }
 
--- a/src/version/host_list_schema.ts
+++ b/src/version/host_list_schema.ts
@@ -41,7 +41,6 @@
       region: nameField,
       address: addressField,
       peerPort: portField,
-      controlPort: portField,
       state: wordField(['live', 'leaving']),
     }),
     {minimum: 0, maximum: MAX_HOSTS},
@@ -88,17 +87,15 @@
   const ownerPaths = new Map<string, string>();
   const problems: Problem[] = [];
   hosts.forEach((host, index) => {
-    for (const field of ['peerPort', 'controlPort'] as const) {
-      const path = `$.hosts[${String(index)}].${field}`;
-      const endpoint = `${host.address} port ${String(host[field])}`;
-      const ownerPath = ownerPaths.get(endpoint);
-      if (ownerPath === undefined) {
-        ownerPaths.set(endpoint, path);
-        continue;
-      }
-      const allowed = `an address and port that differ from ${ownerPath}`;
-      problems.push({path, value: endpoint, allowed});
+    const path = `$.hosts[${String(index)}].peerPort`;
+    const endpoint = `${host.address} port ${String(host.peerPort)}`;
+    const ownerPath = ownerPaths.get(endpoint);
+    if (ownerPath === undefined) {
+      ownerPaths.set(endpoint, path);
+      return;
     }
+    const allowed = `an address and port that differ from ${ownerPath}`;
+    problems.push({path, value: endpoint, allowed});
   });
   return problems;
 }
--- a/src/version/policy.ts
+++ b/src/version/policy.ts
@@ -27,8 +27,6 @@
   readonly path: string;
   readonly className: string;
   readonly repeat: RepeatRule;
-  /** Whether callers must send an Idempotency-Key. */
-  readonly isKeyRequired: boolean;
   readonly deadlineMillis: number;
   /** Retries one request entering here may cause over the whole chain. */
   readonly retryBound: number;
@@ -62,20 +60,6 @@
   readonly minimumPerSecond: number;
 }
 
-/** Duplicate suppression by Idempotency-Key. */
-export interface KeyPolicy {
-  /** How long an executor remembers a key. */
-  readonly windowMillis: number;
-  /** Records one executor keeps. */
-  readonly recordsCount: number;
-  /** Largest answer kept for a repeat. */
-  readonly answerBytes: number;
-  /** How long a confirmed view of the fleet allows keyed work. */
-  readonly leaseMillis: number;
-  /** Largest difference between two wall clocks that is tolerated. */
-  readonly clockBoundMillis: number;
-}
-
 /** Bounds on messages. */
 export interface BodyPolicy {
   /** Largest request body. */
@@ -115,7 +99,6 @@
   readonly classes: readonly RequestClass[];
   readonly services: readonly Service[];
   readonly retryBudget: RetryBudgetPolicy;
-  readonly keys: KeyPolicy;
   readonly bodies: BodyPolicy;
   readonly ejection: EjectionPolicy;
   readonly timing: TimingPolicy;
--- a/src/version/policy_checks.ts
+++ b/src/version/policy_checks.ts
@@ -15,7 +15,6 @@
     ...policy.services.flatMap((service, index) =>
       checkService(policy, service, `$.services[${String(index)}]`),
     ),
-    ...checkKeys(policy),
     ...checkRetryAfter(policy),
   ];
 }
@@ -84,33 +83,6 @@
       allowed: `more than the service's queueWaitMillis (${String(service.queueWaitMillis)}), or the wait alone may use it up`,
     });
   }
-  if (route.isKeyRequired && route.deadlineMillis >= policy.keys.windowMillis) {
-    problems.push({
-      path: `${path}.deadlineMillis`,
-      value: route.deadlineMillis,
-      allowed: `less than keys.windowMillis (${String(policy.keys.windowMillis)}), or a key is forgotten while its request runs`,
-    });
-  }
-  return problems;
-}
-
-function checkKeys({keys, bodies}: Policy): readonly Problem[] {
-  const problems: Problem[] = [];
-  const shortestWindowMillis = 2 * (keys.leaseMillis + keys.clockBoundMillis);
-  if (keys.windowMillis < shortestWindowMillis) {
-    problems.push({
-      path: '$.keys.windowMillis',
-      value: keys.windowMillis,
-      allowed: `at least twice leaseMillis and clockBoundMillis together (${String(shortestWindowMillis)}), so that the record of a key outlives every outdated view`,
-    });
-  }
-  if (keys.answerBytes > bodies.bufferedAnswerBytes) {
-    problems.push({
-      path: '$.keys.answerBytes',
-      value: keys.answerBytes,
-      allowed: `at most bodies.bufferedAnswerBytes (${String(bodies.bufferedAnswerBytes)}), because larger answers are not held`,
-    });
-  }
   return problems;
 }
 
--- /dev/null
+++ b/src/version/policy_routes.ts
@@ -0,0 +1,66 @@
+/**
+ * Routes of a policy document, looked up by service, method and path pattern.
+ */
+import type {CompiledPolicy, RouteMatch} from './policy.js';
+import type {ClientLimits, ServiceRoute} from './route_configuration.js';
+import type {RouteTable} from './route_table.js';
+import {hostNameOf, pathOf} from './route_table.js';
+
+/** Bounds on callers that the policy does not name. */
+const CALLER_LIMITS: Omit<ClientLimits, 'bodyBytes'> = {
+  headerBytes: 65_536,
+  headerMillis: 10_000,
+  idleMillis: 30_000,
+};
+
+/**
+ * Part of a route's deadline within which an answer counts as in time: the
+ * rest is what a caller's one repeat takes.
+ */
+const OBJECTIVE_RATIO = 0.5;
+
+/** Creates the table of one version. */
+export function createPolicyRouteTable(compiled: CompiledPolicy): RouteTable {
+  const routes = new Map<RouteMatch, ServiceRoute>();
+  const routeOf = (match: RouteMatch): ServiceRoute => {
+    const known = routes.get(match);
+    if (known !== undefined) return known;
+    const created = createServiceRoute(match);
+    routes.set(match, created);
+    return created;
+  };
+  return {
+    version: compiled.version,
+    limits: {...CALLER_LIMITS, bodyBytes: compiled.policy.bodies.requestBytes},
+    document: Buffer.from(compiled.documentBytes).toString('utf8'),
+    match: ({method, host, target}) => {
+      const match = compiled.findRoute(
+        serviceNameOf(host),
+        method,
+        pathOf(target),
+      );
+      return match === undefined ? undefined : routeOf(match);
+    },
+  };
+}
+
+/** The service a request is for is the first label of its host name. */
+function serviceNameOf(host: string): string {
+  return hostNameOf(host).split('.', 1)[0] ?? '';
+}
+
+function createServiceRoute(match: RouteMatch): ServiceRoute {
+  const {service, route, classIndex} = match;
+  return {
+    name: `${service.name}/${route.name}`,
+    hostName: service.name,
+    pathPrefix: '/',
+    repeat: route.repeat === 'never' ? 'once' : 'repeatable',
+    timeoutMillis: route.deadlineMillis,
+    objectiveMillis: route.deadlineMillis * OBJECTIVE_RATIO,
+    maxAttemptsCount: route.retryBound + 1,
+    repeatsCount: route.retryBound,
+    rank: classIndex,
+    targets: [{service: service.name, weightRatio: 1}],
+  };
+}
--- a/src/version/policy_schema.ts
+++ b/src/version/policy_schema.ts
@@ -14,7 +14,6 @@
 
 const MINUTE_MILLIS = 60_000;
 const HOUR_MILLIS = 60 * MINUTE_MILLIS;
-const DAY_MILLIS = 24 * HOUR_MILLIS;
 const MEBIBYTE_BYTES = 1_048_576;
 
 const MAX_ZONES = 64;
@@ -68,7 +67,6 @@
   path: pathField,
   className: nameField,
   repeat: wordField(['safe', 'idempotent', 'never']),
-  isKeyRequired: Schema.Boolean.annotate({description: 'true or false'}),
   deadlineMillis: millisField(1, 10 * MINUTE_MILLIS),
   retryBound: countField(0, 16, 'retries'),
 });
@@ -95,14 +93,6 @@
   ),
 });
 
-const keysSchema = Schema.Struct({
-  windowMillis: millisField(1_000, DAY_MILLIS),
-  recordsCount: countField(1, 100_000, 'records'),
-  answerBytes: bytesField(0, MEBIBYTE_BYTES),
-  leaseMillis: millisField(100, 10 * MINUTE_MILLIS),
-  clockBoundMillis: millisField(0, MINUTE_MILLIS),
-});
-
 const bodiesSchema = Schema.Struct({
   requestBytes: bytesField(0, 64 * MEBIBYTE_BYTES),
   bufferedAnswerBytes: bytesField(0, 16 * MEBIBYTE_BYTES),
@@ -145,7 +135,6 @@
     'services',
   ),
   retryBudget: retryBudgetSchema,
-  keys: keysSchema,
   bodies: bodiesSchema,
   ejection: ejectionSchema,
   timing: timingSchema,
--- a/src/version/policy_warnings.ts
+++ b/src/version/policy_warnings.ts
@@ -40,23 +40,6 @@
   path: string,
 ): readonly Problem[] {
   const warnings: Problem[] = [];
-  // Without a key two requests of a caller that repeats by itself look like two
-  // wishes, and both run.
-  if (route.repeat === 'never' && !route.isKeyRequired) {
-    warnings.push({
-      path: `${path}.isKeyRequired`,
-      value: false,
-      allowed:
-        'true on a route that must not be repeated, unless only other services call it',
-    });
-  }
-  if (route.repeat === 'safe' && route.isKeyRequired) {
-    warnings.push({
-      path: `${path}.isKeyRequired`,
-      value: true,
-      allowed: 'false on a safe route, which gains nothing by a key',
-    });
-  }
   if (
     route.repeat !== 'never' &&
     route.retryBound > 0 &&
--- a/src/version/route_configuration.ts
+++ b/src/version/route_configuration.ts
@@ -5,6 +5,12 @@
 /** Whether a request may be run more than once. */
 export type RepeatRule = 'repeatable' | 'once';
 
+/**
+ * Repeats of a route whose document names no bound: a request of a dozen calls,
+ * of which a fifth fail, needs two or three, and each costs a whole call again.
+ */
+export const DEFAULT_REPEATS_COUNT = 4;
+
 /** One service that takes a share of a route's requests. */
 export interface WeightedService {
   readonly service: string;
@@ -26,6 +32,8 @@
   readonly objectiveMillis: number;
   /** Upstreams that one attempt of a client may reach. */
   readonly maxAttemptsCount: number;
+  /** Repeats that one request may cause over its whole chain of calls. */
+  readonly repeatsCount: number;
   /** Importance; 0 is the most important. */
   readonly rank: number;
   /** One entry, or more where a route is split. */
--- a/src/version/route_table.ts
+++ b/src/version/route_table.ts
@@ -1,26 +1,45 @@
 /**
  * Lookup of the route of a request within one version of the configuration.
  */
-import type {RouteConfiguration, ServiceRoute} from './route_configuration.js';
+import type {
+  ClientLimits,
+  RouteConfiguration,
+  ServiceRoute,
+} from './route_configuration.js';
+
+/** What a route is looked up by. */
+export interface RouteQuery {
+  readonly method: string;
+  /** Value of the `Host` header. */
+  readonly host: string;
+  /** Path and query. */
+  readonly target: string;
+}
 
 /** A compiled version. */
 export interface RouteTable {
-  readonly configuration: RouteConfiguration;
-  /** The route with the longest prefix, or `undefined` if none matches. */
-  match(hostHeader: string, requestTarget: string): ServiceRoute | undefined;
+  readonly version: number;
+  readonly limits: ClientLimits;
+  /** The document as published. */
+  readonly document: string;
+  /** The route of a request, or `undefined` if none matches. */
+  match(query: RouteQuery): ServiceRoute | undefined;
 }
 
-/** Compiles a configuration for lookups. */
+/** Compiles a configuration, in which the longest path prefix counts. */
 export function createRouteTable(
   configuration: RouteConfiguration,
+  document: string,
 ): RouteTable {
   const routesByHost = groupByHost(configuration.routes);
   return {
-    configuration,
-    match: (hostHeader, requestTarget) => {
-      const routes = routesByHost.get(hostNameOf(hostHeader));
+    version: configuration.version,
+    limits: configuration.limits,
+    document,
+    match: ({host, target}) => {
+      const routes = routesByHost.get(hostNameOf(host));
       if (routes === undefined) return undefined;
-      const path = pathOf(requestTarget);
+      const path = pathOf(target);
       return routes.find(route => path.startsWith(route.pathPrefix));
     },
   };
@@ -42,13 +61,15 @@
   return groups;
 }
 
-function hostNameOf(hostHeader: string): string {
+/** Host name of a `Host` header, in lower case and without a port. */
+export function hostNameOf(hostHeader: string): string {
   const colon = hostHeader.lastIndexOf(':');
   const name = colon < 0 ? hostHeader : hostHeader.slice(0, colon);
   return name.toLowerCase();
 }
 
-function pathOf(requestTarget: string): string {
+/** Path of a request's target, without the query. */
+export function pathOf(requestTarget: string): string {
   const query = requestTarget.indexOf('?');
   return query < 0 ? requestTarget : requestTarget.slice(0, query);
 }
--- a/test/unit/process/call_trees.test.ts
+++ b/test/unit/process/call_trees.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {createCallTrees} from '../../../src/process/call_trees.js';
+import {createRetryGrant} from '../../../src/process/shared_retry_grant.js';
 import {createInFlightParents} from '../../../src/process/in_flight_parents.js';
 
 const ORIGIN = {
@@ -8,6 +9,7 @@
   rootRouteName: 'route',
   rootBeganAtMillis: 0,
   isRepeat: false,
+  grant: createRetryGrant(2),
 };
 
 test('a tree follows what requests of the route reach', t => {
