Bench of ratios, trace command, witnesses for silent peers

Change: `npm run bench` (latency, decisions), `fulmarhollow trace`, a peer is lost only if another one replies.

--- /dev/null
+++ b/bench/decisions_bench.ts
@@ -0,0 +1,147 @@
+/**
+ * Cost of each decision as the fleet grows: with few and with many upstreams,
+ * in one run, as microseconds and as a ratio.
+ */
+import {createEntryGate} from '../src/process/entry_gate.js';
+import {createLoadBoard} from '../src/process/load_board.js';
+import {createPlacementChooser} from '../src/process/placement.js';
+import {createUpstreamDirectory} from '../src/process/upstream_directory.js';
+import type {UpstreamEntry} from '../src/process/upstream_entry.js';
+import {createUpstreamQueue} from '../src/process/upstream_queue.js';
+
+/** Fleets compared: today's larger one, and the size to design for. */
+const SMALL = {servicesCount: 4, upstreamsCount: 15};
+const LARGE = {servicesCount: 34, upstreamsCount: 830};
+
+/** Rounds of one measurement. */
+const ROUNDS_COUNT = 20_000;
+
+const MICROS_PER_MILLI = 1000;
+
+interface FleetSize {
+  readonly servicesCount: number;
+  readonly upstreamsCount: number;
+}
+
+interface Decision {
+  readonly name: string;
+  readonly prepare: (size: FleetSize) => (round: number) => void;
+}
+
+const DECISIONS: readonly Decision[] = [
+  {name: 'placement', prepare: preparePlacement},
+  {name: 'gate, three services deep', prepare: prepareGate},
+  {name: 'queue, offer and release', prepare: prepareQueue},
+  {name: 'entry of one upstream changes', prepare: prepareEntryChange},
+];
+
+/** Measures every decision at both sizes. */
+export function measureDecisions(): Promise<readonly string[]> {
+  const lines = DECISIONS.map(({name, prepare}) => {
+    const small = microsOf(prepare(SMALL));
+    const large = microsOf(prepare(LARGE));
+    return `${name}: ${small.toFixed(2)} us at ${String(SMALL.upstreamsCount)} upstreams, ${large.toFixed(2)} us at ${String(LARGE.upstreamsCount)} (${(large / small).toFixed(1)} times)`;
+  });
+  return Promise.resolve(lines);
+}
+
+function microsOf(run: (round: number) => void): number {
+  for (let round = 0; round < ROUNDS_COUNT; round += 1) run(round);
+  const startMillis = performance.now();
+  for (let round = 0; round < ROUNDS_COUNT; round += 1) run(round);
+  const spentMillis = performance.now() - startMillis;
+  return (spentMillis * MICROS_PER_MILLI) / ROUNDS_COUNT;
+}
+
+function entriesOf(size: FleetSize): readonly UpstreamEntry[] {
+  return Array.from({length: size.upstreamsCount}, (_, index) => ({
+    id: `u-${String(index)}`,
+    service: `service-${String(index % size.servicesCount)}`,
+    hostKey: `10.0.0.${String(index)}:80`,
+    node: {address: `10.0.0.${String(index)}`, port: 90},
+    zone: `zone-${String(index % 10)}`,
+    region: `region-${String(index % 3)}`,
+    slotsCount: 50,
+    isDraining: false,
+    coldLeftMillis: 0,
+  }));
+}
+
+function createPictures(size: FleetSize) {
+  const nowMillis = (): number => performance.now();
+  const board = createLoadBoard(nowMillis);
+  const directory = createUpstreamDirectory({
+    nowMillis,
+    onChange: () => undefined,
+  });
+  const entries = entriesOf(size);
+  directory.put(entries);
+  for (const entry of entries) {
+    board.observe({
+      upstreamId: entry.id,
+      service: entry.service,
+      inFlightCount: 3,
+      queuedCount: 0,
+      limitCount: 47,
+      averageMillis: 40,
+      level: 511,
+      madeAtMillis: nowMillis(),
+    });
+  }
+  return {board, directory, entries, nowMillis};
+}
+
+function preparePlacement(size: FleetSize): (round: number) => void {
+  const {board, directory, nowMillis} = createPictures(size);
+  const chooser = createPlacementChooser({
+    directory,
+    board,
+    hostKey: '10.9.9.9:80',
+    zone: 'zone-0',
+    region: 'region-0',
+    nowMillis,
+    random: Math.random,
+  });
+  const nobody = new Set<string>();
+  return round => {
+    const service = `service-${String(round % size.servicesCount)}`;
+    chooser.choose(service, nobody)?.end('served');
+  };
+}
+
+function prepareGate(size: FleetSize): (round: number) => void {
+  const {board} = createPictures(size);
+  const gate = createEntryGate(board);
+  const tree = new Map([
+    ['service-1', 1],
+    ['service-2', 4],
+    ['service-3', 2],
+  ]);
+  return round => {
+    const attemptId = `attempt-${String(round)}`;
+    gate.sheddingService({importance: 130, attemptId}, 'service-0', tree);
+  };
+}
+
+function prepareQueue(_size: FleetSize): (round: number) => void {
+  const queue = createUpstreamQueue(() => performance.now());
+  const request = {
+    importance: 1,
+    beganAtMillis: 0,
+    startByMillis: Infinity,
+    start: () => undefined,
+    expire: () => undefined,
+  };
+  return () => {
+    queue.offer(request);
+    queue.release(1);
+  };
+}
+
+function prepareEntryChange(size: FleetSize): (round: number) => void {
+  const {directory, entries} = createPictures(size);
+  return round => {
+    const entry = entries[round % entries.length];
+    if (entry !== undefined) directory.put([entry]);
+  };
+}
--- /dev/null
+++ b/bench/latency_bench.ts
@@ -0,0 +1,111 @@
+/**
+ * Latency that nodes add: the same requests straight to an upstream, through
+ * its own node, and through two nodes.
+ */
+import http from 'node:http';
+import type {FleetHost} from '../test/fakes/platform_fleet.js';
+import {
+  FLEET_HOST_NAME,
+  fleetPath,
+  startPlatformFleet,
+} from '../test/fakes/platform_fleet.js';
+
+/** Requests of each way, after as many tenths to warm up. */
+const REQUESTS_COUNT = 3000;
+const WARM_UP_RATIO = 0.1;
+
+interface Way {
+  readonly name: string;
+  readonly address: string;
+  readonly port: number;
+  readonly headers: Readonly<Record<string, string>>;
+}
+
+/** Measures the ways in turn, request by request, so that they share the load. */
+export async function measureLatency(): Promise<readonly string[]> {
+  const fleet = await startPlatformFleet({
+    services: ['atlas', 'orders'],
+    paths: [fleetPath()],
+  });
+  const [atlas, orders] = fleet.hosts as readonly [FleetHost, FleetHost];
+  const ways: readonly Way[] = [
+    {
+      name: 'direct',
+      address: orders.address,
+      port: fleet.appPort,
+      headers: {'expect-instance': orders.backend.id},
+    },
+    {
+      name: 'one node',
+      address: orders.address,
+      port: fleet.outboundPort,
+      headers: {},
+    },
+    {
+      name: 'two nodes',
+      address: atlas.address,
+      port: fleet.outboundPort,
+      headers: {},
+    },
+  ];
+  const samples = new Map(ways.map(way => [way.name, [] as number[]]));
+  const agent = new http.Agent({keepAlive: true});
+  const warmUpCount = REQUESTS_COUNT * WARM_UP_RATIO;
+  for (let index = 0; index < REQUESTS_COUNT + warmUpCount; index += 1) {
+    for (const way of ways) {
+      const millis = await timeRequest(
+        way,
+        agent,
+        `${way.name}-${String(index)}`,
+      );
+      if (index >= warmUpCount) samples.get(way.name)?.push(millis);
+    }
+  }
+  await fleet.close();
+  return report(ways, samples);
+}
+
+function timeRequest(way: Way, agent: http.Agent, id: string): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const startMillis = performance.now();
+    const request = http.get({
+      agent,
+      host: way.address,
+      port: way.port,
+      path: '/a/1',
+      headers: {
+        host: FLEET_HOST_NAME,
+        'attempt-id': id.replaceAll(' ', '-'),
+        'timeout-ms': '5000',
+        ...way.headers,
+      },
+    });
+    request.on('error', reject);
+    request.on('response', response => {
+      response.resume();
+      response.on('end', () => {
+        resolve(performance.now() - startMillis);
+      });
+    });
+  });
+}
+
+function report(
+  ways: readonly Way[],
+  samples: ReadonlyMap<string, readonly number[]>,
+): readonly string[] {
+  const direct = quantiles(samples.get('direct') ?? []);
+  return ways.map(({name}) => {
+    const {p50, p99} = quantiles(samples.get(name) ?? []);
+    const added = `added p50 ${(p50 - direct.p50).toFixed(2)} ms, p99 ${(p99 - direct.p99).toFixed(2)} ms`;
+    const ratio = `${(p50 / direct.p50).toFixed(2)} times direct`;
+    return `latency ${name}: p50 ${p50.toFixed(2)} ms, p99 ${p99.toFixed(2)} ms; ${added}; ${ratio}`;
+  });
+}
+
+function quantiles(values: readonly number[]): {p50: number; p99: number} {
+  const sorted = [...values].sort((a, b) => a - b);
+  const at = (ratio: number): number =>
+    sorted[Math.floor(sorted.length * ratio)] ?? 0;
+  return {p50: at(0.5), p99: at(0.99)};
+}
--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,26 @@
+/**
+ * Measurements, each as ratios within one run: `npm run bench -- [NAME]`.
+ */
+import {measureDecisions} from './decisions_bench.js';
+import {measureLatency} from './latency_bench.js';
+
+const MEASUREMENTS: ReadonlyMap<string, () => Promise<readonly string[]>> =
+  new Map([
+    ['decisions', measureDecisions],
+    ['latency', measureLatency],
+  ]);
+
+const [wanted] = process.argv.slice(2);
+const names = wanted === undefined ? [...MEASUREMENTS.keys()] : [wanted];
+
+for (const name of names) {
+  const measure = MEASUREMENTS.get(name);
+  if (measure === undefined) {
+    const known = [...MEASUREMENTS.keys()].join(', ');
+    process.stderr.write(`No measurement '${name}'; there are ${known}.\n`);
+    process.exit(2);
+  }
+  const lines = await measure();
+  process.stdout.write(`${lines.join('\n')}\n`);
+}
+process.exit(0);
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,12 +8,14 @@
 import {consoleCommand} from './console/console_command.js';
 import {policyCommand} from './policy_command.js';
 import {stateCommand} from './state_command.js';
+import {traceCommand} from './trace_command.js';
 
 await yargs(hideBin(process.argv))
   .scriptName('fulmarhollow')
   .command(policyCommand)
   .command(consoleCommand)
   .command(stateCommand)
+  .command(traceCommand)
   .demandCommand(1, 'a command is needed; --help lists them')
   .strict()
   .fail((message, error) => {
--- /dev/null
+++ b/src/cli/trace_command.ts
@@ -0,0 +1,149 @@
+/**
+ * `fulmarhollow trace ID [FILE...]`: what the logs of nodes say of one request.
+ */
+import {createReadStream} from 'node:fs';
+import {createInterface} from 'node:readline';
+import type {Readable} from 'node:stream';
+import type {CommandModule} from 'yargs';
+import {describeError, InvalidInputError} from '../base/errors.js';
+
+/** Arguments of the command. */
+export interface TraceArguments {
+  readonly id: string;
+  readonly files: readonly string[];
+}
+
+/** One line of a log that concerns the request. */
+export interface TracedLine {
+  readonly time: string;
+  readonly node: string;
+  readonly event: string;
+  /** Other fields, as `name=value`. */
+  readonly fields: string;
+}
+
+/** Fields that every line has, and those shown apart. */
+const HIDDEN_FIELDS: ReadonlySet<string> = new Set([
+  'name',
+  'hostname',
+  'pid',
+  'level',
+  'msg',
+  'v',
+  'time',
+  'node',
+  'event',
+]);
+
+const EXIT_NOTHING_FOUND = 1;
+const EXIT_UNREADABLE = 2;
+
+/** Ids of calls are the id of their request, this, and a part of their own. */
+const ID_SEPARATOR = '.';
+
+/** The command for yargs. */
+export const traceCommand: CommandModule<object, TraceArguments> = {
+  command: 'trace <id> [files..]',
+  describe: 'show what logs say of a request and of the calls made for it',
+  builder: parser =>
+    parser
+      .positional('id', {
+        type: 'string',
+        demandOption: true,
+        describe: 'id of the request',
+      })
+      .positional('files', {
+        array: true,
+        type: 'string',
+        default: [],
+        describe: 'log files; standard input if there is none',
+      }),
+  handler: async args => {
+    process.exitCode = await printTrace(args, process.stdin, line => {
+      process.stdout.write(`${line}\n`);
+    });
+  },
+};
+
+/** Prints the lines in the order of their time; resolves with the exit code. */
+export async function printTrace(
+  args: TraceArguments,
+  input: Readable,
+  writeLine: (line: string) => void,
+): Promise<number> {
+  let lines: readonly TracedLine[];
+  try {
+    lines = await findLines(args, input);
+  } catch (error) {
+    writeLine(describeError(error));
+    return EXIT_UNREADABLE;
+  }
+  for (const {time, node, event, fields} of lines) {
+    writeLine(`${time} ${node} ${event} ${fields}`.trimEnd());
+  }
+  if (lines.length > 0) return 0;
+  writeLine(
+    `No line names ${args.id}; lines beyond a node's bound are left out, see suppressedCount.`,
+  );
+  return EXIT_NOTHING_FOUND;
+}
+
+async function findLines(
+  args: TraceArguments,
+  input: Readable,
+): Promise<readonly TracedLine[]> {
+  const found: TracedLine[] = [];
+  const streams =
+    args.files.length > 0
+      ? args.files.map(file => ({name: file, stream: createReadStream(file)}))
+      : [{name: 'standard input', stream: input}];
+  for (const {name, stream} of streams) {
+    try {
+      for await (const line of createInterface({input: stream})) {
+        const traced = traceLine(line, args.id);
+        if (traced !== undefined) found.push(traced);
+      }
+    } catch (cause) {
+      const props = {step: 'read-log', peer: name};
+      throw new InvalidInputError(`${name} cannot be read.`, {cause, props});
+    }
+  }
+  return found.sort((a, b) => (a.time < b.time ? -1 : 1));
+}
+
+/** The line if it concerns the request or a call made for it. */
+export function traceLine(text: string, id: string): TracedLine | undefined {
+  if (!text.includes(id)) return undefined;
+  const line = parseLine(text);
+  if (line === undefined) return undefined;
+  if (!concerns(line['requestId'], id) && !concerns(line['rootId'], id)) {
+    return undefined;
+  }
+  return {
+    time: String(line['time']),
+    node: String(line['node']),
+    event: String(line['event']),
+    fields: Object.entries(line)
+      .filter(([name]) => !HIDDEN_FIELDS.has(name))
+      .map(([name, value]) => `${name}=${String(value)}`)
+      .join(' '),
+  };
+}
+
+/** Some log collectors put a time or a host before the JSON. */
+function parseLine(
+  text: string,
+): Readonly<Record<string, unknown>> | undefined {
+  const start = text.indexOf('{');
+  if (start < 0) return undefined;
+  try {
+    return JSON.parse(text.slice(start)) as Record<string, unknown>;
+  } catch {
+    return undefined;
+  }
+}
+
+function concerns(value: unknown, id: string): boolean {
+  if (typeof value !== 'string') return false;
+  return value === id || value.startsWith(`${id}${ID_SEPARATOR}`);
+}
--- a/src/connection/hop_questions.ts
+++ b/src/connection/hop_questions.ts
@@ -13,7 +13,7 @@
  * Time for one reply: a connection, a round trip between regions, and a busy
  * process at the other end.
  */
-const REPLY_MILLIS = 200;
+const REPLY_MILLIS = 400;
 
 /**
  * Questions asked at the same time. One packet in thirty is lost on a bad link,
--- a/src/connection/peer_watch.ts
+++ b/src/connection/peer_watch.ts
@@ -55,11 +55,14 @@
  * Silence of a peer that owes an answer after which it is asked: many times
  * the way between regions, and short against a request's own time.
  */
-const PEER_SILENT_MILLIS = 200;
+const PEER_SILENT_MILLIS = 250;
 
 /** Interval at which a peer that did not reply is asked again. */
 const LOST_ASK_MILLIS = 500;
 
+/** Other peers that are asked before one is taken for lost. */
+const WITNESSES_COUNT = 3;
+
 /** Age of one hop at which it is asked for although its peer is heard. */
 const HOP_SILENT_MILLIS = 500;
 
@@ -71,6 +74,8 @@
   askedMillis: number;
   isAsking: boolean;
   isLost: boolean;
+  /** Its last silence was put down to this node. */
+  wasExcused: boolean;
 }
 
 /** Creates a watch without hops. */
@@ -90,6 +95,7 @@
       askedMillis: 0,
       isAsking: false,
       isLost: false,
+      wasExcused: false,
     };
     peers.set(key, created);
     return created;
@@ -103,17 +109,37 @@
       peer.endpoint,
       asked.map(hop => hop.hopId),
     );
+    const isSilent =
+      states === undefined && peer.heardMillis < peer.askedMillis;
+    const isExcused = isSilent && !peer.wasExcused && (await isOwnFault(peer));
+    const isLost = isSilent && !isExcused;
+    peer.wasExcused = isExcused;
     peer.isAsking = false;
-    if (states === undefined) {
-      if (peer.heardMillis < peer.askedMillis) losePeer(peer, asked);
-      return;
-    }
+    if (isLost) losePeer(peer, asked);
+    if (states === undefined) return;
     hear(peer);
     for (const [index, hop] of asked.entries()) {
       settle(peer, hop, states[index] ?? 'working');
     }
   };
 
+  /**
+   * If the peers heard last do not reply either, the fault is more likely here:
+   * a process that is slow itself would give up requests that are well. Once
+   * only: a node that is cut off has nobody to ask, and its own upstream.
+   */
+  const isOwnFault = async (peer: Peer): Promise<boolean> => {
+    const others = [...peers.values()]
+      .filter(other => other !== peer && !other.isLost)
+      .sort((a, b) => b.heardMillis - a.heardMillis)
+      .slice(0, WITNESSES_COUNT);
+    if (others.length === 0) return false;
+    const replies = await Promise.all(
+      others.map(other => options.ask(other.endpoint, [])),
+    );
+    return replies.every(reply => reply === undefined);
+  };
+
   const losePeer = (peer: Peer, asked: readonly WatchedHop[]): void => {
     const wasLost = peer.isLost;
     peer.isLost = true;
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -63,6 +63,7 @@
     region: settings.region,
     hostKey: settings.hostName,
     outbound: settings.listen.caller,
+    local: settings.listen.local,
     inbound: settings.listen.peer,
     ready: undefined,
     operators: settings.listen.admin,
--- a/src/daemon/node_decisions.ts
+++ b/src/daemon/node_decisions.ts
@@ -12,7 +12,7 @@
 import {createInFlightParents} from '../process/in_flight_parents.js';
 import type {LoadBoard, LoadReport} from '../process/load_board.js';
 import {createLoadBoard} from '../process/load_board.js';
-import type {NodeSettings} from '../process/node_settings.js';
+import type {NodeSettings, RepeatBound} from '../process/node_settings.js';
 import type {PlacementChooser} from '../process/placement.js';
 import {createPlacementChooser} from '../process/placement.js';
 import type {RepeatBudget} from '../process/repeat_budget.js';
@@ -86,7 +86,7 @@
     parents: createInFlightParents(),
     trees: createCallTrees(),
     budget: createRepeatBudget({
-      bound: () => settings().repeatBound,
+      bound: () => repeatBoundOf(configuration, settings(), directory.count()),
       nowMillis,
       nodesCount: directory.count,
     }),
@@ -118,6 +118,26 @@
   };
 }
 
+/** Window of a budget that the configuration names. */
+const BUDGET_WINDOW_MILLIS = 10_000;
+const MILLIS_PER_SECOND = 1000;
+
+/** The configuration's budget is one node's, the settings' bound the fleet's. */
+function repeatBoundOf(
+  configuration: ConfigurationHolder,
+  settings: NodeSettings,
+  nodesCount: number,
+): RepeatBound {
+  const budget = configuration.current()?.retryBudget;
+  if (budget === undefined) return settings.repeatBound;
+  const windowSeconds = BUDGET_WINDOW_MILLIS / MILLIS_PER_SECOND;
+  return {
+    ratio: budget.ratio,
+    windowMillis: BUDGET_WINDOW_MILLIS,
+    slackCount: budget.minimumPerSecond * windowSeconds * nodesCount,
+  };
+}
+
 /** What the own upstream's entry says when it changes. */
 interface ChangedEntry {
   readonly hostKey: string;
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -51,6 +51,7 @@
 /** Ports of a node's listeners. */
 export interface NodePorts {
   readonly outboundPort: number;
+  readonly localPort: number | undefined;
   readonly inboundPort: number;
 }
 
@@ -91,6 +92,13 @@
     endpoint: settings.outbound,
     handle: exchanges.outbound.handle,
   });
+  const local =
+    settings.local === undefined
+      ? undefined
+      : await openNodeListener({
+          endpoint: settings.local,
+          handle: exchanges.outbound.handleLocal,
+        });
   const inbound = await openNodeListener({
     endpoint: settings.inbound,
     handle: exchanges.inbound.handle,
@@ -109,7 +117,10 @@
   });
   store.add(feeds);
   const busyCount = (): number =>
-    outbound.busyCount + inbound.busyCount + exchanges.executingCount;
+    outbound.busyCount +
+    inbound.busyCount +
+    (local?.busyCount ?? 0) +
+    exchanges.executingCount;
   store.add(
     startNodeUpkeep({
       decisions,
@@ -127,7 +138,11 @@
   ];
 
   return {
-    ports: {outboundPort: outbound.port, inboundPort: inbound.port},
+    ports: {
+      outboundPort: outbound.port,
+      localPort: local?.port,
+      inboundPort: inbound.port,
+    },
     waitingFor,
     stop: async () => {
       isStopping = true;
@@ -136,7 +151,7 @@
       const lastMillis =
         startedMillis + current.graceMillis - END_MARGIN_MILLIS;
       await untilIdle(busyCount, startedMillis + NOTICE_MILLIS, lastMillis);
-      closeAll([outbound, inbound]);
+      closeAll([outbound, local, inbound]);
       store.dispose();
     },
     applySettings: next => {
@@ -145,7 +160,7 @@
       return isMoved ? 'needs-restart' : 'applied';
     },
     dispose: () => {
-      closeAll([outbound, inbound]);
+      closeAll([outbound, local, inbound]);
       store.dispose();
       documents.source.dispose();
     },
@@ -182,14 +197,14 @@
   }
 }
 
-function closeAll(listeners: readonly NodeListener[]): void {
-  for (const listener of listeners) listener.close();
+function closeAll(listeners: readonly (NodeListener | undefined)[]): void {
+  for (const listener of listeners) listener?.close();
 }
 
 /** The addresses that listeners and clients were opened with. */
 function addressesOf(settings: NodeSettings): string {
-  const {outbound, inbound, ready, upstream, store} = settings;
-  return [outbound, inbound, ready, upstream, store]
+  const {outbound, local, inbound, ready, upstream, store} = settings;
+  return [outbound, local, inbound, ready, upstream, store]
     .map(at => `${at?.address ?? ''}:${String(at?.port ?? 0)}`)
     .join(' ');
 }
--- a/src/emulator/fleet_host.ts
+++ b/src/emulator/fleet_host.ts
@@ -19,6 +19,7 @@
 /** Ports of a host that stay the same over restarts. */
 export interface FleetHostPorts {
   readonly caller: number;
+  readonly local: number;
   readonly peer: number;
   readonly admin: number;
   readonly upstream: number;
@@ -73,6 +74,7 @@
 export async function takeHostPorts(block: PortBlock): Promise<FleetHostPorts> {
   return {
     caller: await block.take(),
+    local: await block.take(),
     peer: await block.take(),
     admin: await block.take(),
     upstream: await block.take(),
@@ -113,7 +115,7 @@
       hostName: identity.name,
       service: identity.service,
       port: ports.upstream,
-      localPort: ports.caller,
+      localPort: ports.local,
       slotsCount: options.slotsCount,
       routes: options.routes,
     };
@@ -200,6 +202,7 @@
     region: identity.region,
     listen: {
       caller: {address, port: ports.caller},
+      local: {address, port: ports.local},
       peer: {address, port: ports.peer},
       admin: {address, port: ports.admin},
     },
--- a/src/process/node_settings.ts
+++ b/src/process/node_settings.ts
@@ -26,6 +26,8 @@
   readonly hostKey: string;
   /** Where clients of this host and its upstream send requests. */
   readonly outbound: Endpoint;
+  /** Where the upstream sends its calls, if apart from its host's clients. */
+  readonly local?: Endpoint;
   /** Where other nodes send requests for the upstream of this host. */
   readonly inbound: Endpoint;
   /** Where only readiness is asked for, if apart from `operators`. */
--- a/src/process/own_settings.ts
+++ b/src/process/own_settings.ts
@@ -11,8 +11,10 @@
 
 /** All listeners of one node. */
 export interface ListenSettings {
-  /** Requests of callers and of the upstream on this host. */
+  /** Requests of callers of the availability zone. */
   readonly caller: ListenAddress;
+  /** Requests of the upstream on this host; loopback only. */
+  readonly local: ListenAddress;
   /** Requests of other nodes. */
   readonly peer: ListenAddress;
   /** Reads by operators. */
--- a/src/process/own_settings_schema.ts
+++ b/src/process/own_settings_schema.ts
@@ -1,7 +1,7 @@
 /**
  * Checks a settings file whole and reports every problem in one go.
  */
-import {isIP} from 'node:net';
+import {isIP, isIPv4} from 'node:net';
 import * as Effect from 'effect/Effect';
 import * as Schema from 'effect/Schema';
 
@@ -24,6 +24,10 @@
 
 const WILDCARD_ADDRESSES: ReadonlySet<string> = new Set(['0.0.0.0', '::']);
 
+const loopbackAddressField = Schema.String.annotate({
+  description: 'a loopback address, in 127.0.0.0/8 or ::1',
+}).check(Schema.makeFilter(isLoopback));
+
 const listenSchema = Schema.Struct({
   address: addressField,
   port: wholeNumberField({minimum: 0, maximum: PORT_MAXIMUM}),
@@ -47,9 +51,13 @@
   region: nameField,
   listen: Schema.Struct({
     caller: listenSchema,
+    local: Schema.Struct({
+      address: loopbackAddressField,
+      port: wholeNumberField({minimum: 0, maximum: PORT_MAXIMUM}),
+    }),
     peer: listenSchema,
     admin: listenSchema,
-  }).annotate({description: 'an object with caller, peer and admin'}),
+  }).annotate({description: 'an object with caller, local, peer and admin'}),
   upstream: connectSchema,
   platformUrl: platformUrlField,
   graceMillis: wholeNumberField(
@@ -73,6 +81,11 @@
   return {kind: 'parsed', settings};
 }
 
+function isLoopback(text: string): boolean {
+  const isV4 = isIPv4(text) && text.startsWith('127.');
+  return isV4 || text === '::1';
+}
+
 function isPlatformUrl(text: string): boolean {
   if (!URL.canParse(text)) return false;
   const {host, hostname, origin} = new URL(text);
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -139,16 +139,13 @@
     return false;
   }
   if (sentCount >= route.maxAttemptsCount) return false;
-  // A repeat below a repeat multiplies; the one nearest the client decides.
-  if (call.origin.isRepeat) return false;
-  if (call.origin.grant.remaining() < 1) return false;
-  if (!mayRepeat(options, request, end)) return false;
-  return call.origin.grant.trySpend();
+  return mayRepeat(options, request, end);
 }
 
 /**
- * What went to a node that then fell silent most likely never arrived, so the
- * budget, which bounds what services receive, is charged but not asked.
+ * What went to a node that then fell silent most likely never arrived. Grant
+ * and budget bound what services receive, so the repeat costs no grant, and the
+ * budget is charged without being asked.
  */
 function mayRepeat(
   options: AttemptsOptions,
@@ -156,11 +153,14 @@
   end: ExecutionEnd,
 ): boolean {
   const counts = expectedCalls(options, request);
-  if (end.kind !== 'unknown' || end.reason !== 'silent') {
-    return options.budget.tryTake(counts);
+  if (end.kind === 'unknown' && end.reason === 'silent') {
+    options.budget.take(counts);
+    return true;
   }
-  options.budget.take(counts);
-  return true;
+  // A repeat below a repeat multiplies; the one nearest the client decides.
+  const {grant, isRepeat} = request.call.origin;
+  if (isRepeat || grant.remaining() < 1) return false;
+  return options.budget.tryTake(counts) && grant.trySpend();
 }
 
 /** Only a failure of the upstream itself: one below it would fail again. */
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -18,7 +18,7 @@
   InFlightParents,
 } from '../process/in_flight_parents.js';
 import {createRetryGrant} from '../process/shared_retry_grant.js';
-import {importanceOf} from '../process/importance.js';
+import {importanceOf, LEAST_IMPORTANT} from '../process/importance.js';
 import type {RepeatBudget} from '../process/repeat_budget.js';
 import type {WeightedTargets} from '../process/weighted_targets.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
@@ -28,7 +28,10 @@
 
 /** Answers requests that enter here. */
 export interface OutboundExchanges {
+  /** Requests of clients, and of the upstream where it has no other way in. */
   handle(exchange: Exchange): Promise<void>;
+  /** Requests that only the upstream of this host can have sent. */
+  handleLocal(exchange: Exchange): Promise<void>;
 }
 
 /** What it needs. */
@@ -79,14 +82,23 @@
     ...(options.names.isAttemptIdRequired ? [] : [options.names.attemptId]),
   ]);
   return {
-    handle: exchange => handle(options, exchange, ownHeaders),
+    handle: exchange => handle(options, exchange, {ownHeaders, isLocal: false}),
+    handleLocal: exchange =>
+      handle(options, exchange, {ownHeaders, isLocal: true}),
   };
 }
 
+/** How a request came in. */
+interface EntryWay {
+  /** Headers that nodes set and others may not. */
+  readonly ownHeaders: ReadonlySet<string>;
+  readonly isLocal: boolean;
+}
+
 async function handle(
   options: OutboundOptions,
   exchange: Exchange,
-  ownHeaders: ReadonlySet<string>,
+  {ownHeaders, isLocal}: EntryWay,
 ): Promise<void> {
   const {answers, configuration} = options;
   const table = configuration.current();
@@ -109,7 +121,7 @@
     answers.reject(exchange, 400, 'no-attempt-id');
     return;
   }
-  const entered = enter(options, exchange, route, attemptId);
+  const entered = enter(options, exchange, {route, attemptId, isLocal});
   if (!passesGate(options, entered)) return;
   if (exchange.isBodyHeldBack) exchange.response.writeContinue();
   const bodyBytes = table.limits.bodyBytes;
@@ -123,6 +135,18 @@
   await serve(options, entered, headers, body.bytes);
 }
 
+/** A request as far as it is known when it enters. */
+interface RoutedRequest {
+  readonly route: ServiceRoute;
+  readonly attemptId: string;
+  /**
+   * A call of the upstream that lost its id has no parent. It counts as least
+   * important and is not repeated: dropping the id would otherwise be a way
+   * around the bound on repeats.
+   */
+  readonly isLocal: boolean;
+}
+
 /** The client's id, or one of this node's where clients need not give one. */
 function readAttemptId(
   options: OutboundOptions,
@@ -136,20 +160,19 @@
 function enter(
   options: OutboundOptions,
   exchange: Exchange,
-  route: ServiceRoute,
-  attemptId: string,
+  {route, attemptId, isLocal}: RoutedRequest,
 ): EnteredRequest {
   const arrivedMillis = options.nowMillis();
   const timeoutMillis = readTimeout(options, exchange) ?? route.timeoutMillis;
   const parent = options.parents.find(attemptId);
   options.answers.countEntered(parent !== undefined);
   const origin = parent?.origin ?? {
-    importance: importanceOf(route.rank, attemptId),
+    importance: isLocal ? LEAST_IMPORTANT : importanceOf(route.rank, attemptId),
     rootId: attemptId,
     rootRouteName: route.name,
     rootBeganAtMillis: arrivedMillis,
-    isRepeat: false,
-    grant: createRetryGrant(route.repeatsCount),
+    isRepeat: isLocal,
+    grant: createRetryGrant(isLocal ? 0 : route.repeatsCount),
   };
   return {
     exchange,
--- a/src/version/policy_routes.ts
+++ b/src/version/policy_routes.ts
@@ -32,6 +32,7 @@
   return {
     version: compiled.version,
     limits: {...CALLER_LIMITS, bodyBytes: compiled.policy.bodies.requestBytes},
+    retryBudget: compiled.policy.retryBudget,
     document: Buffer.from(compiled.documentBytes).toString('utf8'),
     match: ({method, host, target}) => {
       const match = compiled.findRoute(
--- a/src/version/route_configuration.ts
+++ b/src/version/route_configuration.ts
@@ -48,6 +48,14 @@
   readonly idleMillis: number;
 }
 
+/** Bound on the repeats of one node. */
+export interface RetryBudget {
+  /** Repeats for each request. */
+  readonly ratio: number;
+  /** Repeats on top. */
+  readonly minimumPerSecond: number;
+}
+
 /** Everything of one version. */
 export interface RouteConfiguration {
   readonly version: number;
--- a/src/version/route_table.ts
+++ b/src/version/route_table.ts
@@ -3,6 +3,7 @@
  */
 import type {
   ClientLimits,
+  RetryBudget,
   RouteConfiguration,
   ServiceRoute,
 } from './route_configuration.js';
@@ -20,6 +21,8 @@
 export interface RouteTable {
   readonly version: number;
   readonly limits: ClientLimits;
+  /** What a node may spend on repeats, if the document names it. */
+  readonly retryBudget?: RetryBudget;
   /** The document as published. */
   readonly document: string;
   /** The route of a request, or `undefined` if none matches. */
--- a/test/contract/daemon_settings.test.ts
+++ b/test/contract/daemon_settings.test.ts
@@ -187,6 +187,7 @@
   const {port} = taken.address() as net.AddressInfo;
   const listen = {
     caller: {address: '127.0.0.1', port},
+    local: {address: '127.0.0.1', port: 0},
     peer: {address: '127.0.0.1', port: 0},
     admin: {address: '127.0.0.1', port: 0},
   };
--- a/test/fakes/minimal_settings.ts
+++ b/test/fakes/minimal_settings.ts
@@ -11,6 +11,7 @@
     region: 'region-1',
     listen: {
       caller: {address: '127.0.0.1', port: 0},
+      local: {address: '127.0.0.1', port: 0},
       peer: {address: '127.0.0.1', port: 0},
       admin: {address: '127.0.0.1', port: 0},
     },
--- a/test/fakes/platform_fleet.ts
+++ b/test/fakes/platform_fleet.ts
@@ -58,6 +58,8 @@
   readonly store: StandInStore;
   readonly hosts: readonly FleetHost[];
   readonly outboundPort: number;
+  /** Port of every upstream. */
+  readonly appPort: number;
   /** Sends a request to the node of a host, as its clients do. */
   send(host: FleetHost, request: ClientRequest): Promise<ClientAnswer>;
   /** Publishes a configuration with the given routes as the next version. */
@@ -191,6 +193,7 @@
     store,
     hosts,
     outboundPort,
+    appPort,
     configure,
     send: (host, request) => sendRequest(host.address, outboundPort, request),
     publish: (host, fields = {}) => {
--- a/test/unit/connection/peer_watch.test.ts
+++ b/test/unit/connection/peer_watch.test.ts
@@ -63,11 +63,28 @@
   const {send, events, advance} = createFixture(t, () => undefined);
   send('lookup', true);
   send('order', false);
-  advance(250);
+  advance(300);
   await waitUntil('given up', () => events.length === 2);
   t.deepEqual(events, ['peer p 1', 'lookup given up']);
 });
 
+test('a node that hears nobody blames itself first', async t => {
+  // Symptom: a slow node answers its clients with failures, and sends their
+  // requests twice. It took its own delay for the silence of all peers.
+  const {watch, send, events, advance, asksCount} = createFixture(
+    t,
+    () => undefined,
+  );
+  watch.noteHeard({address: 'q', port: 1});
+  send('lookup', true);
+  advance(300);
+  await waitUntil('asked with a witness', () => asksCount() === 2);
+  t.deepEqual(events, []);
+  t.false(watch.isLost({address: 'p', port: 1}));
+  advance(600);
+  await waitUntil('lost', () => events.includes('lookup given up'));
+});
+
 test('a lost peer is asked until it replies, and avoided meanwhile', async t => {
   // Symptom: long after a partition began, every other request still waits for
   // a peer behind it. Cause: requests themselves were sent to try the peer.
@@ -75,7 +92,7 @@
     asking < 3 ? undefined : [],
   );
   send('lookup', true);
-  advance(250);
+  advance(300);
   await waitUntil('lost', () => events.includes('lookup given up'));
   t.true(watch.isLost({address: 'p', port: 1}));
   advance(600);
@@ -91,7 +108,7 @@
   // has forgotten, while new connections work.
   const {send, events, advance} = createFixture(t, () => ['unknown']);
   send('order', false);
-  advance(250);
+  advance(300);
   await waitUntil('given up', () => events.includes('order not run'));
   t.deepEqual(events, ['hop unknown', 'order not run']);
 });
@@ -101,7 +118,7 @@
     'finished',
   ]);
   send('order', false);
-  advance(250);
+  advance(300);
   await waitUntil('asked', () => asksCount() === 1);
   t.deepEqual(events, []);
   advance(600);
--- a/test/unit/process/own_settings_schema.test.ts
+++ b/test/unit/process/own_settings_schema.test.ts
@@ -46,7 +46,7 @@
   {
     title: 'missing group',
     replaced: {listen: undefined},
-    line: /^\$\.listen: found nothing, allowed: an object with caller, peer/,
+    line: /^\$\.listen: found nothing, allowed: an object with caller, local/,
   },
   {
     title: 'null for a field with a default',
@@ -78,6 +78,11 @@
     replaced: {upstream: {address: 'fe80::1%lo', port: 80}},
     line: /^\$\.upstream\.address: found "fe80::1%lo", allowed: an IP address, .* without a zone index/,
   },
+  {
+    title: 'local listener that other hosts can reach',
+    replaced: listenWith({local: {address: '0.0.0.0', port: 0}}),
+    line: /^\$\.listen\.local\.address: found "0\.0\.0\.0", allowed: a loopback address/,
+  },
   {
     title: 'platform by name',
     replaced: {platformUrl: 'http://platform:80'},
