--- a/src/connection/answer_sender.ts
+++ b/src/connection/answer_sender.ts
@@ -38,7 +38,9 @@
   if (answer.rest === undefined) {
     addLength(fields, answer, form);
     response.writeHead(answer.statusCode, fields);
-    response.end(answer.start);
+    // As text the body goes out in one write with the header; as bytes it would
+    // be a second one.
+    response.end(answer.start.toString('latin1'), 'latin1');
     return;
   }
   const length = headerOf(answer.headers, 'content-length');
--- a/src/connection/kept_connections.ts
+++ b/src/connection/kept_connections.ts
@@ -37,6 +37,13 @@
   options: KeptConnectionsOptions,
 ): http.Agent {
   return new (class extends http.Agent {
+    /**
+     * Name of a pool. The library's own builds a longer one from options that
+     * are never set here, for each request.
+     */
+    override getName(options: http.ClientRequestArgs): string {
+      return `${options.host ?? ''}:${String(options.port ?? '')}`;
+    }
     /** Called by Node.js when a connection becomes idle. */
     override keepSocketAlive(socket: PooledSocket): boolean {
       const announced = announcedIdleMillis(socket);
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -64,7 +64,7 @@
 /** Connections to one node: four times the slots of large upstreams. */
 const MAX_SOCKETS_COUNT = 512;
 
-/** Random bytes of a hop's id. */
+/** Random bytes of the hop ids of one process. */
 const HOP_ID_BYTES = 8;
 
 /** Creates the sending side of one node. */
@@ -183,9 +183,15 @@
   return interpret(options, end, call, loan);
 }
 
+/** Tells the hops of this process from those of all others. */
+const HOP_ID_PREFIX = randomBytes(HOP_ID_BYTES).toString('hex');
+
+let hopsCount = 0;
+
 /** Unique among nodes for as long as it is remembered. */
 function newHopId(): string {
-  return randomBytes(HOP_ID_BYTES).toString('hex');
+  hopsCount += 1;
+  return `${HOP_ID_PREFIX}${hopsCount.toString(36)}`;
 }
 
 function hopHeaders(
--- a/src/process/upstream_directory.ts
+++ b/src/process/upstream_directory.ts
@@ -64,11 +64,14 @@
   const missingSince = new Set<string>();
   const leftIds = new Set<string>();
   let readyByService = new Map<string, KnownUpstream[]>();
+  let newestByHost = new Map<string, KnownUpstream>();
   let keepUntilMillis = 0;
 
   const index = (): void => {
     readyByService = new Map();
+    newestByHost = new Map();
     for (const upstream of known.values()) {
+      noteHost(newestByHost, upstream);
       if (upstream.entry.isDraining) continue;
       const list = readyByService.get(upstream.entry.service) ?? [];
       list.push(upstream);
@@ -137,7 +140,7 @@
     ready: service => readyByService.get(service) ?? [],
     find: id => known.get(id),
     hasLeft: id => leftIds.has(id),
-    atHost: hostKey => newestAt(known, hostKey),
+    atHost: hostKey => newestByHost.get(hostKey),
     count: () => known.size,
   };
 }
@@ -151,15 +154,13 @@
   }
 }
 
-function newestAt(
-  known: ReadonlyMap<string, KnownUpstream>,
-  hostKey: string,
-): KnownUpstream | undefined {
-  let newest: KnownUpstream | undefined;
-  for (const upstream of known.values()) {
-    if (upstream.entry.hostKey !== hostKey) continue;
-    if (newest && newest.firstSeenMillis > upstream.firstSeenMillis) continue;
-    newest = upstream;
-  }
-  return newest;
+/** An address may be used again while the entry before is still known. */
+function noteHost(
+  newestByHost: Map<string, KnownUpstream>,
+  upstream: KnownUpstream,
+): void {
+  const {hostKey} = upstream.entry;
+  const known = newestByHost.get(hostKey);
+  if (known && known.firstSeenMillis > upstream.firstSeenMillis) return;
+  newestByHost.set(hostKey, upstream);
 }
