Ask about hops only where it tells something

Cause: every hop older than 500 ms brought two questions on fresh connections, and under load most are. Change: 900 ms, one question, two only if the peer is silent altogether.

--- a/src/connection/hop_questions.ts
+++ b/src/connection/hop_questions.ts
@@ -16,10 +16,10 @@
 const REPLY_MILLIS = 400;
 
 /**
- * Questions asked at the same time. One packet in thirty is lost on a bad link,
+ * Urgent questions asked at the same time. One packet in thirty is lost on a bad link,
  * and a lost first packet is sent again only after a second.
  */
-const QUESTIONS_COUNT = 2;
+const URGENT_COUNT = 2;
 
 /** Ids in one question; a header holds some hundred. */
 const MAX_IDS_COUNT = 200;
@@ -27,10 +27,10 @@
 const SEPARATOR = ',';
 
 /** Asks a node for the states of hops. */
-export const askPeer: AskPeer = async (peer, hopIds) => {
+export const askPeer: AskPeer = async (peer, hopIds, isUrgent) => {
   const ids = hopIds.slice(0, MAX_IDS_COUNT);
   const replies = await Promise.all(
-    Array.from({length: QUESTIONS_COUNT}, () => askOnce(peer, ids)),
+    Array.from({length: isUrgent ? URGENT_COUNT : 1}, () => askOnce(peer, ids)),
   );
   return replies.find(reply => reply !== undefined);
 };
--- a/src/connection/peer_watch.ts
+++ b/src/connection/peer_watch.ts
@@ -34,10 +34,14 @@
   noteHeard(peer: Endpoint): void;
 }
 
-/** Asks a peer for the states of hops; `undefined` if it does not reply. */
+/**
+ * Asks a peer for the states of hops; `undefined` if it does not reply. Urgent
+ * questions must not fail because of one lost packet.
+ */
 export type AskPeer = (
   peer: Endpoint,
   hopIds: readonly string[],
+  isUrgent: boolean,
 ) => Promise<readonly HopState[] | undefined>;
 
 /** What a watch needs. */
@@ -63,8 +67,12 @@
 /** Other peers that are asked before one is taken for lost. */
 const WITNESSES_COUNT = 3;
 
-/** Age of one hop at which it is asked for although its peer is heard. */
-const HOP_SILENT_MILLIS = 500;
+/**
+ * Age of one hop at which it is asked for although its peer is heard: most of
+ * a second, since under load many requests last half of one, and each question
+ * costs a connection.
+ */
+const HOP_SILENT_MILLIS = 900;
 
 interface Peer {
   readonly endpoint: Endpoint;
@@ -103,14 +111,16 @@
 
   const check = async (peer: Peer): Promise<void> => {
     const asked = [...peer.hops];
+    const isUrgent = nowMillis() - peer.heardMillis > PEER_SILENT_MILLIS;
     peer.isAsking = true;
     peer.askedMillis = nowMillis();
     const states = await options.ask(
       peer.endpoint,
       asked.map(hop => hop.hopId),
+      isUrgent,
     );
     const isSilent =
-      states === undefined && peer.heardMillis < peer.askedMillis;
+      isUrgent && states === undefined && peer.heardMillis < peer.askedMillis;
     const isExcused = isSilent && !peer.wasExcused && (await isOwnFault(peer));
     const isLost = isSilent && !isExcused;
     peer.wasExcused = isExcused;
@@ -135,7 +145,7 @@
       .slice(0, WITNESSES_COUNT);
     if (others.length === 0) return false;
     const replies = await Promise.all(
-      others.map(other => options.ask(other.endpoint, [])),
+      others.map(other => options.ask(other.endpoint, [], false)),
     );
     return replies.every(reply => reply === undefined);
   };
