--- a/eslint.config.js
+++ b/eslint.config.js
@@ -121,6 +121,8 @@
   {
     files: ['*.js'],
     rules: {'import-x/no-default-export': 'off'},
-    languageOptions: {globals: {process: 'readonly', console: 'readonly'}},
+    languageOptions: {
+      globals: {process: 'readonly', console: 'readonly', URL: 'readonly'},
+    },
   },
 );
