Demo: enough reads that one meets the broken connection

Cause: a single read was often placed at the other upstream, and the demo ended with 'the read was not retried' (seen in its first run on the new path). Change: eight reads at the host with the fault.

--- a/src/emulator/demo.ts
+++ b/src/emulator/demo.ts
@@ -20,6 +20,9 @@
 const STOP_LIMIT_MILLIS = 40_000;
 const CALLER_TIMEOUT_MILLIS = 5000;
 
+/** Enough that each upstream of a service gets one. */
+const READS_COUNT = 8;
+
 /** A request of the demonstration and what must come back. */
 interface DemoRequest {
   readonly label: string;
@@ -140,23 +143,22 @@
   return [...problems, 'the order was not executed exactly once'];
 }
 
-/** A read whose first attempt meets an upstream that breaks the connection. */
+/** Reads of which one meets an upstream that breaks the connection. */
 async function showRetry(fleet: Fleet): Promise<readonly string[]> {
   await fleet
     .host('tileyard-ilorin-b-1')
     .setUpstreamFault({mode: 'reset', remainingCount: 1});
-  const results = await sendAll(fleet, [
-    {
-      label: 'browse a tile',
-      host: 'catalogue-ilorin-b-1',
-      service: 'tileyard',
-      method: 'GET',
-      path: '/tiles/9/1/2',
-    },
-  ]);
+  const read: DemoRequest = {
+    label: 'browse a tile',
+    host: 'tileyard-ilorin-b-1',
+    service: 'tileyard',
+    method: 'GET',
+    path: '/tiles/9/1/2',
+  };
+  const results = await sendAll(fleet, Array(READS_COUNT).fill(read));
   const problems = showResults('A connection breaks at an upstream', results);
-  const isRetried = results.every(({result}) => result.retriesSpentCount > 0);
-  return isRetried ? problems : [...problems, 'the read was not retried'];
+  const isRetried = results.some(({result}) => result.retriesSpentCount > 0);
+  return isRetried ? problems : [...problems, 'no read was retried'];
 }
 
 async function showVersions(
