Keep idle connections to an upstream that answers others

Cause: every request that ended without an answer on a kept connection, also one whose client had left or whose route had timed out, closed all idle connections to the upstream. Change: only if the upstream answered nothing since the request was sent.

--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -69,8 +69,10 @@
     maxIdleMillis: MAX_IDLE_MILLIS,
     maxSocketsCount: MAX_SOCKETS_COUNT,
   });
+  let answersCount = 0;
   return {
     send: async request => {
+      const answersBefore = answersCount;
       const end = await sendRequest({
         to: upstream,
         agent,
@@ -82,9 +84,13 @@
         connectTimeoutMillis: CONNECT_TIMEOUT_MILLIS,
         cancel: request.cancel,
       });
+      if (end.kind === 'answer') answersCount += 1;
       // A request that hung to its end on a kept connection may have been lost
-      // with it, and the other idle ones fell silent at the same moment.
-      if (end.kind === 'lost' && end.wasReused) {
+      // with it, and the other idle ones fell silent at the same moment. Not if
+      // anything was answered meanwhile: an upstream that is slow would have its
+      // connections opened anew with each timeout.
+      const wasSilent = answersCount === answersBefore;
+      if (end.kind === 'lost' && end.wasReused && wasSilent) {
         dropIdleConnections(agent, upstream);
       }
       return interpret(end, request, names);
