--- a/src/connection/answer_sender.ts
+++ b/src/connection/answer_sender.ts
@@ -2,41 +2,33 @@
  * Writes an answer on a connection, so that an incomplete one never looks
  * complete.
  */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
+import type {Readable} from 'node:stream';
 import {pipeline} from 'node:stream';
-import {HOP_HEADER} from '../protocol/hop_headers.js';
 import type {ReceivedAnswer} from './received_answer.js';
 import {headerOf} from './received_answer.js';
 
-/** Who receives an answer, and how it was asked for. */
-export interface AnswerForm {
-  /** `HEAD` is answered without a body. */
-  readonly method: string;
-  /** The answer goes to another node, which learns how it was framed. */
-  readonly isForNode: boolean;
-}
-
-/** Sends an answer with the given headers in place of its own. */
+/**
+ * Sends an answer with the given headers in place of its own; `HEAD` is
+ * answered without a body.
+ */
 export function sendAnswer(
   response: ServerResponse,
   answer: ReceivedAnswer,
   headers: readonly string[],
-  form: AnswerForm,
+  method: string,
 ): void {
   if (response.destroyed) {
     answer.rest?.destroy();
     return;
   }
   const fields = [...headers];
-  if (answer.isUnframed && hasBody(answer, form)) {
-    if (form.isForNode) fields.push(HOP_HEADER.unframed, '1');
-    else {
-      sendUnframed(response, answer, fields);
-      return;
-    }
+  if (answer.isUnframed && hasBody(answer, method)) {
+    sendUnframed(response, answer, fields);
+    return;
   }
   if (answer.rest === undefined) {
-    addLength(fields, answer, form);
+    addLength(fields, answer, method);
     response.writeHead(answer.statusCode, fields);
     // As text the body goes out in one write with the header; as bytes it would
     // be a second one.
@@ -83,14 +75,14 @@
 function writeWithRest(
   response: ServerResponse,
   answer: ReceivedAnswer,
-  rest: IncomingMessage,
+  rest: Readable,
 ): void {
   response.write(answer.start);
   pipeline(rest, response, () => undefined);
 }
 
-function hasBody(answer: ReceivedAnswer, form: AnswerForm): boolean {
-  return form.method !== 'HEAD' && !NO_BODY_STATUS_CODES.has(answer.statusCode);
+function hasBody(answer: ReceivedAnswer, method: string): boolean {
+  return method !== 'HEAD' && !NO_BODY_STATUS_CODES.has(answer.statusCode);
 }
 
 const NO_BODY_STATUS_CODES: ReadonlySet<number> = new Set([204, 304]);
@@ -98,14 +90,14 @@
 function addLength(
   fields: string[],
   answer: ReceivedAnswer,
-  form: AnswerForm,
+  method: string,
 ): void {
-  if (hasBody(answer, form)) {
+  if (hasBody(answer, method)) {
     fields.push('content-length', String(answer.start.length));
     return;
   }
   const length = headerOf(answer.headers, 'content-length');
-  if (form.method === 'HEAD' && length !== undefined) {
+  if (method === 'HEAD' && length !== undefined) {
     fields.push('content-length', length);
   }
 }
--- a/src/connection/execution.ts
+++ b/src/connection/execution.ts
@@ -4,7 +4,7 @@
 import type {CancelSignal} from '../base/cancel_signal.js';
 import type {CallCounts} from '../process/call_trees.js';
 import type {CallOrigin} from '../process/in_flight_parents.js';
-import type {HopReason} from '../protocol/hop_headers.js';
+import type {HopReason} from '../protocol/hop_messages.js';
 import type {RawHeaders} from './raw_headers.js';
 import type {ReceivedAnswer} from './received_answer.js';
 
@@ -41,8 +41,6 @@
   | {
       readonly kind: 'refused';
       readonly reason: HopReason;
-      /** Time after which there may be room. */
-      readonly retryAfterMillis: number;
     }
   /** It may have run. */
   | {
--- /dev/null
+++ b/src/connection/frame_connection.ts
@@ -0,0 +1,94 @@
+/**
+ * A connection between two nodes that carries frames.
+ */
+import type {Socket} from 'node:net';
+import {describeError} from '../base/errors.js';
+import type {Frame, FrameKind} from '../protocol/hop_frames.js';
+import {createFrameReader, encodeFrame} from '../protocol/hop_frames.js';
+
+/** One end of a connection. */
+export interface FrameConnection {
+  /** Queues a frame; frames of one turn of the event loop go out together. */
+  send(kind: FrameKind, channelId: number, ...parts: readonly Buffer[]): void;
+  /** When bytes came in last; 0 before the first. */
+  readonly heardMillis: number;
+  /** Sends what is queued and ends the connection. */
+  end(): void;
+  /** Closes at once. */
+  destroy(): void;
+}
+
+/** What a connection needs. */
+export interface FrameConnectionOptions {
+  readonly socket: Socket;
+  readonly nowMillis: () => number;
+  readonly onFrame: (frame: Frame) => void;
+  /** Called once, when the connection has closed for whatever reason. */
+  readonly onClosed: (reason: string) => void;
+}
+
+/** Carries frames on a socket, which may still be connecting. */
+export function createFrameConnection(
+  options: FrameConnectionOptions,
+): FrameConnection {
+  const {socket, nowMillis} = options;
+  let queued: Buffer[] = [];
+  let heardMillis = 0;
+  let closeReason = 'closed';
+  let isClosed = false;
+
+  const flush = (): void => {
+    const frames = queued;
+    queued = [];
+    if (isClosed || frames.length === 0) return;
+    const [first] = frames;
+    socket.write(
+      frames.length === 1 && first !== undefined
+        ? first
+        : Buffer.concat(frames),
+    );
+  };
+  const fail = (error: unknown): void => {
+    closeReason = describeError(error);
+    socket.destroy();
+  };
+  const reader = createFrameReader(options.onFrame);
+
+  socket.on('data', (chunk: Buffer) => {
+    heardMillis = nowMillis();
+    try {
+      reader.push(chunk);
+    } catch (error) {
+      // What follows bytes that are no frames cannot be understood either; the
+      // reason goes to the owner, who logs it.
+      fail(error);
+    }
+  });
+  socket.on('error', error => {
+    closeReason = describeError(error);
+  });
+  socket.on('close', () => {
+    isClosed = true;
+    queued = [];
+    options.onClosed(closeReason);
+  });
+  return {
+    send: (kind, channelId, ...parts) => {
+      if (isClosed) return;
+      // Many answers become ready in the same turn; each write of its own would
+      // cost a system call and a packet.
+      if (queued.length === 0) setImmediate(flush);
+      queued.push(encodeFrame(kind, channelId, parts));
+    },
+    get heardMillis() {
+      return heardMillis;
+    },
+    end: () => {
+      flush();
+      socket.end();
+    },
+    destroy: () => {
+      socket.destroy();
+    },
+  };
+}
--- /dev/null
+++ b/src/connection/hop_arrival.ts
@@ -0,0 +1,215 @@
+/**
+ * A request of another node while this node has it. Its sender may come back on
+ * another connection if the first one is lost.
+ */
+import type {CancelSignal} from '../base/cancel_signal.js';
+import {createCancelSource} from '../base/cancel_signal.js';
+import {FRAME_KIND} from '../protocol/hop_frames.js';
+import type {HopAnswer, HopRequest} from '../protocol/hop_messages.js';
+import {encodeHopAnswer} from '../protocol/hop_messages.js';
+import type {FrameConnection} from './frame_connection.js';
+import type {ReceivedAnswer} from './received_answer.js';
+import type {RestSender} from './rest_sender.js';
+import {startRestSender} from './rest_sender.js';
+
+/** Where a request came from, or its sender came back. */
+export interface HopChannel {
+  readonly connection: FrameConnection;
+  readonly channelId: number;
+  /** Loads of other upstreams have not been told here for a while. */
+  isReportDue(): boolean;
+  /** Nothing more is sent on the channel. */
+  close(): void;
+}
+
+/** What came of a request here. */
+export interface ArrivalEnd {
+  readonly answer: Omit<HopAnswer, 'message'>;
+  /** The upstream's answer, if it gave one. */
+  readonly received: ReceivedAnswer | undefined;
+}
+
+/** A request as its handler sees it. */
+export interface HopArrival {
+  readonly request: HopRequest;
+  /** Cancelled when its sender does not want it any more. */
+  readonly cancel: CancelSignal;
+  /** The whole body, asked for if it was held back; `undefined` if it never comes. */
+  fetchBody(): Promise<Buffer | undefined>;
+  /** Loads of other upstreams are to go with the answer. */
+  isReportDue(): boolean;
+  /** Answers; called once. */
+  answer(end: ArrivalEnd): void;
+}
+
+/** A request as its listener sees it. */
+export interface OwnedArrival extends HopArrival {
+  /** Its sender goes on with it on this channel. */
+  attach(channel: HopChannel): void;
+  /** A connection was lost; no matter if its sender has come back on another. */
+  detach(connection: FrameConnection): void;
+  /** Its sender has given it up. */
+  abandon(): void;
+  receiveBody(piece: Buffer, isLast: boolean): void;
+  /** The receiver of the rest has passed on so many bytes. */
+  grant(bytes: number): void;
+}
+
+/** What an arrival needs. */
+export interface HopArrivalOptions {
+  readonly request: HopRequest;
+  readonly inlineBody: Buffer;
+  readonly channel: HopChannel;
+  readonly bodyBytes: () => number;
+  /** Answered; so many bytes of the answer are kept. */
+  readonly onAnswered: (keptBytes: number) => void;
+  /** Nothing is left to be sent. */
+  readonly onDone: () => void;
+}
+
+/**
+ * Time in which a sender comes back after its connection was lost: a few round
+ * trips, and less than the half second for which work may outlive its client.
+ */
+const ORPHAN_MILLIS = 350;
+
+const NOTHING = Buffer.alloc(0);
+
+/** Creates the record of an arrival. */
+export function createHopArrival(options: HopArrivalOptions): OwnedArrival {
+  const {request} = options;
+  const source = createCancelSource();
+  let channel: HopChannel | undefined = options.channel;
+  let orphanTimer: NodeJS.Timeout | undefined;
+  let keptAnswer: Buffer | undefined;
+  let sender: RestSender | undefined;
+  let isAnswered = false;
+  let pieces: Buffer[] = [options.inlineBody];
+  let isBodyWhole = request.bodyForm === 'inline';
+  let isBodyWanted = request.bodyForm === 'follows';
+  let giveBody: (body: Buffer | undefined) => void = () => undefined;
+
+  const wantBody = (): void => {
+    isBodyWanted = true;
+    channel?.connection.send(FRAME_KIND.bodyWanted, channel.channelId);
+  };
+  const leaveChannel = (): void => {
+    channel?.close();
+    channel = undefined;
+  };
+  const abandon = (): void => {
+    clearTimeout(orphanTimer);
+    channel = undefined;
+    sender?.stop();
+    giveBody(undefined);
+    source.cancel();
+  };
+  const sendAnswer = (payload: Buffer): void => {
+    channel?.connection.send(FRAME_KIND.answer, channel.channelId, payload);
+  };
+  const sendRest = (received: ReceivedAnswer): void => {
+    const {rest} = received;
+    if (rest === undefined) return;
+    if (channel === undefined) {
+      rest.destroy();
+      options.onDone();
+      return;
+    }
+    sender = startRestSender({
+      connection: channel.connection,
+      channelId: channel.channelId,
+      rest,
+      onEnd: () => {
+        leaveChannel();
+        options.onDone();
+      },
+    });
+  };
+
+  return {
+    request,
+    cancel: source.signal,
+    fetchBody: () => {
+      if (isBodyWhole) return Promise.resolve(joined(pieces));
+      if (source.signal.isCancelled) return Promise.resolve(undefined);
+      return new Promise(resolve => {
+        giveBody = resolve;
+        if (!isBodyWanted) wantBody();
+      });
+    },
+    isReportDue: () => channel?.isReportDue() ?? false,
+    answer: ({answer, received}) => {
+      isAnswered = true;
+      clearTimeout(orphanTimer);
+      const payload = encodeHopAnswer(
+        {...answer, message: messageOf(received)},
+        received?.start ?? NOTHING,
+      );
+      sendAnswer(payload);
+      if (received?.rest !== undefined) {
+        options.onAnswered(0);
+        sendRest(received);
+        return;
+      }
+      leaveChannel();
+      keptAnswer = payload;
+      options.onAnswered(payload.length);
+      options.onDone();
+    },
+    attach: next => {
+      clearTimeout(orphanTimer);
+      channel = next;
+      if (isAnswered) {
+        if (keptAnswer !== undefined) sendAnswer(keptAnswer);
+        leaveChannel();
+        return;
+      }
+      if (isBodyWhole || !isBodyWanted) return;
+      // What had come of the body on the lost connection may have a hole.
+      pieces = [];
+      wantBody();
+    },
+    detach: connection => {
+      if (channel?.connection !== connection) return;
+      channel = undefined;
+      sender?.stop();
+      if (isAnswered) return;
+      orphanTimer = setTimeout(abandon, ORPHAN_MILLIS);
+    },
+    abandon,
+    receiveBody: (piece, isLast) => {
+      if (isBodyWhole) return;
+      pieces.push(piece);
+      if (bytesOf(pieces) > options.bodyBytes()) {
+        giveBody(undefined);
+        return;
+      }
+      if (!isLast) return;
+      isBodyWhole = true;
+      giveBody(joined(pieces));
+    },
+    grant: bytes => {
+      sender?.grant(bytes);
+    },
+  };
+}
+
+function joined(pieces: readonly Buffer[]): Buffer {
+  const [first] = pieces;
+  if (pieces.length === 1 && first !== undefined) return first;
+  return Buffer.concat(pieces);
+}
+
+function bytesOf(pieces: readonly Buffer[]): number {
+  return pieces.reduce((sum, piece) => sum + piece.length, 0);
+}
+
+function messageOf(received: ReceivedAnswer | undefined): HopAnswer['message'] {
+  if (received === undefined) return undefined;
+  return {
+    statusCode: received.statusCode,
+    headers: received.headers,
+    isUnframed: received.isUnframed,
+    hasRest: received.rest !== undefined,
+  };
+}
--- /dev/null
+++ b/src/connection/hop_link.ts
@@ -0,0 +1,274 @@
+/**
+ * One connection to another node, with the requests on it.
+ */
+import {connect} from 'node:net';
+import type {Endpoint} from '../process/node_settings.js';
+import type {Frame} from '../protocol/hop_frames.js';
+import {FRAME_KIND} from '../protocol/hop_frames.js';
+import type {ClaimState} from '../protocol/hop_messages.js';
+import {decodeHopAnswer} from '../protocol/hop_messages.js';
+import {createFrameConnection} from './frame_connection.js';
+import type {OutgoingHop} from './outgoing_hop.js';
+import type {ReceivedRest} from './received_rest.js';
+import {createReceivedRest} from './received_rest.js';
+
+/** A connection to another node. */
+export interface HopLink {
+  /** Process at the other end; `undefined` until it has introduced itself. */
+  readonly instanceId: string | undefined;
+  /** Requests on it, and answers whose rest is under way. */
+  readonly openCount: number;
+  readonly heardMillis: number;
+  /** When the oldest request on it was sent; `undefined` if there is none. */
+  readonly waitingSinceMillis: number | undefined;
+  /** When it was used last. */
+  readonly usedMillis: number;
+  /** Requests on it that have no answer yet. */
+  hops(): readonly OutgoingHop[];
+  send(hop: OutgoingHop): void;
+  /** Asks for a request whose connection was lost. */
+  claim(hop: OutgoingHop): void;
+  /** Asks for a sign of life. */
+  ping(): void;
+  /** Closes it and returns the requests that were on it. */
+  retire(): readonly OutgoingHop[];
+}
+
+/** Why a connection has closed. */
+export type LinkClose =
+  /** It was never open. */
+  | 'refused'
+  | 'connect-timeout'
+  /** It was open, and the other end introduced itself. */
+  | 'closed';
+
+/** What a connection needs. */
+export interface HopLinkOptions {
+  readonly peer: Endpoint;
+  readonly nowMillis: () => number;
+  /** The other end has introduced itself. */
+  readonly onReady: () => void;
+  readonly onHeard: () => void;
+  /** Closed by the other end or the network, with the requests on it. */
+  readonly onClosed: (how: LinkClose, hops: readonly OutgoingHop[]) => void;
+}
+
+/**
+ * Bound on opening a connection: some round trips between regions of tens of
+ * milliseconds each. A lost first packet is sent again only after a second,
+ * when another node has long answered.
+ */
+export const CONNECT_TIMEOUT_MILLIS = 250;
+
+/** Bytes of a body in one frame. */
+const PIECE_BYTES = 65_536;
+
+const GRANT_LENGTH_BYTES = 4;
+
+interface Channel {
+  readonly hop: OutgoingHop;
+  rest: ReceivedRest | undefined;
+}
+
+/** Opens a connection; requests may be sent on it at once. */
+export function openHopLink(options: HopLinkOptions): HopLink {
+  const {peer, nowMillis} = options;
+  const channels = new Map<number, Channel>();
+  let channelsCount = 0;
+  let instanceId: string | undefined;
+  let isConnected = false;
+  let isRetired = false;
+  let hasTimedOut = false;
+  let usedMillis = nowMillis();
+
+  const socket = connect({host: peer.address, port: peer.port, noDelay: true});
+  const timer = setTimeout(() => {
+    hasTimedOut = true;
+    socket.destroy();
+  }, CONNECT_TIMEOUT_MILLIS);
+  socket.once('connect', () => {
+    clearTimeout(timer);
+    isConnected = true;
+    for (const {hop} of channels.values()) {
+      if (!hop.isBodyHeldBack) hop.noteSent();
+    }
+  });
+
+  const openChannel = (hop: OutgoingHop): number => {
+    channelsCount += 1;
+    const channelId = channelsCount;
+    const channel: Channel = {hop, rest: undefined};
+    channels.set(channelId, channel);
+    hop.release = () => {
+      // Its answer has come, or nobody waits for it any more.
+      if (channel.rest !== undefined || !channels.delete(channelId)) return;
+      connection.send(FRAME_KIND.cancel, channelId);
+    };
+    usedMillis = nowMillis();
+    return channelId;
+  };
+  const sendBody = (channelId: number, hop: OutgoingHop): void => {
+    const {body} = hop;
+    let offset = 0;
+    while (body.length - offset > PIECE_BYTES) {
+      const piece = body.subarray(offset, offset + PIECE_BYTES);
+      connection.send(FRAME_KIND.body, channelId, piece);
+      offset += PIECE_BYTES;
+    }
+    connection.send(FRAME_KIND.bodyEnd, channelId, body.subarray(offset));
+  };
+  const receiveAnswer = (channelId: number, payload: Buffer): void => {
+    const channel = channels.get(channelId);
+    if (channel === undefined) return;
+    const decoded = decodeHopAnswer(payload);
+    if (decoded === undefined) {
+      channels.delete(channelId);
+      channel.hop.lost('broken-answer');
+      return;
+    }
+    const {message: answer, body: start} = decoded;
+    const {message} = answer;
+    if (message?.hasRest === true) channel.rest = openRest(channelId);
+    else channels.delete(channelId);
+    const received =
+      message === undefined
+        ? undefined
+        : {...message, start, rest: channel.rest?.stream};
+    channel.hop.answered(answer, received);
+  };
+  const openRest = (channelId: number): ReceivedRest =>
+    createReceivedRest({
+      grant: bytes => {
+        const payload = Buffer.allocUnsafe(GRANT_LENGTH_BYTES);
+        payload.writeUInt32BE(bytes, 0);
+        connection.send(FRAME_KIND.window, channelId, payload);
+      },
+      onAbandoned: () => {
+        if (!channels.delete(channelId)) return;
+        connection.send(FRAME_KIND.cancel, channelId);
+      },
+    });
+  const receiveClaimed = (channelId: number, state: ClaimState): void => {
+    const hop = channels.get(channelId)?.hop;
+    if (hop === undefined) return;
+    switch (state) {
+      case 'working':
+      case 'finished':
+        return;
+      case 'unknown':
+        channels.delete(channelId);
+        hop.notRun('silent');
+        return;
+      case 'gone':
+        channels.delete(channelId);
+        hop.lost('connection-lost');
+    }
+  };
+  const endRest = (channelId: number, failure: string | undefined): void => {
+    const rest = channels.get(channelId)?.rest;
+    channels.delete(channelId);
+    if (failure === undefined) rest?.end();
+    else rest?.fail(failure);
+  };
+  const onFrame = ({kind, channelId, payload}: Frame): void => {
+    options.onHeard();
+    const channel = channels.get(channelId);
+    switch (kind) {
+      case FRAME_KIND.hello:
+        instanceId = payload.toString();
+        for (const {hop} of channels.values()) hop.instanceId = instanceId;
+        options.onReady();
+        break;
+      case FRAME_KIND.bodyWanted:
+        if (channel === undefined) return;
+        channel.hop.noteSent();
+        sendBody(channelId, channel.hop);
+        break;
+      case FRAME_KIND.answer:
+        receiveAnswer(channelId, payload);
+        break;
+      case FRAME_KIND.data:
+        channel?.rest?.push(payload);
+        break;
+      case FRAME_KIND.dataEnd:
+        endRest(channelId, undefined);
+        break;
+      case FRAME_KIND.broken:
+        endRest(channelId, 'the upstream broke off');
+        break;
+      case FRAME_KIND.claimed:
+        receiveClaimed(channelId, payload.toString() as ClaimState);
+        break;
+      default:
+    }
+  };
+  const takeHops = (): readonly OutgoingHop[] => {
+    const hops: OutgoingHop[] = [];
+    for (const {hop, rest} of channels.values()) {
+      if (rest !== undefined) {
+        rest.fail('the connection was lost');
+        continue;
+      }
+      hop.release = () => undefined;
+      hops.push(hop);
+    }
+    channels.clear();
+    return hops;
+  };
+  const connection = createFrameConnection({
+    socket,
+    nowMillis,
+    onFrame,
+    onClosed: () => {
+      clearTimeout(timer);
+      if (isRetired) return;
+      const how = hasTimedOut ? 'connect-timeout' : 'refused';
+      options.onClosed(isConnected ? 'closed' : how, takeHops());
+    },
+  });
+
+  return {
+    get instanceId() {
+      return instanceId;
+    },
+    get openCount() {
+      return channels.size;
+    },
+    get heardMillis() {
+      return connection.heardMillis;
+    },
+    get waitingSinceMillis() {
+      // The oldest channel stands first.
+      for (const {hop} of channels.values()) return hop.startedMillis;
+      return undefined;
+    },
+    get usedMillis() {
+      return usedMillis;
+    },
+    hops: () =>
+      [...channels.values()]
+        .filter(channel => channel.rest === undefined)
+        .map(channel => channel.hop),
+    send: hop => {
+      const channelId = openChannel(hop);
+      hop.instanceId = instanceId;
+      connection.send(FRAME_KIND.request, channelId, hop.request);
+      if (hop.isBodyHeldBack) return;
+      if (hop.body.length > 0) sendBody(channelId, hop);
+      if (isConnected) hop.noteSent();
+    },
+    claim: hop => {
+      const channelId = openChannel(hop);
+      connection.send(FRAME_KIND.claim, channelId, Buffer.from(hop.hopId));
+    },
+    ping: () => {
+      connection.send(FRAME_KIND.ping, 0);
+    },
+    retire: () => {
+      isRetired = true;
+      const hops = takeHops();
+      connection.destroy();
+      return hops;
+    },
+  };
+}
--- /dev/null
+++ b/src/connection/hop_listener.ts
@@ -0,0 +1,231 @@
+/**
+ * Receives the requests of other nodes.
+ */
+import type {Server, Socket} from 'node:net';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {describeError, TransportError} from '../base/errors.js';
+import type {Endpoint} from '../process/node_settings.js';
+import {createHopRegistry} from '../process/hop_registry.js';
+import type {Frame} from '../protocol/hop_frames.js';
+import {FRAME_KIND} from '../protocol/hop_frames.js';
+import {decodeHopRequest, encodeHopAnswer} from '../protocol/hop_messages.js';
+import type {FrameConnection} from './frame_connection.js';
+import {createFrameConnection} from './frame_connection.js';
+import type {HopArrival, HopChannel, OwnedArrival} from './hop_arrival.js';
+import {createHopArrival} from './hop_arrival.js';
+
+/** What a listener is made of. */
+export interface HopListenerOptions {
+  readonly endpoint: Endpoint;
+  /** Tells this start of the process from all others. */
+  readonly instanceId: string;
+  /** Bound on the body of a request. */
+  readonly bodyBytes: () => number;
+  /** Answers one request; must not reject. */
+  readonly handle: (arrival: HopArrival) => Promise<void>;
+  readonly nowMillis: () => number;
+  /** Bytes came that are no message of a node. */
+  readonly onMalformed: (peer: string) => void;
+}
+
+/** An open listener. */
+export interface HopListener {
+  readonly port: number;
+  /** Requests that were read and not yet answered in full. */
+  readonly busyCount: number;
+  /** Accepts nothing more; resolves when the last connection has ended. */
+  close(): Promise<void>;
+}
+
+/** Loads of other upstreams are told on each connection at this interval. */
+const REPORT_MILLIS = 100;
+
+/** Connections that the system holds for the process to accept. */
+const BACKLOG_COUNT = 1024;
+
+/** State that all connections of a listener share. */
+interface ListenerState {
+  readonly arrivals: ReturnType<typeof createHopRegistry<OwnedArrival>>;
+  busyCount: number;
+  isClosing: boolean;
+}
+
+/** One connection of a listener. */
+interface ServedConnection {
+  /** Ends the connection once nothing is in progress on it. */
+  endIfIdle(): void;
+}
+
+/** Opens a listener; rejects if the address cannot be bound. */
+export async function openHopListener(
+  options: HopListenerOptions,
+): Promise<HopListener> {
+  const state: ListenerState = {
+    arrivals: createHopRegistry<OwnedArrival>(options.nowMillis),
+    busyCount: 0,
+    isClosing: false,
+  };
+  const connections = new Set<ServedConnection>();
+  const server = createServer({noDelay: true}, socket => {
+    const served = serve(options, state, socket, () => {
+      connections.delete(served);
+    });
+    connections.add(served);
+  });
+  await listen(server, options.endpoint);
+  return {
+    port: (server.address() as AddressInfo).port,
+    get busyCount() {
+      return state.busyCount;
+    },
+    close: () =>
+      new Promise(resolve => {
+        state.isClosing = true;
+        server.close(() => {
+          resolve();
+        });
+        for (const served of connections) served.endIfIdle();
+      }),
+  };
+}
+
+function serve(
+  options: HopListenerOptions,
+  state: ListenerState,
+  socket: Socket,
+  onClosed: () => void,
+): ServedConnection {
+  const channels = new Map<number, OwnedArrival>();
+  const peer = socket.remoteAddress ?? 'unknown';
+  let reportedMillis = 0;
+
+  const endIfIdle = (): void => {
+    if (state.isClosing && channels.size === 0) connection.end();
+  };
+  const openChannel = (channelId: number): HopChannel => ({
+    connection,
+    channelId,
+    isReportDue: () => {
+      const now = options.nowMillis();
+      if (now - reportedMillis < REPORT_MILLIS) return false;
+      reportedMillis = now;
+      return true;
+    },
+    close: () => {
+      channels.delete(channelId);
+      endIfIdle();
+    },
+  });
+  const accept = (frame: Frame): void => {
+    const {channelId} = frame;
+    const decoded = decodeHopRequest(frame.payload);
+    if (decoded === undefined) {
+      options.onMalformed(peer);
+      connection.destroy();
+      return;
+    }
+    const {hopId} = decoded.message;
+    const arrival = createHopArrival({
+      request: decoded.message,
+      inlineBody: decoded.body,
+      channel: openChannel(channelId),
+      bodyBytes: options.bodyBytes,
+      onAnswered: keptBytes => {
+        state.arrivals.end(hopId, keptBytes);
+      },
+      onDone: () => {
+        state.busyCount -= 1;
+      },
+    });
+    // Its sender was told that it has not arrived, and may have sent it
+    // elsewhere since.
+    if (!state.arrivals.begin(hopId, arrival)) {
+      refuse(connection, channelId);
+      return;
+    }
+    state.busyCount += 1;
+    channels.set(channelId, arrival);
+    void options.handle(arrival);
+  };
+  const claim = (frame: Frame): void => {
+    const {channelId} = frame;
+    const claimed = state.arrivals.claim(frame.payload.toString());
+    connection.send(FRAME_KIND.claimed, channelId, Buffer.from(claimed.state));
+    if (claimed.state === 'unknown' || claimed.state === 'gone') return;
+    channels.set(channelId, claimed.hop);
+    claimed.hop.attach(openChannel(channelId));
+  };
+  const onFrame = (frame: Frame): void => {
+    const {kind, channelId, payload} = frame;
+    const arrival = channels.get(channelId);
+    switch (kind) {
+      case FRAME_KIND.request:
+        accept(frame);
+        break;
+      case FRAME_KIND.body:
+        arrival?.receiveBody(payload, false);
+        break;
+      case FRAME_KIND.bodyEnd:
+        arrival?.receiveBody(payload, true);
+        break;
+      case FRAME_KIND.cancel:
+        channels.delete(channelId);
+        arrival?.abandon();
+        endIfIdle();
+        break;
+      case FRAME_KIND.window:
+        arrival?.grant(payload.readUInt32BE(0));
+        break;
+      case FRAME_KIND.ping:
+        connection.send(FRAME_KIND.pong, channelId);
+        break;
+      case FRAME_KIND.claim:
+        claim(frame);
+        break;
+      default:
+        options.onMalformed(peer);
+        connection.destroy();
+    }
+  };
+  const connection: FrameConnection = createFrameConnection({
+    socket,
+    nowMillis: options.nowMillis,
+    onFrame,
+    onClosed: () => {
+      const left = [...channels.values()];
+      channels.clear();
+      for (const arrival of left) arrival.detach(connection);
+      onClosed();
+    },
+  });
+  connection.send(FRAME_KIND.hello, 0, Buffer.from(options.instanceId));
+  return {endIfIdle};
+}
+
+function refuse(connection: FrameConnection, channelId: number): void {
+  const payload = encodeHopAnswer(
+    {
+      outcome: 'refused',
+      reason: 'silent',
+      hasFailedCall: false,
+      unspentCount: 0,
+      calls: new Map(),
+      loads: [],
+      message: undefined,
+    },
+    Buffer.alloc(0),
+  );
+  connection.send(FRAME_KIND.answer, channelId, payload);
+}
+
+function listen(server: Server, endpoint: Endpoint): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', error => {
+      const peer = `${endpoint.address}:${String(endpoint.port)}`;
+      const message = `Cannot listen on ${peer}: ${describeError(error)}`;
+      reject(new TransportError(message, {props: {step: 'listen', peer}}));
+    });
+    server.listen(endpoint.port, endpoint.address, BACKLOG_COUNT, resolve);
+  });
+}
--- /dev/null
+++ b/src/connection/hop_peer.ts
@@ -0,0 +1,236 @@
+/**
+ * One other node: the connections to it, the choice among them, and the way of
+ * a request from a lost connection to the next.
+ */
+import type {Endpoint} from '../process/node_settings.js';
+import type {HopLink, LinkClose} from './hop_link.js';
+import {openHopLink} from './hop_link.js';
+import type {OutgoingHop} from './outgoing_hop.js';
+import type {WatchedPeer} from './peer_watch.js';
+
+/** Another node as requests are sent to it. */
+export interface HopPeer extends WatchedPeer {
+  send(hop: OutgoingHop): void;
+  /** Closes connections that have not been used for a while. */
+  expire(): void;
+  dispose(): void;
+}
+
+/** What a peer needs. */
+export interface HopPeerOptions {
+  readonly endpoint: Endpoint;
+  readonly nowMillis: () => number;
+  readonly onHeard: () => void;
+  /** So many requests went on after their connection was lost. */
+  readonly onReplaced: (hopsCount: number) => void;
+}
+
+/**
+ * Connections to one node: a lost packet holds up all that is on its
+ * connection, so that a few share the load.
+ */
+const MAX_LINKS_COUNT = 4;
+
+/** Requests on each connection before another one is opened. */
+const HOPS_PER_LINK_COUNT = 2;
+
+/**
+ * Idle time after which a connection is closed: what stands between nodes may
+ * forget one that is idle, and a new one costs a round trip.
+ */
+const MAX_IDLE_MILLIS = 4000;
+
+/** Time for a fresh connection and the first word of a busy process. */
+const REPLY_MILLIS = 400;
+
+/**
+ * Fresh connections opened at the same time if it is urgent. One packet in
+ * thirty is lost on a bad link, and a lost first packet is sent again only
+ * after a second.
+ */
+const URGENT_COUNT = 2;
+
+/** What came of opening a fresh connection. */
+type Fresh = HopLink | 'refused' | 'silent';
+
+/** Creates a peer without connections. */
+export function createHopPeer(options: HopPeerOptions): HopPeer {
+  const {endpoint, nowMillis} = options;
+  const links = new Set<HopLink>();
+  const stranded = new Set<OutgoingHop>();
+  let opening: Promise<Fresh> | undefined;
+
+  const open = (
+    onReady: () => void,
+    onFailed: (how: LinkClose) => void,
+  ): HopLink => {
+    const link = openHopLink({
+      peer: endpoint,
+      nowMillis,
+      onReady,
+      onHeard: options.onHeard,
+      onClosed: (how, hops) => {
+        links.delete(link);
+        onFailed(how);
+        continueAfter(how, hops);
+      },
+    });
+    return link;
+  };
+  const openForHops = (): HopLink => {
+    const link = open(
+      () => undefined,
+      () => undefined,
+    );
+    links.add(link);
+    return link;
+  };
+  const continueAfter = (
+    how: LinkClose,
+    hops: readonly OutgoingHop[],
+  ): void => {
+    if (hops.length === 0) return;
+    if (how === 'closed') {
+      void goOn(hops);
+      return;
+    }
+    for (const hop of hops) hop.lost('unreachable');
+  };
+
+  /** Goes on with requests on a fresh connection to the same process. */
+  const goOn = async (hops: readonly OutgoingHop[]): Promise<void> => {
+    for (const hop of hops) stranded.add(hop);
+    const fresh = await openFresh(true);
+    for (const hop of hops) {
+      if (!stranded.has(hop)) continue;
+      if (!hop.isOpen) stranded.delete(hop);
+      else if (fresh === 'refused') settle(hop);
+      else if (fresh !== 'silent') claim(fresh, hop);
+    }
+    if (fresh === 'refused' || fresh === 'silent') return;
+    options.onReplaced(hops.length);
+  };
+  /** The process that had it has ended, and nobody can tell what it did. */
+  const settle = (hop: OutgoingHop): void => {
+    stranded.delete(hop);
+    hop.lost('connection-lost');
+  };
+  const claim = (fresh: HopLink, hop: OutgoingHop): void => {
+    if (hop.instanceId === fresh.instanceId) {
+      stranded.delete(hop);
+      fresh.claim(hop);
+      return;
+    }
+    settle(hop);
+  };
+
+  /** Those that ask at the same time share the connection. */
+  const openFresh = async (isUrgent: boolean): Promise<Fresh> => {
+    opening ??= openFirst(isUrgent ? URGENT_COUNT : 1);
+    const fresh = await opening;
+    opening = undefined;
+    return fresh;
+  };
+  const openFirst = (count: number): Promise<Fresh> =>
+    new Promise(resolve => {
+      const trials = new Set<HopLink>();
+      let isSettled = false;
+      const finish = (how: Fresh): void => {
+        if (isSettled) return;
+        isSettled = true;
+        clearTimeout(timer);
+        for (const trial of trials) {
+          if (trial !== how) trial.retire();
+        }
+        if (typeof how !== 'string') links.add(how);
+        resolve(how);
+      };
+      const timer = setTimeout(() => {
+        finish('silent');
+      }, REPLY_MILLIS);
+      for (let index = 0; index < count; index += 1) {
+        const trial = open(
+          () => {
+            finish(trial);
+          },
+          how => {
+            trials.delete(trial);
+            if (trials.size > 0) return;
+            finish(how === 'refused' ? 'refused' : 'silent');
+          },
+        );
+        trials.add(trial);
+      }
+    });
+
+  const chooseLink = (): HopLink => {
+    let best: HopLink | undefined;
+    for (const link of links) {
+      if (best === undefined || isBetter(link, best)) best = link;
+    }
+    if (best === undefined) return openForHops();
+    const isBusy = best.openCount >= HOPS_PER_LINK_COUNT;
+    if (isBusy && links.size < MAX_LINKS_COUNT) openForHops();
+    return best;
+  };
+
+  return {
+    endpoint,
+    connections: () => [...links],
+    get strandedCount() {
+      return stranded.size;
+    },
+    send: hop => {
+      chooseLink().send(hop);
+    },
+    verify: async isUrgent => {
+      const fresh = await openFresh(isUrgent);
+      return fresh !== 'refused' && fresh !== 'silent';
+    },
+    replaceSilent: sinceMillis => {
+      const hops: OutgoingHop[] = [...stranded];
+      for (const link of [...links]) {
+        if (link.waitingSinceMillis === undefined) continue;
+        if (link.heardMillis >= sinceMillis) continue;
+        if (link.waitingSinceMillis >= sinceMillis) continue;
+        links.delete(link);
+        hops.push(...link.retire());
+      }
+      if (hops.length > 0) void goOn(hops);
+    },
+    giveUp: () => {
+      const open = [...stranded];
+      for (const link of links) open.push(...link.hops());
+      const expendable = open.filter(hop => hop.isExpendable);
+      for (const hop of expendable) {
+        stranded.delete(hop);
+        hop.lost('silent');
+      }
+      return expendable.length;
+    },
+    expire: () => {
+      const sinceMillis = nowMillis() - MAX_IDLE_MILLIS;
+      for (const hop of stranded) {
+        if (!hop.isOpen) stranded.delete(hop);
+      }
+      for (const link of [...links]) {
+        if (link.openCount > 0 || link.usedMillis > sinceMillis) continue;
+        links.delete(link);
+        link.retire();
+      }
+    },
+    dispose: () => {
+      for (const link of [...links]) link.retire();
+      links.clear();
+    },
+  };
+}
+
+/** Ready ones first, then those with fewer requests, then the last used. */
+function isBetter(link: HopLink, best: HopLink): boolean {
+  const isReady = link.instanceId !== undefined;
+  const isBestReady = best.instanceId !== undefined;
+  if (isReady !== isBestReady) return isReady;
+  if (link.openCount !== best.openCount) return link.openCount < best.openCount;
+  return link.usedMillis > best.usedMillis;
+}
--- /dev/null
+++ b/src/connection/outgoing_hop.ts
@@ -0,0 +1,128 @@
+/**
+ * A request on its way to another node, wherever its connection is.
+ */
+import {randomBytes} from 'node:crypto';
+import type {Endpoint} from '../process/node_settings.js';
+import type {HopAnswer, HopRequest} from '../protocol/hop_messages.js';
+import {encodeHopRequest} from '../protocol/hop_messages.js';
+import type {ReceivedAnswer} from './received_answer.js';
+
+/** How a hop ended. */
+export type HopEnd =
+  | {
+      readonly kind: 'answer';
+      readonly answer: HopAnswer;
+      /** The upstream's answer, if it gave one. */
+      readonly received: ReceivedAnswer | undefined;
+    }
+  /** The other node has not received all of it and never will. */
+  | {readonly kind: 'not-run'; readonly reason: HopLoss}
+  /** It may have run. */
+  | {readonly kind: 'lost'; readonly reason: HopLoss};
+
+/** Why a hop ended without an answer. */
+export type HopLoss =
+  'cancelled' | 'unreachable' | 'silent' | 'connection-lost' | 'broken-answer';
+
+/** A hop as connections see it. */
+export interface OutgoingHop {
+  readonly hopId: string;
+  readonly peer: Endpoint;
+  readonly startedMillis: number;
+  /** Payload of the frame that opens it. */
+  readonly request: Buffer;
+  readonly body: Buffer;
+  /** The body follows only when it is asked for. */
+  readonly isBodyHeldBack: boolean;
+  /** It has not ended. */
+  readonly isOpen: boolean;
+  /** Sent elsewhere as well it could do no harm. */
+  readonly isExpendable: boolean;
+  /** All of it is on its way: from here on it may run. */
+  noteSent(): void;
+  /** Process that it was sent to; only this one can tell what became of it. */
+  instanceId: string | undefined;
+  /** Takes it off its connection; set by the connection that it is on. */
+  release: () => void;
+  /** Ends with an answer. */
+  answered(answer: HopAnswer, received: ReceivedAnswer | undefined): void;
+  /** Ends as not run. */
+  notRun(reason: HopLoss): void;
+  /** Ends without an answer: as not run if not all of it was sent. */
+  lost(reason: HopLoss): void;
+}
+
+/** What a hop is made of. */
+export interface OutgoingHopOptions {
+  readonly peer: Endpoint;
+  readonly request: Omit<HopRequest, 'hopId' | 'bodyForm'>;
+  readonly body: Buffer;
+  readonly startedMillis: number;
+  readonly onEnd: (end: HopEnd) => void;
+}
+
+/** Bodies up to this size go along with the request; most fit in a packet. */
+const INLINE_BYTES = 65_536;
+
+const NOTHING = Buffer.alloc(0);
+
+/** Creates a hop that is on no connection yet. */
+export function createOutgoingHop(options: OutgoingHopOptions): OutgoingHop {
+  const {request, body} = options;
+  const {isRepeatable} = request;
+  const hopId = newHopId();
+  const isInline = isRepeatable && body.length <= INLINE_BYTES;
+  const bodyForm = isInline ? 'inline' : isRepeatable ? 'follows' : 'held-back';
+  let isOpen = true;
+  let isSent = false;
+
+  const end = (how: HopEnd): void => {
+    if (!isOpen) return;
+    isOpen = false;
+    hop.release();
+    options.onEnd(how);
+  };
+  const hop: OutgoingHop = {
+    hopId,
+    peer: options.peer,
+    startedMillis: options.startedMillis,
+    request: encodeHopRequest(
+      {...request, hopId, bodyForm},
+      isInline ? body : NOTHING,
+    ),
+    body: isInline ? NOTHING : body,
+    isBodyHeldBack: bodyForm === 'held-back',
+    get isOpen() {
+      return isOpen;
+    },
+    get isExpendable() {
+      return isRepeatable || !isSent;
+    },
+    noteSent: () => {
+      isSent = true;
+    },
+    instanceId: undefined,
+    release: () => undefined,
+    answered: (answer, received) => {
+      end({kind: 'answer', answer, received});
+    },
+    notRun: reason => {
+      end({kind: 'not-run', reason});
+    },
+    lost: reason => {
+      end({kind: isSent ? 'lost' : 'not-run', reason});
+    },
+  };
+  return hop;
+}
+
+/** Random bytes that tell the hops of this process from those of all others. */
+const PREFIX_BYTES = 8;
+const HOP_ID_PREFIX = randomBytes(PREFIX_BYTES).toString('hex');
+
+let hopsCount = 0;
+
+function newHopId(): string {
+  hopsCount += 1;
+  return `${HOP_ID_PREFIX}${hopsCount.toString(36)}`;
+}
--- a/src/connection/raw_headers.ts
+++ b/src/connection/raw_headers.ts
@@ -1,7 +1,6 @@
 /**
  * Lists of header fields as they stand on the wire: name, value, name, value.
  */
-import {HOP_HEADER_PREFIX} from '../protocol/hop_headers.js';
 
 /** Names and values in turn, in the order received. */
 export type RawHeaders = readonly string[];
@@ -26,8 +25,8 @@
 ]);
 
 /**
- * Fields to pass on: without those of the connection, of the framing, of the
- * hop between nodes, and those named.
+ * Fields to pass on: without those of the connection, of the framing, and
+ * those named.
  */
 export function passedOnHeaders(
   headers: RawHeaders,
@@ -39,7 +38,6 @@
     const name = headers[index] ?? '';
     const lower = name.toLowerCase();
     if (CONNECTION_HEADERS.has(lower) || FRAMING_HEADERS.has(lower)) continue;
-    if (lower.startsWith(HOP_HEADER_PREFIX)) continue;
     if (dropped.has(lower) || named.has(lower)) continue;
     kept.push(name, headers[index + 1] ?? '');
   }
--- a/src/connection/received_answer.ts
+++ b/src/connection/received_answer.ts
@@ -3,7 +3,7 @@
  * of the rest.
  */
 import type {IncomingMessage} from 'node:http';
-import {HOP_HEADER} from '../protocol/hop_headers.js';
+import type {Readable} from 'node:stream';
 import type {RawHeaders} from './raw_headers.js';
 
 /** An answer with its body. */
@@ -13,7 +13,7 @@
   /** The whole body, or its beginning. */
   readonly start: Buffer;
   /** The rest of the body, paused; `undefined` if `start` is all of it. */
-  readonly rest: IncomingMessage | undefined;
+  readonly rest: Readable | undefined;
   /**
    * The upstream told no length: the end of its connection was the only sign
    * that the body is complete, and may as well be that of a crash.
@@ -34,7 +34,7 @@
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let bytes = 0;
-    const finish = (rest: IncomingMessage | undefined): void => {
+    const finish = (rest: Readable | undefined): void => {
       message.removeListener('data', onData);
       message.removeListener('end', onEnd);
       message.removeListener('error', onBroken);
@@ -68,10 +68,8 @@
   });
 }
 
-/** A node beside an upstream frames what it passes on, and says so. */
 function isUnframed(message: IncomingMessage): boolean {
   const {headers} = message;
-  if (headers[HOP_HEADER.unframed] !== undefined) return true;
   return (
     headers['content-length'] === undefined &&
     headers['transfer-encoding'] === undefined
--- /dev/null
+++ b/src/connection/rest_sender.ts
@@ -0,0 +1,72 @@
+/**
+ * Sends the rest of a long answer to the node that asked for it, no faster than
+ * that node passes it on: what is held for a slow reader counts in the memory
+ * of both nodes.
+ */
+import type {Readable} from 'node:stream';
+import {FRAME_KIND} from '../protocol/hop_frames.js';
+import type {FrameConnection} from './frame_connection.js';
+
+/**
+ * Bytes under way to one reader: at 1,000 Mbit/s this covers a round trip of
+ * two milliseconds, and at some hundred readers stays within a small node.
+ */
+export const REST_WINDOW_BYTES = 262_144;
+
+/** Sending side of one rest. */
+export interface RestSender {
+  /** The other side has passed on so many bytes. */
+  grant(bytes: number): void;
+  /** Nobody wants the rest any more. */
+  stop(): void;
+}
+
+/** What a sender needs. */
+export interface RestSenderOptions {
+  readonly connection: FrameConnection;
+  readonly channelId: number;
+  readonly rest: Readable;
+  /** Called once, when all has been sent or it broke off. */
+  readonly onEnd: () => void;
+}
+
+/** Starts sending. */
+export function startRestSender(options: RestSenderOptions): RestSender {
+  const {connection, channelId, rest} = options;
+  let windowBytes = REST_WINDOW_BYTES;
+  let isEnded = false;
+
+  const end = (): void => {
+    if (isEnded) return;
+    isEnded = true;
+    options.onEnd();
+  };
+  rest.on('data', (chunk: Buffer) => {
+    connection.send(FRAME_KIND.data, channelId, chunk);
+    windowBytes -= chunk.length;
+    if (windowBytes <= 0) rest.pause();
+  });
+  rest.on('end', () => {
+    if (!isEnded) connection.send(FRAME_KIND.dataEnd, channelId);
+    end();
+  });
+  rest.on('error', () => {
+    // The close that follows tells the receiver; here nothing is left to do.
+  });
+  rest.on('close', () => {
+    // A rest that closes before its end broke off, and must not look complete.
+    if (!isEnded) connection.send(FRAME_KIND.broken, channelId);
+    end();
+  });
+  rest.resume();
+  return {
+    grant: bytes => {
+      windowBytes += bytes;
+      if (windowBytes > 0) rest.resume();
+    },
+    stop: () => {
+      end();
+      rest.destroy();
+    },
+  };
+}
--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -17,17 +17,8 @@
   readonly target: string;
   readonly headers: readonly string[];
   readonly body: Buffer;
-  /**
-   * The body, and with it the end of the request, is sent only after the other
-   * side has asked for it. Until then the request cannot have run.
-   */
-  readonly isBodyHeldBack: boolean;
   readonly connectTimeoutMillis: number;
   readonly cancel: CancelSignal;
-  /** Something arrived from the other side. */
-  readonly onHeard?: () => void;
-  /** The whole request is on its way. */
-  readonly onBodySent?: () => void;
 }
 
 /** How a request ended. */
@@ -61,7 +52,7 @@
       headers: framedHeaders(outgoing) as unknown as http.OutgoingHttpHeaders,
       setHost: false,
     });
-    let isBodySent = false;
+    let isSent = false;
     let isEnded = false;
     let timer: NodeJS.Timeout | undefined;
 
@@ -73,24 +64,20 @@
       resolve(result);
     };
     const fail = (reason: string): void => {
-      if (isBodySent) {
+      if (isSent) {
         end({kind: 'lost', reason, wasReused: request.reusedSocket});
       } else {
         end({kind: 'not-sent', reason});
       }
       request.destroy();
     };
-    const noteBodySent = (): void => {
-      isBodySent = true;
-      outgoing.onBodySent?.();
-    };
     const cancelled = outgoing.cancel.onCancel(() => {
       fail('cancelled');
     });
 
     request.on('socket', socket => {
       if (!socket.connecting) {
-        if (!outgoing.isBodyHeldBack) noteBodySent();
+        isSent = true;
         return;
       }
       // A peer behind a network partition answers no connection attempt, and
@@ -100,20 +87,13 @@
       }, outgoing.connectTimeoutMillis);
       socket.once('connect', () => {
         clearTimeout(timer);
-        if (!outgoing.isBodyHeldBack) noteBodySent();
+        isSent = true;
       });
     });
-    request.on('continue', () => {
-      if (isEnded) return;
-      outgoing.onHeard?.();
-      noteBodySent();
-      request.end(outgoing.body);
-    });
     request.on('error', error => {
       fail(describeError(error));
     });
     request.on('response', message => {
-      outgoing.onHeard?.();
       const discardConnection = (): void => {
         request.destroy();
         message.socket?.destroy();
@@ -127,22 +107,12 @@
         },
       );
     });
-    if (outgoing.isBodyHeldBack) request.flushHeaders();
-    else request.end(outgoing.body);
+    request.end(outgoing.body);
   });
 }
 
 function framedHeaders(outgoing: OutgoingRequest): readonly string[] {
   const {headers, body, method} = outgoing;
-  if (outgoing.isBodyHeldBack) {
-    return [
-      ...headers,
-      'expect',
-      '100-continue',
-      'transfer-encoding',
-      'chunked',
-    ];
-  }
   if (body.length === 0 && (method === 'GET' || method === 'HEAD')) {
     return headers;
   }
--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -4,7 +4,7 @@
 import type {CancelSignal} from '../base/cancel_signal.js';
 import type {Disposable} from '../base/lifecycle.js';
 import type {Endpoint} from '../process/node_settings.js';
-import type {HopReason} from '../protocol/hop_headers.js';
+import type {HopReason} from '../protocol/hop_messages.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import {
   createKeptConnections,
@@ -80,7 +80,6 @@
         target: request.target,
         headers: upstreamHeaders(request, names),
         body: request.body,
-        isBodyHeldBack: false,
         connectTimeoutMillis: CONNECT_TIMEOUT_MILLIS,
         cancel: request.cancel,
       });
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -8,7 +8,6 @@
 import {createUpstreamSender} from '../connection/upstream_sender.js';
 import type {DecisionLog} from '../process/decision_log.js';
 import {createEntryGate} from '../process/entry_gate.js';
-import {createHopRegistry} from '../process/hop_registry.js';
 import type {LoadReport} from '../process/load_board.js';
 import type {NodeMetrics} from '../process/node_metrics.js';
 import type {NodeSettings} from '../process/node_settings.js';
@@ -108,12 +107,9 @@
     nowMillis,
   });
   const inbound = createInboundExchanges({
-    names,
     execution: local,
-    hops: createHopRegistry(),
-    loads: () => reportedLoads(decisions),
-    bodyBytes: () =>
-      decisions.configuration.current()?.limits.bodyBytes ?? Infinity,
+    ownLoad: decisions.reportOwnLoad,
+    otherLoads: () => otherLoads(decisions),
     nowMillis,
     onEnd: (call, end) => {
       logEnd(options, call, end);
@@ -134,7 +130,6 @@
 
 function createRemote(options: NodeExchangesOptions): RemoteExecution {
   return createRemoteExecution({
-    names: options.names,
     board: options.decisions.board,
     nowMillis: options.nowMillis,
     onPeerLost: (peer, hopsCount) => {
@@ -143,8 +138,11 @@
     onPeerFound: peer => {
       options.log.request('peer-found', {peer: peer.address});
     },
-    onHopLost: (peer, state) => {
-      options.log.request('connection-silent', {peer: peer.address, state});
+    onLinkLost: (peer, hopsCount) => {
+      options.log.request('connection-replaced', {
+        peer: peer.address,
+        hopsCount,
+      });
     },
   });
 }
@@ -185,12 +183,11 @@
   });
 }
 
-/** The own upstream's load, and what has been heard of others that shed. */
-function reportedLoads(decisions: NodeDecisions): readonly LoadReport[] {
+/** What has been heard of other upstreams that shed. */
+function otherLoads(decisions: NodeDecisions): readonly LoadReport[] {
   const own = decisions.reportOwnLoad();
-  const others = decisions.board
+  return decisions.board
     .shedding()
     .filter(report => report.upstreamId !== own?.upstreamId)
     .slice(0, REPORTED_LOADS_COUNT);
-  return own === undefined ? others : [own, ...others];
 }
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -1,8 +1,11 @@
 /**
  * Wiring of one node: listeners, what it follows, and its decisions.
  */
+import {randomUUID} from 'node:crypto';
 import {createDisposableStore} from '../base/lifecycle.js';
 import type {ShownConfiguration} from '../connection/operator_listener.js';
+import type {HopListener} from '../connection/hop_listener.js';
+import {openHopListener} from '../connection/hop_listener.js';
 import type {NodeListener} from '../connection/node_listener.js';
 import {openNodeListener} from '../connection/node_listener.js';
 import type {DecisionLog} from '../process/decision_log.js';
@@ -102,9 +105,15 @@
           endpoint: settings.local,
           handle: exchanges.outbound.handleLocal,
         });
-  const inbound = await openNodeListener({
+  const inbound = await openHopListener({
     endpoint: settings.inbound,
+    instanceId: randomUUID(),
+    bodyBytes: () => configuration.current()?.limits.bodyBytes ?? Infinity,
     handle: exchanges.inbound.handle,
+    nowMillis,
+    onMalformed: peer => {
+      log.request('malformed-message', {peer});
+    },
   });
   const feeds = startDocumentFeeds({
     documents,
@@ -210,7 +219,7 @@
 }
 
 async function closeAll(
-  listeners: readonly (NodeListener | undefined)[],
+  listeners: readonly (NodeListener | HopListener | undefined)[],
 ): Promise<void> {
   await Promise.all(listeners.map(listener => listener?.close()));
 }
--- a/src/process/node_metrics.ts
+++ b/src/process/node_metrics.ts
@@ -2,7 +2,7 @@
  * Counters and latency histograms of a node, served as text.
  */
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
-import type {HopReason} from '../protocol/hop_headers.js';
+import type {HopReason} from '../protocol/hop_messages.js';
 
 /** Metrics of one node. */
 export interface NodeMetrics {
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -8,7 +8,7 @@
 import type {AttemptEnd, PlacementChooser} from '../process/placement.js';
 import type {RepeatBudget} from '../process/repeat_budget.js';
 import type {UpstreamEntry} from '../process/upstream_entry.js';
-import type {HopReason} from '../protocol/hop_headers.js';
+import type {HopReason} from '../protocol/hop_messages.js';
 import type {ServiceRoute} from '../version/route_configuration.js';
 import type {LocalExecution} from './local_execution.js';
 
@@ -60,11 +60,7 @@
 /** Less time than this left is not worth another attempt. */
 const MIN_LEFT_MILLIS = 20;
 
-const NOWHERE: ExecutionEnd = {
-  kind: 'refused',
-  reason: 'unreachable',
-  retryAfterMillis: 0,
-};
+const NOWHERE: ExecutionEnd = {kind: 'refused', reason: 'unreachable'};
 
 /** Creates the attempts of one node. */
 export function createAttempts(options: AttemptsOptions): Attempts {
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -177,7 +177,7 @@
     ];
     if (options.isDraining()) headers.push('connection', 'close');
     const method = exchange.request.method ?? 'GET';
-    sendAnswer(exchange.response, answer, headers, {method, isForNode: false});
+    sendAnswer(exchange.response, answer, headers, method);
     const millis = record(request, answer.statusCode);
     if (answer.statusCode < 500) return;
     log.request('answered-failure', {
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -14,7 +14,7 @@
   InFlightParents,
 } from '../process/in_flight_parents.js';
 import type {SlotRequest, UpstreamQueue} from '../process/upstream_queue.js';
-import type {HopReason} from '../protocol/hop_headers.js';
+import type {HopReason} from '../protocol/hop_messages.js';
 import type {LocalUpstream} from './local_upstream.js';
 
 /** A request to execute here. */
@@ -56,23 +56,23 @@
 ): Promise<ExecutionEnd> {
   const {upstream, queue, level, nowMillis} = options;
   const refusal = upstream.refusalFor(call.upstreamId);
-  if (refusal !== undefined) return refused(options, refusal);
+  if (refusal !== undefined) return refused(refusal);
   level.recordArrival(call.origin.importance, queue.load().averageMillis);
   const waitEnd = await waitForSlot(options, call);
-  if (waitEnd !== 'started') return refused(options, waitEnd);
+  if (waitEnd !== 'started') return refused(waitEnd);
   const body = await call.fetchBody();
   const late =
     upstream.leavingReason(call.upstreamId) ?? tooLate(options, call);
   if (body === undefined || late !== undefined || call.cancel.isCancelled) {
     queue.releaseUnused();
-    return refused(options, late ?? 'cancelled');
+    return refused(late ?? 'cancelled');
   }
   const startedMillis = nowMillis();
   const parent = options.parents.open(call.attemptId, call.origin);
   const end = await handOver(options, call, body);
   parent.close();
   settle(options, end, nowMillis() - startedMillis);
-  return executionEnd(options, end, parent);
+  return executionEnd(end, parent);
 }
 
 type WaitEnd = 'started' | 'queue-full' | 'too-late' | 'cancelled';
@@ -172,11 +172,7 @@
   }
 }
 
-function executionEnd(
-  options: LocalExecutionOptions,
-  end: UpstreamEnd,
-  parent: InFlightParent,
-): ExecutionEnd {
+function executionEnd(end: UpstreamEnd, parent: InFlightParent): ExecutionEnd {
   switch (end.kind) {
     case 'answered':
       return {
@@ -186,7 +182,7 @@
         hasFailedCall: parent.hasFailedCall,
       };
     case 'not-run':
-      return refused(options, end.reason);
+      return refused(end.reason);
     case 'unknown':
       return {
         kind: 'unknown',
@@ -196,13 +192,6 @@
   }
 }
 
-/** Time for the present queue to drain, as the time to come back. */
-function refused(
-  options: LocalExecutionOptions,
-  reason: HopReason,
-): ExecutionEnd {
-  const load = options.queue.load();
-  const drainMillis =
-    (load.queuedCount * load.averageMillis) / Math.max(1, load.limitCount);
-  return {kind: 'refused', reason, retryAfterMillis: drainMillis};
+function refused(reason: HopReason): ExecutionEnd {
+  return {kind: 'refused', reason};
 }
--- a/src/request/local_upstream.ts
+++ b/src/request/local_upstream.ts
@@ -4,7 +4,7 @@
  */
 import type {Disposable} from '../base/lifecycle.js';
 import type {UpstreamDirectory} from '../process/upstream_directory.js';
-import type {HopReason} from '../protocol/hop_headers.js';
+import type {HopReason} from '../protocol/hop_messages.js';
 
 /** State of the upstream beside this node. */
 export interface LocalUpstream {
