Read the clock once a turn, and make fewer things for each request

Cause: a request asks for the time some thirty times, defined a class for each grant of repeats, and reported the own load three times.

--- a/src/connection/peer_watch.ts
+++ b/src/connection/peer_watch.ts
@@ -57,7 +57,7 @@
   readonly onPeerFound: (endpoint: Endpoint) => void;
 }
 
-const TICK_MILLIS = 50;
+const TICK_MILLIS = 100;
 
 /** Silence after which a sign of life is asked for; it costs one small frame. */
 const PING_MILLIS = 150;
--- a/src/daemon/node_decisions.ts
+++ b/src/daemon/node_decisions.ts
@@ -76,6 +76,7 @@
       );
     },
   });
+  let ownLoad: LoadReport | undefined;
   return {
     configuration,
     directory,
@@ -100,6 +101,9 @@
       random,
     }),
     reportOwnLoad: () => {
+      const madeAtMillis = nowMillis();
+      // Asked several times for each request; a turn of the loop needs one.
+      if (ownLoad?.madeAtMillis === madeAtMillis) return ownLoad;
       const known = directory.atHost(hostKey);
       if (known === undefined) return undefined;
       const load = queue.load();
@@ -109,8 +113,9 @@
         service: known.entry.service,
         limitCount: upstream.isReachable ? load.limitCount : 0,
         level: level.level(),
-        madeAtMillis: nowMillis(),
+        madeAtMillis,
       };
+      ownLoad = report;
       board.observe(report);
       return report;
     },
--- a/src/daemon/node_program.ts
+++ b/src/daemon/node_program.ts
@@ -4,6 +4,7 @@
 import {statSync} from 'node:fs';
 import {createServer} from 'node:http';
 import {describeError} from '../base/errors.js';
+import {createLoopClock} from '../base/loop_clock.js';
 import {createIntervalTimer} from '../base/lifecycle.js';
 import {openOperatorListener} from '../connection/operator_listener.js';
 import type {DecisionLog} from '../process/decision_log.js';
@@ -46,7 +47,7 @@
 ): Promise<void> {
   const settings = readFirstSettings(options);
   if (settings === undefined) return;
-  const nowMillis = (): number => performance.now();
+  const nowMillis = createLoopClock(() => performance.now());
   const log = createDecisionLog(settings.nodeName, nowMillis);
   const metrics = createNodeMetrics();
   const {service, zone} = settings;
--- a/src/process/shared_retry_grant.ts
+++ b/src/process/shared_retry_grant.ts
@@ -20,23 +20,40 @@
   count: number,
   lendingRule: LendingRule = lendAllButOne,
 ): RetryGrant {
-  let remainingCount = toCount(count);
-  let isClosed = false;
+  return new SharedRetryGrant(toCount(count), lendingRule);
+}
+
+/** One class for all grants: every request and every hop has one. */
+class SharedRetryGrant extends RetryGrant {
+  private isClosed = false;
+
+  constructor(
+    private remainingCount: number,
+    private readonly lendingRule: LendingRule,
+  ) {
+    super();
+  }
+
+  override remaining(): number {
+    return this.remainingCount;
+  }
 
-  function createLoan(lentCount: number): RetryLoan {
+  override trySpend(): boolean {
+    if (this.remainingCount < 1) return false;
+    this.remainingCount -= 1;
+    return true;
+  }
+
+  override lend(): RetryLoan {
+    const lentCount = this.lendingRule(this.remainingCount);
+    this.remainingCount -= lentCount;
     let isSettled = false;
     return {
       count: lentCount,
       settle: unspentCount => {
         if (isSettled) return;
         isSettled = true;
-        // What comes back after the rest was given away is lost: a parent that
-        // gave up reports its remainder while its calls still run, and a retry
-        // that both sides count as theirs would be spent twice.
-        if (isClosed) return;
-        // A callee that is mistaken or corrupted could claim more than it was
-        // lent and so create retries out of nothing; the bound would break.
-        remainingCount += Math.min(toCount(unspentCount), lentCount);
+        this.takeBack(unspentCount, lentCount);
       },
       forfeit: () => {
         isSettled = true;
@@ -44,27 +61,22 @@
     };
   }
 
-  return new (class extends RetryGrant {
-    override remaining(): number {
-      return remainingCount;
-    }
-    override trySpend(): boolean {
-      if (remainingCount < 1) return false;
-      remainingCount -= 1;
-      return true;
-    }
-    override lend(): RetryLoan {
-      const lentCount = lendingRule(remainingCount);
-      remainingCount -= lentCount;
-      return createLoan(lentCount);
-    }
-    override close(): number {
-      const leftCount = remainingCount;
-      remainingCount = 0;
-      isClosed = true;
-      return leftCount;
-    }
-  })();
+  override close(): number {
+    const leftCount = this.remainingCount;
+    this.remainingCount = 0;
+    this.isClosed = true;
+    return leftCount;
+  }
+
+  private takeBack(unspentCount: number, lentCount: number): void {
+    // What comes back after the rest was given away is lost: a parent that gave
+    // up reports its remainder while its calls still run, and a retry that both
+    // sides count as theirs would be spent twice.
+    if (this.isClosed) return;
+    // A callee that is mistaken or corrupted could claim more than it was lent
+    // and so create retries out of nothing; the bound would break.
+    this.remainingCount += Math.min(toCount(unspentCount), lentCount);
+  }
 }
 
 /** Reads a count from outside: whole, not negative, 0 when not a number. */
