An upstream whose leaving is told just after the store's return is gone in time

It was kept like those that lapse in an outage, for two seconds from the return and up to the next look at what has aged, half a second later: a request reached it after 2,011 ms of 2,000.

Change: a removal that is told after the return is kept 1.4 s at most. Test of upstream_directory failing before.

--- a/src/process/upstream_directory.ts
+++ b/src/process/upstream_directory.ts
@@ -53,6 +53,13 @@
  */
 const REAPPEAR_MILLIS = 2000;
 
+/**
+ * The same for an entry whose removal was told after the return: it may have
+ * lapsed, or its upstream has left and must get nothing two seconds later. Less
+ * than that by the half second between two looks at what has aged.
+ */
+const LAPSED_MILLIS = 1400;
+
 /** Ids of upstreams that left; requests for them arrive for seconds only. */
 const LEFT_IDS_COUNT = 256;
 
@@ -61,7 +68,8 @@
   options: UpstreamDirectoryOptions,
 ): UpstreamDirectory {
   const known = new Map<string, KnownUpstream>();
-  const missingSince = new Set<string>();
+  /** Until when entries that are missing stay in use. */
+  const missingUntil = new Map<string, number>();
   const leftIds = new Set<string>();
   let readyByService = new Map<string, KnownUpstream[]>();
   let newestByHost = new Map<string, KnownUpstream>();
@@ -82,7 +90,7 @@
   const putOne = (entry: UpstreamEntry): void => {
     const before = known.get(entry.id);
     const nowMillis = options.nowMillis();
-    missingSince.delete(entry.id);
+    missingUntil.delete(entry.id);
     leftIds.delete(entry.id);
     known.set(entry.id, {
       entry,
@@ -96,16 +104,17 @@
     }
   };
 
-  const removeOne = (id: string): void => {
+  const removeOne = (id: string, keptMillis: number): void => {
     const upstream = known.get(id);
     if (upstream === undefined) return;
-    if (options.nowMillis() < keepUntilMillis) {
-      if (missingSince.has(id)) return;
-      missingSince.add(id);
+    const now = options.nowMillis();
+    if (now < (missingUntil.get(id) ?? keepUntilMillis)) {
+      if (missingUntil.has(id)) return;
+      missingUntil.set(id, Math.min(keepUntilMillis, now + keptMillis));
       options.onChange({kind: 'kept', entry: upstream.entry});
       return;
     }
-    missingSince.delete(id);
+    missingUntil.delete(id);
     known.delete(id);
     rememberLeft(leftIds, id);
     options.onChange({kind: 'left', entry: upstream.entry});
@@ -117,14 +126,14 @@
       index();
     },
     remove: ids => {
-      for (const id of ids) removeOne(id);
+      for (const id of ids) removeOne(id, LAPSED_MILLIS);
       index();
     },
     replace: entries => {
       const present = new Set(entries.map(entry => entry.id));
       for (const entry of entries) putOne(entry);
       for (const id of [...known.keys()]) {
-        if (!present.has(id)) removeOne(id);
+        if (!present.has(id)) removeOne(id, REAPPEAR_MILLIS);
       }
       index();
     },
@@ -132,9 +141,8 @@
       keepUntilMillis = options.nowMillis() + REAPPEAR_MILLIS;
     },
     expire: () => {
-      if (missingSince.size === 0) return;
-      if (options.nowMillis() < keepUntilMillis) return;
-      for (const id of [...missingSince]) removeOne(id);
+      if (missingUntil.size === 0) return;
+      for (const id of [...missingUntil.keys()]) removeOne(id, 0);
       index();
     },
     ready: service => readyByService.get(service) ?? [],
--- a/test/unit/process/upstream_directory.test.ts
+++ b/test/unit/process/upstream_directory.test.ts
@@ -56,6 +56,25 @@
   t.true(changes.includes('left u-2'));
 });
 
+test('an upstream whose leaving is told after the return is gone in time', t => {
+  // Symptom: an upstream gets a request 2,011 ms after its leaving was published.
+  // Sequence: the source returns, and an entry is removed just after that. Cause:
+  // it was kept like those that lapsed, for two seconds and up to the next look.
+  const {directory, advance} = createFixture();
+  directory.put([upstreamEntry()]);
+  directory.markSourceRegained();
+  advance(9);
+  directory.remove(['u-1']);
+  t.is(directory.ready('orders').length, 1);
+  // Looks at what has aged are half a second apart.
+  for (let look = 1; look <= 3; look += 1) {
+    advance(490);
+    directory.expire();
+  }
+  t.is(directory.ready('orders').length, 0);
+  t.true(directory.hasLeft('u-1'));
+});
+
 test('the newest upstream counts where an address was used again', t => {
   const {directory, advance} = createFixture();
   directory.put([upstreamEntry()]);
