Messages between nodes: one listener binding, one watch handle, codecs apart

Read again as a newcomer; behaviour is unchanged.

- bind_listener: the two listeners for requests bound their ports with the same code; those for operators and readiness report errors as they come and stay.
- endpoint_text: three copies of one key.
The watch no longer keeps a table by key beside that of the peers: adding a node returns its signs of life, so a frame that arrives needs no key.
- A load report is what is sent of it with another age; a request that entered is one to be answered with its parent.
Both stood twice.
- Whether there is another upstream is looked up only for what may be repeated.
- Out: a field of hops that nobody read, an export that nobody used.

--- /dev/null
+++ b/src/connection/bind_listener.ts
@@ -0,0 +1,27 @@
+/**
+ * Binds the listeners that requests come in by, with one error for all.
+ */
+import type {AddressInfo, Server} from 'node:net';
+import {describeError, TransportError} from '../base/errors.js';
+import {endpointText} from '../process/endpoint_text.js';
+import type {Endpoint} from '../process/node_settings.js';
+
+/** Connections that the system holds for the process to accept. */
+const BACKLOG_COUNT = 1024;
+
+/** Resolves with the port; rejects with step and peer if it is not available. */
+export function bindListener(
+  server: Server,
+  endpoint: Endpoint,
+): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.once('error', error => {
+      const peer = endpointText(endpoint);
+      const message = `Cannot listen on ${peer}: ${describeError(error)}`;
+      reject(new TransportError(message, {props: {step: 'listen', peer}}));
+    });
+    server.listen(endpoint.port, endpoint.address, BACKLOG_COUNT, () => {
+      resolve((server.address() as AddressInfo).port);
+    });
+  });
+}
--- a/src/connection/hop_arrival.ts
+++ b/src/connection/hop_arrival.ts
@@ -6,7 +6,7 @@
 import {createCancelSource} from '../base/cancel_signal.js';
 import {FRAME_KIND} from '../protocol/hop_frames.js';
 import type {HopAnswer, HopRequest} from '../protocol/hop_messages.js';
-import {encodeHopAnswer} from '../protocol/hop_messages.js';
+import {encodeHopAnswer} from '../protocol/hop_answer_codec.js';
 import type {FrameConnection} from './frame_connection.js';
 import type {ReceivedAnswer} from './received_answer.js';
 import type {RestSender} from './rest_sender.js';
--- a/src/connection/hop_link.ts
+++ b/src/connection/hop_link.ts
@@ -6,7 +6,7 @@
 import type {Frame} from '../protocol/hop_frames.js';
 import {FRAME_KIND} from '../protocol/hop_frames.js';
 import type {ClaimState} from '../protocol/hop_messages.js';
-import {decodeHopAnswer} from '../protocol/hop_messages.js';
+import {decodeHopAnswer} from '../protocol/hop_answer_codec.js';
 import {createFrameConnection} from './frame_connection.js';
 import type {OutgoingHop} from './outgoing_hop.js';
 import type {ReceivedRest} from './received_rest.js';
@@ -58,7 +58,7 @@
  * milliseconds each. A lost first packet is sent again only after a second,
  * when another node has long answered.
  */
-export const CONNECT_TIMEOUT_MILLIS = 250;
+const CONNECT_TIMEOUT_MILLIS = 250;
 
 /** Bytes of a body in one frame. */
 const PIECE_BYTES = 65_536;
--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -1,15 +1,15 @@
 /**
  * Receives the requests of other nodes.
  */
-import type {Server, Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
-import {describeError, TransportError} from '../base/errors.js';
 import type {Endpoint} from '../process/node_settings.js';
 import {createHopRegistry} from '../process/hop_registry.js';
 import type {Frame} from '../protocol/hop_frames.js';
 import {FRAME_KIND} from '../protocol/hop_frames.js';
-import {decodeHopRequest, encodeHopAnswer} from '../protocol/hop_messages.js';
+import {encodeHopAnswer} from '../protocol/hop_answer_codec.js';
+import {decodeHopRequest} from '../protocol/hop_request_codec.js';
+import {bindListener} from './bind_listener.js';
 import type {FrameConnection} from './frame_connection.js';
 import {createFrameConnection} from './frame_connection.js';
 import type {HopArrival, HopChannel, OwnedArrival} from './hop_arrival.js';
@@ -41,9 +41,6 @@
 /** Loads of other upstreams are told on each connection at this interval. */
 const REPORT_MILLIS = 100;
 
-/** Connections that the system holds for the process to accept. */
-const BACKLOG_COUNT = 1024;
-
 /** State that all connections of a listener share. */
 interface ListenerState {
   readonly arrivals: ReturnType<typeof createHopRegistry<OwnedArrival>>;
@@ -73,9 +70,9 @@
     });
     connections.add(served);
   });
-  await listen(server, options.endpoint);
+  const port = await bindListener(server, options.endpoint);
   return {
-    port: (server.address() as AddressInfo).port,
+    port,
     get busyCount() {
       return state.busyCount;
     },
@@ -218,14 +215,3 @@
   );
   connection.send(FRAME_KIND.answer, channelId, payload);
 }
-
-function listen(server: Server, endpoint: Endpoint): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', error => {
-      const peer = `${endpoint.address}:${String(endpoint.port)}`;
-      const message = `Cannot listen on ${peer}: ${describeError(error)}`;
-      reject(new TransportError(message, {props: {step: 'listen', peer}}));
-    });
-    server.listen(endpoint.port, endpoint.address, BACKLOG_COUNT, resolve);
-  });
-}
--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -50,6 +50,8 @@
  */
 const URGENT_COUNT = 2;
 
+const NOTHING = (): void => undefined;
+
 /** What came of opening a fresh connection. */
 type Fresh = HopLink | 'refused' | 'silent';
 
@@ -78,10 +80,7 @@
     return link;
   };
   const openForHops = (): HopLink => {
-    const link = open(
-      () => undefined,
-      () => undefined,
-    );
+    const link = open(NOTHING, NOTHING);
     links.add(link);
     return link;
   };
@@ -107,8 +106,7 @@
       else if (fresh === 'refused') settle(hop);
       else if (fresh !== 'silent') claim(fresh, hop);
     }
-    if (fresh === 'refused' || fresh === 'silent') return;
-    options.onReplaced(hops.length);
+    if (typeof fresh !== 'string') options.onReplaced(hops.length);
   };
   /** The process that had it has ended, and nobody can tell what it did. */
   const settle = (hop: OutgoingHop): void => {
@@ -185,7 +183,7 @@
     },
     verify: async isUrgent => {
       const fresh = await openFresh(isUrgent);
-      return fresh !== 'refused' && fresh !== 'silent';
+      return typeof fresh !== 'string';
     },
     replaceSilent: sinceMillis => {
       const hops: OutgoingHop[] = [...stranded];
--- a/src/connection/node_listener.ts
+++ b/src/connection/node_listener.ts
@@ -1,13 +1,13 @@
 /**
  * A listener that tells each request when its client has left.
  */
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import type {CancelSignal, CancelSource} from '../base/cancel_signal.js';
 import {createCancelSource} from '../base/cancel_signal.js';
-import {describeError, TransportError} from '../base/errors.js';
 import type {Endpoint} from '../process/node_settings.js';
+import {bindListener} from './bind_listener.js';
 
 /** One request with the response that answers it. */
 export interface Exchange {
@@ -113,9 +113,9 @@
   server.on('checkContinue', (request, response) => {
     accept(request, response, true);
   });
-  await listen(server, options.endpoint);
+  const port = await bindListener(server, options.endpoint);
   return {
-    port: (server.address() as AddressInfo).port,
+    port,
     get busyCount() {
       return busyCount;
     },
@@ -132,14 +132,3 @@
       }),
   };
 }
-
-function listen(server: Server, endpoint: Endpoint): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', error => {
-      const peer = `${endpoint.address}:${String(endpoint.port)}`;
-      const message = `Cannot listen on ${peer}: ${describeError(error)}`;
-      reject(new TransportError(message, {props: {step: 'listen', peer}}));
-    });
-    server.listen(endpoint.port, endpoint.address, 1024, resolve);
-  });
-}
--- a/src/connection/outgoing_hop.ts
+++ b/src/connection/outgoing_hop.ts
@@ -2,9 +2,8 @@
  * A request on its way to another node, wherever its connection is.
  */
 import {randomBytes} from 'node:crypto';
-import type {Endpoint} from '../process/node_settings.js';
 import type {HopAnswer, HopRequest} from '../protocol/hop_messages.js';
-import {encodeHopRequest} from '../protocol/hop_messages.js';
+import {encodeHopRequest} from '../protocol/hop_request_codec.js';
 import type {ReceivedAnswer} from './received_answer.js';
 
 /** How a hop ended. */
@@ -27,7 +26,6 @@
 /** A hop as connections see it. */
 export interface OutgoingHop {
   readonly hopId: string;
-  readonly peer: Endpoint;
   readonly startedMillis: number;
   /** Payload of the frame that opens it. */
   readonly request: Buffer;
@@ -54,7 +52,6 @@
 
 /** What a hop is made of. */
 export interface OutgoingHopOptions {
-  readonly peer: Endpoint;
   readonly request: Omit<HopRequest, 'hopId' | 'bodyForm'>;
   readonly body: Buffer;
   readonly startedMillis: number;
@@ -84,7 +81,6 @@
   };
   const hop: OutgoingHop = {
     hopId,
-    peer: options.peer,
     startedMillis: options.startedMillis,
     request: encodeHopRequest(
       {...request, hopId, bodyForm},
--- a/src/connection/peer_watch.ts
+++ b/src/connection/peer_watch.ts
@@ -43,11 +43,15 @@
 
 /** Watches over nodes. */
 export interface PeerWatch extends Disposable {
-  add(peer: WatchedPeer): void;
-  /** A node did not reply when it was asked last. */
-  isLost(endpoint: Endpoint): boolean;
-  /** Something arrived from a node. */
-  noteHeard(endpoint: Endpoint): void;
+  add(peer: WatchedPeer): PeerSigns;
+}
+
+/** What is known of the life of one node. */
+export interface PeerSigns {
+  /** It did not reply when it was asked last. */
+  readonly isLost: boolean;
+  /** Something arrived from it. */
+  noteHeard(): void;
 }
 
 /** What a watch needs. */
@@ -87,7 +91,7 @@
 
 /** Creates a watch without nodes. */
 export function createPeerWatch(options: PeerWatchOptions): PeerWatch {
-  const states = new Map<string, PeerState>();
+  const states = new Set<PeerState>();
   const {nowMillis} = options;
 
   const check = async (state: PeerState): Promise<void> => {
@@ -113,7 +117,7 @@
    * only: a node that is cut off has nobody to ask, and its own upstream.
    */
   const isOwnFault = async (state: PeerState): Promise<boolean> => {
-    const others = [...states.values()]
+    const others = [...states]
       .filter(other => other !== state && !other.isLost)
       .sort((a, b) => b.heardMillis - a.heardMillis)
       .slice(0, WITNESSES_COUNT);
@@ -164,14 +168,14 @@
 
   const timer = createIntervalTimer(TICK_MILLIS, () => {
     const now = nowMillis();
-    for (const state of states.values()) {
+    for (const state of states) {
       if (isDue(state, now)) void check(state);
     }
   });
 
   return {
     add: peer => {
-      states.set(keyOf(peer.endpoint), {
+      const state: PeerState = {
         peer,
         pingedMillis: new WeakMap(),
         heardMillis: 0,
@@ -179,17 +183,17 @@
         isAsking: false,
         isLost: false,
         wasExcused: false,
-      });
-    },
-    isLost: endpoint => states.get(keyOf(endpoint))?.isLost ?? false,
-    noteHeard: endpoint => {
-      const state = states.get(keyOf(endpoint));
-      if (state !== undefined) hear(state);
+      };
+      states.add(state);
+      return {
+        get isLost() {
+          return state.isLost;
+        },
+        noteHeard: () => {
+          hear(state);
+        },
+      };
     },
     dispose: timer.dispose,
   };
 }
-
-function keyOf({address, port}: Endpoint): string {
-  return `${address}:${String(port)}`;
-}
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -4,6 +4,7 @@
  */
 import type {Disposable} from '../base/lifecycle.js';
 import {createDisposableStore, createIntervalTimer} from '../base/lifecycle.js';
+import {endpointText} from '../process/endpoint_text.js';
 import type {LoadBoard} from '../process/load_board.js';
 import type {Endpoint} from '../process/node_settings.js';
 import type {RetryLoan} from '../process/retry_grant.js';
@@ -14,7 +15,7 @@
 import {createHopPeer} from './hop_peer.js';
 import type {HopEnd} from './outgoing_hop.js';
 import {createOutgoingHop} from './outgoing_hop.js';
-import type {PeerWatch} from './peer_watch.js';
+import type {PeerSigns, PeerWatch} from './peer_watch.js';
 import {createPeerWatch} from './peer_watch.js';
 
 /** Executes requests at other hosts. */
@@ -49,43 +50,52 @@
   const execution: HopExecution = {options, peerOf: peers.of};
   return {
     execute: (target, call) => executeResent(execution, target, call),
-    isLost: target => watch.isLost(target.node),
+    isLost: target => peers.isLost(target.node),
     dispose: store.dispose,
   };
 }
 
 interface Peers extends Disposable {
   of(endpoint: Endpoint): HopPeer;
+  isLost(endpoint: Endpoint): boolean;
+}
+
+/** A node that requests have been sent to. */
+interface KnownPeer {
+  readonly peer: HopPeer;
+  readonly signs: PeerSigns;
 }
 
 /** Nodes that requests have been sent to. */
 function createPeers(options: RemoteExecutionOptions, watch: PeerWatch): Peers {
-  const peers = new Map<string, HopPeer>();
+  const peers = new Map<string, KnownPeer>();
   const timer = createIntervalTimer(EXPIRE_MILLIS, () => {
-    for (const peer of peers.values()) peer.expire();
+    for (const {peer} of peers.values()) peer.expire();
   });
   return {
     of: endpoint => {
-      const key = `${endpoint.address}:${String(endpoint.port)}`;
+      const key = endpointText(endpoint);
       const known = peers.get(key);
-      if (known !== undefined) return known;
-      const created = createHopPeer({
+      if (known !== undefined) return known.peer;
+      const peer = createHopPeer({
         endpoint,
         nowMillis: options.nowMillis,
         onHeard: () => {
-          watch.noteHeard(endpoint);
+          signs.noteHeard();
         },
         onReplaced: hopsCount => {
           options.onLinkLost(endpoint, hopsCount);
         },
       });
-      peers.set(key, created);
-      watch.add(created);
-      return created;
+      const signs = watch.add(peer);
+      peers.set(key, {peer, signs});
+      return peer;
     },
+    isLost: endpoint =>
+      peers.get(endpointText(endpoint))?.signs.isLost ?? false,
     dispose: () => {
       timer.dispose();
-      for (const peer of peers.values()) peer.dispose();
+      for (const {peer} of peers.values()) peer.dispose();
     },
   };
 }
@@ -120,7 +130,6 @@
   const now = options.nowMillis();
   const end = await new Promise<HopEnd>(resolve => {
     const hop = createOutgoingHop({
-      peer: target.node,
       request: requestOf(target, call, {loan, now}),
       body: call.body,
       startedMillis: now,
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -10,6 +10,7 @@
 import {openNodeListener} from '../connection/node_listener.js';
 import type {DecisionLog} from '../process/decision_log.js';
 import type {NodeMetrics} from '../process/node_metrics.js';
+import {endpointText} from '../process/endpoint_text.js';
 import type {NodeSettings} from '../process/node_settings.js';
 import type {PublishedDocuments} from '../process/published_documents.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
@@ -201,6 +202,6 @@
 function addressesOf(settings: NodeSettings): string {
   const {outbound, local, inbound, ready, upstream, store} = settings;
   return [outbound, local, inbound, ready, upstream, store]
-    .map(at => `${at?.address ?? ''}:${String(at?.port ?? 0)}`)
+    .map(at => (at === undefined ? '' : endpointText(at)))
     .join(' ');
 }
--- a/src/process/load_board.ts
+++ b/src/process/load_board.ts
@@ -2,19 +2,11 @@
  * What this node has heard about the load of upstreams, its own or from the
  * answers of other nodes; the newest report of each upstream counts.
  */
+import type {LoadFields} from '../protocol/hop_messages.js';
 import {LEAST_IMPORTANT} from './importance.js';
 
 /** Load of one upstream as its node reported it. */
-export interface LoadReport {
-  readonly upstreamId: string;
-  readonly service: string;
-  readonly inFlightCount: number;
-  readonly queuedCount: number;
-  /** 0 while the upstream cannot be reached by its node. */
-  readonly limitCount: number;
-  readonly averageMillis: number;
-  /** Least important value that it would like to receive. */
-  readonly level: number;
+export interface LoadReport extends Omit<LoadFields, 'ageMillis'> {
   /** When the report was made, on this node's clock. */
   readonly madeAtMillis: number;
 }
--- /dev/null
+++ b/src/protocol/hop_answer_codec.ts
@@ -0,0 +1,166 @@
+/**
+ * Answers between nodes as payloads of frames.
+ */
+import type {
+  AnswerFields,
+  HopAnswer,
+  HopOutcome,
+  HopReason,
+  LoadFields,
+} from './hop_messages.js';
+import type {WithBody} from './message_payload.js';
+import {
+  areTexts,
+  isNumber,
+  joinPayload,
+  splitPayload,
+} from './message_payload.js';
+
+/** Lists instead of objects: names would double the bytes between zones. */
+type LoadList = readonly [
+  string,
+  string,
+  number,
+  number,
+  number,
+  number,
+  number,
+  number,
+];
+type MessageList = readonly [number, readonly string[], number, number];
+type AnswerList = readonly [
+  HopOutcome,
+  HopReason,
+  number,
+  number,
+  readonly (readonly [string, number])[],
+  readonly LoadList[],
+  MessageList | 0,
+];
+
+/** Writes an answer with its body or the beginning of it. */
+export function encodeHopAnswer(answer: HopAnswer, start: Buffer): Buffer {
+  const {message} = answer;
+  const list: AnswerList = [
+    answer.outcome,
+    answer.reason,
+    answer.hasFailedCall ? 1 : 0,
+    answer.unspentCount,
+    [...answer.calls],
+    answer.loads.map(listOfLoad),
+    message === undefined
+      ? 0
+      : [
+          message.statusCode,
+          message.headers,
+          message.isUnframed ? 1 : 0,
+          message.hasRest ? 1 : 0,
+        ],
+  ];
+  return joinPayload(list, start);
+}
+
+/** Reads an answer; `undefined` if the payload is none. */
+export function decodeHopAnswer(
+  payload: Buffer,
+): WithBody<HopAnswer> | undefined {
+  const parts = splitPayload(payload);
+  if (parts === undefined) return undefined;
+  const list = parts.header as Partial<AnswerList>;
+  const [outcome, reason, failed, unspentCount] = list;
+  if (!isOutcome(outcome) || typeof reason !== 'string') return undefined;
+  const message = messageOf(list[6]);
+  if (outcome === 'answered' && message === undefined) return undefined;
+  return {
+    message: {
+      outcome,
+      reason,
+      hasFailedCall: failed === 1,
+      unspentCount: isNumber(unspentCount) ? unspentCount : 0,
+      calls: callsOf(list[4]),
+      loads: loadsOf(list[5]),
+      message,
+    },
+    body: parts.body,
+  };
+}
+
+function messageOf(value: unknown): AnswerFields | undefined {
+  if (!Array.isArray(value)) return undefined;
+  const list = value as readonly unknown[];
+  const [statusCode, headers, unframed, rest] = list;
+  if (!isNumber(statusCode) || !Array.isArray(headers)) return undefined;
+  if (!areTexts(headers)) return undefined;
+  return {
+    statusCode,
+    headers: headers as readonly string[],
+    isUnframed: unframed === 1,
+    hasRest: rest === 1,
+  };
+}
+
+function callsOf(value: unknown): ReadonlyMap<string, number> {
+  const calls = new Map<string, number>();
+  if (!Array.isArray(value)) return calls;
+  for (const item of value as readonly unknown[]) {
+    if (!Array.isArray(item)) continue;
+    const [service, count] = item as readonly unknown[];
+    if (typeof service === 'string' && isNumber(count)) {
+      calls.set(service, count);
+    }
+  }
+  return calls;
+}
+
+/** Tenths of a millisecond are enough of a mean. */
+const MEAN_STEPS = 10;
+
+function listOfLoad(load: LoadFields): LoadList {
+  return [
+    load.upstreamId,
+    load.service,
+    load.inFlightCount,
+    load.queuedCount,
+    load.limitCount,
+    Math.round(load.averageMillis * MEAN_STEPS) / MEAN_STEPS,
+    load.level,
+    Math.round(load.ageMillis),
+  ];
+}
+
+/** Reads loads, leaving out what is none. */
+function loadsOf(value: unknown): readonly LoadFields[] {
+  if (!Array.isArray(value)) return [];
+  const loads: LoadFields[] = [];
+  for (const item of value as readonly unknown[]) {
+    const load = loadOf(item);
+    if (load !== undefined) loads.push(load);
+  }
+  return loads;
+}
+
+function loadOf(value: unknown): LoadFields | undefined {
+  if (!Array.isArray(value)) return undefined;
+  const [upstreamId, service, ...figures] = value as readonly unknown[];
+  if (typeof upstreamId !== 'string' || typeof service !== 'string') {
+    return undefined;
+  }
+  const [inFlight, queued, limit, average, level, age] = figures;
+  if (!isNumber(inFlight) || !isNumber(queued)) return undefined;
+  if (!isNumber(limit) || !isNumber(average)) return undefined;
+  if (!isNumber(level) || !isNumber(age)) return undefined;
+  return {
+    upstreamId,
+    service,
+    inFlightCount: inFlight,
+    queuedCount: queued,
+    limitCount: limit,
+    averageMillis: average,
+    level,
+    ageMillis: age,
+  };
+}
+
+function isOutcome(value: unknown): value is HopOutcome {
+  return value === 'answered' || value === 'refused' || value === 'unknown';
+}
--- /dev/null
+++ b/src/protocol/hop_request_codec.ts
@@ -0,0 +1,110 @@
+/**
+ * Requests between nodes as payloads of frames.
+ */
+import type {BodyForm, HopRequest, OriginFields} from './hop_messages.js';
+import type {WithBody} from './message_payload.js';
+import {
+  areTexts,
+  isNumber,
+  joinPayload,
+  splitPayload,
+} from './message_payload.js';
+
+/** Lists instead of objects: names would double the bytes between zones. */
+type OriginList = readonly [number, string, string, number, number, number];
+type RequestList = readonly [
+  string,
+  string,
+  string,
+  string,
+  string,
+  string,
+  readonly string[],
+  number,
+  BodyForm,
+  number,
+  number,
+  OriginList,
+];
+
+/** Writes a request; the body is empty unless it goes along. */
+export function encodeHopRequest(request: HopRequest, body: Buffer): Buffer {
+  const {origin} = request;
+  const list: RequestList = [
+    request.hopId,
+    request.attemptId,
+    request.upstreamId,
+    request.callerService,
+    request.method,
+    request.target,
+    request.headers,
+    request.isRepeatable ? 1 : 0,
+    request.bodyForm,
+    Math.floor(request.leftMillis),
+    Math.round(request.startWithinMillis),
+    [
+      origin.importance,
+      origin.rootId,
+      origin.rootRouteName,
+      Math.round(origin.rootAgeMillis),
+      origin.isRepeat ? 1 : 0,
+      origin.repeatsCount,
+    ],
+  ];
+  return joinPayload(list, body);
+}
+
+/** Reads a request; `undefined` if the payload is none. */
+export function decodeHopRequest(
+  payload: Buffer,
+): WithBody<HopRequest> | undefined {
+  const parts = splitPayload(payload);
+  if (parts === undefined) return undefined;
+  const list = parts.header as Partial<RequestList>;
+  const [hopId, attemptId, upstreamId, callerService, method, target] = list;
+  const headers = list[6];
+  const leftMillis = list[9];
+  const startWithinMillis = list[10];
+  const origin = originOf(list[11]);
+  if (!areTexts([hopId, attemptId, upstreamId, callerService])) {
+    return undefined;
+  }
+  if (!areTexts([method, target]) || !Array.isArray(headers)) return undefined;
+  if (!isNumber(leftMillis) || !isNumber(startWithinMillis)) return undefined;
+  if (origin === undefined || !areTexts(headers)) return undefined;
+  return {
+    message: {
+      hopId: hopId ?? '',
+      attemptId: attemptId ?? '',
+      upstreamId: upstreamId ?? '',
+      callerService: callerService ?? '',
+      method: method ?? '',
+      target: target ?? '',
+      headers: headers as readonly string[],
+      isRepeatable: list[7] === 1,
+      bodyForm: list[8] ?? 'inline',
+      leftMillis,
+      startWithinMillis,
+      origin,
+    },
+    body: parts.body,
+  };
+}
+
+function originOf(value: unknown): OriginFields | undefined {
+  if (!Array.isArray(value)) return undefined;
+  const list = value as readonly unknown[];
+  const [importance, rootId, rootRouteName, rootAgeMillis, repeat, repeats] =
+    list;
+  if (typeof rootId !== 'string') return undefined;
+  if (typeof rootRouteName !== 'string') return undefined;
+  if (!isNumber(importance) || !isNumber(rootAgeMillis)) return undefined;
+  return {
+    importance,
+    rootId,
+    rootRouteName,
+    rootAgeMillis,
+    isRepeat: repeat === 1,
+    repeatsCount: isNumber(repeats) ? repeats : 0,
+  };
+}
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -94,7 +94,7 @@
       entry,
       call,
       sentCount,
-      isLastUpstream: !options.placement.hasOther(request.service, triedIds),
+      triedIds,
     });
     last = end;
     placement.end(lessonOf(last));
@@ -118,22 +118,24 @@
   readonly call: ExecutionCall;
   /** Upstreams that were handed the request before. */
   readonly sentCount: number;
-  readonly isLastUpstream: boolean;
+  /** Upstreams it was offered to, this one included. */
+  readonly triedIds: ReadonlySet<string>;
 }
 
 /** An attempt that is the last one anyway is waited for to its deadline. */
 async function attemptPatiently(
   options: AttemptsOptions,
   request: AttemptedRequest,
-  {entry, call, sentCount, isLastUpstream}: NextAttempt,
+  {entry, call, sentCount, triedIds}: NextAttempt,
 ): Promise<PatientEnd> {
-  const {patience, rules, nowMillis} = options;
+  const {patience, placement, rules, nowMillis} = options;
   const key = `${request.route.name} ${request.service}`;
   const startedMillis = nowMillis();
-  const mayWait = isLastUpstream || !call.isRepeatable;
+  const hasNext =
+    call.isRepeatable && placement.hasOther(request.service, triedIds);
   const patient = await runPatiently({
     call,
-    patienceMillis: mayWait ? undefined : patience.patienceMillis(key),
+    patienceMillis: hasNext ? patience.patienceMillis(key) : undefined,
     execute: patientCall => attemptAt(options, entry, patientCall),
     mayGiveUp: () => rules.mayGiveUp(request, sentCount),
   });
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -13,7 +13,6 @@
 import type {ConfigurationHolder} from '../process/configuration_holder.js';
 import type {EntryGate} from '../process/entry_gate.js';
 import type {
-  CallOrigin,
   InFlightParent,
   InFlightParents,
 } from '../process/in_flight_parents.js';
@@ -24,7 +23,7 @@
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {ServiceRoute} from '../version/route_configuration.js';
 import type {AttemptsEnd, Attempts} from './attempts.js';
-import type {EntryAnswers} from './entry_answers.js';
+import type {AnsweredRequest, EntryAnswers} from './entry_answers.js';
 
 /** Answers requests that enter here. */
 export interface OutboundExchanges {
@@ -50,15 +49,9 @@
 }
 
 /** A request that was read and has a route. */
-interface EnteredRequest {
-  readonly exchange: Exchange;
-  readonly attemptId: string;
-  readonly route: ServiceRoute;
-  readonly service: string;
-  readonly arrivedMillis: number;
-  readonly deadlineMillis: number;
+interface EnteredRequest extends AnsweredRequest {
+  /** The request at the own upstream that this call is made for. */
   readonly parent: InFlightParent | undefined;
-  readonly origin: CallOrigin;
 }
 
 /**
--- a/test/unit/connection/hop_transport.test.ts
+++ b/test/unit/connection/hop_transport.test.ts
@@ -1,157 +1,17 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Readable} from 'node:stream';
-import type {ExecutionContext} from 'ava';
 import test from 'ava';
-import type {HopArrival} from '../../../src/connection/hop_arrival.js';
-import type {HopListener} from '../../../src/connection/hop_listener.js';
-import {openHopListener} from '../../../src/connection/hop_listener.js';
-import {createHopPeer} from '../../../src/connection/hop_peer.js';
-import type {
-  HopEnd,
-  OutgoingHop,
-} from '../../../src/connection/outgoing_hop.js';
-import {createOutgoingHop} from '../../../src/connection/outgoing_hop.js';
-import {createPeerWatch} from '../../../src/connection/peer_watch.js';
-import type {ReceivedAnswer} from '../../../src/connection/received_answer.js';
+import {ANY_SOURCE} from '../../../src/emulator/faulty_link.js';
 import {
-  ANY_SOURCE,
-  createFaultyLink,
-} from '../../../src/emulator/faulty_link.js';
+  answerWith,
+  createHopFixture,
+  MAX_BODY_BYTES,
+  startOf,
+} from '../../fakes/hop_fixture.js';
 import {waitUntil} from '../../fakes/wait_until.js';
 
-const ADDRESS = '127.0.0.1';
-const NOTHING = Buffer.alloc(0);
-const MAX_BODY_BYTES = 1_000_000;
-const nowMillis = (): number => performance.now();
-
-/** A node that executes what `handle` is given, with a relay in front. */
-async function createFixture(
-  t: ExecutionContext,
-  handle: (arrival: HopArrival) => Promise<void>,
-) {
-  const listen = (instanceId: string): Promise<HopListener> =>
-    openHopListener({
-      endpoint: {address: ADDRESS, port: 0},
-      instanceId,
-      bodyBytes: () => MAX_BODY_BYTES,
-      handle,
-      nowMillis,
-      onMalformed: peer => {
-        t.fail(`malformed message from ${peer}`);
-      },
-    });
-  const listener = await listen('first');
-  const link = await createFaultyLink({targetPort: listener.port});
-  const endpoint = {address: ADDRESS, port: link.port};
-  const watch = createPeerWatch({
-    nowMillis,
-    onPeerLost: () => undefined,
-    onPeerFound: () => undefined,
-  });
-  let replacedCount = 0;
-  const peer = createHopPeer({
-    endpoint,
-    nowMillis,
-    onHeard: () => {
-      watch.noteHeard(endpoint);
-    },
-    onReplaced: count => {
-      replacedCount += count;
-    },
-  });
-  watch.add(peer);
-  t.teardown(async () => {
-    watch.dispose();
-    peer.dispose();
-    link.close();
-    await listener.close();
-  });
-
-  /** Sends a request; `ended` holds how it ended. */
-  const send = (isRepeatable: boolean, body = NOTHING): SentHop => {
-    let hop: OutgoingHop | undefined;
-    const ended = new Promise<HopEnd>(resolve => {
-      hop = createOutgoingHop({
-        peer: endpoint,
-        body,
-        startedMillis: nowMillis(),
-        onEnd: resolve,
-        request: requestOf(isRepeatable),
-      });
-      peer.send(hop);
-    });
-    return {
-      ended,
-      cancel: () => {
-        hop?.lost('cancelled');
-      },
-    };
-  };
-  return {
-    listener,
-    listen,
-    link,
-    peer,
-    send,
-    replacedCount: () => replacedCount,
-  };
-}
-
-interface SentHop {
-  readonly ended: Promise<HopEnd>;
-  cancel(): void;
-}
-
-function requestOf(isRepeatable: boolean) {
-  return {
-    attemptId: 'a',
-    upstreamId: 'u',
-    callerService: 'shop',
-    method: 'GET',
-    target: '/',
-    headers: [],
-    isRepeatable,
-    leftMillis: 5000,
-    startWithinMillis: 5000,
-    origin: {
-      importance: 0,
-      rootId: 'a',
-      rootRouteName: 'r',
-      rootAgeMillis: 0,
-      isRepeat: false,
-      repeatsCount: 0,
-    },
-  };
-}
-
-function answerWith(arrival: HopArrival, text: string, rest?: Readable): void {
-  const received: ReceivedAnswer = {
-    statusCode: 200,
-    headers: [],
-    start: Buffer.from(text),
-    rest,
-    isUnframed: false,
-  };
-  arrival.answer({
-    answer: {
-      outcome: 'answered',
-      reason: 'none',
-      hasFailedCall: false,
-      unspentCount: 0,
-      calls: new Map(),
-      loads: [],
-    },
-    received,
-  });
-}
-
-function startOf(end: HopEnd): string {
-  if (end.kind !== 'answer') return `${end.kind} ${end.reason}`;
-  return end.received?.start.toString() ?? 'no answer';
-}
-
 test('many requests at once get their own answers', async t => {
-  const {send} = await createFixture(t, async arrival => {
+  const {send} = await createHopFixture(t, async arrival => {
     const body = await arrival.fetchBody();
     answerWith(arrival, `echo ${String(body)}`);
   });
@@ -166,7 +26,7 @@
 });
 
 test('a long body arrives whole, one beyond the bound does not', async t => {
-  const {send} = await createFixture(t, async arrival => {
+  const {send} = await createHopFixture(t, async arrival => {
     const body = await arrival.fetchBody();
     answerWith(arrival, String(body?.length));
   });
@@ -190,12 +50,15 @@
   // are reset. Sequence: reset while the upstream works. Cause: the answer was
   // tied to the connection.
   let runsCount = 0;
-  const {send, link, replacedCount} = await createFixture(t, async arrival => {
-    await arrival.fetchBody();
-    runsCount += 1;
-    await sleep(150);
-    answerWith(arrival, 'done');
-  });
+  const {send, link, replacedCount} = await createHopFixture(
+    t,
+    async arrival => {
+      await arrival.fetchBody();
+      runsCount += 1;
+      await sleep(150);
+      answerWith(arrival, 'done');
+    },
+  );
   const {ended} = send(false);
   await waitUntil('runs', () => runsCount === 1);
   link.setDefaultMode('reset');
@@ -210,7 +73,7 @@
   // answer is written on it and never arrives.
   let runsCount = 0;
   let isAnswered = false;
-  const {send, link} = await createFixture(t, async arrival => {
+  const {send, link} = await createHopFixture(t, async arrival => {
     await arrival.fetchBody();
     runsCount += 1;
     await waitUntil('silent', () => isAnswered);
@@ -229,7 +92,7 @@
   // in progress and started again; the new one has not heard of it. Cause: only
   // the process that received a request can tell that it has not.
   let runsCount = 0;
-  const {send, link, listen} = await createFixture(t, async arrival => {
+  const {send, link, listen} = await createHopFixture(t, async arrival => {
     await arrival.fetchBody();
     runsCount += 1;
     await new Promise(resolve => arrival.cancel.onCancel(() => resolve(0)));
@@ -249,7 +112,7 @@
 
 test('a request that never arrived is proven not run', async t => {
   let runsCount = 0;
-  const {send, link} = await createFixture(t, arrival => {
+  const {send, link} = await createHopFixture(t, arrival => {
     runsCount += 1;
     answerWith(arrival, 'done');
     return Promise.resolve();
@@ -261,7 +124,7 @@
 });
 
 test('a body that is held back is not sent while the request waits', async t => {
-  const {send, link} = await createFixture(t, async arrival => {
+  const {send, link} = await createHopFixture(t, async arrival => {
     await new Promise(resolve => arrival.cancel.onCancel(() => resolve(0)));
     answerWith(arrival, 'cancelled');
   });
@@ -274,7 +137,7 @@
 test('a sender that leaves cancels the work and keeps the connection', async t => {
   let cancelledCount = 0;
   let runsCount = 0;
-  const {send, link, listener} = await createFixture(t, async arrival => {
+  const {send, link, listener} = await createHopFixture(t, async arrival => {
     await arrival.fetchBody();
     runsCount += 1;
     if (runsCount === 1) {
@@ -297,7 +160,7 @@
 test('work whose sender never comes back is cancelled', async t => {
   let cancelledCount = 0;
   let runsCount = 0;
-  const {send, link} = await createFixture(t, async arrival => {
+  const {send, link} = await createHopFixture(t, async arrival => {
     await arrival.fetchBody();
     runsCount += 1;
     await new Promise(resolve => arrival.cancel.onCancel(() => resolve(0)));
@@ -315,7 +178,7 @@
 
 test('a node that can be reached by nobody costs what may be repeated', async t => {
   let runsCount = 0;
-  const {send, link} = await createFixture(t, async arrival => {
+  const {send, link} = await createHopFixture(t, async arrival => {
     await arrival.fetchBody();
     runsCount += 1;
     await sleep(1500);
@@ -336,7 +199,7 @@
   const CHUNK = Buffer.alloc(65_536, 7);
   const CHUNKS_COUNT = 64;
   let producedCount = 0;
-  const {send} = await createFixture(t, arrival => {
+  const {send} = await createHopFixture(t, arrival => {
     const rest = Readable.from(produce(), {objectMode: false});
     answerWith(arrival, 'start', rest);
     return Promise.resolve();
@@ -355,7 +218,7 @@
 });
 
 test('a rest that breaks off fails instead of ending', async t => {
-  const {send} = await createFixture(t, arrival => {
+  const {send} = await createHopFixture(t, arrival => {
     const rest = new Readable({read: () => undefined});
     answerWith(arrival, 'start', rest);
     rest.push('more');
--- a/test/unit/connection/peer_watch.test.ts
+++ b/test/unit/connection/peer_watch.test.ts
@@ -1,6 +1,7 @@
 import type {ExecutionContext} from 'ava';
 import test from 'ava';
 import type {
+  PeerSigns,
   PeerWatch,
   WatchedConnection,
 } from '../../../src/connection/peer_watch.js';
@@ -40,7 +41,7 @@
     },
   });
   t.teardown(watch.dispose);
-  watch.add({
+  const signs: PeerSigns = watch.add({
     endpoint: ENDPOINT,
     strandedCount: 0,
     connections: () => [connection],
@@ -60,6 +61,7 @@
   });
   return {
     watch,
+    signs,
     connection,
     events,
     send: () => {
@@ -67,7 +69,7 @@
     },
     hear: () => {
       connection.heardMillis = now;
-      watch.noteHeard(ENDPOINT);
+      signs.noteHeard();
     },
     asksCount: () => asksCount,
     pingsCount: () => pingsCount,
@@ -81,7 +83,7 @@
 function addWitness(watch: PeerWatch): () => number {
   const endpoint = {address: 'q', port: 1};
   let asksCount = 0;
-  watch.add({
+  const signs = watch.add({
     endpoint,
     strandedCount: 0,
     connections: () => [],
@@ -92,7 +94,7 @@
     replaceSilent: () => undefined,
     giveUp: () => 0,
   });
-  watch.noteHeard(endpoint);
+  signs.noteHeard();
   return () => asksCount;
 }
 
@@ -110,13 +112,13 @@
 test('a node that hears nobody blames itself first', async t => {
   // Symptom: a slow node answers its clients with failures, and sends their
   // requests twice. It took its own delay for the silence of all peers.
-  const {watch, send, events, advance} = createFixture(t, () => false);
+  const {watch, signs, send, events, advance} = createFixture(t, () => false);
   const witnessAsksCount = addWitness(watch);
   send();
   advance(500);
   await waitUntil('asked a witness', () => witnessAsksCount() === 1);
   t.deepEqual(events, []);
-  t.false(watch.isLost(ENDPOINT));
+  t.false(signs.isLost);
   advance(1000);
   await waitUntil('lost', () => events.includes('given up'));
 });
@@ -124,20 +126,20 @@
 test('a lost node is asked until it replies, and avoided meanwhile', async t => {
   // Symptom: long after a partition began, every other request still waits for
   // a peer behind it. Cause: requests themselves were sent to try the peer.
-  const {watch, send, events, advance} = createFixture(
+  const {signs, send, events, advance} = createFixture(
     t,
     asking => asking >= 3,
   );
   send();
   advance(500);
   await waitUntil('lost', () => events.includes('given up'));
-  t.true(watch.isLost(ENDPOINT));
+  t.true(signs.isLost);
   advance(1000);
   await waitUntil('asked again', () => {
     advance(50);
     return events.includes('found');
   });
-  t.false(watch.isLost(ENDPOINT));
+  t.false(signs.isLost);
 });
 
 test('requests of a silent connection go on if the node replies', async t => {
--- a/test/unit/protocol/hop_messages.test.ts
+++ b/test/unit/protocol/hop_codecs.test.ts
@@ -6,10 +6,12 @@
 } from '../../../src/protocol/hop_messages.js';
 import {
   decodeHopAnswer,
-  decodeHopRequest,
   encodeHopAnswer,
+} from '../../../src/protocol/hop_answer_codec.js';
+import {
+  decodeHopRequest,
   encodeHopRequest,
-} from '../../../src/protocol/hop_messages.js';
+} from '../../../src/protocol/hop_request_codec.js';
 
 const REQUEST: HopRequest = {
   hopId: 'abc1',
