--- a/test/contract/platform_answers.test.ts
+++ b/test/contract/platform_answers.test.ts
@@ -1,17 +1,14 @@
 import test from 'ava';
-import {fleetPath} from '../fakes/platform_fleet.js';
+import {ORDER_PATH, orderRequest, SAFE_PATH} from '../fakes/platform_fleet.js';
 import {signatureOf} from '../fakes/stand_in_backend.js';
 import {startFleet} from '../fakes/test_fleet.js';
 
-const SAFE = fleetPath();
-const UNSAFE = fleetPath({name: 'r-2', prefix: '/order/', kind: 'unsafe'});
-
 test('an answer that was lost: repeated if harmless, else reported', async t => {
   // Symptom: an order is charged twice. The upstream runs it and its connection
   // breaks before the answer. Cause: taken for a request that did not arrive.
   const fleet = await startFleet(t, {
     services: ['orders', 'orders', 'atlas'],
-    paths: [SAFE, UNSAFE],
+    paths: [SAFE_PATH, ORDER_PATH],
   });
   const [first, second, atlas] = fleet.hosts;
   const runs = (id: string): number =>
@@ -29,8 +26,7 @@
   const safe = await fleet.send(atlas!, {attemptId: 'safe', path: '/a/1'});
   t.is(safe.statusCode, 200);
   t.is(runs('safe'), 2);
-  const order = {method: 'POST', body: 'x', path: '/order/1'};
-  const unsafe = await fleet.send(atlas!, {attemptId: 'unsafe', ...order});
+  const unsafe = await fleet.send(atlas!, orderRequest('unsafe'));
   t.is(unsafe.statusCode, 502);
   t.is(runs('unsafe'), 1);
 });
@@ -38,17 +34,12 @@
 test('an order goes on to another host if it provably did not run', async t => {
   const fleet = await startFleet(t, {
     services: ['orders', 'orders', 'atlas'],
-    paths: [UNSAFE],
+    paths: [ORDER_PATH],
   });
   const [first, second, atlas] = fleet.hosts;
   await first!.backend.close();
   for (let index = 0; index < 12; index += 1) {
-    const answer = await fleet.send(atlas!, {
-      attemptId: `c${String(index)}`,
-      method: 'POST',
-      path: '/order/1',
-      body: 'x',
-    });
+    const answer = await fleet.send(atlas!, orderRequest(`c${String(index)}`));
     t.is(answer.statusCode, 200);
   }
   t.is(new Set(second!.backend.runIds).size, 12);
@@ -61,7 +52,7 @@
   // is expected. Cause: answers are matched by their place alone.
   const fleet = await startFleet(t, {
     services: ['atlas', 'orders'],
-    paths: [SAFE],
+    paths: [SAFE_PATH],
   });
   const [atlas, orders] = fleet.hosts;
   orders!.backend.setBehaviour(request => {
@@ -120,18 +111,13 @@
   test(`an order with a broken answer fails visibly, once: ${title}`, async t => {
     const fleet = await startFleet(t, {
       services: ['atlas', 'orders'],
-      paths: [UNSAFE],
+      paths: [ORDER_PATH],
     });
     const [atlas, orders] = fleet.hosts;
     orders!.backend.setBehaviour(({attemptId, socket}) => {
       socket.end(bytes(attemptId));
     });
-    const answer = await fleet.send(atlas!, {
-      attemptId: 'c1',
-      method: 'POST',
-      path: '/order/1',
-      body: 'x',
-    });
+    const answer = await fleet.send(atlas!, orderRequest('c1'));
     t.is(answer.statusCode, 502);
     t.is(answer.headers['response-signature'], undefined);
     t.deepEqual(orders!.backend.runIds, ['c1']);
@@ -139,17 +125,15 @@
 }
 
 test('a failure of the upstream is passed on with its signature', async t => {
-  const fleet = await startFleet(t, {services: ['orders'], paths: [UNSAFE]});
+  const fleet = await startFleet(t, {
+    services: ['orders'],
+    paths: [ORDER_PATH],
+  });
   const [host] = fleet.hosts;
   host!.backend.setBehaviour(request => {
     request.answer(500, 'failed');
   });
-  const answer = await fleet.send(host!, {
-    attemptId: 'c1',
-    method: 'POST',
-    path: '/order/1',
-    body: 'x',
-  });
+  const answer = await fleet.send(host!, orderRequest('c1'));
   t.is(answer.statusCode, 500);
   t.is(answer.body, 'failed');
   t.is(answer.headers['response-signature'], signatureOf('i-1', 'c1'));
@@ -158,19 +142,14 @@
 test('an upstream that says it did not run an order gives it to another', async t => {
   const fleet = await startFleet(t, {
     services: ['orders', 'orders'],
-    paths: [UNSAFE],
+    paths: [ORDER_PATH],
   });
   const [first, second] = fleet.hosts;
   first!.backend.setBehaviour(({response}) => {
     response.writeHead(503, {'not-executed': '1'});
     response.end();
   });
-  const answer = await fleet.send(first!, {
-    attemptId: 'c1',
-    method: 'POST',
-    path: '/order/1',
-    body: 'x',
-  });
+  const answer = await fleet.send(first!, orderRequest('c1'));
   t.is(answer.statusCode, 200);
   t.deepEqual(second!.backend.runIds, ['c1']);
 });
@@ -183,7 +162,7 @@
     // Symptom: a member receives half a map that looks whole. The upstream
     // tells no length and crashes midway; its connection ends as if it were
     // done. Cause: the node measured what it had and vouched for it.
-    const fleet = await startFleet(t, {services, paths: [SAFE]});
+    const fleet = await startFleet(t, {services, paths: [SAFE_PATH]});
     const orders = fleet.hosts.at(-1)!;
     orders.backend.setBehaviour(({attemptId, socket}) => {
       socket.end(
--- a/test/contract/platform_path.test.ts
+++ b/test/contract/platform_path.test.ts
@@ -3,18 +3,22 @@
 import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
-import {FLEET_HOST_NAME, fleetPath, isReady} from '../fakes/platform_fleet.js';
+import {
+  FLEET_HOST_NAME,
+  fleetPath,
+  isReady,
+  ORDER_PATH,
+  orderRequest,
+  SAFE_PATH,
+} from '../fakes/platform_fleet.js';
 import {signatureOf} from '../fakes/stand_in_backend.js';
 import {startFleet} from '../fakes/test_fleet.js';
 import {waitUntil} from '../fakes/wait_until.js';
 
-const SAFE = fleetPath();
-const UNSAFE = fleetPath({name: 'r-2', prefix: '/order/', kind: 'unsafe'});
-
 test('a request reaches an upstream of its service unchanged', async t => {
   const fleet = await startFleet(t, {
     services: ['atlas', 'orders'],
-    paths: [SAFE, UNSAFE],
+    paths: [SAFE_PATH, ORDER_PATH],
   });
   const [atlas, orders] = fleet.hosts;
   let seen: http.IncomingHttpHeaders = {};
@@ -63,7 +67,7 @@
 test('a body in chunks arrives whole', async t => {
   const fleet = await startFleet(t, {
     services: ['atlas', 'orders'],
-    paths: [UNSAFE],
+    paths: [ORDER_PATH],
   });
   const [atlas, orders] = fleet.hosts;
   let seenBody = '';
@@ -89,7 +93,7 @@
   t.is(early.statusCode, 503);
   t.true(Number(early.headers['retry-after']) > 0);
   t.false(isReady(host!));
-  fleet.configure([SAFE]);
+  fleet.configure([SAFE_PATH]);
   await waitUntil('ready', () => isReady(host!));
   const unknown = await fleet.send(host!, {attemptId: 'c2', path: '/b/1'});
   t.is(unknown.statusCode, 404);
@@ -100,7 +104,7 @@
 test('a draining upstream gets nothing new, nor does one that left', async t => {
   const fleet = await startFleet(t, {
     services: ['orders', 'orders', 'atlas'],
-    paths: [SAFE],
+    paths: [SAFE_PATH],
   });
   const [first, second, atlas] = fleet.hosts;
   fleet.publish(first!, {state: 'draining'});
@@ -151,7 +155,7 @@
 test('a route is answered at its timeout, and its work ends', async t => {
   const fleet = await startFleet(t, {
     services: ['atlas', 'orders'],
-    paths: [fleetPath({timeoutS: 0.3}), UNSAFE],
+    paths: [fleetPath({timeoutS: 0.3}), ORDER_PATH],
   });
   const [atlas, orders] = fleet.hosts;
   orders!.backend.setBehaviour(() => undefined);
@@ -163,7 +167,7 @@
 test('pipelined requests are answered in order', async t => {
   const fleet = await startFleet(t, {
     services: ['atlas', 'orders'],
-    paths: [SAFE],
+    paths: [SAFE_PATH],
   });
   const [atlas, orders] = fleet.hosts;
   orders!.backend.setBehaviour(request => {
@@ -196,7 +200,7 @@
 test('an upstream never has more at work than its slots', async t => {
   const fleet = await startFleet(t, {
     services: ['orders', 'atlas'],
-    paths: [SAFE],
+    paths: [SAFE_PATH],
     slots: 3,
   });
   const [orders, atlas] = fleet.hosts;
@@ -256,7 +260,7 @@
 test('a lost store stops nobody, and news come with its return', async t => {
   const fleet = await startFleet(t, {
     services: ['orders', 'atlas'],
-    paths: [SAFE],
+    paths: [SAFE_PATH],
   });
   const [, atlas] = fleet.hosts;
   for (const mode of ['busy', 'reset', 'silent'] as const) {
@@ -277,7 +281,10 @@
 });
 
 test('a client that leaves an unfinished request leaves nothing behind', async t => {
-  const fleet = await startFleet(t, {services: ['orders'], paths: [UNSAFE]});
+  const fleet = await startFleet(t, {
+    services: ['orders'],
+    paths: [ORDER_PATH],
+  });
   const [host] = fleet.hosts;
   const socket = net.connect(fleet.outboundPort, host!.address);
   await once(socket, 'connect');
@@ -286,12 +293,7 @@
   );
   await sleep(50);
   socket.destroy();
-  const after = await fleet.send(host!, {
-    attemptId: 'c2',
-    method: 'POST',
-    path: '/order/1',
-    body: 'x',
-  });
+  const after = await fleet.send(host!, orderRequest('c2'));
   t.is(after.statusCode, 200);
   t.deepEqual(host!.backend.runIds, ['c2']);
 });
--- a/test/contract/platform_repeats.test.ts
+++ b/test/contract/platform_repeats.test.ts
@@ -1,10 +1,7 @@
 import test from 'ava';
-import {fleetPath} from '../fakes/platform_fleet.js';
+import {ORDER_PATH, orderRequest, SAFE_PATH} from '../fakes/platform_fleet.js';
 import {startFleet} from '../fakes/test_fleet.js';
 
-const SAFE = fleetPath();
-const UNSAFE = fleetPath({name: 'r-2', prefix: '/order/', kind: 'unsafe'});
-
 /** More than a node needs to learn how long answers usually take. */
 const LEARNING_COUNT = 60;
 
@@ -14,7 +11,7 @@
   // Cause: the attempt was waited for to the deadline of the request.
   const fleet = await startFleet(t, {
     services: ['shop', 'orders', 'orders'],
-    paths: [SAFE, UNSAFE],
+    paths: [SAFE_PATH, ORDER_PATH],
   });
   const [shop, ...orders] = fleet.hosts;
   for (let index = 0; index < LEARNING_COUNT; index += 1) {
@@ -37,17 +34,11 @@
 test('an order whose answer is lost is never sent again', async t => {
   const fleet = await startFleet(t, {
     services: ['shop', 'orders', 'orders'],
-    paths: [SAFE, UNSAFE],
+    paths: [SAFE_PATH, ORDER_PATH],
   });
   const [shop, ...orders] = fleet.hosts;
   const send = (attemptId: string) =>
-    fleet.send(shop!, {
-      attemptId,
-      method: 'POST',
-      path: '/order/1',
-      body: 'x',
-      timeoutMillis: 1000,
-    });
+    fleet.send(shop!, {...orderRequest(attemptId), timeoutMillis: 1000});
   for (let index = 0; index < LEARNING_COUNT; index += 1) {
     await send(`learn${String(index)}`);
   }
--- a/test/contract/platform_stop.test.ts
+++ b/test/contract/platform_stop.test.ts
@@ -2,18 +2,16 @@
 import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
-import {FLEET_HOST_NAME, fleetPath, isReady} from '../fakes/platform_fleet.js';
+import {FLEET_HOST_NAME, isReady, SAFE_PATH} from '../fakes/platform_fleet.js';
 import {startFleet} from '../fakes/test_fleet.js';
 import {waitUntil} from '../fakes/wait_until.js';
 
-const SAFE = fleetPath();
-
 test('a node that stops finishes what it holds', async t => {
   // Symptom: a planned restart cuts answers off. Cause: the process ends while
   // its upstream still works.
   const fleet = await startFleet(t, {
     services: ['orders', 'orders'],
-    paths: [SAFE],
+    paths: [SAFE_PATH],
   });
   const [first, second] = fleet.hosts;
   const release: Array<() => void> = [];
@@ -50,7 +48,7 @@
   // grace with requests in progress. Cause: it accepted connections to the last.
   const fleet = await startFleet(t, {
     services: ['shop', 'orders'],
-    paths: [SAFE],
+    paths: [SAFE_PATH],
   });
   const [shop, orders] = fleet.hosts;
   orders!.backend.setBehaviour(request => {
@@ -83,7 +81,7 @@
   // Symptom: a planned restart cuts an answer off although the node was idle.
   // A client connects, the node finds itself idle and ends, and the request
   // comes in between. Cause: the process ended without looking again.
-  const fleet = await startFleet(t, {services: ['orders'], paths: [SAFE]});
+  const fleet = await startFleet(t, {services: ['orders'], paths: [SAFE_PATH]});
   const [host] = fleet.hosts;
   const socket = net.connect(fleet.outboundPort, host!.address);
   await once(socket, 'connect');
--- a/test/fakes/platform_fleet.ts
+++ b/test/fakes/platform_fleet.ts
@@ -103,6 +103,21 @@
   };
 }
 
+/** The usual route for requests that may run more than once. */
+export const SAFE_PATH = fleetPath();
+
+/** The usual route for requests that may run once at most. */
+export const ORDER_PATH = fleetPath({
+  name: 'r-2',
+  prefix: '/order/',
+  kind: 'unsafe',
+});
+
+/** A request on the route of orders. */
+export function orderRequest(attemptId: string): ClientRequest {
+  return {attemptId, method: 'POST', path: '/order/1', body: 'x'};
+}
+
 /** Whether a host's node can serve. */
 export function isReady(host: FleetHost): boolean {
   return host.node.waitingFor().length === 0;
