Tests first: an upstream that starts again under its id, entries of another writer

The stand-ins: an upstream ends and starts again under its id, the store takes what another writer left, entries tell birth and count, and a configuration names the services of its fleet.

--- /dev/null
+++ b/test/contract/platform_foreign_entries.test.ts
@@ -0,0 +1,178 @@
+import test from 'ava';
+import type {FleetHost, PlatformFleet} from '../fakes/platform_fleet.js';
+import {SAFE_PATH} from '../fakes/platform_fleet.js';
+import {base64Of} from '../fakes/stand_in_store.js';
+import {startFleet} from '../fakes/test_fleet.js';
+import {waitUntil} from '../fakes/wait_until.js';
+
+type Fields = Readonly<Record<string, unknown>>;
+
+/** A sound entry of an upstream of `orders`, but for what is given. */
+function entryText(address: string, fields: Fields, status: Fields = {}) {
+  const {info, ...rest} = fields;
+  return JSON.stringify({
+    address,
+    info: {
+      service: 'orders',
+      version: 'v1',
+      zone: 'zone-a',
+      slots: 20,
+      ...(info as Fields | undefined),
+    },
+    status: {state: 'ready', seq: 1, coldLeftS: 0, ...status},
+    ...rest,
+  });
+}
+
+/** What another writer may leave, with the field that is named in the log. */
+const FOREIGN_ENTRIES: ReadonlyArray<
+  readonly [string, string, (address: string) => string]
+> = [
+  [
+    'an unnamed state',
+    'state',
+    at => base64Of(entryText(at, {}, {state: 'paused'})),
+  ],
+  ['no state', 'state', at => base64Of(entryText(at, {}, {state: undefined}))],
+  [
+    'no slots',
+    'slots',
+    at => base64Of(entryText(at, {info: {slots: undefined}})),
+  ],
+  ['slots of none', 'slots', at => base64Of(entryText(at, {info: {slots: 0}}))],
+  [
+    'slots as text',
+    'slots',
+    at => base64Of(entryText(at, {info: {slots: '20'}})),
+  ],
+  [
+    'an unnamed zone',
+    'zone',
+    at => base64Of(entryText(at, {info: {zone: 'z'}})),
+  ],
+  ['no port', 'address', at => base64Of(entryText(at.replace(/:.*/, ''), {}))],
+  [
+    'a birth as text',
+    'born',
+    at => base64Of(entryText(at, {born: '1790000000000'})),
+  ],
+  ['a list', 'entry', () => base64Of('[1]')],
+  ['half an entry', 'entry', at => base64Of(entryText(at, {}).slice(0, 40))],
+  ['no base64', 'entry', () => '!!not base64!!'],
+  [
+    'no text',
+    'entry',
+    at => Buffer.from(entryText(at, {x: '\xff'}), 'latin1').toString('base64'),
+  ],
+  ['nothing', 'entry', () => ''],
+];
+
+/** Whether a node told of a broken entry under a key. */
+function hasTold(host: FleetHost, key: string, field: string): boolean {
+  return host.events.some(
+    ({event, fields}) =>
+      event === 'upstream-invalid' &&
+      fields['key'] === key &&
+      fields['field'] === field,
+  );
+}
+
+/** Sends reads, and tells how many were answered with success. */
+async function countServed(
+  fleet: PlatformFleet,
+  from: FleetHost,
+  count: number,
+): Promise<number> {
+  const answers = await Promise.all(
+    Array.from({length: count}, (_, index) =>
+      fleet.send(from, {attemptId: `r${String(index)}`, path: '/a/1'}),
+    ),
+  );
+  return answers.filter(({statusCode}) => statusCode === 200).length;
+}
+
+for (const [title, field, valueOf] of FOREIGN_ENTRIES) {
+  test(`an entry of another writer names no upstream: ${title}`, async t => {
+    // Symptom: requests are sent to a host that serves nothing, or one entry
+    // keeps a node from reading all others. Cause: what the entry says is used
+    // without a check. The host of `spare` stands for what it may name.
+    const fleet = await startFleet(t, {
+      services: ['shop', 'orders', 'spare'],
+      paths: [SAFE_PATH],
+    });
+    const [shop, orders, spare] = fleet.hosts;
+    const address = `${spare!.address}:${String(fleet.appPort)}`;
+    fleet.withdraw(spare!);
+    fleet.store.putRaw('servers/x-9', valueOf(address));
+    await waitUntil('told', () => hasTold(shop!, 'servers/x-9', field));
+    t.is(await countServed(fleet, shop!, 20), 20);
+    t.is(orders!.backend.runIds.length, 20);
+    t.is(spare!.backend.runIds.length, 0);
+    const metrics = await shop!.metrics.text();
+    t.regex(metrics, /invalid_documents_total\{kind="upstream"\} 1/);
+  });
+}
+
+test('an entry of a service that no configuration names waits for it', async t => {
+  // The store may tell a node of an upstream before it tells of the version that
+  // names its service; an entry that was dropped would not be written again.
+  const fleet = await startFleet(t, {
+    services: ['shop', 'later'],
+    namedServices: ['shop'],
+    paths: [SAFE_PATH],
+  });
+  const [shop, later] = fleet.hosts;
+  const key = `servers/${later!.backend.id}`;
+  await waitUntil('told', () => hasTold(shop!, key, 'service'));
+  t.is(await countServed(fleet, shop!, 5), 0);
+  fleet.configure([{...SAFE_PATH, service: 'later'}]);
+  await waitUntil(
+    'in force',
+    () =>
+      shop!.events.filter(({event}) => event === 'configuration-accepted')
+        .length === 2,
+  );
+  t.is(await countServed(fleet, shop!, 5), 5);
+});
+
+test('a known upstream outlives an entry of another writer under its key', async t => {
+  // Symptom: a service is gone for a second, as somebody wrote over its entries.
+  // Cause: an entry that says nothing was taken for one that the upstream left.
+  const fleet = await startFleet(t, {
+    services: ['shop', 'orders'],
+    paths: [SAFE_PATH],
+  });
+  const [shop, orders] = fleet.hosts;
+  const key = `servers/${orders!.backend.id}`;
+  fleet.store.putRaw(key, base64Of('{"state":'));
+  await waitUntil('told', () => hasTold(shop!, key, 'entry'));
+  t.is(await countServed(fleet, shop!, 5), 5);
+  // A removal is the platform's own word, and holds at once.
+  fleet.withdraw(orders!);
+  await waitUntil('left', () =>
+    shop!.events.some(
+      ({event, fields}) =>
+        event === 'upstream-left' && fields['upstream'] === orders!.backend.id,
+    ),
+  );
+  t.is(await countServed(fleet, shop!, 5), 0);
+});
+
+test('a broken configuration leaves the accepted one in force', async t => {
+  const fleet = await startFleet(t, {
+    services: ['shop', 'orders'],
+    paths: [SAFE_PATH],
+  });
+  const [shop] = fleet.hosts;
+  fleet.configure([{...SAFE_PATH, prefix: '/a', maxAttempts: 0}]);
+  fleet.store.putRaw('op/config', '%%%');
+  await waitUntil(
+    'both told',
+    () =>
+      shop!.events.filter(({event}) => event === 'configuration-invalid')
+        .length === 2,
+  );
+  t.is(await countServed(fleet, shop!, 5), 5);
+  const metrics = await shop!.metrics.text();
+  t.regex(metrics, /invalid_documents_total\{kind="configuration"\} 2/);
+});
--- a/test/fakes/platform_fleet.ts
+++ b/test/fakes/platform_fleet.ts
@@ -11,6 +11,7 @@
 import {startServiceNode} from '../../src/daemon/service_node.js';
 import type {DecisionFields} from '../../src/process/decision_log.js';
 import {DecisionLog} from '../../src/process/decision_log.js';
+import type {NodeMetrics} from '../../src/process/node_metrics.js';
 import {createNodeMetrics} from '../../src/process/node_metrics.js';
 import type {NodeSettings} from '../../src/process/node_settings.js';
 import type {StandInBackend} from './stand_in_backend.js';
@@ -26,6 +27,7 @@
   readonly backend: StandInBackend;
   readonly node: ServiceNode;
   readonly events: readonly LoggedEvent[];
+  readonly metrics: NodeMetrics;
 }
 
 /** One line that a node would have logged. */
@@ -62,7 +64,10 @@
   readonly appPort: number;
   /** Sends a request to the node of a host, as its clients do. */
   send(host: FleetHost, request: ClientRequest): Promise<ClientAnswer>;
-  /** Publishes a configuration with the given routes as the next version. */
+  /**
+   * Publishes a configuration with the given routes as the next version; it
+   * names the services of all hosts.
+   */
   configure(paths: readonly object[]): void;
   /** Publishes the state of a host's upstream. */
   publish(host: FleetHost, fields?: EntryFields): void;
@@ -72,8 +77,13 @@
 
 /** What an entry says, where it differs from a ready upstream of 20 slots. */
 export interface EntryFields {
-  readonly state?: 'ready' | 'draining';
+  readonly state?: string;
   readonly slots?: number;
+  /** Unix millisecond of the start; older publishers tell none. */
+  readonly born?: number;
+  /** Counts the entries of one start. */
+  readonly seq?: number;
+  readonly coldLeftS?: number;
 }
 
 /** A fleet to start. */
@@ -82,6 +92,8 @@
   readonly services: readonly string[];
   /** Routes of the first version; none is published if left out. */
   readonly paths?: readonly object[];
+  /** Services that the first version names, if not those of all hosts. */
+  readonly namedServices?: readonly string[];
   readonly slots?: number;
 }
 
@@ -143,23 +155,24 @@
     address: string,
     fields: EntryFields,
   ): void => {
+    const {state = 'ready', slots = options.slots ?? 20, born} = fields;
+    const {seq = 1, coldLeftS = 0} = fields;
     store.put(`servers/${id}`, {
+      ...(born === undefined ? {} : {born}),
       address: `${address}:${String(appPort)}`,
-      info: {
-        service,
-        version: 'v1',
-        zone: 'zone-a',
-        slots: fields.slots ?? options.slots ?? 20,
-      },
-      status: {state: fields.state ?? 'ready', seq: 1, coldLeftS: 0},
+      info: {service, version: 'v1', zone: 'zone-a', slots},
+      status: {state, seq, coldLeftS},
     });
   };
 
-  const configure = (paths: readonly object[]): void => {
+  const configure = (
+    paths: readonly object[],
+    serviceNames: readonly string[] = options.services,
+  ): void => {
     version += 1;
     store.put('op/config', {
       version: version.toString(16).padStart(8, '0'),
-      services: [],
+      services: [...new Set(serviceNames)].map(name => ({name})),
       limits: {
         maxHeaderBytes: 16_384,
         maxBodyBytes: 1_000_000,
@@ -170,7 +183,9 @@
     });
   };
 
-  if (options.paths !== undefined) configure(options.paths);
+  if (options.paths !== undefined) {
+    configure(options.paths, options.namedServices);
+  }
   const hosts: FleetHost[] = [];
   for (const [index, service] of options.services.entries()) {
     const address = `${block}.${String(index + 1)}`;
@@ -187,6 +202,7 @@
       storePort: store.port,
     });
     const events: LoggedEvent[] = [];
+    const metrics = createNodeMetrics();
     const node = await startServiceNode({
       settings,
       names: HEADERS,
@@ -195,11 +211,11 @@
         regionOfZone: new Map([['zone-a', 'region']]),
       }),
       log: createRecordingLog(events),
-      metrics: createNodeMetrics(),
+      metrics,
       nowMillis: () => performance.now(),
       random: Math.random,
     });
-    hosts.push({address, service, backend, node, events});
+    hosts.push({address, service, backend, node, events, metrics});
   }
   if (options.paths !== undefined) {
     await waitUntil('nodes ready', () => hosts.every(isReady));
--- a/test/fakes/stand_in_backend.ts
+++ b/test/fakes/stand_in_backend.ts
@@ -2,7 +2,7 @@
  * A stand-in for an application's upstream on the platform.
  */
 import {createServer} from 'node:http';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
 /** One request as the upstream received it. */
@@ -24,13 +24,18 @@
 /** The stand-in. */
 export interface StandInBackend {
   readonly id: string;
-  /** Ids of the attempts that it began to work on, in order. */
+  /** Ids of the attempts that its starts began to work on, in order. */
   readonly runIds: readonly string[];
   /** Most requests that it worked on at the same time. */
   readonly maxAtOnce: number;
   /** Connections that were closed while a request was at work. */
   readonly cutCount: number;
   setBehaviour(behaviour: Behaviour): void;
+  /**
+   * Ends as in a crash and starts again under the same id; what it held is
+   * lost, and its connections are reset.
+   */
+  restart(): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -69,7 +74,7 @@
     behaviour(received);
   };
 
-  const server = createServer((request, response) => {
+  const handle = (request: IncomingMessage, response: ServerResponse): void => {
     const chunks: Buffer[] = [];
     request.on('data', (chunk: Buffer) => chunks.push(chunk));
     request.on('error', () => undefined);
@@ -82,11 +87,9 @@
       }
       run(receivedRequest(options.id, request, response, chunks));
     });
-  });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(options.port, options.address, resolve);
-  });
+  };
+
+  let server = await listen(handle, options);
   return {
     id: options.id,
     runIds,
@@ -99,16 +102,38 @@
     setBehaviour: next => {
       behaviour = next;
     },
-    close: () =>
-      new Promise(resolve => {
-        server.close(() => {
-          resolve();
-        });
-        server.closeAllConnections();
-      }),
+    restart: async () => {
+      await endAtOnce(server);
+      server = await listen(handle, options);
+    },
+    close: () => endAtOnce(server),
   };
 }
 
+type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+
+function listen(
+  handle: Handler,
+  options: StandInBackendOptions,
+): Promise<Server> {
+  const server = createServer(handle);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(options.port, options.address, () => {
+      resolve(server);
+    });
+  });
+}
+
+function endAtOnce(server: Server): Promise<void> {
+  return new Promise(resolve => {
+    server.close(() => {
+      resolve();
+    });
+    server.closeAllConnections();
+  });
+}
+
 function receivedRequest(
   id: string,
   request: IncomingMessage,
--- a/test/fakes/stand_in_store.ts
+++ b/test/fakes/stand_in_store.ts
@@ -15,6 +15,8 @@
   /** Calls received so far. */
   readonly callsCount: number;
   put(key: string, value: object): void;
+  /** Writes what another writer left there; `text` stands where base64 should. */
+  putRaw(key: string, text: string): void;
   remove(key: string): void;
   setMode(mode: StoreMode): void;
   /** Forgets the history: watches from the past get 410. */
@@ -130,6 +132,19 @@
     else sendJson(response, 404, {error: 'unknown'});
   };
 
+  const putRaw = (key: string, value: string): void => {
+    revision += 1;
+    const change: Change = {
+      key,
+      rev: revision,
+      created: items.get(key)?.created ?? revision,
+      lease: 0,
+      value,
+    };
+    items.set(key, change);
+    record(change);
+  };
+
   const server = createServer(handle);
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
   return {
@@ -138,17 +153,9 @@
       return callsCount;
     },
     put: (key, value) => {
-      revision += 1;
-      const change: Change = {
-        key,
-        rev: revision,
-        created: items.get(key)?.created ?? revision,
-        lease: 0,
-        value: Buffer.from(JSON.stringify(value)).toString('base64'),
-      };
-      items.set(key, change);
-      record(change);
+      putRaw(key, base64Of(JSON.stringify(value)));
     },
+    putRaw,
     remove: key => {
       revision += 1;
       items.delete(key);
@@ -175,3 +182,8 @@
     },
   };
 }
+
+/** Text as the store encodes values. */
+export function base64Of(text: string): string {
+  return Buffer.from(text).toString('base64');
+}
