The identity of a start is an id and its birth; entries and documents are checked whole

Cause: an upstream that starts again under its id was the one from before, and an entry was used as it came: any state but draining counted as ready, and slots, port and zone were not looked at.

Change: - upstream_start: id and birth are one type with one order. The directory takes an earlier start's entry for no news of the later one, and reads the count only within one birth. An entry without a birth is the older publisher's and works as before; a birth of another type is a broken entry. - A later start begins without the failures, avoidance and own count that placement keeps, without the load reports of before, cold and first seen anew; the own node closes the idle connections to it. - Of two starts at one host only the later one gets work: by birth, else by which was seen first. Both in one read without births stay as they were. - An entry that cannot be used names nobody. A known upstream under the same key stays for three heartbeats, as after silence; a removal holds at once. - An entry of a service that no configuration names waits for one that does. - The operator's document is checked as strictly; so is the own host list, where a broken one had emptied the directory. - Lines tell key and field, a counter the kind.

Changed: the exact expectation of a decoded entry has the two new fields.

--- a/bench/decisions_bench.ts
+++ b/bench/decisions_bench.ts
@@ -57,6 +57,8 @@
   return Array.from({length: size.upstreamsCount}, (_, index) => ({
     id: `u-${String(index)}`,
     service: `service-${String(index % size.servicesCount)}`,
+    bornMillis: undefined,
+    sequenceNumber: undefined,
     hostKey: `10.0.0.${String(index)}:80`,
     node: {address: `10.0.0.${String(index)}`, port: 90},
     zone: `zone-${String(index % 10)}`,
--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -44,6 +44,12 @@
 /** Sends requests to one upstream. */
 export interface UpstreamSender extends Disposable {
   send(request: UpstreamRequest): Promise<UpstreamEnd>;
+  /**
+   * Closes idle connections, which lead to a start of the upstream that is gone.
+   * If they fell silent, an order written on one would end without an answer,
+   * and nobody could tell whether it ran.
+   */
+  dropIdle(): void;
 }
 
 /**
@@ -94,6 +100,9 @@
       }
       return interpret(end, request, names);
     },
+    dropIdle: () => {
+      dropIdleConnections(agent, upstream);
+    },
     dispose: () => {
       agent.destroy();
     },
--- a/src/daemon/document_feeds.ts
+++ b/src/daemon/document_feeds.ts
@@ -11,7 +11,10 @@
 import type {DecisionLog} from '../process/decision_log.js';
 import type {DocumentChange} from '../process/document_source.js';
 import type {NodeMetrics} from '../process/node_metrics.js';
-import type {PublishedDocuments} from '../process/published_documents.js';
+import type {
+  Decoded,
+  PublishedDocuments,
+} from '../process/published_documents.js';
 import type {UpstreamDirectory} from '../process/upstream_directory.js';
 import type {UpstreamEntry} from '../process/upstream_entry.js';
 import type {ClientLimits} from '../version/route_configuration.js';
@@ -53,7 +56,7 @@
     for (const change of changes) offerConfiguration(options, change);
     // A configuration may tell more about upstreams that are listed already.
     if (documents.listsAllUpstreams && wholeChanges.length > 0) {
-      directory.replace(decodeEntries(options, wholeChanges));
+      replaceUpstreams(options, wholeChanges);
     }
   };
   store.add(
@@ -65,8 +68,7 @@
   );
   const events = sourceEvents(options, 'upstreams');
   const replaceAll = (changes: readonly DocumentChange[]): void => {
-    wholeChanges = changes;
-    directory.replace(decodeEntries(options, changes));
+    if (replaceUpstreams(options, changes)) wholeChanges = changes;
   };
   store.add(
     follow(options, documents.upstreamsPrefix, {
@@ -143,7 +145,14 @@
   const decoded = options.documents.decodeConfiguration(change);
   if (decoded.kind === 'other') return;
   if (decoded.kind === 'invalid') {
-    log.state('configuration-invalid', {reason: decoded.reason});
+    const {reason, field} = decoded;
+    options.metrics.recordInvalidDocument('configuration');
+    log.state('configuration-invalid', {
+      key: change.key,
+      field,
+      reason,
+      revision: change.revision,
+    });
     return;
   }
   const verdict = configuration.offer(decoded.value);
@@ -151,7 +160,9 @@
     configurationVersion: decoded.value.version,
     revision: change.revision,
   });
-  if (verdict === 'accepted') options.onLimits(decoded.value.limits);
+  if (verdict !== 'accepted') return;
+  options.directory.reindex();
+  options.onLimits(decoded.value.limits);
 }
 
 function applyUpstream(
@@ -161,23 +172,58 @@
   const {directory, documents} = options;
   if (change.text === undefined) {
     directory.remove([documents.upstreamIdOf(change.key)]);
-  } else {
-    directory.put(decodeEntries(options, [change]));
+    return;
+  }
+  const {entries, invalidKeys} = decodeEntries(options, [change]);
+  if (entries.length > 0) directory.put(entries);
+  if (invalidKeys.length > 0) {
+    directory.contest(invalidKeys.map(documents.upstreamIdOf));
   }
 }
 
+/** Takes all entries of now; false if none of them can be read. */
+function replaceUpstreams(
+  options: DocumentFeedsOptions,
+  changes: readonly DocumentChange[],
+): boolean {
+  const {directory, documents} = options;
+  const {entries, invalidKeys} = decodeEntries(options, changes);
+  // A broken list names nobody; taken as it is, the whole fleet had left.
+  if (documents.listsAllUpstreams && invalidKeys.length > 0) return false;
+  directory.replace(entries, invalidKeys.map(documents.upstreamIdOf));
+  return true;
+}
+
+/** Entries that were read, and keys of those that cannot be used. */
+interface ReadEntries {
+  readonly entries: readonly UpstreamEntry[];
+  readonly invalidKeys: readonly string[];
+}
+
 function decodeEntries(
   options: DocumentFeedsOptions,
   changes: readonly DocumentChange[],
-): readonly UpstreamEntry[] {
+): ReadEntries {
   const entries: UpstreamEntry[] = [];
+  const invalidKeys: string[] = [];
   for (const change of changes) {
     const decoded = options.documents.decodeUpstreams(change);
     if (decoded.kind === 'valid') {
       entries.push(...decoded.value);
     } else if (decoded.kind === 'invalid') {
-      options.log.state('upstream-invalid', {reason: decoded.reason});
+      invalidKeys.push(change.key);
+      tellInvalidUpstream(options, change.key, decoded);
     }
   }
-  return entries;
+  return {entries, invalidKeys};
+}
+
+/** Lines are bounded: nobody knows how often another writer writes. */
+function tellInvalidUpstream(
+  options: DocumentFeedsOptions,
+  key: string,
+  {reason, field}: Extract<Decoded<unknown>, {kind: 'invalid'}>,
+): void {
+  options.metrics.recordInvalidDocument('upstream');
+  options.log.request('upstream-invalid', {key, field, reason});
 }
--- a/src/daemon/node_decisions.ts
+++ b/src/daemon/node_decisions.ts
@@ -17,7 +17,10 @@
 import {createPlacementChooser} from '../process/placement.js';
 import type {RepeatBudget} from '../process/repeat_budget.js';
 import {createRepeatBudget} from '../process/repeat_budget.js';
-import type {UpstreamDirectory} from '../process/upstream_directory.js';
+import type {
+  DirectoryChange,
+  UpstreamDirectory,
+} from '../process/upstream_directory.js';
 import {createUpstreamDirectory} from '../process/upstream_directory.js';
 import type {UpstreamQueue} from '../process/upstream_queue.js';
 import {createUpstreamQueue} from '../process/upstream_queue.js';
@@ -62,10 +65,23 @@
   const queue = createUpstreamQueue(nowMillis);
   const level = createAdmissionLevel();
   const board = createLoadBoard(nowMillis);
-  const directory = createLoggedDirectory(options, entry => {
-    if (entry.hostKey !== hostKey) return;
-    queue.setSlots(entry.slotsCount);
-    if (entry.hasJoined) upstream.markReached();
+  const directory = createUpstreamDirectory({
+    nowMillis,
+    heartbeatMillis: settings().heartbeatMillis,
+    isServiceNamed: service =>
+      configuration.current()?.hasService(service) ?? true,
+    onChange: change => {
+      logChange(options.log, change);
+      if (change.kind === 'restarted') board.forget(change.entry.id);
+      if (!isStart(change)) return;
+      if (directory.atHost(hostKey)?.entry === change.entry) {
+        upstream.markStarted();
+      }
+    },
+    onIndexed: () => {
+      const own = directory.atHost(hostKey);
+      if (own !== undefined) queue.setSlots(own.entry.slotsCount);
+    },
   });
   const upstream = createLocalUpstream({
     directory,
@@ -143,29 +159,17 @@
   };
 }
 
-/** What the own upstream's entry says when it changes. */
-interface ChangedEntry {
-  readonly hostKey: string;
-  readonly slotsCount: number;
-  readonly hasJoined: boolean;
+function isStart({kind}: DirectoryChange): boolean {
+  return kind === 'joined' || kind === 'restarted';
 }
 
-function createLoggedDirectory(
-  options: NodeDecisionsOptions,
-  onChange: (entry: ChangedEntry) => void,
-): UpstreamDirectory {
-  return createUpstreamDirectory({
-    nowMillis: options.nowMillis,
-    onChange: ({kind, entry}) => {
-      const {hostKey, slotsCount} = entry;
-      options.log.state(`upstream-${kind}`, {
-        upstream: entry.id,
-        service: entry.service,
-        host: hostKey,
-        zone: entry.zone,
-        slotsCount,
-      });
-      onChange({hostKey, slotsCount, hasJoined: kind === 'joined'});
-    },
+function logChange(log: DecisionLog, {kind, entry}: DirectoryChange): void {
+  log.state(`upstream-${kind}`, {
+    upstream: entry.id,
+    bornMillis: entry.bornMillis,
+    service: entry.service,
+    host: entry.hostKey,
+    zone: entry.zone,
+    slotsCount: entry.slotsCount,
   });
 }
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -57,6 +57,7 @@
   const {settings, names, decisions, nowMillis, random} = options;
   const {upstream, queue, level, parents} = decisions;
   const sender = createUpstreamSender(settings().upstream, names);
+  const started = upstream.onStarted(sender.dropIdle);
   const remote = createRemote(options);
   const execution = createLocalExecution({
     upstream,
@@ -130,6 +131,7 @@
       return executingCount;
     },
     dispose: () => {
+      started.dispose();
       sender.dispose();
       remote.dispose();
     },
--- a/src/daemon/own_documents.ts
+++ b/src/daemon/own_documents.ts
@@ -89,6 +89,8 @@
 function entryOf(host: PublishedHost, slotsCount: number): UpstreamEntry {
   return {
     id: host.name,
+    bornMillis: undefined,
+    sequenceNumber: undefined,
     service: host.service,
     hostKey: host.name,
     node: {address: host.address, port: host.peerPort},
--- a/src/process/load_board.ts
+++ b/src/process/load_board.ts
@@ -21,6 +21,11 @@
   averageMillisOf(service: string): number | undefined;
   /** Fresh reports of upstreams that shed, the newest first. */
   shedding(): readonly LoadReport[];
+  /**
+   * Drops what was reported of an upstream so far, which has started again: the
+   * load of its start before would keep requests away from it, or draw them.
+   */
+  forget(upstreamId: string): void;
   /** Forgets what has aged. */
   expire(): void;
 }
@@ -54,6 +59,8 @@
 export function createLoadBoard(nowMillis: () => number): LoadBoard {
   const reports = new Map<string, LoadReport>();
   const cache = new Map<string, Summary>();
+  /** Reports from before this time are of an earlier start. */
+  const startedMillis = new Map<string, number>();
 
   const summaryOf = (service: string): Summary => {
     const now = nowMillis();
@@ -66,9 +73,15 @@
 
   return {
     observe: report => {
-      const before = reports.get(report.upstreamId);
-      if (before && before.madeAtMillis >= report.madeAtMillis) return;
-      reports.set(report.upstreamId, report);
+      const {upstreamId, madeAtMillis} = report;
+      const before = reports.get(upstreamId);
+      if (before && before.madeAtMillis >= madeAtMillis) return;
+      if (madeAtMillis < (startedMillis.get(upstreamId) ?? -Infinity)) return;
+      reports.set(upstreamId, report);
+    },
+    forget: upstreamId => {
+      reports.delete(upstreamId);
+      startedMillis.set(upstreamId, nowMillis());
     },
     find: upstreamId => reports.get(upstreamId),
     takingRatio: (service, importance) => {
@@ -92,6 +105,9 @@
       for (const [id, report] of reports) {
         if (report.madeAtMillis < since) reports.delete(id);
       }
+      for (const [id, millis] of startedMillis) {
+        if (millis < since) startedMillis.delete(id);
+      }
     },
   };
 }
--- a/src/process/node_metrics.ts
+++ b/src/process/node_metrics.ts
@@ -15,11 +15,16 @@
   /** A request entered, from the own upstream or from a client. */
   recordEntered(isUpstreams: boolean): void;
   recordStoreLost(): void;
+  /** A published document could not be used. */
+  recordInvalidDocument(kind: DocumentKind): void;
   setGauge(name: GaugeName, value: number): void;
   /** All metrics in the Prometheus text format. */
   text(): Promise<string>;
 }
 
+/** Kinds of published documents. */
+export type DocumentKind = 'configuration' | 'upstream';
+
 /** Gauges. */
 export type GaugeName =
   | 'admission_level'
@@ -62,6 +67,11 @@
     'sender',
   ]);
   const storeLosses = counter('store_lost_total', 'Losses of the store', []);
+  const invalidDocuments = counter(
+    'invalid_documents_total',
+    'Published documents that cannot be used',
+    ['kind'],
+  );
   const gauges = new Map<GaugeName, Gauge>();
   return {
     recordAnswer: (route, statusCode, millis) => {
@@ -85,6 +95,9 @@
     recordStoreLost: () => {
       storeLosses.inc();
     },
+    recordInvalidDocument: kind => {
+      invalidDocuments.inc({kind});
+    },
     setGauge: (name, value) => {
       const gauge =
         gauges.get(name) ??
--- a/src/process/node_settings.ts
+++ b/src/process/node_settings.ts
@@ -40,5 +40,7 @@
   readonly store: Endpoint;
   /** Time from SIGTERM until the process is killed. */
   readonly graceMillis: number;
+  /** Interval at which upstreams write their entries, if it is told. */
+  readonly heartbeatMillis?: number | undefined;
   readonly repeatBound: RepeatBound;
 }
--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -10,6 +10,8 @@
 import type {LoadBoard, LoadReport} from './load_board.js';
 import type {UpstreamEntry} from './upstream_entry.js';
 import type {KnownUpstream, UpstreamDirectory} from './upstream_directory.js';
+import type {UpstreamStart} from './upstream_start.js';
+import {isSameStart} from './upstream_start.js';
 
 /** How an attempt ended, as far as the choice of upstreams is concerned. */
 export type AttemptEnd =
@@ -53,7 +55,9 @@
   readonly random: () => number;
 }
 
+/** What was learned about one start; a later one begins without it. */
 interface Record {
+  readonly start: UpstreamStart;
   ownCount: number;
   lastSentMillis: number;
   /** Share of recent attempts that failed. */
@@ -109,16 +113,18 @@
   const records = new Map<string, Record>();
 
   const recordOf = (upstream: KnownUpstream): Record => {
-    const known = records.get(upstream.entry.id);
-    if (known !== undefined) return known;
+    const {entry} = upstream;
+    const known = records.get(entry.id);
+    if (known !== undefined && isSameStart(known.start, entry)) return known;
     const created: Record = {
+      start: entry,
       ownCount: 0,
       lastSentMillis: upstream.firstSeenMillis - PROBE_MILLIS * random(),
       failedRatio: 0,
       failuresInARow: 0,
       avoidUntilMillis: 0,
     };
-    records.set(upstream.entry.id, created);
+    records.set(entry.id, created);
     return created;
   };
 
--- a/src/process/published_documents.ts
+++ b/src/process/published_documents.ts
@@ -8,7 +8,12 @@
 /** A decoded document. */
 export type Decoded<T> =
   | {readonly kind: 'valid'; readonly value: T}
-  | {readonly kind: 'invalid'; readonly reason: string}
+  | {
+      readonly kind: 'invalid';
+      readonly reason: string;
+      /** The first field that cannot be used, where one can be named. */
+      readonly field?: string;
+    }
   /** The document is not of this kind. */
   | {readonly kind: 'other'};
 
--- a/src/process/upstream_directory.ts
+++ b/src/process/upstream_directory.ts
@@ -2,19 +2,36 @@
  * The upstreams a node knows, by service, with what is published about each.
  */
 import type {UpstreamEntry} from './upstream_entry.js';
+import type {UpstreamIndex} from './upstream_index.js';
+import {indexUpstreams} from './upstream_index.js';
+import {compareStarts} from './upstream_start.js';
 
 /** A published entry and when this node learned it. */
 export interface KnownUpstream {
   readonly entry: UpstreamEntry;
   /** Until when the upstream is slow after its start. */
   readonly coldUntilMillis: number;
-  /** When this node first saw the entry. */
+  /** When this node first saw an entry of this start. */
   readonly firstSeenMillis: number;
 }
 
 /** A change that deserves a log line. */
 export interface DirectoryChange {
-  readonly kind: 'joined' | 'draining' | 'ready' | 'left' | 'kept';
+  readonly kind:
+    | 'joined'
+    /** There again under the same id, with nothing of before. */
+    | 'restarted'
+    | 'draining'
+    | 'ready'
+    | 'left'
+    /** Missing, and still in use until it may have reappeared. */
+    | 'kept'
+    /** Its entry was replaced by one that is not its own. */
+    | 'contested'
+    /** A later start runs at its host. */
+    | 'superseded'
+    /** No configuration names its service; it waits for one that does. */
+    | 'unnamed';
   readonly entry: UpstreamEntry;
 }
 
@@ -22,19 +39,26 @@
 export interface UpstreamDirectory {
   /** Takes new or changed entries. */
   put(entries: readonly UpstreamEntry[]): void;
+  /** Notes that entries under these ids cannot be used. */
+  contest(ids: readonly string[]): void;
   remove(ids: readonly string[]): void;
-  /** Replaces all; entries that are missing have left. */
-  replace(entries: readonly UpstreamEntry[]): void;
+  /** Replaces all; ids that are missing, and not contested, have left. */
+  replace(
+    entries: readonly UpstreamEntry[],
+    contestedIds?: readonly string[],
+  ): void;
   /** Tells the directory that the source answers again after a loss. */
   markSourceRegained(): void;
+  /** Looks again at which services are named. */
+  reindex(): void;
   /** Forgets entries whose time to reappear is over. */
   expire(): void;
   /** Upstreams of a service that may take new work. */
   ready(service: string): readonly KnownUpstream[];
   find(id: string): KnownUpstream | undefined;
-  /** Whether an upstream was known and has left. */
+  /** Whether an upstream was known and has left, or a later one has its host. */
   hasLeft(id: string): boolean;
-  /** The newest upstream of a host. */
+  /** The latest upstream of a host. */
   atHost(hostKey: string): KnownUpstream | undefined;
   /** Upstreams of all services, one for each node of the fleet. */
   count(): number;
@@ -43,7 +67,14 @@
 /** What a directory needs. */
 export interface UpstreamDirectoryOptions {
   readonly nowMillis: () => number;
+  /** Called when lookups show the change already. */
   readonly onChange: (change: DirectoryChange) => void;
+  /** Whether the configuration in force names a service; it does if left out. */
+  readonly isServiceNamed?: (service: string) => boolean;
+  /** Interval at which an upstream writes its entry. */
+  readonly heartbeatMillis?: number | undefined;
+  /** Called whenever lookups may show something new. */
+  readonly onIndexed?: () => void;
 }
 
 /**
@@ -60,99 +91,196 @@
  */
 const LAPSED_MILLIS = 1400;
 
+/**
+ * Heartbeats for which an upstream stays in use whose entry was overwritten: the
+ * silence after which the platform itself drops an entry. One that lives writes
+ * its own entry again with its next heartbeat.
+ */
+const CONTESTED_HEARTBEATS_COUNT = 3;
+
+/** Heartbeat where the settings name none: that of the platform of today. */
+const DEFAULT_HEARTBEAT_MILLIS = 1500;
+
 /** Ids of upstreams that left; requests for them arrive for seconds only. */
 const LEFT_IDS_COUNT = 256;
 
+/** An upstream whose entry was overwritten. */
+interface Contest {
+  readonly untilMillis: number;
+  /** Entry of an earlier start, which counts if the known one stays silent. */
+  readonly successor: UpstreamEntry | undefined;
+}
+
 /** Creates an empty directory. */
 export function createUpstreamDirectory(
   options: UpstreamDirectoryOptions,
 ): UpstreamDirectory {
+  const {nowMillis, isServiceNamed = () => true} = options;
+  const {heartbeatMillis = DEFAULT_HEARTBEAT_MILLIS} = options;
+  const contestedMillis = heartbeatMillis * CONTESTED_HEARTBEATS_COUNT;
   const known = new Map<string, KnownUpstream>();
   /** Until when entries that are missing stay in use. */
   const missingUntil = new Map<string, number>();
+  const contests = new Map<string, Contest>();
   const leftIds = new Set<string>();
-  let readyByService = new Map<string, KnownUpstream[]>();
-  let newestByHost = new Map<string, KnownUpstream>();
+  let changes: DirectoryChange[] = [];
+  let index: UpstreamIndex = indexUpstreams([], isServiceNamed);
   let keepUntilMillis = 0;
 
-  const index = (): void => {
-    readyByService = new Map();
-    newestByHost = new Map();
-    for (const upstream of known.values()) {
-      noteHost(newestByHost, upstream);
-      if (upstream.entry.isDraining) continue;
-      const list = readyByService.get(upstream.entry.service) ?? [];
-      list.push(upstream);
-      readyByService.set(upstream.entry.service, list);
+  const note = (kind: DirectoryChange['kind'], entry: UpstreamEntry): void => {
+    changes.push({kind, entry});
+  };
+
+  const noteNew = (
+    kind: DirectoryChange['kind'],
+    ids: ReadonlySet<string>,
+    idsBefore: ReadonlySet<string>,
+  ): void => {
+    for (const id of ids) {
+      const upstream = known.get(id);
+      if (upstream !== undefined && !idsBefore.has(id)) {
+        note(kind, upstream.entry);
+      }
     }
   };
 
+  /** Listeners look things up, so they are called when all is in place. */
+  const settle = (): void => {
+    const before = index;
+    index = indexUpstreams(known.values(), isServiceNamed);
+    noteNew('superseded', index.supersededIds, before.supersededIds);
+    noteNew('unnamed', index.unnamedIds, before.unnamedIds);
+    const told = changes;
+    changes = [];
+    for (const change of told) options.onChange(change);
+    options.onIndexed?.();
+  };
+
+  const contestOne = (id: string, successor?: UpstreamEntry): void => {
+    const upstream = known.get(id);
+    if (upstream === undefined) return;
+    const contest = contests.get(id);
+    // A deadline that moved with each such entry would never come.
+    const untilMillis = contest?.untilMillis ?? nowMillis() + contestedMillis;
+    contests.set(id, {untilMillis, successor});
+    if (contest === undefined) note('contested', upstream.entry);
+  };
+
+  /** One start serves one service, so the entry is not its own. */
+  const losesName = (entry: UpstreamEntry, before: UpstreamEntry): boolean =>
+    isServiceNamed(before.service) && !isServiceNamed(entry.service);
+
   const putOne = (entry: UpstreamEntry): void => {
     const before = known.get(entry.id);
-    const nowMillis = options.nowMillis();
+    const order =
+      before === undefined ? 'later' : compareStarts(entry, before.entry);
+    if (order === 'earlier') {
+      contestOne(entry.id, entry);
+      return;
+    }
+    const isSame = before !== undefined && order === 'same';
+    if (isSame && isOvertaken(entry, before.entry)) return;
+    if (isSame && losesName(entry, before.entry)) {
+      contestOne(entry.id);
+      return;
+    }
     missingUntil.delete(entry.id);
+    contests.delete(entry.id);
     leftIds.delete(entry.id);
+    const now = nowMillis();
     known.set(entry.id, {
       entry,
-      coldUntilMillis: nowMillis + entry.coldLeftMillis,
-      firstSeenMillis: before?.firstSeenMillis ?? nowMillis,
+      coldUntilMillis: now + entry.coldLeftMillis,
+      firstSeenMillis: isSame ? before.firstSeenMillis : now,
     });
-    if (before === undefined) {
-      options.onChange({kind: 'joined', entry});
-    } else if (before.entry.isDraining !== entry.isDraining) {
-      options.onChange({kind: entry.isDraining ? 'draining' : 'ready', entry});
-    }
+    if (before === undefined) note('joined', entry);
+    else if (!isSame) note('restarted', entry);
+    const wasDraining = isSame && before.entry.isDraining;
+    if (wasDraining === entry.isDraining || before === undefined) return;
+    note(entry.isDraining ? 'draining' : 'ready', entry);
+  };
+
+  const forget = (upstream: KnownUpstream): void => {
+    const {entry} = upstream;
+    missingUntil.delete(entry.id);
+    contests.delete(entry.id);
+    known.delete(entry.id);
+    rememberLeft(leftIds, entry.id);
+    note('left', entry);
   };
 
   const removeOne = (id: string, keptMillis: number): void => {
     const upstream = known.get(id);
     if (upstream === undefined) return;
-    const now = options.nowMillis();
-    if (now < (missingUntil.get(id) ?? keepUntilMillis)) {
-      if (missingUntil.has(id)) return;
-      missingUntil.set(id, Math.min(keepUntilMillis, now + keptMillis));
-      options.onChange({kind: 'kept', entry: upstream.entry});
+    const now = nowMillis();
+    if (now >= (missingUntil.get(id) ?? keepUntilMillis)) {
+      forget(upstream);
       return;
     }
-    missingUntil.delete(id);
-    known.delete(id);
-    rememberLeft(leftIds, id);
-    options.onChange({kind: 'left', entry: upstream.entry});
+    if (missingUntil.has(id)) return;
+    missingUntil.set(id, Math.min(keepUntilMillis, now + keptMillis));
+    note('kept', upstream.entry);
+  };
+
+  const endContest = (id: string, contest: Contest): void => {
+    const upstream = known.get(id);
+    if (upstream === undefined || nowMillis() < contest.untilMillis) return;
+    forget(upstream);
+    if (contest.successor !== undefined) putOne(contest.successor);
   };
 
   return {
     put: entries => {
       for (const entry of entries) putOne(entry);
-      index();
+      settle();
+    },
+    contest: ids => {
+      for (const id of ids) contestOne(id);
+      settle();
     },
     remove: ids => {
       for (const id of ids) removeOne(id, LAPSED_MILLIS);
-      index();
+      settle();
     },
-    replace: entries => {
-      const present = new Set(entries.map(entry => entry.id));
+    replace: (entries, contestedIds = []) => {
+      const present = new Set([
+        ...entries.map(entry => entry.id),
+        ...contestedIds,
+      ]);
       for (const entry of entries) putOne(entry);
+      for (const id of contestedIds) contestOne(id);
       for (const id of [...known.keys()]) {
         if (!present.has(id)) removeOne(id, REAPPEAR_MILLIS);
       }
-      index();
+      settle();
     },
     markSourceRegained: () => {
-      keepUntilMillis = options.nowMillis() + REAPPEAR_MILLIS;
+      keepUntilMillis = nowMillis() + REAPPEAR_MILLIS;
     },
+    reindex: settle,
     expire: () => {
-      if (missingUntil.size === 0) return;
+      if (missingUntil.size + contests.size === 0) return;
       for (const id of [...missingUntil.keys()]) removeOne(id, 0);
-      index();
+      for (const [id, contest] of [...contests]) endContest(id, contest);
+      settle();
     },
-    ready: service => readyByService.get(service) ?? [],
+    ready: service => index.readyByService.get(service) ?? [],
     find: id => known.get(id),
-    hasLeft: id => leftIds.has(id),
-    atHost: hostKey => newestByHost.get(hostKey),
+    hasLeft: id => leftIds.has(id) || index.supersededIds.has(id),
+    atHost: hostKey => index.latestByHost.get(hostKey),
     count: () => known.size,
   };
 }
 
+/**
+ * Whether one start has told something newer before. Without births an id that
+ * starts again cannot be told from one that goes on, and counts anew.
+ */
+function isOvertaken(entry: UpstreamEntry, before: UpstreamEntry): boolean {
+  if (entry.bornMillis === undefined) return false;
+  return (entry.sequenceNumber ?? 0) < (before.sequenceNumber ?? 0);
+}
+
 function rememberLeft(leftIds: Set<string>, id: string): void {
   leftIds.add(id);
   if (leftIds.size <= LEFT_IDS_COUNT) return;
@@ -161,14 +289,3 @@
     return;
   }
 }
-
-/** An address may be used again while the entry before is still known. */
-function noteHost(
-  newestByHost: Map<string, KnownUpstream>,
-  upstream: KnownUpstream,
-): void {
-  const {hostKey} = upstream.entry;
-  const known = newestByHost.get(hostKey);
-  if (known && known.firstSeenMillis > upstream.firstSeenMillis) return;
-  newestByHost.set(hostKey, upstream);
-}
--- a/src/process/upstream_entry.ts
+++ b/src/process/upstream_entry.ts
@@ -3,11 +3,12 @@
  */
 
 import type {Endpoint} from './node_settings.js';
+import type {UpstreamStart} from './upstream_start.js';
 
-/** One start of one upstream. */
-export interface UpstreamEntry {
-  /** Id of this start; never used again. */
-  readonly id: string;
+/** One start of one upstream, as it tells of itself. */
+export interface UpstreamEntry extends UpstreamStart {
+  /** Counts what one start has told; `undefined` if its publisher does not. */
+  readonly sequenceNumber: number | undefined;
   readonly service: string;
   /** Tells hosts apart: one host has one upstream and one node. */
   readonly hostKey: string;
--- a/src/request/local_upstream.ts
+++ b/src/request/local_upstream.ts
@@ -3,6 +3,7 @@
  * from whether it can be reached.
  */
 import type {Disposable} from '../base/lifecycle.js';
+import {toDisposable} from '../base/lifecycle.js';
 import type {UpstreamDirectory} from '../process/upstream_directory.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 
@@ -18,6 +19,10 @@
   readonly isReachable: boolean;
   /** Calls the listener when the upstream is taken for dead. */
   onLost(listener: () => void): Disposable;
+  /** The upstream is there for the first time, or again. */
+  markStarted(): void;
+  /** Calls the listener when the upstream has started, or started again. */
+  onStarted(listener: () => void): Disposable;
   /** This node stops: nothing new is handed over. */
   startDraining(): void;
 }
@@ -43,7 +48,8 @@
   options: LocalUpstreamOptions,
 ): LocalUpstream {
   const {directory, nowMillis} = options;
-  const listeners = new Set<() => void>();
+  const lostListeners = new Set<() => void>();
+  const startedListeners = new Set<() => void>();
   let failuresInARow = 0;
   let retryAtMillis = 0;
   let isDraining = false;
@@ -63,6 +69,11 @@
     return undefined;
   };
 
+  const markReached = (): void => {
+    if (failuresInARow > 0) options.onChange(true);
+    failuresInARow = 0;
+  };
+
   return {
     refusalFor: upstreamId => leavingReason(upstreamId) ?? unreachable(),
     leavingReason,
@@ -73,25 +84,30 @@
       if (failuresInARow !== LOST_COUNT) return;
       // The upstream ended without a word; what it was working on would hold
       // its slots and its callers until their deadlines.
-      for (const listener of [...listeners]) listener();
-    },
-    markReached: () => {
-      if (failuresInARow > 0) options.onChange(true);
-      failuresInARow = 0;
+      for (const listener of [...lostListeners]) listener();
     },
+    markReached,
     get isReachable() {
       return failuresInARow === 0;
     },
-    onLost: listener => {
-      listeners.add(listener);
-      return {
-        dispose: () => {
-          listeners.delete(listener);
-        },
-      };
+    onLost: listener => listenIn(lostListeners, listener),
+    markStarted: () => {
+      markReached();
+      for (const listener of [...startedListeners]) listener();
     },
+    onStarted: listener => listenIn(startedListeners, listener),
     startDraining: () => {
       isDraining = true;
     },
   };
 }
+
+function listenIn(
+  listeners: Set<() => void>,
+  listener: () => void,
+): Disposable {
+  listeners.add(listener);
+  return toDisposable(() => {
+    listeners.delete(listener);
+  });
+}
--- a/src/version/policy_routes.ts
+++ b/src/version/policy_routes.ts
@@ -34,6 +34,7 @@
     limits: {...CALLER_LIMITS, bodyBytes: compiled.policy.bodies.requestBytes},
     retryBudget: compiled.policy.retryBudget,
     document: Buffer.from(compiled.documentBytes).toString('utf8'),
+    hasService: name => compiled.findService(name) !== undefined,
     match: ({method, host, target}) => {
       const match = compiled.findRoute(
         serviceNameOf(host),
--- a/src/version/route_configuration.ts
+++ b/src/version/route_configuration.ts
@@ -59,6 +59,8 @@
 /** Everything of one version. */
 export interface RouteConfiguration {
   readonly version: number;
+  /** Names of services, whether routes lead to them or not. */
+  readonly services: readonly string[];
   readonly routes: readonly ServiceRoute[];
   readonly limits: ClientLimits;
 }
--- a/src/version/route_table.ts
+++ b/src/version/route_table.ts
@@ -25,6 +25,8 @@
   readonly retryBudget?: RetryBudget;
   /** The document as published. */
   readonly document: string;
+  /** Whether this version knows a service of this name. */
+  hasService(name: string): boolean;
   /** The route of a request, or `undefined` if none matches. */
   match(query: RouteQuery): ServiceRoute | undefined;
 }
@@ -35,10 +37,12 @@
   document: string,
 ): RouteTable {
   const routesByHost = groupByHost(configuration.routes);
+  const services = serviceNamesOf(configuration);
   return {
     version: configuration.version,
     limits: configuration.limits,
     document,
+    hasService: name => services.has(name),
     match: ({host, target}) => {
       const routes = routesByHost.get(hostNameOf(host));
       if (routes === undefined) return undefined;
@@ -48,6 +52,16 @@
   };
 }
 
+function serviceNamesOf(
+  configuration: RouteConfiguration,
+): ReadonlySet<string> {
+  const targets = configuration.routes.flatMap(route => route.targets);
+  return new Set([
+    ...configuration.services,
+    ...targets.map(({service}) => service),
+  ]);
+}
+
 /** Longest prefix first, so that the first match is the longest. */
 function groupByHost(
   routes: readonly ServiceRoute[],
--- a/test/contract/platform_foreign_entries.test.ts
+++ b/test/contract/platform_foreign_entries.test.ts
@@ -122,8 +122,13 @@
     paths: [SAFE_PATH],
   });
   const [shop, later] = fleet.hosts;
-  const key = `servers/${later!.backend.id}`;
-  await waitUntil('told', () => hasTold(shop!, key, 'service'));
+  await waitUntil('told', () =>
+    shop!.events.some(
+      ({event, fields}) =>
+        event === 'upstream-unnamed' &&
+        fields['upstream'] === later!.backend.id,
+    ),
+  );
   t.is(await countServed(fleet, shop!, 5), 0);
   fleet.configure([{...SAFE_PATH, service: 'later'}]);
   await waitUntil(
--- a/test/fakes/route_documents.ts
+++ b/test/fakes/route_documents.ts
@@ -39,6 +39,7 @@
 ): RouteConfiguration {
   return {
     version: 1,
+    services: ['orders'],
     routes: [serviceRoute()],
     limits: {
       headerBytes: 16_384,
@@ -56,6 +57,8 @@
 ): UpstreamEntry {
   return {
     id: 'u-1',
+    bornMillis: undefined,
+    sequenceNumber: undefined,
     service: 'orders',
     hostKey: '10.0.0.1:80',
     node: {address: '10.0.0.1', port: 90},
--- a/test/unit/platform/decoding.test.ts
+++ b/test/unit/platform/decoding.test.ts
@@ -91,6 +91,8 @@
   );
   t.deepEqual(entry, {
     id: 'i-7',
+    bornMillis: undefined,
+    sequenceNumber: 4,
     service: 'orders',
     hostKey: '10.128.0.9:8080',
     node: {address: '10.128.0.9', port: 8300},
