Tests: what ends with an earlier start, and a broken list of all upstreams

Changed: the settings of the decoding test name the heartbeat that settings files hold, and expect it decoded.

--- /dev/null
+++ b/test/unit/daemon/document_feeds.test.ts
@@ -0,0 +1,93 @@
+import test from 'ava';
+import {startDocumentFeeds} from '../../../src/daemon/document_feeds.js';
+import {createConfigurationHolder} from '../../../src/process/configuration_holder.js';
+import {DecisionLog} from '../../../src/process/decision_log.js';
+import type {
+  DocumentRead,
+  DocumentSource,
+} from '../../../src/process/document_source.js';
+import {createNodeMetrics} from '../../../src/process/node_metrics.js';
+import type {PublishedDocuments} from '../../../src/process/published_documents.js';
+import {createUpstreamDirectory} from '../../../src/process/upstream_directory.js';
+import {upstreamEntry} from '../../fakes/route_documents.js';
+import {waitUntil} from '../../fakes/wait_until.js';
+
+/** A source whose one list is written as names with spaces between them. */
+function createListDocuments() {
+  const waiting: ((read: DocumentRead) => void)[] = [];
+  let revision = 1;
+  const readOf = (text: string): DocumentRead => ({
+    documents: [{key: 'list', revision, text}],
+    revision,
+  });
+  const source: DocumentSource = {
+    read: prefix =>
+      Promise.resolve(
+        prefix === 'list' ? readOf('a b') : {documents: [], revision},
+      ),
+    watch: prefix =>
+      new Promise(resolve => {
+        if (prefix === 'list') waiting.push(resolve);
+      }),
+    dispose: () => undefined,
+  };
+  const documents: PublishedDocuments = {
+    source,
+    configurationPrefix: 'configuration',
+    upstreamsPrefix: 'list',
+    listsAllUpstreams: true,
+    decodeConfiguration: () => ({kind: 'other'}),
+    decodeUpstreams: ({text}) => {
+      if (text === undefined) return {kind: 'other'};
+      if (text === 'broken') return {kind: 'invalid', reason: 'no list'};
+      const ids = text.split(' ');
+      const entries = ids.map(id => upstreamEntry({id, hostKey: id}));
+      return {kind: 'valid', value: entries};
+    },
+    upstreamIdOf: key => key,
+  };
+  return {
+    documents,
+    publish: async (text: string): Promise<void> => {
+      await waitUntil('watched', () => waiting.length > 0);
+      revision += 1;
+      waiting.shift()?.(readOf(text));
+    },
+  };
+}
+
+test('a broken list of all upstreams leaves those known in use', async t => {
+  // Symptom: a mistaken publication of the host list ends all service at once.
+  // Cause: a list that cannot be read was taken for one that names nobody.
+  const {documents, publish} = createListDocuments();
+  const events: string[] = [];
+  const directory = createUpstreamDirectory({
+    nowMillis: () => 0,
+    onChange: () => undefined,
+  });
+  const feeds = startDocumentFeeds({
+    documents,
+    directory,
+    configuration: createConfigurationHolder(),
+    log: new (class extends DecisionLog {
+      override request(event: string): void {
+        events.push(event);
+      }
+      override state(event: string): void {
+        events.push(event);
+      }
+    })(),
+    metrics: createNodeMetrics(),
+    nowMillis: () => 0,
+    random: () => 0,
+    onLimits: () => undefined,
+  });
+  t.teardown(feeds.dispose);
+  await waitUntil('read', () => directory.count() === 2);
+  await publish('broken');
+  await waitUntil('told', () => events.includes('upstream-invalid'));
+  t.is(directory.ready('orders').length, 2);
+  await publish('a');
+  await waitUntil('read again', () => directory.count() === 1);
+  t.is(directory.find('a')?.entry.id, 'a');
+});
--- a/test/unit/platform/decoding.test.ts
+++ b/test/unit/platform/decoding.test.ts
@@ -122,6 +122,7 @@
   - "budgetWindowS=10"
   - "budgetSlack=47"
   - "newThing=true"
+heartbeatS: 1.5
 appAddr: "10.1.0.8:8301"
 service: "orders"
 unknown: 1
@@ -134,6 +135,7 @@
   t.like(settings, {
     nodeName: 'sidecar-a-1',
     graceMillis: 6000,
+    heartbeatMillis: 1500,
     repeatBound: {ratio: 0.2, windowMillis: 10_000, slackCount: 47},
     outbound: {address: '10.1.0.8', port: 8304},
     store: {address: '10.200.1.7', port: 8309},
--- a/test/unit/process/load_board.test.ts
+++ b/test/unit/process/load_board.test.ts
@@ -29,6 +29,20 @@
   t.is(board.find('u-1')?.level, 5);
 });
 
+test('reports of an earlier start end with it, also those that come late', t => {
+  // Symptom: requests are turned away for an upstream that is idle. Sequence: it
+  // shed, starts again under its id, and another node passes the old report on.
+  let now = 100;
+  const board = createLoadBoard(() => now);
+  board.observe(report({level: 0, madeAtMillis: 90}));
+  board.forget('u-1');
+  board.observe(report({level: 0, madeAtMillis: 95}));
+  t.is(board.find('u-1'), undefined);
+  now = 101;
+  board.observe(report({level: 7, madeAtMillis: 101}));
+  t.is(board.find('u-1')?.level, 7);
+});
+
 test('upstreams count by what they can do', t => {
   const board = createLoadBoard(() => 0);
   board.observe(report({upstreamId: 'fast', averageMillis: 10, level: 50}));
--- a/test/unit/process/placement.test.ts
+++ b/test/unit/process/placement.test.ts
@@ -143,3 +143,40 @@
   t.is(chooser.choose('orders', new Set(['1'])), undefined);
   t.is(chooser.choose('unknown', NOBODY), undefined);
 });
+
+test('a later start under an id begins without what the one before did', t => {
+  // Symptom: an upstream that is well again stands idle while others are full.
+  // Sequence: its start before failed, was left alone and held requests; it is
+  // there again under the same id. Cause: what was learned is kept by the id.
+  const {directory, board, chooser, add} = createFixture();
+  add('2', 'zone-a', 20);
+  const put = (bornMillis: number): void => {
+    directory.put([
+      upstreamEntry({id: '1', bornMillis, hostKey: '10.1.0.1:80'}),
+    ]);
+  };
+  const others = new Set(['2']);
+  put(1);
+  for (let count = 0; count < 30; count += 1) {
+    chooser.choose('orders', others)?.end('failed');
+  }
+  const held = Array.from({length: 40}, () => chooser.choose('orders', others));
+  chooser.choose('orders', others)?.end('unreachable');
+  t.is(chooser.choose('orders', NOBODY)?.upstream.entry.id, '2');
+  board.forget('1');
+  put(2);
+  board.observe({
+    upstreamId: '1',
+    service: 'orders',
+    inFlightCount: 0,
+    queuedCount: 0,
+    limitCount: 10,
+    averageMillis: 5,
+    level: 511,
+    madeAtMillis: 10_000,
+  });
+  t.is(chooser.choose('orders', NOBODY)?.upstream.entry.id, '1');
+  // What the start before held ends late, and is not its successor's.
+  for (const placement of held) placement?.end('failed');
+  t.is(chooser.choose('orders', NOBODY)?.upstream.entry.id, '1');
+});
--- a/test/unit/request/local_upstream.test.ts
+++ b/test/unit/request/local_upstream.test.ts
@@ -42,6 +42,31 @@
   t.deepEqual(changes, [false, true]);
 });
 
+test('an upstream that starts again is reached, and its node told', t => {
+  const {upstream, changes} = createFixture();
+  let startsCount = 0;
+  const listening = upstream.onStarted(() => {
+    startsCount += 1;
+  });
+  upstream.markUnreachable();
+  upstream.markStarted();
+  t.is(upstream.refusalFor('u-1'), undefined);
+  listening.dispose();
+  upstream.markStarted();
+  t.is(startsCount, 1);
+  t.deepEqual(changes, [false, true]);
+});
+
+test('a request for a start that a later one has replaced is refused', t => {
+  const {directory, upstream} = createFixture();
+  directory.put([
+    upstreamEntry({id: 'u-1', bornMillis: 1}),
+    upstreamEntry({id: 'u-2', bornMillis: 2}),
+  ]);
+  t.is(upstream.refusalFor('u-1'), 'other-upstream');
+  t.is(upstream.refusalFor('u-2'), undefined);
+});
+
 test('requests at work are given up once the upstream is taken for dead', t => {
   const {upstream} = createFixture();
   let lostCount = 0;
