A scenario: an upstream is killed and started again while orders are at work

The stand-in host keeps what the ended start had executed, so that the count of runs goes over all starts.

--- a/src/emulator/fleet_host.ts
+++ b/src/emulator/fleet_host.ts
@@ -45,7 +45,7 @@
   readonly links: FleetHostLinks | undefined;
 }
 
-/** A host; its upstream runs for as long as the fleet. */
+/** A host; its upstream runs for as long as the fleet, if not told otherwise. */
 export interface FleetHost {
   readonly identity: HostIdentity;
   readonly ports: FleetHostPorts;
@@ -55,6 +55,11 @@
   /** The daemon started last, running or not. */
   daemon(): ManagedProcess | undefined;
   startUpstream(): Promise<void>;
+  /**
+   * Kills the upstream and starts it again under its name; it holds and knows
+   * nothing of before, and only the host remembers what it had executed.
+   */
+  restartUpstream(): Promise<void>;
   startDaemon(): Promise<void>;
   /** SIGTERM; resolves when the daemon has ended. */
   stopDaemon(limitMillis: number): Promise<ProcessExit>;
@@ -62,7 +67,9 @@
   setUpstreamFault(fault: Partial<UpstreamFault>): Promise<void>;
   releaseUpstream(): Promise<void>;
   upstreamCounts(): Promise<UpstreamCounts>;
+  /** Of all starts of the upstream. */
   executions(): Promise<readonly Execution[]>;
+  /** Of all starts of the upstream. */
   arrivals(): Promise<readonly ArrivalCount[]>;
   /** Ends everything of this host. */
   close(): Promise<void>;
@@ -97,6 +104,8 @@
   const {identity, ports, links} = options;
   let upstream: ManagedProcess | undefined;
   let daemon: ManagedProcess | undefined;
+  const endedExecutions: Execution[] = [];
+  const endedArrivals: ArrivalCount[] = [];
 
   const callUpstream = (
     method: string,
@@ -127,6 +136,19 @@
     });
   };
 
+  const readExecutions = async (): Promise<readonly Execution[]> =>
+    (await callUpstream('GET', '/executions')) as Execution[];
+  const readArrivals = async (): Promise<readonly ArrivalCount[]> =>
+    (await callUpstream('GET', '/arrivals')) as ArrivalCount[];
+
+  const restartUpstream = async (): Promise<void> => {
+    endedExecutions.push(...(await readExecutions()));
+    endedArrivals.push(...(await readArrivals()));
+    upstream?.signal('SIGKILL');
+    await upstream?.exited;
+    await startUpstream();
+  };
+
   const startDaemon = async (): Promise<void> => {
     const file = join(options.directory, `${identity.name}.settings.json`);
     await writeFile(file, JSON.stringify(settingsOf(options)));
@@ -167,6 +189,7 @@
     },
     daemon: () => daemon,
     startUpstream,
+    restartUpstream,
     startDaemon,
     stopDaemon,
     killDaemon,
@@ -178,10 +201,8 @@
     },
     upstreamCounts: async () =>
       (await callUpstream('GET', '/counts')) as UpstreamCounts,
-    executions: async () =>
-      (await callUpstream('GET', '/executions')) as Execution[],
-    arrivals: async () =>
-      (await callUpstream('GET', '/arrivals')) as ArrivalCount[],
+    executions: async () => [...endedExecutions, ...(await readExecutions())],
+    arrivals: async () => [...endedArrivals, ...(await readArrivals())],
     close: async () => {
       await killDaemon();
       await upstream?.stop(KILL_LIMIT_MILLIS);
--- a/test/scenario/scenario_ast.ts
+++ b/test/scenario/scenario_ast.ts
@@ -177,7 +177,7 @@
   | {
       readonly kind: 'upstream';
       readonly hosts: HostsRef;
-      readonly change: Partial<UpstreamFault> | 'release';
+      readonly change: Partial<UpstreamFault> | 'release' | 'restart';
     }
   | {readonly kind: 'pause'; readonly millis: number}
   | {
--- a/test/scenario/scenario_grammar.peggy
+++ b/test/scenario/scenario_grammar.peggy
@@ -132,6 +132,7 @@
 
 UpstreamChange
   = "release" { return 'release'; }
+  / "restart" { return 'restart'; }
   / "well" { return {mode: 'none', slowFactor: 1, contextMode: 'copy', callRepeatsCount: 0}; }
   / "slow" __ "by" __ slowFactor:Number { return {slowFactor}; }
   / "context" __ contextMode:("copy" / "drop" / "previous") { return {contextMode}; }
--- a/test/scenario/scenario_runner.ts
+++ b/test/scenario/scenario_runner.ts
@@ -172,6 +172,7 @@
     const host = fleet.host(name);
     if (statement.kind === 'upstream') {
       if (statement.change === 'release') await host.releaseUpstream();
+      else if (statement.change === 'restart') await host.restartUpstream();
       else await host.setUpstreamFault(statement.change);
       continue;
     }
