A planned stop tells its steps and what it leaves without an answer

Cause: at the end of a stop nothing told which requests were still open, how old they were, nor until when requests were taken; three explanations of a request cut at the end of the grace looked the same in logs.

Change: stop-step for each step with counts, unanswered-at-stop for each request that is left, bounded like all lines for requests. No change of behaviour.

Not measured; it writes four lines a stop.

--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -23,6 +23,8 @@
 import {createLocalExecution} from '../request/local_execution.js';
 import type {OutboundExchanges} from '../request/outbound_exchange.js';
 import {createOutboundExchanges} from '../request/outbound_exchange.js';
+import type {OpenRequests} from '../request/open_requests.js';
+import {createOpenRequests} from '../request/open_requests.js';
 import {createRepeatRules} from '../request/repeat_rules.js';
 import type {NodeDecisions} from './node_decisions.js';
 
@@ -43,6 +45,8 @@
 export interface NodeExchanges extends Disposable {
   readonly outbound: OutboundExchanges;
   readonly inbound: InboundExchanges;
+  /** Requests that entered here and have no answer yet. */
+  readonly open: OpenRequests;
   /** Requests at the own upstream or waiting for it. */
   readonly executingCount: number;
 }
@@ -76,9 +80,11 @@
       return end;
     },
   };
+  const open = createOpenRequests(options.log, nowMillis);
   const outbound = createOutboundExchanges({
     ...decisions,
     names,
+    open,
     ownService: () => settings().service,
     gate: createEntryGate(decisions.board, service =>
       decisions.directory
@@ -126,6 +132,7 @@
   return {
     outbound,
     inbound,
+    open,
     get executingCount() {
       return executingCount;
     },
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -159,7 +159,16 @@
         },
         graceMillis: current.graceMillis,
         nowMillis,
+        onStep: step => {
+          log.state('stop-step', {
+            step,
+            busyCount: busyCount(),
+            openCount: exchanges.open.count,
+            executingCount: exchanges.executingCount,
+          });
+        },
       });
+      exchanges.open.describe('unanswered-at-stop');
       store.dispose();
     },
     applySettings: next => {
--- a/src/daemon/stop_sequence.ts
+++ b/src/daemon/stop_sequence.ts
@@ -21,8 +21,13 @@
   readonly parts: StoppedParts;
   readonly graceMillis: number;
   readonly nowMillis: () => number;
+  /** A step of the stop begins. */
+  readonly onStep: (step: StopStep) => void;
 }
 
+/** The steps of a stop, in order. */
+export type StopStep = 'accepting' | 'finishing' | 'closing' | 'ended';
+
 /** Time that clients take to learn that this host is not ready any more. */
 const NOTICE_MILLIS = 2300;
 
@@ -54,17 +59,21 @@
     acceptingUntilMillis,
     startedMillis + NOTICE_MILLIS,
   );
+  options.onStep('accepting');
   await until(
     options,
     acceptingUntilMillis,
     () => nowMillis() >= noticeMillis && parts.executingCount() === 0,
   );
+  options.onStep('finishing');
   const closed = parts.closeListeners();
   await until(options, lastMillis, () => parts.busyCount() === 0);
+  options.onStep('closing');
   // A request that came in at the last moment is still answered: what was read
   // and then cut by the end of the process would be lost.
   const endMillis = Math.min(lastMillis, nowMillis() + CLOSE_MILLIS);
   await Promise.race([closed, sleep(endMillis - nowMillis())]);
+  options.onStep('ended');
 }
 
 async function until(
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -24,6 +24,7 @@
 import type {ServiceRoute} from '../version/route_configuration.js';
 import type {AttemptsEnd, Attempts} from './attempts.js';
 import type {AnsweredRequest, EntryAnswers} from './entry_answers.js';
+import type {OpenRequests} from './open_requests.js';
 
 /** Answers requests that enter here. */
 export interface OutboundExchanges {
@@ -45,6 +46,7 @@
   readonly parents: InFlightParents;
   readonly attempts: Attempts;
   readonly answers: EntryAnswers;
+  readonly open: OpenRequests;
   readonly nowMillis: () => number;
 }
 
@@ -125,7 +127,9 @@
   }
   if (body.kind === 'broken') return;
   const headers = passedOnHeaders(request.rawHeaders, ownHeaders);
+  options.open.add(entered);
   await serve(options, entered, headers, body.bytes);
+  options.open.delete(entered);
 }
 
 /** A request as far as it is known when it enters. */
