The test of a pressed stop tells by id whether a reset request was read

Cause: the known red test told ECONNRESET only; whether the node had read the request stood in no run.

Change: the test records the ids that listeners have read and expects no connection to be reset, with id and reading in the difference. It is stricter than before: a reset fails it on its own line, beside the line on endings.

--- a/test/contract/platform_stop.test.ts
+++ b/test/contract/platform_stop.test.ts
@@ -1,6 +1,9 @@
+import diagnostics from 'node:diagnostics_channel';
 import {once} from 'node:events';
+import type {IncomingMessage} from 'node:http';
 import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {ExecutionContext} from 'ava';
 import test from 'ava';
 import {FLEET_HOST_NAME, isReady, SAFE_PATH} from '../fakes/platform_fleet.js';
 import {startFleet} from '../fakes/test_fleet.js';
@@ -57,12 +60,18 @@
     }, 200);
   });
   const endings: string[] = [];
+  const resetIds: string[] = [];
+  const readIds = recordReadIds(t);
   let sentCount = 0;
   const press = setInterval(() => {
     sentCount += 1;
-    fleet.send(shop!, {attemptId: `p${String(sentCount)}`, path: '/a/1'}).then(
+    const attemptId = `p${String(sentCount)}`;
+    fleet.send(shop!, {attemptId, path: '/a/1'}).then(
       answer => endings.push(answer.isBroken ? 'broken' : 'answered'),
-      (error: NodeJS.ErrnoException) => endings.push(error.code ?? 'error'),
+      (error: NodeJS.ErrnoException) => {
+        endings.push(error.code ?? 'error');
+        if (error.code !== 'ECONNREFUSED') resetIds.push(attemptId);
+      },
     );
   }, 10);
   t.teardown(() => {
@@ -74,6 +83,10 @@
   t.like(shop!.node.state(), {node: {busyCount: 0}});
   clearInterval(press);
   await waitUntil('all ended', () => endings.length === sentCount);
+  t.deepEqual(
+    resetIds.map(id => ({id, wasRead: readIds.has(id)})),
+    [],
+  );
   t.deepEqual([...new Set(endings)].sort(), ['ECONNREFUSED', 'answered']);
 });
 
@@ -99,3 +112,17 @@
   t.regex(received, /connection: close/i);
   await stopped;
 });
+
+/** Ids of the requests that any listener of this process has read. */
+function recordReadIds(t: ExecutionContext): ReadonlySet<string> {
+  const readIds = new Set<string>();
+  const record = (message: unknown): void => {
+    const {request} = message as {readonly request: IncomingMessage};
+    readIds.add(String(request.headers['attempt-id']));
+  };
+  diagnostics.subscribe('http.server.request.start', record);
+  t.teardown(() => {
+    diagnostics.unsubscribe('http.server.request.start', record);
+  });
+  return readIds;
+}
