A listener takes what the system has accepted for it before it closes

A client saw ECONNRESET for a request that nobody had read.

Clients of the same process were hit most: they connect in the same turn of the event loop as the timer that closes.

What is left is a connection of the microseconds between the two calls; its request is not read.

--- a/src/connection/node_listener.ts
+++ b/src/connection/node_listener.ts
@@ -123,12 +123,23 @@
       server.keepAliveTimeout = idleMillis;
       server.headersTimeout = headerMillis;
     },
-    close: () =>
-      new Promise(resolve => {
+    close: async () => {
+      await nextAccepts();
+      await new Promise<void>(resolve => {
         server.close(() => {
           resolve();
         });
         server.closeIdleConnections();
-      }),
+      });
+    },
   };
 }
+
+/**
+ * Resolves once all connections that the system holds for this process have
+ * been accepted. Closing a listener resets those that were not, and their
+ * clients see a connection reset where they would have been told to come back.
+ */
+function nextAccepts(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
