Failing test: a request that comes long after a stop began

Reproduces the record of two requests that a stopping node took 5 s after its signal and left without an answer.

--- /dev/null
+++ b/test/contract/platform_stop_late.test.ts
@@ -0,0 +1,78 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {ExecutionContext} from 'ava';
+import test from 'ava';
+import type {FleetHost, PlatformFleet} from '../fakes/platform_fleet.js';
+import {fleetPath, SAFE_PATH} from '../fakes/platform_fleet.js';
+import {connectRawClient} from '../fakes/raw_client.js';
+import type {ReceivedRequest} from '../fakes/stand_in_backend.js';
+import {startFleet} from '../fakes/test_fleet.js';
+import {waitUntil} from '../fakes/wait_until.js';
+
+/** By now clients have been told for seconds that this host is not ready. */
+const LATE_MILLIS = 2700;
+
+/** A route to the upstream beside the node that stops. */
+const SHOP_PATH = fleetPath({
+  name: 'r-3',
+  prefix: '/shop/',
+  service: 'shop',
+  timeoutS: 20,
+});
+
+/** A fleet whose first node stops while its own upstream is at work. */
+interface StoppingFleet {
+  readonly fleet: PlatformFleet;
+  readonly shop: FleetHost;
+  readonly orders: FleetHost;
+  /** What the own upstream of the stopping node works on. */
+  readonly atWork: ReceivedRequest;
+  /** Resolves with what another host's client got of it. */
+  readonly atWorkAnswer: Promise<number>;
+  /** Ends as the process would. */
+  readonly stopped: Promise<'stopped'>;
+}
+
+async function stopWhileAtWork(t: ExecutionContext): Promise<StoppingFleet> {
+  const fleet = await startFleet(t, {
+    services: ['shop', 'orders'],
+    paths: [SAFE_PATH, SHOP_PATH],
+  });
+  const [shop, orders] = fleet.hosts;
+  const received: ReceivedRequest[] = [];
+  shop!.backend.setBehaviour(request => {
+    received.push(request);
+  });
+  const answer = fleet.send(orders!, {attemptId: 'held', path: '/shop/1'});
+  await waitUntil('at work', () => received.length === 1);
+  return {
+    fleet,
+    shop: shop!,
+    orders: orders!,
+    atWork: received[0]!,
+    atWorkAnswer: answer.then(({statusCode}) => statusCode),
+    stopped: shop!.node.stop().then(() => 'stopped'),
+  };
+}
+
+test('a request that comes long after a stop began is turned away, not cut off', async t => {
+  // Two requests were lost at a planned restart. The node had been told to stop
+  // at 20.186 s, took both at 25.27 s, sent each to a second upstream after the
+  // first had been cut at 25.96 s, and ended at 26.018 s, at the end of its
+  // grace, with both unanswered: it took requests as long as it lived, and one
+  // that is taken late has less time than it may need.
+  const {fleet, shop, orders, atWork, stopped} = await stopWhileAtWork(t);
+  const early = await connectRawClient(t, shop.address, fleet.outboundPort);
+  orders.backend.setBehaviour(() => undefined);
+  await sleep(LATE_MILLIS);
+  const late = fleet.send(shop, {attemptId: 'late-new', path: '/a/1'});
+  early.ask('late-early', '/a/1');
+  const answer = await Promise.race([late, stopped]);
+  t.like(answer, {statusCode: 503, headers: {connection: 'close'}});
+  await waitUntil('told or ended', () => early.isClosed);
+  t.deepEqual(early.statusCodes, [503]);
+  t.regex(early.received, /^retry-after: [1-9]/im);
+  t.deepEqual(orders.backend.runIds, []);
+  atWork.answer(200, 'done');
+  await stopped;
+  t.like(shop.node.state(), {node: {busyCount: 0}});
+});
