A stopping node turns clients away once they had time to know

Cause: whether a node that stops still takes a request was decided by its listener alone, which stayed open while the own upstream was at work, up to 0.6 of the grace (3.6 of 6 s). A request of 5 s that came then outlived the process.

Change: process/stop_plan decides, free of I/O: clients' requests for 2.3 s (two looks at readiness, or 0.6 of a shorter grace), calls of the own upstream to the last. Who comes later gets 503 at once, not run, with the time at which this host serves again and Connection: close.

Ruled out: taking later what fits into the grace by its deadline: a press of short requests would hold the process to the end of its grace and put off the start that serves everybody.

--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -12,6 +12,7 @@
 import type {LoadReport} from '../process/load_board.js';
 import type {NodeMetrics} from '../process/node_metrics.js';
 import type {NodeSettings} from '../process/node_settings.js';
+import type {StopPlan} from '../process/stop_plan.js';
 import {createWeightedTargets} from '../process/weighted_targets.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {AttemptedRequest} from '../request/attempts.js';
@@ -35,7 +36,7 @@
   readonly decisions: NodeDecisions;
   readonly log: DecisionLog;
   readonly metrics: NodeMetrics;
-  readonly isStopping: () => boolean;
+  readonly stop: StopPlan;
   readonly nowMillis: () => number;
   /** Uniform in [0, 1). */
   readonly random: () => number;
@@ -85,6 +86,7 @@
     ...decisions,
     names,
     open,
+    stop: options.stop,
     ownService: () => settings().service,
     gate: createEntryGate(decisions.board, service =>
       decisions.directory
@@ -112,7 +114,7 @@
       log: options.log,
       metrics: options.metrics,
       notes: names.notes,
-      isDraining: options.isStopping,
+      stop: options.stop,
       configurationVersion: decisions.configurationVersion,
       takingRatio: decisions.board.takingRatio,
       nowMillis,
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -13,6 +13,7 @@
 import {endpointText} from '../process/endpoint_text.js';
 import type {NodeSettings} from '../process/node_settings.js';
 import type {PublishedDocuments} from '../process/published_documents.js';
+import {createStopPlan} from '../process/stop_plan.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import {startDocumentFeeds} from './document_feeds.js';
 import {createNodeDecisions} from './node_decisions.js';
@@ -67,7 +68,7 @@
   const {settings, names, documents, log, metrics, nowMillis, random} = options;
   const store = createDisposableStore();
   let current = settings;
-  let isStopping = false;
+  const stop = createStopPlan(nowMillis, random);
   const decisions = createNodeDecisions({
     settings: () => current,
     log,
@@ -81,7 +82,7 @@
     decisions,
     log,
     metrics,
-    isStopping: () => isStopping,
+    stop,
     nowMillis,
     random,
   });
@@ -136,7 +137,7 @@
   );
 
   const waitingFor = (): readonly string[] => [
-    ...(isStopping ? ['stopping'] : []),
+    ...(stop.isStopping ? ['stopping'] : []),
     ...(configuration.current() === undefined ? ['configuration'] : []),
     ...(feeds.hasUpstreams ? [] : ['upstreams']),
   ];
@@ -149,7 +150,7 @@
     },
     waitingFor,
     stop: async () => {
-      isStopping = true;
+      stop.begin(current.graceMillis);
       decisions.upstream.startDraining();
       await runStopSequence({
         parts: {
@@ -157,6 +158,7 @@
           executingCount: () => exchanges.executingCount,
           closeListeners: () => closeAll([outbound, local, inbound]),
         },
+        plan: stop,
         graceMillis: current.graceMillis,
         nowMillis,
         onStep: step => {
--- a/src/daemon/stop_sequence.ts
+++ b/src/daemon/stop_sequence.ts
@@ -6,6 +6,8 @@
  * nobody comes any more is cut off in the middle of what it holds.
  */
 
+import type {StopPlan} from '../process/stop_plan.js';
+
 /** What is stopped. */
 export interface StoppedParts {
   /** Requests that were read and not yet answered. */
@@ -19,6 +21,7 @@
 /** What a stop needs. */
 export interface StopOptions {
   readonly parts: StoppedParts;
+  readonly plan: StopPlan;
   readonly graceMillis: number;
   readonly nowMillis: () => number;
   /** A step of the stop begins. */
@@ -28,9 +31,6 @@
 /** The steps of a stop, in order. */
 export type StopStep = 'accepting' | 'finishing' | 'closing' | 'ended';
 
-/** Time that clients take to learn that this host is not ready any more. */
-const NOTICE_MILLIS = 2300;
-
 /**
  * Part of the grace period after which no more connections are accepted even if
  * the own upstream is still at work, whose calls come in by new connections:
@@ -55,15 +55,13 @@
     lastMillis,
     startedMillis + options.graceMillis * ACCEPTING_RATIO,
   );
-  const noticeMillis = Math.min(
-    acceptingUntilMillis,
-    startedMillis + NOTICE_MILLIS,
-  );
   options.onStep('accepting');
   await until(
     options,
     acceptingUntilMillis,
-    () => nowMillis() >= noticeMillis && parts.executingCount() === 0,
+    () =>
+      nowMillis() >= options.plan.takingUntilMillis &&
+      parts.executingCount() === 0,
   );
   options.onStep('finishing');
   const closed = parts.closeListeners();
--- /dev/null
+++ b/src/process/stop_plan.ts
@@ -0,0 +1,85 @@
+/**
+ * What a node that stops still takes, and how long each step of its stop may
+ * last.
+ *
+ * Load pattern: planned restarts of many hosts of one availability zone. Their
+ * clients find no other host and keep coming, so that a node which takes what
+ * comes is at work until its grace ends and leaves requests unanswered. Clients
+ * have some seconds to learn that this host is not ready; whoever comes later is
+ * told at once that the request has not run and when to come back. Calls of the
+ * own upstream are taken to the last: what it works on would fail without them.
+ */
+
+/** A request that comes in. */
+export interface IncomingRequest {
+  /** A call that the own upstream makes for a request that it works on. */
+  readonly isUpstreams: boolean;
+}
+
+/** The stop of one node. */
+export interface StopPlan {
+  readonly isStopping: boolean;
+  /** Until when requests of clients are taken. */
+  readonly takingUntilMillis: number;
+  /** Until when what was taken may be at work. */
+  readonly finishingUntilMillis: number;
+  /** When the process must have ended. */
+  readonly endMillis: number;
+  begin(graceMillis: number): void;
+  takes(request: IncomingRequest): boolean;
+  /** Time after which a client may find this host serving again. */
+  returnMillis(): number;
+}
+
+/**
+ * Time that clients take to learn that this host is not ready any more: two
+ * looks, a second apart, and the answer to the second.
+ */
+const NOTICE_MILLIS = 2300;
+
+/** Part of the grace period that what was taken has at least. */
+const FINISHING_RATIO = 0.4;
+
+/** Last part of the grace period, for final answers to be written. */
+const ANSWERING_MILLIS = 400;
+
+/** Last part of the grace period, for the process to end on a busy host. */
+const ENDING_MILLIS = 250;
+
+/** Time that a process takes to start and to know upstreams, or little more. */
+const START_MILLIS = 1000;
+
+/** Creates the plan of a node that runs. */
+export function createStopPlan(
+  nowMillis: () => number,
+  random: () => number,
+): StopPlan {
+  let takingUntilMillis = Infinity;
+  let finishingUntilMillis = Infinity;
+  let endMillis = Infinity;
+  return {
+    get isStopping() {
+      return endMillis !== Infinity;
+    },
+    get takingUntilMillis() {
+      return takingUntilMillis;
+    },
+    get finishingUntilMillis() {
+      return finishingUntilMillis;
+    },
+    get endMillis() {
+      return endMillis;
+    },
+    begin: graceMillis => {
+      const now = nowMillis();
+      const latestMillis = graceMillis * (1 - FINISHING_RATIO);
+      takingUntilMillis = now + Math.min(NOTICE_MILLIS, latestMillis);
+      finishingUntilMillis = now + graceMillis - ANSWERING_MILLIS;
+      endMillis = now + graceMillis - ENDING_MILLIS;
+    },
+    takes: ({isUpstreams}) => isUpstreams || nowMillis() < takingUntilMillis,
+    // Spread, so that not all come back together.
+    returnMillis: () =>
+      Math.max(0, endMillis - nowMillis()) + START_MILLIS * (1 + random()),
+  };
+}
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -9,6 +9,7 @@
 import type {ShedCause} from '../process/entry_gate.js';
 import type {CallOrigin} from '../process/in_flight_parents.js';
 import type {NodeMetrics} from '../process/node_metrics.js';
+import type {StopPlan} from '../process/stop_plan.js';
 import type {NoteHeaders} from '../protocol/wire_headers.js';
 import type {ServiceRoute} from '../version/route_configuration.js';
 import type {AttemptsEnd} from './attempts.js';
@@ -33,6 +34,12 @@
   readonly arrivedMillis: number;
 }
 
+/** A request that comes to a node that stops. */
+export interface LateRequest {
+  readonly attemptId: string;
+  readonly route: ServiceRoute;
+}
+
 /** Writes answers. */
 export interface EntryAnswers {
   /** Passes on what came of the attempts. */
@@ -41,6 +48,8 @@
   noteLeft(request: AnsweredRequest, end: AttemptsEnd): void;
   /** Not run: the gate kept it out. */
   shed(exchange: Exchange, request: ShedRequest): void;
+  /** Not run: this node stops and takes nothing more. */
+  turnAway(exchange: Exchange, request: LateRequest): void;
   /** Not run: this node cannot serve anything yet. */
   refuse(exchange: Exchange, refusal: {readonly reason: string}): void;
   /** The request itself is not acceptable. */
@@ -55,7 +64,7 @@
   readonly metrics: NodeMetrics;
   /** Headers of notes, where clients want them. */
   readonly notes: NoteHeaders | undefined;
-  readonly isDraining: () => boolean;
+  readonly stop: StopPlan;
   readonly configurationVersion: () => number;
   /** Share of a service's capacity that takes an importance. */
   readonly takingRatio: (service: string, importance: number) => number;
@@ -103,7 +112,7 @@
     if (response.destroyed || response.headersSent) return;
     const isUnread = hasBody(request) && !request.complete;
     const closing =
-      options.isDraining() || isUnread ? ['connection', 'close'] : [];
+      options.stop.isStopping || isUnread ? ['connection', 'close'] : [];
     response.writeHead(statusCode, [
       ...headers,
       ...closing,
@@ -115,17 +124,15 @@
 
   const writeRefusal = (
     exchange: Exchange,
-    route: ServiceRoute | undefined,
     reason: string,
-  ): number => {
-    const millis = returnMillis(route);
+    millis: number,
+  ): void => {
     const seconds = (millis / MILLIS_PER_SECOND).toFixed(3);
     write(exchange, STATUS_UNAVAILABLE, [
       'retry-after',
       seconds,
       ...failureNotes('not-run', reason),
     ]);
-    return millis;
   };
 
   const failureNotes = (outcome: string, reason: string): readonly string[] => {
@@ -176,7 +183,7 @@
       ...versionNotes(),
       ...repeatNotes(request),
     ];
-    if (options.isDraining()) headers.push('connection', 'close');
+    if (options.stop.isStopping) headers.push('connection', 'close');
     const method = exchange.request.method ?? 'GET';
     sendAnswer(exchange.response, answer, headers, method);
     const millis = record(request, answer.statusCode);
@@ -198,7 +205,8 @@
       }
       if (!end.mayHaveRun) {
         const {reason} = end.last;
-        const returnAfter = writeRefusal(exchange, route, reason);
+        const returnAfter = returnMillis(route);
+        writeRefusal(exchange, reason, returnAfter);
         const millis = record(request, STATUS_UNAVAILABLE);
         log.request('refused', {
           ...describe(request, end),
@@ -224,7 +232,8 @@
       log.request('client-left', {...describe(request, end), millis});
     },
     shed: (exchange, request) => {
-      const returnAfter = writeRefusal(exchange, request.route, 'shed');
+      const returnAfter = returnMillis(request.route);
+      writeRefusal(exchange, 'shed', returnAfter);
       const {service, reason} = request.cause;
       metrics.recordShed(service);
       record(request, STATUS_UNAVAILABLE);
@@ -239,8 +248,20 @@
         retryAfterMillis: Math.round(returnAfter),
       });
     },
+    turnAway: (exchange, {attemptId, route}) => {
+      const returnAfter = options.stop.returnMillis();
+      writeRefusal(exchange, 'stopping', returnAfter);
+      metrics.recordAnswer(route.name, STATUS_UNAVAILABLE, 0);
+      log.request('refused', {
+        requestId: attemptId,
+        route: route.name,
+        reason: 'stopping',
+        sentCount: 0,
+        retryAfterMillis: Math.round(returnAfter),
+      });
+    },
     refuse: (exchange, refusal) => {
-      writeRefusal(exchange, undefined, refusal.reason);
+      writeRefusal(exchange, refusal.reason, returnMillis(undefined));
       log.request('refused', {reason: refusal.reason});
     },
     reject: (exchange, statusCode, reason) => {
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -19,6 +19,7 @@
 import {createRetryGrant} from '../process/shared_retry_grant.js';
 import {importanceOf, LEAST_IMPORTANT} from '../process/importance.js';
 import type {RepeatBudget} from '../process/repeat_budget.js';
+import type {StopPlan} from '../process/stop_plan.js';
 import type {WeightedTargets} from '../process/weighted_targets.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {ServiceRoute} from '../version/route_configuration.js';
@@ -44,6 +45,7 @@
   readonly trees: CallTrees;
   readonly budget: RepeatBudget;
   readonly parents: InFlightParents;
+  readonly stop: StopPlan;
   readonly attempts: Attempts;
   readonly answers: EntryAnswers;
   readonly open: OpenRequests;
@@ -116,7 +118,12 @@
     answers.reject(exchange, 400, 'no-attempt-id');
     return;
   }
-  const entered = enter(options, exchange, {route, attemptId, isLocal});
+  const parent = options.parents.find(attemptId);
+  if (!options.stop.takes({isUpstreams: isLocal || parent !== undefined})) {
+    answers.turnAway(exchange, {attemptId, route});
+    return;
+  }
+  const entered = enter(options, exchange, {route, attemptId, isLocal, parent});
   if (!passesGate(options, entered)) return;
   if (exchange.isBodyHeldBack) exchange.response.writeContinue();
   const bodyBytes = table.limits.bodyBytes;
@@ -142,6 +149,7 @@
    * around the bound on repeats.
    */
   readonly isLocal: boolean;
+  readonly parent: InFlightParent | undefined;
 }
 
 /** The client's id, or one of this node's where clients need not give one. */
@@ -157,11 +165,10 @@
 function enter(
   options: OutboundOptions,
   exchange: Exchange,
-  {route, attemptId, isLocal}: RoutedRequest,
+  {route, attemptId, isLocal, parent}: RoutedRequest,
 ): EnteredRequest {
   const arrivedMillis = options.nowMillis();
   const timeoutMillis = readTimeout(options, exchange) ?? route.timeoutMillis;
-  const parent = options.parents.find(attemptId);
   options.answers.countEntered(parent !== undefined);
   const origin = parent?.origin ?? {
     importance: isLocal ? LEAST_IMPORTANT : importanceOf(route.rank, attemptId),
