A stopping node closes its listeners once nothing is at work

Cause: listeners closed while the own upstream was still at work (0.6 of the grace); a call that it made on a new connection was refused, and the request that it worked on failed. Clients were refused a connection, which tells them nothing.

Change: listeners stay open until nothing is at work or the time is over; clients are told 503 meanwhile, which takes no time, so that a press doesn't hold the process. The plan has all the times.

The pressed test counted on connections refused before the stop had ended. It goes on pressing now until the first one is refused and expects the same endings; it covers the end of the process as well.

--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -159,7 +159,6 @@
           closeListeners: () => closeAll([outbound, local, inbound]),
         },
         plan: stop,
-        graceMillis: current.graceMillis,
         nowMillis,
         onStep: step => {
           log.state('stop-step', {
--- a/src/daemon/stop_sequence.ts
+++ b/src/daemon/stop_sequence.ts
@@ -1,11 +1,6 @@
 /**
  * How a node ends: everything that it has read is answered.
- *
- * Load pattern: planned restarts of many nodes at once. Clients that find few
- * nodes ready keep coming to those that stop, so that a node which waits until
- * nobody comes any more is cut off in the middle of what it holds.
  */
-
 import type {StopPlan} from '../process/stop_plan.js';
 
 /** What is stopped. */
@@ -22,56 +17,39 @@
 export interface StopOptions {
   readonly parts: StoppedParts;
   readonly plan: StopPlan;
-  readonly graceMillis: number;
   readonly nowMillis: () => number;
   /** A step of the stop begins. */
   readonly onStep: (step: StopStep) => void;
 }
 
 /** The steps of a stop, in order. */
-export type StopStep = 'accepting' | 'finishing' | 'closing' | 'ended';
-
-/**
- * Part of the grace period after which no more connections are accepted even if
- * the own upstream is still at work, whose calls come in by new connections:
- * what was accepted needs the rest of it.
- */
-const ACCEPTING_RATIO = 0.6;
-
-/** Last part of the grace period that is left for the process to end. */
-const END_MARGIN_MILLIS = 250;
+export type StopStep = 'taking' | 'finishing' | 'closing' | 'ended';
 
 const LOOK_MILLIS = 25;
 
 /** Time that connections opened just before the end have for their request. */
 const CLOSE_MILLIS = 500;
 
-/** Resolves when the process may end. */
+/**
+ * Resolves when the process may end. Listeners stay open until nothing is at
+ * work: the own upstream makes its calls by new connections, and who is told to
+ * come back knows more than who is refused a connection.
+ */
 export async function runStopSequence(options: StopOptions): Promise<void> {
-  const {parts, nowMillis} = options;
-  const startedMillis = nowMillis();
-  const lastMillis = startedMillis + options.graceMillis - END_MARGIN_MILLIS;
-  const acceptingUntilMillis = Math.min(
-    lastMillis,
-    startedMillis + options.graceMillis * ACCEPTING_RATIO,
-  );
-  options.onStep('accepting');
-  await until(
-    options,
-    acceptingUntilMillis,
-    () =>
-      nowMillis() >= options.plan.takingUntilMillis &&
-      parts.executingCount() === 0,
-  );
-  options.onStep('finishing');
+  const {parts, plan, nowMillis, onStep} = options;
+  const isIdle = (): boolean =>
+    parts.busyCount() === 0 && parts.executingCount() === 0;
+  onStep('taking');
+  await until(options, plan.takingUntilMillis, () => false);
+  onStep('finishing');
+  await until(options, plan.finishingUntilMillis, isIdle);
+  onStep('closing');
   const closed = parts.closeListeners();
-  await until(options, lastMillis, () => parts.busyCount() === 0);
-  options.onStep('closing');
   // A request that came in at the last moment is still answered: what was read
   // and then cut by the end of the process would be lost.
-  const endMillis = Math.min(lastMillis, nowMillis() + CLOSE_MILLIS);
+  const endMillis = Math.min(plan.endMillis, nowMillis() + CLOSE_MILLIS);
   await Promise.race([closed, sleep(endMillis - nowMillis())]);
-  options.onStep('ended');
+  onStep('ended');
 }
 
 async function until(
--- a/test/contract/platform_stop.test.ts
+++ b/test/contract/platform_stop.test.ts
@@ -81,6 +81,7 @@
   await shop!.node.stop();
   // The process ends here, and with it what it has read and not yet answered.
   t.like(shop!.node.state(), {node: {busyCount: 0}});
+  await waitUntil('refused', () => endings.includes('ECONNREFUSED'));
   clearInterval(press);
   await waitUntil('all ended', () => endings.length === sentCount);
   t.deepEqual(
