--- a/test/contract/platform_stop_late.test.ts
+++ b/test/contract/platform_stop_late.test.ts
@@ -89,3 +89,22 @@
   t.is(await atWorkAnswer, 200);
   await stopped;
 });
+
+test('what a node still holds at the end of its grace gets a final answer', async t => {
+  // A request that was taken in time may outlive the grace. It ended with a
+  // closed connection, which tells its client nothing, though the node knew when
+  // it would end.
+  const fleet = await startFleet(t, {
+    services: ['shop', 'orders'],
+    paths: [fleetPath({timeoutS: 20})],
+  });
+  const [shop, orders] = fleet.hosts;
+  orders!.backend.setBehaviour(() => undefined);
+  const pending = fleet.send(shop!, {attemptId: 'long', path: '/a/1'});
+  await waitUntil('at work', () => orders!.backend.runIds.length === 1);
+  const stopped = shop!.node.stop().then(() => 'stopped');
+  const end = await Promise.race([pending, stopped]);
+  t.like(end, {statusCode: 504});
+  await stopped;
+  t.like(shop!.node.state(), {node: {busyCount: 0}});
+});
