What outlives the grace of a stop gets a final answer

Cause: at the end of the grace the process ended with what was still at work; its connections closed, which promises nothing and comes only with the exit.

Answers in the middle of their body are still cut; nothing true can be said behind them.

Before: the test ends without an answer; after: 504 and nothing busy.

--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -156,6 +156,10 @@
         parts: {
           busyCount,
           executingCount: () => exchanges.executingCount,
+          giveUpRequests: () => {
+            exchanges.open.describe('given-up-at-stop');
+            exchanges.open.giveUp();
+          },
           closeListeners: () => closeAll([outbound, local, inbound]),
         },
         plan: stop,
--- a/src/daemon/stop_sequence.ts
+++ b/src/daemon/stop_sequence.ts
@@ -9,6 +9,8 @@
   busyCount(): number;
   /** Requests at the own upstream or waiting for it. */
   executingCount(): number;
+  /** Gives up what has no answer yet; each request is answered at once. */
+  giveUpRequests(): void;
   /** Accepts nothing more; resolves when the last connection has ended. */
   closeListeners(): Promise<void>;
 }
@@ -43,6 +45,9 @@
   await until(options, plan.takingUntilMillis, () => false);
   onStep('finishing');
   await until(options, plan.finishingUntilMillis, isIdle);
+  // The process ends whatever is at work: a final answer tells the client so, and
+  // what has not run may be sent again; a closed connection would tell nothing.
+  parts.giveUpRequests();
   onStep('closing');
   const closed = parts.closeListeners();
   // A request that came in at the last moment is still answered: what was read
--- a/src/request/open_requests.ts
+++ b/src/request/open_requests.ts
@@ -1,17 +1,22 @@
 /**
  * Requests that entered here and have no answer yet. A planned stop must leave
- * none: what it leaves is told by id, since nothing else tells it afterwards.
+ * none: at its end they are given up, so that each gets a final answer, and told
+ * by id, since nothing else tells it afterwards.
  */
+import type {CancelSource} from '../base/cancel_signal.js';
 import type {DecisionLog} from '../process/decision_log.js';
 import type {AnsweredRequest} from './entry_answers.js';
 
 /** Requests of one node that have no answer yet. */
 export interface OpenRequests {
   readonly count: number;
-  add(request: AnsweredRequest): void;
+  /** Work on it ends as soon as the source is cancelled. */
+  add(request: AnsweredRequest, source: CancelSource): void;
   delete(request: AnsweredRequest): void;
   /** Writes a line for each, bounded like all lines for requests. */
   describe(event: string): void;
+  /** Gives all of them up; each is answered at once. */
+  giveUp(): void;
 }
 
 /** Creates an empty registry. */
@@ -19,20 +24,20 @@
   log: DecisionLog,
   nowMillis: () => number,
 ): OpenRequests {
-  const open = new Set<AnsweredRequest>();
+  const open = new Map<AnsweredRequest, CancelSource>();
   return {
     get count() {
       return open.size;
     },
-    add: request => {
-      open.add(request);
+    add: (request, source) => {
+      open.set(request, source);
     },
     delete: request => {
       open.delete(request);
     },
     describe: event => {
       const now = nowMillis();
-      for (const {attemptId, route, service, ...request} of open) {
+      for (const {attemptId, route, service, ...request} of open.keys()) {
         log.request(event, {
           requestId: attemptId,
           route: route.name,
@@ -43,5 +48,8 @@
         });
       }
     },
+    giveUp: () => {
+      for (const source of [...open.values()]) source.cancel();
+    },
   };
 }
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -134,9 +134,7 @@
   }
   if (body.kind === 'broken') return;
   const headers = passedOnHeaders(request.rawHeaders, ownHeaders);
-  options.open.add(entered);
   await serve(options, entered, headers, body.bytes);
-  options.open.delete(entered);
 }
 
 /** A request as far as it is known when it enters. */
@@ -237,12 +235,14 @@
 ): Promise<void> {
   const {exchange, route, service, parent} = entered;
   const source = createCancelSource();
+  options.open.add(entered, source);
   const left = exchange.cancel.onCancel(source.cancel);
   const timer = startDeadline(options, entered, source);
   const call = createCall(options, entered, {headers, body, source});
   const end = await options.attempts.run({route, service, call});
   clearTimeout(timer);
   left.dispose();
+  options.open.delete(entered);
   learn(options, entered, end);
   if (parent !== undefined) reportToParent(parent, service, end);
   if (exchange.cancel.isCancelled) {
