--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -12,6 +12,7 @@
 import type {LoadReport} from '../process/load_board.js';
 import type {NodeMetrics} from '../process/node_metrics.js';
 import type {NodeSettings} from '../process/node_settings.js';
+import type {StopPlan} from '../process/stop_plan.js';
 import {createWeightedTargets} from '../process/weighted_targets.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {AttemptedRequest} from '../request/attempts.js';
@@ -23,6 +24,8 @@
 import {createLocalExecution} from '../request/local_execution.js';
 import type {OutboundExchanges} from '../request/outbound_exchange.js';
 import {createOutboundExchanges} from '../request/outbound_exchange.js';
+import type {OpenRequests} from '../request/open_requests.js';
+import {createOpenRequests} from '../request/open_requests.js';
 import {createRepeatRules} from '../request/repeat_rules.js';
 import type {NodeDecisions} from './node_decisions.js';
 
@@ -33,7 +36,7 @@
   readonly decisions: NodeDecisions;
   readonly log: DecisionLog;
   readonly metrics: NodeMetrics;
-  readonly isStopping: () => boolean;
+  readonly stop: StopPlan;
   readonly nowMillis: () => number;
   /** Uniform in [0, 1). */
   readonly random: () => number;
@@ -43,6 +46,8 @@
 export interface NodeExchanges extends Disposable {
   readonly outbound: OutboundExchanges;
   readonly inbound: InboundExchanges;
+  /** Requests that entered here and have no answer yet. */
+  readonly open: OpenRequests;
   /** Requests at the own upstream or waiting for it. */
   readonly executingCount: number;
 }
@@ -77,9 +82,12 @@
       return end;
     },
   };
+  const open = createOpenRequests(options.log, nowMillis);
   const outbound = createOutboundExchanges({
     ...decisions,
     names,
+    open,
+    stop: options.stop,
     ownService: () => settings().service,
     gate: createEntryGate(decisions.board, service =>
       decisions.directory
@@ -107,7 +115,7 @@
       log: options.log,
       metrics: options.metrics,
       notes: names.notes,
-      isDraining: options.isStopping,
+      stop: options.stop,
       configurationVersion: decisions.configurationVersion,
       takingRatio: decisions.board.takingRatio,
       nowMillis,
@@ -127,6 +135,7 @@
   return {
     outbound,
     inbound,
+    open,
     get executingCount() {
       return executingCount;
     },
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -13,6 +13,7 @@
 import {endpointText} from '../process/endpoint_text.js';
 import type {NodeSettings} from '../process/node_settings.js';
 import type {PublishedDocuments} from '../process/published_documents.js';
+import {createStopPlan} from '../process/stop_plan.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import {startDocumentFeeds} from './document_feeds.js';
 import {createNodeDecisions} from './node_decisions.js';
@@ -67,7 +68,7 @@
   const {settings, names, documents, log, metrics, nowMillis, random} = options;
   const store = createDisposableStore();
   let current = settings;
-  let isStopping = false;
+  const stop = createStopPlan(nowMillis, random);
   const decisions = createNodeDecisions({
     settings: () => current,
     log,
@@ -81,7 +82,7 @@
     decisions,
     log,
     metrics,
-    isStopping: () => isStopping,
+    stop,
     nowMillis,
     random,
   });
@@ -136,7 +137,7 @@
   );
 
   const waitingFor = (): readonly string[] => [
-    ...(isStopping ? ['stopping'] : []),
+    ...(stop.isStopping ? ['stopping'] : []),
     ...(configuration.current() === undefined ? ['configuration'] : []),
     ...(feeds.hasUpstreams ? [] : ['upstreams']),
   ];
@@ -149,17 +150,30 @@
     },
     waitingFor,
     stop: async () => {
-      isStopping = true;
+      stop.begin(current.graceMillis);
       decisions.upstream.startDraining();
       await runStopSequence({
         parts: {
           busyCount,
           executingCount: () => exchanges.executingCount,
+          giveUpRequests: () => {
+            exchanges.open.describe('given-up-at-stop');
+            exchanges.open.giveUp();
+          },
           closeListeners: () => closeAll([outbound, local, inbound]),
         },
-        graceMillis: current.graceMillis,
+        plan: stop,
         nowMillis,
+        onStep: step => {
+          log.state('stop-step', {
+            step,
+            busyCount: busyCount(),
+            openCount: exchanges.open.count,
+            executingCount: exchanges.executingCount,
+          });
+        },
       });
+      exchanges.open.describe('unanswered-at-stop');
       store.dispose();
     },
     applySettings: next => {
--- /dev/null
+++ b/src/request/open_requests.ts
@@ -0,0 +1,55 @@
+/**
+ * Requests that entered here and have no answer yet. A planned stop must leave
+ * none: at its end they are given up, so that each gets a final answer, and told
+ * by id, since nothing else tells it afterwards.
+ */
+import type {CancelSource} from '../base/cancel_signal.js';
+import type {DecisionLog} from '../process/decision_log.js';
+import type {AnsweredRequest} from './entry_answers.js';
+
+/** Requests of one node that have no answer yet. */
+export interface OpenRequests {
+  readonly count: number;
+  /** Work on it ends as soon as the source is cancelled. */
+  add(request: AnsweredRequest, source: CancelSource): void;
+  delete(request: AnsweredRequest): void;
+  /** Writes a line for each, bounded like all lines for requests. */
+  describe(event: string): void;
+  /** Gives all of them up; each is answered at once. */
+  giveUp(): void;
+}
+
+/** Creates an empty registry. */
+export function createOpenRequests(
+  log: DecisionLog,
+  nowMillis: () => number,
+): OpenRequests {
+  const open = new Map<AnsweredRequest, CancelSource>();
+  return {
+    get count() {
+      return open.size;
+    },
+    add: (request, source) => {
+      open.set(request, source);
+    },
+    delete: request => {
+      open.delete(request);
+    },
+    describe: event => {
+      const now = nowMillis();
+      for (const {attemptId, route, service, ...request} of open.keys()) {
+        log.request(event, {
+          requestId: attemptId,
+          route: route.name,
+          service,
+          isClientGone: request.exchange.cancel.isCancelled,
+          ageMillis: Math.round(now - request.arrivedMillis),
+          leftMillis: Math.round(request.deadlineMillis - now),
+        });
+      }
+    },
+    giveUp: () => {
+      for (const source of [...open.values()]) source.cancel();
+    },
+  };
+}
