Probes are rationed, and spread over all that were left alone

Cause: an upstream that a node had sent nothing for 1.5 s got the node's next request, the first in the list first. A node that sends 12 requests a second to a service of 32 upstreams sends 18 in that time, so every request was a probe: two thirds left their zone, a slow upstream got more than a fair share, those late in the list got none, and nodes that had been idle all turned to the first in the list. The trace of a failed leaving_host_list_lags showed the latter: six of eight requests that entered at zone b went to catalogue-a-1, two to catalogue-a-2. Ruled out: the few milliseconds between two upstreams of a zone.

Change: one choice in ten, and one in 1.5 s, may be a probe, and goes to any of those left alone. What nobody has reported on is taken to be as fast as its service, and what was reported last is remembered, or one too slow to answer would look fast.

--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -8,6 +8,7 @@
  * stay in their zone unless another one serves them sooner.
  */
 import type {LoadBoard, LoadReport} from './load_board.js';
+import {createProbeRation} from './probe_ration.js';
 import type {UpstreamEntry} from './upstream_entry.js';
 import type {KnownUpstream, UpstreamDirectory} from './upstream_directory.js';
 
@@ -55,6 +56,8 @@
 
 interface Record {
   ownCount: number;
+  /** As reported last, kept when the report itself has aged. */
+  averageMillis: number | undefined;
   lastSentMillis: number;
   /** Share of recent attempts that failed. */
   failedRatio: number;
@@ -73,7 +76,7 @@
  */
 const OTHER_ZONE_RATIO = 0.2;
 
-/** Service time assumed of an upstream nobody reported on. */
+/** Service time assumed while nobody has reported on the service. */
 const UNKNOWN_AVERAGE_MILLIS = 50;
 
 /** A cold upstream is taken to need this many times its usual time. */
@@ -93,8 +96,8 @@
 const MAX_AVOID_MILLIS = 1200;
 
 /**
- * An upstream that this node has sent nothing for this long gets the next
- * request: otherwise a slow past, or no past at all, would last for ever.
+ * An upstream that this node has sent nothing for this long may get a probe:
+ * otherwise a slow past, or no past at all, would last for ever.
  */
 const PROBE_MILLIS = 1500;
 
@@ -107,12 +110,14 @@
 ): PlacementChooser {
   const {directory, board, nowMillis, random} = options;
   const records = new Map<string, Record>();
+  const ration = createProbeRation(nowMillis);
 
   const recordOf = (upstream: KnownUpstream): Record => {
     const known = records.get(upstream.entry.id);
     if (known !== undefined) return known;
     const created: Record = {
       ownCount: 0,
+      averageMillis: undefined,
       lastSentMillis: upstream.firstSeenMillis - PROBE_MILLIS * random(),
       failedRatio: 0,
       failuresInARow: 0,
@@ -129,10 +134,25 @@
     return region === options.region ? OTHER_ZONE_MILLIS : OTHER_REGION_MILLIS;
   };
 
+  /**
+   * What nothing is known of is taken to be as fast as its service. Taken to be
+   * faster, one that is too slow to answer at all would get every request.
+   */
+  const usualMillis = ({entry}: KnownUpstream): number =>
+    board.averageMillisOf(entry.service) ?? UNKNOWN_AVERAGE_MILLIS;
+
   const score = (upstream: KnownUpstream, now: number): number => {
     const record = recordOf(upstream);
     const report = board.find(upstream.entry.id);
-    const answerMillis = expectedMillis(upstream, record, report, now);
+    record.averageMillis = report?.averageMillis ?? record.averageMillis;
+    const averageMillis = record.averageMillis ?? usualMillis(upstream);
+    const answerMillis = expectedMillis({
+      upstream,
+      ownCount: record.ownCount,
+      report,
+      averageMillis,
+      now,
+    });
     const failureMillis = record.failedRatio * FAILURE_MILLIS;
     const noise = 1 + NOISE_RATIO * random();
     const expected = (answerMillis + failureMillis) * noise;
@@ -141,16 +161,27 @@
     return preferred + distanceMillis(upstream);
   };
 
-  const pick = (
+  /**
+   * Any that has been left alone: nodes that share a list would otherwise all
+   * probe the first in it at the same moment, and never the last.
+   */
+  const pickProbe = (
+    candidates: readonly KnownUpstream[],
+    now: number,
+  ): KnownUpstream | undefined => {
+    const left = candidates.filter(
+      candidate => recordOf(candidate).lastSentMillis + PROBE_MILLIS < now,
+    );
+    return left[Math.floor(random() * left.length)];
+  };
+
+  const pickBest = (
     candidates: readonly KnownUpstream[],
     now: number,
   ): KnownUpstream | undefined => {
     let best: KnownUpstream | undefined;
     let bestScore = Infinity;
     for (const candidate of candidates) {
-      if (recordOf(candidate).lastSentMillis + PROBE_MILLIS < now) {
-        return candidate;
-      }
       const candidateScore = score(candidate, now);
       if (candidateScore >= bestScore) continue;
       best = candidate;
@@ -159,6 +190,19 @@
     return best;
   };
 
+  const pick = (
+    service: string,
+    candidates: readonly KnownUpstream[],
+    now: number,
+  ): KnownUpstream | undefined => {
+    const probed = ration.isDue(service)
+      ? pickProbe(candidates, now)
+      : undefined;
+    if (probed === undefined) return pickBest(candidates, now);
+    ration.take(service);
+    return probed;
+  };
+
   return {
     choose: (service, excludedIds, isLost = () => false) => {
       const now = nowMillis();
@@ -169,7 +213,7 @@
         upstream =>
           recordOf(upstream).avoidUntilMillis <= now && !isLost(upstream.entry),
       );
-      const chosen = pick(usable.length > 0 ? usable : allowed, now);
+      const chosen = pick(service, usable.length > 0 ? usable : allowed, now);
       if (chosen === undefined) return undefined;
       return openPlacement(chosen, recordOf(chosen), nowMillis);
     },
@@ -183,17 +227,22 @@
   };
 }
 
-function expectedMillis(
-  upstream: KnownUpstream,
-  record: Record,
-  report: LoadReport | undefined,
-  now: number,
-): number {
+interface Expected {
+  readonly upstream: KnownUpstream;
+  /** Requests of this node that are there now. */
+  readonly ownCount: number;
+  readonly report: LoadReport | undefined;
+  readonly averageMillis: number;
+  readonly now: number;
+}
+
+function expectedMillis(expected: Expected): number {
+  const {upstream, ownCount, report, averageMillis, now} = expected;
   const cold = upstream.coldUntilMillis > now ? COLD_FACTOR : 1;
-  const average = (report?.averageMillis ?? UNKNOWN_AVERAGE_MILLIS) * cold;
+  const average = averageMillis * cold;
   const limit = Math.max(1, report?.limitCount ?? upstream.entry.slotsCount);
   const reported = (report?.inFlightCount ?? 0) + (report?.queuedCount ?? 0);
-  const inFlight = Math.max(reported, record.ownCount);
+  const inFlight = Math.max(reported, ownCount);
   const ratio = inFlight / limit;
   const waitMillis = Math.max(0, ratio - 1) * average;
   const busyMillis = Math.max(0, Math.min(1, ratio) - BUSY_RATIO) * average;
