A repeat is no probe

Cause of zone_cut_off's failures, from the trace of a failed read: it entered at a node of the other zone, was a probe of a cut upstream, found silent after 1.6 s, and since the next probe was due after 1.5 s the repeat went to the next cut upstream, the second repeat likewise; its last attempt below met the same and the deadline of 12 s was reached. Change: only first attempts may be probes, and a node's first choice for a service is none.

--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -190,14 +190,18 @@
     return best;
   };
 
+  /**
+   * A repeat is no probe: one that has just waited in vain for an upstream that
+   * is cut off would wait in vain for the next.
+   */
   const pick = (
     service: string,
+    isRepeat: boolean,
     candidates: readonly KnownUpstream[],
     now: number,
   ): KnownUpstream | undefined => {
-    const probed = ration.isDue(service)
-      ? pickProbe(candidates, now)
-      : undefined;
+    const isDue = !isRepeat && ration.isDue(service);
+    const probed = isDue ? pickProbe(candidates, now) : undefined;
     if (probed === undefined) return pickBest(candidates, now);
     ration.take(service);
     return probed;
@@ -213,7 +217,12 @@
         upstream =>
           recordOf(upstream).avoidUntilMillis <= now && !isLost(upstream.entry),
       );
-      const chosen = pick(service, usable.length > 0 ? usable : allowed, now);
+      const chosen = pick(
+        service,
+        excludedIds.size > 0,
+        usable.length > 0 ? usable : allowed,
+        now,
+      );
       if (chosen === undefined) return undefined;
       return openPlacement(chosen, recordOf(chosen), nowMillis);
     },
--- a/src/process/probe_ration.ts
+++ b/src/process/probe_ration.ts
@@ -30,14 +30,14 @@
 /** A node with few requests probes at this interval all the same. */
 const PROBE_INTERVAL_MILLIS = 1500;
 
-/** Creates rations that are due at once. */
+/** Creates rations; each is first due an interval after its first choice. */
 export function createProbeRation(nowMillis: () => number): ProbeRation {
   const rations = new Map<string, Ration>();
 
   const rationOf = (service: string): Ration => {
     const known = rations.get(service);
     if (known !== undefined) return known;
-    const created = {choicesCount: 0, takenMillis: -Infinity};
+    const created = {choicesCount: 0, takenMillis: nowMillis()};
     rations.set(service, created);
     return created;
   };
