--- a/src/connection/document_follower.ts
+++ b/src/connection/document_follower.ts
@@ -10,8 +10,20 @@
   DocumentSource,
 } from '../process/document_source.js';
 
+/** What came of a call to the source. */
+export type SourceCall =
+  | 'read'
+  /** A watch that brought changes. */
+  | 'changed'
+  /** A watch that ran out. */
+  | 'unchanged'
+  | 'history-lost'
+  | 'failed';
+
 /** What a follower tells its owner. */
 export interface DocumentListener {
+  /** A call has ended; each one has its price. */
+  onCall(call: SourceCall): void;
   /** All documents of now; what is missing no longer exists. */
   onSnapshot(documents: readonly DocumentChange[], revision: number): void;
   onChanges(documents: readonly DocumentChange[], revision: number): void;
@@ -74,6 +86,7 @@
     if (revision === undefined) {
       const all = await source.read(prefix);
       reached();
+      listener.onCall('read');
       listener.onSnapshot(all.documents, all.revision);
       revision = all.revision;
       return;
@@ -85,9 +98,11 @@
     );
     reached();
     if (news === 'history-lost') {
+      listener.onCall('history-lost');
       revision = undefined;
       return;
     }
+    listener.onCall(news.documents.length > 0 ? 'changed' : 'unchanged');
     if (news.documents.length > 0) {
       listener.onChanges(news.documents, news.revision);
     }
@@ -95,6 +110,7 @@
   };
 
   const failed = (error: unknown): Effect.Effect<void> => {
+    listener.onCall('failed');
     if (lostAtMillis === undefined && !isFirst) {
       lostAtMillis = options.nowMillis();
       listener.onLost(describeError(error));
--- a/src/daemon/document_feeds.ts
+++ b/src/daemon/document_feeds.ts
@@ -70,6 +70,7 @@
   };
   store.add(
     follow(options, documents.upstreamsPrefix, {
+      onCall: events.onCall,
       onLost: events.onLost,
       onReached: wasLostMillis => {
         if (wasLostMillis > LAPSE_MILLIS) directory.markSourceRegained();
@@ -116,7 +117,7 @@
   });
 }
 
-type SourceEvents = Pick<DocumentListener, 'onLost' | 'onReached'>;
+type SourceEvents = Pick<DocumentListener, 'onCall' | 'onLost' | 'onReached'>;
 
 function sourceEvents(
   options: DocumentFeedsOptions,
@@ -124,6 +125,9 @@
 ): SourceEvents {
   const {log, metrics} = options;
   return {
+    onCall: call => {
+      metrics.recordStoreCall(call);
+    },
     onLost: reason => {
       metrics.recordStoreLost();
       log.state('store-lost', {documents, reason});
--- a/src/daemon/node_upkeep.ts
+++ b/src/daemon/node_upkeep.ts
@@ -76,5 +76,6 @@
     busyCount: options.busyCount(),
     upstreamsCount: directory.count(),
     configurationVersion: configurationVersion(),
+    storeCalls: JSON.stringify(options.metrics.storeCalls()),
   });
 }
--- a/src/process/node_metrics.ts
+++ b/src/process/node_metrics.ts
@@ -15,6 +15,10 @@
   /** A request entered, from the own upstream or from a client. */
   recordEntered(isUpstreams: boolean): void;
   recordStoreLost(): void;
+  /** A call to the store ended, by what came of it. */
+  recordStoreCall(result: string): void;
+  /** Calls to the store so far, by what came of them. */
+  storeCalls(): Readonly<Record<string, number>>;
   setGauge(name: GaugeName, value: number): void;
   /** All metrics in the Prometheus text format. */
   text(): Promise<string>;
@@ -62,6 +66,10 @@
     'sender',
   ]);
   const storeLosses = counter('store_lost_total', 'Losses of the store', []);
+  const storeCalls = counter('store_calls_total', 'Calls to the store', [
+    'result',
+  ]);
+  const storeCallCounts: Record<string, number> = {};
   const gauges = new Map<GaugeName, Gauge>();
   return {
     recordAnswer: (route, statusCode, millis) => {
@@ -85,6 +93,11 @@
     recordStoreLost: () => {
       storeLosses.inc();
     },
+    recordStoreCall: result => {
+      storeCalls.inc({result});
+      storeCallCounts[result] = (storeCallCounts[result] ?? 0) + 1;
+    },
+    storeCalls: () => storeCallCounts,
     setGauge: (name, value) => {
       const gauge =
         gauges.get(name) ??
--- a/test/unit/connection/document_follower.test.ts
+++ b/test/unit/connection/document_follower.test.ts
@@ -16,6 +16,7 @@
       nowMillis: () => 0,
       random: () => 0,
       listener: {
+        onCall: () => undefined,
         onSnapshot: () => undefined,
         onChanges: () => undefined,
         onLost: () => events.push('lost'),
