--- a/src/daemon/document_feeds.ts
+++ b/src/daemon/document_feeds.ts
@@ -72,6 +72,7 @@
   };
   store.add(
     follow(options, documents.upstreamsPrefix, {
+      onCall: events.onCall,
       onLost: events.onLost,
       onReached: wasLostMillis => {
         if (wasLostMillis > LAPSE_MILLIS) directory.markSourceRegained();
@@ -118,7 +119,7 @@
   });
 }
 
-type SourceEvents = Pick<DocumentListener, 'onLost' | 'onReached'>;
+type SourceEvents = Pick<DocumentListener, 'onCall' | 'onLost' | 'onReached'>;
 
 function sourceEvents(
   options: DocumentFeedsOptions,
@@ -126,6 +127,9 @@
 ): SourceEvents {
   const {log, metrics} = options;
   return {
+    onCall: call => {
+      metrics.recordStoreCall(call);
+    },
     onLost: reason => {
       metrics.recordStoreLost();
       log.state('store-lost', {documents, reason});
--- a/src/process/node_metrics.ts
+++ b/src/process/node_metrics.ts
@@ -17,6 +17,10 @@
   recordStoreLost(): void;
   /** A published document could not be used. */
   recordInvalidDocument(kind: DocumentKind): void;
+  /** A call to the store ended, by what came of it. */
+  recordStoreCall(result: string): void;
+  /** Calls to the store so far, by what came of them. */
+  storeCalls(): Readonly<Record<string, number>>;
   setGauge(name: GaugeName, value: number): void;
   /** All metrics in the Prometheus text format. */
   text(): Promise<string>;
@@ -72,6 +76,10 @@
     'Published documents that cannot be used',
     ['kind'],
   );
+  const storeCalls = counter('store_calls_total', 'Calls to the store', [
+    'result',
+  ]);
+  const storeCallCounts: Record<string, number> = {};
   const gauges = new Map<GaugeName, Gauge>();
   return {
     recordAnswer: (route, statusCode, millis) => {
@@ -98,6 +106,11 @@
     recordInvalidDocument: kind => {
       invalidDocuments.inc({kind});
     },
+    recordStoreCall: result => {
+      storeCalls.inc({result});
+      storeCallCounts[result] = (storeCallCounts[result] ?? 0) + 1;
+    },
+    storeCalls: () => storeCallCounts,
     setGauge: (name, value) => {
       const gauge =
         gauges.get(name) ??
