Failing test: requests sent ahead to a node that stops

Fails on this code: of two requests that were passed on, the second has no answer, since the first answer closed the connection.

--- a/test/contract/platform_stop_late.test.ts
+++ b/test/contract/platform_stop_late.test.ts
@@ -108,3 +108,30 @@
   await stopped;
   t.like(shop!.node.state(), {node: {busyCount: 0}});
 });
+
+test('requests behind an answer of a stopping node are answered as well', async t => {
+  // A client sent two requests ahead of the answers. The node was told to stop,
+  // and its first answer closed the connection, as each answer of a stopping
+  // node did; the second request had been passed on, ran, and had no answer.
+  const fleet = await startFleet(t, {
+    services: ['shop', 'orders'],
+    paths: [SAFE_PATH],
+  });
+  const [shop, orders] = fleet.hosts;
+  const received: ReceivedRequest[] = [];
+  orders!.backend.setBehaviour(request => {
+    received.push(request);
+  });
+  const client = await connectRawClient(t, shop!.address, fleet.outboundPort);
+  client.ask('first', '/a/1');
+  client.ask('second', '/a/2');
+  await waitUntil('both at work', () => received.length === 2);
+  const stopped = shop!.node.stop();
+  received.find(({attemptId}) => attemptId === 'first')!.answer(200, 'one');
+  await waitUntil('first answer', () => client.statusCodes.length === 1);
+  received.find(({attemptId}) => attemptId === 'second')!.answer(200, 'two');
+  await waitUntil('closed', () => client.isClosed);
+  t.deepEqual(client.statusCodes, [200, 200]);
+  t.is(client.received.match(/connection: close/gi)?.length, 1);
+  await stopped;
+});
