An answer of a stopping node closes its connection only if it is the last

Cause: each answer of a stopping node said Connection: close, and the first one closed the connection, also where the client had sent further requests ahead, which had been passed on and ran: work lost, and answers never delivered.

Change: the listener knows what was read last on a connection. An answer may end the connection only if nothing behind it has been read; what comes after that is not handled, so that it does not run and its client may send it again.

The fake client found answers by lines, and a body without an end of line hid the second answer; it now finds them anywhere.

Open: an answer without a length still ends its connection, with what is behind it; a length would vouch for a body that may be cut short.

--- a/src/connection/node_listener.ts
+++ b/src/connection/node_listener.ts
@@ -17,6 +17,20 @@
   readonly cancel: CancelSignal;
   /** The sender holds the body back until it is asked for. */
   readonly isBodyHeldBack: boolean;
+  /**
+   * Ends the connection with this answer, unless requests behind it have been
+   * read: theirs would be lost with it. Nothing behind it is read after that.
+   */
+  tryEndConnection(): boolean;
+}
+
+/** One connection of a client. */
+interface ClientConnection {
+  /** Requests without an answer. */
+  readonly sources: Set<CancelSource>;
+  /** Answer to the request that was read last. */
+  newest: ServerResponse | undefined;
+  isEnding: boolean;
 }
 
 /** What a listener is made of. */
@@ -58,16 +72,17 @@
     maxHeaderSize: HEADER_BYTES,
     noDelay: true,
   });
-  const openSources = new WeakMap<Socket, Set<CancelSource>>();
+  const connections = new WeakMap<Socket, ClientConnection>();
   let busyCount = 0;
 
-  const sourcesOf = (socket: Socket): Set<CancelSource> => {
-    const known = openSources.get(socket);
+  const connectionOf = (socket: Socket): ClientConnection => {
+    const known = connections.get(socket);
     if (known !== undefined) return known;
-    const created = new Set<CancelSource>();
-    openSources.set(socket, created);
+    const sources = new Set<CancelSource>();
+    const created = {sources, newest: undefined, isEnding: false};
+    connections.set(socket, created);
     socket.once('close', () => {
-      for (const source of created) source.cancel();
+      for (const source of sources) source.cancel();
     });
     return created;
   };
@@ -77,9 +92,17 @@
     response: ServerResponse,
     isBodyHeldBack: boolean,
   ): void => {
+    const connection = connectionOf(request.socket);
+    if (connection.isEnding) {
+      // No answer can follow the one that ends the connection, so that the
+      // client sends this request again; passed on, it would run for nothing.
+      request.resume();
+      return;
+    }
+    const {sources} = connection;
     const source = createCancelSource();
-    const sources = sourcesOf(request.socket);
     sources.add(source);
+    connection.newest = response;
     busyCount += 1;
     let isOpen = true;
     const finish = (): void => {
@@ -104,6 +127,11 @@
       response,
       cancel: source.signal,
       isBodyHeldBack,
+      tryEndConnection: () => {
+        if (connection.newest !== response) return false;
+        connection.isEnding = true;
+        return true;
+      },
     });
   };
 
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -111,17 +111,24 @@
     const {request, response} = exchange;
     if (response.destroyed || response.headersSent) return;
     const isUnread = hasBody(request) && !request.complete;
-    const closing =
-      options.stop.isStopping || isUnread ? ['connection', 'close'] : [];
     response.writeHead(statusCode, [
       ...headers,
-      ...closing,
+      ...closingHeaders(exchange, isUnread),
       'content-length',
       '0',
     ]);
     response.end();
   };
 
+  /** A node that stops ends its connections where nothing is lost by it. */
+  const closingHeaders = (
+    exchange: Exchange,
+    isUnread: boolean,
+  ): readonly string[] => {
+    if (!options.stop.isStopping && !isUnread) return [];
+    return exchange.tryEndConnection() ? ['connection', 'close'] : [];
+  };
+
   const writeRefusal = (
     exchange: Exchange,
     reason: string,
@@ -182,8 +189,8 @@
       ...passedOnHeaders(answer.headers, NO_HEADERS),
       ...versionNotes(),
       ...repeatNotes(request),
+      ...closingHeaders(exchange, false),
     ];
-    if (options.stop.isStopping) headers.push('connection', 'close');
     const method = exchange.request.method ?? 'GET';
     sendAnswer(exchange.response, answer, headers, method);
     const millis = record(request, answer.statusCode);
--- a/test/contract/platform_stop.test.ts
+++ b/test/contract/platform_stop.test.ts
@@ -1,11 +1,9 @@
-import diagnostics from 'node:diagnostics_channel';
 import {once} from 'node:events';
-import type {IncomingMessage} from 'node:http';
 import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {ExecutionContext} from 'ava';
 import test from 'ava';
 import {FLEET_HOST_NAME, isReady, SAFE_PATH} from '../fakes/platform_fleet.js';
+import {recordReadRequests} from '../fakes/read_requests.js';
 import {startFleet} from '../fakes/test_fleet.js';
 import {waitUntil} from '../fakes/wait_until.js';
 
@@ -61,7 +59,7 @@
   });
   const endings: string[] = [];
   const resetIds: string[] = [];
-  const readIds = recordReadIds(t);
+  const readRequests = recordReadRequests(t);
   let sentCount = 0;
   const press = setInterval(() => {
     sentCount += 1;
@@ -84,8 +82,9 @@
   await waitUntil('refused', () => endings.includes('ECONNREFUSED'));
   clearInterval(press);
   await waitUntil('all ended', () => endings.length === sentCount);
+  const readIds = readRequests.map(({headers}) => headers['attempt-id']);
   t.deepEqual(
-    resetIds.map(id => ({id, wasRead: readIds.has(id)})),
+    resetIds.map(id => ({id, wasRead: readIds.includes(id)})),
     [],
   );
   t.deepEqual([...new Set(endings)].sort(), ['ECONNREFUSED', 'answered']);
@@ -113,17 +112,3 @@
   t.regex(received, /connection: close/i);
   await stopped;
 });
-
-/** Ids of the requests that any listener of this process has read. */
-function recordReadIds(t: ExecutionContext): ReadonlySet<string> {
-  const readIds = new Set<string>();
-  const record = (message: unknown): void => {
-    const {request} = message as {readonly request: IncomingMessage};
-    readIds.add(String(request.headers['attempt-id']));
-  };
-  diagnostics.subscribe('http.server.request.start', record);
-  t.teardown(() => {
-    diagnostics.unsubscribe('http.server.request.start', record);
-  });
-  return readIds;
-}
--- a/test/fakes/raw_client.ts
+++ b/test/fakes/raw_client.ts
@@ -41,7 +41,7 @@
       return received;
     },
     get statusCodes() {
-      return [...received.matchAll(/^HTTP\/1\.1 (\d+) /gm)].map(match =>
+      return [...received.matchAll(/HTTP\/1\.1 (\d+) /g)].map(match =>
         Number(match[1]),
       );
     },
--- /dev/null
+++ b/test/unit/connection/node_listener.test.ts
@@ -0,0 +1,54 @@
+import {once} from 'node:events';
+import net from 'node:net';
+import test from 'ava';
+import type {Exchange} from '../../../src/connection/node_listener.js';
+import {openNodeListener} from '../../../src/connection/node_listener.js';
+import {recordReadRequests} from '../../fakes/read_requests.js';
+import {waitUntil} from '../../fakes/wait_until.js';
+
+test('nothing behind an answer that ends its connection is handled', async t => {
+  // A request was passed on and ran for nobody: the answer before it had already
+  // been written as the last one of the connection, and waited for a third one,
+  // still before it, to be sent.
+  const read = recordReadRequests(t);
+  const exchanges: Exchange[] = [];
+  const listener = await openNodeListener({
+    endpoint: {address: '127.0.0.1', port: 0},
+    handle: exchange => {
+      exchanges.push(exchange);
+      return Promise.resolve();
+    },
+  });
+  const socket = net.connect(listener.port, '127.0.0.1');
+  t.teardown(() => {
+    socket.destroy();
+    return listener.close();
+  });
+  await once(socket, 'connect');
+  let received = '';
+  socket.on('data', chunk => {
+    received += chunk.toString('latin1');
+  });
+  const ask = (path: string): void => {
+    socket.write(`GET ${path} HTTP/1.1\r\nhost: a\r\n\r\n`);
+  };
+  ask('/1');
+  ask('/2');
+  await waitUntil('two read', () => exchanges.length === 2);
+  const [first, second] = exchanges;
+  t.false(first!.tryEndConnection());
+  t.true(second!.tryEndConnection());
+  second!.response.writeHead(200, {connection: 'close', 'content-length': 0});
+  second!.response.end();
+  ask('/3');
+  await waitUntil('third read', () => read.length === 3);
+  first!.response.writeHead(200, {'content-length': 0});
+  first!.response.end();
+  await waitUntil('closed', () => socket.closed);
+  t.deepEqual(
+    exchanges.map(({request}) => request.url),
+    ['/1', '/2'],
+  );
+  t.is(received.match(/HTTP\/1\.1 200 /g)?.length, 2);
+  t.is(listener.busyCount, 0);
+});
