A stop leaves a busy host time to end before it is killed

Change: answers are given up an eighth of the grace before its end (0.75 s at most), the process ends a twelfth before it (0.5 s at most). As shares they hold for short graces as well, where 0.4 s would have come before the time of taking.

--- a/src/process/stop_plan.ts
+++ b/src/process/stop_plan.ts
@@ -40,11 +40,14 @@
 /** Part of the grace period that what was taken has at least. */
 const FINISHING_RATIO = 0.4;
 
-/** Last part of the grace period, for final answers to be written. */
-const ANSWERING_MILLIS = 400;
-
-/** Last part of the grace period, for the process to end on a busy host. */
-const ENDING_MILLIS = 250;
+/**
+ * Last part of the grace period, for final answers to be written, and of that
+ * the last part, for the process to end. On a busy host with half a core timers
+ * come some hundred milliseconds late, and a process that is killed answers
+ * nobody; more than a sixth would give up what could still be answered.
+ */
+const ANSWERING = {ratio: 1 / 8, mostMillis: 750};
+const ENDING = {ratio: 1 / 12, mostMillis: 500};
 
 /** Time that a process takes to start and to know upstreams, or little more. */
 const START_MILLIS = 1000;
@@ -74,8 +77,8 @@
       const now = nowMillis();
       const latestMillis = graceMillis * (1 - FINISHING_RATIO);
       takingUntilMillis = now + Math.min(NOTICE_MILLIS, latestMillis);
-      finishingUntilMillis = now + graceMillis - ANSWERING_MILLIS;
-      endMillis = now + graceMillis - ENDING_MILLIS;
+      finishingUntilMillis = now + graceMillis - partOf(graceMillis, ANSWERING);
+      endMillis = now + graceMillis - partOf(graceMillis, ENDING);
     },
     takes: ({isUpstreams}) => isUpstreams || nowMillis() < takingUntilMillis,
     // Spread, so that not all come back together.
@@ -83,3 +86,10 @@
       Math.max(0, endMillis - nowMillis()) + START_MILLIS * (1 + random()),
   };
 }
+
+function partOf(
+  graceMillis: number,
+  part: {readonly ratio: number; readonly mostMillis: number},
+): number {
+  return Math.min(graceMillis * part.ratio, part.mostMillis);
+}
--- a/test/unit/process/stop_plan.test.ts
+++ b/test/unit/process/stop_plan.test.ts
@@ -39,6 +39,7 @@
   );
   plan.begin(2000);
   t.is(plan.takingUntilMillis, 1200);
+  t.true(plan.takingUntilMillis < plan.finishingUntilMillis);
   t.true(plan.finishingUntilMillis < plan.endMillis);
   t.true(plan.endMillis < 2000);
 });
@@ -51,7 +52,7 @@
   );
   plan.begin(GRACE_MILLIS);
   now = 3000;
-  t.is(plan.returnMillis(), 5750 - 3000 + 1500);
+  t.is(plan.returnMillis(), 5500 - 3000 + 1500);
   now = 7000;
   t.is(plan.returnMillis(), 1500);
 });
