What becomes of an entry is one step for each order of starts

Read again as a newcomer: putting an entry was one function of thirty lines. Behaviour is unchanged.

--- a/src/process/decision_log.ts
+++ b/src/process/decision_log.ts
@@ -13,7 +13,10 @@
 
 /** Receives decisions. */
 export abstract class DecisionLog {
-  /** A decision that touches one request; left out beyond the bound. */
+  /**
+   * A decision that touches one request, or what others may cause as often as
+   * they like; left out beyond the bound.
+   */
   abstract request(event: string, fields: DecisionFields): void;
   /** A change of what the process believes, or of its life; always written. */
   abstract state(event: string, fields?: DecisionFields): void;
--- a/src/process/upstream_directory.ts
+++ b/src/process/upstream_directory.ts
@@ -166,24 +166,7 @@
     if (contest === undefined) note('contested', upstream.entry);
   };
 
-  /** One start serves one service, so the entry is not its own. */
-  const losesName = (entry: UpstreamEntry, before: UpstreamEntry): boolean =>
-    isServiceNamed(before.service) && !isServiceNamed(entry.service);
-
-  const putOne = (entry: UpstreamEntry): void => {
-    const before = known.get(entry.id);
-    const order =
-      before === undefined ? 'later' : compareStarts(entry, before.entry);
-    if (order === 'earlier') {
-      contestOne(entry.id, entry);
-      return;
-    }
-    const isSame = before !== undefined && order === 'same';
-    if (isSame && isOvertaken(entry, before.entry)) return;
-    if (isSame && losesName(entry, before.entry)) {
-      contestOne(entry.id);
-      return;
-    }
+  const store = (entry: UpstreamEntry, before?: KnownUpstream): void => {
     missingUntil.delete(entry.id);
     contests.delete(entry.id);
     leftIds.delete(entry.id);
@@ -191,15 +174,50 @@
     known.set(entry.id, {
       entry,
       coldUntilMillis: now + entry.coldLeftMillis,
-      firstSeenMillis: isSame ? before.firstSeenMillis : now,
+      firstSeenMillis: before?.firstSeenMillis ?? now,
     });
-    if (before === undefined) note('joined', entry);
-    else if (!isSame) note('restarted', entry);
-    const wasDraining = isSame && before.entry.isDraining;
-    if (wasDraining === entry.isDraining || before === undefined) return;
+  };
+
+  const noteState = (entry: UpstreamEntry, wasDraining: boolean): void => {
+    if (entry.isDraining === wasDraining) return;
     note(entry.isDraining ? 'draining' : 'ready', entry);
   };
 
+  /** One start serves one service; an entry that names another is not its own. */
+  const losesName = (entry: UpstreamEntry, before: UpstreamEntry): boolean =>
+    isServiceNamed(before.service) && !isServiceNamed(entry.service);
+
+  const putSameStart = (entry: UpstreamEntry, before: KnownUpstream): void => {
+    if (isOvertaken(entry, before.entry)) return;
+    if (losesName(entry, before.entry)) {
+      contestOne(entry.id);
+      return;
+    }
+    store(entry, before);
+    noteState(entry, before.entry.isDraining);
+  };
+
+  const putOne = (entry: UpstreamEntry): void => {
+    const before = known.get(entry.id);
+    if (before === undefined) {
+      store(entry);
+      note('joined', entry);
+      return;
+    }
+    switch (compareStarts(entry, before.entry)) {
+      case 'earlier':
+        contestOne(entry.id, entry);
+        return;
+      case 'same':
+        putSameStart(entry, before);
+        return;
+      default:
+        store(entry);
+        note('restarted', entry);
+        noteState(entry, false);
+    }
+  };
+
   const forget = (upstream: KnownUpstream): void => {
     const {entry} = upstream;
     missingUntil.delete(entry.id);
--- a/test/contract/platform_restart.test.ts
+++ b/test/contract/platform_restart.test.ts
@@ -120,3 +120,31 @@
   t.is(answer.statusCode, 200);
   t.is(countRuns([first], 'r1'), 1);
 });
+
+test('idle connections to an upstream end with its start', async t => {
+  // Symptom: an order ends without an answer though its upstream is well.
+  // Sequence: an upstream crashes without a word and starts again; the order is
+  // written on a connection that was idle meanwhile. Cause: it leads nowhere.
+  const {fleet, shop, first, second} = await startBornFleet(t);
+  const closed = new Set<FleetHost>();
+  for (const host of [first, second]) {
+    host.backend.setBehaviour(request => {
+      request.socket.once('close', () => closed.add(host));
+      request.answer(200, 'done');
+    });
+  }
+  const orders = Array.from({length: 8}, (_, index) =>
+    fleet.send(shop, orderRequest(`o${String(index)}`)),
+  );
+  await Promise.all(orders);
+  t.true(first.backend.runIds.length > 0);
+  t.is(closed.size, 0);
+  const publishedMillis = performance.now();
+  fleet.publish(first, {born: SECOND_BIRTH_MILLIS, coldLeftS: 3});
+  await waitUntil('closed', () => closed.has(first));
+  // An idle connection ends by itself after four seconds.
+  t.true(performance.now() - publishedMillis < 2000);
+  t.false(closed.has(second));
+  const answer = await fleet.send(first, orderRequest('later'));
+  t.is(answer.statusCode, 200);
+});
