Changes of documents are gathered; one watch brings both kinds

Calls grew with the changes of all entries, and so with the square of the fleet. While the store was away each node asked 13 times a second.

Change: after a watch that brought changes a node pauses for the tightest bound (draining or a configuration in force) less 0.45 s; a change after a quiet time is still known at once. Where one prefix covers both kinds a single watch brings both. A watch at rest waits 3.5 s, its answer is overdue 1 s later, so a silent connection is noticed after 4.5 s as before. A store that is away is asked once a second; its return is noticed within 1.2 s.

Ruled out: stale reads (a tenth of the price, but seconds old: not for draining), longer waits at rest (a silent connection would be noticed too late), no pause after a lost history (a history of no length would cost a read for each change).

The tests of settings have the new field. Replays were added for changes of 2 to 50 entries a second, a refusing and a silent source, and no history at all.

--- a/src/connection/document_follower.ts
+++ b/src/connection/document_follower.ts
@@ -1,6 +1,7 @@
 /**
  * Follows the documents below one prefix of a source: a read of all, then one
- * watch after the other, again from the start when the history was lost.
+ * watch after the other with pauses in which changes gather, again from the
+ * start when the history was lost.
  */
 import * as Effect from 'effect/Effect';
 import {describeError} from '../base/errors.js';
@@ -9,6 +10,7 @@
   DocumentRead,
   DocumentSource,
 } from '../process/document_source.js';
+import type {FollowPace} from '../process/follow_pace.js';
 
 /** What came of a call to the source. */
 export type SourceCall =
@@ -38,42 +40,23 @@
   readonly source: DocumentSource;
   readonly prefix: string;
   readonly listener: DocumentListener;
+  readonly pace: FollowPace;
   readonly nowMillis: () => number;
-  /** Uniform in [0, 1). */
-  readonly random: () => number;
 }
 
-/**
- * Wait of one watch. A connection that went silent is noticed when its watch
- * is overdue, so this bounds how long a node works with an old picture; a
- * waiting watch every 3 s is a third of a call a second for each prefix.
- */
-const WATCH_WAIT_MILLIS = 3000;
-
-/**
- * Wait of a watch while the source is lost. A source that answers again is then
- * noticed within two seconds, not only when a long watch that was sent into the
- * loss is overdue: what left meanwhile would be used for as long.
- */
-const LOST_WAIT_MILLIS = 100;
-
-/**
- * Pause after a failure, plus as much again by chance. Short, since a node that
- * comes back must know soon what left meanwhile; spread, since all nodes lose a
- * store at the same moment.
- */
-const RETRY_PAUSE_MILLIS = 100;
-
 /** A task that follows for ever; interrupt it to stop. */
 export function followDocuments(
   options: DocumentFollowerOptions,
 ): Effect.Effect<never> {
-  const {source, prefix, listener} = options;
+  const {source, prefix, listener, pace} = options;
   let revision: number | undefined;
   let lostAtMillis: number | undefined;
+  let askedMillis = 0;
   let isFirst = true;
+  let isRead = false;
 
   const reached = (): void => {
+    pace.noteAnswered();
     if (!isFirst && lostAtMillis === undefined) return;
     const lostMillis =
       lostAtMillis === undefined ? 0 : options.nowMillis() - lostAtMillis;
@@ -82,44 +65,64 @@
     listener.onReached(lostMillis);
   };
 
-  const step = async (): Promise<void> => {
-    if (revision === undefined) {
-      const all = await source.read(prefix);
-      reached();
-      listener.onCall('read');
-      listener.onSnapshot(all.documents, all.revision);
-      revision = all.revision;
-      return;
-    }
+  /**
+   * Returns the pause before the next call. A history that is lost again and
+   * again costs a read each time; what is changed after one may gather as well.
+   */
+  const readAll = async (): Promise<number> => {
+    const wasRead = isRead;
+    const all = await source.read(prefix);
+    reached();
+    listener.onCall('read');
+    listener.onSnapshot(all.documents, all.revision);
+    revision = all.revision;
+    isRead = true;
+    return wasRead ? pace.gatherMillis() : 0;
+  };
+
+  /** Returns the pause before the next call. */
+  const watchFrom = async (afterRevision: number): Promise<number> => {
     const news: DocumentRead | 'history-lost' = await source.watch(
       prefix,
-      revision,
-      lostAtMillis === undefined ? WATCH_WAIT_MILLIS : LOST_WAIT_MILLIS,
+      afterRevision,
+      pace.watchWaitMillis(),
     );
     reached();
     if (news === 'history-lost') {
       listener.onCall('history-lost');
       revision = undefined;
-      return;
+      return 0;
     }
-    listener.onCall(news.documents.length > 0 ? 'changed' : 'unchanged');
-    if (news.documents.length > 0) {
-      listener.onChanges(news.documents, news.revision);
+    revision = Math.max(afterRevision, news.revision);
+    if (news.documents.length === 0) {
+      listener.onCall('unchanged');
+      return 0;
     }
-    revision = Math.max(revision, news.revision);
+    listener.onCall('changed');
+    listener.onChanges(news.documents, news.revision);
+    return pace.gatherMillis();
+  };
+
+  const step = async (): Promise<number> => {
+    askedMillis = options.nowMillis();
+    if (revision !== undefined) return watchFrom(revision);
+    return readAll();
   };
 
-  const failed = (error: unknown): Effect.Effect<void> => {
+  const failed = (error: unknown): number => {
     listener.onCall('failed');
     if (lostAtMillis === undefined && !isFirst) {
       lostAtMillis = options.nowMillis();
       listener.onLost(describeError(error));
     }
-    return Effect.sleep(RETRY_PAUSE_MILLIS * (1 + options.random()));
+    return pace.retryMillis(options.nowMillis() - askedMillis);
   };
 
   return Effect.tryPromise({try: step, catch: error => error}).pipe(
-    Effect.catch(failed),
+    Effect.catch(error => Effect.sync(() => failed(error))),
+    Effect.flatMap(pauseMillis =>
+      pauseMillis > 0 ? Effect.sleep(pauseMillis) : Effect.void,
+    ),
     Effect.forever,
   );
 }
--- a/src/daemon/document_feeds.ts
+++ b/src/daemon/document_feeds.ts
@@ -7,9 +7,11 @@
 import {createDisposableStore, toDisposable} from '../base/lifecycle.js';
 import type {DocumentListener} from '../connection/document_follower.js';
 import {followDocuments} from '../connection/document_follower.js';
+import {createPrefixListener} from '../connection/prefix_listener.js';
 import type {ConfigurationHolder} from '../process/configuration_holder.js';
 import type {DecisionLog} from '../process/decision_log.js';
 import type {DocumentChange} from '../process/document_source.js';
+import {createFollowPace} from '../process/follow_pace.js';
 import type {NodeMetrics} from '../process/node_metrics.js';
 import type {PublishedDocuments} from '../process/published_documents.js';
 import type {UpstreamDirectory} from '../process/upstream_directory.js';
@@ -23,6 +25,8 @@
   readonly directory: UpstreamDirectory;
   readonly log: DecisionLog;
   readonly metrics: NodeMetrics;
+  /** Bound from a document's acknowledgement to its effect here. */
+  readonly applyWithinMillis: number;
   readonly nowMillis: () => number;
   /** Uniform in [0, 1). */
   readonly random: () => number;
@@ -56,40 +60,48 @@
       directory.replace(decodeEntries(options, wholeChanges));
     }
   };
-  store.add(
-    follow(options, documents.configurationPrefix, {
-      ...sourceEvents(options, 'configuration'),
-      onSnapshot: offer,
-      onChanges: offer,
-    }),
-  );
+  const configurationListener: DocumentListener = {
+    ...sourceEvents(options, 'configuration'),
+    onSnapshot: offer,
+    onChanges: offer,
+  };
   const events = sourceEvents(options, 'upstreams');
   const replaceAll = (changes: readonly DocumentChange[]): void => {
     wholeChanges = changes;
     directory.replace(decodeEntries(options, changes));
   };
-  store.add(
-    follow(options, documents.upstreamsPrefix, {
-      onCall: events.onCall,
-      onLost: events.onLost,
-      onReached: wasLostMillis => {
-        if (wasLostMillis > LAPSE_MILLIS) directory.markSourceRegained();
-        events.onReached(wasLostMillis);
-      },
-      onSnapshot: changes => {
-        hasUpstreams = changes.length > 0 || !documents.listsAllUpstreams;
+  const upstreamsListener: DocumentListener = {
+    onCall: events.onCall,
+    onLost: events.onLost,
+    onReached: wasLostMillis => {
+      if (wasLostMillis > LAPSE_MILLIS) directory.markSourceRegained();
+      events.onReached(wasLostMillis);
+    },
+    onSnapshot: changes => {
+      hasUpstreams = changes.length > 0 || !documents.listsAllUpstreams;
+      replaceAll(changes);
+    },
+    onChanges: changes => {
+      if (documents.listsAllUpstreams) {
+        hasUpstreams = true;
         replaceAll(changes);
-      },
-      onChanges: changes => {
-        if (documents.listsAllUpstreams) {
-          hasUpstreams = true;
-          replaceAll(changes);
-          return;
-        }
-        for (const change of changes) applyUpstream(options, change);
-      },
-    }),
-  );
+        return;
+      }
+      for (const change of changes) applyUpstream(options, change);
+    },
+  };
+  const listeners = new Map([
+    [documents.configurationPrefix, configurationListener],
+    [documents.upstreamsPrefix, upstreamsListener],
+  ]);
+  const {sharedPrefix} = documents;
+  const followed =
+    sharedPrefix === undefined
+      ? listeners
+      : new Map([[sharedPrefix, createPrefixListener(listeners)]]);
+  for (const [prefix, listener] of followed) {
+    store.add(follow(options, prefix, listener));
+  }
   return {
     get hasUpstreams() {
       return hasUpstreams;
@@ -108,8 +120,8 @@
       source: options.documents.source,
       prefix,
       listener,
+      pace: createFollowPace(options),
       nowMillis: options.nowMillis,
-      random: options.random,
     }),
   );
   return toDisposable(() => {
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -18,6 +18,12 @@
  */
 const REPEAT_BOUND = {ratio: 0.2, windowMillis: 10_000, slackCount: 50};
 
+/**
+ * Bound from a publication to its effect at a node: time for a policy or a list
+ * of hosts that is published step by step to be taken in at once.
+ */
+const APPLY_WITHIN_MILLIS = 2000;
+
 const {settingsPath, isCheckOnly} = parseCommandLine(process.argv.slice(2));
 
 if (isCheckOnly) checkSettings();
@@ -71,6 +77,7 @@
     service: settings.service,
     store: {address: platform.hostname, port: Number(platform.port)},
     graceMillis: settings.graceMillis,
+    applyWithinMillis: APPLY_WITHIN_MILLIS,
     repeatBound: REPEAT_BOUND,
   };
 }
--- a/src/daemon/own_documents.ts
+++ b/src/daemon/own_documents.ts
@@ -46,6 +46,7 @@
     source: createDocumentSource(platformUrl),
     configurationPrefix: PATH.policy,
     upstreamsPrefix: PATH.hosts,
+    sharedPrefix: undefined,
     listsAllUpstreams: true,
     decodeConfiguration: ({text}) => {
       if (text === undefined) return {kind: 'other'};
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -113,6 +113,7 @@
     directory,
     log,
     metrics,
+    applyWithinMillis: settings.applyWithinMillis,
     nowMillis,
     random,
     onLimits: limits => {
--- /dev/null
+++ b/src/process/follow_pace.ts
@@ -0,0 +1,95 @@
+/**
+ * Decides how long a follower of published documents waits between its calls.
+ *
+ * Load pattern: every node follows the entries of all upstreams. In a release,
+ * or while a fleet starts, an entry changes several times a second, and a node
+ * that asks again after each change makes as many calls as there are changes:
+ * the store gets the square of the fleet, and each answer wakes a process. So
+ * changes are gathered for as long as the bound on bringing one into force
+ * allows. A store that is away is asked seldom, yet soon enough after its
+ * return.
+ */
+
+/** Waits of one follower. */
+export interface FollowPace {
+  /** How long the next watch waits for a change. */
+  watchWaitMillis(): number;
+  /** Pause between a watch that brought changes and the next one. */
+  gatherMillis(): number;
+  /** Pause after a call that took so long and failed. */
+  retryMillis(tookMillis: number): number;
+  /** A call was answered. */
+  noteAnswered(): void;
+}
+
+/** What a pace needs. */
+export interface FollowPaceOptions {
+  /** Bound from a change's acknowledgement to its effect here. */
+  readonly applyWithinMillis: number;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+}
+
+/**
+ * Wait of a watch while nothing changes. A connection that went silent is
+ * noticed when its watch is overdue, and for 3 s after such a fault no bound
+ * holds; with the time added for the answer, and the shortest bound of 2 s on
+ * top, a change after that is still in force in time.
+ */
+const REST_WAIT_MILLIS = 3500;
+
+/**
+ * Wait of a watch while the source is lost: a source that answers again is
+ * noticed at once, not only when a long watch is overdue that was sent into the
+ * loss.
+ */
+const LOST_WAIT_MILLIS = 100;
+
+/**
+ * What the bound must leave after the pause: an answer of a store a hundred
+ * times slower than its 4 ms, and a timer that fires late because the process
+ * had used up its share of a tenth of a second.
+ */
+const GATHER_RESERVE_MILLIS = 450;
+
+/** Part of the pause left to chance, so that nodes do not all ask at once. */
+const GATHER_SPREAD_MILLIS = 50;
+
+/** Pause after a first failure: a connection that was cut, most often. */
+const FIRST_RETRY_MILLIS = 100;
+
+/**
+ * Longest time from one failed call to the next. Entries that lapsed are back
+ * two seconds after the store, and what is missing then must get nothing two
+ * seconds later; a node that notices the return after 1.2 s is in time.
+ */
+const MAX_RETRY_MILLIS = 1000;
+
+/** Part by which the time to the next call is varied, either way. */
+const RETRY_SPREAD_RATIO = 0.2;
+
+/** Creates the pace of one follower. */
+export function createFollowPace(options: FollowPaceOptions): FollowPace {
+  const {applyWithinMillis, random} = options;
+  let failuresCount = 0;
+  return {
+    watchWaitMillis: () =>
+      failuresCount > 0 ? LOST_WAIT_MILLIS : REST_WAIT_MILLIS,
+    gatherMillis: () => {
+      const pauseMillis = applyWithinMillis - GATHER_RESERVE_MILLIS;
+      return Math.max(0, pauseMillis - random() * GATHER_SPREAD_MILLIS);
+    },
+    retryMillis: tookMillis => {
+      const stepMillis = Math.min(
+        MAX_RETRY_MILLIS,
+        FIRST_RETRY_MILLIS * 2 ** failuresCount,
+      );
+      failuresCount += 1;
+      const spread = 1 + RETRY_SPREAD_RATIO * (2 * random() - 1);
+      return Math.max(FIRST_RETRY_MILLIS, stepMillis * spread - tookMillis);
+    },
+    noteAnswered: () => {
+      failuresCount = 0;
+    },
+  };
+}
--- a/src/process/node_settings.ts
+++ b/src/process/node_settings.ts
@@ -40,5 +40,7 @@
   readonly store: Endpoint;
   /** Time from SIGTERM until the process is killed. */
   readonly graceMillis: number;
+  /** Bound from the acknowledgement of a document to its effect at a node. */
+  readonly applyWithinMillis: number;
   readonly repeatBound: RepeatBound;
 }
--- a/src/process/published_documents.ts
+++ b/src/process/published_documents.ts
@@ -17,6 +17,8 @@
   readonly source: DocumentSource;
   readonly configurationPrefix: string;
   readonly upstreamsPrefix: string;
+  /** Prefix of both, if one watch brings both; each has its own otherwise. */
+  readonly sharedPrefix: string | undefined;
   /** One document lists all upstreams, so that who is missing has left. */
   readonly listsAllUpstreams: boolean;
   decodeConfiguration(change: DocumentChange): Decoded<RouteTable>;
--- /dev/null
+++ b/test/unit/connection/document_follower_load.test.ts
@@ -0,0 +1,168 @@
+/**
+ * Replays of what a follower asks of its source, and how late it learns, while
+ * many documents change and while the source is away.
+ */
+import test from 'ava';
+import * as Effect from 'effect/Effect';
+import * as TestClock from 'effect/testing/TestClock';
+import {followDocuments} from '../../../src/connection/document_follower.js';
+import {createFollowPace} from '../../../src/process/follow_pace.js';
+import type {ReplayedSource} from '../../fakes/replayed_source.js';
+import {createReplayedSource} from '../../fakes/replayed_source.js';
+import {createSeededRandom} from '../../fakes/seeded_random.js';
+
+const STEP_MILLIS = 10;
+
+/** What a replay does at a time. */
+type Act = (source: ReplayedSource, atMillis: number) => void;
+
+interface Replayed {
+  readonly callsPerSecond: number;
+  /** Longest time from a change to its arrival. */
+  readonly worstDelayMillis: number;
+  /** Times at which the source was noticed to be there again. */
+  readonly reachedMillis: readonly number[];
+}
+
+/** Follows a source for so long; `act` is called at every step. */
+async function replay(
+  seconds: number,
+  applyWithinMillis: number,
+  act: Act,
+): Promise<Replayed> {
+  let now = 0;
+  let worstDelayMillis = 0;
+  const reachedMillis: number[] = [];
+  const changedMillis = new Map<number, number>();
+  const source = createReplayedSource(() => now);
+  const change = source.change;
+  const watched: ReplayedSource = {
+    ...source,
+    change: key => {
+      const revision = change(key);
+      changedMillis.set(revision, now);
+      return revision;
+    },
+  };
+  const learn = (revision: number): void => {
+    for (const [changed, atMillis] of changedMillis) {
+      if (changed > revision) continue;
+      changedMillis.delete(changed);
+      worstDelayMillis = Math.max(worstDelayMillis, now - atMillis);
+    }
+  };
+  const follower = followDocuments({
+    source,
+    prefix: '',
+    pace: createFollowPace({applyWithinMillis, random: createSeededRandom(5)}),
+    nowMillis: () => now,
+    listener: {
+      onCall: () => undefined,
+      onLost: () => undefined,
+      onReached: () => reachedMillis.push(now),
+      onSnapshot: (_documents, revision) => {
+        learn(revision);
+      },
+      onChanges: (_documents, revision) => {
+        learn(revision);
+      },
+    },
+  });
+  const moved = Effect.gen(function* () {
+    yield* Effect.forkChild(follower);
+    while (now < seconds * 1000) {
+      now += STEP_MILLIS;
+      act(watched, now);
+      source.tick();
+      yield* Effect.promise(() => new Promise(setImmediate));
+      yield* TestClock.adjust(STEP_MILLIS);
+    }
+  });
+  await Effect.runPromise(Effect.provide(moved, TestClock.layer()));
+  for (const atMillis of changedMillis.values()) {
+    worstDelayMillis = Math.max(worstDelayMillis, now - atMillis);
+  }
+  const callsPerSecond = source.callsCount / seconds;
+  return {callsPerSecond, worstDelayMillis, reachedMillis};
+}
+
+/** Changes one of so many entries at each multiple of an interval. */
+function changeEvery(intervalMillis: number, entriesCount: number): Act {
+  return (source, atMillis) => {
+    if (atMillis % intervalMillis !== 0) return;
+    source.change(
+      `servers/${String((atMillis / intervalMillis) % entriesCount)}`,
+    );
+  };
+}
+
+test('calls do not grow with the entries that change', async t => {
+  // Symptom: 4.2 calls a second from each of 69 nodes while a fleet starts, and
+  // each wakes a process. Cause: a watch returned for every change of every
+  // entry, and the next one was sent at once.
+  for (const [intervalMillis, entriesCount] of [
+    [500, 69],
+    [100, 300],
+    [20, 830],
+  ] as const) {
+    const act = changeEvery(intervalMillis, entriesCount);
+    const {callsPerSecond, worstDelayMillis} = await replay(60, 2500, act);
+    t.true(callsPerSecond <= 0.53, `${String(callsPerSecond)} calls a second`);
+    t.true(worstDelayMillis <= 2100, `${String(worstDelayMillis)} ms`);
+  }
+});
+
+test('a node at rest asks less than once in three seconds', async t => {
+  const {callsPerSecond} = await replay(60, 2000, () => undefined);
+  t.true(callsPerSecond <= 0.34, `${String(callsPerSecond)} calls a second`);
+});
+
+test('a change after a quiet time is known at once', async t => {
+  const {worstDelayMillis} = await replay(30, 2000, changeEvery(6000, 5));
+  t.true(worstDelayMillis <= 2 * STEP_MILLIS);
+});
+
+test('a shorter bound shortens the pause', async t => {
+  const {worstDelayMillis} = await replay(30, 2000, changeEvery(130, 69));
+  t.true(worstDelayMillis <= 1600, `${String(worstDelayMillis)} ms`);
+});
+
+test('a source that refuses is asked about once a second', async t => {
+  // Symptom: with the store away for 9 s, a node makes 13 calls a second, each
+  // priced. Cause: both watches were sent again after 100 to 200 ms, for ever.
+  const {callsPerSecond, reachedMillis} = await replay(
+    20,
+    2000,
+    (source, atMillis) => {
+      if (atMillis === 1000) source.setState('refusing');
+      if (atMillis === 19_000) source.setState('well');
+    },
+  );
+  t.true(callsPerSecond <= 1.5, `${String(callsPerSecond)} calls a second`);
+  const backMillis = (reachedMillis.at(-1) ?? 0) - 19_000;
+  t.true(backMillis > 0 && backMillis <= 1200, `${String(backMillis)} ms`);
+});
+
+test('a silent source is noticed to be back in time', async t => {
+  const {reachedMillis} = await replay(20, 2000, (source, atMillis) => {
+    if (atMillis === 1000) source.setState('silent');
+    if (atMillis === 12_340) source.setState('well');
+  });
+  const backMillis = (reachedMillis.at(-1) ?? 0) - 12_340;
+  t.true(backMillis > 0 && backMillis <= 1300, `${String(backMillis)} ms`);
+});
+
+test('changes are in force in time while the history is short', async t => {
+  const changed = changeEvery(130, 69);
+  const {callsPerSecond, worstDelayMillis} = await replay(
+    30,
+    2500,
+    (source, atMillis) => {
+      changed(source, atMillis);
+      source.compact();
+    },
+  );
+  t.true(worstDelayMillis <= 2100, `${String(worstDelayMillis)} ms`);
+  // A watch that is refused and a read in each pause.
+  t.true(callsPerSecond <= 1.1, `${String(callsPerSecond)} calls a second`);
+});
--- a/test/unit/platform/decoding.test.ts
+++ b/test/unit/platform/decoding.test.ts
@@ -132,6 +132,7 @@
   t.like(settings, {
     nodeName: 'sidecar-a-1',
     graceMillis: 6000,
+    applyWithinMillis: 2000,
     repeatBound: {ratio: 0.2, windowMillis: 10_000, slackCount: 47},
     outbound: {address: '10.1.0.8', port: 8304},
     store: {address: '10.200.1.7', port: 8309},
