--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -114,6 +114,7 @@
     directory,
     log,
     metrics,
+    applyWithinMillis: settings.applyWithinMillis,
     nowMillis,
     random,
     onLimits: limits => {
--- a/src/process/node_settings.ts
+++ b/src/process/node_settings.ts
@@ -42,5 +42,7 @@
   readonly graceMillis: number;
   /** Interval at which upstreams write their entries, if it is told. */
   readonly heartbeatMillis?: number | undefined;
+  /** Bound from the acknowledgement of a document to its effect at a node. */
+  readonly applyWithinMillis: number;
   readonly repeatBound: RepeatBound;
 }
--- a/test/unit/daemon/document_feeds.test.ts
+++ b/test/unit/daemon/document_feeds.test.ts
@@ -35,6 +35,7 @@
     source,
     configurationPrefix: 'configuration',
     upstreamsPrefix: 'list',
+    sharedPrefix: undefined,
     listsAllUpstreams: true,
     decodeConfiguration: () => ({kind: 'other'}),
     decodeUpstreams: ({text}) => {
@@ -78,6 +79,8 @@
       }
     })(),
     metrics: createNodeMetrics(),
+    // Leaves no time in which changes gather.
+    applyWithinMillis: 0,
     nowMillis: () => 0,
     random: () => 0,
     onLimits: () => undefined,
