Failing test: a connection in the queue of a listener for nodes that closes

The cause that was mended for clients acts between nodes as well: a sender's connection that the system had accepted is reset as the listener closes, and as its request had been sent, its outcome counts as unknown.

--- a/test/unit/connection/node_listener.test.ts
+++ b/test/unit/connection/node_listener.test.ts
@@ -52,3 +52,33 @@
   t.is(received.match(/HTTP\/1\.1 200 /g)?.length, 2);
   t.is(listener.busyCount, 0);
 });
+
+test('a request that the system has accepted is handled though the listener closes', async t => {
+  // Clients saw their connection reset beside a planned restart, for a request
+  // that nobody had read: it was in the queue of a listener that closed.
+  const listener = await openNodeListener({
+    endpoint: {address: '127.0.0.1', port: 0},
+    handle: ({response}) => {
+      response.writeHead(503, {connection: 'close', 'content-length': 0});
+      response.end();
+      return Promise.resolve();
+    },
+  });
+  const socket = net.connect(listener.port, '127.0.0.1');
+  t.teardown(() => socket.destroy());
+  socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+  let received = '';
+  let failure: NodeJS.ErrnoException | undefined;
+  socket.on('data', chunk => {
+    received += chunk.toString('latin1');
+  });
+  socket.on('error', error => {
+    failure = error;
+  });
+  // The system has accepted it, and the listener has had no turn since.
+  await new Promise(process.nextTick);
+  await listener.close();
+  await waitUntil('closed', () => socket.closed);
+  t.is(failure?.code, undefined);
+  t.regex(received, /^HTTP\/1\.1 503 /);
+});
