--- a/src/connection/bind_listener.ts
+++ b/src/connection/bind_listener.ts
@@ -25,3 +25,20 @@
     });
   });
 }
+
+/**
+ * Resolves once the listeners of this process have taken all connections that
+ * the system has accepted for them. A listener that closes before resets those
+ * that are left: their clients see a failure where they would have been told to
+ * come back, and other nodes don't know whether a request that they sent has run.
+ */
+export async function takeAccepted(): Promise<void> {
+  // The first ends the turn of now, which may be past taking connections; they
+  // are taken in the whole turn between the two.
+  await endOfTurn();
+  await endOfTurn();
+}
+
+function endOfTurn(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -9,7 +9,7 @@
 import {FRAME_KIND} from '../protocol/hop_frames.js';
 import {encodeHopAnswer} from '../protocol/hop_answer_codec.js';
 import {decodeHopRequest} from '../protocol/hop_request_codec.js';
-import {bindListener} from './bind_listener.js';
+import {bindListener, takeAccepted} from './bind_listener.js';
 import type {FrameConnection} from './frame_connection.js';
 import {createFrameConnection} from './frame_connection.js';
 import type {HopArrival, HopChannel, OwnedArrival} from './hop_arrival.js';
@@ -73,14 +73,16 @@
     get busyCount() {
       return state.busyCount;
     },
-    close: () =>
-      new Promise(resolve => {
-        state.isClosing = true;
+    close: async () => {
+      state.isClosing = true;
+      await takeAccepted();
+      await new Promise<void>(resolve => {
         server.close(() => {
           resolve();
         });
         for (const served of connections) sayGoingAway(served);
-      }),
+      });
+    },
   };
 }
 
--- a/src/connection/node_listener.ts
+++ b/src/connection/node_listener.ts
@@ -7,7 +7,7 @@
 import type {CancelSignal, CancelSource} from '../base/cancel_signal.js';
 import {createCancelSource} from '../base/cancel_signal.js';
 import type {Endpoint} from '../process/node_settings.js';
-import {bindListener} from './bind_listener.js';
+import {bindListener, takeAccepted} from './bind_listener.js';
 
 /** One request with the response that answers it. */
 export interface Exchange {
@@ -152,7 +152,7 @@
       server.headersTimeout = headerMillis;
     },
     close: async () => {
-      await nextAccepts();
+      await takeAccepted();
       await new Promise<void>(resolve => {
         server.close(() => {
           resolve();
@@ -162,12 +162,3 @@
     },
   };
 }
-
-/**
- * Resolves once all connections that the system holds for this process have
- * been accepted. Closing a listener resets those that were not, and their
- * clients see a connection reset where they would have been told to come back.
- */
-function nextAccepts(): Promise<void> {
-  return new Promise(resolve => setImmediate(resolve));
-}
