--- /dev/null
+++ b/test/fakes/fleet_load.ts
@@ -0,0 +1,93 @@
+/**
+ * A load on a fleet of nodes, and what is counted of it by second.
+ */
+
+/** A service and its upstreams, one for each speed. */
+export interface ReplayService {
+  readonly name: string;
+  readonly slotsCount: number;
+  /** Work that an upstream does in a millisecond, by upstream. */
+  readonly speeds: readonly number[];
+}
+
+/** What requests of one route do. */
+export interface ReplayRoute {
+  readonly name: string;
+  readonly service: string;
+  readonly rank: number;
+  readonly workMillis: number;
+  readonly timeoutMillis: number;
+  readonly objectiveMillis: number;
+  /** Routes that its upstream calls, one after the other. */
+  readonly calls: readonly string[];
+}
+
+/** Clients of one route. */
+export interface ReplayClients {
+  readonly route: string;
+  readonly perSecond: number;
+  /** Time that a client has for its request and one more try. */
+  readonly patienceMillis: number;
+}
+
+/** A load on a fleet. */
+export interface ReplayOptions {
+  readonly services: readonly ReplayService[];
+  readonly routes: readonly ReplayRoute[];
+  readonly clients: readonly ReplayClients[];
+  readonly lengthMillis: number;
+  readonly seed: number;
+}
+
+/** What became of the requests that began in one second. */
+export interface RouteOutcome {
+  sentCount: number;
+  inTimeCount: number;
+  lateCount: number;
+  refusedCount: number;
+  failedCount: number;
+}
+
+/** What a service worked on in one second. */
+export interface ServiceOutcome {
+  runCount: number;
+  /** Runs that ended well, and the request at the root of them too. */
+  usefulCount: number;
+}
+
+/** Outcomes by second. */
+export interface ReplayOutcome {
+  readonly routes: ReadonlyMap<string, readonly RouteOutcome[]>;
+  readonly services: ReadonlyMap<string, readonly ServiceOutcome[]>;
+}
+
+/** Sums what is counted by second, from a second on. */
+export function sumSeconds<T extends {[K in keyof T]: number}>(
+  seconds: readonly T[],
+  from: number,
+): T {
+  const sum = {...seconds[0]!};
+  for (const key of Object.keys(sum) as (keyof T)[]) {
+    const total = seconds
+      .slice(from)
+      .reduce((count, second) => count + second[key], 0);
+    sum[key] = total as T[keyof T];
+  }
+  return sum;
+}
+
+/** Nothing counted for each second. */
+export function emptyOutcomes(count: number): RouteOutcome[] {
+  return Array.from({length: count}, () => ({
+    sentCount: 0,
+    inTimeCount: 0,
+    lateCount: 0,
+    refusedCount: 0,
+    failedCount: 0,
+  }));
+}
+
+/** Nothing counted for each second. */
+export function emptyRuns(count: number): ServiceOutcome[] {
+  return Array.from({length: count}, () => ({runCount: 0, usefulCount: 0}));
+}
--- /dev/null
+++ b/test/fakes/fleet_replay.ts
@@ -0,0 +1,355 @@
+/**
+ * A fleet of nodes without input and output: upstreams with slots, and beside
+ * each a node that decides with the project's own modules. Clients enter at all
+ * nodes; loads travel with answers only.
+ */
+import {LEVEL_WINDOW_MILLIS} from '../../src/process/admission_level.js';
+import {importanceOf} from '../../src/process/importance.js';
+import type {UpstreamEntry} from '../../src/process/upstream_entry.js';
+import {createSeededRandom} from '../../src/emulator/seeded_random.js';
+import {createEventClock} from './event_clock.js';
+import type {
+  ReplayClients,
+  ReplayOptions,
+  ReplayOutcome,
+  ReplayRoute,
+  ReplayService,
+  ServiceOutcome,
+} from './fleet_load.js';
+import {emptyOutcomes, emptyRuns} from './fleet_load.js';
+import type {ReplayNode} from './replay_node.js';
+import {createReplayNode} from './replay_node.js';
+import {upstreamEntry} from './route_documents.js';
+
+type CallEnd = 'served' | 'refused' | 'failed';
+
+/** A request of a client, shared by all calls made for it. */
+interface Root {
+  readonly id: string;
+  readonly importance: number;
+  readonly beganAtMillis: number;
+  readonly runs: Run[];
+}
+
+/** Work of one upstream for a request. */
+interface Run {
+  readonly second: ServiceOutcome;
+  isServed: boolean;
+}
+
+interface Call {
+  readonly root: Root;
+  readonly route: ReplayRoute;
+  readonly deadlineMillis: number;
+  readonly startByMillis: number;
+  readonly onEnd: (end: CallEnd, calls: ReadonlyMap<string, number>) => void;
+}
+
+/** Time that a message takes from one node to another. */
+const HOP_MILLIS = 1;
+
+/** As the nodes do it. */
+const MAX_OFFERS_COUNT = 4;
+const MAX_FULL_COUNT = 2;
+const WAIT_RATIO = 0.25;
+const RETURN_EARLIEST_RATIO = 0.2;
+const RETURN_LATEST_RATIO = 0.7;
+
+/** Spread of the work of requests, as the sigma of a log-normal. */
+const WORK_SIGMA = 0.5;
+
+const SECOND_MILLIS = 1000;
+
+/** Replays a load on a fleet that has just started. */
+export function replayFleet(options: ReplayOptions): ReplayOutcome {
+  const clock = createEventClock();
+  const {nowMillis} = clock;
+  const random = createSeededRandom(options.seed);
+  const routes = new Map(options.routes.map(route => [route.name, route]));
+  const secondsCount = Math.ceil(options.lengthMillis / SECOND_MILLIS);
+  const outcomes = new Map(
+    options.clients.map(({route}) => [route, emptyOutcomes(secondsCount)]),
+  );
+  const runs = new Map(
+    options.services.map(({name}) => [name, emptyRuns(secondsCount)]),
+  );
+  const entries = entriesOf(options.services);
+  const speeds = options.services.flatMap(service => service.speeds);
+  let idsCount = 0;
+
+  const secondOf = (millis: number): number =>
+    Math.min(secondsCount - 1, Math.floor(millis / SECOND_MILLIS));
+
+  const nodes = entries.map((own, index) =>
+    createReplayNode({
+      own,
+      speed: speeds[index] ?? 1,
+      entries,
+      nowMillis,
+      random: random.next,
+    }),
+  );
+  const nodeOf = new Map(nodes.map(node => [node.own.id, node]));
+
+  const startWork = (node: ReplayNode, call: Call): void => {
+    const {root, route} = call;
+    const startedMillis = nowMillis();
+    const second = runs.get(node.own.service)![secondOf(startedMillis)]!;
+    second.runCount += 1;
+    const run: Run = {second, isServed: false};
+    root.runs.push(run);
+    const counts = new Map<string, number>();
+    let isOver = false;
+    const finish = (end: CallEnd): void => {
+      if (isOver) return;
+      isOver = true;
+      callOffDeadline();
+      // What a caller cancels says nothing about the upstream's time.
+      if (nowMillis() < call.deadlineMillis) {
+        node.queue.release(nowMillis() - startedMillis);
+      } else {
+        node.queue.releaseUnused();
+      }
+      run.isServed = end === 'served';
+      call.onEnd(end, counts);
+    };
+    const callOffDeadline = clock.after(
+      call.deadlineMillis - startedMillis,
+      () => {
+        finish('failed');
+      },
+    );
+    const callNext = (index: number): void => {
+      const name = route.calls[index];
+      if (isOver) return;
+      if (name === undefined) {
+        finish('served');
+        return;
+      }
+      const next = routes.get(name)!;
+      const deadlineMillis = Math.min(
+        call.deadlineMillis,
+        nowMillis() + next.timeoutMillis,
+      );
+      attempt(node, {
+        root,
+        route: next,
+        deadlineMillis,
+        startByMillis: deadlineMillis,
+        onEnd: (end, below) => {
+          add(counts, new Map([[next.service, 1]]));
+          add(counts, below);
+          if (end === 'served') callNext(index + 1);
+          else finish('failed');
+        },
+      });
+    };
+    const workMillis = random.logNormal(
+      route.workMillis * Math.exp(-(WORK_SIGMA ** 2) / 2),
+      WORK_SIGMA,
+    );
+    clock.after(workMillis / node.speed, () => {
+      callNext(0);
+    });
+  };
+
+  const execute = (
+    node: ReplayNode,
+    call: Call,
+    onVerdict: (verdict: 'started' | 'queue-full' | 'too-late') => void,
+  ): void => {
+    node.level.recordArrival(
+      call.root.importance,
+      node.queue.load().averageMillis,
+    );
+    const slot = {
+      importance: call.root.importance,
+      beganAtMillis: call.root.beganAtMillis,
+      startByMillis: Math.min(call.startByMillis, call.deadlineMillis - 8),
+      start: () => {
+        callOff();
+        onVerdict('started');
+        startWork(node, call);
+      },
+      expire: () => {
+        callOff();
+        onVerdict('too-late');
+      },
+    };
+    let callOff: () => void = () => undefined;
+    const verdict = node.queue.offer(slot);
+    if (verdict === 'started') {
+      onVerdict('started');
+      startWork(node, call);
+    } else if (verdict === 'refused') {
+      onVerdict('queue-full');
+    } else {
+      callOff = clock.after(slot.startByMillis - nowMillis(), () => {
+        if (node.queue.withdraw(slot)) onVerdict('too-late');
+      });
+    }
+  };
+
+  const attempt = (from: ReplayNode, call: Call): void => {
+    const triedIds = new Set<string>();
+    let fullCount = 0;
+    const offer = (): void => {
+      const placement =
+        triedIds.size < MAX_OFFERS_COUNT && fullCount < MAX_FULL_COUNT
+          ? from.placement.choose(call.route.service, triedIds)
+          : undefined;
+      if (placement === undefined || nowMillis() >= call.deadlineMillis) {
+        call.onEnd('refused', new Map());
+        return;
+      }
+      const {id} = placement.upstream.entry;
+      triedIds.add(id);
+      const node = nodeOf.get(id)!;
+      const isNear = node === from;
+      const delayMillis = isNear ? 0 : HOP_MILLIS;
+      const learn = (): void => {
+        if (isNear) return;
+        for (const load of node.loadsFor(from.own.id)) from.board.observe(load);
+      };
+      const goOn = (): void => {
+        learn();
+        placement.end('neutral');
+        fullCount += 1;
+        offer();
+      };
+      clock.after(delayMillis, () => {
+        execute(
+          node,
+          {
+            ...call,
+            onEnd: (end, calls) => {
+              clock.after(delayMillis, () => {
+                learn();
+                placement.end(end === 'served' ? 'served' : 'neutral');
+                call.onEnd(end, calls);
+              });
+            },
+          },
+          verdict => {
+            if (verdict !== 'started') clock.after(delayMillis, goOn);
+          },
+        );
+      });
+    };
+    offer();
+  };
+
+  const enter = (
+    clients: ReplayClients,
+    firstMillis: number,
+    triesCount: number,
+  ): void => {
+    const node = nodes[Math.floor(random.next() * nodes.length)]!;
+    const route = routes.get(clients.route)!;
+    idsCount += 1;
+    const id = `${options.seed}-${Math.imul(idsCount, 0x9e3779b1) >>> 0}`;
+    const outcome = outcomes.get(route.name)![secondOf(firstMillis)]!;
+    const root: Root = {
+      id,
+      importance: importanceOf(route.rank, id),
+      beganAtMillis: nowMillis(),
+      runs: [],
+    };
+    const refuse = (): void => {
+      const leftMillis = firstMillis + clients.patienceMillis - nowMillis();
+      const width = RETURN_LATEST_RATIO - RETURN_EARLIEST_RATIO;
+      const wantedMillis =
+        route.objectiveMillis * (RETURN_EARLIEST_RATIO + width * random.next());
+      if (triesCount >= 2 || leftMillis <= 0) {
+        outcome.refusedCount += 1;
+        return;
+      }
+      clock.after(Math.min(wantedMillis, leftMillis / 3), () => {
+        enter(clients, firstMillis, triesCount + 1);
+      });
+    };
+    const tree = node.trees.countsOf(route.name);
+    const gated = {importance: root.importance, attemptId: id};
+    if (node.gate.shedCause(gated, route.service, tree) !== undefined) {
+      refuse();
+      return;
+    }
+    attempt(node, {
+      root,
+      route,
+      deadlineMillis: nowMillis() + route.timeoutMillis,
+      startByMillis: nowMillis() + route.objectiveMillis * WAIT_RATIO,
+      onEnd: (end, calls) => {
+        if (end === 'served') {
+          const counts = new Map(calls);
+          add(counts, new Map([[route.service, 1]]));
+          node.trees.observe(route.name, counts);
+          const millis = nowMillis() - firstMillis;
+          if (millis <= route.objectiveMillis) outcome.inTimeCount += 1;
+          else outcome.lateCount += 1;
+          creditRuns(root);
+        } else if (root.runs.length === 0) {
+          refuse();
+        } else {
+          outcome.failedCount += 1;
+        }
+      },
+    });
+  };
+
+  for (const clients of options.clients) {
+    const next = (): void => {
+      if (nowMillis() >= options.lengthMillis) return;
+      outcomes.get(clients.route)![secondOf(nowMillis())]!.sentCount += 1;
+      enter(clients, nowMillis(), 1);
+      clock.after(random.exponential(SECOND_MILLIS / clients.perSecond), next);
+    };
+    clock.after(random.exponential(SECOND_MILLIS / clients.perSecond), next);
+  }
+  nodes.forEach(node => {
+    const tick = (): void => {
+      node.ownLoad();
+      node.level.update({
+        ...node.queue.load(),
+        windowMillis: LEVEL_WINDOW_MILLIS,
+        serviceAverageMillis: node.board.averageMillisOf(node.own.service),
+      });
+      node.board.expire();
+      if (nowMillis() < options.lengthMillis) {
+        clock.after(LEVEL_WINDOW_MILLIS, tick);
+      }
+    };
+    clock.after(LEVEL_WINDOW_MILLIS * random.next(), tick);
+  });
+  clock.runUntil(options.lengthMillis + 3000);
+  return {routes: outcomes, services: runs};
+}
+
+function creditRuns(root: Root): void {
+  for (const {second, isServed} of root.runs) {
+    if (isServed) second.usefulCount += 1;
+  }
+}
+
+function entriesOf(services: readonly ReplayService[]): UpstreamEntry[] {
+  return services.flatMap(({name, slotsCount, speeds}, service) =>
+    speeds.map((_, index) =>
+      upstreamEntry({
+        id: `${name}-${index}`,
+        service: name,
+        hostKey: `10.${service}.0.${index}:80`,
+        node: {address: `10.${service}.0.${index}`, port: 90},
+        slotsCount,
+      }),
+    ),
+  );
+}
+
+function add(
+  sums: Map<string, number>,
+  counts: ReadonlyMap<string, number>,
+): void {
+  for (const [service, count] of counts) {
+    sums.set(service, (sums.get(service) ?? 0) + count);
+  }
+}
--- /dev/null
+++ b/test/fakes/replay_node.ts
@@ -0,0 +1,108 @@
+/**
+ * The decisions of one node in a replay: the project's own modules, wired as
+ * the program wires them.
+ */
+import type {AdmissionLevel} from '../../src/process/admission_level.js';
+import {createAdmissionLevel} from '../../src/process/admission_level.js';
+import type {CallTrees} from '../../src/process/call_trees.js';
+import {createCallTrees} from '../../src/process/call_trees.js';
+import type {EntryGate} from '../../src/process/entry_gate.js';
+import {createEntryGate} from '../../src/process/entry_gate.js';
+import type {LoadBoard, LoadReport} from '../../src/process/load_board.js';
+import {createLoadBoard} from '../../src/process/load_board.js';
+import type {PlacementChooser} from '../../src/process/placement.js';
+import {createPlacementChooser} from '../../src/process/placement.js';
+import {createUpstreamDirectory} from '../../src/process/upstream_directory.js';
+import type {UpstreamEntry} from '../../src/process/upstream_entry.js';
+import type {UpstreamQueue} from '../../src/process/upstream_queue.js';
+import {createUpstreamQueue} from '../../src/process/upstream_queue.js';
+
+/** What a node is made of. */
+export interface ReplayNodeOptions {
+  readonly own: UpstreamEntry;
+  /** Work that its upstream does in a millisecond. */
+  readonly speed: number;
+  /** All upstreams of the fleet. */
+  readonly entries: readonly UpstreamEntry[];
+  readonly nowMillis: () => number;
+  readonly random: () => number;
+}
+
+/** A node and its upstream. */
+export interface ReplayNode {
+  readonly own: UpstreamEntry;
+  readonly speed: number;
+  readonly queue: UpstreamQueue;
+  readonly level: AdmissionLevel;
+  readonly board: LoadBoard;
+  readonly trees: CallTrees;
+  readonly gate: EntryGate;
+  readonly placement: PlacementChooser;
+  /** Load of the own upstream, which is put on the board as well. */
+  ownLoad(): LoadReport;
+  /** Loads that an answer to this sender reports. */
+  loadsFor(senderId: string): readonly LoadReport[];
+}
+
+/** Others' loads go with one answer in this time, as between nodes. */
+const REPORT_MILLIS = 100;
+const REPORTED_LOADS_COUNT = 6;
+
+/** Creates a node that knows of all upstreams and nothing else. */
+export function createReplayNode(options: ReplayNodeOptions): ReplayNode {
+  const {own, speed, entries, nowMillis, random} = options;
+  const queue = createUpstreamQueue(nowMillis);
+  queue.setSlots(own.slotsCount);
+  const level = createAdmissionLevel();
+  const board = createLoadBoard(nowMillis);
+  const trees = createCallTrees();
+  const directory = createUpstreamDirectory({
+    nowMillis,
+    onChange: () => undefined,
+  });
+  directory.put(entries);
+  const gate = createEntryGate(board, () => true);
+  const placement = createPlacementChooser({
+    directory,
+    board,
+    hostKey: own.hostKey,
+    zone: own.zone,
+    region: own.region,
+    nowMillis,
+    random,
+  });
+  const reportedMillis = new Map<string, number>();
+  const ownLoad = (): LoadReport => {
+    const report = {
+      ...queue.load(),
+      upstreamId: own.id,
+      service: own.service,
+      level: level.level(),
+      madeAtMillis: nowMillis(),
+    };
+    board.observe(report);
+    return report;
+  };
+  const loadsFor = (senderId: string): readonly LoadReport[] => {
+    const mine = ownLoad();
+    const last = reportedMillis.get(senderId) ?? -Infinity;
+    if (nowMillis() - last < REPORT_MILLIS) return [mine];
+    reportedMillis.set(senderId, nowMillis());
+    const others = board
+      .shedding()
+      .filter(report => report.upstreamId !== own.id);
+    return [mine, ...others.slice(0, REPORTED_LOADS_COUNT)];
+  };
+  return {
+    own,
+    speed,
+    queue,
+    level,
+    board,
+    trees,
+    gate,
+    placement,
+    ownLoad,
+    loadsFor,
+  };
+}
