One level for a service, and the same requests first at every call

(2) Each node moved its level by the queue of its own upstream, though fast upstreams are given a queue while slow ones have none: levels of 4 to 511 beside each other, and an entry admitted by a mixture of them, less important before more important. (3) A cut was repeated each window until its effect showed, across the border of a rank.

Change: the queue orders by rank, then bucket with 50 ms of age a bucket; the level follows queue and busy slots of the whole service, agrees with the other nodes' and is cut from the level under which what waits has entered; ranks that fit are not shed for what waits of the last one; a service's level is the one that half of its capacity has; all upstreams of a service that sheds are reported; a wait counts four times in the choice of an upstream, so that slow upstreams' free slots are used.

--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -108,7 +108,7 @@
       notes: names.notes,
       isDraining: options.isStopping,
       configurationVersion: decisions.configurationVersion,
-      takingRatio: decisions.board.takingRatio,
+      levelOf: decisions.board.levelOf,
       nowMillis,
       random,
     }),
--- a/src/daemon/node_upkeep.ts
+++ b/src/daemon/node_upkeep.ts
@@ -48,7 +48,7 @@
   level.update({
     ...queue.load(),
     windowMillis: LEVEL_WINDOW_MILLIS,
-    serviceAverageMillis: board.averageMillisOf(options.service()),
+    service: board.serviceLoadOf(options.service()),
   });
   const after = level.level();
   if (before === after) return;
--- a/src/process/entry_gate.ts
+++ b/src/process/entry_gate.ts
@@ -9,7 +9,6 @@
  * way there have worked for it.
  */
 import type {CallCounts} from './call_trees.js';
-import {spreadOf} from './importance.js';
 import type {LoadBoard} from './load_board.js';
 
 /** The gate. */
@@ -49,12 +48,8 @@
   hasUpstream: (service: string) => boolean,
 ): EntryGate {
   return {
-    shedCause: ({importance, attemptId}, service, tree) => {
-      // The upstreams of one service shed at different levels. An attempt is in
-      // where its own place lies below the share of the capacity that takes it.
-      const spread = spreadOf(attemptId);
-      const isOut = (name: string): boolean =>
-        spread >= board.takingRatio(name, importance);
+    shedCause: ({importance}, service, tree) => {
+      const isOut = (name: string): boolean => importance > board.levelOf(name);
       if (isOut(service)) return {service, reason: 'overload'};
       for (const [deeper, count] of tree) {
         if (count >= RELEVANT_COUNT && isOut(deeper)) {
--- a/src/process/load_board.ts
+++ b/src/process/load_board.ts
@@ -15,16 +15,27 @@
 export interface LoadBoard {
   observe(report: LoadReport): void;
   find(upstreamId: string): LoadReport | undefined;
-  /** Share of a service's capacity that takes this importance now. */
-  takingRatio(service: string, importance: number): number;
-  /** Mean time for which upstreams of a service hold a slot. */
-  averageMillisOf(service: string): number | undefined;
-  /** Fresh reports of upstreams that shed, the newest first. */
+  /** Level of a service: half of its capacity has this one or a higher one. */
+  levelOf(service: string): number;
+  /** Load of a service over all upstreams that reported; if there are any. */
+  serviceLoadOf(service: string): ServiceLoad | undefined;
+  /** Fresh reports of services that shed, the newest first. */
   shedding(): readonly LoadReport[];
   /** Forgets what has aged. */
   expire(): void;
 }
 
+/** Load of a service. */
+export interface ServiceLoad {
+  /** Mean time for which an upstream holds a slot. */
+  readonly averageMillis: number;
+  /** Time in which its upstreams would work off what waits. */
+  readonly backlogMillis: number;
+  readonly level: number;
+  /** Share of its slots in use. */
+  readonly busyRatio: number;
+}
+
 /** A report stands for this long. */
 const FRESH_MILLIS = 1000;
 
@@ -44,9 +55,7 @@
 }
 
 interface Summary {
-  readonly parts: readonly Part[];
-  readonly weight: number;
-  readonly averageMillis: number | undefined;
+  readonly load: ServiceLoad | undefined;
   readonly untilMillis: number;
 }
 
@@ -71,20 +80,18 @@
       reports.set(report.upstreamId, report);
     },
     find: upstreamId => reports.get(upstreamId),
-    takingRatio: (service, importance) => {
-      const {parts, weight} = summaryOf(service);
-      if (weight === 0) return 1;
-      let taking = 0;
-      for (const part of parts) {
-        if (importance <= part.level) taking += part.weight;
-      }
-      return taking / weight;
-    },
-    averageMillisOf: service => summaryOf(service).averageMillis,
+    levelOf: service => summaryOf(service).load?.level ?? LEAST_IMPORTANT,
+    serviceLoadOf: service => summaryOf(service).load,
     shedding: () => {
       const since = nowMillis() - FRESH_MILLIS;
-      return [...reports.values()]
-        .filter(report => isShedding(report) && report.madeAtMillis > since)
+      const fresh = [...reports.values()].filter(
+        report => report.madeAtMillis > since,
+      );
+      const services = new Set(
+        fresh.filter(isShedding).map(report => report.service),
+      );
+      return fresh
+        .filter(report => services.has(report.service))
         .sort((a, b) => b.madeAtMillis - a.madeAtMillis);
     },
     expire: () => {
@@ -104,20 +111,41 @@
   const parts: Part[] = [];
   let weight = 0;
   let limitCount = 0;
+  let queuedMillis = 0;
+  let inFlightCount = 0;
   for (const report of reports) {
-    if (report.service !== service) continue;
+    if (report.service !== service || report.limitCount === 0) continue;
     // An upstream that answers faster takes a larger share of the work.
     const share = report.limitCount / Math.max(1, report.averageMillis);
     parts.push({level: currentLevel(report, now), weight: share});
     weight += share;
     limitCount += report.limitCount;
+    inFlightCount += report.inFlightCount;
+    queuedMillis += report.queuedCount * report.averageMillis;
   }
-  return {
-    parts,
-    weight,
-    averageMillis: weight > 0 ? limitCount / weight : undefined,
-    untilMillis: now + CACHE_MILLIS,
+  const untilMillis = now + CACHE_MILLIS;
+  if (weight === 0) return {load: undefined, untilMillis};
+  const load = {
+    averageMillis: limitCount / weight,
+    backlogMillis: queuedMillis / limitCount,
+    busyRatio: inFlightCount / limitCount,
+    level: medianLevel(parts, weight),
   };
+  return {load, untilMillis};
+}
+
+/**
+ * The upstreams of a service move their levels apart from each other. A mean
+ * would follow the one that has no part in the load and lets everything in.
+ */
+function medianLevel(parts: Part[], weight: number): number {
+  parts.sort((a, b) => b.level - a.level);
+  let sum = 0;
+  for (const part of parts) {
+    sum += part.weight;
+    if (sum >= weight / 2) return part.level;
+  }
+  return LEAST_IMPORTANT;
 }
 
 function isShedding(report: LoadReport): boolean {
--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -82,6 +82,14 @@
 /** Above this share of slots in use, delay grows before a queue shows. */
 const BUSY_RATIO = 0.7;
 
+/**
+ * Weight of a wait against time at work: who waits keeps all behind waiting, so
+ * a slow upstream with a free slot comes before a fast one with a queue. At
+ * equal weight a service with upstreams of half the usual speed queues at the
+ * others before it uses an eighth of its slots.
+ */
+const WAIT_WEIGHT = 4;
+
 /** Weight of one new sample in the share of failures: about the last ten. */
 const FAILED_WEIGHT = 0.1;
 
@@ -195,7 +203,7 @@
   const reported = (report?.inFlightCount ?? 0) + (report?.queuedCount ?? 0);
   const inFlight = Math.max(reported, record.ownCount);
   const ratio = inFlight / limit;
-  const waitMillis = Math.max(0, ratio - 1) * average;
+  const waitMillis = Math.max(0, ratio - 1) * average * WAIT_WEIGHT;
   const busyMillis = Math.max(0, Math.min(1, ratio) - BUSY_RATIO) * average;
   return average + waitMillis + busyMillis;
 }
--- a/src/process/rank_demand.ts
+++ b/src/process/rank_demand.ts
@@ -17,16 +17,33 @@
   ofBucket(importance: number): number;
   /** Work that all buckets up to a level are expected to bring in a window. */
   expectedAt(level: number): number;
+  /** Level whose buckets have all been in for several windows. */
+  settledLevel(): number;
+  /** Least important value of the last rank that brings work. */
+  lastLevel(): number;
+  /** The highest level under which what arrives now may have entered. */
+  causingLevel(): number;
+  /** The highest level under which what waits now may have entered. */
+  waitingLevel(): number;
 }
 
 /** Windows for which a bucket must have been in to be measured. */
-const SETTLING_WINDOWS_COUNT = 3;
+const SETTLING_WINDOWS_COUNT = 8;
+
+/** Windows that a request needs from its entry to most of its calls. */
+const CAUSING_WINDOWS_COUNT = 5;
 
 /** Buckets of a rank that must be in for its estimate to be taken. */
 const TRUSTED_BUCKETS_COUNT = 4;
 
-/** Weight of one window in an estimate. */
-const ESTIMATE_WEIGHT = 0.4;
+/**
+ * Weight of one window in an estimate that rises and in one that falls. Work
+ * that grows must be seen within the second in which it becomes a queue; work
+ * that shrinks in an overload is mostly that of requests whose earlier calls
+ * failed, and let in by it, a rank would come as a burst.
+ */
+const RISE_WEIGHT = 0.5;
+const FALL_WEIGHT = 0.1;
 
 const RANKS_COUNT = rankOf(LEAST_IMPORTANT) + 1;
 
@@ -43,7 +60,8 @@
     if (count < TRUSTED_BUCKETS_COUNT) return;
     const sample = (windowWork[rank] ?? 0) / count;
     const before = estimates[rank] ?? sample;
-    estimates[rank] = before + (sample - before) * ESTIMATE_WEIGHT;
+    const weight = sample > before ? RISE_WEIGHT : FALL_WEIGHT;
+    estimates[rank] = before + (sample - before) * weight;
   };
 
   /** A rank never measured counts like the busiest that was. */
@@ -62,6 +80,14 @@
       windowWork.fill(0);
       recentLevels = [level, ...recentLevels].slice(0, SETTLING_WINDOWS_COUNT);
     },
+    settledLevel,
+    lastLevel: () => {
+      const last = estimates.findLastIndex(known => (known ?? 0) > 0);
+      return last < 0 ? LEAST_IMPORTANT : (last + 1) * BUCKETS_COUNT - 1;
+    },
+    waitingLevel: () => Math.max(...recentLevels),
+    causingLevel: () =>
+      Math.max(...recentLevels.slice(0, CAUSING_WINDOWS_COUNT)),
     ofBucket: importance => ofRank(rankOf(importance)),
     expectedAt: level => {
       let sum = 0;
--- a/src/process/upstream_queue.ts
+++ b/src/process/upstream_queue.ts
@@ -4,14 +4,15 @@
  * Load pattern: more requests arrive than the upstream has slots. An upstream
  * that is handed more than it can hold may stop answering for good, so the
  * queue is kept here: the more important rank goes first, within a rank the
- * request that began first, and what cannot start in time is told at once.
+ * more important buckets and the older ones, and what cannot start in time is
+ * told at once.
  */
 import {rankOf} from './importance.js';
 
 /** A request that wants a slot. */
 export interface SlotRequest {
   readonly importance: number;
-  /** When the client's attempt began; older goes first within a rank. */
+  /** When the client's attempt began; older goes first among near equals. */
   readonly beganAtMillis: number;
   /** Latest useful start. */
   readonly startByMillis: number;
@@ -69,6 +70,16 @@
 /** Mean assumed before the first answer. */
 const INITIAL_AVERAGE_MILLIS = 50;
 
+/**
+ * Age that makes up for one bucket of importance. Among equals the oldest first
+ * lets every request get some of its calls and none of them all; by bucket the
+ * same requests go first at every call. In a replay of 1.5 times the capacity,
+ * before any level has settled, 0.03 of the least important rank is served by
+ * age and 0.19 by bucket. With 50 ms a rank spans the three seconds that a
+ * request has at most, and neighbours still go by age.
+ */
+const BUCKET_MILLIS = 50;
+
 /** Creates an empty queue. */
 export function createUpstreamQueue(nowMillis: () => number): UpstreamQueue {
   const waiting: SlotRequest[] = [];
@@ -169,5 +180,6 @@
   const rankA = rankOf(a.importance);
   const rankB = rankOf(b.importance);
   if (rankA !== rankB) return rankA < rankB;
-  return a.beganAtMillis < b.beganAtMillis;
+  const olderMillis = b.beganAtMillis - a.beganAtMillis;
+  return (b.importance - a.importance) * BUCKET_MILLIS + olderMillis > 0;
 }
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -57,8 +57,8 @@
   readonly notes: NoteHeaders | undefined;
   readonly isDraining: () => boolean;
   readonly configurationVersion: () => number;
-  /** Share of a service's capacity that takes an importance. */
-  readonly takingRatio: (service: string, importance: number) => number;
+  /** Level of a service. */
+  readonly levelOf: (service: string) => number;
   readonly nowMillis: () => number;
   /** Uniform in [0, 1). */
   readonly random: () => number;
@@ -234,7 +234,7 @@
         shedBy: service,
         reason,
         importance: request.importance,
-        takingRatio: options.takingRatio(service, request.importance),
+        serviceLevel: options.levelOf(service),
         configurationVersion: options.configurationVersion(),
         retryAfterMillis: Math.round(returnAfter),
       });
--- a/src/request/repeat_rules.ts
+++ b/src/request/repeat_rules.ts
@@ -58,7 +58,7 @@
 
   const isSaturated = (counts: CallCounts): boolean => {
     for (const service of counts.keys()) {
-      if (board.takingRatio(service, LEAST_IMPORTANT) < 1) return true;
+      if (board.levelOf(service) < LEAST_IMPORTANT) return true;
     }
     return false;
   };
