--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -117,7 +117,7 @@
       notes: names.notes,
       stop: options.stop,
       configurationVersion: decisions.configurationVersion,
-      takingRatio: decisions.board.takingRatio,
+      levelOf: decisions.board.levelOf,
       nowMillis,
       random,
     }),
--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -89,6 +89,14 @@
 /** Above this share of slots in use, delay grows before a queue shows. */
 const BUSY_RATIO = 0.7;
 
+/**
+ * Weight of a wait against time at work: who waits keeps all behind waiting, so
+ * a slow upstream with a free slot comes before a fast one with a queue. At
+ * equal weight a service with upstreams of half the usual speed queues at the
+ * others before it uses an eighth of its slots.
+ */
+const WAIT_WEIGHT = 4;
+
 /** Weight of one new sample in the share of failures: about the last ten. */
 const FAILED_WEIGHT = 0.1;
 
@@ -145,7 +153,7 @@
    * faster, one that is too slow to answer at all would get every request.
    */
   const usualMillis = ({entry}: KnownUpstream): number =>
-    board.averageMillisOf(entry.service) ?? UNKNOWN_AVERAGE_MILLIS;
+    board.serviceLoadOf(entry.service)?.averageMillis ?? UNKNOWN_AVERAGE_MILLIS;
 
   const score = (upstream: KnownUpstream, now: number): number => {
     const record = recordOf(upstream);
@@ -259,7 +267,7 @@
   const reported = (report?.inFlightCount ?? 0) + (report?.queuedCount ?? 0);
   const inFlight = Math.max(reported, ownCount);
   const ratio = inFlight / limit;
-  const waitMillis = Math.max(0, ratio - 1) * average;
+  const waitMillis = Math.max(0, ratio - 1) * average * WAIT_WEIGHT;
   const busyMillis = Math.max(0, Math.min(1, ratio) - BUSY_RATIO) * average;
   return average + waitMillis + busyMillis;
 }
