--- a/test/unit/process/placement.test.ts
+++ b/test/unit/process/placement.test.ts
@@ -143,3 +143,23 @@
   t.is(chooser.choose('orders', new Set(['1'])), undefined);
   t.is(chooser.choose('unknown', NOBODY), undefined);
 });
+
+test('an attempt is not given up for an upstream that was out of reach', t => {
+  // A read failed while a node was restarted, though its upstream was at work on
+  // it: its answer took longer than usual, the attempt was given up for the only
+  // other upstream, and the node beside that one was the one that restarted
+  // ("retry ... reason=timeout", 28 ms later "failed ... reason=unreachable
+  // statusCode=502").
+  const {add, chooser, advance} = createFixture();
+  add('1', 'zone-a', 20);
+  add('2', 'zone-a', 20);
+  const first = new Set(['1']);
+  t.true(chooser.hasOther('orders', first));
+  chooser.choose('orders', first)?.end('unreachable');
+  t.false(chooser.hasOther('orders', first));
+  // Left alone no longer, and still not known to be back.
+  advance(1300);
+  t.false(chooser.hasOther('orders', first));
+  chooser.choose('orders', first)?.end('served');
+  t.true(chooser.hasOther('orders', first));
+});
