An attempt is given up only for an upstream that is not out of reach

Cause: whether there is another upstream was asked of the published list, when the attempt began. The node beside the only other one was restarting, as this node knew ("draining", then "unreachable"), and a call that its upstream worked on was given up for it: 502 to the client.

Change: asked when the patience is over, of what this node knows: not excluded, not lost, and reached when it was tried last. It saves a look at the list for each attempt.

Ruled out: the stop of the node (its own lines show nothing open at any step).

Before: the test of placement fails; after: 120 tests of decisions and of the platform's contract pass.

--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -35,8 +35,16 @@
     excludedIds: ReadonlySet<string>,
     isLost?: (entry: UpstreamEntry) => boolean,
   ): Placement | undefined;
-  /** Whether there is an upstream beside the excluded ones. */
-  hasOther(service: string, excludedIds: ReadonlySet<string>): boolean;
+  /**
+   * Whether there is an upstream beside the excluded ones that is not known to
+   * be out of reach: an attempt given up for such a one leaves the request with
+   * no upstream at work on it, and it fails.
+   */
+  hasOther(
+    service: string,
+    excludedIds: ReadonlySet<string>,
+    isLost?: (entry: UpstreamEntry) => boolean,
+  ): boolean;
   /** Forgets upstreams that are no longer known. */
   expire(): void;
 }
@@ -173,8 +181,15 @@
       if (chosen === undefined) return undefined;
       return openPlacement(chosen, recordOf(chosen), nowMillis);
     },
-    hasOther: (service, excludedIds) =>
-      directory.ready(service).some(({entry}) => !excludedIds.has(entry.id)),
+    hasOther: (service, excludedIds, isLost = () => false) =>
+      directory
+        .ready(service)
+        .some(
+          upstream =>
+            !excludedIds.has(upstream.entry.id) &&
+            recordOf(upstream).failuresInARow === 0 &&
+            !isLost(upstream.entry),
+        ),
     expire: () => {
       for (const id of records.keys()) {
         if (directory.find(id) === undefined) records.delete(id);
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -131,13 +131,15 @@
   const {patience, placement, rules, nowMillis} = options;
   const key = `${request.route.name} ${request.service}`;
   const startedMillis = nowMillis();
-  const hasNext =
-    call.isRepeatable && placement.hasOther(request.service, triedIds);
+  const hasNext = (): boolean =>
+    placement.hasOther(request.service, triedIds, options.remote.isLost);
   const patient = await runPatiently({
     call,
-    patienceMillis: hasNext ? patience.patienceMillis(key) : undefined,
+    patienceMillis: call.isRepeatable
+      ? patience.patienceMillis(key)
+      : undefined,
     execute: patientCall => attemptAt(options, entry, patientCall),
-    mayGiveUp: () => rules.mayGiveUp(request, sentCount),
+    mayGiveUp: () => hasNext() && rules.mayGiveUp(request, sentCount),
   });
   if (patient.isGivenUp) patience.observeGivenUp(key);
   else if (patient.end.kind === 'answered') {
