Nothing behind an answer without a length is handled

Cause, the one of answers of a stopping node: an answer without a length ends its connection, and requests that came behind it were still passed on and ran.

Change: such an answer marks its connection as ending as well; the listener tells what was read last and ends the connection in two calls.

What was passed on before the answer came is still lost with the connection; it is listed open.

--- a/src/connection/node_listener.ts
+++ b/src/connection/node_listener.ts
@@ -17,11 +17,10 @@
   readonly cancel: CancelSignal;
   /** The sender holds the body back until it is asked for. */
   readonly isBodyHeldBack: boolean;
-  /**
-   * Ends the connection with this answer, unless requests behind it have been
-   * read: theirs would be lost with it. Nothing behind it is read after that.
-   */
-  tryEndConnection(): boolean;
+  /** Nothing behind it has been read on its connection, whose end loses nothing. */
+  readonly isLastRead: boolean;
+  /** Its answer ends the connection: what comes behind it is not handled. */
+  endConnection(): void;
 }
 
 /** One connection of a client. */
@@ -127,10 +126,11 @@
       response,
       cancel: source.signal,
       isBodyHeldBack,
-      tryEndConnection: () => {
-        if (connection.newest !== response) return false;
+      get isLastRead() {
+        return connection.newest === response;
+      },
+      endConnection: () => {
         connection.isEnding = true;
-        return true;
       },
     });
   };
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -126,7 +126,9 @@
     isUnread: boolean,
   ): readonly string[] => {
     if (!options.stop.isStopping && !isUnread) return [];
-    return exchange.tryEndConnection() ? ['connection', 'close'] : [];
+    if (!exchange.isLastRead) return [];
+    exchange.endConnection();
+    return ['connection', 'close'];
   };
 
   const writeRefusal = (
@@ -191,6 +193,7 @@
       ...repeatNotes(request),
       ...closingHeaders(exchange, false),
     ];
+    if (answer.isUnframed) exchange.endConnection();
     const method = exchange.request.method ?? 'GET';
     sendAnswer(exchange.response, answer, headers, method);
     const millis = record(request, answer.statusCode);
