Idle connections end with a start, not with an entry that lapsed and came back

Cause, read in the own change: each entry that came back after an outage of the store would have closed the idle connections of all nodes to upstreams that had never ended. The own start is remembered; test: an entry that lapses and returns closes none.

--- a/src/daemon/node_decisions.ts
+++ b/src/daemon/node_decisions.ts
@@ -22,6 +22,8 @@
   UpstreamDirectory,
 } from '../process/upstream_directory.js';
 import {createUpstreamDirectory} from '../process/upstream_directory.js';
+import type {UpstreamStart} from '../process/upstream_start.js';
+import {isSameStart} from '../process/upstream_start.js';
 import type {UpstreamQueue} from '../process/upstream_queue.js';
 import {createUpstreamQueue} from '../process/upstream_queue.js';
 import type {LocalUpstream} from '../request/local_upstream.js';
@@ -65,6 +67,7 @@
   const queue = createUpstreamQueue(nowMillis);
   const level = createAdmissionLevel();
   const board = createLoadBoard(nowMillis);
+  let ownStart: UpstreamStart | undefined;
   const directory = createUpstreamDirectory({
     nowMillis,
     heartbeatMillis: settings().heartbeatMillis,
@@ -73,14 +76,17 @@
     onChange: change => {
       logChange(options.log, change);
       if (change.kind === 'restarted') board.forget(change.entry.id);
-      if (!isStart(change)) return;
-      if (directory.atHost(hostKey)?.entry === change.entry) {
-        upstream.markStarted();
-      }
+      const isOwn = directory.atHost(hostKey)?.entry === change.entry;
+      if (change.kind === 'joined' && isOwn) upstream.markReached();
     },
     onIndexed: () => {
-      const own = directory.atHost(hostKey);
-      if (own !== undefined) queue.setSlots(own.entry.slotsCount);
+      const own = directory.atHost(hostKey)?.entry;
+      if (own === undefined) return;
+      queue.setSlots(own.slotsCount);
+      // An entry that lapsed and came back is of the same start.
+      if (ownStart !== undefined && isSameStart(own, ownStart)) return;
+      ownStart = own;
+      upstream.markStarted();
     },
   });
   const upstream = createLocalUpstream({
@@ -159,10 +165,6 @@
   };
 }
 
-function isStart({kind}: DirectoryChange): boolean {
-  return kind === 'joined' || kind === 'restarted';
-}
-
 function logChange(log: DecisionLog, {kind, entry}: DirectoryChange): void {
   log.state(`upstream-${kind}`, {
     upstream: entry.id,
--- a/test/contract/platform_restart.test.ts
+++ b/test/contract/platform_restart.test.ts
@@ -36,6 +36,14 @@
   );
 }
 
+/** How often a node saw the upstream of a host join. */
+function countJoins(host: FleetHost, of: FleetHost): number {
+  return host.events.filter(
+    ({event, fields}) =>
+      event === 'upstream-joined' && fields['upstream'] === of.backend.id,
+  ).length;
+}
+
 function countRuns(hosts: readonly FleetHost[], attemptId: string): number {
   return hosts
     .flatMap(({backend}) => backend.runIds)
@@ -138,6 +146,10 @@
   );
   await Promise.all(orders);
   t.true(first.backend.runIds.length > 0);
+  // An entry that lapses and comes back is of the same start.
+  fleet.withdraw(first);
+  fleet.publish(first, {born: FIRST_BIRTH_MILLIS, seq: 41});
+  await waitUntil('there again', () => countJoins(first, first) === 2);
   t.is(closed.size, 0);
   const publishedMillis = performance.now();
   fleet.publish(first, {born: SECOND_BIRTH_MILLIS, coldLeftS: 3});
