A request turns only to upstreams that reply

Change: after a silence a request that may run twice waits up to a second for an upstream that replies, one it was sent to included, before it goes where nobody does; an attempt is given up for another only if that one can be reached, and asked again later if not. The number of attempts stays bounded as it was.

--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -38,6 +38,12 @@
   ): Placement | undefined;
   /** Whether there is an upstream beside the excluded ones. */
   hasOther(service: string, excludedIds: ReadonlySet<string>): boolean;
+  /** Whether one of these is neither lost nor left alone for now. */
+  canReachOther(
+    service: string,
+    excludedIds: ReadonlySet<string>,
+    isLost?: (entry: UpstreamEntry) => boolean,
+  ): boolean;
   /** Forgets upstreams that are no longer known. */
   expire(): void;
 }
@@ -207,15 +213,21 @@
     return probed;
   };
 
+  const canReach = (
+    upstream: KnownUpstream,
+    isLost: (entry: UpstreamEntry) => boolean,
+    now: number,
+  ): boolean =>
+    recordOf(upstream).avoidUntilMillis <= now && !isLost(upstream.entry);
+
   return {
     choose: (service, excludedIds, isLost = () => false) => {
       const now = nowMillis();
       const allowed = directory
         .ready(service)
         .filter(upstream => !excludedIds.has(upstream.entry.id));
-      const usable = allowed.filter(
-        upstream =>
-          recordOf(upstream).avoidUntilMillis <= now && !isLost(upstream.entry),
+      const usable = allowed.filter(upstream =>
+        canReach(upstream, isLost, now),
       );
       const chosen = pick(
         service,
@@ -228,6 +240,16 @@
     },
     hasOther: (service, excludedIds) =>
       directory.ready(service).some(({entry}) => !excludedIds.has(entry.id)),
+    canReachOther: (service, excludedIds, isLost = () => false) => {
+      const now = nowMillis();
+      return directory
+        .ready(service)
+        .some(
+          upstream =>
+            !excludedIds.has(upstream.entry.id) &&
+            canReach(upstream, isLost, now),
+        );
+    },
     expire: () => {
       for (const id of records.keys()) {
         if (directory.find(id) === undefined) records.delete(id);
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -2,6 +2,7 @@
  * The attempts of one request: choice of upstreams, and repeats where they are
  * proven harmless and within bounds.
  */
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {ExecutionCall, ExecutionEnd} from '../connection/execution.js';
 import type {RemoteExecution} from '../connection/remote_execution.js';
 import type {AttemptPatience} from '../process/attempt_patience.js';
@@ -60,6 +61,17 @@
 /** Refusals for load after which the service as a whole counts as full. */
 const MAX_FULL_COUNT = 2;
 
+/**
+ * Time in which a node that was taken for lost is asked again and can reply:
+ * half a second until it is asked, and as long for a busy process.
+ */
+const FIND_AGAIN_MILLIS = 1000;
+
+/** Interval at which it is looked whether one has replied. */
+const FIND_STEP_MILLIS = 50;
+
+const NOBODY: ReadonlySet<string> = new Set();
+
 const NOWHERE: ExecutionEnd = {kind: 'refused', reason: 'unreachable'};
 
 /** Creates the attempts of one node. */
@@ -104,6 +116,7 @@
     if (last.kind === 'refused' && isFull(last.reason)) fullCount += 1;
     if (fullCount >= MAX_FULL_COUNT) break;
     if (!isGivenUp && !rules.mayTryAgain(request, last, sentCount)) break;
+    if (isSilent(last)) await findAgain(options, request, triedIds);
     if (wasHandedOver(last)) {
       options.onRetry(request, reasonOf(last));
       call = {...call, origin: {...call.origin, isRepeat: true}};
@@ -112,6 +125,28 @@
   return {last, mayHaveRun, sentCount, upstreamId};
 }
 
+/**
+ * Before a request that may run twice is sent where nobody replies, it waits a
+ * moment for one that does, be it one that it was sent to: busy nodes fall
+ * silent for less than a second, and nodes that are cut off for longer.
+ */
+async function findAgain(
+  options: AttemptsOptions,
+  {service, call}: AttemptedRequest,
+  triedIds: Set<string>,
+): Promise<void> {
+  const {placement, remote, nowMillis} = options;
+  if (!call.isRepeatable) return;
+  const canReachBeside = (ids: ReadonlySet<string>): boolean =>
+    placement.canReachOther(service, ids, remote.isLost);
+  const untilMillis = nowMillis() + FIND_AGAIN_MILLIS;
+  while (!canReachBeside(triedIds)) {
+    if (canReachBeside(NOBODY)) triedIds.clear();
+    else if (call.cancel.isCancelled || nowMillis() >= untilMillis) return;
+    else await sleep(FIND_STEP_MILLIS);
+  }
+}
+
 /** One of several attempts. */
 interface NextAttempt {
   readonly entry: UpstreamEntry;
@@ -131,13 +166,16 @@
   const {patience, placement, rules, nowMillis} = options;
   const key = `${request.route.name} ${request.service}`;
   const startedMillis = nowMillis();
-  const hasNext =
-    call.isRepeatable && placement.hasOther(request.service, triedIds);
+  const {service} = request;
+  const hasNext = call.isRepeatable && placement.hasOther(service, triedIds);
+  // Given up for one that is leaving, a request that is well would fail.
+  const canTurn = (): boolean =>
+    placement.canReachOther(service, triedIds, options.remote.isLost);
   const patient = await runPatiently({
     call,
     patienceMillis: hasNext ? patience.patienceMillis(key) : undefined,
     execute: patientCall => attemptAt(options, entry, patientCall),
-    mayGiveUp: () => rules.mayGiveUp(request, sentCount),
+    mayGiveUp: () => canTurn() && rules.mayGiveUp(request, sentCount),
   });
   if (patient.isGivenUp) patience.observeGivenUp(key);
   else if (patient.end.kind === 'answered') {
@@ -161,6 +199,10 @@
   });
 }
 
+function isSilent(end: ExecutionEnd): boolean {
+  return end.kind === 'unknown' && end.reason === 'silent';
+}
+
 function mayRun(end: ExecutionEnd): boolean {
   return end.kind !== 'refused';
 }
