Giving up and finding again ask different things of another upstream

An attempt is given up only for an upstream that has not just failed; a request that nobody would take goes back to one that replies again, where it may have failed a moment ago.

--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -36,14 +36,22 @@
     excludedIds: ReadonlySet<string>,
     isLost?: (entry: UpstreamEntry) => boolean,
   ): Placement | undefined;
-  /** Whether there is an upstream beside the excluded ones. */
-  hasOther(service: string, excludedIds: ReadonlySet<string>): boolean;
-  /** Whether one of these is neither lost nor left alone for now. */
-  canReachOther(
+  /**
+   * Whether there is an upstream beside the excluded ones that is not known to
+   * be out of reach: an attempt given up for such a one leaves the request with
+   * no upstream at work on it, and it fails.
+   */
+  hasOther(
     service: string,
     excludedIds: ReadonlySet<string>,
     isLost?: (entry: UpstreamEntry) => boolean,
   ): boolean;
+  /** The same, where one that failed before may be tried again by now. */
+  canReachOther(
+    service: string,
+    excludedIds: ReadonlySet<string>,
+    isLost: (entry: UpstreamEntry) => boolean,
+  ): boolean;
   /** Forgets upstreams that are no longer known. */
   expire(): void;
 }
@@ -238,9 +246,16 @@
       if (chosen === undefined) return undefined;
       return openPlacement(chosen, recordOf(chosen), nowMillis);
     },
-    hasOther: (service, excludedIds) =>
-      directory.ready(service).some(({entry}) => !excludedIds.has(entry.id)),
-    canReachOther: (service, excludedIds, isLost = () => false) => {
+    hasOther: (service, excludedIds, isLost = () => false) =>
+      directory
+        .ready(service)
+        .some(
+          upstream =>
+            !excludedIds.has(upstream.entry.id) &&
+            recordOf(upstream).failuresInARow === 0 &&
+            !isLost(upstream.entry),
+        ),
+    canReachOther: (service, excludedIds, isLost) => {
       const now = nowMillis();
       return directory
         .ready(service)
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -166,16 +166,15 @@
   const {patience, placement, rules, nowMillis} = options;
   const key = `${request.route.name} ${request.service}`;
   const startedMillis = nowMillis();
-  const {service} = request;
-  const hasNext = call.isRepeatable && placement.hasOther(service, triedIds);
-  // Given up for one that is leaving, a request that is well would fail.
-  const canTurn = (): boolean =>
-    placement.canReachOther(service, triedIds, options.remote.isLost);
+  const hasNext = (): boolean =>
+    placement.hasOther(request.service, triedIds, options.remote.isLost);
   const patient = await runPatiently({
     call,
-    patienceMillis: hasNext ? patience.patienceMillis(key) : undefined,
+    patienceMillis: call.isRepeatable
+      ? patience.patienceMillis(key)
+      : undefined,
     execute: patientCall => attemptAt(options, entry, patientCall),
-    mayGiveUp: () => canTurn() && rules.mayGiveUp(request, sentCount),
+    mayGiveUp: () => hasNext() && rules.mayGiveUp(request, sentCount),
   });
   if (patient.isGivenUp) patience.observeGivenUp(key);
   else if (patient.end.kind === 'answered') {
--- a/src/request/patient_attempt.ts
+++ b/src/request/patient_attempt.ts
@@ -11,7 +11,7 @@
   /** `undefined`: it is waited for to its deadline. */
   readonly patienceMillis: number | undefined;
   readonly execute: (call: ExecutionCall) => Promise<ExecutionEnd>;
-  /** Asked when the patience is over, and as long after that again. */
+  /** Asked once, when the patience is over. */
   readonly mayGiveUp: () => boolean;
 }
 
@@ -33,14 +33,13 @@
   const source = createCancelSource();
   const callers = call.cancel.onCancel(source.cancel);
   let isGivenUp = false;
-  const timer = setInterval(() => {
+  const timer = setTimeout(() => {
     if (call.cancel.isCancelled || !attempt.mayGiveUp()) return;
-    clearInterval(timer);
     isGivenUp = true;
     source.cancel();
   }, patienceMillis);
   const end = await attempt.execute({...call, cancel: source.signal});
-  clearInterval(timer);
+  clearTimeout(timer);
   callers.dispose();
   if (!isGivenUp || end.kind !== 'unknown') return {end, isGivenUp};
   return {end: {...end, reason: 'timeout'}, isGivenUp};
