--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -48,6 +48,12 @@
     excludedIds: ReadonlySet<string>,
     isLost?: (entry: UpstreamEntry) => boolean,
   ): boolean;
+  /** The same, where one that failed before may be tried again by now. */
+  canReachOther(
+    service: string,
+    excludedIds: ReadonlySet<string>,
+    isLost: (entry: UpstreamEntry) => boolean,
+  ): boolean;
   /** Forgets upstreams that are no longer known. */
   expire(): void;
 }
@@ -229,15 +235,21 @@
     return probed;
   };
 
+  const canReach = (
+    upstream: KnownUpstream,
+    isLost: (entry: UpstreamEntry) => boolean,
+    now: number,
+  ): boolean =>
+    recordOf(upstream).avoidUntilMillis <= now && !isLost(upstream.entry);
+
   return {
     choose: (service, excludedIds, isLost = () => false) => {
       const now = nowMillis();
       const allowed = directory
         .ready(service)
         .filter(upstream => !excludedIds.has(upstream.entry.id));
-      const usable = allowed.filter(
-        upstream =>
-          recordOf(upstream).avoidUntilMillis <= now && !isLost(upstream.entry),
+      const usable = allowed.filter(upstream =>
+        canReach(upstream, isLost, now),
       );
       const chosen = pick(
         service,
@@ -257,6 +269,16 @@
             recordOf(upstream).failuresInARow === 0 &&
             !isLost(upstream.entry),
         ),
+    canReachOther: (service, excludedIds, isLost) => {
+      const now = nowMillis();
+      return directory
+        .ready(service)
+        .some(
+          upstream =>
+            !excludedIds.has(upstream.entry.id) &&
+            canReach(upstream, isLost, now),
+        );
+    },
     expire: () => {
       for (const id of records.keys()) {
         if (directory.find(id) === undefined) records.delete(id);
