Benchmark: what a call and a refusal cost nodes, cold and warm

Change: `npm run bench -- cost [COMMAND...]` starts bundles as processes, gives them the same requests in turns, and prints processor time and wakes a request.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,11 +1,13 @@
 /**
  * Measurements, each as ratios within one run: `npm run bench -- [NAME]`.
  */
+import {measureCost} from './cost_bench.js';
 import {measureDecisions} from './decisions_bench.js';
 import {measureLatency} from './latency_bench.js';
 
 const MEASUREMENTS: ReadonlyMap<string, () => Promise<readonly string[]>> =
   new Map([
+    ['cost', measureCost],
     ['decisions', measureDecisions],
     ['latency', measureLatency],
   ]);
--- /dev/null
+++ b/bench/node_process.ts
@@ -0,0 +1,109 @@
+/**
+ * A bundled node as a process of its own, with what it has cost so far.
+ */
+import type {ChildProcess} from 'node:child_process';
+import {spawn} from 'node:child_process';
+import {readdirSync, readFileSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {stringify} from 'yaml';
+import {SETTINGS_VARIABLE} from '../platform/names.js';
+
+/** What a process has cost since its start. */
+export interface ProcessCost {
+  readonly processorMillis: number;
+  /** Times that it was woken after it had waited. */
+  readonly wakesCount: number;
+}
+
+/** A running node. */
+export interface NodeProcess {
+  readonly address: string;
+  cost(): ProcessCost;
+  end(): void;
+}
+
+/** Where a node is and what it speaks to. */
+export interface NodeProcessOptions {
+  readonly bundlePath: string;
+  /** Flags of the runtime, for example those of a profile. */
+  readonly runtimeFlags: readonly string[];
+  readonly directory: string;
+  readonly address: string;
+  readonly service: string;
+  readonly ports: NodePorts;
+}
+
+/** Ports, the same on every address of a fleet. */
+export interface NodePorts {
+  readonly app: number;
+  readonly inbound: number;
+  readonly outbound: number;
+  readonly ready: number;
+  readonly store: number;
+}
+
+/** The heap bounds of the deployment. */
+const HEAP_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=8'];
+
+/** Starts a node; it is ready later. */
+export function startNodeProcess(options: NodeProcessOptions): NodeProcess {
+  const {directory, address} = options;
+  const settingsPath = join(directory, `${address}.yaml`);
+  writeFileSync(settingsPath, stringify(settingsOf(options)));
+  const child = spawn(
+    process.execPath,
+    [...HEAP_FLAGS, ...options.runtimeFlags, options.bundlePath],
+    {
+      cwd: directory,
+      env: {...process.env, [SETTINGS_VARIABLE]: settingsPath},
+      stdio: ['ignore', 'ignore', 'inherit'],
+    },
+  );
+  return {
+    address,
+    cost: () => readCost(child),
+    end: () => {
+      child.kill('SIGTERM');
+    },
+  };
+}
+
+function settingsOf({address, service, ports}: NodeProcessOptions): object {
+  const at = (port: number): string => `${address}:${String(port)}`;
+  return {
+    node: address,
+    ip: address,
+    zone: 'zone-a',
+    region: 'region',
+    zones: {'zone-a': 'region'},
+    listen: {
+      inbound: at(ports.inbound),
+      outbound: at(ports.outbound),
+      readyAddr: at(ports.ready),
+    },
+    bounds: ['graceS=1', 'retryBudgetRatio=0.2', 'budgetWindowS=10'],
+    appAddr: at(ports.app),
+    service,
+    platform: {address: `127.0.0.1:${String(ports.store)}`},
+  };
+}
+
+const NANOS_PER_MILLI = 1e6;
+
+/** Sums over all threads: those of the runtime compile and collect garbage. */
+function readCost({pid}: ChildProcess): ProcessCost {
+  const tasks = `/proc/${String(pid)}/task`;
+  let processorMillis = 0;
+  let wakesCount = 0;
+  for (const task of readdirSync(tasks)) {
+    const [nanos = '0'] = readFileSync(
+      join(tasks, task, 'schedstat'),
+      'utf8',
+    ).split(' ');
+    processorMillis += Number(nanos) / NANOS_PER_MILLI;
+    const status = readFileSync(join(tasks, task, 'status'), 'utf8');
+    const waits = /^voluntary_ctxt_switches:\s*(\d+)/m.exec(status)?.[1];
+    wakesCount += Number(waits ?? 0);
+  }
+  return {processorMillis, wakesCount};
+}
