Benchmark of costs: the part in the process's own code

Cause: on loopback the kernel's part of a write is that of both ends; what the nodes' own code costs was hidden in it. Change: ticks of the process in its own code beside the whole time.

--- a/bench/cost_bench.ts
+++ b/bench/cost_bench.ts
@@ -304,6 +304,7 @@
   const now = node.cost();
   return {
     processorMillis: now.processorMillis - (before?.processorMillis ?? 0),
+    ownMillis: now.ownMillis - (before?.ownMillis ?? 0),
     wakesCount: now.wakesCount - (before?.wakesCount ?? 0),
   };
 }
@@ -315,8 +316,9 @@
   count: number,
 ): string {
   const millis = (spent.processorMillis / count).toFixed(3);
+  const own = (spent.ownMillis / count).toFixed(3);
   const wakes = (spent.wakesCount / count).toFixed(2);
-  return `${label}: ${millis} ms, ${wakes} wakes; ${name}`;
+  return `${label}: ${millis} ms (own code ${own}), ${wakes} wakes; ${name}`;
 }
 
 async function untilReady(address: string, port: number): Promise<void> {
--- a/bench/node_process.ts
+++ b/bench/node_process.ts
@@ -11,6 +11,8 @@
 /** What a process has cost since its start. */
 export interface ProcessCost {
   readonly processorMillis: number;
+  /** Part of it in the process's own code, not in the kernel for it. */
+  readonly ownMillis: number;
   /** Times that it was woken after it had waited. */
   readonly wakesCount: number;
 }
@@ -105,5 +107,17 @@
     const waits = /^voluntary_ctxt_switches:\s*(\d+)/m.exec(status)?.[1];
     wakesCount += Number(waits ?? 0);
   }
-  return {processorMillis, wakesCount};
+  return {processorMillis, ownMillis: readOwnMillis(pid), wakesCount};
+}
+
+/** The kernel tells it in ticks of 10 ms. */
+const TICK_MILLIS = 10;
+
+/** Place of the ticks in the process's own code behind the program's name. */
+const OWN_TICKS_FIELD = 11;
+
+function readOwnMillis(pid: number | undefined): number {
+  const line = readFileSync(`/proc/${String(pid)}/stat`, 'utf8');
+  const fields = line.slice(line.lastIndexOf(')') + 2).split(' ');
+  return Number(fields[OWN_TICKS_FIELD]) * TICK_MILLIS;
 }
