Fewer promises on the way of a call; connections opened to nodes read without a stream

Cause: each call passed eight nested promises and a readable stream at each end (profile of a process without the optimizing compiler, where all code shows). Change: hops, the hand-over and bodies that are there already are callbacks or values; a cancel signal makes a set only for its second listener; connections opened to nodes are read into one place.

--- a/src/base/cancel_signal.ts
+++ b/src/base/cancel_signal.ts
@@ -20,8 +20,22 @@
 
 /** Creates a source that has not been cancelled. */
 export function createCancelSource(): CancelSource {
-  const listeners = new Set<() => void>();
+  /** Most have one or none, and no set is made for these. */
+  let first: (() => void) | undefined;
+  let others: Set<() => void> | undefined;
   let isCancelled = false;
+  const add = (listener: () => void): void => {
+    if (first === undefined) {
+      first = listener;
+      return;
+    }
+    others ??= new Set();
+    others.add(listener);
+  };
+  const remove = (listener: () => void): void => {
+    if (first === listener) first = undefined;
+    else others?.delete(listener);
+  };
   const signal: CancelSignal = {
     get isCancelled() {
       return isCancelled;
@@ -31,10 +45,10 @@
         listener();
         return NOTHING;
       }
-      listeners.add(listener);
+      add(listener);
       return {
         dispose: () => {
-          listeners.delete(listener);
+          remove(listener);
         },
       };
     },
@@ -44,8 +58,10 @@
     cancel: () => {
       if (isCancelled) return;
       isCancelled = true;
-      for (const listener of [...listeners]) listener();
-      listeners.clear();
+      const listeners = [first, ...(others ?? [])];
+      first = undefined;
+      others = undefined;
+      for (const listener of listeners) listener?.();
     },
   };
 }
--- a/src/connection/frame_connection.ts
+++ b/src/connection/frame_connection.ts
@@ -2,7 +2,9 @@
  * A connection between two nodes that carries frames.
  */
 import type {Socket} from 'node:net';
+import {connect} from 'node:net';
 import {describeError} from '../base/errors.js';
+import type {Endpoint} from '../process/node_settings.js';
 import type {Frame, FrameKind} from '../protocol/hop_frames.js';
 import {createFrameReader, encodeFrame} from '../protocol/hop_frames.js';
 
@@ -20,18 +22,58 @@
 
 /** What a connection needs. */
 export interface FrameConnectionOptions {
-  readonly socket: Socket;
   readonly nowMillis: () => number;
   readonly onFrame: (frame: Frame) => void;
   /** Called once, when the connection has closed for whatever reason. */
   readonly onClosed: (reason: string) => void;
 }
 
-/** Carries frames on a socket, which may still be connecting. */
-export function createFrameConnection(
+/** Connections that are opened here are read into one place and copied. */
+const READ_BUFFER = Buffer.allocUnsafe(65_536);
+
+/** Opens a connection to another node; frames may be sent on it at once. */
+export function openFrameConnection(
+  peer: Endpoint,
+  options: FrameConnectionOptions & {readonly onConnected: () => void},
+): FrameConnection {
+  const socket = connect({
+    host: peer.address,
+    port: peer.port,
+    noDelay: true,
+    onread: {
+      buffer: READ_BUFFER,
+      callback: (count, buffer) => {
+        receive(Buffer.from((buffer as Buffer).subarray(0, count)));
+        return true;
+      },
+    },
+  });
+  socket.once('connect', options.onConnected);
+  const {connection, receive} = carryFrames(socket, options);
+  return connection;
+}
+
+/** Carries frames on a socket that another node has opened. */
+export function acceptFrameConnection(
+  socket: Socket,
   options: FrameConnectionOptions,
 ): FrameConnection {
-  const {socket, nowMillis} = options;
+  const {connection, receive} = carryFrames(socket, options);
+  socket.on('data', receive);
+  return connection;
+}
+
+interface CarriedFrames {
+  readonly connection: FrameConnection;
+  /** Takes the next bytes, which are its own from then on. */
+  readonly receive: (chunk: Buffer) => void;
+}
+
+function carryFrames(
+  socket: Socket,
+  options: FrameConnectionOptions,
+): CarriedFrames {
+  const {nowMillis} = options;
   let queued: Buffer[] = [];
   let heardMillis = 0;
   let closeReason = 'closed';
@@ -54,7 +96,7 @@
   };
   const reader = createFrameReader(options.onFrame);
 
-  socket.on('data', (chunk: Buffer) => {
+  const receive = (chunk: Buffer): void => {
     heardMillis = nowMillis();
     try {
       reader.push(chunk);
@@ -63,7 +105,7 @@
       // reason goes to the owner, who logs it.
       fail(error);
     }
-  });
+  };
   socket.on('error', error => {
     closeReason = describeError(error);
   });
@@ -72,7 +114,7 @@
     queued = [];
     options.onClosed(closeReason);
   });
-  return {
+  const connection: FrameConnection = {
     send: (kind, channelId, ...parts) => {
       if (isClosed) return;
       // Many answers become ready in the same turn; each write of its own would
@@ -91,4 +133,5 @@
       socket.destroy();
     },
   };
+  return {connection, receive};
 }
--- a/src/connection/hop_arrival.ts
+++ b/src/connection/hop_arrival.ts
@@ -35,7 +35,7 @@
   /** Cancelled when its sender does not want it any more. */
   readonly cancel: CancelSignal;
   /** The whole body, asked for if it was held back; `undefined` if it never comes. */
-  fetchBody(): Promise<Buffer | undefined>;
+  fetchBody(): Buffer | undefined | Promise<Buffer | undefined>;
   /** Loads of other upstreams are to go with the answer. */
   isReportDue(): boolean;
   /** Answers; called once. */
@@ -130,8 +130,8 @@
     request,
     cancel: source.signal,
     fetchBody: () => {
-      if (isBodyWhole) return Promise.resolve(joined(pieces));
-      if (source.signal.isCancelled) return Promise.resolve(undefined);
+      if (isBodyWhole) return joined(pieces);
+      if (source.signal.isCancelled) return undefined;
       return new Promise(resolve => {
         giveBody = resolve;
         if (!isBodyWanted) wantBody();
--- a/src/connection/hop_link.ts
+++ b/src/connection/hop_link.ts
@@ -1,13 +1,12 @@
 /**
  * One connection to another node, with the requests on it.
  */
-import {connect} from 'node:net';
 import type {Endpoint} from '../process/node_settings.js';
 import type {Frame} from '../protocol/hop_frames.js';
 import {FRAME_KIND} from '../protocol/hop_frames.js';
 import type {ClaimState} from '../protocol/hop_messages.js';
 import {decodeHopAnswer} from '../protocol/hop_answer_codec.js';
-import {createFrameConnection} from './frame_connection.js';
+import {openFrameConnection} from './frame_connection.js';
 import type {OutgoingHop} from './outgoing_hop.js';
 import type {ReceivedRest} from './received_rest.js';
 import {createReceivedRest} from './received_rest.js';
@@ -84,18 +83,10 @@
   let hasTimedOut = false;
   let usedMillis = nowMillis();
 
-  const socket = connect({host: peer.address, port: peer.port, noDelay: true});
   const timer = setTimeout(() => {
     hasTimedOut = true;
-    socket.destroy();
+    connection.destroy();
   }, CONNECT_TIMEOUT_MILLIS);
-  socket.once('connect', () => {
-    clearTimeout(timer);
-    isConnected = true;
-    for (const {hop} of channels.values()) {
-      if (!hop.isBodyHeldBack) hop.noteSent();
-    }
-  });
 
   /** Only this side knows when nothing is on its way to a process that ends. */
   const endIfLeft = (): void => {
@@ -233,9 +224,15 @@
     channels.clear();
     return hops;
   };
-  const connection = createFrameConnection({
-    socket,
+  const connection = openFrameConnection(peer, {
     nowMillis,
+    onConnected: () => {
+      clearTimeout(timer);
+      isConnected = true;
+      for (const {hop} of channels.values()) {
+        if (!hop.isBodyHeldBack) hop.noteSent();
+      }
+    },
     onFrame,
     onClosed: () => {
       clearTimeout(timer);
--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -11,7 +11,7 @@
 import {decodeHopRequest} from '../protocol/hop_request_codec.js';
 import {bindListener, takeAccepted} from './bind_listener.js';
 import type {FrameConnection} from './frame_connection.js';
-import {createFrameConnection} from './frame_connection.js';
+import {acceptFrameConnection} from './frame_connection.js';
 import type {HopArrival, HopChannel, OwnedArrival} from './hop_arrival.js';
 import {createHopArrival} from './hop_arrival.js';
 
@@ -179,8 +179,7 @@
         connection.destroy();
     }
   };
-  const connection: FrameConnection = createFrameConnection({
-    socket,
+  const connection: FrameConnection = acceptFrameConnection(socket, {
     nowMillis: options.nowMillis,
     onFrame,
     onClosed: () => {
--- a/src/connection/raw_headers.ts
+++ b/src/connection/raw_headers.ts
@@ -46,10 +46,14 @@
 
 const NO_NAMES: ReadonlySet<string> = new Set();
 
+/** The usual values of `Connection`: options, not headers to be dropped. */
+const NAMES_NO_HEADER: ReadonlySet<string> = new Set(['keep-alive', 'close']);
+
 function namedByConnection(headers: RawHeaders): ReadonlySet<string> {
   for (let index = 0; index + 1 < headers.length; index += 2) {
     if (headers[index]?.toLowerCase() !== 'connection') continue;
     const value = headers[index + 1] ?? '';
+    if (NAMES_NO_HEADER.has(value)) return NO_NAMES;
     const names = value.split(',').map(name => name.trim().toLowerCase());
     return new Set(names);
   }
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -109,41 +109,48 @@
  * A hop that its node never received was lost with its connection. It cannot
  * run any more, so it is sent once again on another connection.
  */
-async function executeResent(
+function executeResent(
   execution: HopExecution,
   target: UpstreamEntry,
   call: ExecutionCall,
 ): Promise<ExecutionEnd> {
-  const end = await executeHop(execution, target, call);
-  const isSilent = end.kind === 'refused' && end.reason === 'silent';
-  if (!isSilent || call.cancel.isCancelled) return end;
-  return executeHop(execution, target, call);
+  return new Promise(resolve => {
+    executeHop(execution, target, call, end => {
+      const isSilent = end.kind === 'refused' && end.reason === 'silent';
+      if (isSilent && !call.cancel.isCancelled) {
+        executeHop(execution, target, call, resolve);
+      } else {
+        resolve(end);
+      }
+    });
+  });
 }
 
-async function executeHop(
+function executeHop(
   {options, peerOf}: HopExecution,
   target: UpstreamEntry,
   call: ExecutionCall,
-): Promise<ExecutionEnd> {
-  if (call.cancel.isCancelled) return {kind: 'refused', reason: 'cancelled'};
+  onEnd: (end: ExecutionEnd) => void,
+): void {
+  if (call.cancel.isCancelled) {
+    onEnd({kind: 'refused', reason: 'cancelled'});
+    return;
+  }
   const loan = call.origin.grant.lend();
   const now = options.nowMillis();
-  const end = await new Promise<HopEnd>(resolve => {
-    const hop = createOutgoingHop({
-      request: requestOf(target, call, {loan, now}),
-      body: call.body,
-      startedMillis: now,
-      onEnd: how => {
-        callers.dispose();
-        resolve(how);
-      },
-    });
-    const callers = call.cancel.onCancel(() => {
-      hop.lost('cancelled');
-    });
-    peerOf(target.node).send(hop);
+  const hop = createOutgoingHop({
+    request: requestOf(target, call, {loan, now}),
+    body: call.body,
+    startedMillis: now,
+    onEnd: how => {
+      callers.dispose();
+      onEnd(interpret(options, how, loan));
+    },
+  });
+  const callers = call.cancel.onCancel(() => {
+    hop.lost('cancelled');
   });
-  return interpret(options, end, loan);
+  peerOf(target.node).send(hop);
 }
 
 function requestOf(
--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -39,76 +39,77 @@
       readonly wasReused: boolean;
     };
 
-/** Sends a request and waits for its answer. */
-export function sendRequest(outgoing: OutgoingRequest): Promise<SendEnd> {
-  return new Promise(resolve => {
-    const {to} = outgoing;
-    const request = http.request({
-      agent: outgoing.agent,
-      host: to.address,
-      port: to.port,
-      method: outgoing.method,
-      path: outgoing.target,
-      headers: framedHeaders(outgoing) as unknown as http.OutgoingHttpHeaders,
-      setHost: false,
-    });
-    let isSent = false;
-    let isEnded = false;
-    let timer: NodeJS.Timeout | undefined;
+/** Sends a request; `onEnd` is called once. */
+export function sendRequest(
+  outgoing: OutgoingRequest,
+  onEnd: (end: SendEnd) => void,
+): void {
+  const {to} = outgoing;
+  const request = http.request({
+    agent: outgoing.agent,
+    host: to.address,
+    port: to.port,
+    method: outgoing.method,
+    path: outgoing.target,
+    headers: framedHeaders(outgoing) as unknown as http.OutgoingHttpHeaders,
+    setHost: false,
+  });
+  let isSent = false;
+  let isEnded = false;
+  let timer: NodeJS.Timeout | undefined;
+
+  const end = (result: SendEnd): void => {
+    if (isEnded) return;
+    isEnded = true;
+    clearTimeout(timer);
+    cancelled.dispose();
+    onEnd(result);
+  };
+  const fail = (reason: string): void => {
+    if (isSent) {
+      end({kind: 'lost', reason, wasReused: request.reusedSocket});
+    } else {
+      end({kind: 'not-sent', reason});
+    }
+    request.destroy();
+  };
+  const cancelled = outgoing.cancel.onCancel(() => {
+    fail('cancelled');
+  });
 
-    const end = (result: SendEnd): void => {
-      if (isEnded) return;
-      isEnded = true;
+  request.on('socket', socket => {
+    if (!socket.connecting) {
+      isSent = true;
+      return;
+    }
+    // A peer behind a network partition answers no connection attempt, and
+    // the system's own limit is minutes.
+    timer = setTimeout(() => {
+      fail('connect-timeout');
+    }, outgoing.connectTimeoutMillis);
+    socket.once('connect', () => {
       clearTimeout(timer);
-      cancelled.dispose();
-      resolve(result);
-    };
-    const fail = (reason: string): void => {
-      if (isSent) {
-        end({kind: 'lost', reason, wasReused: request.reusedSocket});
-      } else {
-        end({kind: 'not-sent', reason});
-      }
+      isSent = true;
+    });
+  });
+  request.on('error', error => {
+    fail(describeError(error));
+  });
+  request.on('response', message => {
+    const discardConnection = (): void => {
       request.destroy();
+      message.socket?.destroy();
     };
-    const cancelled = outgoing.cancel.onCancel(() => {
-      fail('cancelled');
-    });
-
-    request.on('socket', socket => {
-      if (!socket.connecting) {
-        isSent = true;
-        return;
-      }
-      // A peer behind a network partition answers no connection attempt, and
-      // the system's own limit is minutes.
-      timer = setTimeout(() => {
-        fail('connect-timeout');
-      }, outgoing.connectTimeoutMillis);
-      socket.once('connect', () => {
-        clearTimeout(timer);
-        isSent = true;
-      });
-    });
-    request.on('error', error => {
-      fail(describeError(error));
-    });
-    request.on('response', message => {
-      const discardConnection = (): void => {
-        request.destroy();
-        message.socket?.destroy();
-      };
-      receiveAnswer(message).then(
-        answer => {
-          end({kind: 'answer', answer, discardConnection});
-        },
-        (error: unknown) => {
-          fail(describeError(error));
-        },
-      );
-    });
-    request.end(outgoing.body);
+    receiveAnswer(message).then(
+      answer => {
+        end({kind: 'answer', answer, discardConnection});
+      },
+      (error: unknown) => {
+        fail(describeError(error));
+      },
+    );
   });
+  request.end(outgoing.body);
 }
 
 function framedHeaders(outgoing: OutgoingRequest): readonly string[] {
--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -43,7 +43,8 @@
 
 /** Sends requests to one upstream. */
 export interface UpstreamSender extends Disposable {
-  send(request: UpstreamRequest): Promise<UpstreamEnd>;
+  /** Sends a request; `onEnd` is called once. */
+  send(request: UpstreamRequest, onEnd: (end: UpstreamEnd) => void): void;
   /**
    * Closes idle connections, which lead to a start of the upstream that is gone.
    * If they fell silent, an order written on one would end without an answer,
@@ -77,9 +78,9 @@
   });
   let answersCount = 0;
   return {
-    send: async request => {
+    send: (request, onEnd) => {
       const answersBefore = answersCount;
-      const end = await sendRequest({
+      const outgoing = {
         to: upstream,
         agent,
         method: request.method,
@@ -88,17 +89,19 @@
         body: request.body,
         connectTimeoutMillis: CONNECT_TIMEOUT_MILLIS,
         cancel: request.cancel,
+      };
+      sendRequest(outgoing, end => {
+        if (end.kind === 'answer') answersCount += 1;
+        // A request that hung to its end on a kept connection may have been lost
+        // with it, and the other idle ones fell silent at the same moment. Not if
+        // anything was answered meanwhile: an upstream that is slow would have
+        // its connections opened anew with each timeout.
+        const wasSilent = answersCount === answersBefore;
+        if (end.kind === 'lost' && end.wasReused && wasSilent) {
+          dropIdleConnections(agent, upstream);
+        }
+        onEnd(interpret(end, request, names));
       });
-      if (end.kind === 'answer') answersCount += 1;
-      // A request that hung to its end on a kept connection may have been lost
-      // with it, and the other idle ones fell silent at the same moment. Not if
-      // anything was answered meanwhile: an upstream that is slow would have its
-      // connections opened anew with each timeout.
-      const wasSilent = answersCount === answersBefore;
-      if (end.kind === 'lost' && end.wasReused && wasSilent) {
-        dropIdleConnections(agent, upstream);
-      }
-      return interpret(end, request, names);
     },
     dropIdle: () => {
       dropIdleConnections(agent, upstream);
--- a/src/protocol/message_payload.ts
+++ b/src/protocol/message_payload.ts
@@ -53,5 +53,8 @@
 
 /** Whether all values are texts. */
 export function areTexts(values: readonly unknown[]): boolean {
-  return values.every(value => typeof value === 'string');
+  for (const value of values) {
+    if (typeof value !== 'string') return false;
+  }
+  return true;
 }
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -6,6 +6,7 @@
 import type {ExecutionCall, ExecutionEnd} from '../connection/execution.js';
 import type {
   UpstreamEnd,
+  UpstreamRequest,
   UpstreamSender,
 } from '../connection/upstream_sender.js';
 import type {AdmissionLevel} from '../process/admission_level.js';
@@ -22,7 +23,7 @@
   /** Id of the upstream that the sender chose. */
   readonly upstreamId: string;
   /** Fetches the body once a slot is held; `undefined` if the sender left. */
-  readonly fetchBody: () => Promise<Buffer | undefined>;
+  readonly fetchBody: () => Buffer | undefined | Promise<Buffer | undefined>;
 }
 
 /** Executes requests. */
@@ -58,9 +59,11 @@
   const refusal = upstream.refusalFor(call.upstreamId);
   if (refusal !== undefined) return refused(refusal);
   level.recordArrival(call.origin.importance, queue.load().averageMillis);
-  const waitEnd = await waitForSlot(options, call);
+  const wait = waitForSlot(options, call);
+  const waitEnd = typeof wait === 'string' ? wait : await wait;
   if (waitEnd !== 'started') return refused(waitEnd);
-  const body = await call.fetchBody();
+  const fetched = call.fetchBody();
+  const body = fetched instanceof Promise ? await fetched : fetched;
   const late =
     upstream.leavingReason(call.upstreamId) ?? tooLate(options, call);
   if (body === undefined || late !== undefined || call.cancel.isCancelled) {
@@ -129,7 +132,7 @@
 }
 
 /** Hands the request over and ends it at its deadline at the latest. */
-async function handOver(
+function handOver(
   options: LocalExecutionOptions,
   call: LocalCall,
   body: Buffer,
@@ -139,7 +142,7 @@
   const abandoned = options.upstream.onLost(source.cancel);
   const leftMillis = call.deadlineMillis - options.nowMillis();
   const timer = setTimeout(source.cancel, Math.max(0, leftMillis));
-  const end = await options.sender.send({
+  const request: UpstreamRequest = {
     attemptId: call.attemptId,
     upstreamId: call.upstreamId,
     callerService: call.callerService,
@@ -149,11 +152,15 @@
     body,
     timeoutMillis: Math.max(1, Math.floor(leftMillis)),
     cancel: source.signal,
+  };
+  return new Promise(resolve => {
+    options.sender.send(request, end => {
+      clearTimeout(timer);
+      left.dispose();
+      abandoned.dispose();
+      resolve(end);
+    });
   });
-  clearTimeout(timer);
-  left.dispose();
-  abandoned.dispose();
-  return end;
 }
 
 /** Gives the slot back and learns from how the upstream did. */
