--- a/src/base/cancel_signal.ts
+++ b/src/base/cancel_signal.ts
@@ -16,6 +16,11 @@
   cancel(): void;
 }
 
+/** Plain fields: an accessor in a literal makes each object costly to create. */
+interface OwnSignal extends CancelSignal {
+  isCancelled: boolean;
+}
+
 const NOTHING: Disposable = {dispose: () => undefined};
 
 /** Creates a source that has not been cancelled. */
@@ -23,7 +28,6 @@
   /** Most have one or none, and no set is made for these. */
   let first: (() => void) | undefined;
   let others: Set<() => void> | undefined;
-  let isCancelled = false;
   const add = (listener: () => void): void => {
     if (first === undefined) {
       first = listener;
@@ -36,12 +40,10 @@
     if (first === listener) first = undefined;
     else others?.delete(listener);
   };
-  const signal: CancelSignal = {
-    get isCancelled() {
-      return isCancelled;
-    },
+  const signal: OwnSignal = {
+    isCancelled: false,
     onCancel: listener => {
-      if (isCancelled) {
+      if (signal.isCancelled) {
         listener();
         return NOTHING;
       }
@@ -56,8 +58,8 @@
   return {
     signal,
     cancel: () => {
-      if (isCancelled) return;
-      isCancelled = true;
+      if (signal.isCancelled) return;
+      signal.isCancelled = true;
       const listeners = [first, ...(others ?? [])];
       first = undefined;
       others = undefined;
--- a/src/connection/frame_connection.ts
+++ b/src/connection/frame_connection.ts
@@ -12,8 +12,6 @@
 export interface FrameConnection {
   /** Queues a frame; frames of one turn of the event loop go out together. */
   send(kind: FrameKind, channelId: number, ...parts: readonly Buffer[]): void;
-  /** When bytes came in last; 0 before the first. */
-  readonly heardMillis: number;
   /** Sends what is queued and ends the connection. */
   end(): void;
   /** Closes at once. */
@@ -22,7 +20,8 @@
 
 /** What a connection needs. */
 export interface FrameConnectionOptions {
-  readonly nowMillis: () => number;
+  /** Bytes came in. */
+  readonly onHeard: () => void;
   readonly onFrame: (frame: Frame) => void;
   /** Called once, when the connection has closed for whatever reason. */
   readonly onClosed: (reason: string) => void;
@@ -73,9 +72,7 @@
   socket: Socket,
   options: FrameConnectionOptions,
 ): CarriedFrames {
-  const {nowMillis} = options;
   let queued: Buffer[] = [];
-  let heardMillis = 0;
   let closeReason = 'closed';
   let isClosed = false;
 
@@ -97,7 +94,7 @@
   const reader = createFrameReader(options.onFrame);
 
   const receive = (chunk: Buffer): void => {
-    heardMillis = nowMillis();
+    options.onHeard();
     try {
       reader.push(chunk);
     } catch (error) {
@@ -122,9 +119,6 @@
       if (queued.length === 0) setImmediate(flush);
       queued.push(encodeFrame(kind, channelId, parts));
     },
-    get heardMillis() {
-      return heardMillis;
-    },
     end: () => {
       flush();
       socket.end();
--- a/src/connection/hop_link.ts
+++ b/src/connection/hop_link.ts
@@ -66,6 +66,16 @@
 
 const GRANT_LENGTH_BYTES = 4;
 
+/** Plain fields, which are read for each choice of a connection. */
+interface OwnLink extends HopLink {
+  instanceId: string | undefined;
+  openCount: number;
+  heardMillis: number;
+  waitingSinceMillis: number | undefined;
+  isLeaving: boolean;
+  usedMillis: number;
+}
+
 interface Channel {
   readonly hop: OutgoingHop;
   rest: ReceivedRest | undefined;
@@ -76,12 +86,9 @@
   const {peer, nowMillis} = options;
   const channels = new Map<number, Channel>();
   let channelsCount = 0;
-  let instanceId: string | undefined;
   let isConnected = false;
   let isRetired = false;
-  let isLeaving = false;
   let hasTimedOut = false;
-  let usedMillis = nowMillis();
 
   const timer = setTimeout(() => {
     hasTimedOut = true;
@@ -90,10 +97,15 @@
 
   /** Only this side knows when nothing is on its way to a process that ends. */
   const endIfLeft = (): void => {
-    if (isLeaving && channels.size === 0) connection.end();
+    if (link.isLeaving && channels.size === 0) connection.end();
+  };
+  const noteChannels = (): void => {
+    link.openCount = channels.size;
+    link.waitingSinceMillis = oldestStart(channels);
   };
   const closeChannel = (channelId: number): void => {
     channels.delete(channelId);
+    noteChannels();
     endIfLeft();
   };
   const openChannel = (hop: OutgoingHop): number => {
@@ -101,11 +113,12 @@
     const channelId = channelsCount;
     const channel: Channel = {hop, rest: undefined};
     channels.set(channelId, channel);
+    noteChannels();
     hop.release = () => {
       // Its answer has come, or nobody waits for it any more.
       if (channel.rest === undefined) cancelChannel(channelId);
     };
-    usedMillis = nowMillis();
+    link.usedMillis = nowMillis();
     return channelId;
   };
   const cancelChannel = (channelId: number): void => {
@@ -176,12 +189,13 @@
     else rest?.fail(failure);
   };
   const onFrame = ({kind, channelId, payload}: Frame): void => {
-    options.onHeard();
     const channel = channels.get(channelId);
     switch (kind) {
       case FRAME_KIND.hello:
-        instanceId = payload.toString();
-        for (const {hop} of channels.values()) hop.instanceId = instanceId;
+        link.instanceId = payload.toString();
+        for (const {hop} of channels.values()) {
+          hop.instanceId = link.instanceId;
+        }
         options.onReady();
         break;
       case FRAME_KIND.bodyWanted:
@@ -205,7 +219,7 @@
         receiveClaimed(channelId, payload.toString() as ClaimState);
         break;
       case FRAME_KIND.goingAway:
-        isLeaving = true;
+        link.isLeaving = true;
         endIfLeft();
         break;
       default:
@@ -222,10 +236,14 @@
       hops.push(hop);
     }
     channels.clear();
+    noteChannels();
     return hops;
   };
   const connection = openFrameConnection(peer, {
-    nowMillis,
+    onHeard: () => {
+      link.heardMillis = nowMillis();
+      options.onHeard();
+    },
     onConnected: () => {
       clearTimeout(timer);
       isConnected = true;
@@ -242,34 +260,20 @@
     },
   });
 
-  return {
-    get instanceId() {
-      return instanceId;
-    },
-    get openCount() {
-      return channels.size;
-    },
-    get heardMillis() {
-      return connection.heardMillis;
-    },
-    get waitingSinceMillis() {
-      // The oldest channel stands first.
-      for (const {hop} of channels.values()) return hop.startedMillis;
-      return undefined;
-    },
-    get isLeaving() {
-      return isLeaving;
-    },
-    get usedMillis() {
-      return usedMillis;
-    },
+  const link: OwnLink = {
+    instanceId: undefined,
+    openCount: 0,
+    heardMillis: 0,
+    waitingSinceMillis: undefined,
+    isLeaving: false,
+    usedMillis: nowMillis(),
     hops: () =>
       [...channels.values()]
         .filter(channel => channel.rest === undefined)
         .map(channel => channel.hop),
     send: hop => {
       const channelId = openChannel(hop);
-      hop.instanceId = instanceId;
+      hop.instanceId = link.instanceId;
       connection.send(FRAME_KIND.request, channelId, hop.request);
       if (hop.isBodyHeldBack) return;
       if (hop.body.length > 0) sendBody(channelId, hop);
@@ -289,4 +293,13 @@
       return hops;
     },
   };
+  return link;
+}
+
+/** The oldest channel stands first. */
+function oldestStart(
+  channels: ReadonlyMap<number, Channel>,
+): number | undefined {
+  for (const {hop} of channels.values()) return hop.startedMillis;
+  return undefined;
 }
--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -44,6 +44,8 @@
 /** Loads of other upstreams are told on each connection at this interval. */
 const REPORT_MILLIS = 100;
 
+const NOTHING = (): void => undefined;
+
 /** State that all connections of a listener share. */
 interface ListenerState {
   readonly arrivals: ReturnType<typeof createHopRegistry<OwnedArrival>>;
@@ -180,7 +182,7 @@
     }
   };
   const connection: FrameConnection = acceptFrameConnection(socket, {
-    nowMillis: options.nowMillis,
+    onHeard: NOTHING,
     onFrame,
     onClosed: () => {
       const left = [...channels.values()];
--- a/src/connection/outgoing_hop.ts
+++ b/src/connection/outgoing_hop.ts
@@ -58,6 +58,12 @@
   readonly onEnd: (end: HopEnd) => void;
 }
 
+/** Plain fields: an accessor in a literal makes each hop costly to create. */
+interface OwnHop extends OutgoingHop {
+  isOpen: boolean;
+  isExpendable: boolean;
+}
+
 /** Bodies up to this size go along with the request; most fit in a packet. */
 const INLINE_BYTES = 65_536;
 
@@ -70,16 +76,15 @@
   const hopId = newHopId();
   const isInline = isRepeatable && body.length <= INLINE_BYTES;
   const bodyForm = isInline ? 'inline' : isRepeatable ? 'follows' : 'held-back';
-  let isOpen = true;
   let isSent = false;
 
   const end = (how: HopEnd): void => {
-    if (!isOpen) return;
-    isOpen = false;
+    if (!hop.isOpen) return;
+    hop.isOpen = false;
     hop.release();
     options.onEnd(how);
   };
-  const hop: OutgoingHop = {
+  const hop: OwnHop = {
     hopId,
     startedMillis: options.startedMillis,
     request: encodeHopRequest(
@@ -88,14 +93,11 @@
     ),
     body: isInline ? NOTHING : body,
     isBodyHeldBack: bodyForm === 'held-back',
-    get isOpen() {
-      return isOpen;
-    },
-    get isExpendable() {
-      return isRepeatable || !isSent;
-    },
+    isOpen: true,
+    isExpendable: true,
     noteSent: () => {
       isSent = true;
+      hop.isExpendable = isRepeatable;
     },
     instanceId: undefined,
     release: () => undefined,
--- a/src/process/in_flight_parents.ts
+++ b/src/process/in_flight_parents.ts
@@ -68,23 +68,26 @@
   };
 }
 
+/** A plain field: an accessor in a literal makes each parent costly to create. */
+interface OwnParent extends InFlightParent {
+  hasFailedCall: boolean;
+}
+
 function createParent(origin: CallOrigin, close: () => void): InFlightParent {
   const calls = new Map<string, number>();
-  let hasFailedCall = false;
-  return {
+  const parent: OwnParent = {
     origin,
     calls,
     close,
-    get hasFailedCall() {
-      return hasFailedCall;
-    },
+    hasFailedCall: false,
     addCalls: counts => {
       for (const [service, count] of counts) {
         calls.set(service, (calls.get(service) ?? 0) + count);
       }
     },
     markFailedCall: () => {
-      hasFailedCall = true;
+      parent.hasFailedCall = true;
     },
   };
+  return parent;
 }
