--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -11,7 +11,7 @@
 import {decodeHopRequest} from '../protocol/hop_request_codec.js';
 import {bindListener, takeAccepted} from './bind_listener.js';
 import type {FrameConnection} from './frame_connection.js';
-import {createFrameConnection} from './frame_connection.js';
+import {acceptFrameConnection} from './frame_connection.js';
 import type {HopArrival, HopChannel, OwnedArrival} from './hop_arrival.js';
 import {createHopArrival} from './hop_arrival.js';
 
@@ -44,6 +44,8 @@
 /** Loads of other upstreams are told on each connection at this interval. */
 const REPORT_MILLIS = 100;
 
+const NOTHING = (): void => undefined;
+
 /** State that all connections of a listener share. */
 interface ListenerState {
   readonly arrivals: ReturnType<typeof createHopRegistry<OwnedArrival>>;
@@ -179,9 +181,8 @@
         connection.destroy();
     }
   };
-  const connection: FrameConnection = createFrameConnection({
-    socket,
-    nowMillis: options.nowMillis,
+  const connection: FrameConnection = acceptFrameConnection(socket, {
+    onHeard: NOTHING,
     onFrame,
     onClosed: () => {
       const left = [...channels.values()];
