A level that has nothing to go by grows by half a bucket each window

Cause: with windows half as long, the one bucket that a level grows by at least came twice as often as before. Change: half a bucket a window, as much in time as before.

--- a/src/process/admission_level.ts
+++ b/src/process/admission_level.ts
@@ -57,6 +57,9 @@
  */
 const GROWTH_GAIN = 0.15;
 
+/** Least that one window adds: the estimate of the work may be too high. */
+const MIN_GROWTH_BUCKETS_COUNT = 0.5;
+
 /** Most buckets that one window adds: a rank in less than a second. */
 const GROWTH_BUCKETS_COUNT = 16;
 
@@ -152,8 +155,7 @@
   };
 
   /**
-   * By what is busy, and what has been let in since adds to it. One bucket at
-   * least, since the estimate of the work may be too high.
+   * By what is busy, and what has been let in since adds to it.
    */
   const grow = (state: WindowState): void => {
     const expected = demand.expectedAt(level);
@@ -166,7 +168,7 @@
     );
     const last = Math.min(LEAST_IMPORTANT, level + GROWTH_BUCKETS_COUNT);
     const fitting = highestWithin(wanted, level, last);
-    level = Math.min(last, Math.max(level + 1, fitting));
+    level = Math.min(last, Math.max(level + MIN_GROWTH_BUCKETS_COUNT, fitting));
   };
 
   return {
