--- a/test/fakes/fleet_replay.ts
+++ b/test/fakes/fleet_replay.ts
@@ -163,7 +163,7 @@
     const start = (): void => {
       if (random.next() < node.rejectRatio) {
         clock.after(REJECT_MILLIS, () => {
-          node.queue.releaseUnused();
+          node.queue.releaseRejected();
           onVerdict('rejected');
         });
         return;
