--- a/test/unit/process/call_trees.test.ts
+++ b/test/unit/process/call_trees.test.ts
@@ -24,6 +24,27 @@
   t.true(Math.abs(trees.countsOf('route').get('tileyard')! - 2) < 0.01);
 });
 
+test('a tree is learned from requests that failed until one succeeds', t => {
+  // Symptom: a node that starts in an overload lets in what fails three hops
+  // below, again and again. Cause: it learns which services a route reaches from
+  // successes only, and there are none while it lets everything in.
+  const trees = createCallTrees();
+  trees.observeFailed('route', new Map([['desk', 1]]));
+  trees.observeFailed(
+    'route',
+    new Map([
+      ['desk', 1],
+      ['catalogue', 2],
+    ]),
+  );
+  t.is(trees.countsOf('route').get('desk'), 1);
+  t.is(trees.countsOf('route').get('catalogue'), 2);
+  trees.observe('route', new Map([['catalogue', 4]]));
+  t.deepEqual([...trees.countsOf('route')], [['catalogue', 4]]);
+  trees.observeFailed('route', new Map([['other', 1]]));
+  t.is(trees.countsOf('route').get('other'), undefined);
+});
+
 test('a call belongs to the request that its id is derived from', t => {
   const parents = createInFlightParents();
   const parent = parents.open('root.a', ORIGIN);
