Trees are learned from requests that failed as long as none succeeded

Cause: an entry learned which services a route reaches from successes only; a node that starts in an overload goes on letting in what fails at services it has never heard of. Change: the calls told with a failed answer count as what the route reaches at least, until the first success.

--- a/src/process/call_trees.ts
+++ b/src/process/call_trees.ts
@@ -13,6 +13,11 @@
 export interface CallTrees {
   /** Learns from a request that was answered with success. */
   observe(routeName: string, counts: CallCounts): void;
+  /**
+   * Learns from a request that failed after some of its calls, as long as none
+   * has succeeded: what it reached at least.
+   */
+  observeFailed(routeName: string, counts: CallCounts): void;
   /** Mean calls of one request for each service; empty if not known. */
   countsOf(routeName: string): CallCounts;
 }
@@ -28,11 +33,21 @@
 /** Creates trees that know nothing. */
 export function createCallTrees(): CallTrees {
   const trees = new Map<string, Map<string, number>>();
+  const failedTrees = new Map<string, Map<string, number>>();
   return {
+    observeFailed: (routeName, counts) => {
+      if (trees.has(routeName)) return;
+      const tree = failedTrees.get(routeName) ?? new Map<string, number>();
+      failedTrees.set(routeName, tree);
+      for (const [service, count] of counts) {
+        tree.set(service, Math.max(count, tree.get(service) ?? 0));
+      }
+    },
     observe: (routeName, counts) => {
       const tree = trees.get(routeName);
       if (tree === undefined) {
         trees.set(routeName, new Map(counts));
+        failedTrees.delete(routeName);
         return;
       }
       for (const [service, mean] of tree) {
@@ -45,6 +60,7 @@
         if (!tree.has(service)) tree.set(service, sample * SAMPLE_WEIGHT);
       }
     },
-    countsOf: routeName => trees.get(routeName) ?? NO_CALLS,
+    countsOf: routeName =>
+      trees.get(routeName) ?? failedTrees.get(routeName) ?? NO_CALLS,
   };
 }
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -282,17 +282,19 @@
   };
 }
 
-/** Learns the tree of calls from requests that succeeded. */
+/** Learns the tree of calls from what the upstream answered. */
 function learn(
   options: OutboundOptions,
   entered: EnteredRequest,
   end: AttemptsEnd,
 ): void {
   const {last} = end;
-  if (last.kind !== 'answered' || last.answer.statusCode >= 300) return;
+  if (last.kind !== 'answered') return;
   const counts = new Map(last.calls);
   counts.set(entered.service, (counts.get(entered.service) ?? 0) + 1);
-  options.trees.observe(entered.route.name, counts);
+  const {name} = entered.route;
+  if (last.answer.statusCode < 300) options.trees.observe(name, counts);
+  else if (last.hasFailedCall) options.trees.observeFailed(name, counts);
 }
 
 function reportToParent(
--- a/test/fakes/fleet_replay.ts
+++ b/test/fakes/fleet_replay.ts
@@ -311,6 +311,7 @@
         } else if (root.runs.length === 0) {
           refuse();
         } else {
+          node.trees.observeFailed(route.name, calls);
           outcome.failedCount += 1;
         }
       },
