Levels grow slowly near their target; loads of others are gathered once in 20 ms

The list of services that shed was filtered and sorted for each report sent, and the settled level was looked for among eight at each arrival. Change: growth by the square of the room left; both are kept.

--- a/src/process/admission_level.ts
+++ b/src/process/admission_level.ts
@@ -52,10 +52,11 @@
 const MIN_KEPT_RATIO = 0.7;
 
 /**
- * Part of the room left by which one window lets the work grow. Its effect
- * shows some five windows later, so that all of these together stay below it.
+ * Growth in one window for the square of the room left. The effect shows some
+ * five windows later: near the target the level goes slowly, or it would pass
+ * it by as much again; after a burst, with half of the slots free, quickly.
  */
-const GROWTH_GAIN = 0.15;
+const GROWTH_GAIN = 0.5;
 
 /** Least that one window adds: the estimate of the work may be too high. */
 const MIN_GROWTH_BUCKETS_COUNT = 0.5;
@@ -164,7 +165,7 @@
     const room = TARGET_RATIO / Math.max(MIN_BUSY_RATIO, busy);
     const wanted = Math.min(
       room * settled,
-      (1 + (room - 1) * GROWTH_GAIN) * expected,
+      (1 + GROWTH_GAIN * (room - 1) ** 2) * expected,
     );
     const last = Math.min(LEAST_IMPORTANT, level + GROWTH_BUCKETS_COUNT);
     const fitting = highestWithin(wanted, level, last);
--- a/src/process/load_board.ts
+++ b/src/process/load_board.ts
@@ -45,7 +45,7 @@
 /** Reports beyond this age are dropped. */
 const FORGET_MILLIS = 10_000;
 
-/** How long a summary of a service is reused, to spare the hot path. */
+/** How long what is summed up of reports is reused, to spare the hot path. */
 const CACHE_MILLIS = 20;
 
 /** One upstream's part in its service. */
@@ -64,6 +64,9 @@
   const reports = new Map<string, LoadReport>();
   const cache = new Map<string, Summary>();
 
+  let shedding: readonly LoadReport[] = [];
+  let sheddingUntilMillis = -Infinity;
+
   const summaryOf = (service: string): Summary => {
     const now = nowMillis();
     const cached = cache.get(service);
@@ -83,16 +86,11 @@
     levelOf: service => summaryOf(service).load?.level ?? LEAST_IMPORTANT,
     serviceLoadOf: service => summaryOf(service).load,
     shedding: () => {
-      const since = nowMillis() - FRESH_MILLIS;
-      const fresh = [...reports.values()].filter(
-        report => report.madeAtMillis > since,
-      );
-      const services = new Set(
-        fresh.filter(isShedding).map(report => report.service),
-      );
-      return fresh
-        .filter(report => services.has(report.service))
-        .sort((a, b) => b.madeAtMillis - a.madeAtMillis);
+      const now = nowMillis();
+      if (now < sheddingUntilMillis) return shedding;
+      sheddingUntilMillis = now + CACHE_MILLIS;
+      shedding = sheddingAmong(reports.values(), now);
+      return shedding;
     },
     expire: () => {
       const since = nowMillis() - FORGET_MILLIS;
@@ -148,6 +146,21 @@
   return LEAST_IMPORTANT;
 }
 
+/** Reports of services of which an upstream sheds, the newest first. */
+function sheddingAmong(
+  reports: Iterable<LoadReport>,
+  now: number,
+): readonly LoadReport[] {
+  const since = now - FRESH_MILLIS;
+  const fresh = [...reports].filter(({madeAtMillis}) => madeAtMillis > since);
+  const services = new Set(
+    fresh.filter(isShedding).map(({service}) => service),
+  );
+  return fresh
+    .filter(({service}) => services.has(service))
+    .sort((a, b) => b.madeAtMillis - a.madeAtMillis);
+}
+
 function isShedding(report: LoadReport): boolean {
   return report.level < LEAST_IMPORTANT;
 }
--- a/src/process/rank_demand.ts
+++ b/src/process/rank_demand.ts
@@ -53,9 +53,10 @@
   const estimates = new Array<number | undefined>(RANKS_COUNT);
   let recentLevels: readonly number[] = [LEAST_IMPORTANT];
 
-  const settledLevel = (): number => Math.min(...recentLevels);
+  /** Asked for each request, so it is kept. */
+  let settled = LEAST_IMPORTANT;
 
-  const measure = (rank: number, settled: number): void => {
+  const measure = (rank: number): void => {
     const count = bucketsIn(rank, settled);
     if (count < TRUSTED_BUCKETS_COUNT) return;
     const sample = (windowWork[rank] ?? 0) / count;
@@ -70,17 +71,17 @@
 
   return {
     record: (importance, costMillis) => {
-      if (importance > settledLevel()) return;
+      if (importance > settled) return;
       const rank = rankOf(importance);
       windowWork[rank] = (windowWork[rank] ?? 0) + costMillis;
     },
     endWindow: level => {
-      const settled = settledLevel();
-      for (let rank = 0; rank < RANKS_COUNT; rank += 1) measure(rank, settled);
+      for (let rank = 0; rank < RANKS_COUNT; rank += 1) measure(rank);
       windowWork.fill(0);
       recentLevels = [level, ...recentLevels].slice(0, SETTLING_WINDOWS_COUNT);
+      settled = Math.min(...recentLevels);
     },
-    settledLevel,
+    settledLevel: () => settled,
     lastLevel: () => {
       const last = estimates.findLastIndex(known => (known ?? 0) > 0);
       return last < 0 ? LEAST_IMPORTANT : (last + 1) * BUCKETS_COUNT - 1;
