Failing test: an attempt given up by a node that stops

A read came 1.4 s after the signal, its upstream ran it, and 148 ms later the client got 502: given up as too slow, and nobody took the second try.

--- a/test/contract/platform_stop_late.test.ts
+++ b/test/contract/platform_stop_late.test.ts
@@ -11,6 +11,12 @@
 /** By now clients have been told for seconds that this host is not ready. */
 const LATE_MILLIS = 2700;
 
+/** After so many answers a node knows how long one usually takes. */
+const ATTEMPTS_UNTIL_LEARNED = 60;
+
+/** Much longer than answers on one host take, and than the least patience. */
+const UNUSUAL_MILLIS = 700;
+
 /** A route to the upstream beside the node that stops. */
 const SHOP_PATH = fleetPath({
   name: 'r-3',
@@ -135,3 +141,33 @@
   t.is(client.received.match(/connection: close/gi)?.length, 1);
   await stopped;
 });
+
+test('a node that stops does not give up what an upstream works on', async t => {
+  // A read ended with a failure 1.6 s after its node had been told to stop,
+  // though its upstream was at work on it: it took longer than usual (148 ms),
+  // was given up for another upstream, and that one did not take it. A node that
+  // runs would have looked further; one that stops has no time for a second try.
+  const fleet = await startFleet(t, {
+    services: ['shop', 'orders', 'orders'],
+    paths: [SAFE_PATH],
+  });
+  const [shop, ...orders] = fleet.hosts;
+  for (let sent = 0; sent < ATTEMPTS_UNTIL_LEARNED; sent += 1) {
+    const attemptId = `usual-${String(sent)}`;
+    await fleet.send(shop!, {attemptId, path: '/a/1'});
+  }
+  const received: ReceivedRequest[] = [];
+  for (const {backend} of orders) {
+    backend.setBehaviour(request => {
+      received.push(request);
+    });
+  }
+  const stopped = shop!.node.stop();
+  const pending = fleet.send(shop!, {attemptId: 'slow', path: '/a/1'});
+  await waitUntil('at work', () => received.length > 0);
+  await sleep(UNUSUAL_MILLIS);
+  for (const request of received) request.answer(200, 'done');
+  t.is((await pending).statusCode, 200);
+  t.is(received.length, 1);
+  await stopped;
+});
