A node that stops does not give up an attempt that is at work

Cause: an attempt that takes longer than usual is given up for another upstream, whatever time its node has left; where nobody takes the second try the first one, at which an upstream was at work, is lost.

Change: no giving up once the stop has begun. What falls silent is still found by the watch over peers.

--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -99,6 +99,7 @@
       placement: decisions.placement,
       rules: createRepeatRules({...decisions, nowMillis}),
       patience: createAttemptPatience(),
+      stop: options.stop,
       hostKey: settings().hostKey,
       local,
       remote,
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -7,6 +7,7 @@
 import type {RemoteExecution} from '../connection/remote_execution.js';
 import type {AttemptPatience} from '../process/attempt_patience.js';
 import type {AttemptEnd, PlacementChooser} from '../process/placement.js';
+import type {StopPlan} from '../process/stop_plan.js';
 import type {UpstreamEntry} from '../process/upstream_entry.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {ServiceRoute} from '../version/route_configuration.js';
@@ -47,6 +48,7 @@
   readonly remote: RemoteExecution;
   readonly rules: RepeatRules;
   readonly patience: AttemptPatience;
+  readonly stop: StopPlan;
   readonly nowMillis: () => number;
   readonly onAttempt: (end: ExecutionEnd) => void;
   readonly onRetry: (request: AttemptedRequest, reason: HopReason) => void;
@@ -174,7 +176,12 @@
       ? patience.patienceMillis(key)
       : undefined,
     execute: patientCall => attemptAt(options, entry, patientCall),
-    mayGiveUp: () => hasNext() && rules.mayGiveUp(request, sentCount),
+    // A node that stops may end before a second try does, and the first one, at
+    // which an upstream is at work, would be lost with it.
+    mayGiveUp: () =>
+      !options.stop.isStopping &&
+      hasNext() &&
+      rules.mayGiveUp(request, sentCount),
   });
   if (patient.isGivenUp) patience.observeGivenUp(key);
   else if (patient.end.kind === 'answered') {
--- a/test/unit/request/attempts.test.ts
+++ b/test/unit/request/attempts.test.ts
@@ -7,6 +7,7 @@
 import {createAttemptPatience} from '../../../src/process/attempt_patience.js';
 import {createLoadBoard} from '../../../src/process/load_board.js';
 import {createPlacementChooser} from '../../../src/process/placement.js';
+import {createStopPlan} from '../../../src/process/stop_plan.js';
 import {createRetryGrant} from '../../../src/process/shared_retry_grant.js';
 import {createUpstreamDirectory} from '../../../src/process/upstream_directory.js';
 import {createAttempts} from '../../../src/request/attempts.js';
@@ -85,6 +86,7 @@
     },
     rules: RULES,
     patience: createAttemptPatience(),
+    stop: createStopPlan(nowMillis, () => 0),
     nowMillis,
     onAttempt: () => undefined,
     onRetry: () => undefined,
