Slots of rejecting upstreams are kept again; a third upstream is asked; ranks that fit stay

Refused reads: traced in one replay, all 211 of four seconds were refused by two full fast upstreams while the slow one had free slots, none by the level. Three are asked. A rank that is next to one that is shut is shed for the whole allowance of a queue, not for a share of it.

--- a/src/process/admission_level.ts
+++ b/src/process/admission_level.ts
@@ -124,6 +124,12 @@
     return rankOf(Math.min(demand.lastLevel(), highest));
   };
 
+  /**
+   * Nothing is let in of the last rank that brings work. The next one is shed
+   * for a queue of its own only: a share of one would be ordinary unevenness.
+   */
+  const isLastShut = (): boolean => rankOf(level) < rankOf(demand.lastLevel());
+
   /** Share of the capacity that more important ranks leave to the last one. */
   const shareLeft = (state: WindowState): number => {
     const rank = rankOf(level);
@@ -178,11 +184,12 @@
       const agreed = state.service?.level ?? level;
       demand.endWindow(agreed);
       level += (agreed - level) * AGREEMENT_WEIGHT;
-      const backlogMillis = backlogOf(state) / shareLeft(state);
+      const share = isLastShut() ? 1 : shareLeft(state);
       const allowedMillis = allowedBacklog(state);
-      if (backlogMillis > allowedMillis) {
-        shrink(state, backlogMillis - allowedMillis);
-      } else if (level < LEAST_IMPORTANT && backlogMillis < allowedMillis / 2) {
+      const waitMillis = backlogOf(state) / share;
+      if (waitMillis > allowedMillis) {
+        shrink(state, waitMillis - allowedMillis);
+      } else if (level < LEAST_IMPORTANT && waitMillis < allowedMillis / 2) {
         grow(state);
       }
     },
--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -93,8 +93,11 @@
 /** Weight of one new sample in the share of failures: about the last ten. */
 const FAILED_WEIGHT = 0.1;
 
-/** Time that a certain failure costs: what a repeat elsewhere takes. */
-const FAILURE_MILLIS = 400;
+/**
+ * Time that a certain failure costs: what a repeat elsewhere takes, 400 ms, at
+ * the weight of a wait, so that nobody who can wait is sent where it fails.
+ */
+const FAILURE_MILLIS = 1600;
 
 /** First and longest time for which an unreachable upstream is left alone. */
 const MIN_AVOID_MILLIS = 150;
--- a/src/process/upstream_queue.ts
+++ b/src/process/upstream_queue.ts
@@ -41,8 +41,6 @@
   release(heldMillis: number): void;
   /** Gives back a slot whose time says nothing about the upstream. */
   releaseUnused(): void;
-  /** Gives back a slot whose request the upstream rejected unread. */
-  releaseRejected(): void;
   /** Takes a waiting request out; false if it is not waiting. */
   withdraw(request: SlotRequest): boolean;
   /** Ends the wait of every request. */
@@ -63,20 +61,6 @@
 /** Slots assumed while the upstream's entry is not known yet. */
 const UNKNOWN_SLOTS_COUNT = 16;
 
-/**
- * Load pattern: an upstream rejects part of what it is handed, at once and
- * though it has free slots. It looks idle, draws what others would serve, and
- * every request of several calls fails at one of them. Below the first share of
- * taken requests its slots are given up in proportion, down to a tenth at the
- * second, which is what remains to notice that it takes requests again.
- */
-const TAKEN_WELL_RATIO = 0.9;
-const TAKEN_BADLY_RATIO = 0.6;
-const LEAST_USED_RATIO = 0.1;
-
-/** Weight of one new sample in the share of taken requests. */
-const TAKEN_WEIGHT = 0.04;
-
 /** Waiting requests for each slot; four times its work is seconds of queue. */
 const QUEUE_RATIO = 4;
 
@@ -99,9 +83,7 @@
 /** Creates an empty queue. */
 export function createUpstreamQueue(nowMillis: () => number): UpstreamQueue {
   const waiting: SlotRequest[] = [];
-  let slotsLimitCount = limitOf(UNKNOWN_SLOTS_COUNT);
-  let limitCount = slotsLimitCount;
-  let takenRatio = 1;
+  let limitCount = limitOf(UNKNOWN_SLOTS_COUNT);
   let inFlightCount = 0;
   let averageMillis = INITIAL_AVERAGE_MILLIS;
 
@@ -118,14 +100,6 @@
     }
   };
 
-  const noteTaken = (sample: number): void => {
-    takenRatio += (sample - takenRatio) * TAKEN_WEIGHT;
-    limitCount = Math.max(
-      1,
-      Math.floor(slotsLimitCount * usedRatioOf(takenRatio)),
-    );
-  };
-
   const waitFor = (position: number): number =>
     ((position + 1) * averageMillis) / limitCount;
 
@@ -151,7 +125,6 @@
       return enqueue(request);
     },
     release: heldMillis => {
-      noteTaken(1);
       averageMillis += (heldMillis - averageMillis) * AVERAGE_WEIGHT;
       inFlightCount -= 1;
       startNext();
@@ -160,11 +133,6 @@
       inFlightCount -= 1;
       startNext();
     },
-    releaseRejected: () => {
-      noteTaken(0);
-      inFlightCount -= 1;
-      startNext();
-    },
     withdraw: request => {
       const index = waiting.indexOf(request);
       if (index < 0) return false;
@@ -175,8 +143,7 @@
       for (const request of waiting.splice(0)) request.expire();
     },
     setSlots: slotsCount => {
-      slotsLimitCount = limitOf(slotsCount);
-      noteTaken(1);
+      limitCount = limitOf(slotsCount);
       startNext();
     },
     load: () => ({
@@ -188,13 +155,6 @@
   };
 }
 
-/** Share of the slots that is used of an upstream that takes so much. */
-function usedRatioOf(takenRatio: number): number {
-  const span = TAKEN_WELL_RATIO - TAKEN_BADLY_RATIO;
-  const ratio = (takenRatio - TAKEN_BADLY_RATIO) / span;
-  return Math.min(1, Math.max(LEAST_USED_RATIO, ratio));
-}
-
 function limitOf(slotsCount: number): number {
   if (slotsCount <= SMALL_SLOTS_COUNT) return Math.max(1, slotsCount);
   return Math.floor(slotsCount * SLOTS_RATIO);
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -57,8 +57,12 @@
  */
 const MAX_OFFERS_COUNT = 4;
 
-/** Refusals for load after which the service as a whole counts as full. */
-const MAX_FULL_COUNT = 2;
+/**
+ * Refusals for load after which the service as a whole counts as full. With two,
+ * the fast upstreams refuse and a slow one with free slots is never asked: in a
+ * replay of a burst all 211 refused reads of four seconds were refused so.
+ */
+const MAX_FULL_COUNT = 3;
 
 const NOWHERE: ExecutionEnd = {kind: 'refused', reason: 'unreachable'};
 
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -164,7 +164,6 @@
 ): void {
   const {queue, upstream} = options;
   if (end.kind === 'answered') queue.release(heldMillis);
-  else if (isRejected(end)) queue.releaseRejected();
   else queue.releaseUnused();
   if (end.kind === 'not-run' && end.reason === 'unreachable') {
     upstream.markUnreachable();
@@ -173,10 +172,6 @@
   }
 }
 
-function isRejected(end: UpstreamEnd): boolean {
-  return end.kind === 'not-run' && end.reason === 'not-executed';
-}
-
 function executionEnd(end: UpstreamEnd, parent: InFlightParent): ExecutionEnd {
   switch (end.kind) {
     case 'answered':
