--- a/src/process/upstream_directory.ts
+++ b/src/process/upstream_directory.ts
@@ -69,7 +69,7 @@
   readonly nowMillis: () => number;
   /** Called when lookups show the change already. */
   readonly onChange: (change: DirectoryChange) => void;
-  /** Whether the configuration in force names a service; it does if left out. */
+  /** Whether the configuration in force names a service; left out, it names all. */
   readonly isServiceNamed?: (service: string) => boolean;
   /** Interval at which an upstream writes its entry. */
   readonly heartbeatMillis?: number | undefined;
