--- a/src/connection/node_listener.ts
+++ b/src/connection/node_listener.ts
@@ -18,7 +18,7 @@
   /** The sender holds the body back until it is asked for. */
   readonly isBodyHeldBack: boolean;
   /** Nothing behind it has been read on its connection, whose end loses nothing. */
-  readonly isLastRead: boolean;
+  isLastRead(): boolean;
   /** Its answer ends the connection: what comes behind it is not handled. */
   endConnection(): void;
 }
@@ -126,9 +126,7 @@
       response,
       cancel: source.signal,
       isBodyHeldBack,
-      get isLastRead() {
-        return connection.newest === response;
-      },
+      isLastRead: () => connection.newest === response,
       endConnection: () => {
         connection.isEnding = true;
       },
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -126,7 +126,7 @@
     isUnread: boolean,
   ): readonly string[] => {
     if (!options.stop.isStopping && !isUnread) return [];
-    if (!exchange.isLastRead) return [];
+    if (!exchange.isLastRead()) return [];
     exchange.endConnection();
     return ['connection', 'close'];
   };
--- a/test/unit/connection/node_listener.test.ts
+++ b/test/unit/connection/node_listener.test.ts
@@ -36,8 +36,8 @@
   ask('/2');
   await waitUntil('two read', () => exchanges.length === 2);
   const [first, second] = exchanges;
-  t.false(first!.isLastRead);
-  t.true(second!.isLastRead);
+  t.false(first!.isLastRead());
+  t.true(second!.isLastRead());
   second!.endConnection();
   second!.response.writeHead(200, {connection: 'close', 'content-length': 0});
   second!.response.end();
