Failing test: an item without a value

One more row of the table of what another writer may leave. The node takes it for a broken answer of the store, sends the same watch again and again and sees no later change.

--- a/test/contract/platform_foreign_entries.test.ts
+++ b/test/contract/platform_foreign_entries.test.ts
@@ -26,7 +26,7 @@
 
 /** What another writer may leave, with the field that is named in the log. */
 const FOREIGN_ENTRIES: ReadonlyArray<
-  readonly [string, string, (address: string) => string]
+  readonly [string, string, (address: string) => string | undefined]
 > = [
   [
     'an unnamed state',
@@ -65,6 +65,7 @@
     at => Buffer.from(entryText(at, {x: '\xff'}), 'latin1').toString('base64'),
   ],
   ['nothing', 'entry', () => ''],
+  ['no value', 'entry', () => undefined],
 ];
 
 /** Whether a node told of a broken entry under a key. */
--- a/test/fakes/stand_in_store.ts
+++ b/test/fakes/stand_in_store.ts
@@ -16,7 +16,7 @@
   readonly callsCount: number;
   put(key: string, value: object): void;
   /** Writes what another writer left there; `text` stands where base64 should. */
-  putRaw(key: string, text: string): void;
+  putRaw(key: string, text: string | undefined): void;
   remove(key: string): void;
   setMode(mode: StoreMode): void;
   /** Forgets the history: watches from the past get 410. */
@@ -29,7 +29,7 @@
 interface Change {
   readonly key: string;
   readonly rev: number;
-  readonly value?: string;
+  readonly value?: string | undefined;
   readonly created?: number;
   readonly lease?: number;
   readonly deleted?: true;
@@ -132,7 +132,7 @@
     else sendJson(response, 404, {error: 'unknown'});
   };
 
-  const putRaw = (key: string, value: string): void => {
+  const putRaw = (key: string, value: string | undefined): void => {
     revision += 1;
     const change: Change = {
       key,
