A stopping node looks again when a request is whole, and gives up what comes after

Cause: whether a request is taken was asked at its header alone, and what is given up was looked at once; a body that came later was passed on by a process about to end. Calls of the own upstream were taken to the very last.

Change: the plan is asked again when the body is there (503, not run: nothing was sent); calls are taken until what is at work is given up; what is added after that is given up at once; a request that comes in a stop has no deadline beyond it.

--- a/src/process/stop_plan.ts
+++ b/src/process/stop_plan.ts
@@ -7,7 +7,8 @@
  * comes is at work until its grace ends and leaves requests unanswered. Clients
  * have some seconds to learn that this host is not ready; whoever comes later is
  * told at once that the request has not run and when to come back. Calls of the
- * own upstream are taken to the last: what it works on would fail without them.
+ * own upstream are taken until what is at work is given up: without them that
+ * would fail sooner, and after it nobody would be left to answer them.
  */
 
 /** A request that comes in. */
@@ -72,7 +73,8 @@
       finishingUntilMillis = now + graceMillis - partOf(graceMillis, ANSWERING);
       endMillis = now + graceMillis - partOf(graceMillis, ENDING);
     },
-    takes: ({isUpstreams}) => isUpstreams || nowMillis() < takingUntilMillis,
+    takes: ({isUpstreams}) =>
+      nowMillis() < (isUpstreams ? finishingUntilMillis : takingUntilMillis),
   };
 }
 
--- a/src/request/open_requests.ts
+++ b/src/request/open_requests.ts
@@ -15,7 +15,7 @@
   delete(request: AnsweredRequest): void;
   /** Writes a line for each, bounded like all lines for requests. */
   describe(event: string): void;
-  /** Gives all of them up; each is answered at once. */
+  /** Gives all of them up, and what is added later; each is answered at once. */
   giveUp(): void;
 }
 
@@ -25,12 +25,14 @@
   nowMillis: () => number,
 ): OpenRequests {
   const open = new Map<AnsweredRequest, CancelSource>();
+  let isGivenUp = false;
   return {
     get count() {
       return open.size;
     },
     add: (request, source) => {
       open.set(request, source);
+      if (isGivenUp) source.cancel();
     },
     delete: request => {
       open.delete(request);
@@ -49,6 +51,7 @@
       }
     },
     giveUp: () => {
+      isGivenUp = true;
       for (const source of [...open.values()]) source.cancel();
     },
   };
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -119,7 +119,8 @@
     return;
   }
   const parent = options.parents.find(attemptId);
-  if (!options.stop.takes({isUpstreams: isLocal || parent !== undefined})) {
+  const incoming = {isUpstreams: isLocal || parent !== undefined};
+  if (!options.stop.takes(incoming)) {
     answers.turnAway(exchange, {attemptId, route});
     return;
   }
@@ -133,6 +134,11 @@
     return;
   }
   if (body.kind === 'broken') return;
+  // Its body may have come so late that the answer would not come any more.
+  if (!options.stop.takes(incoming)) {
+    answers.turnAway(exchange, {attemptId, route});
+    return;
+  }
   const headers = passedOnHeaders(request.rawHeaders, ownHeaders);
   await serve(options, entered, headers, body.bytes);
 }
@@ -182,9 +188,12 @@
     route,
     service: options.targets.choose(route),
     arrivedMillis,
-    deadlineMillis:
+    // Nobody is left to answer what outlives this node.
+    deadlineMillis: Math.min(
       arrivedMillis +
-      Math.min(route.timeoutMillis, timeoutMillis - ANSWER_MARGIN_MILLIS),
+        Math.min(route.timeoutMillis, timeoutMillis - ANSWER_MARGIN_MILLIS),
+      options.stop.finishingUntilMillis,
+    ),
     parent,
     origin,
   };
