--- /dev/null
+++ b/test/contract/platform_connection_ends.test.ts
@@ -0,0 +1,69 @@
+import test from 'ava';
+import {once} from 'node:events';
+import net from 'node:net';
+import {FLEET_HOST_NAME, SAFE_PATH} from '../fakes/platform_fleet.js';
+import {connectRawClient} from '../fakes/raw_client.js';
+import {signatureOf} from '../fakes/stand_in_backend.js';
+import {startFleet} from '../fakes/test_fleet.js';
+import {waitUntil} from '../fakes/wait_until.js';
+
+test('a request behind an answer without body and length is answered', async t => {
+  // After an answer of 204 the client's next request on the same connection had
+  // no answer, and the connection stayed open: an answer without a length was
+  // noted as one that ends its connection, and only one that has a body does.
+  const fleet = await startFleet(t, {
+    services: ['shop', 'orders'],
+    paths: [SAFE_PATH],
+  });
+  const [shop, orders] = fleet.hosts;
+  orders!.backend.setBehaviour(request => {
+    request.answer(request.attemptId === 'first' ? 204 : 200, '');
+  });
+  const client = await connectRawClient(t, shop!.address, fleet.outboundPort);
+  client.ask('first', '/a/1');
+  await waitUntil('first answer', () => client.statusCodes.length === 1);
+  client.ask('second', '/a/2');
+  await waitUntil('answered', () => client.statusCodes.length === 2);
+  t.deepEqual(client.statusCodes, [204, 200]);
+});
+
+test('a long answer without a length that breaks off is reset, not ended', async t => {
+  // A client took 70,061 bytes of a broken answer for a whole one: its upstream
+  // had been reset in the middle of it, and the node ended the connection in
+  // good order, which is how an answer without a length ends.
+  const fleet = await startFleet(t, {
+    services: ['shop', 'orders'],
+    paths: [SAFE_PATH],
+  });
+  const [shop, orders] = fleet.hosts;
+  orders!.backend.setBehaviour(({attemptId, socket}) => {
+    const signature = signatureOf(orders!.backend.id, attemptId);
+    socket.write(
+      `HTTP/1.1 200 OK\r\nattempt-id: ${attemptId}\r\n` +
+        `response-signature: ${signature}\r\nconnection: close\r\n\r\n`,
+    );
+    socket.write('x'.repeat(LONG_BYTES));
+    setTimeout(() => socket.resetAndDestroy(), 300);
+  });
+  const socket = net.connect(fleet.outboundPort, shop!.address);
+  let receivedBytes = 0;
+  let hasEnded = false;
+  let errorCode: string | undefined;
+  socket.on('data', chunk => (receivedBytes += chunk.length));
+  socket.on('end', () => (hasEnded = true));
+  socket.on(
+    'error',
+    (error: NodeJS.ErrnoException) => (errorCode = error.code),
+  );
+  await once(socket, 'connect');
+  socket.write(
+    `GET /a/1 HTTP/1.1\r\nhost: ${FLEET_HOST_NAME}\r\nattempt-id: long\r\ntimeout-ms: 5000\r\n\r\n`,
+  );
+  await once(socket, 'close');
+  t.true(receivedBytes > LONG_BYTES / 2);
+  t.false(hasEnded);
+  t.is(errorCode, 'ECONNRESET');
+});
+
+/** Longer than what a node holds until it is whole. */
+const LONG_BYTES = 140_000;
