--- a/test/contract/platform_stop_bodies.test.ts
+++ b/test/contract/platform_stop_bodies.test.ts
@@ -64,6 +64,8 @@
     await sleep(lateMillis - 1000);
     socket.write('x');
     await stopped;
+    // What the node has sent by now may still be on its way.
+    await waitUntil('closed', () => socket.closed);
     t.deepEqual(orders.backend.runIds, []);
     t.regex(received, /HTTP\/1\.1 503 /);
   });
