An answer without a length ends its connection where it has a body, and is reset where it broke off

Cause: two places each asked whether such an answer ends its connection, one of them without asking for a body; and a broken rest closed the connection in good order. Change: one condition; a reset where the rest fails. Before: two tests fail; after: they and the tests of answers and connections pass. Open: what is cut by the end of the process itself still ends in good order.

--- a/src/connection/answer_sender.ts
+++ b/src/connection/answer_sender.ts
@@ -23,7 +23,7 @@
     return;
   }
   const fields = [...headers];
-  if (answer.isUnframed && hasBody(answer, method)) {
+  if (endsConnection(answer, method)) {
     sendUnframed(response, answer, fields);
     return;
   }
@@ -41,6 +41,14 @@
   writeWithRest(response, answer, answer.rest);
 }
 
+/** Whether the end of the connection is the end of the answer. */
+export function endsConnection(
+  answer: ReceivedAnswer,
+  method: string,
+): boolean {
+  return answer.isUnframed && hasBody(answer, method);
+}
+
 /**
  * Ends the body with the connection, as the upstream did. A length would
  * vouch for a body that may have been cut short by a crash.
@@ -54,8 +62,17 @@
   response.shouldKeepAlive = false;
   const others = withoutConnection(fields);
   response.writeHead(answer.statusCode, [...others, 'connection', 'close']);
-  if (answer.rest === undefined) response.end(answer.start);
-  else writeWithRest(response, answer, answer.rest);
+  const {rest} = answer;
+  if (rest === undefined) {
+    response.end(answer.start);
+    return;
+  }
+  // An end in good order is the end of such an answer: closed like any other
+  // connection, a broken one would be taken for whole. A reset tells.
+  rest.once('error', () => {
+    response.socket?.resetAndDestroy();
+  });
+  writeWithRest(response, answer, rest);
 }
 
 function withoutConnection(fields: readonly string[]): readonly string[] {
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -1,7 +1,7 @@
 /**
  * Answers at the entry, with the line and the counters that explain each.
  */
-import {sendAnswer} from '../connection/answer_sender.js';
+import {endsConnection, sendAnswer} from '../connection/answer_sender.js';
 import type {Exchange} from '../connection/node_listener.js';
 import {passedOnHeaders} from '../connection/raw_headers.js';
 import {hasBody} from '../connection/request_body.js';
@@ -193,8 +193,8 @@
       ...repeatNotes(request),
       ...closingHeaders(exchange, false),
     ];
-    if (answer.isUnframed) exchange.endConnection();
     const method = exchange.request.method ?? 'GET';
+    if (endsConnection(answer, method)) exchange.endConnection();
     sendAnswer(exchange.response, answer, headers, method);
     const millis = record(request, answer.statusCode);
     if (answer.statusCode < 500) return;
