--- /dev/null
+++ b/src/process/expected_answer.ts
@@ -0,0 +1,43 @@
+/**
+ * When an upstream is expected to answer, by its load and its start.
+ */
+import type {LoadReport} from './load_board.js';
+import type {KnownUpstream} from './upstream_directory.js';
+
+/** A cold upstream is taken to need this many times its usual time. */
+const COLD_FACTOR = 2;
+
+/** Above this share of slots in use, delay grows before a queue shows. */
+const BUSY_RATIO = 0.7;
+
+/**
+ * Weight of a wait against time at work: who waits keeps all behind waiting, so
+ * a slow upstream with a free slot comes before a fast one with a queue. At
+ * equal weight a service with upstreams of half the usual speed queues at the
+ * others before it uses an eighth of its slots.
+ */
+const WAIT_WEIGHT = 4;
+
+/** An upstream as it looks now. */
+export interface ExpectedUpstream {
+  readonly upstream: KnownUpstream;
+  /** Requests of this node that are there now. */
+  readonly ownCount: number;
+  readonly report: LoadReport | undefined;
+  readonly averageMillis: number;
+  readonly now: number;
+}
+
+/** Time after which an upstream is expected to answer a request sent now. */
+export function expectedAnswerMillis(expected: ExpectedUpstream): number {
+  const {upstream, ownCount, report, averageMillis, now} = expected;
+  const cold = upstream.coldUntilMillis > now ? COLD_FACTOR : 1;
+  const average = averageMillis * cold;
+  const limit = Math.max(1, report?.limitCount ?? upstream.entry.slotsCount);
+  const reported = (report?.inFlightCount ?? 0) + (report?.queuedCount ?? 0);
+  const inFlight = Math.max(reported, ownCount);
+  const ratio = inFlight / limit;
+  const waitMillis = Math.max(0, ratio - 1) * average * WAIT_WEIGHT;
+  const busyMillis = Math.max(0, Math.min(1, ratio) - BUSY_RATIO) * average;
+  return average + waitMillis + busyMillis;
+}
--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -7,23 +7,15 @@
  * this node has sent there since; distance counts as time, so that requests
  * stay in their zone unless another one serves them sooner.
  */
+import {expectedAnswerMillis} from './expected_answer.js';
 import type {LoadBoard, LoadReport} from './load_board.js';
 import {createProbeRation} from './probe_ration.js';
 import type {UpstreamEntry} from './upstream_entry.js';
 import type {KnownUpstream, UpstreamDirectory} from './upstream_directory.js';
-import type {UpstreamStart} from './upstream_start.js';
+import type {AttemptEnd, UpstreamRecord} from './upstream_record.js';
+import {learnFrom} from './upstream_record.js';
 import {isSameStart} from './upstream_start.js';
 
-/** How an attempt ended, as far as the choice of upstreams is concerned. */
-export type AttemptEnd =
-  | 'served'
-  /** The upstream answered with a failure of its own, or broke off. */
-  | 'failed'
-  /** The node or the upstream could not be reached, or is leaving. */
-  | 'unreachable'
-  /** Nothing about the upstream follows. */
-  | 'neutral';
-
 /** An upstream chosen for one attempt. */
 export interface Placement {
   readonly upstream: KnownUpstream;
@@ -70,19 +62,6 @@
   readonly random: () => number;
 }
 
-/** What was learned about one start; a later one begins without it. */
-interface Record {
-  readonly start: UpstreamStart;
-  ownCount: number;
-  /** As reported last, kept when the report itself has aged. */
-  averageMillis: number | undefined;
-  lastSentMillis: number;
-  /** Share of recent attempts that failed. */
-  failedRatio: number;
-  failuresInARow: number;
-  avoidUntilMillis: number;
-}
-
 /** Expected to add to an answer: a round trip, and bytes between zones. */
 const SAME_ZONE_MILLIS = 1;
 const OTHER_ZONE_MILLIS = 6;
@@ -97,33 +76,12 @@
 /** Service time assumed while nobody has reported on the service. */
 const UNKNOWN_AVERAGE_MILLIS = 50;
 
-/** A cold upstream is taken to need this many times its usual time. */
-const COLD_FACTOR = 2;
-
-/** Above this share of slots in use, delay grows before a queue shows. */
-const BUSY_RATIO = 0.7;
-
-/**
- * Weight of a wait against time at work: who waits keeps all behind waiting, so
- * a slow upstream with a free slot comes before a fast one with a queue. At
- * equal weight a service with upstreams of half the usual speed queues at the
- * others before it uses an eighth of its slots.
- */
-const WAIT_WEIGHT = 4;
-
-/** Weight of one new sample in the share of failures: about the last ten. */
-const FAILED_WEIGHT = 0.1;
-
 /**
  * Time that a certain failure costs: what a repeat elsewhere takes, 400 ms, at
  * the weight of a wait, so that nobody who can wait is sent where it fails.
  */
 const FAILURE_MILLIS = 1600;
 
-/** First and longest time for which an unreachable upstream is left alone. */
-const MIN_AVOID_MILLIS = 150;
-const MAX_AVOID_MILLIS = 1200;
-
 /**
  * An upstream that this node has sent nothing for this long may get a probe:
  * otherwise a slow past, or no past at all, would last for ever.
@@ -141,14 +99,14 @@
   options: PlacementOptions,
 ): PlacementChooser {
   const {directory, board, nowMillis, random} = options;
-  const records = new Map<string, Record>();
+  const records = new Map<string, UpstreamRecord>();
   const ration = createProbeRation(nowMillis);
 
-  const recordOf = (upstream: KnownUpstream): Record => {
+  const recordOf = (upstream: KnownUpstream): UpstreamRecord => {
     const {entry} = upstream;
     const known = records.get(entry.id);
     if (known !== undefined && isSameStart(known.start, entry)) return known;
-    const created: Record = {
+    const created: UpstreamRecord = {
       start: entry,
       ownCount: 0,
       averageMillis: undefined,
@@ -180,7 +138,7 @@
     const report = board.find(upstream.entry.id);
     record.averageMillis = report?.averageMillis ?? record.averageMillis;
     const averageMillis = record.averageMillis ?? usualMillis(upstream);
-    const answerMillis = expectedMillis({
+    const answerMillis = expectedAnswerMillis({
       upstream,
       ownCount: record.ownCount,
       report,
@@ -295,28 +253,6 @@
   };
 }
 
-interface Expected {
-  readonly upstream: KnownUpstream;
-  /** Requests of this node that are there now. */
-  readonly ownCount: number;
-  readonly report: LoadReport | undefined;
-  readonly averageMillis: number;
-  readonly now: number;
-}
-
-function expectedMillis(expected: Expected): number {
-  const {upstream, ownCount, report, averageMillis, now} = expected;
-  const cold = upstream.coldUntilMillis > now ? COLD_FACTOR : 1;
-  const average = averageMillis * cold;
-  const limit = Math.max(1, report?.limitCount ?? upstream.entry.slotsCount);
-  const reported = (report?.inFlightCount ?? 0) + (report?.queuedCount ?? 0);
-  const inFlight = Math.max(reported, ownCount);
-  const ratio = inFlight / limit;
-  const waitMillis = Math.max(0, ratio - 1) * average * WAIT_WEIGHT;
-  const busyMillis = Math.max(0, Math.min(1, ratio) - BUSY_RATIO) * average;
-  return average + waitMillis + busyMillis;
-}
-
 /**
  * Heard a moment ago to have a queue: a probe would learn nothing but that, and
  * a request with little time to wait would be refused for it. In a replay of a
@@ -332,7 +268,7 @@
 
 function openPlacement(
   upstream: KnownUpstream,
-  record: Record,
+  record: UpstreamRecord,
   nowMillis: () => number,
 ): Placement {
   let isOpen = true;
@@ -344,26 +280,7 @@
       if (!isOpen) return;
       isOpen = false;
       record.ownCount -= 1;
-      learn(record, how, nowMillis());
+      learnFrom(record, how, nowMillis());
     },
   };
 }
-
-function learn(record: Record, how: AttemptEnd, now: number): void {
-  if (how === 'neutral') return;
-  const sample = how === 'failed' ? 1 : 0;
-  record.failedRatio += (sample - record.failedRatio) * FAILED_WEIGHT;
-  if (how !== 'unreachable') {
-    record.failuresInARow = 0;
-    return;
-  }
-  // What was on its way when the upstream was lost fails at the same moment and
-  // counts once.
-  if (record.avoidUntilMillis > now) return;
-  const avoidMillis = Math.min(
-    MAX_AVOID_MILLIS,
-    MIN_AVOID_MILLIS * 2 ** record.failuresInARow,
-  );
-  record.failuresInARow += 1;
-  record.avoidUntilMillis = now + avoidMillis;
-}
