--- a/src/connection/hop_link.ts
+++ b/src/connection/hop_link.ts
@@ -4,7 +4,8 @@
 import type {Endpoint} from '../process/node_settings.js';
 import type {Frame} from '../protocol/hop_frames.js';
 import {FRAME_KIND} from '../protocol/hop_frames.js';
-import type {ClaimState} from '../protocol/hop_messages.js';
+import type {ClaimState, LoadFields} from '../protocol/hop_messages.js';
+import {decodeLoads} from '../protocol/load_codec.js';
 import {decodeHopAnswer} from '../protocol/hop_answer_codec.js';
 import {openFrameConnection} from './frame_connection.js';
 import type {OutgoingHop} from './outgoing_hop.js';
@@ -31,6 +32,8 @@
   claim(hop: OutgoingHop): void;
   /** Asks for a sign of life. */
   ping(): void;
+  /** Asks for what the other end knows of loads. */
+  askLoads(): void;
   /** Closes it and returns the requests that were on it. */
   retire(): readonly OutgoingHop[];
 }
@@ -50,6 +53,7 @@
   /** The other end has introduced itself. */
   readonly onReady: () => void;
   readonly onHeard: () => void;
+  readonly onLoads: (loads: readonly LoadFields[]) => void;
   /** Closed by the other end or the network, with the requests on it. */
   readonly onClosed: (how: LinkClose, hops: readonly OutgoingHop[]) => void;
 }
@@ -66,6 +70,9 @@
 
 const GRANT_LENGTH_BYTES = 4;
 
+/** Any payload: a sign of life that is asked for has none. */
+const LOADS_WANTED = Buffer.from([1]);
+
 /** Plain fields, which are read for each choice of a connection. */
 interface OwnLink extends HopLink {
   instanceId: string | undefined;
@@ -218,6 +225,9 @@
       case FRAME_KIND.claimed:
         receiveClaimed(channelId, payload.toString() as ClaimState);
         break;
+      case FRAME_KIND.pong:
+        if (payload.length > 0) options.onLoads(decodeLoads(payload));
+        break;
       case FRAME_KIND.goingAway:
         link.isLeaving = true;
         endIfLeft();
@@ -286,6 +296,10 @@
     ping: () => {
       connection.send(FRAME_KIND.ping, 0);
     },
+    askLoads: () => {
+      link.usedMillis = nowMillis();
+      connection.send(FRAME_KIND.ping, 0, LOADS_WANTED);
+    },
     retire: () => {
       isRetired = true;
       const hops = takeHops();
--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -7,6 +7,8 @@
 import {createHopRegistry} from '../process/hop_registry.js';
 import type {Frame} from '../protocol/hop_frames.js';
 import {FRAME_KIND} from '../protocol/hop_frames.js';
+import type {LoadFields} from '../protocol/hop_messages.js';
+import {encodeLoads} from '../protocol/load_codec.js';
 import {encodeHopAnswer} from '../protocol/hop_answer_codec.js';
 import {decodeHopRequest} from '../protocol/hop_request_codec.js';
 import {bindListener, takeAccepted} from './bind_listener.js';
@@ -24,6 +26,8 @@
   readonly bodyBytes: () => number;
   /** Answers one request; must not reject. */
   readonly handle: (arrival: HopArrival) => Promise<void>;
+  /** Loads that a node is told which asks for them. */
+  readonly loads: () => readonly LoadFields[];
   readonly nowMillis: () => number;
   /** Bytes came that are no message of a node. */
   readonly onMalformed: (peer: string) => void;
@@ -44,6 +48,8 @@
 /** Loads of other upstreams are told on each connection at this interval. */
 const REPORT_MILLIS = 100;
 
+const EMPTY = Buffer.alloc(0);
+
 const NOTHING = (): void => undefined;
 
 /** State that all connections of a listener share. */
@@ -142,6 +148,10 @@
     channels.set(channelId, arrival);
     void options.handle(arrival);
   };
+  const pong = (channelId: number, areLoadsWanted: boolean): void => {
+    const payload = areLoadsWanted ? encodeLoads(options.loads()) : EMPTY;
+    connection.send(FRAME_KIND.pong, channelId, payload);
+  };
   const claim = (frame: Frame): void => {
     const {channelId} = frame;
     const claimed = state.arrivals.claim(frame.payload.toString());
@@ -171,7 +181,7 @@
         arrival?.grant(payload.readUInt32BE(0));
         break;
       case FRAME_KIND.ping:
-        connection.send(FRAME_KIND.pong, channelId);
+        pong(channelId, payload.length > 0);
         break;
       case FRAME_KIND.claim:
         claim(frame);
--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -3,6 +3,7 @@
  * a request from a lost connection to the next.
  */
 import type {Endpoint} from '../process/node_settings.js';
+import type {LoadFields} from '../protocol/hop_messages.js';
 import type {HopLink, LinkClose} from './hop_link.js';
 import {openHopLink} from './hop_link.js';
 import type {OutgoingHop} from './outgoing_hop.js';
@@ -11,6 +12,8 @@
 /** Another node as requests are sent to it. */
 export interface HopPeer extends WatchedPeer {
   send(hop: OutgoingHop): void;
+  /** Asks for what the node knows of loads. */
+  askLoads(): void;
   /** Closes connections that have not been used for a while. */
   expire(): void;
   dispose(): void;
@@ -21,6 +24,7 @@
   readonly endpoint: Endpoint;
   readonly nowMillis: () => number;
   readonly onHeard: () => void;
+  readonly onLoads: (loads: readonly LoadFields[]) => void;
   /** So many requests went on after their connection was lost. */
   readonly onReplaced: (hopsCount: number) => void;
 }
@@ -71,6 +75,7 @@
       nowMillis,
       onReady,
       onHeard: options.onHeard,
+      onLoads: options.onLoads,
       onClosed: (how, hops) => {
         links.delete(link);
         onFailed(how);
@@ -182,6 +187,9 @@
     send: hop => {
       chooseLink().send(hop);
     },
+    askLoads: () => {
+      chooseLink().askLoads();
+    },
     verify: async isUrgent => {
       const fresh = await openFresh(isUrgent);
       return typeof fresh !== 'string';
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -9,7 +9,7 @@
 import type {Endpoint} from '../process/node_settings.js';
 import type {RetryLoan} from '../process/retry_grant.js';
 import type {UpstreamEntry} from '../process/upstream_entry.js';
-import type {HopAnswer, HopRequest} from '../protocol/hop_messages.js';
+import type {HopRequest, LoadFields} from '../protocol/hop_messages.js';
 import type {ExecutionCall, ExecutionEnd} from './execution.js';
 import type {HopPeer} from './hop_peer.js';
 import {createHopPeer} from './hop_peer.js';
@@ -23,6 +23,8 @@
   execute(target: UpstreamEntry, call: ExecutionCall): Promise<ExecutionEnd>;
   /** The node beside an upstream did not reply when it was asked last. */
   isLost(target: UpstreamEntry): boolean;
+  /** Asks the node beside an upstream for what it knows of loads. */
+  askLoads(target: UpstreamEntry): void;
 }
 
 /** What it needs. */
@@ -51,6 +53,9 @@
   return {
     execute: (target, call) => executeResent(execution, target, call),
     isLost: target => peers.isLost(target.node),
+    askLoads: target => {
+      peers.of(target.node).askLoads();
+    },
     dispose: store.dispose,
   };
 }
@@ -83,6 +88,9 @@
         onHeard: () => {
           signs.noteHeard();
         },
+        onLoads: loads => {
+          observeLoads(options, loads);
+        },
         onReplaced: hopsCount => {
           options.onLinkLost(endpoint, hopsCount);
         },
@@ -193,7 +201,7 @@
       return {kind: 'unknown', reason: end.reason, hasFailedCall: false};
     case 'answer':
       loan.settle(end.answer.unspentCount);
-      observeLoads(options, end.answer);
+      observeLoads(options, end.answer.loads);
       return endOf(end);
   }
 }
@@ -212,10 +220,10 @@
 
 function observeLoads(
   options: RemoteExecutionOptions,
-  answer: HopAnswer,
+  loads: readonly LoadFields[],
 ): void {
   const now = options.nowMillis();
-  for (const load of answer.loads) {
+  for (const load of loads) {
     options.board.observe({...load, madeAtMillis: now - load.ageMillis});
   }
 }
--- a/src/daemon/node_decisions.ts
+++ b/src/daemon/node_decisions.ts
@@ -12,9 +12,13 @@
 import {createInFlightParents} from '../process/in_flight_parents.js';
 import type {LoadBoard, LoadReport} from '../process/load_board.js';
 import {createLoadBoard} from '../process/load_board.js';
+import type {LoadQuestions} from '../process/load_questions.js';
+import {createLoadQuestions} from '../process/load_questions.js';
 import type {NodeSettings, RepeatBound} from '../process/node_settings.js';
 import type {PlacementChooser} from '../process/placement.js';
 import {createPlacementChooser} from '../process/placement.js';
+import type {RejectionRate} from '../process/rejection_rate.js';
+import {createRejectionRate, isRejecting} from '../process/rejection_rate.js';
 import type {RepeatBudget} from '../process/repeat_budget.js';
 import {createRepeatBudget} from '../process/repeat_budget.js';
 import type {
@@ -26,6 +30,7 @@
 import {isSameStart} from '../process/upstream_start.js';
 import type {UpstreamQueue} from '../process/upstream_queue.js';
 import {createUpstreamQueue} from '../process/upstream_queue.js';
+import type {RejectionFields} from '../protocol/hop_messages.js';
 import type {LocalUpstream} from '../request/local_upstream.js';
 import {createLocalUpstream} from '../request/local_upstream.js';
 
@@ -47,9 +52,12 @@
   readonly queue: UpstreamQueue;
   readonly level: AdmissionLevel;
   readonly board: LoadBoard;
+  readonly questions: LoadQuestions;
   readonly parents: InFlightParents;
   readonly trees: CallTrees;
   readonly budget: RepeatBudget;
+  /** Of the upstream of this host. */
+  readonly rejections: RejectionRate;
   readonly placement: PlacementChooser;
   /** Load of the own upstream of now, which is put on the board as well. */
   reportOwnLoad(): LoadReport | undefined;
@@ -99,6 +107,15 @@
     },
   });
   let ownLoad: LoadReport | undefined;
+  const repeatBound = (): RepeatBound =>
+    repeatBoundOf(configuration, settings(), directory.count());
+  const rejections = createRejectionRate(nowMillis);
+  /** Of a service of which one rejects, all are told of. */
+  const rejectionsOf = (service: string): RejectionFields | undefined => {
+    const own = rejections.current();
+    const others = board.serviceLoadOf(service);
+    return isRejecting(own) || others?.isRejecting ? own : undefined;
+  };
   return {
     configuration,
     directory,
@@ -106,13 +123,19 @@
     queue,
     level,
     board,
+    questions: createLoadQuestions({
+      board,
+      ownUpstreamId: () => directory.atHost(hostKey)?.entry.id,
+      nowMillis,
+    }),
     parents: createInFlightParents(),
     trees: createCallTrees(),
     budget: createRepeatBudget({
-      bound: () => repeatBoundOf(configuration, settings(), directory.count()),
+      bound: repeatBound,
       nowMillis,
       nodesCount: directory.count,
     }),
+    rejections,
     placement: createPlacementChooser({
       directory,
       board,
@@ -138,6 +161,7 @@
         limitCount: upstream.isReachable ? load.limitCount : 0,
         level: level.level(),
         madeAtMillis,
+        rejections: rejectionsOf(known.entry.service),
       };
       ownLoad = report;
       board.observe(report);
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -14,6 +14,8 @@
 import type {NodeSettings} from '../process/node_settings.js';
 import type {StopPlan} from '../process/stop_plan.js';
 import {createWeightedTargets} from '../process/weighted_targets.js';
+import type {UpstreamEntry} from '../process/upstream_entry.js';
+import type {LoadFields} from '../protocol/hop_messages.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {AttemptedRequest} from '../request/attempts.js';
 import {createAttempts} from '../request/attempts.js';
@@ -48,6 +50,10 @@
   readonly inbound: InboundExchanges;
   /** Requests that entered here and have no answer yet. */
   readonly open: OpenRequests;
+  /** What this node tells of loads to one that asks. */
+  loads(): readonly LoadFields[];
+  /** Asks about services whose loads are heard of no more. */
+  askLoads(): void;
   /** Requests at the own upstream or waiting for it. */
   readonly executingCount: number;
 }
@@ -68,6 +74,7 @@
     upstream,
     queue,
     level,
+    rejections: decisions.rejections,
     parents,
     sender,
     nowMillis,
@@ -137,6 +144,13 @@
     outbound,
     inbound,
     open,
+    loads: inbound.loads,
+    askLoads: () => {
+      for (const service of decisions.questions.due()) {
+        const entry = askedOf(options, remote, service);
+        if (entry !== undefined) remote.askLoads(entry);
+      }
+    },
     get executingCount() {
       return executingCount;
     },
@@ -148,6 +162,20 @@
   };
 }
 
+/** Any that replies: the one asked knows of the others of its service. */
+function askedOf(
+  {decisions, settings, random}: NodeExchangesOptions,
+  remote: RemoteExecution,
+  service: string,
+): UpstreamEntry | undefined {
+  const entries = decisions.directory
+    .ready(service)
+    .map(upstream => upstream.entry)
+    .filter(entry => entry.hostKey !== settings().hostKey)
+    .filter(entry => !remote.isLost(entry));
+  return entries[Math.floor(random() * entries.length)];
+}
+
 function createRemote(options: NodeExchangesOptions): RemoteExecution {
   return createRemoteExecution({
     board: options.decisions.board,
--- a/src/daemon/node_upkeep.ts
+++ b/src/daemon/node_upkeep.ts
@@ -14,6 +14,8 @@
   readonly decisions: NodeDecisions;
   readonly service: () => string;
   readonly busyCount: () => number;
+  /** Asks about loads that are heard of no more. */
+  readonly askLoads: () => void;
   readonly log: DecisionLog;
   readonly metrics: NodeMetrics;
 }
@@ -32,6 +34,7 @@
   };
   add(LEVEL_WINDOW_MILLIS, () => {
     moveLevel(options);
+    options.askLoads();
   });
   add(EXPIRE_MILLIS, () => {
     expireRecords(options);
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -103,6 +103,7 @@
     instanceId: randomUUID(),
     bodyBytes: () => configuration.current()?.limits.bodyBytes ?? Infinity,
     handle: exchanges.inbound.handle,
+    loads: exchanges.loads,
     nowMillis,
     onMalformed: peer => {
       log.request('malformed-message', {peer});
@@ -132,6 +133,7 @@
       decisions,
       service: () => current.service,
       busyCount,
+      askLoads: exchanges.askLoads,
       log,
       metrics,
     }),
--- a/src/process/call_trees.ts
+++ b/src/process/call_trees.ts
@@ -64,3 +64,10 @@
       trees.get(routeName) ?? failedTrees.get(routeName) ?? NO_CALLS,
   };
 }
+
+/** Calls of a tree without the request at its root. */
+export function callsBelow(tree: CallCounts, service: string): CallCounts {
+  const counts = new Map(tree);
+  counts.set(service, Math.max(0, (counts.get(service) ?? 1) - 1));
+  return counts;
+}
--- a/src/process/in_flight_parents.ts
+++ b/src/process/in_flight_parents.ts
@@ -33,6 +33,9 @@
   /** Notes that a call made for this request failed. */
   markFailedCall(): void;
   readonly hasFailedCall: boolean;
+  /** Notes that a call made for this request was served. */
+  markDoneCall(): void;
+  readonly doneCallsCount: number;
   readonly calls: CallCounts;
   /** Ends the record. */
   close(): void;
@@ -71,6 +74,7 @@
 /** A plain field: an accessor in a literal makes each parent costly to create. */
 interface OwnParent extends InFlightParent {
   hasFailedCall: boolean;
+  doneCallsCount: number;
 }
 
 function createParent(origin: CallOrigin, close: () => void): InFlightParent {
@@ -80,6 +84,7 @@
     calls,
     close,
     hasFailedCall: false,
+    doneCallsCount: 0,
     addCalls: counts => {
       for (const [service, count] of counts) {
         calls.set(service, (calls.get(service) ?? 0) + count);
@@ -88,6 +93,9 @@
     markFailedCall: () => {
       parent.hasFailedCall = true;
     },
+    markDoneCall: () => {
+      parent.doneCallsCount += 1;
+    },
   };
   return parent;
 }
--- a/src/process/load_board.ts
+++ b/src/process/load_board.ts
@@ -2,8 +2,9 @@
  * What this node has heard about the load of upstreams, its own or from the
  * answers of other nodes; the newest report of each upstream counts.
  */
-import type {LoadFields} from '../protocol/hop_messages.js';
+import type {LoadFields, RejectionFields} from '../protocol/hop_messages.js';
 import {LEAST_IMPORTANT} from './importance.js';
+import {isRejecting} from './rejection_rate.js';
 
 /** Load of one upstream as its node reported it. */
 export interface LoadReport extends Omit<LoadFields, 'ageMillis'> {
@@ -19,7 +20,12 @@
   levelOf(service: string): number;
   /** Load of a service over all upstreams that reported; if there are any. */
   serviceLoadOf(service: string): ServiceLoad | undefined;
-  /** Fresh reports of services that shed, the newest first. */
+  /**
+   * When the newest report of a service was made, other than of one upstream;
+   * `-Infinity` without any.
+   */
+  heardMillis(service: string, exceptId?: string): number;
+  /** Fresh reports of services that shed or reject, the newest first. */
   shedding(): readonly LoadReport[];
   /**
    * Drops what was reported of an upstream so far, which has started again: the
@@ -39,6 +45,8 @@
   readonly level: number;
   /** Share of its slots in use. */
   readonly busyRatio: number;
+  /** Some of its upstreams reject part of what they are handed. */
+  readonly isRejecting: boolean;
 }
 
 /** A report stands for this long. */
@@ -98,6 +106,15 @@
     find: upstreamId => reports.get(upstreamId),
     levelOf: service => summaryOf(service).load?.level ?? LEAST_IMPORTANT,
     serviceLoadOf: service => summaryOf(service).load,
+    heardMillis: (service, exceptId) => {
+      let newest = -Infinity;
+      for (const report of reports.values()) {
+        if (report.service !== service) continue;
+        if (report.upstreamId === exceptId) continue;
+        newest = Math.max(newest, report.madeAtMillis);
+      }
+      return newest;
+    },
     shedding: () => {
       const now = nowMillis();
       if (now < sheddingUntilMillis) return shedding;
@@ -122,47 +139,107 @@
   service: string,
   now: number,
 ): Summary {
-  const parts: Part[] = [];
+  const usable = [...reports].filter(
+    report => report.service === service && report.limitCount > 0,
+  );
+  const untilMillis = now + CACHE_MILLIS;
+  if (usable.length === 0) return {load: undefined, untilMillis};
   let weight = 0;
   let limitCount = 0;
-  let queuedMillis = 0;
-  let inFlightCount = 0;
-  for (const report of reports) {
-    if (report.service !== service || report.limitCount === 0) continue;
-    // An upstream that answers faster takes a larger share of the work.
-    const share = report.limitCount / Math.max(1, report.averageMillis);
-    parts.push({level: currentLevel(report, now), weight: share});
-    weight += share;
+  for (const report of usable) {
+    weight += capacityOf(report);
     limitCount += report.limitCount;
-    inFlightCount += report.inFlightCount;
-    queuedMillis += report.queuedCount * report.averageMillis;
   }
-  const untilMillis = now + CACHE_MILLIS;
-  if (weight === 0) return {load: undefined, untilMillis};
+  const shareOf = shareRule(usable, now);
   const load = {
     averageMillis: limitCount / weight,
-    backlogMillis: queuedMillis / limitCount,
-    busyRatio: inFlightCount / limitCount,
-    level: medianLevel(parts, weight),
+    backlogMillis: meanOf(usable, shareOf, backlogOf),
+    busyRatio: meanOf(usable, shareOf, busyRatioOf),
+    level: medianLevel(partsOf(usable, now)),
+    isRejecting: usable.some(report => isRejecting(rejectionsNow(report, now))),
   };
   return {load, untilMillis};
 }
 
+/** Share of an upstream in the work of its service, relative to the others. */
+type ShareRule = (report: LoadReport) => number;
+
+/**
+ * By slots; where some reject and are avoided for it, by what is sent to each:
+ * the free slots of those that nobody asks would hide the queue of the others.
+ */
+function shareRule(reports: readonly LoadReport[], now: number): ShareRule {
+  const isKnown = reports.every(
+    report => rejectionsNow(report, now) !== undefined,
+  );
+  if (!isKnown) return ({limitCount}) => limitCount;
+  return ({rejections}) => Math.max(1, rejections?.arrivedPerSecond ?? 0);
+}
+
+function meanOf(
+  reports: readonly LoadReport[],
+  shareOf: ShareRule,
+  valueOf: (report: LoadReport) => number,
+): number {
+  let sum = 0;
+  let weight = 0;
+  for (const report of reports) {
+    const share = shareOf(report);
+    sum += share * valueOf(report);
+    weight += share;
+  }
+  return sum / weight;
+}
+
+function backlogOf({
+  queuedCount,
+  averageMillis,
+  limitCount,
+}: LoadReport): number {
+  return (queuedCount * averageMillis) / limitCount;
+}
+
+function busyRatioOf({inFlightCount, limitCount}: LoadReport): number {
+  return inFlightCount / limitCount;
+}
+
+/** An upstream that answers faster takes a larger share of the work. */
+function capacityOf({limitCount, averageMillis}: LoadReport): number {
+  return limitCount / Math.max(1, averageMillis);
+}
+
+/**
+ * Upstreams that were heard of lately tell the level. Those that were not would
+ * raise it: their levels are let go with age, whatever the others say.
+ */
+function partsOf(reports: readonly LoadReport[], now: number): readonly Part[] {
+  const fresh = reports.filter(report => isFresh(report, now));
+  return (fresh.length > 0 ? fresh : reports).map(report => ({
+    level: currentLevel(report, now),
+    weight: capacityOf(report),
+  }));
+}
+
+function isFresh({madeAtMillis}: LoadReport, now: number): boolean {
+  return madeAtMillis + FRESH_MILLIS >= now;
+}
+
 /**
  * The upstreams of a service move their levels apart from each other. A mean
  * would follow the one that has no part in the load and lets everything in.
  */
-function medianLevel(parts: Part[], weight: number): number {
-  parts.sort((a, b) => b.level - a.level);
+function medianLevel(parts: readonly Part[]): number {
+  const sorted = [...parts].sort((a, b) => b.level - a.level);
+  const weight = parts.reduce((total, part) => total + part.weight, 0);
   let sum = 0;
-  for (const part of parts) {
+  for (const part of sorted) {
     sum += part.weight;
     if (sum >= weight / 2) return part.level;
   }
   return LEAST_IMPORTANT;
 }
 
-/** Reports of services of which an upstream sheds, the newest first. */
+/** Reports of services of which one sheds or rejects, the newest first. */
 function sheddingAmong(
   reports: Iterable<LoadReport>,
   now: number,
@@ -178,7 +255,15 @@
 }
 
 function isShedding(report: LoadReport): boolean {
-  return report.level < LEAST_IMPORTANT;
+  return report.level < LEAST_IMPORTANT || report.rejections !== undefined;
+}
+
+/** What was rejected before an old report says nothing about now. */
+function rejectionsNow(
+  report: LoadReport,
+  now: number,
+): RejectionFields | undefined {
+  return isFresh(report, now) ? report.rejections : undefined;
 }
 
 /** An old report must not keep requests out after its cause has gone. */
--- /dev/null
+++ b/src/process/load_questions.ts
@@ -0,0 +1,71 @@
+/**
+ * Which services this node asks about, since it hears of their loads no more.
+ *
+ * Load pattern: a service sheds, and a node turns away all that its clients want
+ * of it. Loads come with answers, and a node that sends nothing gets none: its
+ * picture ages, it lets everything in again, and what it lets in fails deeper
+ * down. In a replay of a service that rejects half of everything, half of all
+ * that was let in entered so.
+ */
+import type {LoadBoard} from './load_board.js';
+
+/** Questions of one node. */
+export interface LoadQuestions {
+  /** A request was turned away for the load of a service. */
+  noteShed(service: string): void;
+  /** Services to ask about now; each is asked about once an interval. */
+  due(): readonly string[];
+}
+
+/** What questions need. */
+export interface LoadQuestionsOptions {
+  readonly board: LoadBoard;
+  /** The upstream of this host, whose load is known without asking. */
+  readonly ownUpstreamId: () => string | undefined;
+  readonly nowMillis: () => number;
+}
+
+/**
+ * Age of the newest report from which it is asked for: a level moves five times
+ * a second, and an answer takes some milliseconds.
+ */
+const MAX_AGE_MILLIS = 400;
+
+/** Who has turned nothing away for this long has nothing to ask. */
+const SHED_MILLIS = 1000;
+
+/** Creates the questions of a node that has turned nothing away. */
+export function createLoadQuestions({
+  board,
+  ownUpstreamId,
+  nowMillis,
+}: LoadQuestionsOptions): LoadQuestions {
+  const shedMillis = new Map<string, number>();
+  const askedMillis = new Map<string, number>();
+
+  const isDue = (service: string, now: number): boolean => {
+    const heardMillis = board.heardMillis(service, ownUpstreamId());
+    const asked = askedMillis.get(service) ?? -Infinity;
+    return now - Math.max(heardMillis, asked) >= MAX_AGE_MILLIS;
+  };
+
+  return {
+    noteShed: service => {
+      shedMillis.set(service, nowMillis());
+    },
+    due: () => {
+      const now = nowMillis();
+      const services: string[] = [];
+      for (const [service, millis] of shedMillis) {
+        if (now - millis > SHED_MILLIS) {
+          shedMillis.delete(service);
+          askedMillis.delete(service);
+        } else if (isDue(service, now)) {
+          askedMillis.set(service, now);
+          services.push(service);
+        }
+      }
+      return services;
+    },
+  };
+}
--- a/src/process/repeat_budget.ts
+++ b/src/process/repeat_budget.ts
@@ -10,13 +10,23 @@
  */
 import type {CallCounts} from './call_trees.js';
 import type {RepeatBound} from './node_settings.js';
+import type {WindowSum} from './window_sum.js';
+import {createWindowSum} from './window_sum.js';
 
 /** Budget of one node. */
 export interface RepeatBudget {
-  /** Counts a request and the calls it is expected to cause. */
+  /** Counts requests that this node sends, or turns away, itself. */
   recordRequest(counts: CallCounts): void;
+  /** Counts calls that others are expected to make for what is let in here. */
+  recordExpected(counts: CallCounts): void;
   /** Takes one repeat and the calls it will cause, or nothing at all. */
   tryTake(counts: CallCounts): boolean;
+  /**
+   * Takes a repeat of a request that an upstream rejected, if it is in time:
+   * what would be spent in the first second is kept for the whole window. The
+   * more urgent in [0, 1], the more of it may be taken.
+   */
+  tryTakePaced(counts: CallCounts, urgency: number): boolean;
   /** Takes a repeat whatever is left. */
   take(counts: CallCounts): void;
 }
@@ -34,16 +44,36 @@
 const PARTS_COUNT = 10;
 
 /**
- * Share of the bound that is spent. Half, since a call made for a client's
- * request is counted where the client entered and where the call is made;
- * three quarters of that, for nodes that come and go and for edges of windows.
+ * Share of the bound that is spent for requests of this node, and for calls that
+ * other nodes will make and count as theirs. Together three quarters, for nodes
+ * that come and go and for edges of windows.
  */
-const SPENT_RATIO = 0.375;
+const SPENT_RATIO = 0.6;
+const EXPECTED_RATIO = 0.15;
+
+/** Share of the fixed slack that is spent: requests below it are few. */
+const SLACK_RATIO = 0.375;
+
+/**
+ * Share of the budget that repeats of rejected requests take in one part. In a
+ * service that rejects half of everything they would else all be gone within
+ * two parts, spent on requests of which most are let down later.
+ */
+const PACED_RATIO = 0.2;
+
+/**
+ * Part of that which is kept from the least urgent. A request of eight calls
+ * needs ten repeats where half is rejected, and fails for want of one: what is
+ * too little for all is enough for some.
+ */
+const KEPT_RATIO = 0.9;
 
 interface Usage {
-  readonly requests: Float64Array;
-  readonly repeats: Float64Array;
-  part: number;
+  readonly requests: WindowSum;
+  readonly expected: WindowSum;
+  readonly repeats: WindowSum;
+  pacedPart: number;
+  pacedCount: number;
 }
 
 /** Creates a budget without usage. */
@@ -51,76 +81,96 @@
   const {nowMillis} = options;
   const usages = new Map<string, Usage>();
 
+  const partOf = (): number =>
+    Math.floor(nowMillis() / (options.bound().windowMillis / PARTS_COUNT));
+
   const usageOf = (service: string): Usage => {
-    const partMillis = options.bound().windowMillis / PARTS_COUNT;
-    const part = Math.floor(nowMillis() / partMillis);
-    const usage = usages.get(service) ?? createUsage(part);
-    usages.set(service, usage);
-    advance(usage, part);
-    return usage;
+    const known = usages.get(service);
+    if (known !== undefined) return known;
+    const created = createUsage();
+    usages.set(service, created);
+    return created;
   };
 
   const allowedCount = (usage: Usage): number => {
     const bound = options.bound();
-    const own = bound.ratio * sum(usage.requests);
+    const part = partOf();
+    const own =
+      SPENT_RATIO * usage.requests.largest(part) +
+      EXPECTED_RATIO * usage.expected.largest(part);
     const slack = bound.slackCount / Math.max(1, options.nodesCount());
-    return (own + slack) * SPENT_RATIO;
+    return bound.ratio * own + SLACK_RATIO * slack;
   };
 
   const fits = (service: string, count: number): boolean => {
     const usage = usageOf(service);
-    return sum(usage.repeats) + count <= allowedCount(usage);
+    const spentCount = usage.repeats.latest(partOf());
+    return spentCount + count <= allowedCount(usage);
   };
 
-  const record = (service: string, count: number): void => {
-    const {requests, part} = usageOf(service);
-    const index = part % PARTS_COUNT;
-    requests[index] = (requests[index] ?? 0) + count;
+  const isInTime = (
+    service: string,
+    count: number,
+    urgency: number,
+  ): boolean => {
+    const usage = usageOf(service);
+    const spentCount = usage.pacedPart === partOf() ? usage.pacedCount : 0;
+    const ratio = PACED_RATIO * (1 - KEPT_RATIO * (1 - urgency));
+    const limitCount = Math.max(1, ratio * allowedCount(usage));
+    return spentCount + count <= limitCount;
   };
 
   const spend = (service: string, count: number): void => {
-    const {repeats, part} = usageOf(service);
-    const index = part % PARTS_COUNT;
-    repeats[index] = (repeats[index] ?? 0) + count;
+    usageOf(service).repeats.add(partOf(), count);
+  };
+
+  const pace = (service: string, count: number): void => {
+    const usage = usageOf(service);
+    if (usage.pacedPart !== partOf()) usage.pacedCount = 0;
+    usage.pacedPart = partOf();
+    usage.pacedCount += count;
+  };
+
+  const tryTake = (counts: CallCounts): boolean => {
+    for (const [service, count] of counts) {
+      if (!fits(service, count)) return false;
+    }
+    for (const [service, count] of counts) spend(service, count);
+    return true;
   };
 
   return {
     recordRequest: counts => {
-      for (const [service, count] of counts) record(service, count);
+      for (const [service, count] of counts) {
+        usageOf(service).requests.add(partOf(), count);
+      }
+    },
+    recordExpected: counts => {
+      for (const [service, count] of counts) {
+        usageOf(service).expected.add(partOf(), count);
+      }
     },
     take: counts => {
       for (const [service, count] of counts) spend(service, count);
     },
-    tryTake: counts => {
+    tryTake,
+    tryTakePaced: (counts, urgency) => {
       for (const [service, count] of counts) {
-        if (!fits(service, count)) return false;
+        if (!isInTime(service, count, urgency)) return false;
       }
-      for (const [service, count] of counts) spend(service, count);
+      if (!tryTake(counts)) return false;
+      for (const [service, count] of counts) pace(service, count);
       return true;
     },
   };
 }
 
-function createUsage(part: number): Usage {
+function createUsage(): Usage {
   return {
-    requests: new Float64Array(PARTS_COUNT),
-    repeats: new Float64Array(PARTS_COUNT),
-    part,
+    requests: createWindowSum(PARTS_COUNT),
+    expected: createWindowSum(PARTS_COUNT),
+    repeats: createWindowSum(PARTS_COUNT),
+    pacedPart: 0,
+    pacedCount: 0,
   };
 }
-
-function advance(usage: Usage, part: number): void {
-  const passedCount = Math.min(PARTS_COUNT, part - usage.part);
-  for (let index = 1; index <= passedCount; index += 1) {
-    const cleared = (usage.part + index) % PARTS_COUNT;
-    usage.requests[cleared] = 0;
-    usage.repeats[cleared] = 0;
-  }
-  usage.part = Math.max(usage.part, part);
-}
-
-function sum(values: Float64Array): number {
-  let total = 0;
-  for (const value of values) total += value;
-  return total;
-}
--- a/src/protocol/hop_answer_codec.ts
+++ b/src/protocol/hop_answer_codec.ts
@@ -6,8 +6,9 @@
   HopAnswer,
   HopOutcome,
   HopReason,
-  LoadFields,
 } from './hop_messages.js';
+import type {LoadList} from './load_codec.js';
+import {listOfLoad, loadsOf} from './load_codec.js';
 import type {WithBody} from './message_payload.js';
 import {
   areTexts,
@@ -16,17 +17,6 @@
   splitPayload,
 } from './message_payload.js';
 
-/** Lists instead of objects: names would double the bytes between zones. */
-type LoadList = readonly [
-  string,
-  string,
-  number,
-  number,
-  number,
-  number,
-  number,
-  number,
-];
 type MessageList = readonly [number, readonly string[], number, number];
 type AnswerList = readonly [
   HopOutcome,
@@ -112,55 +102,6 @@
   return calls;
 }
 
-/** Tenths of a millisecond are enough of a mean. */
-const MEAN_STEPS = 10;
-
-function listOfLoad(load: LoadFields): LoadList {
-  return [
-    load.upstreamId,
-    load.service,
-    load.inFlightCount,
-    load.queuedCount,
-    load.limitCount,
-    Math.round(load.averageMillis * MEAN_STEPS) / MEAN_STEPS,
-    load.level,
-    Math.round(load.ageMillis),
-  ];
-}
-
-/** Reads loads, leaving out what is none. */
-function loadsOf(value: unknown): readonly LoadFields[] {
-  if (!Array.isArray(value)) return [];
-  const loads: LoadFields[] = [];
-  for (const item of value as readonly unknown[]) {
-    const load = loadOf(item);
-    if (load !== undefined) loads.push(load);
-  }
-  return loads;
-}
-
-function loadOf(value: unknown): LoadFields | undefined {
-  if (!Array.isArray(value)) return undefined;
-  const [upstreamId, service, ...figures] = value as readonly unknown[];
-  if (typeof upstreamId !== 'string' || typeof service !== 'string') {
-    return undefined;
-  }
-  const [inFlight, queued, limit, average, level, age] = figures;
-  if (!isNumber(inFlight) || !isNumber(queued)) return undefined;
-  if (!isNumber(limit) || !isNumber(average)) return undefined;
-  if (!isNumber(level) || !isNumber(age)) return undefined;
-  return {
-    upstreamId,
-    service,
-    inFlightCount: inFlight,
-    queuedCount: queued,
-    limitCount: limit,
-    averageMillis: average,
-    level,
-    ageMillis: age,
-  };
-}
-
 function isOutcome(value: unknown): value is HopOutcome {
   return value === 'answered' || value === 'refused' || value === 'unknown';
 }
--- a/src/protocol/hop_frames.ts
+++ b/src/protocol/hop_frames.ts
@@ -28,7 +28,9 @@
   cancel: 10,
   /** Bytes of the rest that the receiver has passed on. */
   window: 11,
+  /** Asks for a sign of life; with a payload, for loads as well. */
   ping: 12,
+  /** The sign, with loads if they were asked for. */
   pong: 13,
   /** Asks for a request whose connection was lost, and what is known of it. */
   claim: 14,
--- a/src/protocol/hop_messages.ts
+++ b/src/protocol/hop_messages.ts
@@ -107,6 +107,15 @@
   /** Least important value that it would like to receive. */
   readonly level: number;
   readonly ageMillis: number;
+  /** `undefined` while its service rejects nothing. */
+  readonly rejections?: RejectionFields | undefined;
+}
+
+/** Rejections of what an upstream is handed, as sent. */
+export interface RejectionFields {
+  readonly rejectedPerSecond: number;
+  /** Requests that arrived, repeats and rejected ones included. */
+  readonly arrivedPerSecond: number;
 }
 
 /** What a node knows of a hop that its sender asks for. */
--- /dev/null
+++ b/src/protocol/load_codec.ts
@@ -0,0 +1,113 @@
+/**
+ * Loads of upstreams as they go with messages between nodes.
+ */
+import type {LoadFields, RejectionFields} from './hop_messages.js';
+import {isNumber} from './message_payload.js';
+
+type RejectionList = readonly [number, number];
+
+/** Lists instead of objects: names would double the bytes between zones. */
+export type LoadList = readonly [
+  string,
+  string,
+  number,
+  number,
+  number,
+  number,
+  number,
+  number,
+  // Only of upstreams that reject: this goes with each answer.
+  ...(RejectionList | []),
+];
+/** Tenths of a millisecond, or of one per second, are enough of a mean. */
+const MEAN_STEPS = 10;
+
+function roundMean(mean: number): number {
+  return Math.round(mean * MEAN_STEPS) / MEAN_STEPS;
+}
+
+/** A load as it goes into a message. */
+export function listOfLoad(load: LoadFields): LoadList {
+  return [
+    load.upstreamId,
+    load.service,
+    load.inFlightCount,
+    load.queuedCount,
+    load.limitCount,
+    roundMean(load.averageMillis),
+    load.level,
+    Math.round(load.ageMillis),
+    ...listOfRejections(load.rejections),
+  ];
+}
+
+function listOfRejections(
+  rejections: RejectionFields | undefined,
+): RejectionList | [] {
+  if (rejections === undefined) return [];
+  return [
+    roundMean(rejections.rejectedPerSecond),
+    roundMean(rejections.arrivedPerSecond),
+  ];
+}
+
+/** Reads loads, leaving out what is none. */
+export function loadsOf(value: unknown): readonly LoadFields[] {
+  if (!Array.isArray(value)) return [];
+  const loads: LoadFields[] = [];
+  for (const item of value as readonly unknown[]) {
+    const load = loadOf(item);
+    if (load !== undefined) loads.push(load);
+  }
+  return loads;
+}
+
+function loadOf(value: unknown): LoadFields | undefined {
+  if (!Array.isArray(value)) return undefined;
+  const [upstreamId, service, ...figures] = value as readonly unknown[];
+  if (typeof upstreamId !== 'string' || typeof service !== 'string') {
+    return undefined;
+  }
+  const [inFlight, queued, limit, average, level, age, ...rest] = figures;
+  const rejections = rejectionsOf(rest);
+  if (!isNumber(inFlight) || !isNumber(queued)) return undefined;
+  if (!isNumber(limit) || !isNumber(average)) return undefined;
+  if (!isNumber(level) || !isNumber(age)) return undefined;
+  return {
+    upstreamId,
+    service,
+    inFlightCount: inFlight,
+    queuedCount: queued,
+    limitCount: limit,
+    averageMillis: average,
+    level,
+    ageMillis: age,
+    ...(rejections === undefined ? {} : {rejections}),
+  };
+}
+
+function rejectionsOf(
+  figures: readonly unknown[],
+): RejectionFields | undefined {
+  const [rejected, arrived] = figures;
+  if (!isNumber(rejected) || !isNumber(arrived)) return undefined;
+  return {
+    rejectedPerSecond: rejected,
+    arrivedPerSecond: arrived,
+  };
+}
+
+/** Writes the answer to a question about loads. */
+export function encodeLoads(loads: readonly LoadFields[]): Buffer {
+  return Buffer.from(JSON.stringify(loads.map(listOfLoad)));
+}
+
+/** Reads it, leaving out what is none; a node that tells none sends nothing. */
+export function decodeLoads(payload: Buffer): readonly LoadFields[] {
+  if (payload.length === 0) return [];
+  try {
+    return loadsOf(JSON.parse(payload.toString()));
+  } catch {
+    return [];
+  }
+}
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -6,7 +6,9 @@
 import type {ExecutionCall, ExecutionEnd} from '../connection/execution.js';
 import type {RemoteExecution} from '../connection/remote_execution.js';
 import type {AttemptPatience} from '../process/attempt_patience.js';
-import type {PlacementChooser} from '../process/placement.js';
+import type {OfferCourse, OfferEnd} from '../process/offer_course.js';
+import {createOfferCourse} from '../process/offer_course.js';
+import type {Placement, PlacementChooser} from '../process/placement.js';
 import type {StopPlan} from '../process/stop_plan.js';
 import type {UpstreamEntry} from '../process/upstream_entry.js';
 import type {AttemptEnd} from '../process/upstream_record.js';
@@ -55,19 +57,6 @@
   readonly onRetry: (request: AttemptedRequest, reason: HopReason) => void;
 }
 
-/**
- * Upstreams that one request is offered to, refusals counted: beyond a few the
- * whole service is full, and each further question costs time.
- */
-const MAX_OFFERS_COUNT = 4;
-
-/**
- * Refusals for load after which the service as a whole counts as full. With two,
- * the fast upstreams refuse and a slow one with free slots is never asked: in a
- * replay of a burst all 211 refused reads of four seconds were refused so.
- */
-const MAX_FULL_COUNT = 3;
-
 /**
  * Time in which a node that was taken for lost is asked again and can reply:
  * half a second until it is asked, and as long for a busy process.
@@ -90,46 +79,52 @@
   options: AttemptsOptions,
   request: AttemptedRequest,
 ): Promise<AttemptsEnd> {
-  const triedIds = new Set<string>();
-  let mayHaveRun = false;
-  let sentCount = 0;
-  let fullCount = 0;
+  const course = createOfferCourse();
   let last: ExecutionEnd = NOWHERE;
   let upstreamId: string | undefined;
   let call = request.call;
   const {rules} = options;
 
-  for (let offer = 1; offer <= MAX_OFFERS_COUNT; offer += 1) {
-    const placement = options.placement.choose(
-      request.service,
-      triedIds,
-      options.remote.isLost,
-    );
+  while (course.mayOffer) {
+    const placement = placeNext(options, request, course);
     if (placement === undefined) break;
     const {entry} = placement.upstream;
     upstreamId = entry.id;
-    triedIds.add(entry.id);
+    course.begin(entry.id);
     const {end, isGivenUp} = await attemptPatiently(options, request, {
       entry,
       call,
-      sentCount,
-      triedIds,
+      course,
     });
     last = end;
     placement.end(lessonOf(last));
     options.onAttempt(last);
-    if (wasHandedOver(last)) sentCount += 1;
-    if (mayRun(last)) mayHaveRun = true;
-    if (last.kind === 'refused' && isFull(last.reason)) fullCount += 1;
-    if (fullCount >= MAX_FULL_COUNT) break;
-    if (!isGivenUp && !rules.mayTryAgain(request, last, sentCount)) break;
-    if (isSilent(last)) await findAgain(options, request, triedIds);
+    course.end(offerEndOf(last));
+    if (!course.mayOffer) break;
+    if (!isGivenUp && !rules.mayTryAgain(request, last, course.ranCount)) break;
+    if (isSilent(last)) await findAgain(options, request, course);
     if (wasHandedOver(last)) {
       options.onRetry(request, reasonOf(last));
       call = {...call, origin: {...call.origin, isRepeat: true}};
     }
   }
-  return {last, mayHaveRun, sentCount, upstreamId};
+  return {
+    last,
+    mayHaveRun: course.ranCount > 0,
+    sentCount: course.handedCount,
+    upstreamId,
+  };
+}
+
+/** Where nobody else is left, those that rejected the request may take it now. */
+function placeNext(
+  {placement, remote}: AttemptsOptions,
+  {service}: AttemptedRequest,
+  course: OfferCourse,
+): Placement | undefined {
+  const choose = (): Placement | undefined =>
+    placement.choose(service, course.excludedIds, remote.isLost);
+  return choose() ?? (course.readmitRejecting() ? choose() : undefined);
 }
 
 /**
@@ -140,15 +135,15 @@
 async function findAgain(
   options: AttemptsOptions,
   {service, call}: AttemptedRequest,
-  triedIds: Set<string>,
+  course: OfferCourse,
 ): Promise<void> {
   const {placement, remote, nowMillis} = options;
   if (!call.isRepeatable) return;
   const canReachBeside = (ids: ReadonlySet<string>): boolean =>
     placement.canReachOther(service, ids, remote.isLost);
   const untilMillis = nowMillis() + FIND_AGAIN_MILLIS;
-  while (!canReachBeside(triedIds)) {
-    if (canReachBeside(NOBODY)) triedIds.clear();
+  while (!canReachBeside(course.excludedIds)) {
+    if (canReachBeside(NOBODY)) course.readmitAll();
     else if (call.cancel.isCancelled || nowMillis() >= untilMillis) return;
     else await sleep(FIND_STEP_MILLIS);
   }
@@ -158,23 +153,25 @@
 interface NextAttempt {
   readonly entry: UpstreamEntry;
   readonly call: ExecutionCall;
-  /** Upstreams that were handed the request before. */
-  readonly sentCount: number;
-  /** Upstreams it was offered to, this one included. */
-  readonly triedIds: ReadonlySet<string>;
+  /** Offers before, and this one. */
+  readonly course: OfferCourse;
 }
 
 /** An attempt that is the last one anyway is waited for to its deadline. */
 async function attemptPatiently(
   options: AttemptsOptions,
   request: AttemptedRequest,
-  {entry, call, sentCount, triedIds}: NextAttempt,
+  {entry, call, course}: NextAttempt,
 ): Promise<PatientEnd> {
   const {patience, placement, rules, nowMillis} = options;
   const key = `${request.route.name} ${request.service}`;
   const startedMillis = nowMillis();
   const hasNext = (): boolean =>
-    placement.hasOther(request.service, triedIds, options.remote.isLost);
+    placement.hasOther(
+      request.service,
+      course.excludedIds,
+      options.remote.isLost,
+    );
   const patient = await runPatiently({
     call,
     patienceMillis: call.isRepeatable
@@ -186,7 +183,7 @@
     mayGiveUp: () =>
       !options.stop.isStopping &&
       hasNext() &&
-      rules.mayGiveUp(request, sentCount),
+      rules.mayGiveUp(request, course.ranCount),
   });
   if (patient.isGivenUp) patience.observeGivenUp(key);
   else if (patient.end.kind === 'answered') {
@@ -214,12 +211,17 @@
   return end.kind === 'unknown' && end.reason === 'silent';
 }
 
-function mayRun(end: ExecutionEnd): boolean {
-  return end.kind !== 'refused';
-}
-
-function isFull(reason: HopReason): boolean {
-  return reason === 'queue-full' || reason === 'too-late';
+function offerEndOf(end: ExecutionEnd): OfferEnd {
+  if (end.kind !== 'refused') return 'ran';
+  switch (end.reason) {
+    case 'not-executed':
+      return 'rejected';
+    case 'queue-full':
+    case 'too-late':
+      return 'full';
+    default:
+      return 'refused';
+  }
 }
 
 function reasonOf(end: ExecutionEnd): HopReason {
--- a/src/request/inbound_exchange.ts
+++ b/src/request/inbound_exchange.ts
@@ -17,6 +17,8 @@
 /** Answers requests of other nodes. */
 export interface InboundExchanges {
   handle(arrival: HopArrival): Promise<void>;
+  /** What a node is told that asks for loads. */
+  loads(): readonly LoadFields[];
 }
 
 /** What it needs. */
@@ -35,6 +37,7 @@
   options: InboundOptions,
 ): InboundExchanges {
   return {
+    loads: () => loadsFor(options, true),
     handle: async arrival => {
       const call = callOf(options, arrival);
       const end = await options.execution.execute(call);
@@ -44,7 +47,7 @@
         answer: {
           ...outcomeOf(end),
           unspentCount,
-          loads: loadsFor(options, arrival),
+          loads: loadsFor(options, arrival.isReportDue()),
         },
         received: end.kind === 'answered' ? end.answer : undefined,
       });
@@ -63,6 +66,8 @@
     target: request.target,
     headers: request.headers,
     isRepeatable: request.isRepeatable,
+    // Repeats are its sender's to make.
+    doneCallsCount: 0,
     origin: originOf(request.origin, now),
     deadlineMillis: now + request.leftMillis,
     startByMillis: now + request.startWithinMillis,
@@ -86,10 +91,10 @@
 /** The own load goes with each answer, others' loads now and then. */
 function loadsFor(
   options: InboundOptions,
-  arrival: HopArrival,
+  isReportDue: boolean,
 ): readonly LoadFields[] {
   const own = options.ownLoad();
-  const others = arrival.isReportDue() ? options.otherLoads() : [];
+  const others = isReportDue ? options.otherLoads() : [];
   const reports = own === undefined ? others : [own, ...others];
   const now = options.nowMillis();
   return reports.map(report => ({
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -14,6 +14,7 @@
   InFlightParent,
   InFlightParents,
 } from '../process/in_flight_parents.js';
+import type {RejectionRate} from '../process/rejection_rate.js';
 import type {SlotRequest, UpstreamQueue} from '../process/upstream_queue.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {LocalUpstream} from './local_upstream.js';
@@ -36,6 +37,7 @@
   readonly upstream: LocalUpstream;
   readonly queue: UpstreamQueue;
   readonly level: AdmissionLevel;
+  readonly rejections: RejectionRate;
   readonly parents: InFlightParents;
   readonly sender: UpstreamSender;
   readonly nowMillis: () => number;
@@ -59,6 +61,7 @@
   const refusal = upstream.refusalFor(call.upstreamId);
   if (refusal !== undefined) return refused(refusal);
   level.recordArrival(call.origin.importance, queue.load().averageMillis);
+  options.rejections.recordArrival();
   const wait = waitForSlot(options, call);
   const waitEnd = typeof wait === 'string' ? wait : await wait;
   if (waitEnd !== 'started') return refused(waitEnd);
@@ -172,11 +175,10 @@
   const {queue, upstream} = options;
   if (end.kind === 'answered') queue.release(heldMillis);
   else queue.releaseUnused();
-  if (end.kind === 'not-run' && end.reason === 'unreachable') {
-    upstream.markUnreachable();
-  } else if (end.kind === 'answered') {
-    upstream.markReached();
-  }
+  if (end.kind === 'answered') upstream.markReached();
+  if (end.kind !== 'not-run') return;
+  if (end.reason === 'unreachable') upstream.markUnreachable();
+  else if (end.reason === 'not-executed') options.rejections.recordRejected();
 }
 
 function executionEnd(end: UpstreamEnd, parent: InFlightParent): ExecutionEnd {
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -10,6 +10,7 @@
 import {passedOnHeaders} from '../connection/raw_headers.js';
 import {readRequestBody} from '../connection/request_body.js';
 import type {CallTrees} from '../process/call_trees.js';
+import {callsBelow} from '../process/call_trees.js';
 import type {ConfigurationHolder} from '../process/configuration_holder.js';
 import type {EntryGate} from '../process/entry_gate.js';
 import type {
@@ -18,6 +19,7 @@
 } from '../process/in_flight_parents.js';
 import {createRetryGrant} from '../process/shared_retry_grant.js';
 import {importanceOf, LEAST_IMPORTANT} from '../process/importance.js';
+import type {LoadQuestions} from '../process/load_questions.js';
 import type {RepeatBudget} from '../process/repeat_budget.js';
 import type {StopPlan} from '../process/stop_plan.js';
 import type {WeightedTargets} from '../process/weighted_targets.js';
@@ -41,6 +43,7 @@
   readonly ownService: () => string;
   readonly configuration: ConfigurationHolder;
   readonly gate: EntryGate;
+  readonly questions: LoadQuestions;
   readonly targets: WeightedTargets;
   readonly trees: CallTrees;
   readonly budget: RepeatBudget;
@@ -214,18 +217,19 @@
   entered: EnteredRequest,
 ): boolean {
   const {route, service, origin} = entered;
+  options.budget.recordRequest(new Map([[service, 1]]));
+  if (entered.parent !== undefined) return true;
   const tree = options.trees.countsOf(route.name);
-  if (entered.parent !== undefined) {
-    options.budget.recordRequest(new Map([[service, 1]]));
-    return true;
-  }
-  options.budget.recordRequest(tree.size > 0 ? tree : new Map([[service, 1]]));
   const gated = {
     importance: origin.importance,
     attemptId: entered.attemptId,
   };
   const cause = options.gate.shedCause(gated, service, tree);
-  if (cause === undefined) return true;
+  if (cause === undefined) {
+    options.budget.recordExpected(callsBelow(tree, service));
+    return true;
+  }
+  if (cause.reason === 'overload') options.questions.noteShed(cause.service);
   options.answers.shed(entered.exchange, {
     attemptId: entered.attemptId,
     route,
@@ -295,6 +299,7 @@
     headers: parts.headers,
     body: parts.body,
     isRepeatable: route.repeat === 'repeatable',
+    doneCallsCount: entered.parent?.doneCallsCount ?? 0,
     origin: entered.origin,
     deadlineMillis,
     startByMillis: Math.min(deadlineMillis, arrivedMillis + waitMillis),
@@ -327,6 +332,7 @@
   if (last.kind === 'answered') {
     parent.addCalls(last.calls);
     if (last.answer.statusCode >= 500) parent.markFailedCall();
+    else parent.markDoneCall();
   } else {
     parent.markFailedCall();
   }
--- a/src/request/repeat_rules.ts
+++ b/src/request/repeat_rules.ts
@@ -4,6 +4,7 @@
  */
 import type {ExecutionEnd} from '../connection/execution.js';
 import {LEAST_IMPORTANT} from '../process/importance.js';
+import {urgencyOf} from '../process/repeat_urgency.js';
 import type {CallCounts, CallTrees} from '../process/call_trees.js';
 import type {LoadBoard} from '../process/load_board.js';
 import type {RepeatBudget} from '../process/repeat_budget.js';
@@ -11,17 +12,20 @@
 
 /** Rules of one node. */
 export interface RepeatRules {
-  /** Whether to go on after an attempt; takes the repeat from the bounds. */
+  /**
+   * Whether to go on after an attempt, with so many upstreams that may have
+   * worked on it; takes the repeat from the bounds.
+   */
   mayTryAgain(
     request: AttemptedRequest,
     end: ExecutionEnd,
-    sentCount: number,
+    ranCount: number,
   ): boolean;
   /**
    * Whether an attempt that has no answer yet may be given up for another one;
    * takes the repeat from the bounds.
    */
-  mayGiveUp(request: AttemptedRequest, sentCount: number): boolean;
+  mayGiveUp(request: AttemptedRequest, ranCount: number): boolean;
 }
 
 /** What the rules need. */
@@ -77,22 +81,37 @@
     return take(request, counts);
   };
 
+  /**
+   * What an upstream rejected has not run, so that it may be handed to more of
+   * them than a route's attempts.
+   */
+  const mayAskAgain = (request: AttemptedRequest): boolean => {
+    const {isRepeat, grant} = request.call.origin;
+    if (isRepeat || grant.remaining() < 1) return false;
+    const urgency = urgencyOf({
+      importance: request.call.origin.importance,
+      doneCallsCount: request.call.doneCallsCount,
+    });
+    return (
+      budget.tryTakePaced(expectedCalls(request), urgency) && grant.trySpend()
+    );
+  };
+
   return {
-    mayTryAgain: (request, end, sentCount) => {
+    mayTryAgain: (request, end, ranCount) => {
       const {call, route} = request;
       if (call.cancel.isCancelled) return false;
       if (leftMillis(request) < MIN_LEFT_MILLIS) return false;
       if (end.kind === 'refused') {
-        if (!wasHandedOver(end)) return true;
-      } else if (!isWorthRepeating(end, request)) {
-        return false;
+        return !wasHandedOver(end) || mayAskAgain(request);
       }
-      if (sentCount >= route.maxAttemptsCount) return false;
+      if (!isWorthRepeating(end, request)) return false;
+      if (ranCount >= route.maxAttemptsCount) return false;
       return mayRepeat(request, end);
     },
-    mayGiveUp: (request, sentCount) => {
+    mayGiveUp: (request, ranCount) => {
       const {call, route} = request;
-      if (!call.isRepeatable || sentCount + 1 >= route.maxAttemptsCount) {
+      if (!call.isRepeatable || ranCount + 1 >= route.maxAttemptsCount) {
         return false;
       }
       const counts = expectedCalls(request);
@@ -109,11 +128,10 @@
 
 /** Only a failure of the upstream itself: one below it would fail again. */
 function isWorthRepeating(
-  end: ExecutionEnd,
+  end: Exclude<ExecutionEnd, {readonly kind: 'refused'}>,
   request: AttemptedRequest,
 ): boolean {
   if (!request.call.isRepeatable) return false;
   if (end.kind === 'unknown') return !end.hasFailedCall;
-  if (end.kind === 'refused') return true;
   return end.answer.statusCode >= 500 && !end.hasFailedCall;
 }
--- a/src/version/route_configuration.ts
+++ b/src/version/route_configuration.ts
@@ -6,10 +6,12 @@
 export type RepeatRule = 'repeatable' | 'once';
 
 /**
- * Repeats of a route whose document names no bound: a request of a dozen calls,
- * of which a fifth fail, needs two or three, and each costs a whole call again.
+ * Repeats of a route whose document names no bound. A request of eight calls to
+ * a service that rejects half of what it is handed needs ten of them, and nine
+ * in ten such requests no more than these; how many there are in all is for the
+ * budget to bound.
  */
-export const DEFAULT_REPEATS_COUNT = 4;
+export const DEFAULT_REPEATS_COUNT = 16;
 
 /** One service that takes a share of a route's requests. */
 export interface WeightedService {
--- a/test/fakes/fleet_load.ts
+++ b/test/fakes/fleet_load.ts
@@ -10,6 +10,8 @@
   readonly speeds: readonly number[];
   /** Share of what it is handed that an upstream rejects, by upstream. */
   readonly rejectRatios?: readonly number[];
+  /** Since when they do; from the start if left out. */
+  readonly rejectFromMillis?: number;
 }
 
 /** What requests of one route do. */
@@ -93,3 +95,13 @@
 export function emptyRuns(count: number): ServiceOutcome[] {
   return Array.from({length: count}, () => ({runCount: 0, usefulCount: 0}));
 }
+
+/** Adds calls by service. */
+export function addCounts(
+  sums: Map<string, number>,
+  counts: ReadonlyMap<string, number>,
+): void {
+  for (const [service, count] of counts) {
+    sums.set(service, (sums.get(service) ?? 0) + count);
+  }
+}
--- a/test/fakes/fleet_replay.ts
+++ b/test/fakes/fleet_replay.ts
@@ -5,6 +5,8 @@
  */
 import {LEVEL_WINDOW_MILLIS} from '../../src/process/admission_level.js';
 import {importanceOf} from '../../src/process/importance.js';
+import {callsBelow} from '../../src/process/call_trees.js';
+import {createOfferCourse} from '../../src/process/offer_course.js';
 import {createSeededRandom} from '../../src/emulator/seeded_random.js';
 import {createEventClock} from './event_clock.js';
 import type {
@@ -14,7 +16,12 @@
   ReplayRoute,
   ServiceOutcome,
 } from './fleet_load.js';
-import {emptyOutcomes, emptyRuns} from './fleet_load.js';
+import {addCounts, emptyOutcomes, emptyRuns} from './fleet_load.js';
+import {urgencyOf} from '../../src/process/repeat_urgency.js';
+import type {RetryGrant} from '../../src/process/retry_grant.js';
+import {createRetryGrant} from '../../src/process/shared_retry_grant.js';
+import {DEFAULT_REPEATS_COUNT} from '../../src/version/route_configuration.js';
+import type {Placement} from '../../src/process/placement.js';
 import type {ReplayNode} from './replay_node.js';
 import {createReplayNodes} from './replay_node.js';
 
@@ -28,6 +35,7 @@
   readonly id: string;
   readonly importance: number;
   readonly beganAtMillis: number;
+  readonly grant: RetryGrant;
   readonly runs: Run[];
 }
 
@@ -42,6 +50,8 @@
   readonly route: ReplayRoute;
   readonly deadlineMillis: number;
   readonly startByMillis: number;
+  /** Calls made before it for the same request. */
+  readonly doneCallsCount: number;
   readonly onEnd: (end: CallEnd, calls: ReadonlyMap<string, number>) => void;
 }
 
@@ -49,9 +59,6 @@
 const HOP_MILLIS = 1;
 
 /** As the nodes do it. */
-const MAX_OFFERS_COUNT = 4;
-const MAX_FULL_COUNT = 3;
-const MAX_ATTEMPTS_COUNT = 2;
 const WAIT_RATIO = 0.25;
 const RETURN_EARLIEST_RATIO = 0.2;
 const RETURN_LATEST_RATIO = 0.7;
@@ -134,9 +141,10 @@
         route: next,
         deadlineMillis,
         startByMillis: deadlineMillis,
+        doneCallsCount: index,
         onEnd: (end, below) => {
-          add(counts, new Map([[next.service, 1]]));
-          add(counts, below);
+          addCounts(counts, new Map([[next.service, 1]]));
+          addCounts(counts, below);
           if (end === 'served') callNext(index + 1);
           else finish('failed');
         },
@@ -160,10 +168,12 @@
       call.root.importance,
       node.queue.load().averageMillis,
     );
+    node.rejections.recordArrival();
     const start = (): void => {
-      if (random.next() < node.rejectRatio) {
+      if (random.next() < node.rejectRatioNow()) {
         clock.after(REJECT_MILLIS, () => {
           node.queue.releaseUnused();
+          node.rejections.recordRejected();
           onVerdict('rejected');
         });
         return;
@@ -198,21 +208,20 @@
   };
 
   const attempt = (from: ReplayNode, call: Call): void => {
-    const triedIds = new Set<string>();
-    let fullCount = 0;
-    let sentCount = 0;
+    const course = createOfferCourse();
     const charge = new Map([[call.route.service, 1]]);
     const offer = (): void => {
-      const placement =
-        triedIds.size < MAX_OFFERS_COUNT && fullCount < MAX_FULL_COUNT
-          ? from.placement.choose(call.route.service, triedIds)
-          : undefined;
+      const choose = (): Placement | undefined =>
+        from.placement.choose(call.route.service, course.excludedIds);
+      const placement = course.mayOffer
+        ? (choose() ?? (course.readmitRejecting() ? choose() : undefined))
+        : undefined;
       if (placement === undefined || nowMillis() >= call.deadlineMillis) {
         call.onEnd('refused', new Map());
         return;
       }
       const {id} = placement.upstream.entry;
-      triedIds.add(id);
+      course.begin(id);
       const node = nodeOf.get(id)!;
       const isNear = node === from;
       const delayMillis = isNear ? 0 : HOP_MILLIS;
@@ -223,12 +232,18 @@
       const goOn = (verdict: Verdict): void => {
         learn();
         placement.end(verdict === 'rejected' ? 'failed' : 'neutral');
-        if (verdict !== 'rejected') fullCount += 1;
-        else sentCount += 1;
-        const mayRepeat =
-          sentCount === 0 ||
-          (sentCount < MAX_ATTEMPTS_COUNT && from.budget.tryTake(charge));
-        if (mayRepeat) offer();
+        course.end(verdict === 'rejected' ? 'rejected' : 'full');
+        const {importance, grant} = call.root;
+        const urgency = urgencyOf({
+          importance,
+          doneCallsCount: call.doneCallsCount,
+        });
+        const mayOffer =
+          verdict !== 'rejected' ||
+          (grant.remaining() > 0 &&
+            from.budget.tryTakePaced(charge, urgency) &&
+            grant.trySpend());
+        if (mayOffer) offer();
         else call.onEnd('refused', new Map());
       };
       clock.after(delayMillis, () => {
@@ -270,6 +285,7 @@
       id,
       importance: importanceOf(route.rank, id),
       beganAtMillis: nowMillis(),
+      grant: createRetryGrant(DEFAULT_REPEATS_COUNT),
       runs: [],
     };
     const refuse = (): void => {
@@ -286,23 +302,25 @@
       });
     };
     const tree = node.trees.countsOf(route.name);
-    node.budget.recordRequest(
-      tree.size > 0 ? tree : new Map([[route.service, 1]]),
-    );
+    node.budget.recordRequest(new Map([[route.service, 1]]));
     const gated = {importance: root.importance, attemptId: id};
-    if (node.gate.shedCause(gated, route.service, tree) !== undefined) {
+    const cause = node.gate.shedCause(gated, route.service, tree);
+    if (cause !== undefined) {
+      node.questions.noteShed(cause.service);
       refuse();
       return;
     }
+    node.budget.recordExpected(callsBelow(tree, route.service));
     attempt(node, {
       root,
       route,
       deadlineMillis: nowMillis() + route.timeoutMillis,
       startByMillis: nowMillis() + route.objectiveMillis * WAIT_RATIO,
+      doneCallsCount: 0,
       onEnd: (end, calls) => {
         if (end === 'served') {
           const counts = new Map(calls);
-          add(counts, new Map([[route.service, 1]]));
+          addCounts(counts, new Map([[route.service, 1]]));
           node.trees.observe(route.name, counts);
           const millis = nowMillis() - firstMillis;
           if (millis <= route.objectiveMillis) outcome.inTimeCount += 1;
@@ -318,6 +336,20 @@
     });
   };
 
+  /** Asks one node of each service whose loads are heard of no more. */
+  const askLoads = (node: ReplayNode): void => {
+    for (const service of node.questions.due()) {
+      const others = nodes.filter(
+        other => other !== node && other.own.service === service,
+      );
+      const asked = others[Math.floor(random.next() * others.length)];
+      if (asked === undefined) continue;
+      clock.after(2 * HOP_MILLIS, () => {
+        for (const load of asked.loads()) node.board.observe(load);
+      });
+    }
+  };
+
   for (const clients of options.clients) {
     const next = (): void => {
       if (nowMillis() >= options.lengthMillis) return;
@@ -329,13 +361,8 @@
   }
   nodes.forEach(node => {
     const tick = (): void => {
-      node.ownLoad();
-      node.level.update({
-        ...node.queue.load(),
-        windowMillis: LEVEL_WINDOW_MILLIS,
-        service: node.board.serviceLoadOf(node.own.service),
-      });
-      node.board.expire();
+      node.moveLevel();
+      askLoads(node);
       if (nowMillis() < options.lengthMillis) {
         clock.after(LEVEL_WINDOW_MILLIS, tick);
       }
@@ -351,12 +378,3 @@
     if (isServed) second.usefulCount += 1;
   }
 }
-
-function add(
-  sums: Map<string, number>,
-  counts: ReadonlyMap<string, number>,
-): void {
-  for (const [service, count] of counts) {
-    sums.set(service, (sums.get(service) ?? 0) + count);
-  }
-}
--- a/test/fakes/hop_fixture.ts
+++ b/test/fakes/hop_fixture.ts
@@ -30,6 +30,7 @@
       instanceId,
       bodyBytes: () => MAX_BODY_BYTES,
       handle,
+      loads: () => [],
       nowMillis,
       onMalformed: peer => {
         t.fail(`malformed message from ${peer}`);
@@ -50,6 +51,7 @@
     onHeard: () => {
       signs.noteHeard();
     },
+    onLoads: () => undefined,
     onReplaced: count => {
       replacedCount += count;
     },
--- a/test/fakes/replay_node.ts
+++ b/test/fakes/replay_node.ts
@@ -3,15 +3,25 @@
  * the program wires them.
  */
 import type {AdmissionLevel} from '../../src/process/admission_level.js';
-import {createAdmissionLevel} from '../../src/process/admission_level.js';
+import {
+  createAdmissionLevel,
+  LEVEL_WINDOW_MILLIS,
+} from '../../src/process/admission_level.js';
 import type {CallTrees} from '../../src/process/call_trees.js';
 import {createCallTrees} from '../../src/process/call_trees.js';
 import type {EntryGate} from '../../src/process/entry_gate.js';
 import {createEntryGate} from '../../src/process/entry_gate.js';
 import type {LoadBoard, LoadReport} from '../../src/process/load_board.js';
 import {createLoadBoard} from '../../src/process/load_board.js';
+import type {LoadQuestions} from '../../src/process/load_questions.js';
+import {createLoadQuestions} from '../../src/process/load_questions.js';
 import type {PlacementChooser} from '../../src/process/placement.js';
 import {createPlacementChooser} from '../../src/process/placement.js';
+import type {RejectionRate} from '../../src/process/rejection_rate.js';
+import {
+  createRejectionRate,
+  isRejecting,
+} from '../../src/process/rejection_rate.js';
 import type {RepeatBudget} from '../../src/process/repeat_budget.js';
 import {createRepeatBudget} from '../../src/process/repeat_budget.js';
 import {createUpstreamDirectory} from '../../src/process/upstream_directory.js';
@@ -28,6 +38,7 @@
   readonly speed: number;
   /** Share of what it is handed that it rejects at once. */
   readonly rejectRatio: number;
+  readonly rejectFromMillis: number;
   /** All upstreams of the fleet. */
   readonly entries: readonly UpstreamEntry[];
   readonly nowMillis: () => number;
@@ -38,18 +49,25 @@
 export interface ReplayNode {
   readonly own: UpstreamEntry;
   readonly speed: number;
-  readonly rejectRatio: number;
+  /** Share of what its upstream is handed now that it rejects. */
+  rejectRatioNow(): number;
   readonly budget: RepeatBudget;
   readonly queue: UpstreamQueue;
   readonly level: AdmissionLevel;
+  readonly rejections: RejectionRate;
   readonly board: LoadBoard;
   readonly trees: CallTrees;
   readonly gate: EntryGate;
+  readonly questions: LoadQuestions;
   readonly placement: PlacementChooser;
   /** Load of the own upstream, which is put on the board as well. */
   ownLoad(): LoadReport;
+  /** Ends a window of the level. */
+  moveLevel(): void;
   /** Loads that an answer to this sender reports. */
   loadsFor(senderId: string): readonly LoadReport[];
+  /** Loads that a node is told which asks for them. */
+  loads(): readonly LoadReport[];
 }
 
 /** Others' loads go with one answer in this time, as between nodes. */
@@ -87,7 +105,15 @@
     nowMillis,
     nodesCount: () => entries.length,
   });
+  const rejections = createRejectionRate(nowMillis);
   const reportedMillis = new Map<string, number>();
+  const ownRejections = (): Pick<LoadReport, 'rejections'> => {
+    const current = rejections.current();
+    const others = board.serviceLoadOf(own.service);
+    return isRejecting(current) || others?.isRejecting
+      ? {rejections: current}
+      : {};
+  };
   const ownLoad = (): LoadReport => {
     const report = {
       ...queue.load(),
@@ -95,15 +121,29 @@
       service: own.service,
       level: level.level(),
       madeAtMillis: nowMillis(),
+      ...ownRejections(),
     };
     board.observe(report);
     return report;
   };
+  const moveLevel = (): void => {
+    ownLoad();
+    const service = board.serviceLoadOf(own.service);
+    level.update({
+      ...queue.load(),
+      windowMillis: LEVEL_WINDOW_MILLIS,
+      service,
+    });
+    board.expire();
+  };
   const loadsFor = (senderId: string): readonly LoadReport[] => {
-    const mine = ownLoad();
     const last = reportedMillis.get(senderId) ?? -Infinity;
-    if (nowMillis() - last < REPORT_MILLIS) return [mine];
+    if (nowMillis() - last < REPORT_MILLIS) return [ownLoad()];
     reportedMillis.set(senderId, nowMillis());
+    return loads();
+  };
+  const loads = (): readonly LoadReport[] => {
+    const mine = ownLoad();
     const others = board
       .shedding()
       .filter(report => report.upstreamId !== own.id);
@@ -112,16 +152,25 @@
   return {
     own,
     speed,
-    rejectRatio,
+    rejectRatioNow: () =>
+      nowMillis() < options.rejectFromMillis ? 0 : rejectRatio,
     budget,
     queue,
     level,
+    rejections,
     board,
     trees,
     gate,
+    questions: createLoadQuestions({
+      board,
+      ownUpstreamId: () => own.id,
+      nowMillis,
+    }),
     placement,
     ownLoad,
+    moveLevel,
     loadsFor,
+    loads,
   };
 }
 
@@ -135,11 +184,15 @@
   const rejectRatios = services.flatMap(service =>
     service.speeds.map((_, index) => service.rejectRatios?.[index] ?? 0),
   );
+  const rejectFroms = services.flatMap(service =>
+    service.speeds.map(() => service.rejectFromMillis ?? 0),
+  );
   return entries.map((own, index) =>
     createReplayNode({
       own,
       speed: speeds[index] ?? 1,
       rejectRatio: rejectRatios[index] ?? 0,
+      rejectFromMillis: rejectFroms[index] ?? 0,
       entries,
       ...clock,
     }),
--- /dev/null
+++ b/test/unit/protocol/load_codec.test.ts
@@ -0,0 +1,30 @@
+import test from 'ava';
+import type {LoadFields} from '../../../src/protocol/hop_messages.js';
+import {decodeLoads, encodeLoads} from '../../../src/protocol/load_codec.js';
+
+const LOAD: LoadFields = {
+  upstreamId: 'u-1',
+  service: 'catalogue',
+  inFlightCount: 3,
+  queuedCount: 1,
+  limitCount: 17,
+  averageMillis: 41.5,
+  level: 188,
+  ageMillis: 12,
+};
+
+const REJECTING: LoadFields = {
+  ...LOAD,
+  upstreamId: 'u-2',
+  rejections: {rejectedPerSecond: 89.6, arrivedPerSecond: 182.5},
+};
+
+test('loads come back as they were told', t => {
+  t.deepEqual(decodeLoads(encodeLoads([LOAD, REJECTING])), [LOAD, REJECTING]);
+});
+
+test('what is no list of loads tells nothing and throws nothing', t => {
+  for (const text of ['', '{', '7', '{"a":1}', '[[]]', '[["u",3]]', '[null]']) {
+    t.deepEqual(decodeLoads(Buffer.from(text)), [], text);
+  }
+});
--- a/test/unit/request/attempts.test.ts
+++ b/test/unit/request/attempts.test.ts
@@ -37,6 +37,7 @@
     headers: [],
     body: Buffer.alloc(0),
     isRepeatable,
+    doneCallsCount: 0,
     origin: {
       importance: 0,
       rootId: 'a',
@@ -82,6 +83,7 @@
         return Promise.resolve(end);
       },
       isLost: ({id}) => id !== '1',
+      askLoads: () => undefined,
       dispose: () => undefined,
     },
     rules: RULES,
