The own zone is kept as far as a route's objective allows

An upstream elsewhere that answers 20% sooner took nearly all requests, also those with ten times the time they need.

Change: an upstream of the own zone may take a tenth of the route's objective longer, less what its answers vary by, and less as its slots fill; a request's own length against its service's mean is reckoned in, so that a long kind at a service of short calls is not held near a slow upstream.

--- a/src/process/attempt_patience.ts
+++ b/src/process/attempt_patience.ts
@@ -12,6 +12,8 @@
 export interface AttemptPatience {
   /** Time after which to look elsewhere; `undefined` while too little is known. */
   patienceMillis(key: string): number | undefined;
+  /** Mean time to an answer; `undefined` before the first. */
+  usualMillis(key: string): number | undefined;
   /** An attempt was answered after this time. */
   observeAnswer(key: string, millis: number): void;
   /** An attempt was given up without an answer. */
@@ -71,6 +73,7 @@
         meanMillis + deviationMillis * DEVIATIONS_COUNT,
       );
     },
+    usualMillis: key => timesByKey.get(key)?.meanMillis,
     observeAnswer: (key, millis) => {
       const times = timesByKey.get(key);
       if (times !== undefined) {
--- a/src/process/expected_answer.ts
+++ b/src/process/expected_answer.ts
@@ -30,14 +30,19 @@
 
 /** Time after which an upstream is expected to answer a request sent now. */
 export function expectedAnswerMillis(expected: ExpectedUpstream): number {
-  const {upstream, ownCount, report, averageMillis, now} = expected;
+  const {upstream, averageMillis, now} = expected;
   const cold = upstream.coldUntilMillis > now ? COLD_FACTOR : 1;
   const average = averageMillis * cold;
-  const limit = Math.max(1, report?.limitCount ?? upstream.entry.slotsCount);
-  const reported = (report?.inFlightCount ?? 0) + (report?.queuedCount ?? 0);
-  const inFlight = Math.max(reported, ownCount);
-  const ratio = inFlight / limit;
+  const ratio = busyRatioOf(expected);
   const waitMillis = Math.max(0, ratio - 1) * average * WAIT_WEIGHT;
   const busyMillis = Math.max(0, Math.min(1, ratio) - BUSY_RATIO) * average;
   return average + waitMillis + busyMillis;
 }
+
+/** Requests there, as a share of its slots; above 1 some wait. */
+export function busyRatioOf(expected: ExpectedUpstream): number {
+  const {upstream, ownCount, report} = expected;
+  const limit = Math.max(1, report?.limitCount ?? upstream.entry.slotsCount);
+  const reported = (report?.inFlightCount ?? 0) + (report?.queuedCount ?? 0);
+  return Math.max(reported, ownCount) / limit;
+}
--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -7,7 +7,8 @@
  * this node has sent there since; distance counts as time, so that requests
  * stay in their zone unless another one serves them sooner.
  */
-import {expectedAnswerMillis} from './expected_answer.js';
+import type {ExpectedUpstream} from './expected_answer.js';
+import {busyRatioOf, expectedAnswerMillis} from './expected_answer.js';
 import type {LoadBoard, LoadReport} from './load_board.js';
 import {createProbeRation} from './probe_ration.js';
 import type {UpstreamEntry} from './upstream_entry.js';
@@ -15,6 +16,7 @@
 import type {AttemptEnd, UpstreamRecord} from './upstream_record.js';
 import {learnFrom} from './upstream_record.js';
 import {isSameStart} from './upstream_start.js';
+import {nearAllowanceMillis} from './zone_preference.js';
 
 /** An upstream chosen for one attempt. */
 export interface Placement {
@@ -23,12 +25,21 @@
   end(how: AttemptEnd): void;
 }
 
+/** What a request wants of its upstream. */
+export interface PlacementGoal {
+  /** Time in which an answer has its full value. */
+  readonly objectiveMillis: number;
+  /** Mean time of answers to its like, if any has come. */
+  readonly usualMillis: number | undefined;
+}
+
 /** Chooses upstreams. */
 export interface PlacementChooser {
   choose(
     service: string,
     excludedIds: ReadonlySet<string>,
     isLost?: (entry: UpstreamEntry) => boolean,
+    goal?: PlacementGoal,
   ): Placement | undefined;
   /**
    * Whether there is an upstream beside the excluded ones that is not known to
@@ -130,27 +141,51 @@
    * What nothing is known of is taken to be as fast as its service. Taken to be
    * faster, one that is too slow to answer at all would get every request.
    */
-  const usualMillis = ({entry}: KnownUpstream): number =>
+  const serviceMillis = ({entry}: KnownUpstream): number =>
     board.serviceLoadOf(entry.service)?.averageMillis ?? UNKNOWN_AVERAGE_MILLIS;
 
-  const score = (upstream: KnownUpstream, now: number): number => {
+  /** Time that may be spent for an upstream because it is in the own zone. */
+  const allowanceMillis = (
+    expected: ExpectedUpstream,
+    answerMillis: number,
+    {objectiveMillis, usualMillis}: PlacementGoal,
+  ): number => {
+    const meanMillis = serviceMillis(expected.upstream);
+    const lengthRatio = (usualMillis ?? meanMillis) / meanMillis;
+    return nearAllowanceMillis({
+      objectiveMillis,
+      expectedMillis: answerMillis * lengthRatio,
+      busyRatio: busyRatioOf(expected),
+    });
+  };
+
+  const score = (
+    upstream: KnownUpstream,
+    now: number,
+    goal: PlacementGoal | undefined,
+  ): number => {
     const record = recordOf(upstream);
     const report = board.find(upstream.entry.id);
     record.averageMillis = report?.averageMillis ?? record.averageMillis;
-    const averageMillis = record.averageMillis ?? usualMillis(upstream);
-    const answerMillis = expectedAnswerMillis({
+    const averageMillis = record.averageMillis ?? serviceMillis(upstream);
+    const state = {
       upstream,
       ownCount: record.ownCount,
       report,
       averageMillis,
       now,
-    });
+    };
+    const answerMillis = expectedAnswerMillis(state);
     const failureMillis = record.failedRatio * FAILURE_MILLIS;
     const noise = 1 + NOISE_RATIO * random();
     const expected = (answerMillis + failureMillis) * noise;
     const isNear = upstream.entry.zone === options.zone;
-    const preferred = isNear ? expected : expected * (1 + OTHER_ZONE_RATIO);
-    return preferred + distanceMillis(upstream);
+    if (!isNear) {
+      return expected * (1 + OTHER_ZONE_RATIO) + distanceMillis(upstream);
+    }
+    const allowance =
+      goal === undefined ? 0 : allowanceMillis(state, answerMillis, goal);
+    return expected + distanceMillis(upstream) - allowance;
   };
 
   /**
@@ -172,11 +207,12 @@
   const pickBest = (
     candidates: readonly KnownUpstream[],
     now: number,
+    goal: PlacementGoal | undefined,
   ): KnownUpstream | undefined => {
     let best: KnownUpstream | undefined;
     let bestScore = Infinity;
     for (const candidate of candidates) {
-      const candidateScore = score(candidate, now);
+      const candidateScore = score(candidate, now, goal);
       if (candidateScore >= bestScore) continue;
       best = candidate;
       bestScore = candidateScore;
@@ -193,10 +229,11 @@
     isRepeat: boolean,
     candidates: readonly KnownUpstream[],
     now: number,
+    goal: PlacementGoal | undefined,
   ): KnownUpstream | undefined => {
     const isDue = !isRepeat && ration.isDue(service);
     const probed = isDue ? pickProbe(candidates, now) : undefined;
-    if (probed === undefined) return pickBest(candidates, now);
+    if (probed === undefined) return pickBest(candidates, now, goal);
     ration.take(service);
     return probed;
   };
@@ -209,7 +246,7 @@
     recordOf(upstream).avoidUntilMillis <= now && !isLost(upstream.entry);
 
   return {
-    choose: (service, excludedIds, isLost = () => false) => {
+    choose: (service, excludedIds, isLost = () => false, goal) => {
       const now = nowMillis();
       const allowed = directory
         .ready(service)
@@ -222,6 +259,7 @@
         excludedIds.size > 0,
         usable.length > 0 ? usable : allowed,
         now,
+        goal,
       );
       if (chosen === undefined) return undefined;
       return openPlacement(chosen, recordOf(chosen), nowMillis);
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -118,12 +118,17 @@
 
 /** Where nobody else is left, those that rejected the request may take it now. */
 function placeNext(
-  {placement, remote}: AttemptsOptions,
-  {service}: AttemptedRequest,
+  {placement, remote, patience}: AttemptsOptions,
+  request: AttemptedRequest,
   course: OfferCourse,
 ): Placement | undefined {
+  const {service, route} = request;
+  const goal = {
+    objectiveMillis: route.objectiveMillis,
+    usualMillis: patience.usualMillis(patienceKeyOf(request)),
+  };
   const choose = (): Placement | undefined =>
-    placement.choose(service, course.excludedIds, remote.isLost);
+    placement.choose(service, course.excludedIds, remote.isLost, goal);
   return choose() ?? (course.readmitRejecting() ? choose() : undefined);
 }
 
@@ -164,7 +169,7 @@
   {entry, call, course}: NextAttempt,
 ): Promise<PatientEnd> {
   const {patience, placement, rules, nowMillis} = options;
-  const key = `${request.route.name} ${request.service}`;
+  const key = patienceKeyOf(request);
   const startedMillis = nowMillis();
   const hasNext = (): boolean =>
     placement.hasOther(
@@ -192,6 +197,10 @@
   return patient;
 }
 
+function patienceKeyOf({route, service}: AttemptedRequest): string {
+  return `${route.name} ${service}`;
+}
+
 function attemptAt(
   options: AttemptsOptions,
   entry: UpstreamEntry,
