The time for a sign of life follows the time in which nodes reply

And, known red: beside a load of 35 and more of 16 cores, upstreams that are merely busy are taken for lost by the same two bounds (zone_cut_off).

--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -2,6 +2,8 @@
  * One other node: the connections to it, the choice among them, and the way of
  * a request from a lost connection to the next.
  */
+import type {ReplyBound} from '../process/reply_bound.js';
+import {createReplyBound} from '../process/reply_bound.js';
 import type {Endpoint} from '../process/node_settings.js';
 import type {LoadFields} from '../protocol/hop_messages.js';
 import type {HopLink, LinkClose} from './hop_link.js';
@@ -23,6 +25,7 @@
 export interface HopPeerOptions {
   readonly endpoint: Endpoint;
   readonly nowMillis: () => number;
+  readonly replyBound?: ReplyBound;
   readonly onHeard: () => void;
   readonly onLoads: (loads: readonly LoadFields[]) => void;
   /** So many requests went on after their connection was lost. */
@@ -44,9 +47,6 @@
  */
 const MAX_IDLE_MILLIS = 4000;
 
-/** Time for a fresh connection and the first word of a busy process. */
-const REPLY_MILLIS = 400;
-
 /**
  * Fresh connections opened at the same time if it is urgent. One packet in
  * thirty is lost on a bad link, and a lost first packet is sent again only
@@ -61,7 +61,7 @@
 
 /** Creates a peer without connections. */
 export function createHopPeer(options: HopPeerOptions): HopPeer {
-  const {endpoint, nowMillis} = options;
+  const {endpoint, nowMillis, replyBound = createReplyBound()} = options;
   const links = new Set<HopLink>();
   const stranded = new Set<OutgoingHop>();
   let opening: Promise<Fresh> | undefined;
@@ -137,6 +137,7 @@
   const openFirst = (count: number): Promise<Fresh> =>
     new Promise(resolve => {
       const trials = new Set<HopLink>();
+      const askedMillis = nowMillis();
       let isSettled = false;
       const finish = (how: Fresh): void => {
         if (isSettled) return;
@@ -150,10 +151,11 @@
       };
       const timer = setTimeout(() => {
         finish('silent');
-      }, REPLY_MILLIS);
+      }, replyBound.currentMillis());
       for (let index = 0; index < count; index += 1) {
         const trial = open(
           () => {
+            if (!isSettled) replyBound.observe(nowMillis() - askedMillis);
             finish(trial);
           },
           how => {
--- a/src/connection/peer_watch.ts
+++ b/src/connection/peer_watch.ts
@@ -10,6 +10,8 @@
  */
 import type {Disposable} from '../base/lifecycle.js';
 import {createIntervalTimer} from '../base/lifecycle.js';
+import type {ReplyBound} from '../process/reply_bound.js';
+import {createReplyBound} from '../process/reply_bound.js';
 import type {Endpoint} from '../process/node_settings.js';
 
 /** A connection as the watch sees it. */
@@ -57,6 +59,7 @@
 /** What a watch needs. */
 export interface PeerWatchOptions {
   readonly nowMillis: () => number;
+  readonly replyBound?: ReplyBound;
   readonly onPeerLost: (endpoint: Endpoint, hopsCount: number) => void;
   readonly onPeerFound: (endpoint: Endpoint) => void;
 }
@@ -67,10 +70,10 @@
 const PING_MILLIS = 150;
 
 /**
- * Silence after which a fresh connection is opened: the sign of life has had
- * several ways between regions, and one lost packet sent again.
+ * Silence after which a fresh connection is opened, at least: one lost packet
+ * has been sent again by then.
  */
-const SILENT_MILLIS = 400;
+const MIN_SILENT_MILLIS = 300;
 
 /** Interval at which a node that did not reply is asked again. */
 const LOST_ASK_MILLIS = 500;
@@ -81,6 +84,8 @@
 interface PeerState {
   readonly peer: WatchedPeer;
   readonly pingedMillis: WeakMap<WatchedConnection, number>;
+  /** The last question on a connection that was replied to. */
+  readonly repliedMillis: WeakMap<WatchedConnection, number>;
   heardMillis: number;
   askedMillis: number;
   isAsking: boolean;
@@ -92,7 +97,10 @@
 /** Creates a watch without nodes. */
 export function createPeerWatch(options: PeerWatchOptions): PeerWatch {
   const states = new Set<PeerState>();
-  const {nowMillis} = options;
+  const {nowMillis, replyBound = createReplyBound()} = options;
+
+  const silentMillis = (): number =>
+    Math.max(MIN_SILENT_MILLIS, replyBound.currentMillis());
 
   const check = async (state: PeerState): Promise<void> => {
     const {peer} = state;
@@ -143,13 +151,27 @@
     options.onPeerFound(state.peer.endpoint);
   };
 
+  /** What was heard first after a question is taken for its reply. */
+  const learnReply = (
+    {pingedMillis, repliedMillis}: PeerState,
+    connection: WatchedConnection,
+  ): void => {
+    const askedMillis = pingedMillis.get(connection);
+    if (askedMillis === undefined) return;
+    if (connection.heardMillis <= askedMillis) return;
+    if (repliedMillis.get(connection) === askedMillis) return;
+    repliedMillis.set(connection, askedMillis);
+    replyBound.observe(connection.heardMillis - askedMillis);
+  };
+
   const isSuspect = (state: PeerState, now: number): boolean => {
     let isSilent = false;
     for (const connection of state.peer.connections()) {
       const {waitingSinceMillis, heardMillis} = connection;
       if (waitingSinceMillis === undefined) continue;
       const sinceMillis = Math.max(waitingSinceMillis, heardMillis);
-      if (now - sinceMillis > SILENT_MILLIS) isSilent = true;
+      learnReply(state, connection);
+      if (now - sinceMillis > silentMillis()) isSilent = true;
       if (now - sinceMillis <= PING_MILLIS) continue;
       const pingedMillis = state.pingedMillis.get(connection) ?? 0;
       if (now - pingedMillis <= PING_MILLIS) continue;
@@ -178,6 +200,7 @@
       const state: PeerState = {
         peer,
         pingedMillis: new WeakMap(),
+        repliedMillis: new WeakMap(),
         heardMillis: 0,
         askedMillis: 0,
         isAsking: false,
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -7,6 +7,8 @@
 import {endpointText} from '../process/endpoint_text.js';
 import type {LoadBoard} from '../process/load_board.js';
 import type {Endpoint} from '../process/node_settings.js';
+import type {ReplyBound} from '../process/reply_bound.js';
+import {createReplyBound} from '../process/reply_bound.js';
 import type {RetryLoan} from '../process/retry_grant.js';
 import type {UpstreamEntry} from '../process/upstream_entry.js';
 import type {HopRequest, LoadFields} from '../protocol/hop_messages.js';
@@ -46,8 +48,9 @@
   options: RemoteExecutionOptions,
 ): RemoteExecution {
   const store = createDisposableStore();
-  const watch = store.add(createPeerWatch(options));
-  const peers = createPeers(options, watch);
+  const replyBound = createReplyBound();
+  const watch = store.add(createPeerWatch({...options, replyBound}));
+  const peers = createPeers(options, watch, replyBound);
   store.add(peers);
   const execution: HopExecution = {options, peerOf: peers.of};
   return {
@@ -72,7 +75,11 @@
 }
 
 /** Nodes that requests have been sent to. */
-function createPeers(options: RemoteExecutionOptions, watch: PeerWatch): Peers {
+function createPeers(
+  options: RemoteExecutionOptions,
+  watch: PeerWatch,
+  replyBound: ReplyBound,
+): Peers {
   const peers = new Map<string, KnownPeer>();
   const timer = createIntervalTimer(EXPIRE_MILLIS, () => {
     for (const {peer} of peers.values()) peer.expire();
@@ -85,6 +92,7 @@
       const peer = createHopPeer({
         endpoint,
         nowMillis: options.nowMillis,
+        replyBound,
         onHeard: () => {
           signs.noteHeard();
         },
