fulmarhollow losses: which requests a fleet did not serve, when and why

Reads the logs of all nodes and sums up the attempts of clients that were not served by reason, by route and by span of time, with the time for which they were held; a request whose call failed counts by the deepest call. Says what share of the decisions the logs hold lines of. The reader of log lines is shared with trace.

--- /dev/null
+++ b/src/cli/losses.ts
@@ -0,0 +1,176 @@
+/**
+ * Sums up from the logs of a fleet which requests of clients were not served,
+ * when, and for what reason.
+ */
+import type {LogLine} from './log_lines.js';
+import {ID_SEPARATOR} from './log_lines.js';
+
+/** Requests that ended alike. */
+export interface LossRow {
+  /** Route, reason, or beginning of a span of time. */
+  readonly name: string;
+  readonly count: number;
+  /** Time for which they were held before they ended so. */
+  readonly heldMillis: number;
+}
+
+/** What was lost. */
+export interface Losses {
+  readonly count: number;
+  /** Share of the decisions of these kinds that the logs hold lines of. */
+  readonly coveredRatio: number;
+  readonly byReason: readonly LossRow[];
+  readonly byRoute: readonly LossRow[];
+  readonly bySpan: readonly LossRow[];
+}
+
+/** Gathers lines, in any order. */
+export interface LossCounter {
+  add(line: LogLine): void;
+  /** Sums up what was gathered by spans of time of this length. */
+  summarize(spanMillis: number): Losses;
+}
+
+interface Loss {
+  readonly requestId: string;
+  readonly route: string;
+  readonly timeMillis: number;
+  readonly heldMillis: number;
+  readonly event: string;
+  readonly line: LogLine;
+  /** This one, and those of its kind that were left out before it. */
+  readonly count: number;
+}
+
+/** Events that end a request without an answer of success. */
+const LOSS_EVENTS: ReadonlySet<string> = new Set([
+  'shed',
+  'refused',
+  'failed',
+  'answered-failure',
+  'client-left',
+]);
+
+/** Reasons of nodes and upstreams in the words of the summary. */
+const REASON_WORDS: Readonly<Record<string, string>> = {
+  'not-executed': 'rejected by upstreams of',
+  'queue-full': 'no slot in time at',
+  'too-late': 'no slot in time at',
+  unreachable: 'no upstream of',
+  cancelled: 'late at',
+  timeout: 'late at',
+  silent: 'silent nodes of',
+  'connection-lost': 'cut by',
+};
+
+/** Creates a counter that has gathered nothing. */
+export function createLossCounter(): LossCounter {
+  const losses: Loss[] = [];
+  /** For each request of a client, the deepest call that failed for it. */
+  const failedCalls = new Map<string, Loss>();
+  let linesCount = 0;
+  let suppressedCount = 0;
+
+  const noteCall = (call: Loss): void => {
+    const [rootId = ''] = call.requestId.split(ID_SEPARATOR, 1);
+    const known = failedCalls.get(rootId);
+    if (known === undefined || depthOf(call) > depthOf(known)) {
+      failedCalls.set(rootId, call);
+    }
+  };
+
+  const reasonOf = (loss: Loss): string => {
+    const call = failedCalls.get(loss.requestId);
+    if (loss.line['hasFailedCall'] === true && call !== undefined) {
+      return `call below: ${ownReasonOf(call)}`;
+    }
+    return ownReasonOf(loss);
+  };
+
+  return {
+    add: line => {
+      const loss = readLoss(line);
+      if (loss === undefined) return;
+      linesCount += 1;
+      suppressedCount += loss.count - 1;
+      if (loss.requestId.includes(ID_SEPARATOR)) noteCall(loss);
+      else losses.push(loss);
+    },
+    summarize: spanMillis => ({
+      count: losses.reduce((sum, {count}) => sum + count, 0),
+      coveredRatio:
+        linesCount === 0 ? 1 : linesCount / (linesCount + suppressedCount),
+      byReason: sumBy(losses, reasonOf, byCount),
+      byRoute: sumBy(
+        losses,
+        loss => `${loss.route}: ${reasonOf(loss)}`,
+        byCount,
+      ),
+      bySpan: sumBy(
+        losses,
+        ({timeMillis}) =>
+          new Date(
+            Math.floor(timeMillis / spanMillis) * spanMillis,
+          ).toISOString(),
+        byName,
+      ),
+    }),
+  };
+}
+
+function readLoss(line: LogLine): Loss | undefined {
+  const {event, requestId, route, time, millis, suppressedCount} = line;
+  if (typeof event !== 'string' || !LOSS_EVENTS.has(event)) return undefined;
+  if (typeof requestId !== 'string') return undefined;
+  const timeMillis = Date.parse(String(time));
+  if (!Number.isFinite(timeMillis)) return undefined;
+  return {
+    requestId,
+    route: typeof route === 'string' ? route : 'unknown',
+    timeMillis,
+    heldMillis: typeof millis === 'number' ? millis : 0,
+    event,
+    line,
+    count: 1 + (typeof suppressedCount === 'number' ? suppressedCount : 0),
+  };
+}
+
+function depthOf({requestId}: Loss): number {
+  return requestId.split(ID_SEPARATOR).length;
+}
+
+function ownReasonOf({event, line}: Loss): string {
+  const service = String(line['service'] ?? line['shedBy'] ?? '');
+  if (event === 'shed') {
+    return `turned away for ${String(line['shedBy'])}, ${String(line['reason'])}`;
+  }
+  if (event === 'client-left') return 'its client left';
+  if (event === 'answered-failure') {
+    return `status ${String(line['statusCode'])} of ${service}`;
+  }
+  const reason = String(line['reason']);
+  return `${REASON_WORDS[reason] ?? `${reason} at`} ${service}`.trim();
+}
+
+type RowOrder = (a: LossRow, b: LossRow) => number;
+
+const byCount: RowOrder = (a, b) => b.count - a.count;
+const byName: RowOrder = (a, b) => (a.name < b.name ? -1 : 1);
+
+function sumBy(
+  losses: readonly Loss[],
+  nameOf: (loss: Loss) => string,
+  order: RowOrder,
+): readonly LossRow[] {
+  const rows = new Map<string, LossRow>();
+  for (const loss of losses) {
+    const name = nameOf(loss);
+    const row = rows.get(name);
+    rows.set(name, {
+      name,
+      count: (row?.count ?? 0) + loss.count,
+      heldMillis: (row?.heldMillis ?? 0) + loss.heldMillis,
+    });
+  }
+  return [...rows.values()].sort(order);
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,6 +6,7 @@
 import {hideBin} from 'yargs/helpers';
 import {EXIT, processOutput} from './command_output.js';
 import {consoleCommand} from './console/console_command.js';
+import {lossesCommand} from './losses_command.js';
 import {policyCommand} from './policy_command.js';
 import {stateCommand} from './state_command.js';
 import {traceCommand} from './trace_command.js';
@@ -16,6 +17,7 @@
   .command(consoleCommand)
   .command(stateCommand)
   .command(traceCommand)
+  .command(lossesCommand)
   .demandCommand(1, 'a command is needed; --help lists them')
   .strict()
   .fail((message, error) => {
--- a/src/cli/trace_command.ts
+++ b/src/cli/trace_command.ts
@@ -1,11 +1,10 @@
 /**
  * `fulmarhollow trace ID [FILE...]`: what the logs of nodes say of one request.
  */
-import {createReadStream} from 'node:fs';
-import {createInterface} from 'node:readline';
 import type {Readable} from 'node:stream';
 import type {CommandModule} from 'yargs';
-import {describeError, InvalidInputError} from '../base/errors.js';
+import {describeError} from '../base/errors.js';
+import {ID_SEPARATOR, parseLogLine, readLogLines} from './log_lines.js';
 
 /** Arguments of the command. */
 export interface TraceArguments {
@@ -38,9 +37,6 @@
 const EXIT_NOTHING_FOUND = 1;
 const EXIT_UNREADABLE = 2;
 
-/** Ids of calls are the id of their request, this, and a part of their own. */
-const ID_SEPARATOR = '.';
-
 /** The command for yargs. */
 export const traceCommand: CommandModule<object, TraceArguments> = {
   command: 'trace <id> [files..]',
@@ -93,20 +89,9 @@
   input: Readable,
 ): Promise<readonly TracedLine[]> {
   const found: TracedLine[] = [];
-  const streams =
-    args.files.length > 0
-      ? args.files.map(file => ({name: file, stream: createReadStream(file)}))
-      : [{name: 'standard input', stream: input}];
-  for (const {name, stream} of streams) {
-    try {
-      for await (const line of createInterface({input: stream})) {
-        const traced = traceLine(line, args.id);
-        if (traced !== undefined) found.push(traced);
-      }
-    } catch (cause) {
-      const props = {step: 'read-log', peer: name};
-      throw new InvalidInputError(`${name} cannot be read.`, {cause, props});
-    }
+  for await (const text of readLogLines(args.files, input)) {
+    const traced = traceLine(text, args.id);
+    if (traced !== undefined) found.push(traced);
   }
   return found.sort((a, b) => (a.time < b.time ? -1 : 1));
 }
@@ -114,7 +99,7 @@
 /** The line if it concerns the request or a call made for it. */
 export function traceLine(text: string, id: string): TracedLine | undefined {
   if (!text.includes(id)) return undefined;
-  const line = parseLine(text);
+  const line = parseLogLine(text);
   if (line === undefined) return undefined;
   if (!concerns(line['requestId'], id) && !concerns(line['rootId'], id)) {
     return undefined;
@@ -130,19 +115,6 @@
   };
 }
 
-/** Some log collectors put a time or a host before the JSON. */
-function parseLine(
-  text: string,
-): Readonly<Record<string, unknown>> | undefined {
-  const start = text.indexOf('{');
-  if (start < 0) return undefined;
-  try {
-    return JSON.parse(text.slice(start)) as Record<string, unknown>;
-  } catch {
-    return undefined;
-  }
-}
-
 function concerns(value: unknown, id: string): boolean {
   if (typeof value !== 'string') return false;
   return value === id || value.startsWith(`${id}${ID_SEPARATOR}`);
