An upstream is measured by what its requests usually take

Change: a hop tells what its like usually takes, the node beside the upstream averages the ratio, and placement reckons a request's own time with it; waits are still reckoned with the mean of all.

--- a/src/connection/execution.ts
+++ b/src/connection/execution.ts
@@ -26,6 +26,8 @@
   readonly deadlineMillis: number;
   /** Latest useful start at the upstream. */
   readonly startByMillis: number;
+  /** What its like usually takes at this service, if any was answered. */
+  readonly usualMillis?: number | undefined;
   readonly cancel: CancelSignal;
 }
 
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -185,6 +185,7 @@
     isRepeatable: call.isRepeatable,
     leftMillis: Math.max(1, call.deadlineMillis - now),
     startWithinMillis: Math.max(0, call.startByMillis - now),
+    usualMillis: call.usualMillis,
     origin: {
       importance: origin.importance,
       rootId: origin.rootId,
--- a/src/daemon/node_decisions.ts
+++ b/src/daemon/node_decisions.ts
@@ -19,6 +19,8 @@
 import {createPlacementChooser} from '../process/placement.js';
 import type {RejectionRate} from '../process/rejection_rate.js';
 import {createRejectionRate, isRejecting} from '../process/rejection_rate.js';
+import type {RelativeSlowness} from '../process/relative_slowness.js';
+import {createRelativeSlowness} from '../process/relative_slowness.js';
 import type {RepeatBudget} from '../process/repeat_budget.js';
 import {createRepeatBudget} from '../process/repeat_budget.js';
 import type {
@@ -58,6 +60,7 @@
   readonly budget: RepeatBudget;
   /** Of the upstream of this host. */
   readonly rejections: RejectionRate;
+  readonly slowness: RelativeSlowness;
   readonly placement: PlacementChooser;
   /** Load of the own upstream of now, which is put on the board as well. */
   reportOwnLoad(): LoadReport | undefined;
@@ -110,6 +113,7 @@
   const repeatBound = (): RepeatBound =>
     repeatBoundOf(configuration, settings(), directory.count());
   const rejections = createRejectionRate(nowMillis);
+  const slowness = createRelativeSlowness();
   /** Of a service of which one rejects, all are told of. */
   const rejectionsOf = (service: string): RejectionFields | undefined => {
     const own = rejections.current();
@@ -136,6 +140,7 @@
       nodesCount: directory.count,
     }),
     rejections,
+    slowness,
     placement: createPlacementChooser({
       directory,
       board,
@@ -161,6 +166,7 @@
         limitCount: upstream.isReachable ? load.limitCount : 0,
         level: level.level(),
         madeAtMillis,
+        slownessRatio: slowness.ratio(),
         rejections: rejectionsOf(known.entry.service),
       };
       ownLoad = report;
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -75,6 +75,7 @@
     queue,
     level,
     rejections: decisions.rejections,
+    slowness: decisions.slowness,
     parents,
     sender,
     nowMillis,
--- a/src/process/expected_answer.ts
+++ b/src/process/expected_answer.ts
@@ -24,19 +24,22 @@
   /** Requests of this node that are there now. */
   readonly ownCount: number;
   readonly report: LoadReport | undefined;
+  /** Mean time for which one of all its requests holds a slot. */
   readonly averageMillis: number;
+  /** Time that the request itself would take there. */
+  readonly ownMillis: number;
   readonly now: number;
 }
 
 /** Time after which an upstream is expected to answer a request sent now. */
 export function expectedAnswerMillis(expected: ExpectedUpstream): number {
-  const {upstream, averageMillis, now} = expected;
+  const {upstream, averageMillis, ownMillis, now} = expected;
   const cold = upstream.coldUntilMillis > now ? COLD_FACTOR : 1;
   const average = averageMillis * cold;
   const ratio = busyRatioOf(expected);
   const waitMillis = Math.max(0, ratio - 1) * average * WAIT_WEIGHT;
   const busyMillis = Math.max(0, Math.min(1, ratio) - BUSY_RATIO) * average;
-  return average + waitMillis + busyMillis;
+  return ownMillis * cold + waitMillis + busyMillis;
 }
 
 /** Requests there, as a share of its slots; above 1 some wait. */
--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -121,6 +121,7 @@
       start: entry,
       ownCount: 0,
       averageMillis: undefined,
+      slownessRatio: undefined,
       lastSentMillis: upstream.firstSeenMillis - PROBE_MILLIS * random(),
       failedRatio: 0,
       failuresInARow: 0,
@@ -147,17 +148,14 @@
   /** Time that may be spent for an upstream because it is in the own zone. */
   const allowanceMillis = (
     expected: ExpectedUpstream,
-    answerMillis: number,
-    {objectiveMillis, usualMillis}: PlacementGoal,
-  ): number => {
-    const meanMillis = serviceMillis(expected.upstream);
-    const lengthRatio = (usualMillis ?? meanMillis) / meanMillis;
-    return nearAllowanceMillis({
+    expectedMillis: number,
+    {objectiveMillis}: PlacementGoal,
+  ): number =>
+    nearAllowanceMillis({
       objectiveMillis,
-      expectedMillis: answerMillis * lengthRatio,
+      expectedMillis,
       busyRatio: busyRatioOf(expected),
     });
-  };
 
   const score = (
     upstream: KnownUpstream,
@@ -168,11 +166,17 @@
     const report = board.find(upstream.entry.id);
     record.averageMillis = report?.averageMillis ?? record.averageMillis;
     const averageMillis = record.averageMillis ?? serviceMillis(upstream);
+    const slownessRatio = report?.slownessRatio ?? record.slownessRatio;
+    record.slownessRatio = slownessRatio;
     const state = {
       upstream,
       ownCount: record.ownCount,
       report,
       averageMillis,
+      ownMillis:
+        goal?.usualMillis === undefined
+          ? averageMillis
+          : goal.usualMillis * (slownessRatio ?? 1),
       now,
     };
     const answerMillis = expectedAnswerMillis(state);
--- a/src/process/upstream_record.ts
+++ b/src/process/upstream_record.ts
@@ -19,6 +19,7 @@
   ownCount: number;
   /** As reported last, kept when the report itself has aged. */
   averageMillis: number | undefined;
+  slownessRatio: number | undefined;
   lastSentMillis: number;
   /** Share of recent attempts that failed. */
   failedRatio: number;
--- a/src/protocol/hop_messages.ts
+++ b/src/protocol/hop_messages.ts
@@ -20,6 +20,8 @@
   readonly leftMillis: number;
   /** Time until the latest useful start. */
   readonly startWithinMillis: number;
+  /** What its like usually takes at this service, as far as its sender knows. */
+  readonly usualMillis?: number | undefined;
   readonly origin: OriginFields;
 }
 
@@ -110,6 +112,8 @@
   /** Least important value that it would like to receive. */
   readonly level: number;
   readonly ageMillis: number;
+  /** Time it takes against that of its service, for requests alike. */
+  readonly slownessRatio?: number | undefined;
   /** `undefined` while its service rejects nothing. */
   readonly rejections?: RejectionFields | undefined;
 }
--- a/src/protocol/hop_request_codec.ts
+++ b/src/protocol/hop_request_codec.ts
@@ -25,6 +25,7 @@
   number,
   number,
   OriginList,
+  number,
 ];
 
 /** Writes a request; the body is empty unless it goes along. */
@@ -50,6 +51,7 @@
       origin.isRepeat ? 1 : 0,
       origin.repeatsCount,
     ],
+    Math.round(request.usualMillis ?? 0),
   ];
   return joinPayload(list, body);
 }
@@ -66,6 +68,7 @@
   const leftMillis = list[9];
   const startWithinMillis = list[10];
   const origin = originOf(list[11]);
+  const usualMillis = list[12];
   if (!areTexts([hopId, attemptId, upstreamId, callerService])) {
     return undefined;
   }
@@ -86,6 +89,7 @@
       leftMillis,
       startWithinMillis,
       origin,
+      ...(isNumber(usualMillis) && usualMillis > 0 ? {usualMillis} : {}),
     },
     body: parts.body,
   };
--- a/src/protocol/load_codec.ts
+++ b/src/protocol/load_codec.ts
@@ -16,12 +16,15 @@
   number,
   number,
   number,
+  number,
   // Only of upstreams that reject: this goes with each answer.
   ...(RejectionList | []),
 ];
 /** Tenths of a millisecond, or of one per second, are enough of a mean. */
 const MEAN_STEPS = 10;
 
+const SLOWNESS_STEPS = 100;
+
 function roundMean(mean: number): number {
   return Math.round(mean * MEAN_STEPS) / MEAN_STEPS;
 }
@@ -37,10 +40,16 @@
     roundMean(load.averageMillis),
     load.level,
     Math.round(load.ageMillis),
+    roundSlowness(load.slownessRatio),
     ...listOfRejections(load.rejections),
   ];
 }
 
+/** Hundredths are enough; 0 stands for what is not known. */
+function roundSlowness(ratio: number | undefined): number {
+  return Math.round((ratio ?? 0) * SLOWNESS_STEPS) / SLOWNESS_STEPS;
+}
+
 function listOfRejections(
   rejections: RejectionFields | undefined,
 ): RejectionList | [] {
@@ -68,7 +77,8 @@
   if (typeof upstreamId !== 'string' || typeof service !== 'string') {
     return undefined;
   }
-  const [inFlight, queued, limit, average, level, age, ...rest] = figures;
+  const [inFlight, queued, limit, average, level, age, slowness, ...rest] =
+    figures;
   const rejections = rejectionsOf(rest);
   if (!isNumber(inFlight) || !isNumber(queued)) return undefined;
   if (!isNumber(limit) || !isNumber(average)) return undefined;
@@ -82,6 +92,7 @@
     averageMillis: average,
     level,
     ageMillis: age,
+    ...(isNumber(slowness) && slowness > 0 ? {slownessRatio: slowness} : {}),
     ...(rejections === undefined ? {} : {rejections}),
   };
 }
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -93,7 +93,10 @@
     course.begin(entry.id);
     const {end, isGivenUp} = await attemptPatiently(options, request, {
       entry,
-      call,
+      call: {
+        ...call,
+        usualMillis: options.patience.usualMillis(patienceKeyOf(request)),
+      },
       course,
     });
     last = end;
--- a/src/request/inbound_exchange.ts
+++ b/src/request/inbound_exchange.ts
@@ -71,6 +71,7 @@
     origin: originOf(request.origin, now),
     deadlineMillis: now + request.leftMillis,
     startByMillis: now + request.startWithinMillis,
+    usualMillis: request.usualMillis,
     fetchBody: arrival.fetchBody,
     cancel: arrival.cancel,
   };
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -15,6 +15,7 @@
   InFlightParents,
 } from '../process/in_flight_parents.js';
 import type {RejectionRate} from '../process/rejection_rate.js';
+import type {RelativeSlowness} from '../process/relative_slowness.js';
 import type {SlotRequest, UpstreamQueue} from '../process/upstream_queue.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {LocalUpstream} from './local_upstream.js';
@@ -38,6 +39,7 @@
   readonly queue: UpstreamQueue;
   readonly level: AdmissionLevel;
   readonly rejections: RejectionRate;
+  readonly slowness: RelativeSlowness;
   readonly parents: InFlightParents;
   readonly sender: UpstreamSender;
   readonly nowMillis: () => number;
@@ -169,14 +171,17 @@
 /** Gives the slot back and learns from how the upstream did. */
 function settle(
   options: LocalExecutionOptions,
-  {upstreamId}: LocalCall,
+  {upstreamId, usualMillis}: LocalCall,
   end: UpstreamEnd,
   heldMillis: number,
 ): void {
-  const {queue, upstream} = options;
+  const {queue, upstream, slowness} = options;
   if (end.kind === 'answered') queue.release(heldMillis);
   else queue.releaseUnused();
-  if (end.kind === 'answered') upstream.markReached();
+  if (end.kind === 'answered') {
+    upstream.markReached();
+    if (usualMillis !== undefined) slowness.observe(heldMillis, usualMillis);
+  }
   if (end.kind !== 'not-run') return;
   if (end.reason === 'unreachable') upstream.markUnreachable();
   else if (end.reason === 'misdirected') upstream.markMisdirected(upstreamId);
--- a/test/fakes/fleet_replay.ts
+++ b/test/fakes/fleet_replay.ts
@@ -13,48 +13,17 @@
   ReplayClients,
   ReplayOptions,
   ReplayOutcome,
-  ReplayRoute,
-  ServiceOutcome,
 } from './fleet_load.js';
 import {addCounts, emptyOutcomes, emptyRuns} from './fleet_load.js';
 import {urgencyOf} from '../../src/process/repeat_urgency.js';
-import type {RetryGrant} from '../../src/process/retry_grant.js';
 import {createRetryGrant} from '../../src/process/shared_retry_grant.js';
 import {DEFAULT_REPEATS_COUNT} from '../../src/version/route_configuration.js';
 import type {Placement} from '../../src/process/placement.js';
+import type {Call, CallEnd, Root, Run, Verdict} from './replay_calls.js';
+import {creditRuns} from './replay_calls.js';
 import type {ReplayNode} from './replay_node.js';
 import {createReplayNodes} from './replay_node.js';
 
-/** What a node tells about a request before its upstream works on it. */
-type Verdict = 'started' | 'rejected' | 'queue-full' | 'too-late';
-
-type CallEnd = 'served' | 'refused' | 'failed';
-
-/** A request of a client, shared by all calls made for it. */
-interface Root {
-  readonly id: string;
-  readonly importance: number;
-  readonly beganAtMillis: number;
-  readonly grant: RetryGrant;
-  readonly runs: Run[];
-}
-
-/** Work of one upstream for a request. */
-interface Run {
-  readonly second: ServiceOutcome;
-  isServed: boolean;
-}
-
-interface Call {
-  readonly root: Root;
-  readonly route: ReplayRoute;
-  readonly deadlineMillis: number;
-  readonly startByMillis: number;
-  /** Calls made before it for the same request. */
-  readonly doneCallsCount: number;
-  readonly onEnd: (end: CallEnd, calls: ReadonlyMap<string, number>) => void;
-}
-
 /** Time that a message takes from one node to another. */
 const HOP_MILLIS = 1;
 
@@ -110,7 +79,10 @@
       callOffDeadline();
       // What a caller cancels says nothing about the upstream's time.
       if (nowMillis() < call.deadlineMillis) {
-        node.queue.release(nowMillis() - startedMillis);
+        const heldMillis = nowMillis() - startedMillis;
+        node.queue.release(heldMillis);
+        const {usualMillis} = call;
+        if (usualMillis) node.slowness.observe(heldMillis, usualMillis);
       } else {
         node.queue.releaseUnused();
       }
@@ -211,8 +183,14 @@
     const course = createOfferCourse();
     const charge = new Map([[call.route.service, 1]]);
     const offer = (): void => {
+      const {name, service, objectiveMillis} = call.route;
+      const offeredMillis = nowMillis();
+      const usualMillis = from.patience.usualMillis(name);
       const choose = (): Placement | undefined =>
-        from.placement.choose(call.route.service, course.excludedIds);
+        from.placement.choose(service, course.excludedIds, () => false, {
+          objectiveMillis,
+          usualMillis,
+        });
       const placement = course.mayOffer
         ? (choose() ?? (course.readmitRejecting() ? choose() : undefined))
         : undefined;
@@ -251,9 +229,16 @@
           node,
           {
             ...call,
+            usualMillis,
             onEnd: (end, calls) => {
               clock.after(delayMillis, () => {
                 learn();
+                if (end === 'served') {
+                  from.patience.observeAnswer(
+                    name,
+                    nowMillis() - offeredMillis,
+                  );
+                }
                 placement.end(end === 'served' ? 'served' : 'neutral');
                 call.onEnd(end, calls);
               });
@@ -372,9 +357,3 @@
   clock.runUntil(options.lengthMillis + 3000);
   return {routes: outcomes, services: runs};
 }
-
-function creditRuns(root: Root): void {
-  for (const {second, isServed} of root.runs) {
-    if (isServed) second.usefulCount += 1;
-  }
-}
--- a/test/fakes/replay_node.ts
+++ b/test/fakes/replay_node.ts
@@ -22,6 +22,10 @@
   createRejectionRate,
   isRejecting,
 } from '../../src/process/rejection_rate.js';
+import type {AttemptPatience} from '../../src/process/attempt_patience.js';
+import {createAttemptPatience} from '../../src/process/attempt_patience.js';
+import type {RelativeSlowness} from '../../src/process/relative_slowness.js';
+import {createRelativeSlowness} from '../../src/process/relative_slowness.js';
 import type {RepeatBudget} from '../../src/process/repeat_budget.js';
 import {createRepeatBudget} from '../../src/process/repeat_budget.js';
 import {createUpstreamDirectory} from '../../src/process/upstream_directory.js';
@@ -55,6 +59,8 @@
   readonly queue: UpstreamQueue;
   readonly level: AdmissionLevel;
   readonly rejections: RejectionRate;
+  readonly slowness: RelativeSlowness;
+  readonly patience: AttemptPatience;
   readonly board: LoadBoard;
   readonly trees: CallTrees;
   readonly gate: EntryGate;
@@ -106,6 +112,7 @@
     nodesCount: () => entries.length,
   });
   const rejections = createRejectionRate(nowMillis);
+  const slowness = createRelativeSlowness();
   const reportedMillis = new Map<string, number>();
   const ownRejections = (): Pick<LoadReport, 'rejections'> => {
     const current = rejections.current();
@@ -121,6 +128,7 @@
       service: own.service,
       level: level.level(),
       madeAtMillis: nowMillis(),
+      slownessRatio: slowness.ratio(),
       ...ownRejections(),
     };
     board.observe(report);
@@ -158,6 +166,8 @@
     queue,
     level,
     rejections,
+    slowness,
+    patience: createAttemptPatience(),
     board,
     trees,
     gate,
--- a/test/unit/request/misdirected.test.ts
+++ b/test/unit/request/misdirected.test.ts
@@ -7,6 +7,7 @@
 import {createInFlightParents} from '../../../src/process/in_flight_parents.js';
 import {createLoadBoard} from '../../../src/process/load_board.js';
 import {createRejectionRate} from '../../../src/process/rejection_rate.js';
+import {createRelativeSlowness} from '../../../src/process/relative_slowness.js';
 import {createRepeatBudget} from '../../../src/process/repeat_budget.js';
 import {createRetryGrant} from '../../../src/process/shared_retry_grant.js';
 import {createUpstreamDirectory} from '../../../src/process/upstream_directory.js';
@@ -43,6 +44,7 @@
     queue: createUpstreamQueue(nowMillis),
     level: createAdmissionLevel(),
     rejections: createRejectionRate(nowMillis),
+    slowness: createRelativeSlowness(),
     parents: createInFlightParents(),
     sender: {
       send: (_request, onEnd: (end: UpstreamEnd) => void) => {
