What is meant for a former start goes to the one that has taken its place

The store lists these for seconds, the new ones come with their next heartbeat, and what an upstream says of itself as it denies an id was thrown away.

Change: the node beside it remembers the id that it tells, for a second, and hands over under that id what was meant for a former start of the own service; another service's address may have been given to it, and its requests are still refused. Nothing has run by then, so that an order may go as well.

Tests: three requests for a former id reached the upstream under its new id 3 times, none before; none where its service is another.

--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -33,7 +33,12 @@
 export type UpstreamEnd =
   | {readonly kind: 'answered'; readonly answer: ReceivedAnswer}
   /** Not run, and it will not be. */
-  | {readonly kind: 'not-run'; readonly reason: HopReason}
+  | {
+      readonly kind: 'not-run';
+      readonly reason: HopReason;
+      /** Id that the upstream says is its own, if it is another one. */
+      readonly actualId?: string | undefined;
+    }
   /** It may have run. */
   | {
       readonly kind: 'unknown';
@@ -146,7 +151,9 @@
     return {kind: 'unknown', reason: 'broken-answer', wasReused: false};
   }
   if (answer.statusCode === STATUS_MISDIRECTED) {
-    return {kind: 'not-run', reason: 'misdirected'};
+    const actualId =
+      names.upstreamId && headerOf(answer.headers, names.upstreamId);
+    return {kind: 'not-run', reason: 'misdirected', actualId};
   }
   if (headerOf(answer.headers, names.notExecuted) !== undefined) {
     return {kind: 'not-run', reason: 'not-executed'};
--- a/src/daemon/node_decisions.ts
+++ b/src/daemon/node_decisions.ts
@@ -102,6 +102,7 @@
   });
   const upstream = createLocalUpstream({
     directory,
+    ownService: () => settings().service,
     nowMillis,
     onChange: isReachable => {
       options.log.state(
--- a/src/protocol/own_headers.ts
+++ b/src/protocol/own_headers.ts
@@ -4,7 +4,9 @@
 import type {WireHeaders} from './wire_headers.js';
 
 /** Lower-case names. */
-export const OWN_HEADERS: Required<Omit<WireHeaders, 'signature'>> = {
+export const OWN_HEADERS: Required<
+  Omit<WireHeaders, 'signature' | 'upstreamId'>
+> = {
   attemptId: 'fulmarhollow-request-id',
   isAttemptIdRequired: false,
   timeoutMillis: 'fulmarhollow-timeout-ms',
--- a/src/protocol/wire_headers.ts
+++ b/src/protocol/wire_headers.ts
@@ -14,6 +14,8 @@
   readonly signature?: string;
   /** Id of the only upstream that may run the request. */
   readonly expectedUpstreamId: string;
+  /** Id of the upstream that answers, where it tells it. */
+  readonly upstreamId?: string;
   /** Mark of an answer which states that the request was not run. */
   readonly notExecuted: string;
   /** Service on whose host the request began. */
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -77,7 +77,7 @@
   }
   const startedMillis = nowMillis();
   const parent = options.parents.open(call.attemptId, call.origin);
-  const end = await handOver(options, call, body);
+  const end = await handOverToCurrent(options, call, body);
   parent.close();
   settle(options, call, end, nowMillis() - startedMillis);
   return executionEnd(end, parent);
@@ -136,6 +136,27 @@
   return leftMillis < MIN_LEFT_MILLIS ? 'too-late' : undefined;
 }
 
+/**
+ * Hands the request over; once more where the upstream says that it has started
+ * again under another id. Until the new entry is published, all requests of the
+ * service would else fail: half of those that were lost in the four seconds after
+ * a loss of power.
+ */
+async function handOverToCurrent(
+  options: LocalExecutionOptions,
+  call: LocalCall,
+  body: Buffer,
+): Promise<UpstreamEnd> {
+  const {upstream} = options;
+  const askedId = upstream.currentIdOf(call.upstreamId);
+  const end = await handOver(options, {...call, upstreamId: askedId}, body);
+  if (end.kind !== 'not-run' || end.reason !== 'misdirected') return end;
+  upstream.markMisdirected(call.upstreamId, end.actualId);
+  const currentId = upstream.currentIdOf(call.upstreamId);
+  if (currentId === call.upstreamId || currentId === askedId) return end;
+  return handOver(options, {...call, upstreamId: currentId}, body);
+}
+
 /** Hands the request over and ends it at its deadline at the latest. */
 function handOver(
   options: LocalExecutionOptions,
@@ -171,7 +192,7 @@
 /** Gives the slot back and learns from how the upstream did. */
 function settle(
   options: LocalExecutionOptions,
-  {upstreamId, usualMillis}: LocalCall,
+  {usualMillis}: LocalCall,
   end: UpstreamEnd,
   heldMillis: number,
 ): void {
@@ -184,7 +205,6 @@
   }
   if (end.kind !== 'not-run') return;
   if (end.reason === 'unreachable') upstream.markUnreachable();
-  else if (end.reason === 'misdirected') upstream.markMisdirected(upstreamId);
   else if (end.reason === 'not-executed') options.rejections.recordRejected();
 }
 
--- a/src/request/local_upstream.ts
+++ b/src/request/local_upstream.ts
@@ -14,8 +14,10 @@
   /** Why a request that was let in must not be handed over any more. */
   leavingReason(upstreamId: string): HopReason | undefined;
   markUnreachable(): void;
-  /** The upstream says that it is not the one with this id. */
-  markMisdirected(upstreamId: string): void;
+  /** The upstream says that it is not the one with this id, but another. */
+  markMisdirected(upstreamId: string, actualId: string | undefined): void;
+  /** Id that the upstream goes by where requests name this one. */
+  currentIdOf(upstreamId: string): string;
   markReached(): void;
   /** False while it cannot be reached. */
   readonly isReachable: boolean;
@@ -32,6 +34,8 @@
 /** What it needs. */
 export interface LocalUpstreamOptions {
   readonly directory: UpstreamDirectory;
+  /** Service of the upstream of this host; left out, it is not known. */
+  readonly ownService?: () => string;
   readonly nowMillis: () => number;
   readonly onChange: (isReachable: boolean) => void;
 }
@@ -46,14 +50,21 @@
 const LOST_COUNT = 2;
 
 /**
- * Time for which requests for an id are refused that the upstream says is not
- * its own. After a loss of power the entries of former starts are listed for
- * seconds, and each request handed over for one is an arrival beyond the first
- * when it goes on to the next upstream; the fleet has few of these. Not for good,
- * since one answer may be faulty.
+ * Time for which it is remembered that the upstream denies an id. After a loss of
+ * power the entries of former starts are listed for seconds, and each request
+ * handed over for one is an arrival beyond the first when it goes on to the next
+ * upstream; the fleet has few of these. Not for good, since one answer may be
+ * faulty.
  */
 const MISDIRECTED_MILLIS = 1000;
 
+/** An id that the upstream has denied. */
+interface DeniedId {
+  readonly untilMillis: number;
+  /** The id that it goes by instead, if it may take what is meant for this one. */
+  readonly currentId: string | undefined;
+}
+
 /** Creates the state of an upstream that is taken to be well. */
 export function createLocalUpstream(
   options: LocalUpstreamOptions,
@@ -64,17 +75,29 @@
   let failuresInARow = 0;
   let retryAtMillis = 0;
   let isDraining = false;
-  /** Until when an id is not asked for. */
-  const misdirectedUntil = new Map<string, number>();
+  const deniedIds = new Map<string, DeniedId>();
 
-  const misdirected = (upstreamId: string): HopReason | undefined => {
-    const untilMillis = misdirectedUntil.get(upstreamId);
-    if (untilMillis === undefined) return undefined;
-    if (nowMillis() < untilMillis) return 'other-upstream';
-    misdirectedUntil.delete(upstreamId);
+  const denied = (upstreamId: string): DeniedId | undefined => {
+    const known = deniedIds.get(upstreamId);
+    if (known === undefined || nowMillis() < known.untilMillis) return known;
+    deniedIds.delete(upstreamId);
     return undefined;
   };
 
+  const misdirected = (upstreamId: string): HopReason | undefined => {
+    const known = denied(upstreamId);
+    if (known === undefined || known.currentId !== undefined) return undefined;
+    return 'other-upstream';
+  };
+
+  /**
+   * A later start of the same service may take what was meant for the former one
+   * and never reached it. The entry of a former start may also name a service
+   * whose address this upstream has taken over.
+   */
+  const isOfOwnService = (upstreamId: string): boolean =>
+    directory.find(upstreamId)?.entry.service === options.ownService?.();
+
   const unreachable = (): HopReason | undefined => {
     if (failuresInARow === 0) return undefined;
     const now = nowMillis();
@@ -108,16 +131,20 @@
       // its slots and its callers until their deadlines.
       for (const listener of [...lostListeners]) listener();
     },
-    markMisdirected: upstreamId => {
-      misdirectedUntil.set(upstreamId, nowMillis() + MISDIRECTED_MILLIS);
+    markMisdirected: (upstreamId, actualId) => {
+      deniedIds.set(upstreamId, {
+        untilMillis: nowMillis() + MISDIRECTED_MILLIS,
+        currentId: isOfOwnService(upstreamId) ? actualId : undefined,
+      });
     },
+    currentIdOf: upstreamId => denied(upstreamId)?.currentId ?? upstreamId,
     markReached,
     get isReachable() {
       return failuresInARow === 0;
     },
     onLost: listener => listenIn(lostListeners, listener),
     markStarted: () => {
-      misdirectedUntil.clear();
+      deniedIds.clear();
       markReached();
       for (const listener of [...startedListeners]) listener();
     },
--- a/test/unit/request/misdirected.test.ts
+++ b/test/unit/request/misdirected.test.ts
@@ -24,10 +24,18 @@
 
 const BOUND = {ratio: 0.2, windowMillis: 10_000, slackCount: 8};
 
+const ANSWER = {
+  statusCode: 200,
+  headers: [],
+  isUnframed: false,
+  start: Buffer.alloc(0),
+  rest: undefined,
+};
+
 /** A node whose upstream is another one than its entry says. */
-function createFixture() {
+function createFixture(ownService = 'unknown', actualId?: string) {
   let now = 0;
-  let sentCount = 0;
+  const sentIds: string[] = [];
   const nowMillis = (): number => now;
   const directory = createUpstreamDirectory({
     nowMillis,
@@ -36,6 +44,7 @@
   directory.put([upstreamEntry()]);
   const upstream = createLocalUpstream({
     directory,
+    ownService: () => ownService,
     nowMillis,
     onChange: () => undefined,
   });
@@ -47,9 +56,13 @@
     slowness: createRelativeSlowness(),
     parents: createInFlightParents(),
     sender: {
-      send: (_request, onEnd: (end: UpstreamEnd) => void) => {
-        sentCount += 1;
-        onEnd({kind: 'not-run', reason: MISDIRECTED});
+      send: ({upstreamId}, onEnd: (end: UpstreamEnd) => void) => {
+        sentIds.push(upstreamId);
+        onEnd(
+          upstreamId === actualId
+            ? {kind: 'answered', answer: ANSWER}
+            : {kind: 'not-run', reason: MISDIRECTED, actualId},
+        );
       },
       dropIdle: () => undefined,
       dispose: () => undefined,
@@ -81,7 +94,7 @@
   return {
     execute: (upstreamId: string): Promise<ExecutionEnd> =>
       execution.execute(call(upstreamId)),
-    sentCount: () => sentCount,
+    sentIds,
     call,
     nowMillis,
     advance: (millis: number) => {
@@ -96,17 +109,17 @@
   // are there again under new ids; their former entries are still listed, and
   // every request for one is handed over and answered that this is another one.
   // Cause: only the sender learned from that answer, and each node is a sender.
-  const {execute, sentCount, advance} = createFixture();
+  const {execute, sentIds, advance} = createFixture();
   t.deepEqual(await execute('u-1'), {kind: 'refused', reason: MISDIRECTED});
   for (let sender = 0; sender < 5; sender += 1) {
     const end = await execute('u-1');
     t.deepEqual(end, {kind: 'refused', reason: 'other-upstream'});
   }
-  t.is(sentCount(), 1);
+  t.is(sentIds.length, 1);
   // It may have been a faulty answer.
   advance(2000);
   await execute('u-1');
-  t.is(sentCount(), 2);
+  t.is(sentIds.length, 2);
 });
 
 test('what another upstream was handed is charged as a repeat', t => {
@@ -137,3 +150,25 @@
     rules.mayTryAgain(request, {kind: 'refused', reason: 'other-upstream'}, 0),
   );
 });
+
+test('a request meant for the former start goes to the one that has taken its place', async t => {
+  // Symptom: for two seconds after a loss of power half of all requests are
+  // refused or fail for a call below. Sequence: the upstreams are there again
+  // under new ids, which are published with their next heartbeat; the former
+  // entries are still listed. Cause: what the upstream said of itself was thrown
+  // away.
+  const {execute, sentIds} = createFixture('orders', 'u-2');
+  for (let index = 0; index < 3; index += 1) {
+    t.is((await execute('u-1')).kind, 'answered');
+  }
+  t.deepEqual(sentIds, ['u-1', 'u-2', 'u-2', 'u-2']);
+});
+
+test('an upstream of another service does not take what was meant for a former one', async t => {
+  // Its address was given to another service, and the entry of the former start
+  // is still listed.
+  const {execute, sentIds} = createFixture('billing', 'u-2');
+  t.is((await execute('u-1')).kind, 'refused');
+  t.is((await execute('u-1')).kind, 'refused');
+  t.deepEqual(sentIds, ['u-1']);
+});
