--- a/bench/decisions_bench.ts
+++ b/bench/decisions_bench.ts
@@ -2,12 +2,12 @@
  * Cost of each decision as the fleet grows: with few and with many upstreams,
  * in one run, as microseconds and as a ratio.
  */
-import {createEntryGate} from '../src/process/entry_gate.js';
-import {createLoadBoard} from '../src/process/load_board.js';
-import {createPlacementChooser} from '../src/process/placement.js';
-import {createUpstreamDirectory} from '../src/process/upstream_directory.js';
-import type {UpstreamEntry} from '../src/process/upstream_entry.js';
-import {createUpstreamQueue} from '../src/process/upstream_queue.js';
+import {createEntryGate} from '../src/process/admission/entry_gate.js';
+import {createLoadBoard} from '../src/process/admission/load_board.js';
+import {createPlacementChooser} from '../src/process/placement/placement.js';
+import {createUpstreamDirectory} from '../src/process/membership/upstream_directory.js';
+import type {UpstreamEntry} from '../src/process/membership/upstream_entry.js';
+import {createUpstreamQueue} from '../src/process/admission/upstream_queue.js';
 
 /** Fleets compared: today's larger one, and the size to design for. */
 const SMALL = {servicesCount: 4, upstreamsCount: 15};
--- a/src/connection/bind_listener.ts
+++ b/src/connection/bind_listener.ts
@@ -3,8 +3,8 @@
  */
 import type {AddressInfo, Server} from 'node:net';
 import {describeError, TransportError} from '../base/errors.js';
-import {endpointText} from '../process/endpoint_text.js';
-import type {Endpoint} from '../process/node_settings.js';
+import {endpointText} from '../process/settings/endpoint_text.js';
+import type {Endpoint} from '../process/settings/node_settings.js';
 
 /** Connections that the system holds for the process to accept. */
 const BACKLOG_COUNT = 1024;
--- a/src/connection/document_follower.ts
+++ b/src/connection/document_follower.ts
@@ -9,8 +9,8 @@
   DocumentChange,
   DocumentRead,
   DocumentSource,
-} from '../process/document_source.js';
-import type {FollowPace} from '../process/follow_pace.js';
+} from '../process/membership/document_source.js';
+import type {FollowPace} from '../process/membership/follow_pace.js';
 
 /** What came of a call to the source. */
 export type SourceCall =
--- a/src/connection/execution.ts
+++ b/src/connection/execution.ts
@@ -2,8 +2,8 @@
  * Execution of one attempt of a request at one upstream, here or elsewhere.
  */
 import type {CancelSignal} from '../base/cancel_signal.js';
-import type {CallCounts} from '../process/call_trees.js';
-import type {CallOrigin} from '../process/in_flight_parents.js';
+import type {CallCounts} from '../process/admission/call_trees.js';
+import type {CallOrigin} from '../process/repeats/in_flight_parents.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {RawHeaders} from './raw_headers.js';
 import type {ReceivedAnswer} from './received_answer.js';
--- a/src/connection/frame_connection.ts
+++ b/src/connection/frame_connection.ts
@@ -4,7 +4,7 @@
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 import {describeError} from '../base/errors.js';
-import type {Endpoint} from '../process/node_settings.js';
+import type {Endpoint} from '../process/settings/node_settings.js';
 import type {Frame, FrameKind} from '../protocol/hop_frames.js';
 import {createFrameReader, encodeFrame} from '../protocol/hop_frames.js';
 
--- a/src/connection/hop_link.ts
+++ b/src/connection/hop_link.ts
@@ -1,7 +1,7 @@
 /**
  * One connection to another node, with the requests on it.
  */
-import type {Endpoint} from '../process/node_settings.js';
+import type {Endpoint} from '../process/settings/node_settings.js';
 import type {Frame} from '../protocol/hop_frames.js';
 import {FRAME_KIND} from '../protocol/hop_frames.js';
 import type {ClaimState, LoadFields} from '../protocol/hop_messages.js';
--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -2,9 +2,9 @@
  * One other node: the connections to it, the choice among them, and the way of
  * a request from a lost connection to the next.
  */
-import type {ReplyBound} from '../process/reply_bound.js';
-import {createReplyBound} from '../process/reply_bound.js';
-import type {Endpoint} from '../process/node_settings.js';
+import type {ReplyBound} from '../process/membership/reply_bound.js';
+import {createReplyBound} from '../process/membership/reply_bound.js';
+import type {Endpoint} from '../process/settings/node_settings.js';
 import type {LoadFields} from '../protocol/hop_messages.js';
 import type {HopLink, LinkClose} from './hop_link.js';
 import {openHopLink} from './hop_link.js';
--- a/src/connection/kept_connections.ts
+++ b/src/connection/kept_connections.ts
@@ -3,7 +3,7 @@
  */
 import http from 'node:http';
 import type {Socket} from 'node:net';
-import type {Endpoint} from '../process/node_settings.js';
+import type {Endpoint} from '../process/settings/node_settings.js';
 
 /** How long idle connections are kept. */
 export interface KeptConnectionsOptions {
--- a/src/connection/node_listener.ts
+++ b/src/connection/node_listener.ts
@@ -6,7 +6,7 @@
 import type {Socket} from 'node:net';
 import type {CancelSignal, CancelSource} from '../base/cancel_signal.js';
 import {createCancelSource} from '../base/cancel_signal.js';
-import type {Endpoint} from '../process/node_settings.js';
+import type {Endpoint} from '../process/settings/node_settings.js';
 import {bindListener, takeAccepted} from './bind_listener.js';
 
 /** One request with the response that answers it. */
--- a/src/connection/operator_listener.ts
+++ b/src/connection/operator_listener.ts
@@ -5,7 +5,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import {describeError} from '../base/errors.js';
-import type {Endpoint} from '../process/node_settings.js';
+import type {Endpoint} from '../process/settings/node_settings.js';
 
 /** What the listener shows. */
 export interface OperatorView {
--- a/src/connection/peer_watch.ts
+++ b/src/connection/peer_watch.ts
@@ -10,9 +10,9 @@
  */
 import type {Disposable} from '../base/lifecycle.js';
 import {createIntervalTimer} from '../base/lifecycle.js';
-import type {ReplyBound} from '../process/reply_bound.js';
-import {createReplyBound} from '../process/reply_bound.js';
-import type {Endpoint} from '../process/node_settings.js';
+import type {ReplyBound} from '../process/membership/reply_bound.js';
+import {createReplyBound} from '../process/membership/reply_bound.js';
+import type {Endpoint} from '../process/settings/node_settings.js';
 
 /** A connection as the watch sees it. */
 export interface WatchedConnection {
--- a/src/connection/prefix_listener.ts
+++ b/src/connection/prefix_listener.ts
@@ -1,7 +1,7 @@
 /**
  * One listener for documents below several prefixes that a single watch brings.
  */
-import type {DocumentChange} from '../process/document_source.js';
+import type {DocumentChange} from '../process/membership/document_source.js';
 import type {DocumentListener} from './document_follower.js';
 
 /** Creates a listener that passes on to each what lies below its prefix. */
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -4,13 +4,13 @@
  */
 import type {Disposable} from '../base/lifecycle.js';
 import {createDisposableStore, createIntervalTimer} from '../base/lifecycle.js';
-import {endpointText} from '../process/endpoint_text.js';
-import type {LoadBoard} from '../process/load_board.js';
-import type {Endpoint} from '../process/node_settings.js';
-import type {ReplyBound} from '../process/reply_bound.js';
-import {createReplyBound} from '../process/reply_bound.js';
-import type {RetryLoan} from '../process/retry_grant.js';
-import type {UpstreamEntry} from '../process/upstream_entry.js';
+import {endpointText} from '../process/settings/endpoint_text.js';
+import type {LoadBoard} from '../process/admission/load_board.js';
+import type {Endpoint} from '../process/settings/node_settings.js';
+import type {ReplyBound} from '../process/membership/reply_bound.js';
+import {createReplyBound} from '../process/membership/reply_bound.js';
+import type {RetryLoan} from '../process/repeats/retry_grant.js';
+import type {UpstreamEntry} from '../process/membership/upstream_entry.js';
 import type {HopRequest, LoadFields} from '../protocol/hop_messages.js';
 import type {ExecutionCall, ExecutionEnd} from './execution.js';
 import type {HopPeer} from './hop_peer.js';
--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -5,7 +5,7 @@
 import http from 'node:http';
 import type {CancelSignal} from '../base/cancel_signal.js';
 import {describeError} from '../base/errors.js';
-import type {Endpoint} from '../process/node_settings.js';
+import type {Endpoint} from '../process/settings/node_settings.js';
 import type {ReceivedAnswer} from './received_answer.js';
 import {receiveAnswer} from './received_answer.js';
 
--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -3,7 +3,7 @@
  */
 import type {CancelSignal} from '../base/cancel_signal.js';
 import type {Disposable} from '../base/lifecycle.js';
-import type {Endpoint} from '../process/node_settings.js';
+import type {Endpoint} from '../process/settings/node_settings.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import {
--- a/src/daemon/document_feeds.ts
+++ b/src/daemon/document_feeds.ts
@@ -8,17 +8,17 @@
 import type {DocumentListener} from '../connection/document_follower.js';
 import {followDocuments} from '../connection/document_follower.js';
 import {createPrefixListener} from '../connection/prefix_listener.js';
-import type {ConfigurationHolder} from '../process/configuration_holder.js';
-import type {DecisionLog} from '../process/decision_log.js';
-import type {DocumentChange} from '../process/document_source.js';
-import {createFollowPace} from '../process/follow_pace.js';
-import type {NodeMetrics} from '../process/node_metrics.js';
+import type {ConfigurationHolder} from '../process/membership/configuration_holder.js';
+import type {DecisionLog} from '../process/log/decision_log.js';
+import type {DocumentChange} from '../process/membership/document_source.js';
+import {createFollowPace} from '../process/membership/follow_pace.js';
+import type {NodeMetrics} from '../process/log/node_metrics.js';
 import type {
   Decoded,
   PublishedDocuments,
-} from '../process/published_documents.js';
-import type {UpstreamDirectory} from '../process/upstream_directory.js';
-import type {UpstreamEntry} from '../process/upstream_entry.js';
+} from '../process/membership/published_documents.js';
+import type {UpstreamDirectory} from '../process/membership/upstream_directory.js';
+import type {UpstreamEntry} from '../process/membership/upstream_entry.js';
 import type {ClientLimits} from '../version/route_configuration.js';
 
 /** What the feeds need. */
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -3,9 +3,9 @@
  * Entry point of `fulmarhollowd` with the product's own settings and documents.
  */
 import {OWN_HEADERS} from '../protocol/own_headers.js';
-import type {NodeSettings} from '../process/node_settings.js';
-import type {OwnSettings} from '../process/own_settings.js';
-import {readSettingsFile} from '../process/own_settings_file.js';
+import type {NodeSettings} from '../process/settings/node_settings.js';
+import type {OwnSettings} from '../process/settings/own_settings.js';
+import {readSettingsFile} from '../process/settings/own_settings_file.js';
 import {InvalidInputError} from '../base/errors.js';
 import {formatProblem} from '../version/problem.js';
 import {EXIT_USAGE, parseCommandLine} from './command_line.js';
--- a/src/daemon/node_decisions.ts
+++ b/src/daemon/node_decisions.ts
@@ -1,37 +1,43 @@
 /**
  * The decisions of one node and the pictures they are made from.
  */
-import type {AdmissionLevel} from '../process/admission_level.js';
-import {createAdmissionLevel} from '../process/admission_level.js';
-import type {CallTrees} from '../process/call_trees.js';
-import {createCallTrees} from '../process/call_trees.js';
-import type {ConfigurationHolder} from '../process/configuration_holder.js';
-import {createConfigurationHolder} from '../process/configuration_holder.js';
-import type {DecisionLog} from '../process/decision_log.js';
-import type {InFlightParents} from '../process/in_flight_parents.js';
-import {createInFlightParents} from '../process/in_flight_parents.js';
-import type {LoadBoard, LoadReport} from '../process/load_board.js';
-import {createLoadBoard} from '../process/load_board.js';
-import type {LoadQuestions} from '../process/load_questions.js';
-import {createLoadQuestions} from '../process/load_questions.js';
-import type {NodeSettings, RepeatBound} from '../process/node_settings.js';
-import type {PlacementChooser} from '../process/placement.js';
-import {createPlacementChooser} from '../process/placement.js';
-import type {RejectionRate} from '../process/rejection_rate.js';
-import {createRejectionRate, isRejecting} from '../process/rejection_rate.js';
-import type {RelativeSlowness} from '../process/relative_slowness.js';
-import {createRelativeSlowness} from '../process/relative_slowness.js';
-import type {RepeatBudget} from '../process/repeat_budget.js';
-import {createRepeatBudget} from '../process/repeat_budget.js';
+import type {AdmissionLevel} from '../process/admission/admission_level.js';
+import {createAdmissionLevel} from '../process/admission/admission_level.js';
+import type {CallTrees} from '../process/admission/call_trees.js';
+import {createCallTrees} from '../process/admission/call_trees.js';
+import type {ConfigurationHolder} from '../process/membership/configuration_holder.js';
+import {createConfigurationHolder} from '../process/membership/configuration_holder.js';
+import type {DecisionLog} from '../process/log/decision_log.js';
+import type {InFlightParents} from '../process/repeats/in_flight_parents.js';
+import {createInFlightParents} from '../process/repeats/in_flight_parents.js';
+import type {LoadBoard, LoadReport} from '../process/admission/load_board.js';
+import {createLoadBoard} from '../process/admission/load_board.js';
+import type {LoadQuestions} from '../process/admission/load_questions.js';
+import {createLoadQuestions} from '../process/admission/load_questions.js';
+import type {
+  NodeSettings,
+  RepeatBound,
+} from '../process/settings/node_settings.js';
+import type {PlacementChooser} from '../process/placement/placement.js';
+import {createPlacementChooser} from '../process/placement/placement.js';
+import type {RejectionRate} from '../process/admission/rejection_rate.js';
+import {
+  createRejectionRate,
+  isRejecting,
+} from '../process/admission/rejection_rate.js';
+import type {RelativeSlowness} from '../process/placement/relative_slowness.js';
+import {createRelativeSlowness} from '../process/placement/relative_slowness.js';
+import type {RepeatBudget} from '../process/repeats/repeat_budget.js';
+import {createRepeatBudget} from '../process/repeats/repeat_budget.js';
 import type {
   DirectoryChange,
   UpstreamDirectory,
-} from '../process/upstream_directory.js';
-import {createUpstreamDirectory} from '../process/upstream_directory.js';
-import type {UpstreamStart} from '../process/upstream_start.js';
-import {isSameStart} from '../process/upstream_start.js';
-import type {UpstreamQueue} from '../process/upstream_queue.js';
-import {createUpstreamQueue} from '../process/upstream_queue.js';
+} from '../process/membership/upstream_directory.js';
+import {createUpstreamDirectory} from '../process/membership/upstream_directory.js';
+import type {UpstreamStart} from '../process/membership/upstream_start.js';
+import {isSameStart} from '../process/membership/upstream_start.js';
+import type {UpstreamQueue} from '../process/admission/upstream_queue.js';
+import {createUpstreamQueue} from '../process/admission/upstream_queue.js';
 import type {RejectionFields} from '../protocol/hop_messages.js';
 import type {LocalUpstream} from '../request/local_upstream.js';
 import {createLocalUpstream} from '../request/local_upstream.js';
--- a/src/daemon/node_program.ts
+++ b/src/daemon/node_program.ts
@@ -7,11 +7,14 @@
 import {createLoopClock} from '../base/loop_clock.js';
 import {createIntervalTimer} from '../base/lifecycle.js';
 import {openOperatorListener} from '../connection/operator_listener.js';
-import type {DecisionLog} from '../process/decision_log.js';
-import {createDecisionLog} from '../process/decision_log.js';
-import {createNodeMetrics} from '../process/node_metrics.js';
-import type {Endpoint, NodeSettings} from '../process/node_settings.js';
-import type {PublishedDocuments} from '../process/published_documents.js';
+import type {DecisionLog} from '../process/log/decision_log.js';
+import {createDecisionLog} from '../process/log/decision_log.js';
+import {createNodeMetrics} from '../process/log/node_metrics.js';
+import type {
+  Endpoint,
+  NodeSettings,
+} from '../process/settings/node_settings.js';
+import type {PublishedDocuments} from '../process/membership/published_documents.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {ServiceNode} from './service_node.js';
 import {startServiceNode} from './service_node.js';
--- a/src/daemon/node_upkeep.ts
+++ b/src/daemon/node_upkeep.ts
@@ -4,9 +4,9 @@
  */
 import type {Disposable} from '../base/lifecycle.js';
 import {createDisposableStore, createIntervalTimer} from '../base/lifecycle.js';
-import {LEVEL_WINDOW_MILLIS} from '../process/admission_level.js';
-import type {DecisionLog} from '../process/decision_log.js';
-import type {NodeMetrics} from '../process/node_metrics.js';
+import {LEVEL_WINDOW_MILLIS} from '../process/admission/admission_level.js';
+import type {DecisionLog} from '../process/log/decision_log.js';
+import type {NodeMetrics} from '../process/log/node_metrics.js';
 import type {NodeDecisions} from './node_decisions.js';
 
 /** What upkeep needs. */
--- a/src/daemon/own_documents.ts
+++ b/src/daemon/own_documents.ts
@@ -8,12 +8,12 @@
   DocumentChange,
   DocumentRead,
   DocumentSource,
-} from '../process/document_source.js';
+} from '../process/membership/document_source.js';
 import type {
   Decoded,
   PublishedDocuments,
-} from '../process/published_documents.js';
-import type {UpstreamEntry} from '../process/upstream_entry.js';
+} from '../process/membership/published_documents.js';
+import type {UpstreamEntry} from '../process/membership/upstream_entry.js';
 import {compilePolicy} from '../version/compiled_policy.js';
 import type {PublishedHost} from '../version/host_list.js';
 import {parseHostList} from '../version/host_list_schema.js';
--- a/src/daemon/stop_sequence.ts
+++ b/src/daemon/stop_sequence.ts
@@ -1,7 +1,7 @@
 /**
  * How a node ends: everything that it has read is answered.
  */
-import type {StopPlan} from '../process/stop_plan.js';
+import type {StopPlan} from '../process/stop/stop_plan.js';
 
 /** What is stopped. */
 export interface StoppedParts {
--- a/src/process/load_board.ts
+++ b/src/process/admission/load_board.ts
@@ -2,7 +2,7 @@
  * What this node has heard about the load of upstreams, its own or from the
  * answers of other nodes; the newest report of each upstream counts.
  */
-import type {LoadFields, RejectionFields} from '../protocol/hop_messages.js';
+import type {LoadFields, RejectionFields} from '../../protocol/hop_messages.js';
 import {LEAST_IMPORTANT} from './importance.js';
 import {isRejecting} from './rejection_rate.js';
 
--- a/src/process/rejection_rate.ts
+++ b/src/process/admission/rejection_rate.ts
@@ -5,7 +5,7 @@
  * at once and with free slots. They look idle, and their slots hide the queue of
  * those that everything turns to. What arrives at each tells where work goes.
  */
-import type {RejectionFields} from '../protocol/hop_messages.js';
+import type {RejectionFields} from '../../protocol/hop_messages.js';
 
 /** Rate of one upstream. */
 export interface RejectionRate {
--- a/src/process/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -2,7 +2,7 @@
  * Counters and latency histograms of a node, served as text.
  */
 import {Counter, Gauge, Registry} from 'prom-client';
-import type {HopReason} from '../protocol/hop_messages.js';
+import type {HopReason} from '../../protocol/hop_messages.js';
 import {createAnswerTimes} from './answer_times.js';
 
 /** Metrics of one node. */
--- a/src/process/configuration_holder.ts
+++ b/src/process/membership/configuration_holder.ts
@@ -1,7 +1,7 @@
 /**
  * The newest configuration a node has seen; an older one never replaces it.
  */
-import type {RouteTable} from '../version/route_table.js';
+import type {RouteTable} from '../../version/route_table.js';
 
 /** What became of an offered configuration. */
 export type ConfigurationVerdict = 'accepted' | 'not-newer';
--- a/src/process/published_documents.ts
+++ b/src/process/membership/published_documents.ts
@@ -1,7 +1,7 @@
 /**
  * The documents that a deployment publishes for nodes, and how to read them.
  */
-import type {RouteTable} from '../version/route_table.js';
+import type {RouteTable} from '../../version/route_table.js';
 import type {DocumentChange, DocumentSource} from './document_source.js';
 import type {UpstreamEntry} from './upstream_entry.js';
 
--- a/src/process/upstream_entry.ts
+++ b/src/process/membership/upstream_entry.ts
@@ -2,7 +2,7 @@
  * What is published about one upstream.
  */
 
-import type {Endpoint} from './node_settings.js';
+import type {Endpoint} from '../settings/node_settings.js';
 import type {UpstreamStart} from './upstream_start.js';
 
 /** One start of one upstream, as it tells of itself. */
--- a/src/process/placement.ts
+++ b/src/process/placement/placement.ts
@@ -9,13 +9,16 @@
  */
 import type {ExpectedUpstream} from './expected_answer.js';
 import {busyRatioOf, expectedAnswerMillis} from './expected_answer.js';
-import type {LoadBoard, LoadReport} from './load_board.js';
+import type {LoadBoard, LoadReport} from '../admission/load_board.js';
 import {createProbeRation} from './probe_ration.js';
-import type {UpstreamEntry} from './upstream_entry.js';
-import type {KnownUpstream, UpstreamDirectory} from './upstream_directory.js';
+import type {UpstreamEntry} from '../membership/upstream_entry.js';
+import type {
+  KnownUpstream,
+  UpstreamDirectory,
+} from '../membership/upstream_directory.js';
 import type {AttemptEnd, UpstreamRecord} from './upstream_record.js';
 import {learnFrom} from './upstream_record.js';
-import {isSameStart} from './upstream_start.js';
+import {isSameStart} from '../membership/upstream_start.js';
 import {nearAllowanceMillis} from './zone_preference.js';
 
 /** An upstream chosen for one attempt. */
--- a/src/process/upstream_record.ts
+++ b/src/process/placement/upstream_record.ts
@@ -1,7 +1,7 @@
 /**
  * What a node has learned about one start of an upstream from its own attempts.
  */
-import type {UpstreamStart} from './upstream_start.js';
+import type {UpstreamStart} from '../membership/upstream_start.js';
 
 /** How an attempt ended, as far as the choice of upstreams is concerned. */
 export type AttemptEnd =
--- a/src/process/weighted_targets.ts
+++ b/src/process/placement/weighted_targets.ts
@@ -2,7 +2,7 @@
  * Divides the requests of a split route among its services, exactly in
  * proportion to the weights over any short run of requests.
  */
-import type {ServiceRoute} from '../version/route_configuration.js';
+import type {ServiceRoute} from '../../version/route_configuration.js';
 
 /** Chooses the service of each request. */
 export interface WeightedTargets {
--- a/src/process/in_flight_parents.ts
+++ b/src/process/repeats/in_flight_parents.ts
@@ -7,7 +7,7 @@
  * upstream's only if its parent is in progress here, so an id that merely looks
  * derived changes nothing.
  */
-import type {CallCounts} from './call_trees.js';
+import type {CallCounts} from '../admission/call_trees.js';
 import type {RetryGrant} from './retry_grant.js';
 
 /** What calls inherit from a client's request. */
--- a/src/process/repeat_budget.ts
+++ b/src/process/repeats/repeat_budget.ts
@@ -8,8 +8,8 @@
  * each other: each spends in proportion to the requests it sends itself, and
  * an equal part of the fixed slack.
  */
-import type {CallCounts} from './call_trees.js';
-import type {RepeatBound} from './node_settings.js';
+import type {CallCounts} from '../admission/call_trees.js';
+import type {RepeatBound} from '../settings/node_settings.js';
 import type {WindowSum} from './window_sum.js';
 import {createWindowSum} from './window_sum.js';
 
--- a/src/process/repeat_urgency.ts
+++ b/src/process/repeats/repeat_urgency.ts
@@ -7,7 +7,7 @@
  * call helps one in many, for the calls after it are rejected as often; one of a
  * last call nearly always saves the request and all work done for it.
  */
-import {rankOf} from './importance.js';
+import {rankOf} from '../admission/importance.js';
 
 /** What the order goes by. */
 export interface RejectedRequest {
--- a/src/process/own_settings_file.ts
+++ b/src/process/settings/own_settings_file.ts
@@ -3,8 +3,8 @@
  */
 import * as fs from 'node:fs';
 
-import {describeError} from '../base/errors.js';
-import {ROOT_PATH} from '../version/problem.js';
+import {describeError} from '../../base/errors.js';
+import {ROOT_PATH} from '../../version/problem.js';
 import type {SettingsParseResult} from './own_settings_schema.js';
 import {parseSettings} from './own_settings_schema.js';
 
--- a/src/process/own_settings_schema.ts
+++ b/src/process/settings/own_settings_schema.ts
@@ -5,10 +5,10 @@
 import * as Effect from 'effect/Effect';
 import * as Schema from 'effect/Schema';
 
-import {addressField, hostNameField} from '../version/host_list_schema.js';
-import {createDocumentDecoder} from '../version/json_document.js';
-import type {Problem} from '../version/problem.js';
-import {nameField, wholeNumberField} from '../version/schema_fields.js';
+import {addressField, hostNameField} from '../../version/host_list_schema.js';
+import {createDocumentDecoder} from '../../version/json_document.js';
+import type {Problem} from '../../version/problem.js';
+import {nameField, wholeNumberField} from '../../version/schema_fields.js';
 import type {ListenAddress, OwnSettings} from './own_settings.js';
 
 /** What became of a settings file. */
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -5,13 +5,16 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ExecutionCall, ExecutionEnd} from '../connection/execution.js';
 import type {RemoteExecution} from '../connection/remote_execution.js';
-import type {AttemptPatience} from '../process/attempt_patience.js';
-import type {OfferCourse, OfferEnd} from '../process/offer_course.js';
-import {createOfferCourse} from '../process/offer_course.js';
-import type {Placement, PlacementChooser} from '../process/placement.js';
-import type {StopPlan} from '../process/stop_plan.js';
-import type {UpstreamEntry} from '../process/upstream_entry.js';
-import type {AttemptEnd} from '../process/upstream_record.js';
+import type {AttemptPatience} from '../process/repeats/attempt_patience.js';
+import type {OfferCourse, OfferEnd} from '../process/repeats/offer_course.js';
+import {createOfferCourse} from '../process/repeats/offer_course.js';
+import type {
+  Placement,
+  PlacementChooser,
+} from '../process/placement/placement.js';
+import type {StopPlan} from '../process/stop/stop_plan.js';
+import type {UpstreamEntry} from '../process/membership/upstream_entry.js';
+import type {AttemptEnd} from '../process/placement/upstream_record.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {ServiceRoute} from '../version/route_configuration.js';
 import type {LocalExecution} from './local_execution.js';
--- a/src/request/inbound_exchange.ts
+++ b/src/request/inbound_exchange.ts
@@ -3,10 +3,10 @@
  */
 import type {ExecutionEnd} from '../connection/execution.js';
 import type {HopArrival} from '../connection/hop_arrival.js';
-import type {CallOrigin} from '../process/in_flight_parents.js';
-import {LEAST_IMPORTANT} from '../process/importance.js';
-import type {LoadReport} from '../process/load_board.js';
-import {createRetryGrant} from '../process/shared_retry_grant.js';
+import type {CallOrigin} from '../process/repeats/in_flight_parents.js';
+import {LEAST_IMPORTANT} from '../process/admission/importance.js';
+import type {LoadReport} from '../process/admission/load_board.js';
+import {createRetryGrant} from '../process/repeats/shared_retry_grant.js';
 import type {
   HopAnswer,
   LoadFields,
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -9,14 +9,17 @@
   UpstreamRequest,
   UpstreamSender,
 } from '../connection/upstream_sender.js';
-import type {AdmissionLevel} from '../process/admission_level.js';
+import type {AdmissionLevel} from '../process/admission/admission_level.js';
 import type {
   InFlightParent,
   InFlightParents,
-} from '../process/in_flight_parents.js';
-import type {RejectionRate} from '../process/rejection_rate.js';
-import type {RelativeSlowness} from '../process/relative_slowness.js';
-import type {SlotRequest, UpstreamQueue} from '../process/upstream_queue.js';
+} from '../process/repeats/in_flight_parents.js';
+import type {RejectionRate} from '../process/admission/rejection_rate.js';
+import type {RelativeSlowness} from '../process/placement/relative_slowness.js';
+import type {
+  SlotRequest,
+  UpstreamQueue,
+} from '../process/admission/upstream_queue.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {LocalUpstream} from './local_upstream.js';
 
--- a/src/request/local_upstream.ts
+++ b/src/request/local_upstream.ts
@@ -4,7 +4,7 @@
  */
 import type {Disposable} from '../base/lifecycle.js';
 import {toDisposable} from '../base/lifecycle.js';
-import type {UpstreamDirectory} from '../process/upstream_directory.js';
+import type {UpstreamDirectory} from '../process/membership/upstream_directory.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 
 /** State of the upstream beside this node. */
--- a/src/request/open_requests.ts
+++ b/src/request/open_requests.ts
@@ -4,7 +4,7 @@
  * by id, since nothing else tells it afterwards.
  */
 import type {CancelSource} from '../base/cancel_signal.js';
-import type {DecisionLog} from '../process/decision_log.js';
+import type {DecisionLog} from '../process/log/decision_log.js';
 import type {AnsweredRequest} from './entry_answers.js';
 
 /** Requests of one node that have no answer yet. */
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -9,20 +9,23 @@
 import type {Exchange} from '../connection/node_listener.js';
 import {passedOnHeaders} from '../connection/raw_headers.js';
 import {readRequestBody} from '../connection/request_body.js';
-import type {CallTrees} from '../process/call_trees.js';
-import {callsBelow} from '../process/call_trees.js';
-import type {ConfigurationHolder} from '../process/configuration_holder.js';
-import type {EntryGate} from '../process/entry_gate.js';
+import type {CallTrees} from '../process/admission/call_trees.js';
+import {callsBelow} from '../process/admission/call_trees.js';
+import type {ConfigurationHolder} from '../process/membership/configuration_holder.js';
+import type {EntryGate} from '../process/admission/entry_gate.js';
 import type {
   InFlightParent,
   InFlightParents,
-} from '../process/in_flight_parents.js';
-import {createRetryGrant} from '../process/shared_retry_grant.js';
-import {importanceOf, LEAST_IMPORTANT} from '../process/importance.js';
-import type {LoadQuestions} from '../process/load_questions.js';
-import type {RepeatBudget} from '../process/repeat_budget.js';
-import type {StopPlan} from '../process/stop_plan.js';
-import type {WeightedTargets} from '../process/weighted_targets.js';
+} from '../process/repeats/in_flight_parents.js';
+import {createRetryGrant} from '../process/repeats/shared_retry_grant.js';
+import {
+  importanceOf,
+  LEAST_IMPORTANT,
+} from '../process/admission/importance.js';
+import type {LoadQuestions} from '../process/admission/load_questions.js';
+import type {RepeatBudget} from '../process/repeats/repeat_budget.js';
+import type {StopPlan} from '../process/stop/stop_plan.js';
+import type {WeightedTargets} from '../process/placement/weighted_targets.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {ServiceRoute} from '../version/route_configuration.js';
 import type {AttemptsEnd, Attempts} from './attempts.js';
--- a/src/request/repeat_rules.ts
+++ b/src/request/repeat_rules.ts
@@ -3,11 +3,11 @@
  * or may run more than once, and the bounds on repeats leave room.
  */
 import type {ExecutionEnd} from '../connection/execution.js';
-import {LEAST_IMPORTANT} from '../process/importance.js';
-import {urgencyOf} from '../process/repeat_urgency.js';
-import type {CallCounts, CallTrees} from '../process/call_trees.js';
-import type {LoadBoard} from '../process/load_board.js';
-import type {RepeatBudget} from '../process/repeat_budget.js';
+import {LEAST_IMPORTANT} from '../process/admission/importance.js';
+import {urgencyOf} from '../process/repeats/repeat_urgency.js';
+import type {CallCounts, CallTrees} from '../process/admission/call_trees.js';
+import type {LoadBoard} from '../process/admission/load_board.js';
+import type {RepeatBudget} from '../process/repeats/repeat_budget.js';
 import type {AttemptedRequest} from './attempts.js';
 
 /** Rules of one node. */
--- a/test/contract/operator_policy.test.ts
+++ b/test/contract/operator_policy.test.ts
@@ -4,7 +4,7 @@
  */
 import test from 'ava';
 import {createOwnDocuments} from '../../src/daemon/own_documents.js';
-import {createConfigurationHolder} from '../../src/process/configuration_holder.js';
+import {createConfigurationHolder} from '../../src/process/membership/configuration_holder.js';
 import {MAX_DOCUMENT_BYTES} from '../../src/version/json_document.js';
 import {createPolicyBytes, encodeDocument} from '../fakes/policy_documents.js';
 
--- a/test/fakes/fleet_replay.ts
+++ b/test/fakes/fleet_replay.ts
@@ -3,10 +3,10 @@
  * each a node that decides with the project's own modules. Clients enter at all
  * nodes; loads travel with answers only.
  */
-import {LEVEL_WINDOW_MILLIS} from '../../src/process/admission_level.js';
-import {importanceOf} from '../../src/process/importance.js';
-import {callsBelow} from '../../src/process/call_trees.js';
-import {createOfferCourse} from '../../src/process/offer_course.js';
+import {LEVEL_WINDOW_MILLIS} from '../../src/process/admission/admission_level.js';
+import {importanceOf} from '../../src/process/admission/importance.js';
+import {callsBelow} from '../../src/process/admission/call_trees.js';
+import {createOfferCourse} from '../../src/process/repeats/offer_course.js';
 import {createSeededRandom} from '../../src/emulator/seeded_random.js';
 import {createEventClock} from './event_clock.js';
 import type {
@@ -15,10 +15,10 @@
   ReplayOutcome,
 } from './fleet_load.js';
 import {addCounts, emptyOutcomes, emptyRuns} from './fleet_load.js';
-import {urgencyOf} from '../../src/process/repeat_urgency.js';
-import {createRetryGrant} from '../../src/process/shared_retry_grant.js';
+import {urgencyOf} from '../../src/process/repeats/repeat_urgency.js';
+import {createRetryGrant} from '../../src/process/repeats/shared_retry_grant.js';
 import {DEFAULT_REPEATS_COUNT} from '../../src/version/route_configuration.js';
-import type {Placement} from '../../src/process/placement.js';
+import type {Placement} from '../../src/process/placement/placement.js';
 import type {Call, CallEnd, Root, Run, Verdict} from './replay_calls.js';
 import {creditRuns} from './replay_calls.js';
 import type {ReplayNode} from './replay_node.js';
--- a/test/fakes/replay_node.ts
+++ b/test/fakes/replay_node.ts
@@ -2,36 +2,39 @@
  * The decisions of one node in a replay: the project's own modules, wired as
  * the program wires them.
  */
-import type {AdmissionLevel} from '../../src/process/admission_level.js';
+import type {AdmissionLevel} from '../../src/process/admission/admission_level.js';
 import {
   createAdmissionLevel,
   LEVEL_WINDOW_MILLIS,
-} from '../../src/process/admission_level.js';
-import type {CallTrees} from '../../src/process/call_trees.js';
-import {createCallTrees} from '../../src/process/call_trees.js';
-import type {EntryGate} from '../../src/process/entry_gate.js';
-import {createEntryGate} from '../../src/process/entry_gate.js';
-import type {LoadBoard, LoadReport} from '../../src/process/load_board.js';
-import {createLoadBoard} from '../../src/process/load_board.js';
-import type {LoadQuestions} from '../../src/process/load_questions.js';
-import {createLoadQuestions} from '../../src/process/load_questions.js';
-import type {PlacementChooser} from '../../src/process/placement.js';
-import {createPlacementChooser} from '../../src/process/placement.js';
-import type {RejectionRate} from '../../src/process/rejection_rate.js';
+} from '../../src/process/admission/admission_level.js';
+import type {CallTrees} from '../../src/process/admission/call_trees.js';
+import {createCallTrees} from '../../src/process/admission/call_trees.js';
+import type {EntryGate} from '../../src/process/admission/entry_gate.js';
+import {createEntryGate} from '../../src/process/admission/entry_gate.js';
+import type {
+  LoadBoard,
+  LoadReport,
+} from '../../src/process/admission/load_board.js';
+import {createLoadBoard} from '../../src/process/admission/load_board.js';
+import type {LoadQuestions} from '../../src/process/admission/load_questions.js';
+import {createLoadQuestions} from '../../src/process/admission/load_questions.js';
+import type {PlacementChooser} from '../../src/process/placement/placement.js';
+import {createPlacementChooser} from '../../src/process/placement/placement.js';
+import type {RejectionRate} from '../../src/process/admission/rejection_rate.js';
 import {
   createRejectionRate,
   isRejecting,
-} from '../../src/process/rejection_rate.js';
-import type {AttemptPatience} from '../../src/process/attempt_patience.js';
-import {createAttemptPatience} from '../../src/process/attempt_patience.js';
-import type {RelativeSlowness} from '../../src/process/relative_slowness.js';
-import {createRelativeSlowness} from '../../src/process/relative_slowness.js';
-import type {RepeatBudget} from '../../src/process/repeat_budget.js';
-import {createRepeatBudget} from '../../src/process/repeat_budget.js';
-import {createUpstreamDirectory} from '../../src/process/upstream_directory.js';
-import type {UpstreamEntry} from '../../src/process/upstream_entry.js';
-import type {UpstreamQueue} from '../../src/process/upstream_queue.js';
-import {createUpstreamQueue} from '../../src/process/upstream_queue.js';
+} from '../../src/process/admission/rejection_rate.js';
+import type {AttemptPatience} from '../../src/process/repeats/attempt_patience.js';
+import {createAttemptPatience} from '../../src/process/repeats/attempt_patience.js';
+import type {RelativeSlowness} from '../../src/process/placement/relative_slowness.js';
+import {createRelativeSlowness} from '../../src/process/placement/relative_slowness.js';
+import type {RepeatBudget} from '../../src/process/repeats/repeat_budget.js';
+import {createRepeatBudget} from '../../src/process/repeats/repeat_budget.js';
+import {createUpstreamDirectory} from '../../src/process/membership/upstream_directory.js';
+import type {UpstreamEntry} from '../../src/process/membership/upstream_entry.js';
+import type {UpstreamQueue} from '../../src/process/admission/upstream_queue.js';
+import {createUpstreamQueue} from '../../src/process/admission/upstream_queue.js';
 import type {ReplayService} from './fleet_load.js';
 import {upstreamEntry} from './route_documents.js';
 
--- a/test/fakes/replayed_source.ts
+++ b/test/fakes/replayed_source.ts
@@ -6,7 +6,7 @@
   DocumentChange,
   DocumentRead,
   DocumentSource,
-} from '../../src/process/document_source.js';
+} from '../../src/process/membership/document_source.js';
 
 /** The source. */
 export interface ReplayedSource extends DocumentSource {
--- a/test/fakes/route_documents.ts
+++ b/test/fakes/route_documents.ts
@@ -3,7 +3,7 @@
  */
 import type {RouteTable} from '../../src/version/route_table.js';
 import {createRouteTable} from '../../src/version/route_table.js';
-import type {UpstreamEntry} from '../../src/process/upstream_entry.js';
+import type {UpstreamEntry} from '../../src/process/membership/upstream_entry.js';
 import type {
   RouteConfiguration,
   ServiceRoute,
--- a/test/unit/connection/document_follower.test.ts
+++ b/test/unit/connection/document_follower.test.ts
@@ -2,7 +2,7 @@
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
 import {followDocuments} from '../../../src/connection/document_follower.js';
-import {createFollowPace} from '../../../src/process/follow_pace.js';
+import {createFollowPace} from '../../../src/process/membership/follow_pace.js';
 import {waitUntil} from '../../fakes/wait_until.js';
 
 test('a lost source is asked with short waits until it answers', async t => {
--- a/test/unit/connection/document_follower_load.test.ts
+++ b/test/unit/connection/document_follower_load.test.ts
@@ -6,7 +6,7 @@
 import * as Effect from 'effect/Effect';
 import * as TestClock from 'effect/testing/TestClock';
 import {followDocuments} from '../../../src/connection/document_follower.js';
-import {createFollowPace} from '../../../src/process/follow_pace.js';
+import {createFollowPace} from '../../../src/process/membership/follow_pace.js';
 import type {ReplayedSource} from '../../fakes/replayed_source.js';
 import {createReplayedSource} from '../../fakes/replayed_source.js';
 import {createSeededRandom} from '../../fakes/seeded_random.js';
--- a/test/unit/daemon/document_feeds.test.ts
+++ b/test/unit/daemon/document_feeds.test.ts
@@ -1,14 +1,14 @@
 import test from 'ava';
 import {startDocumentFeeds} from '../../../src/daemon/document_feeds.js';
-import {createConfigurationHolder} from '../../../src/process/configuration_holder.js';
-import {DecisionLog} from '../../../src/process/decision_log.js';
+import {createConfigurationHolder} from '../../../src/process/membership/configuration_holder.js';
+import {DecisionLog} from '../../../src/process/log/decision_log.js';
 import type {
   DocumentRead,
   DocumentSource,
-} from '../../../src/process/document_source.js';
-import {createNodeMetrics} from '../../../src/process/node_metrics.js';
-import type {PublishedDocuments} from '../../../src/process/published_documents.js';
-import {createUpstreamDirectory} from '../../../src/process/upstream_directory.js';
+} from '../../../src/process/membership/document_source.js';
+import {createNodeMetrics} from '../../../src/process/log/node_metrics.js';
+import type {PublishedDocuments} from '../../../src/process/membership/published_documents.js';
+import {createUpstreamDirectory} from '../../../src/process/membership/upstream_directory.js';
 import {upstreamEntry} from '../../fakes/route_documents.js';
 import {waitUntil} from '../../fakes/wait_until.js';
 
--- a/test/unit/process/admission_level.test.ts
+++ b/test/unit/process/admission/admission_level.test.ts
@@ -2,11 +2,11 @@
 import {
   createAdmissionLevel,
   LEVEL_WINDOW_MILLIS,
-} from '../../../src/process/admission_level.js';
+} from '../../../../src/process/admission/admission_level.js';
 import {
   BUCKETS_COUNT,
   LEAST_IMPORTANT,
-} from '../../../src/process/importance.js';
+} from '../../../../src/process/admission/importance.js';
 
 /** Load on one upstream of 30 slots that needs 40 ms for each call. */
 const SLOTS_COUNT = 30;
--- a/test/unit/process/call_trees.test.ts
+++ b/test/unit/process/admission/call_trees.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
-import {createCallTrees} from '../../../src/process/call_trees.js';
-import {createRetryGrant} from '../../../src/process/shared_retry_grant.js';
-import {createInFlightParents} from '../../../src/process/in_flight_parents.js';
+import {createCallTrees} from '../../../../src/process/admission/call_trees.js';
+import {createRetryGrant} from '../../../../src/process/repeats/shared_retry_grant.js';
+import {createInFlightParents} from '../../../../src/process/repeats/in_flight_parents.js';
 
 const ORIGIN = {
   importance: 7,
--- a/test/unit/process/entry_gate.test.ts
+++ b/test/unit/process/admission/entry_gate.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
-import {createEntryGate} from '../../../src/process/entry_gate.js';
-import {LEAST_IMPORTANT} from '../../../src/process/importance.js';
-import {createLoadBoard} from '../../../src/process/load_board.js';
+import {createEntryGate} from '../../../../src/process/admission/entry_gate.js';
+import {LEAST_IMPORTANT} from '../../../../src/process/admission/importance.js';
+import {createLoadBoard} from '../../../../src/process/admission/load_board.js';
 
 const REQUEST = {importance: 3, attemptId: 'a'};
 
--- a/test/unit/process/fleet_overload.test.ts
+++ b/test/unit/process/admission/fleet_overload.test.ts
@@ -3,9 +3,9 @@
   ReplayOutcome,
   ReplayRoute,
   ReplayService,
-} from '../../fakes/fleet_load.js';
-import {sumSeconds} from '../../fakes/fleet_load.js';
-import {replayFleet} from '../../fakes/fleet_replay.js';
+} from '../../../fakes/fleet_load.js';
+import {sumSeconds} from '../../../fakes/fleet_load.js';
+import {replayFleet} from '../../../fakes/fleet_replay.js';
 
 /**
  * 35 upstreams of four services. Every browse makes four lookups at the
--- a/test/unit/process/load_board.test.ts
+++ b/test/unit/process/admission/load_board.test.ts
@@ -1,12 +1,12 @@
 import test from 'ava';
-import type {LoadReport} from '../../../src/process/load_board.js';
-import {createLoadBoard} from '../../../src/process/load_board.js';
-import {createEntryGate} from '../../../src/process/entry_gate.js';
+import type {LoadReport} from '../../../../src/process/admission/load_board.js';
+import {createLoadBoard} from '../../../../src/process/admission/load_board.js';
+import {createEntryGate} from '../../../../src/process/admission/entry_gate.js';
 import {
   importanceOf,
   LEAST_IMPORTANT,
   spreadOf,
-} from '../../../src/process/importance.js';
+} from '../../../../src/process/admission/importance.js';
 
 function report(fields: Partial<LoadReport> = {}): LoadReport {
   return {
--- a/test/unit/process/load_questions.test.ts
+++ b/test/unit/process/admission/load_questions.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
-import {LEAST_IMPORTANT} from '../../../src/process/importance.js';
-import {createLoadBoard} from '../../../src/process/load_board.js';
-import {createLoadQuestions} from '../../../src/process/load_questions.js';
+import {LEAST_IMPORTANT} from '../../../../src/process/admission/importance.js';
+import {createLoadBoard} from '../../../../src/process/admission/load_board.js';
+import {createLoadQuestions} from '../../../../src/process/admission/load_questions.js';
 
 function createFixture() {
   let now = 0;
--- a/test/unit/process/upstream_queue.test.ts
+++ b/test/unit/process/admission/upstream_queue.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
-import type {SlotRequest} from '../../../src/process/upstream_queue.js';
-import {createUpstreamQueue} from '../../../src/process/upstream_queue.js';
-import {BUCKETS_COUNT} from '../../../src/process/importance.js';
+import type {SlotRequest} from '../../../../src/process/admission/upstream_queue.js';
+import {createUpstreamQueue} from '../../../../src/process/admission/upstream_queue.js';
+import {BUCKETS_COUNT} from '../../../../src/process/admission/importance.js';
 
 /** A queue on a manual clock, with the names of requests as they start. */
 function createFixture(slotsCount: number) {
--- a/test/unit/process/node_metrics.test.ts
+++ b/test/unit/process/log/node_metrics.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {createNodeMetrics} from '../../../src/process/node_metrics.js';
+import {createNodeMetrics} from '../../../../src/process/log/node_metrics.js';
 
 test('answers are told by route and status, each bound with all below it', async t => {
   const metrics = createNodeMetrics();
--- a/test/unit/process/configuration_holder.test.ts
+++ b/test/unit/process/membership/configuration_holder.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import {createConfigurationHolder} from '../../../src/process/configuration_holder.js';
-import {routeTable} from '../../fakes/route_documents.js';
+import {createConfigurationHolder} from '../../../../src/process/membership/configuration_holder.js';
+import {routeTable} from '../../../fakes/route_documents.js';
 
 test('an older or equal version never replaces the one in force', t => {
   // Symptom: requests follow a route that was withdrawn. A read that was
--- a/test/unit/process/reply_bound.test.ts
+++ b/test/unit/process/membership/reply_bound.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {createReplyBound} from '../../../src/process/reply_bound.js';
+import {createReplyBound} from '../../../../src/process/membership/reply_bound.js';
 
 /** Bound after nodes have replied within times from `low` to `high`. */
 function boundAfter(low: number, high: number): number {
--- a/test/unit/process/upstream_restarts.test.ts
+++ b/test/unit/process/membership/upstream_restarts.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import {createUpstreamDirectory} from '../../../src/process/upstream_directory.js';
-import {upstreamEntry} from '../../fakes/route_documents.js';
+import {createUpstreamDirectory} from '../../../../src/process/membership/upstream_directory.js';
+import {upstreamEntry} from '../../../fakes/route_documents.js';
 
 const HEARTBEAT_MILLIS = 1000;
 
--- a/test/unit/process/upstream_start.test.ts
+++ b/test/unit/process/membership/upstream_start.test.ts
@@ -1,10 +1,10 @@
 import fc from 'fast-check';
 import test from 'ava';
-import type {UpstreamStart} from '../../../src/process/upstream_start.js';
+import type {UpstreamStart} from '../../../../src/process/membership/upstream_start.js';
 import {
   compareStarts,
   isSameStart,
-} from '../../../src/process/upstream_start.js';
+} from '../../../../src/process/membership/upstream_start.js';
 
 function start(id: string, bornMillis?: number): UpstreamStart {
   return {id, bornMillis};
--- a/test/unit/process/placement_fleet.test.ts
+++ b/test/unit/process/placement/placement_fleet.test.ts
@@ -3,11 +3,11 @@
  * than one node sends requests in a second.
  */
 import test from 'ava';
-import {createLoadBoard} from '../../../src/process/load_board.js';
-import {createPlacementChooser} from '../../../src/process/placement.js';
-import {createUpstreamDirectory} from '../../../src/process/upstream_directory.js';
-import {createSeededRandom} from '../../fakes/seeded_random.js';
-import {upstreamEntry} from '../../fakes/route_documents.js';
+import {createLoadBoard} from '../../../../src/process/admission/load_board.js';
+import {createPlacementChooser} from '../../../../src/process/placement/placement.js';
+import {createUpstreamDirectory} from '../../../../src/process/membership/upstream_directory.js';
+import {createSeededRandom} from '../../../fakes/seeded_random.js';
+import {upstreamEntry} from '../../../fakes/route_documents.js';
 
 const NOBODY: ReadonlySet<string> = new Set();
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
--- a/test/unit/process/relative_slowness.test.ts
+++ b/test/unit/process/placement/relative_slowness.test.ts
@@ -1,9 +1,9 @@
 import test from 'ava';
-import {createLoadBoard} from '../../../src/process/load_board.js';
-import {createPlacementChooser} from '../../../src/process/placement.js';
-import {createRelativeSlowness} from '../../../src/process/relative_slowness.js';
-import {createUpstreamDirectory} from '../../../src/process/upstream_directory.js';
-import {upstreamEntry} from '../../fakes/route_documents.js';
+import {createLoadBoard} from '../../../../src/process/admission/load_board.js';
+import {createPlacementChooser} from '../../../../src/process/placement/placement.js';
+import {createRelativeSlowness} from '../../../../src/process/placement/relative_slowness.js';
+import {createUpstreamDirectory} from '../../../../src/process/membership/upstream_directory.js';
+import {upstreamEntry} from '../../../fakes/route_documents.js';
 
 const SHORT_MILLIS = 40;
 const LONG_MILLIS = 640;
--- a/test/unit/process/weighted_targets.test.ts
+++ b/test/unit/process/placement/weighted_targets.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import {createWeightedTargets} from '../../../src/process/weighted_targets.js';
-import {serviceRoute} from '../../fakes/route_documents.js';
+import {createWeightedTargets} from '../../../../src/process/placement/weighted_targets.js';
+import {serviceRoute} from '../../../fakes/route_documents.js';
 
 const SPLIT = serviceRoute({
   targets: [
--- a/test/unit/process/zone_preference.test.ts
+++ b/test/unit/process/placement/zone_preference.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {nearAllowanceMillis} from '../../../src/process/zone_preference.js';
+import {nearAllowanceMillis} from '../../../../src/process/placement/zone_preference.js';
 
 test('what has time stays near, what is pressed goes where it is in time', t => {
   // A read of 1.5 s that takes 0.25 s next door, and an order of 0.3 s that
--- a/test/unit/process/attempt_patience.test.ts
+++ b/test/unit/process/repeats/attempt_patience.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
-import {createAttemptPatience} from '../../../src/process/attempt_patience.js';
-import {createSeededRandom} from '../../fakes/seeded_random.js';
+import {createAttemptPatience} from '../../../../src/process/repeats/attempt_patience.js';
+import {createSeededRandom} from '../../../fakes/seeded_random.js';
 
 const KEY = 'lookup';
 
--- a/test/unit/process/offer_course.test.ts
+++ b/test/unit/process/repeats/offer_course.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {createOfferCourse} from '../../../src/process/offer_course.js';
+import {createOfferCourse} from '../../../../src/process/repeats/offer_course.js';
 
 test('who is rejected by all asks them again, a bounded number of times', t => {
   // Load: two upstreams that reject half of what they are handed.
--- a/test/unit/process/repeat_budget.test.ts
+++ b/test/unit/process/repeats/repeat_budget.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {createRepeatBudget} from '../../../src/process/repeat_budget.js';
+import {createRepeatBudget} from '../../../../src/process/repeats/repeat_budget.js';
 
 const BOUND = {ratio: 0.2, windowMillis: 10_000, slackCount: 40};
 
--- a/test/unit/process/repeat_urgency.test.ts
+++ b/test/unit/process/repeats/repeat_urgency.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
-import {importanceOf} from '../../../src/process/importance.js';
-import {createRepeatBudget} from '../../../src/process/repeat_budget.js';
-import {urgencyOf} from '../../../src/process/repeat_urgency.js';
+import {importanceOf} from '../../../../src/process/admission/importance.js';
+import {createRepeatBudget} from '../../../../src/process/repeats/repeat_budget.js';
+import {urgencyOf} from '../../../../src/process/repeats/repeat_urgency.js';
 
 const BOUND = {ratio: 0.2, windowMillis: 10_000, slackCount: 0};
 const ONE = new Map([['catalogue', 1]]);
--- a/test/unit/process/shared_retry_grant.test.ts
+++ b/test/unit/process/repeats/shared_retry_grant.test.ts
@@ -1,12 +1,15 @@
 import test from 'ava';
 import fc from 'fast-check';
-import type {RetryGrant, RetryLoan} from '../../../src/process/retry_grant.js';
-import type {LendingRule} from '../../../src/process/shared_retry_grant.js';
+import type {
+  RetryGrant,
+  RetryLoan,
+} from '../../../../src/process/repeats/retry_grant.js';
+import type {LendingRule} from '../../../../src/process/repeats/shared_retry_grant.js';
 import {
   createRetryGrant,
   lendAllButOne,
-} from '../../../src/process/shared_retry_grant.js';
-import {createSeededRandom} from '../../fakes/seeded_random.js';
+} from '../../../../src/process/repeats/shared_retry_grant.js';
+import {createSeededRandom} from '../../../fakes/seeded_random.js';
 
 /** A call tree in which every hop calls `fanOutCount` hosts. */
 interface Tree {
--- a/test/unit/process/own_settings_schema.test.ts
+++ b/test/unit/process/settings/own_settings_schema.test.ts
@@ -1,9 +1,12 @@
 import test from 'ava';
 
-import {parseSettings} from '../../../src/process/own_settings_schema.js';
-import {MAX_DOCUMENT_BYTES} from '../../../src/version/json_document.js';
-import {formatProblem} from '../../../src/version/problem.js';
-import {minimalSettings, settingsBytes} from '../../fakes/minimal_settings.js';
+import {parseSettings} from '../../../../src/process/settings/own_settings_schema.js';
+import {MAX_DOCUMENT_BYTES} from '../../../../src/version/json_document.js';
+import {formatProblem} from '../../../../src/version/problem.js';
+import {
+  minimalSettings,
+  settingsBytes,
+} from '../../../fakes/minimal_settings.js';
 
 const LISTEN = minimalSettings().listen;
 
--- a/test/unit/process/stop_plan.test.ts
+++ b/test/unit/process/stop/stop_plan.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {createStopPlan} from '../../../src/process/stop_plan.js';
+import {createStopPlan} from '../../../../src/process/stop/stop_plan.js';
 
 const GRACE_MILLIS = 6000;
 
--- a/test/unit/request/attempts.test.ts
+++ b/test/unit/request/attempts.test.ts
@@ -4,12 +4,12 @@
   ExecutionCall,
   ExecutionEnd,
 } from '../../../src/connection/execution.js';
-import {createAttemptPatience} from '../../../src/process/attempt_patience.js';
-import {createLoadBoard} from '../../../src/process/load_board.js';
-import {createPlacementChooser} from '../../../src/process/placement.js';
-import {createStopPlan} from '../../../src/process/stop_plan.js';
-import {createRetryGrant} from '../../../src/process/shared_retry_grant.js';
-import {createUpstreamDirectory} from '../../../src/process/upstream_directory.js';
+import {createAttemptPatience} from '../../../src/process/repeats/attempt_patience.js';
+import {createLoadBoard} from '../../../src/process/admission/load_board.js';
+import {createPlacementChooser} from '../../../src/process/placement/placement.js';
+import {createStopPlan} from '../../../src/process/stop/stop_plan.js';
+import {createRetryGrant} from '../../../src/process/repeats/shared_retry_grant.js';
+import {createUpstreamDirectory} from '../../../src/process/membership/upstream_directory.js';
 import {createAttempts} from '../../../src/request/attempts.js';
 import type {RepeatRules} from '../../../src/request/repeat_rules.js';
 import {serviceRoute, upstreamEntry} from '../../fakes/route_documents.js';
--- a/test/unit/request/local_upstream.test.ts
+++ b/test/unit/request/local_upstream.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {createUpstreamDirectory} from '../../../src/process/upstream_directory.js';
+import {createUpstreamDirectory} from '../../../src/process/membership/upstream_directory.js';
 import {createLocalUpstream} from '../../../src/request/local_upstream.js';
 import {upstreamEntry} from '../../fakes/route_documents.js';
 
