--- a/src/process/placement/placement.ts
+++ b/src/process/placement/placement.ts
@@ -7,8 +7,6 @@
  * this node has sent there since; distance counts as time, so that requests
  * stay in their zone unless another one serves them sooner.
  */
-import type {ExpectedUpstream} from './expected_answer.js';
-import {busyRatioOf, expectedAnswerMillis} from './expected_answer.js';
 import type {LoadBoard, LoadReport} from '../admission/load_board.js';
 import {createProbeRation} from './probe_ration.js';
 import type {UpstreamEntry} from '../membership/upstream_entry.js';
@@ -19,7 +17,8 @@
 import type {AttemptEnd, UpstreamRecord} from './upstream_record.js';
 import {learnFrom} from './upstream_record.js';
 import {isSameStart} from '../membership/upstream_start.js';
-import {nearAllowanceMillis} from './zone_preference.js';
+import type {PlacementGoal} from './upstream_score.js';
+import {upstreamScore} from './upstream_score.js';
 
 /** An upstream chosen for one attempt. */
 export interface Placement {
@@ -28,14 +27,6 @@
   end(how: AttemptEnd): void;
 }
 
-/** What a request wants of its upstream. */
-export interface PlacementGoal {
-  /** Time in which an answer has its full value. */
-  readonly objectiveMillis: number;
-  /** Mean time of answers to its like, if any has come. */
-  readonly usualMillis: number | undefined;
-}
-
 /** Chooses upstreams. */
 export interface PlacementChooser {
   choose(
@@ -76,26 +67,9 @@
   readonly random: () => number;
 }
 
-/** Expected to add to an answer: a round trip, and bytes between zones. */
-const SAME_ZONE_MILLIS = 1;
-const OTHER_ZONE_MILLIS = 6;
-const OTHER_REGION_MILLIS = 40;
-
-/**
- * Share by which an upstream in another zone must be expected to answer sooner:
- * bytes between zones are paid for, and users do not notice less.
- */
-const OTHER_ZONE_RATIO = 0.2;
-
 /** Service time assumed while nobody has reported on the service. */
 const UNKNOWN_AVERAGE_MILLIS = 50;
 
-/**
- * Time that a certain failure costs: what a repeat elsewhere takes, 400 ms, at
- * the weight of a wait, so that nobody who can wait is sent where it fails.
- */
-const FAILURE_MILLIS = 1600;
-
 /**
  * An upstream that this node has sent nothing for this long may get a probe:
  * otherwise a slow past, or no past at all, would last for ever.
@@ -105,9 +79,6 @@
 /** A load reported longer ago says little about now: a queue drains in less. */
 const KNOWN_LOAD_MILLIS = 1000;
 
-/** Random part of a score, so that nodes with equal pictures spread. */
-const NOISE_RATIO = 0.1;
-
 /** Creates a chooser without history. */
 export function createPlacementChooser(
   options: PlacementOptions,
@@ -134,13 +105,6 @@
     return created;
   };
 
-  const distanceMillis = (upstream: KnownUpstream): number => {
-    const {hostKey, zone, region} = upstream.entry;
-    if (hostKey === options.hostKey) return 0;
-    if (zone === options.zone) return SAME_ZONE_MILLIS;
-    return region === options.region ? OTHER_ZONE_MILLIS : OTHER_REGION_MILLIS;
-  };
-
   /**
    * What nothing is known of is taken to be as fast as its service. Taken to be
    * faster, one that is too slow to answer at all would get every request.
@@ -148,18 +112,6 @@
   const serviceMillis = ({entry}: KnownUpstream): number =>
     board.serviceLoadOf(entry.service)?.averageMillis ?? UNKNOWN_AVERAGE_MILLIS;
 
-  /** Time that may be spent for an upstream because it is in the own zone. */
-  const allowanceMillis = (
-    expected: ExpectedUpstream,
-    expectedMillis: number,
-    {objectiveMillis}: PlacementGoal,
-  ): number =>
-    nearAllowanceMillis({
-      objectiveMillis,
-      expectedMillis,
-      busyRatio: busyRatioOf(expected),
-    });
-
   const score = (
     upstream: KnownUpstream,
     now: number,
@@ -168,31 +120,16 @@
     const record = recordOf(upstream);
     const report = board.find(upstream.entry.id);
     record.averageMillis = report?.averageMillis ?? record.averageMillis;
-    const averageMillis = record.averageMillis ?? serviceMillis(upstream);
-    const slownessRatio = report?.slownessRatio ?? record.slownessRatio;
-    record.slownessRatio = slownessRatio;
-    const state = {
+    record.slownessRatio = report?.slownessRatio ?? record.slownessRatio;
+    return upstreamScore(options, {
       upstream,
-      ownCount: record.ownCount,
+      record,
       report,
-      averageMillis,
-      ownMillis:
-        goal?.usualMillis === undefined
-          ? averageMillis
-          : goal.usualMillis * (slownessRatio ?? 1),
+      averageMillis: record.averageMillis ?? serviceMillis(upstream),
+      goal,
+      noise: random(),
       now,
-    };
-    const answerMillis = expectedAnswerMillis(state);
-    const failureMillis = record.failedRatio * FAILURE_MILLIS;
-    const noise = 1 + NOISE_RATIO * random();
-    const expected = (answerMillis + failureMillis) * noise;
-    const isNear = upstream.entry.zone === options.zone;
-    if (!isNear) {
-      return expected * (1 + OTHER_ZONE_RATIO) + distanceMillis(upstream);
-    }
-    const allowance =
-      goal === undefined ? 0 : allowanceMillis(state, answerMillis, goal);
-    return expected + distanceMillis(upstream) - allowance;
+    });
   };
 
   /**
