--- a/src/connection/execution.ts
+++ b/src/connection/execution.ts
@@ -19,8 +19,6 @@
   readonly headers: RawHeaders;
   readonly body: Buffer;
   readonly isRepeatable: boolean;
-  /** Calls made before it for the same request; 0 for a client's request. */
-  readonly doneCallsCount: number;
   readonly origin: CallOrigin;
   /** On this node's clock. */
   readonly deadlineMillis: number;
--- a/src/process/repeats/in_flight_parents.ts
+++ b/src/process/repeats/in_flight_parents.ts
@@ -33,9 +33,6 @@
   /** Notes that a call made for this request failed. */
   markFailedCall(): void;
   readonly hasFailedCall: boolean;
-  /** Notes that a call made for this request was served. */
-  markDoneCall(): void;
-  readonly doneCallsCount: number;
   readonly calls: CallCounts;
   /** Ends the record. */
   close(): void;
@@ -74,7 +71,6 @@
 /** A plain field: an accessor in a literal makes each parent costly to create. */
 interface OwnParent extends InFlightParent {
   hasFailedCall: boolean;
-  doneCallsCount: number;
 }
 
 function createParent(origin: CallOrigin, close: () => void): InFlightParent {
@@ -84,7 +80,6 @@
     calls,
     close,
     hasFailedCall: false,
-    doneCallsCount: 0,
     addCalls: counts => {
       for (const [service, count] of counts) {
         calls.set(service, (calls.get(service) ?? 0) + count);
@@ -93,9 +88,6 @@
     markFailedCall: () => {
       parent.hasFailedCall = true;
     },
-    markDoneCall: () => {
-      parent.doneCallsCount += 1;
-    },
   };
   return parent;
 }
--- a/src/process/repeats/repeat_budget.ts
+++ b/src/process/repeats/repeat_budget.ts
@@ -23,10 +23,9 @@
   tryTake(counts: CallCounts): boolean;
   /**
    * Takes a repeat of a request that an upstream rejected, if it is in time:
-   * what would be spent in the first second is kept for the whole window. The
-   * more urgent in [0, 1], the more of it may be taken.
+   * what would be spent in the first second is kept for the whole window.
    */
-  tryTakePaced(counts: CallCounts, urgency: number): boolean;
+  tryTakePaced(counts: CallCounts): boolean;
   /** Takes a repeat whatever is left. */
   take(counts: CallCounts): void;
 }
@@ -61,13 +60,6 @@
  */
 const PACED_RATIO = 0.2;
 
-/**
- * Part of that which is kept from the least urgent. A request of eight calls
- * needs ten repeats where half is rejected, and fails for want of one: what is
- * too little for all is enough for some.
- */
-const KEPT_RATIO = 0.9;
-
 interface Usage {
   readonly requests: WindowSum;
   readonly expected: WindowSum;
@@ -108,15 +100,10 @@
     return spentCount + count <= allowedCount(usage);
   };
 
-  const isInTime = (
-    service: string,
-    count: number,
-    urgency: number,
-  ): boolean => {
+  const isInTime = (service: string, count: number): boolean => {
     const usage = usageOf(service);
     const spentCount = usage.pacedPart === partOf() ? usage.pacedCount : 0;
-    const ratio = PACED_RATIO * (1 - KEPT_RATIO * (1 - urgency));
-    const limitCount = Math.max(1, ratio * allowedCount(usage));
+    const limitCount = Math.max(1, PACED_RATIO * allowedCount(usage));
     return spentCount + count <= limitCount;
   };
 
@@ -154,9 +141,9 @@
       for (const [service, count] of counts) spend(service, count);
     },
     tryTake,
-    tryTakePaced: (counts, urgency) => {
+    tryTakePaced: counts => {
       for (const [service, count] of counts) {
-        if (!isInTime(service, count, urgency)) return false;
+        if (!isInTime(service, count)) return false;
       }
       if (!tryTake(counts)) return false;
       for (const [service, count] of counts) pace(service, count);
--- a/src/request/inbound_exchange.ts
+++ b/src/request/inbound_exchange.ts
@@ -66,8 +66,6 @@
     target: request.target,
     headers: request.headers,
     isRepeatable: request.isRepeatable,
-    // Repeats are its sender's to make.
-    doneCallsCount: 0,
     origin: originOf(request.origin, now),
     deadlineMillis: now + request.leftMillis,
     startByMillis: now + request.startWithinMillis,
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -302,7 +302,6 @@
     headers: parts.headers,
     body: parts.body,
     isRepeatable: route.repeat === 'repeatable',
-    doneCallsCount: entered.parent?.doneCallsCount ?? 0,
     origin: entered.origin,
     deadlineMillis,
     startByMillis: Math.min(deadlineMillis, arrivedMillis + waitMillis),
@@ -335,7 +334,6 @@
   if (last.kind === 'answered') {
     parent.addCalls(last.calls);
     if (last.answer.statusCode >= 500) parent.markFailedCall();
-    else parent.markDoneCall();
   } else {
     parent.markFailedCall();
   }
--- a/src/request/repeat_rules.ts
+++ b/src/request/repeat_rules.ts
@@ -4,7 +4,6 @@
  */
 import type {ExecutionEnd} from '../connection/execution.js';
 import {LEAST_IMPORTANT} from '../process/admission/importance.js';
-import {urgencyOf} from '../process/repeats/repeat_urgency.js';
 import type {CallCounts, CallTrees} from '../process/admission/call_trees.js';
 import type {LoadBoard} from '../process/admission/load_board.js';
 import type {RepeatBudget} from '../process/repeats/repeat_budget.js';
@@ -88,13 +87,7 @@
   const mayAskAgain = (request: AttemptedRequest): boolean => {
     const {isRepeat, grant} = request.call.origin;
     if (isRepeat || grant.remaining() < 1) return false;
-    const urgency = urgencyOf({
-      importance: request.call.origin.importance,
-      doneCallsCount: request.call.doneCallsCount,
-    });
-    return (
-      budget.tryTakePaced(expectedCalls(request), urgency) && grant.trySpend()
-    );
+    return budget.tryTakePaced(expectedCalls(request)) && grant.trySpend();
   };
 
   /** Another upstream was handed it, which counts as an arrival. */
--- a/test/fakes/fleet_replay.ts
+++ b/test/fakes/fleet_replay.ts
@@ -15,7 +15,6 @@
   ReplayOutcome,
 } from './fleet_load.js';
 import {addCounts, emptyOutcomes, emptyRuns} from './fleet_load.js';
-import {urgencyOf} from '../../src/process/repeats/repeat_urgency.js';
 import {createRetryGrant} from '../../src/process/repeats/shared_retry_grant.js';
 import {DEFAULT_REPEATS_COUNT} from '../../src/version/route_configuration.js';
 import type {Placement} from '../../src/process/placement/placement.js';
@@ -113,7 +112,6 @@
         route: next,
         deadlineMillis,
         startByMillis: deadlineMillis,
-        doneCallsCount: index,
         onEnd: (end, below) => {
           addCounts(counts, new Map([[next.service, 1]]));
           addCounts(counts, below);
@@ -211,15 +209,11 @@
         learn();
         placement.end(verdict === 'rejected' ? 'failed' : 'neutral');
         course.end(verdict === 'rejected' ? 'rejected' : 'full');
-        const {importance, grant} = call.root;
-        const urgency = urgencyOf({
-          importance,
-          doneCallsCount: call.doneCallsCount,
-        });
+        const {grant} = call.root;
         const mayOffer =
           verdict !== 'rejected' ||
           (grant.remaining() > 0 &&
-            from.budget.tryTakePaced(charge, urgency) &&
+            from.budget.tryTakePaced(charge) &&
             grant.trySpend());
         if (mayOffer) offer();
         else call.onEnd('refused', new Map());
@@ -301,7 +295,6 @@
       route,
       deadlineMillis: nowMillis() + route.timeoutMillis,
       startByMillis: nowMillis() + route.objectiveMillis * WAIT_RATIO,
-      doneCallsCount: 0,
       onEnd: (end, calls) => {
         if (end === 'served') {
           const counts = new Map(calls);
--- a/test/fakes/replay_calls.ts
+++ b/test/fakes/replay_calls.ts
@@ -33,8 +33,6 @@
   readonly startByMillis: number;
   /** What its like usually takes, as its sender knows. */
   readonly usualMillis?: number | undefined;
-  /** Calls made before it for the same request. */
-  readonly doneCallsCount: number;
   readonly onEnd: (end: CallEnd, calls: ReadonlyMap<string, number>) => void;
 }
 
--- a/test/unit/process/repeats/repeat_budget.test.ts
+++ b/test/unit/process/repeats/repeat_budget.test.ts
@@ -64,3 +64,39 @@
   advance(1000);
   t.is(takeAll(ONE), first);
 });
+
+test('repeats of rejected requests last for the whole window', t => {
+  // Symptom: a service that rejects half of 1000 requests a second has no repeats
+  // left after two seconds, for eight more. Cause: each was granted as long as
+  // any of the window's was left.
+  const {budget, advance} = createFixture(1);
+  for (let millis = 0; millis < 10_000; millis += 1) {
+    budget.recordRequest(ONE);
+    advance(1);
+  }
+  const takeInTime = (): number => {
+    let takenCount = 0;
+    while (budget.tryTakePaced(ONE)) takenCount += 1;
+    return takenCount;
+  };
+  const first = takeInTime();
+  t.true(first > 100);
+  t.true(first <= 0.2 * BOUND.ratio * 10_000);
+  for (let second = 1; second < 4; second += 1) {
+    advance(1000);
+    t.true(takeInTime() > 100);
+  }
+});
+
+test('repeats last as long as the requests before are counted', t => {
+  // Symptom: a service gets fewer repeats the more of its requests are turned
+  // away. Cause: the budget counted the requests of the window alone, and the
+  // bound those of the window before as well.
+  const {budget, takeAll, advance} = createFixture(1);
+  for (let millis = 0; millis < 10_000; millis += 10) {
+    budget.recordRequest(ONE);
+    advance(10);
+  }
+  advance(9000);
+  t.true(takeAll(ONE) >= 0.5 * BOUND.ratio * 1000);
+});
--- a/test/unit/request/attempts.test.ts
+++ b/test/unit/request/attempts.test.ts
@@ -37,7 +37,6 @@
     headers: [],
     body: Buffer.alloc(0),
     isRepeatable,
-    doneCallsCount: 0,
     origin: {
       importance: 0,
       rootId: 'a',
--- a/test/unit/request/misdirected.test.ts
+++ b/test/unit/request/misdirected.test.ts
@@ -77,7 +77,6 @@
     target: '/',
     headers: [],
     isRepeatable: true,
-    doneCallsCount: 0,
     origin: {
       importance: 0,
       rootId: 'a',
