--- a/src/daemon/node_decisions.ts
+++ b/src/daemon/node_decisions.ts
@@ -117,8 +117,6 @@
     },
   });
   let ownLoad: LoadReport | undefined;
-  const repeatBound = (): RepeatBound =>
-    repeatBoundOf(configuration, settings(), directory.count());
   const rejections = createRejectionRate(nowMillis);
   const slowness = createRelativeSlowness();
   /** Of a service of which one rejects, all are told of. */
@@ -142,7 +140,7 @@
     parents: createInFlightParents(),
     trees: createCallTrees(),
     budget: createRepeatBudget({
-      bound: repeatBound,
+      bound: () => repeatBoundOf(configuration, settings(), directory.count()),
       nowMillis,
       nodesCount: directory.count,
     }),
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -89,17 +89,15 @@
   const {rules} = options;
 
   while (course.mayOffer) {
-    const placement = placeNext(options, request, course);
+    const usualMillis = options.patience.usualMillis(patienceKeyOf(request));
+    const placement = placeNext(options, request, {course, usualMillis});
     if (placement === undefined) break;
     const {entry} = placement.upstream;
     upstreamId = entry.id;
     course.begin(entry.id);
     const {end, isGivenUp} = await attemptPatiently(options, request, {
       entry,
-      call: {
-        ...call,
-        usualMillis: options.patience.usualMillis(patienceKeyOf(request)),
-      },
+      call: {...call, usualMillis},
       course,
     });
     last = end;
@@ -122,17 +120,20 @@
   };
 }
 
+/** What the next offer goes by. */
+interface NextOffer {
+  readonly course: OfferCourse;
+  /** What its like usually takes, if any was answered. */
+  readonly usualMillis: number | undefined;
+}
+
 /** Where nobody else is left, those that rejected the request may take it now. */
 function placeNext(
-  {placement, remote, patience}: AttemptsOptions,
-  request: AttemptedRequest,
-  course: OfferCourse,
+  {placement, remote}: AttemptsOptions,
+  {service, route}: AttemptedRequest,
+  {course, usualMillis}: NextOffer,
 ): Placement | undefined {
-  const {service, route} = request;
-  const goal = {
-    objectiveMillis: route.objectiveMillis,
-    usualMillis: patience.usualMillis(patienceKeyOf(request)),
-  };
+  const goal = {objectiveMillis: route.objectiveMillis, usualMillis};
   const choose = (): Placement | undefined =>
     placement.choose(service, course.excludedIds, remote.isLost, goal);
   return choose() ?? (course.readmitRejecting() ? choose() : undefined);
--- a/src/request/repeat_rules.ts
+++ b/src/request/repeat_rules.ts
@@ -53,10 +53,14 @@
   };
 
   /** A repeat below a repeat multiplies; the one nearest the client decides. */
-  const take = (request: AttemptedRequest, counts: CallCounts): boolean => {
+  const take = (
+    request: AttemptedRequest,
+    counts: CallCounts,
+    tryTake = budget.tryTake,
+  ): boolean => {
     const {grant, isRepeat} = request.call.origin;
     if (isRepeat || grant.remaining() < 1) return false;
-    return budget.tryTake(counts) && grant.trySpend();
+    return tryTake(counts) && grant.trySpend();
   };
 
   const isSaturated = (counts: CallCounts): boolean => {
@@ -84,11 +88,8 @@
    * What an upstream rejected has not run, so that it may be handed to more of
    * them than a route's attempts.
    */
-  const mayAskAgain = (request: AttemptedRequest): boolean => {
-    const {isRepeat, grant} = request.call.origin;
-    if (isRepeat || grant.remaining() < 1) return false;
-    return budget.tryTakePaced(expectedCalls(request)) && grant.trySpend();
-  };
+  const mayAskAgain = (request: AttemptedRequest): boolean =>
+    take(request, expectedCalls(request), budget.tryTakePaced);
 
   /** Another upstream was handed it, which counts as an arrival. */
   const mayTurnElsewhere = (request: AttemptedRequest): boolean =>
