Operators see the spent repeats of each node, and requests an upstream denies

Which of the ways in which an arrival escapes the bound on repeats acts could not be told: a second hand-over left no line, and no line said what a node had spent of its share. Now a 'misdirected' line and counter tell the first, the 'status' line and the state dump the second. Test: the use that is told equals what was taken.

--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -79,6 +79,15 @@
     parents,
     sender,
     nowMillis,
+    onMisdirected: (call, actualId) => {
+      options.metrics.recordMisdirected();
+      options.log.request('misdirected', {
+        requestId: call.attemptId,
+        rootId: call.origin.rootId,
+        upstream: call.upstreamId,
+        actualUpstream: actualId,
+      });
+    },
   });
   let executingCount = 0;
   const local: LocalExecution = {
--- a/src/daemon/node_upkeep.ts
+++ b/src/daemon/node_upkeep.ts
@@ -72,13 +72,15 @@
 }
 
 function writeStatus(options: NodeUpkeepOptions): void {
-  const {queue, level, directory, configurationVersion} = options.decisions;
+  const {queue, level, directory, budget, configurationVersion} =
+    options.decisions;
   options.log.state('status', {
     ...queue.load(),
     admissionLevel: level.level(),
     busyCount: options.busyCount(),
     upstreamsCount: directory.count(),
     configurationVersion: configurationVersion(),
+    repeatBudget: JSON.stringify(budget.use()),
     storeCalls: JSON.stringify(options.metrics.storeCalls()),
   });
 }
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -204,6 +204,7 @@
         upstreamsCount: directory.count(),
         shedding: board.shedding(),
       },
+      repeats: {budget: decisions.budget.use()},
     }),
     configuration: configuration.current,
   };
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -13,6 +13,8 @@
   recordRetry(reason: HopReason): void;
   recordRefusal(reason: HopReason): void;
   recordUnknown(reason: HopReason): void;
+  /** The own upstream was handed a request and says that it is another one. */
+  recordMisdirected(): void;
   /** A request entered, from the own upstream or from a client. */
   recordEntered(isUpstreams: boolean): void;
   recordStoreLost(): void;
@@ -66,6 +68,11 @@
   const unknowns = counter('unknown_total', 'Attempts that may have run', [
     'reason',
   ]);
+  const misdirected = counter(
+    'misdirected_total',
+    'Requests that the own upstream denies as meant for another one',
+    [],
+  );
   const enteredCounts = {upstream: 0, client: 0};
   // Filled in when it is asked for: this one counts each request.
   new Counter({
@@ -105,6 +112,9 @@
     recordUnknown: reason => {
       unknowns.inc({reason});
     },
+    recordMisdirected: () => {
+      misdirected.inc();
+    },
     recordEntered: isUpstreams => {
       enteredCounts[isUpstreams ? 'upstream' : 'client'] += 1;
     },
--- a/src/process/repeats/repeat_budget.ts
+++ b/src/process/repeats/repeat_budget.ts
@@ -28,6 +28,15 @@
   tryTakePaced(counts: CallCounts): boolean;
   /** Takes a repeat whatever is left. */
   take(counts: CallCounts): void;
+  /** What was spent of this node's share of the current window, by service. */
+  use(): readonly BudgetUse[];
+}
+
+/** Use of one service's budget. */
+export interface BudgetUse {
+  readonly service: string;
+  readonly spentCount: number;
+  readonly allowedCount: number;
 }
 
 /** What a budget needs. */
@@ -149,6 +158,12 @@
       for (const [service, count] of counts) pace(service, count);
       return true;
     },
+    use: () =>
+      [...usages].map(([service, usage]) => ({
+        service,
+        spentCount: usage.repeats.latest(partOf()),
+        allowedCount: allowedCount(usage),
+      })),
   };
 }
 
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -46,6 +46,8 @@
   readonly parents: InFlightParents;
   readonly sender: UpstreamSender;
   readonly nowMillis: () => number;
+  /** The upstream was handed the call and says that it is another one. */
+  readonly onMisdirected?: (call: LocalCall, actualId?: string) => void;
 }
 
 /** Less time than this is not worth handing over. */
@@ -154,6 +156,7 @@
   const askedId = upstream.currentIdOf(call.upstreamId);
   const end = await handOver(options, {...call, upstreamId: askedId}, body);
   if (end.kind !== 'not-run' || end.reason !== 'misdirected') return end;
+  options.onMisdirected?.(call, end.actualId);
   upstream.markMisdirected(call.upstreamId, end.actualId);
   const currentId = upstream.currentIdOf(call.upstreamId);
   if (currentId === call.upstreamId || currentId === askedId) return end;
--- a/test/unit/process/repeats/repeat_budget.test.ts
+++ b/test/unit/process/repeats/repeat_budget.test.ts
@@ -100,3 +100,12 @@
   advance(9000);
   t.true(takeAll(ONE) >= 0.5 * BOUND.ratio * 1000);
 });
+
+test('operators see what was spent of the share', t => {
+  const {budget, takeAll} = createFixture(1);
+  for (let sent = 0; sent < 50; sent += 1) budget.recordRequest(ONE);
+  const spentCount = takeAll(ONE);
+  const [use] = budget.use();
+  t.like(use, {service: 'orders', spentCount});
+  t.is(Math.floor(use!.allowedCount), spentCount);
+});
