Failing test: requests for ids of former starts are handed over twice, uncharged

Callers saw 503 in the seconds after a loss of power, and a service got more arrivals than the bound on repeats allows. On the stand-ins: 60 reads at once for two upstreams that are there under new ids and take 150 ms to deny the former ones; 55 arrivals beyond the first of their request, 22 allowed.

--- a/test/fakes/platform_fleet.ts
+++ b/test/fakes/platform_fleet.ts
@@ -95,8 +95,13 @@
   /** Services that the first version names, if not those of all hosts. */
   readonly namedServices?: readonly string[];
   readonly slots?: number;
+  /** Repeats of the whole fleet beyond its ratio; plenty if left out. */
+  readonly slackCount?: number;
 }
 
+/** Repeats that the fleet may send for each request. */
+export const REPEAT_RATIO = 0.2;
+
 /** Name under which clients address every route. */
 export const FLEET_HOST_NAME = 'shop.example';
 
@@ -200,6 +205,7 @@
       outboundPort,
       readyPort,
       storePort: store.port,
+      slackCount: options.slackCount ?? 200,
     });
     const events: LoggedEvent[] = [];
     const metrics = createNodeMetrics();
@@ -260,6 +266,7 @@
   readonly outboundPort: number;
   readonly readyPort: number;
   readonly storePort: number;
+  readonly slackCount: number;
 }
 
 function createSettings(parts: SettingsParts): NodeSettings {
@@ -279,7 +286,11 @@
     graceMillis: 6000,
     // Leaves no time in which changes gather: tests publish one by one.
     applyWithinMillis: 0,
-    repeatBound: {ratio: 0.2, windowMillis: 10_000, slackCount: 200},
+    repeatBound: {
+      ratio: REPEAT_RATIO,
+      windowMillis: 10_000,
+      slackCount: parts.slackCount,
+    },
   };
 }
 
--- a/test/fakes/stand_in_backend.ts
+++ b/test/fakes/stand_in_backend.ts
@@ -24,6 +24,8 @@
 /** The stand-in. */
 export interface StandInBackend {
   readonly id: string;
+  /** Ids of the attempts that its starts were handed, run or not, in order. */
+  readonly arrivedIds: readonly string[];
   /** Ids of the attempts that its starts began to work on, in order. */
   readonly runIds: readonly string[];
   /** Most requests that it worked on at the same time. */
@@ -31,11 +33,13 @@
   /** Connections that were closed while a request was at work. */
   readonly cutCount: number;
   setBehaviour(behaviour: Behaviour): void;
+  /** Time after which it says that a request is meant for another one. */
+  setDenialMillis(millis: number): void;
   /**
-   * Ends as in a crash and starts again under the same id; what it held is
-   * lost, and its connections are reset.
+   * Ends as in a crash and starts again, under the same id if none is given;
+   * what it held is lost, and its connections are reset.
    */
-  restart(): Promise<void>;
+  restart(nextId?: string): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -55,10 +59,13 @@
 export async function startStandInBackend(
   options: StandInBackendOptions,
 ): Promise<StandInBackend> {
+  let {id} = options;
+  const arrivedIds: string[] = [];
   const runIds: string[] = [];
   let atWorkCount = 0;
   let maxAtOnce = 0;
   let cutCount = 0;
+  let denialMillis = 0;
   let behaviour: Behaviour = request => {
     request.answer(200, `body of ${request.attemptId}`);
   };
@@ -79,19 +86,23 @@
     request.on('data', (chunk: Buffer) => chunks.push(chunk));
     request.on('error', () => undefined);
     request.on('end', () => {
+      arrivedIds.push(String(request.headers['attempt-id']));
       const expected = request.headers['expect-instance'];
-      if (expected !== undefined && expected !== options.id) {
-        response.writeHead(421, {'instance-id': options.id});
-        response.end();
+      if (expected !== undefined && expected !== id) {
+        response.writeHead(421, {'instance-id': id});
+        setTimeout(() => response.end(), denialMillis);
         return;
       }
-      run(receivedRequest(options.id, request, response, chunks));
+      run(receivedRequest(id, request, response, chunks));
     });
   };
 
   let server = await listen(handle, options);
   return {
-    id: options.id,
+    get id() {
+      return id;
+    },
+    arrivedIds,
     runIds,
     get maxAtOnce() {
       return maxAtOnce;
@@ -102,8 +113,12 @@
     setBehaviour: next => {
       behaviour = next;
     },
-    restart: async () => {
+    setDenialMillis: millis => {
+      denialMillis = millis;
+    },
+    restart: async (nextId = id) => {
       await endAtOnce(server);
+      id = nextId;
       server = await listen(handle, options);
     },
     close: () => endAtOnce(server),
