Repeats count until their whole window has passed

A service could get up to twice the repeats of its bound. Cause: nodes count in parts of a second and dropped the oldest as the eleventh began, when what was spent at its end was 9.0 s old. Why this holds: repeats count in one part more than the window has, so that the least time is the window and the longest a part more; requests, which earn repeats, keep to the window. Ruled out: smaller parts, since an arrival comes up to half a second after its repeat was charged.

Figures: of 15 spent at 0.9 s, 15 could be taken again at 10.0 s, none now before 11.0 s.

--- a/src/process/repeats/repeat_budget.ts
+++ b/src/process/repeats/repeat_budget.ts
@@ -51,6 +51,13 @@
 /** Parts of the window; the oldest is dropped as a new one begins. */
 const PARTS_COUNT = 10;
 
+/**
+ * Parts in which repeats count. The newest has just begun when the oldest is
+ * dropped, and what was spent at the end of that one is not a window old: with as
+ * many parts as the window has, a service could get twice its repeats within one.
+ */
+const SPENT_PARTS_COUNT = PARTS_COUNT + 1;
+
 /**
  * Share of the bound that is spent for requests of this node, and for calls that
  * other nodes will make and count as theirs. Together three quarters, for nodes
@@ -171,7 +178,7 @@
   return {
     requests: createWindowSum(PARTS_COUNT),
     expected: createWindowSum(PARTS_COUNT),
-    repeats: createWindowSum(PARTS_COUNT),
+    repeats: createWindowSum(SPENT_PARTS_COUNT),
     pacedPart: 0,
     pacedCount: 0,
   };
