Failing test: a node that starts again spends its share of repeats once more

A fleet at its bound that loses power, or whose nodes are killed, may send repeats at its bound again in the same ten seconds.

--- a/test/unit/process/repeats/repeat_budget.test.ts
+++ b/test/unit/process/repeats/repeat_budget.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import type {RepeatBudget} from '../../../../src/process/repeats/repeat_budget.js';
 import {createRepeatBudget} from '../../../../src/process/repeats/repeat_budget.js';
 
 const BOUND = {ratio: 0.2, windowMillis: 10_000, slackCount: 40};
@@ -124,3 +125,42 @@
   advance(899);
   t.is(takeAll(ONE), 0);
 });
+
+test('what a former start of a node spent still counts in its window', t => {
+  // A fleet repeats at its bound, loses power, and repeats at its bound again: one
+  // service gets 328 repeats in ten seconds that allow 240. A node that has started
+  // knows nothing of what its former start spent a moment before.
+  let now = 60_000;
+  const startNode = () =>
+    createRepeatBudget({
+      bound: () => BOUND,
+      nowMillis: () => now,
+      nodesCount: () => 1,
+    });
+  const serve = (budget: RepeatBudget, untilMillis: number): void => {
+    while (now < untilMillis) {
+      now += 10;
+      budget.recordRequest(ONE);
+      budget.recordExpected(ONE);
+    }
+  };
+  const takeAll = (budget: RepeatBudget): number => {
+    let takenCount = 0;
+    while (budget.tryTake(ONE)) takenCount += 1;
+    return takenCount;
+  };
+  const former = startNode();
+  serve(former, 90_000);
+  const formerCount = takeAll(former);
+  const later = startNode();
+  serve(later, 99_900);
+  const laterCount = takeAll(later);
+  const requestsCount = 1000;
+  const allowedCount = BOUND.ratio * requestsCount + BOUND.slackCount;
+  t.true(formerCount >= 0.6 * BOUND.ratio * requestsCount);
+  t.true(laterCount > 0);
+  t.true(
+    formerCount + laterCount <= allowedCount,
+    String([formerCount, laterCount]),
+  );
+});
