A node that has started leaves room for what its former start spent

A fleet that repeats at its bound and then loses power sent repeats at its bound again within the same ten seconds. Cause: what was spent is known to the process alone, and a new one began with a whole share. Why this holds: three quarters of the bound are spent at most, and the first window of a process takes the quarter that is left for each of its requests; the equal parts of the slack are three eighths in each life. A node cannot know whether it had a former start, and nothing of ours lasts, so that every start is treated so; traffic comes ten seconds after a fleet's first one.

--- a/src/process/repeats/repeat_budget.ts
+++ b/src/process/repeats/repeat_budget.ts
@@ -76,6 +76,15 @@
  */
 const PACED_RATIO = 0.2;
 
+/**
+ * Share of the rest that a node takes while a former start of it may have spent
+ * its whole share in the same window: what the two ratios above leave. Where a
+ * fleet lost power at its bound, a service got 328 repeats for 240 without it
+ * (replay of one node that spends all it may before and after).
+ */
+const STARTED_RATIO =
+  (1 - SPENT_RATIO - EXPECTED_RATIO) / (SPENT_RATIO + EXPECTED_RATIO);
+
 interface Usage {
   readonly requests: WindowSum;
   readonly expected: WindowSum;
@@ -87,6 +96,7 @@
 /** Creates a budget without usage. */
 export function createRepeatBudget(options: RepeatBudgetOptions): RepeatBudget {
   const {nowMillis} = options;
+  const startedMillis = nowMillis();
   const usages = new Map<string, Usage>();
 
   const partOf = (): number =>
@@ -107,9 +117,14 @@
       SPENT_RATIO * usage.requests.largest(part) +
       EXPECTED_RATIO * usage.expected.largest(part);
     const slack = bound.slackCount / Math.max(1, options.nodesCount());
-    return bound.ratio * own + SLACK_RATIO * slack;
+    return startRatio() * bound.ratio * own + SLACK_RATIO * slack;
   };
 
+  const startRatio = (): number =>
+    nowMillis() - startedMillis < options.bound().windowMillis
+      ? STARTED_RATIO
+      : 1;
+
   const fits = (service: string, count: number): boolean => {
     const usage = usageOf(service);
     const spentCount = usage.repeats.latest(partOf());
