Repeats after silence are asked for: the bound leaves a quarter for them

A service whose nodes are too busy to reply got each of its requests twice, which keeps it busy. Cause: who sent to a node that fell silent took the request for never arrived, and charged its repeat without asking. Why this holds: usual repeats take three quarters of the bound at most, and those after silence may take the rest as well, and no more; a zone that is cut off costs each node some requests once, which fits.

--- a/src/process/repeats/repeat_budget.ts
+++ b/src/process/repeats/repeat_budget.ts
@@ -26,6 +26,11 @@
    * what would be spent in the first second is kept for the whole window.
    */
   tryTakePaced(counts: CallCounts): boolean;
+  /**
+   * Takes a repeat of what most likely never arrived, from all that the bound
+   * holds for this node: the part that other repeats leave is for these.
+   */
+  tryTakeReserved(counts: CallCounts): boolean;
   /** Takes a repeat whatever is left. */
   take(counts: CallCounts): void;
   /** What was spent of this node's share of the current window, by service. */
@@ -76,14 +81,19 @@
  */
 const PACED_RATIO = 0.2;
 
+/** Share of the bound that usual repeats take. */
+const USUAL_RATIO = SPENT_RATIO + EXPECTED_RATIO;
+
+/** The whole bound, in shares of usual repeats. */
+const RESERVED_RATIO = 1 / USUAL_RATIO;
+
 /**
  * Share of the rest that a node takes while a former start of it may have spent
- * its whole share in the same window: what the two ratios above leave. Where a
- * fleet lost power at its bound, a service got 328 repeats for 240 without it
- * (replay of one node that spends all it may before and after).
+ * its whole share in the same window: what usual repeats leave. Where a fleet
+ * lost power at its bound, a service got 328 repeats for 240 without it (replay
+ * of one node that spends all it may before and after).
  */
-const STARTED_RATIO =
-  (1 - SPENT_RATIO - EXPECTED_RATIO) / (SPENT_RATIO + EXPECTED_RATIO);
+const STARTED_RATIO = (1 - USUAL_RATIO) / USUAL_RATIO;
 
 interface Usage {
   readonly requests: WindowSum;
@@ -125,10 +135,10 @@
       ? STARTED_RATIO
       : 1;
 
-  const fits = (service: string, count: number): boolean => {
+  const fits = (service: string, count: number, ofShareRatio = 1): boolean => {
     const usage = usageOf(service);
     const spentCount = usage.repeats.latest(partOf());
-    return spentCount + count <= allowedCount(usage);
+    return spentCount + count <= ofShareRatio * allowedCount(usage);
   };
 
   const isInTime = (service: string, count: number): boolean => {
@@ -149,9 +159,9 @@
     usage.pacedCount += count;
   };
 
-  const tryTake = (counts: CallCounts): boolean => {
+  const tryTake = (counts: CallCounts, ofShareRatio = 1): boolean => {
     for (const [service, count] of counts) {
-      if (!fits(service, count)) return false;
+      if (!fits(service, count, ofShareRatio)) return false;
     }
     for (const [service, count] of counts) spend(service, count);
     return true;
@@ -171,7 +181,8 @@
     take: counts => {
       for (const [service, count] of counts) spend(service, count);
     },
-    tryTake,
+    tryTake: counts => tryTake(counts),
+    tryTakeReserved: counts => tryTake(counts, RESERVED_RATIO),
     tryTakePaced: counts => {
       for (const [service, count] of counts) {
         if (!isInTime(service, count)) return false;
--- a/src/request/repeat_rules.ts
+++ b/src/request/repeat_rules.ts
@@ -68,15 +68,14 @@
   };
 
   /**
-   * What went to a node that then fell silent most likely never arrived. Grant
-   * and budget bound what services receive, so the repeat costs no grant, and
-   * the budget is charged without being asked.
+   * What went to a node that then fell silent most likely never arrived, so the
+   * repeat costs no grant, and all that the bound leaves is there for it. Not
+   * more: a node that is only too busy to reply has received it.
    */
   const mayRepeat = (request: AttemptedRequest, end: ExecutionEnd): boolean => {
     const counts = expectedCalls(request);
     if (end.kind === 'unknown' && end.reason === 'silent') {
-      budget.take(counts);
-      return true;
+      return budget.tryTakeReserved(counts);
     }
     return take(request, counts);
   };
