A line for each call to the store

No line told from which revision a watch began, what it brought, and why documents were read again, so that a version in force late could not be traced.

--- a/src/connection/document_follower.ts
+++ b/src/connection/document_follower.ts
@@ -22,10 +22,21 @@
   | 'history-lost'
   | 'failed';
 
+/** How one call to the source ended. */
+export interface SourceCallEnd {
+  readonly call: SourceCall;
+  /** Revision that a watch asked from; `undefined` for a read. */
+  readonly afterRevision: number | undefined;
+  /** Revision that the answer tells, if there is one. */
+  readonly revision: number | undefined;
+  readonly documentsCount: number;
+  readonly tookMillis: number;
+}
+
 /** What a follower tells its owner. */
 export interface DocumentListener {
   /** A call has ended; each one has its price. */
-  onCall(call: SourceCall): void;
+  onCall(end: SourceCallEnd): void;
   /** All documents of now; what is missing no longer exists. */
   onSnapshot(documents: readonly DocumentChange[], revision: number): void;
   onChanges(documents: readonly DocumentChange[], revision: number): void;
@@ -55,6 +66,16 @@
   let isFirst = true;
   let isRead = false;
 
+  const tellCall = (call: SourceCall, answer?: DocumentRead): void => {
+    listener.onCall({
+      call,
+      afterRevision: revision,
+      revision: answer?.revision,
+      documentsCount: answer?.documents.length ?? 0,
+      tookMillis: Math.round(options.nowMillis() - askedMillis),
+    });
+  };
+
   const reached = (): void => {
     pace.noteAnswered();
     if (!isFirst && lostAtMillis === undefined) return;
@@ -73,7 +94,7 @@
     const wasRead = isRead;
     const all = await source.read(prefix);
     reached();
-    listener.onCall('read');
+    tellCall('read', all);
     listener.onSnapshot(all.documents, all.revision);
     revision = all.revision;
     isRead = true;
@@ -89,16 +110,14 @@
     );
     reached();
     if (news === 'history-lost') {
-      listener.onCall('history-lost');
+      tellCall('history-lost');
       revision = undefined;
       return 0;
     }
+    const isUnchanged = news.documents.length === 0;
+    tellCall(isUnchanged ? 'unchanged' : 'changed', news);
     revision = Math.max(afterRevision, news.revision);
-    if (news.documents.length === 0) {
-      listener.onCall('unchanged');
-      return 0;
-    }
-    listener.onCall('changed');
+    if (isUnchanged) return 0;
     listener.onChanges(news.documents, news.revision);
     return pace.gatherMillis();
   };
@@ -110,7 +129,7 @@
   };
 
   const failed = (error: unknown): number => {
-    listener.onCall('failed');
+    tellCall('failed');
     if (lostAtMillis === undefined && !isFirst) {
       lostAtMillis = options.nowMillis();
       listener.onLost(describeError(error));
--- a/src/connection/prefix_listener.ts
+++ b/src/connection/prefix_listener.ts
@@ -15,9 +15,9 @@
     documents.filter(({key}) => key.startsWith(prefix));
   const all = [...listeners.values()];
   return {
-    onCall: call => {
+    onCall: end => {
       // A call is one call, whoever gains by it.
-      all[0]?.onCall(call);
+      all[0]?.onCall(end);
     },
     onLost: reason => {
       for (const listener of all) listener.onLost(reason);
--- a/src/daemon/document_feeds.ts
+++ b/src/daemon/document_feeds.ts
@@ -139,8 +139,9 @@
 ): SourceEvents {
   const {log, metrics} = options;
   return {
-    onCall: call => {
-      metrics.recordStoreCall(call);
+    onCall: end => {
+      metrics.recordStoreCall(end.call);
+      log.request('store-call', {...end});
     },
     onLost: reason => {
       metrics.recordStoreLost();
