Failing test: a watch that hears nothing holds a version back for its whole wait

Callers got 404 for a route of a version published 4.2 s before. Reproduced with a line for each call to the store: the store drops its history while a version is published; of nine nodes whose next watch began at that moment four were told at once, and five only when their wait of 3.5 s was over (history-lost after 3506 to 3509 ms), in force 3.4 to 3.5 s later than at the four. The test has a stand-in store that tells one watch so late.

Ruled out: a read that brought an older state, and a watch from a revision that had moved on; all late nodes asked from the revision they had last seen.

--- a/test/fakes/platform_fleet.ts
+++ b/test/fakes/platform_fleet.ts
@@ -95,6 +95,8 @@
   /** Services that the first version names, if not those of all hosts. */
   readonly namedServices?: readonly string[];
   readonly slots?: number;
+  /** Time in which a document has to be in force; changes gather for most of it. */
+  readonly applyWithinMillis?: number;
   /** Repeats of the whole fleet beyond its ratio; plenty if left out. */
   readonly slackCount?: number;
 }
@@ -206,6 +208,8 @@
       readyPort,
       storePort: store.port,
       slackCount: options.slackCount ?? 200,
+      // Leaves no time in which changes gather: most tests publish one by one.
+      applyWithinMillis: options.applyWithinMillis ?? 0,
     });
     const events: LoggedEvent[] = [];
     const metrics = createNodeMetrics();
@@ -267,6 +271,7 @@
   readonly readyPort: number;
   readonly storePort: number;
   readonly slackCount: number;
+  readonly applyWithinMillis: number;
 }
 
 function createSettings(parts: SettingsParts): NodeSettings {
@@ -284,8 +289,7 @@
     service: parts.service,
     store: {address: '127.0.0.1', port: parts.storePort},
     graceMillis: 6000,
-    // Leaves no time in which changes gather: tests publish one by one.
-    applyWithinMillis: 0,
+    applyWithinMillis: parts.applyWithinMillis,
     repeatBound: {
       ratio: REPEAT_RATIO,
       windowMillis: 10_000,
--- a/test/fakes/stand_in_store.ts
+++ b/test/fakes/stand_in_store.ts
@@ -21,6 +21,13 @@
   setMode(mode: StoreMode): void;
   /** Forgets the history: watches from the past get 410. */
   compact(): void;
+  /**
+   * The next watches from before the history hear nothing, and get their 410 only
+   * when their wait is over.
+   */
+  holdLost(count: number): void;
+  /** Watches of these that were told. */
+  readonly toldLostCount: number;
   /** Items a page of a range holds. */
   setPageItems(count: number): void;
   close(): void;
@@ -51,6 +58,8 @@
   let revision = 100;
   let mode: StoreMode = 'well';
   let callsCount = 0;
+  let holdCount = 0;
+  let toldLostCount = 0;
   let pageItemsCount = DEFAULT_PAGE_ITEMS;
   const watches = new Set<Watch>();
 
@@ -85,11 +94,29 @@
     });
   };
 
+  const holdLostWatch = (
+    query: URLSearchParams,
+    response: ServerResponse,
+  ): void => {
+    holdCount -= 1;
+    const timer = setTimeout(
+      () => {
+        toldLostCount += 1;
+        sendJson(response, 410, {error: 'history'});
+      },
+      Number(query.get('waitMs')),
+    );
+    response.on('close', () => {
+      clearTimeout(timer);
+    });
+  };
+
   const watch = (query: URLSearchParams, response: ServerResponse): void => {
     const prefix = query.get('prefix') ?? '';
     const after = Number(query.get('after'));
     if (after < oldestRevision) {
-      sendJson(response, 410, {error: 'history'});
+      if (holdCount > 0) holdLostWatch(query, response);
+      else sendJson(response, 410, {error: 'history'});
       return;
     }
     const events = history.filter(
@@ -173,6 +200,12 @@
       for (const waiting of watches) waiting.response.destroy();
       watches.clear();
     },
+    holdLost: count => {
+      holdCount = count;
+    },
+    get toldLostCount() {
+      return toldLostCount;
+    },
     setPageItems: count => {
       pageItemsCount = count;
     },
