--- a/src/connection/document_follower.ts
+++ b/src/connection/document_follower.ts
@@ -88,7 +88,7 @@
   const tellCall = (call: SourceCall, answer?: DocumentRead): void => {
     listener.onCall({
       call,
-      afterRevision: revision,
+      afterRevision: call === 'read' ? undefined : revision,
       revision: answer?.revision,
       documentsCount: answer?.documents.length ?? 0,
       tookMillis: Math.round(options.nowMillis() - askedMillis),
