One placement fixture for both suites

Both began with the same thirteen lines; the chooser of one node on a clock that the test moves is a fake of its own now. 44 tests of placement, stops and the path pass.

--- /dev/null
+++ b/test/fakes/placement_node.ts
@@ -0,0 +1,35 @@
+/**
+ * The chooser of one node in zone a, on a clock that the test moves.
+ */
+import {createLoadBoard} from '../../src/process/admission/load_board.js';
+import {createUpstreamDirectory} from '../../src/process/membership/upstream_directory.js';
+import {createPlacementChooser} from '../../src/process/placement/placement.js';
+
+/** Creates the chooser of a node that knows no upstreams. */
+export function createPlacementNode(random: () => number) {
+  let now = 10_000;
+  const nowMillis = (): number => now;
+  const board = createLoadBoard(nowMillis);
+  const directory = createUpstreamDirectory({
+    nowMillis,
+    onChange: () => undefined,
+  });
+  const chooser = createPlacementChooser({
+    directory,
+    board,
+    hostKey: '10.0.0.9:80',
+    zone: 'zone-a',
+    region: 'region',
+    nowMillis,
+    random,
+  });
+  return {
+    board,
+    directory,
+    chooser,
+    nowMillis,
+    advance: (millis: number) => {
+      now += millis;
+    },
+  };
+}
--- a/test/unit/process/placement/placement.test.ts
+++ b/test/unit/process/placement/placement.test.ts
@@ -1,28 +1,13 @@
 import test from 'ava';
-import {createLoadBoard} from '../../../../src/process/admission/load_board.js';
-import {createPlacementChooser} from '../../../../src/process/placement/placement.js';
-import {createUpstreamDirectory} from '../../../../src/process/membership/upstream_directory.js';
+import {createPlacementNode} from '../../../fakes/placement_node.js';
 import {createSeededRandom} from '../../../fakes/seeded_random.js';
 import {upstreamEntry} from '../../../fakes/route_documents.js';
 
 const NOBODY: ReadonlySet<string> = new Set();
 
 function createFixture(random = () => 0.5) {
-  let now = 10_000;
-  const board = createLoadBoard(() => now);
-  const directory = createUpstreamDirectory({
-    nowMillis: () => now,
-    onChange: () => undefined,
-  });
-  const chooser = createPlacementChooser({
-    directory,
-    board,
-    hostKey: '10.0.0.9:80',
-    zone: 'zone-a',
-    region: 'region',
-    nowMillis: () => now,
-    random,
-  });
+  const node = createPlacementNode(random);
+  const {board, directory, chooser, nowMillis, advance} = node;
   const add = (id: string, zone: string, averageMillis: number): void => {
     directory.put([upstreamEntry({id, zone, hostKey: `10.1.0.${id}:80`})]);
     observe(id, averageMillis, 0);
@@ -36,13 +21,13 @@
       limitCount: 10,
       averageMillis,
       level: 511,
-      madeAtMillis: now,
+      madeAtMillis: nowMillis(),
     });
   };
   const chooseMany = (count: number): Map<string, number> => {
     const counts = new Map<string, number>();
     for (let index = 0; index < count; index += 1) {
-      now += 5;
+      advance(5);
       const placement = chooser.choose('orders', NOBODY);
       const id = placement?.upstream.entry.id ?? 'none';
       counts.set(id, (counts.get(id) ?? 0) + 1);
@@ -57,9 +42,7 @@
     add,
     observe,
     chooseMany,
-    advance: (millis: number) => {
-      now += millis;
-    },
+    advance,
   };
 }
 
--- a/test/unit/process/placement/placement_fleet.test.ts
+++ b/test/unit/process/placement/placement_fleet.test.ts
@@ -3,9 +3,7 @@
  * than one node sends requests in a second.
  */
 import test from 'ava';
-import {createLoadBoard} from '../../../../src/process/admission/load_board.js';
-import {createPlacementChooser} from '../../../../src/process/placement/placement.js';
-import {createUpstreamDirectory} from '../../../../src/process/membership/upstream_directory.js';
+import {createPlacementNode} from '../../../fakes/placement_node.js';
 import {createSeededRandom} from '../../../fakes/seeded_random.js';
 import {upstreamEntry} from '../../../fakes/route_documents.js';
 
@@ -21,21 +19,8 @@
 
 /** One node in zone a that knows all upstreams. */
 function createNode(seed: number) {
-  let now = 10_000;
-  const board = createLoadBoard(() => now);
-  const directory = createUpstreamDirectory({
-    nowMillis: () => now,
-    onChange: () => undefined,
-  });
-  const chooser = createPlacementChooser({
-    directory,
-    board,
-    hostKey: '10.0.0.9:80',
-    zone: 'zone-a',
-    region: 'region',
-    nowMillis: () => now,
-    random: createSeededRandom(seed),
-  });
+  const node = createPlacementNode(createSeededRandom(seed));
+  const {board, directory, chooser, nowMillis, advance} = node;
   directory.put(
     Array.from({length: UPSTREAMS_COUNT}, (_, index) =>
       upstreamEntry({
@@ -58,13 +43,13 @@
       limitCount: 10,
       averageMillis: ANSWER_MILLIS,
       level: 511,
-      madeAtMillis: now,
+      madeAtMillis: nowMillis(),
     });
   };
   /** Chooses at the rate of one node for so long; returns who was chosen. */
   const chooseFor = (seconds: number, silentIndex = -1): readonly number[] =>
     Array.from({length: seconds * CHOICES_PER_SECOND}, () => {
-      now += 1000 / CHOICES_PER_SECOND;
+      advance(1000 / CHOICES_PER_SECOND);
       const {index, placement} = choose();
       board.expire();
       if (index === silentIndex) return index;
@@ -75,9 +60,7 @@
   return {
     choose,
     chooseFor,
-    advance: (millis: number) => {
-      now += millis;
-    },
+    advance,
   };
 }
 
