--- /dev/null
+++ b/src/request/entered_request.ts
@@ -0,0 +1,102 @@
+/**
+ * A request as it enters at this host: its id, its deadline, and what its calls
+ * inherit.
+ */
+import {randomUUID} from 'node:crypto';
+import type {Exchange} from '../connection/node_listener.js';
+import type {InFlightParent} from '../process/repeats/in_flight_parents.js';
+import {createRetryGrant} from '../process/repeats/shared_retry_grant.js';
+import {
+  importanceOf,
+  LEAST_IMPORTANT,
+} from '../process/admission/importance.js';
+import type {StopPlan} from '../process/stop/stop_plan.js';
+import type {WeightedTargets} from '../process/placement/weighted_targets.js';
+import type {WireHeaders} from '../protocol/wire_headers.js';
+import type {ServiceRoute} from '../version/route_configuration.js';
+import type {AnsweredRequest, EntryAnswers} from './entry_answers.js';
+
+/** What entering needs. */
+export interface EntryOptions {
+  readonly names: WireHeaders;
+  readonly targets: WeightedTargets;
+  readonly stop: StopPlan;
+  readonly answers: EntryAnswers;
+  readonly nowMillis: () => number;
+}
+
+/** A request that was read and has a route. */
+export interface EnteredRequest extends AnsweredRequest {
+  /** The request at the own upstream that this call is made for. */
+  readonly parent: InFlightParent | undefined;
+}
+
+/** A request as far as it is known when it enters. */
+export interface RoutedRequest {
+  readonly route: ServiceRoute;
+  readonly attemptId: string;
+  /**
+   * A call of the upstream that lost its id has no parent. It counts as least
+   * important and is not repeated: dropping the id would otherwise be a way
+   * around the bound on repeats.
+   */
+  readonly isLocal: boolean;
+  readonly parent: InFlightParent | undefined;
+}
+
+/** Time left for the last answer to reach a client before it gives up. */
+const ANSWER_MARGIN_MILLIS = 15;
+
+/** The client's id, or one of this node's where clients need not give one. */
+export function readAttemptId(
+  names: WireHeaders,
+  exchange: Exchange,
+): string | undefined {
+  const id = exchange.request.headers[names.attemptId];
+  if (typeof id === 'string' && id !== '') return id;
+  return names.isAttemptIdRequired ? undefined : randomUUID();
+}
+
+/** Settles what holds for a request from here on. */
+export function enterRequest(
+  options: EntryOptions,
+  exchange: Exchange,
+  {route, attemptId, isLocal, parent}: RoutedRequest,
+): EnteredRequest {
+  const arrivedMillis = options.nowMillis();
+  const timeoutMillis =
+    readTimeout(options.names, exchange) ?? route.timeoutMillis;
+  options.answers.countEntered(parent !== undefined);
+  const origin = parent?.origin ?? {
+    importance: isLocal ? LEAST_IMPORTANT : importanceOf(route.rank, attemptId),
+    rootId: attemptId,
+    rootRouteName: route.name,
+    rootBeganAtMillis: arrivedMillis,
+    isRepeat: isLocal,
+    grant: createRetryGrant(isLocal ? 0 : route.repeatsCount),
+  };
+  return {
+    exchange,
+    attemptId,
+    route,
+    service: options.targets.choose(route),
+    arrivedMillis,
+    // Nobody is left to answer what outlives this node.
+    deadlineMillis: Math.min(
+      arrivedMillis +
+        Math.min(route.timeoutMillis, timeoutMillis - ANSWER_MARGIN_MILLIS),
+      options.stop.finishingUntilMillis,
+    ),
+    parent,
+    origin,
+  };
+}
+
+function readTimeout(
+  names: WireHeaders,
+  exchange: Exchange,
+): number | undefined {
+  const text = exchange.request.headers[names.timeoutMillis];
+  const millis = Number(text);
+  return text !== undefined && Number.isFinite(millis) ? millis : undefined;
+}
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -2,7 +2,6 @@
  * Requests that enter at this host: from its clients, and from its upstream,
  * which calls deeper into the graph.
  */
-import {randomUUID} from 'node:crypto';
 import type {CancelSource} from '../base/cancel_signal.js';
 import {createCancelSource} from '../base/cancel_signal.js';
 import type {ExecutionCall} from '../connection/execution.js';
@@ -17,19 +16,15 @@
   InFlightParent,
   InFlightParents,
 } from '../process/repeats/in_flight_parents.js';
-import {createRetryGrant} from '../process/repeats/shared_retry_grant.js';
-import {
-  importanceOf,
-  LEAST_IMPORTANT,
-} from '../process/admission/importance.js';
 import type {LoadQuestions} from '../process/admission/load_questions.js';
 import type {RepeatBudget} from '../process/repeats/repeat_budget.js';
 import type {StopPlan} from '../process/stop/stop_plan.js';
 import type {WeightedTargets} from '../process/placement/weighted_targets.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
-import type {ServiceRoute} from '../version/route_configuration.js';
 import type {AttemptsEnd, Attempts} from './attempts.js';
-import type {AnsweredRequest, EntryAnswers} from './entry_answers.js';
+import type {EntryAnswers} from './entry_answers.js';
+import type {EnteredRequest} from './entered_request.js';
+import {enterRequest, readAttemptId} from './entered_request.js';
 import type {OpenRequests} from './open_requests.js';
 
 /** Answers requests that enter here. */
@@ -58,12 +53,6 @@
   readonly nowMillis: () => number;
 }
 
-/** A request that was read and has a route. */
-interface EnteredRequest extends AnsweredRequest {
-  /** The request at the own upstream that this call is made for. */
-  readonly parent: InFlightParent | undefined;
-}
-
 /**
  * Share of a route's objective that a client's request may wait for a slot:
  * held longer, it can hardly be answered in time, and the client would come
@@ -71,9 +60,6 @@
  */
 const WAIT_RATIO = 0.25;
 
-/** Time left for the last answer to reach a client before it gives up. */
-const ANSWER_MARGIN_MILLIS = 15;
-
 /** Creates the entry of one node. */
 export function createOutboundExchanges(
   options: OutboundOptions,
@@ -119,18 +105,22 @@
     answers.reject(exchange, 404, 'no-route');
     return;
   }
-  const attemptId = readAttemptId(options, exchange);
+  const attemptId = readAttemptId(options.names, exchange);
   if (attemptId === undefined) {
     answers.reject(exchange, 400, 'no-attempt-id');
     return;
   }
   const parent = options.parents.find(attemptId);
-  const incoming = {isUpstreams: isLocal || parent !== undefined};
-  if (!options.stop.takes(incoming)) {
+  const isTurnedAway = (): boolean => {
+    if (options.stop.takes({isUpstreams: isLocal || parent !== undefined})) {
+      return false;
+    }
     answers.turnAway(exchange, {attemptId, route});
-    return;
-  }
-  const entered = enter(options, exchange, {route, attemptId, isLocal, parent});
+    return true;
+  };
+  if (isTurnedAway()) return;
+  const routed = {route, attemptId, isLocal, parent};
+  const entered = enterRequest(options, exchange, routed);
   if (!passesGate(options, entered)) return;
   if (exchange.isBodyHeldBack) exchange.response.writeContinue();
   const bodyBytes = table.limits.bodyBytes;
@@ -141,79 +131,11 @@
   }
   if (body.kind === 'broken') return;
   // Its body may have come so late that the answer would not come any more.
-  if (!options.stop.takes(incoming)) {
-    answers.turnAway(exchange, {attemptId, route});
-    return;
-  }
+  if (isTurnedAway()) return;
   const headers = passedOnHeaders(request.rawHeaders, ownHeaders);
   await serve(options, entered, headers, body.bytes);
 }
 
-/** A request as far as it is known when it enters. */
-interface RoutedRequest {
-  readonly route: ServiceRoute;
-  readonly attemptId: string;
-  /**
-   * A call of the upstream that lost its id has no parent. It counts as least
-   * important and is not repeated: dropping the id would otherwise be a way
-   * around the bound on repeats.
-   */
-  readonly isLocal: boolean;
-  readonly parent: InFlightParent | undefined;
-}
-
-/** The client's id, or one of this node's where clients need not give one. */
-function readAttemptId(
-  options: OutboundOptions,
-  exchange: Exchange,
-): string | undefined {
-  const id = exchange.request.headers[options.names.attemptId];
-  if (typeof id === 'string' && id !== '') return id;
-  return options.names.isAttemptIdRequired ? undefined : randomUUID();
-}
-
-function enter(
-  options: OutboundOptions,
-  exchange: Exchange,
-  {route, attemptId, isLocal, parent}: RoutedRequest,
-): EnteredRequest {
-  const arrivedMillis = options.nowMillis();
-  const timeoutMillis = readTimeout(options, exchange) ?? route.timeoutMillis;
-  options.answers.countEntered(parent !== undefined);
-  const origin = parent?.origin ?? {
-    importance: isLocal ? LEAST_IMPORTANT : importanceOf(route.rank, attemptId),
-    rootId: attemptId,
-    rootRouteName: route.name,
-    rootBeganAtMillis: arrivedMillis,
-    isRepeat: isLocal,
-    grant: createRetryGrant(isLocal ? 0 : route.repeatsCount),
-  };
-  return {
-    exchange,
-    attemptId,
-    route,
-    service: options.targets.choose(route),
-    arrivedMillis,
-    // Nobody is left to answer what outlives this node.
-    deadlineMillis: Math.min(
-      arrivedMillis +
-        Math.min(route.timeoutMillis, timeoutMillis - ANSWER_MARGIN_MILLIS),
-      options.stop.finishingUntilMillis,
-    ),
-    parent,
-    origin,
-  };
-}
-
-function readTimeout(
-  options: OutboundOptions,
-  exchange: Exchange,
-): number | undefined {
-  const text = exchange.request.headers[options.names.timeoutMillis];
-  const millis = Number(text);
-  return text !== undefined && Number.isFinite(millis) ? millis : undefined;
-}
-
 /** Turns a client's request away if a service on its way sheds its like. */
 function passesGate(
   options: OutboundOptions,
