Names: revisions that peers tell, and watches that are stale

'news', 'hear', 'overtaken' and 'deaf' needed an explanation; the module is peer_revisions now, its methods tell who told what, a watch that is behind other nodes ends as 'stale', and stand-ins hold watches. A request between nodes is put together once, without a copy. No behaviour is meant to change.

--- a/src/connection/document_follower.ts
+++ b/src/connection/document_follower.ts
@@ -10,7 +10,7 @@
   DocumentRead,
   DocumentSource,
 } from '../process/membership/document_source.js';
-import type {RevisionNews} from '../process/membership/revision_news.js';
+import type {PeerRevisions} from '../process/membership/peer_revisions.js';
 import type {FollowPace} from '../process/membership/follow_pace.js';
 
 /** What came of a call to the source. */
@@ -22,7 +22,7 @@
   | 'unchanged'
   | 'history-lost'
   /** A watch that was given up, since other nodes know of later changes. */
-  | 'overtaken'
+  | 'stale'
   | 'failed';
 
 /** How one call to the source ended. */
@@ -56,7 +56,7 @@
   readonly listener: DocumentListener;
   readonly pace: FollowPace;
   /** What other nodes tell of later revisions; left out, nobody tells. */
-  readonly news?: RevisionNews | undefined;
+  readonly peerRevisions?: PeerRevisions | undefined;
   readonly nowMillis: () => number;
 }
 
@@ -67,23 +67,23 @@
  * was dropped 1.3 s after a change, is in force 1.7 s after it, where 2 s are the
  * shortest bound.
  */
-const OVERTAKEN_MILLIS = 400;
+const STALE_MILLIS = 400;
 
 /** How a watch ended. */
-type WatchEnd = DocumentRead | 'history-lost' | 'overtaken';
+type WatchEnd = DocumentRead | 'history-lost' | 'stale';
 
 /** A task that follows for ever; interrupt it to stop. */
 export function followDocuments(
   options: DocumentFollowerOptions,
 ): Effect.Effect<never> {
-  const {source, prefix, listener, pace, news} = options;
+  const {source, prefix, listener, pace, peerRevisions} = options;
   let revision: number | undefined;
   let lostAtMillis: number | undefined;
   let askedMillis = 0;
   let isFirst = true;
   let isRead = false;
   /** A read is due, and the last revision still one to watch from if it fails. */
-  let isOvertaken = false;
+  let isReadDue = false;
 
   const tellCall = (call: SourceCall, answer?: DocumentRead): void => {
     listener.onCall({
@@ -115,16 +115,16 @@
     tellCall('read', all);
     listener.onSnapshot(all.documents, all.revision);
     revision = all.revision;
-    news?.reread(all.revision);
+    peerRevisions?.noteRead(all.revision);
     isRead = true;
     return wasRead ? pace.gatherMillis() : 0;
   };
 
   /** Returns the pause before the next call. */
   const takeWatch = (afterRevision: number, end: WatchEnd): number => {
-    if (end === 'overtaken') {
+    if (end === 'stale') {
       tellCall(end);
-      isOvertaken = true;
+      isReadDue = true;
       return 0;
     }
     reached();
@@ -137,7 +137,7 @@
     tellCall(isUnchanged ? 'unchanged' : 'changed', end);
     revision = Math.max(afterRevision, end.revision);
     if (!isUnchanged) listener.onChanges(end.documents, end.revision);
-    news?.reach(revision);
+    peerRevisions?.noteWatched(revision);
     return isUnchanged ? 0 : pace.gatherMillis();
   };
 
@@ -148,20 +148,22 @@
       catch: error => error,
     });
     // A node that has lost the source is behind, and asks again soon anyway.
-    if (news === undefined || lostAtMillis !== undefined) return watched;
-    return Effect.raceFirst(watched, untilOvertaken(news));
+    if (peerRevisions === undefined || lostAtMillis !== undefined) {
+      return watched;
+    }
+    return Effect.raceFirst(watched, untilStale(peerRevisions));
   };
 
   /** Makes the next call; returns the pause after it. */
   const step = Effect.suspend((): Effect.Effect<number, unknown> => {
     askedMillis = options.nowMillis();
     const afterRevision = revision;
-    if (afterRevision !== undefined && !isOvertaken) {
+    if (afterRevision !== undefined && !isReadDue) {
       return Effect.flatMap(watch(afterRevision), end =>
         attempt(() => takeWatch(afterRevision, end)),
       );
     }
-    isOvertaken = false;
+    isReadDue = false;
     const read = Effect.tryPromise({
       try: () => source.read(prefix),
       catch: error => error,
@@ -188,16 +190,16 @@
 }
 
 /** Ends once this node has been behind another one for too long. */
-function untilOvertaken(news: RevisionNews): Effect.Effect<'overtaken'> {
+function untilStale(peerRevisions: PeerRevisions): Effect.Effect<'stale'> {
   const behind = Effect.callback<undefined>(resume => {
-    const listening = news.onBehind(() => {
+    const listening = peerRevisions.onStale(() => {
       resume(Effect.succeed(undefined));
     });
     return Effect.sync(listening.dispose);
   });
   return behind.pipe(
-    Effect.andThen(Effect.sleep(OVERTAKEN_MILLIS)),
-    Effect.as('overtaken' as const),
+    Effect.andThen(Effect.sleep(STALE_MILLIS)),
+    Effect.as('stale' as const),
   );
 }
 
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -7,7 +7,7 @@
 import {endpointText} from '../process/settings/endpoint_text.js';
 import type {LoadBoard} from '../process/admission/load_board.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
-import type {RevisionNews} from '../process/membership/revision_news.js';
+import type {PeerRevisions} from '../process/membership/peer_revisions.js';
 import type {ReplyBound} from '../process/membership/reply_bound.js';
 import {createReplyBound} from '../process/membership/reply_bound.js';
 import type {RetryLoan} from '../process/repeats/retry_grant.js';
@@ -33,7 +33,7 @@
 /** What it needs. */
 export interface RemoteExecutionOptions {
   readonly board: LoadBoard;
-  readonly news: RevisionNews;
+  readonly peerRevisions: PeerRevisions;
   readonly nowMillis: () => number;
   /** A node did not reply; so many requests for it were given up. */
   readonly onPeerLost: (peer: Endpoint, hopsCount: number) => void;
@@ -157,10 +157,11 @@
   const loan = call.origin.grant.lend();
   const now = options.nowMillis();
   const hop = createOutgoingHop({
-    request: {
-      ...requestOf(target, call, {loan, now}),
-      knownRevision: options.news.knownRevision,
-    },
+    request: requestOf(target, call, {
+      loan,
+      now,
+      knownRevision: options.peerRevisions.knownRevision,
+    }),
     body: call.body,
     startedMillis: now,
     onEnd: how => {
@@ -174,10 +175,17 @@
   peerOf(target.node).send(hop);
 }
 
+/** What a hop carries of its sender. */
+interface HopParts {
+  readonly loan: RetryLoan;
+  readonly now: number;
+  readonly knownRevision: number;
+}
+
 function requestOf(
   target: UpstreamEntry,
   call: ExecutionCall,
-  {loan, now}: {loan: RetryLoan; now: number},
+  {loan, now, knownRevision}: HopParts,
 ): Omit<HopRequest, 'hopId' | 'bodyForm'> {
   const {origin} = call;
   return {
@@ -199,6 +207,7 @@
       isRepeat: origin.isRepeat,
       repeatsCount: loan.count,
     },
+    knownRevision,
   };
 }
 
@@ -216,7 +225,7 @@
     case 'answer':
       loan.settle(end.answer.unspentCount);
       observeLoads(options, end.answer.loads);
-      options.news.hear(end.answer.knownRevision ?? 0);
+      options.peerRevisions.noteTold(end.answer.knownRevision ?? 0);
       return endOf(end);
   }
 }
--- a/src/daemon/document_feeds.ts
+++ b/src/daemon/document_feeds.ts
@@ -17,7 +17,7 @@
   Decoded,
   PublishedDocuments,
 } from '../process/membership/published_documents.js';
-import type {RevisionNews} from '../process/membership/revision_news.js';
+import type {PeerRevisions} from '../process/membership/peer_revisions.js';
 import type {UpstreamDirectory} from '../process/membership/upstream_directory.js';
 import type {UpstreamEntry} from '../process/membership/upstream_entry.js';
 import type {ClientLimits} from '../version/route_configuration.js';
@@ -28,7 +28,7 @@
   readonly configuration: ConfigurationHolder;
   readonly directory: UpstreamDirectory;
   /** What other nodes tell, where one watch brings all documents. */
-  readonly news: RevisionNews;
+  readonly peerRevisions: PeerRevisions;
   readonly log: DecisionLog;
   readonly metrics: NodeMetrics;
   /** Bound from a document's acknowledgement to its effect here. */
@@ -126,8 +126,10 @@
       prefix,
       listener,
       // Revisions of two sources, or of two watches, cannot be compared.
-      news:
-        prefix === options.documents.sharedPrefix ? options.news : undefined,
+      peerRevisions:
+        prefix === options.documents.sharedPrefix
+          ? options.peerRevisions
+          : undefined,
       pace: createFollowPace(options),
       nowMillis: options.nowMillis,
     }),
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -146,7 +146,7 @@
   });
   const inbound = createInboundExchanges({
     execution: local,
-    news: decisions.news,
+    peerRevisions: decisions.peerRevisions,
     ownLoad: decisions.reportOwnLoad,
     otherLoads: () => otherLoads(decisions),
     nowMillis,
@@ -193,7 +193,7 @@
 function createRemote(options: NodeExchangesOptions): RemoteExecution {
   return createRemoteExecution({
     board: options.decisions.board,
-    news: options.decisions.news,
+    peerRevisions: options.decisions.peerRevisions,
     nowMillis: options.nowMillis,
     onPeerLost: (peer, hopsCount) => {
       options.log.request('peer-lost', {peer: peer.address, hopsCount});
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -113,7 +113,7 @@
     documents,
     configuration,
     directory,
-    news: decisions.news,
+    peerRevisions: decisions.peerRevisions,
     log,
     metrics,
     applyWithinMillis: settings.applyWithinMillis,
--- a/src/process/membership/revision_news.ts
+++ b/src/process/membership/peer_revisions.ts
@@ -11,50 +11,50 @@
 import {toDisposable} from '../../base/lifecycle.js';
 
 /** Revisions of one node. */
-export interface RevisionNews {
+export interface PeerRevisions {
   /** Revision up to which documents are in force here; 0 before the first read. */
   readonly knownRevision: number;
   /** Another node has documents up to this revision in force. */
-  hear(revision: number): void;
+  noteTold(revision: number): void;
   /** A watch has brought everything up to this revision. */
-  reach(revision: number): void;
+  noteWatched(revision: number): void;
   /** A read has: whoever told of a later one is ahead of the source, or wrong. */
-  reread(revision: number): void;
+  noteRead(revision: number): void;
   /** Calls the listener once this node is behind another one; at once if it is. */
-  onBehind(listener: () => void): Disposable;
+  onStale(listener: () => void): Disposable;
 }
 
-/** Creates the news of a node that has read nothing. */
-export function createRevisionNews(): RevisionNews {
+/** Creates the revisions of a node that has read nothing. */
+export function createPeerRevisions(): PeerRevisions {
   const listeners = new Set<() => void>();
   let knownRevision = 0;
-  let heardRevision = 0;
+  let toldRevision = 0;
 
-  const isBehind = (): boolean => heardRevision > knownRevision;
+  const isStale = (): boolean => toldRevision > knownRevision;
 
   return {
     get knownRevision() {
       return knownRevision;
     },
-    hear: revision => {
-      if (revision <= heardRevision) return;
-      heardRevision = revision;
-      if (!isBehind()) return;
+    noteTold: revision => {
+      if (revision <= toldRevision) return;
+      toldRevision = revision;
+      if (!isStale()) return;
       const told = [...listeners];
       listeners.clear();
       for (const listener of told) listener();
     },
-    reach: revision => {
+    noteWatched: revision => {
       knownRevision = Math.max(knownRevision, revision);
     },
-    reread: revision => {
+    noteRead: revision => {
       knownRevision = revision;
       // A figure that the source does not bear out would cause one read after
       // the other.
-      heardRevision = Math.min(heardRevision, revision);
+      toldRevision = Math.min(toldRevision, revision);
     },
-    onBehind: listener => {
-      if (isBehind()) listener();
+    onStale: listener => {
+      if (isStale()) listener();
       else listeners.add(listener);
       return toDisposable(() => {
         listeners.delete(listener);
--- a/src/request/inbound_exchange.ts
+++ b/src/request/inbound_exchange.ts
@@ -5,7 +5,7 @@
 import type {HopArrival} from '../connection/hop_arrival.js';
 import type {CallOrigin} from '../process/repeats/in_flight_parents.js';
 import {LEAST_IMPORTANT} from '../process/admission/importance.js';
-import type {RevisionNews} from '../process/membership/revision_news.js';
+import type {PeerRevisions} from '../process/membership/peer_revisions.js';
 import type {LoadReport} from '../process/admission/load_board.js';
 import {createRetryGrant} from '../process/repeats/shared_retry_grant.js';
 import type {
@@ -25,7 +25,7 @@
 /** What it needs. */
 export interface InboundOptions {
   readonly execution: LocalExecution;
-  readonly news: RevisionNews;
+  readonly peerRevisions: PeerRevisions;
   /** Load of the own upstream. */
   readonly ownLoad: () => LoadReport | undefined;
   /** Loads of others that senders should know. */
@@ -41,7 +41,7 @@
   return {
     loads: () => loadsFor(options, true),
     handle: async arrival => {
-      options.news.hear(arrival.request.knownRevision ?? 0);
+      options.peerRevisions.noteTold(arrival.request.knownRevision ?? 0);
       const call = callOf(options, arrival);
       const end = await options.execution.execute(call);
       options.onEnd(call, end);
@@ -51,7 +51,7 @@
           ...outcomeOf(end),
           unspentCount,
           loads: loadsFor(options, arrival.isReportDue()),
-          knownRevision: options.news.knownRevision,
+          knownRevision: options.peerRevisions.knownRevision,
         },
         received: end.kind === 'answered' ? end.answer : undefined,
       });
--- a/test/fakes/replayed_source.ts
+++ b/test/fakes/replayed_source.ts
@@ -19,7 +19,7 @@
   /** Drops the history before now. */
   compact(): void;
   /** Watches hear nothing, neither news nor that history was lost, until their end. */
-  deafen(isDeaf: boolean): void;
+  holdWatches(isHeld: boolean): void;
   /** Answers what is due. */
   tick(): void;
 }
@@ -32,7 +32,7 @@
   readonly untilMillis: number;
   readonly isAnswered: boolean;
   /** Nothing ends it before its time. */
-  readonly isDeaf: boolean;
+  readonly isHeld: boolean;
   readonly resolve: (read: DocumentRead | 'history-lost') => void;
   readonly reject: (error: Error) => void;
 }
@@ -45,7 +45,7 @@
   let oldestRevision = 1;
   let state: 'well' | 'refusing' | 'silent' = 'well';
   let callsCount = 0;
-  let isDeaf = false;
+  let isHeld = false;
 
   const since = (afterRevision: number): readonly DocumentChange[] =>
     [...documents.values()].filter(item => item.revision > afterRevision);
@@ -59,7 +59,7 @@
       return;
     }
     const changes = since(call.afterRevision);
-    if ((changes.length === 0 || call.isDeaf) && !isOver) return;
+    if ((changes.length === 0 || call.isHeld) && !isOver) return;
     waiting.delete(call);
     if (call.afterRevision < oldestRevision) call.resolve('history-lost');
     else call.resolve({documents: changes, revision});
@@ -80,7 +80,7 @@
         afterRevision,
         untilMillis,
         isAnswered,
-        isDeaf: isDeaf && waitMillis > 0,
+        isHeld: isHeld && waitMillis > 0,
         resolve,
         reject,
       };
@@ -116,8 +116,8 @@
       for (const call of waiting) call.reject(new Error('cut'));
       waiting.clear();
     },
-    deafen: next => {
-      isDeaf = next;
+    holdWatches: next => {
+      isHeld = next;
     },
     compact: () => {
       oldestRevision = revision;
--- a/test/unit/connection/document_follower_load.test.ts
+++ b/test/unit/connection/document_follower_load.test.ts
@@ -7,8 +7,8 @@
 import * as TestClock from 'effect/testing/TestClock';
 import {followDocuments} from '../../../src/connection/document_follower.js';
 import {createFollowPace} from '../../../src/process/membership/follow_pace.js';
-import type {RevisionNews} from '../../../src/process/membership/revision_news.js';
-import {createRevisionNews} from '../../../src/process/membership/revision_news.js';
+import type {PeerRevisions} from '../../../src/process/membership/peer_revisions.js';
+import {createPeerRevisions} from '../../../src/process/membership/peer_revisions.js';
 import type {ReplayedSource} from '../../fakes/replayed_source.js';
 import {createReplayedSource} from '../../fakes/replayed_source.js';
 import {createSeededRandom} from '../../fakes/seeded_random.js';
@@ -19,7 +19,7 @@
 type Act = (
   source: ReplayedSource,
   atMillis: number,
-  news: RevisionNews,
+  peerRevisions: PeerRevisions,
 ) => void;
 
 interface Replayed {
@@ -57,11 +57,11 @@
       worstDelayMillis = Math.max(worstDelayMillis, now - atMillis);
     }
   };
-  const news = createRevisionNews();
+  const peerRevisions = createPeerRevisions();
   const follower = followDocuments({
     source,
     prefix: '',
-    news,
+    peerRevisions,
     pace: createFollowPace({applyWithinMillis, random: createSeededRandom(5)}),
     nowMillis: () => now,
     listener: {
@@ -80,7 +80,7 @@
     yield* Effect.forkChild(follower);
     while (now < seconds * 1000) {
       now += STEP_MILLIS;
-      act(watched, now, news);
+      act(watched, now, peerRevisions);
       source.tick();
       yield* Effect.promise(() => new Promise(setImmediate));
       yield* TestClock.adjust(STEP_MILLIS);
@@ -165,8 +165,8 @@
   const {callsPerSecond, worstDelayMillis} = await replay(
     30,
     2500,
-    (source, atMillis, news) => {
-      changed(source, atMillis, news);
+    (source, atMillis, peerRevisions) => {
+      changed(source, atMillis, peerRevisions);
       source.compact();
     },
   );
@@ -182,13 +182,13 @@
   const {worstDelayMillis, callsPerSecond} = await replay(
     30,
     2000,
-    (source, atMillis, news) => {
-      if (atMillis === 5000) source.deafen(true);
+    (source, atMillis, peerRevisions) => {
+      if (atMillis === 5000) source.holdWatches(true);
       if (atMillis === 8600) source.change('op/config');
       if (atMillis === 8700) source.compact();
-      if (atMillis === 8700) source.deafen(false);
+      if (atMillis === 8700) source.holdWatches(false);
       // The others were told at once, and say so with their messages.
-      if (atMillis >= 8700) news.hear(2);
+      if (atMillis >= 8700) peerRevisions.noteTold(2);
     },
   );
   t.true(worstDelayMillis <= 1000, `${String(worstDelayMillis)} ms`);
@@ -203,9 +203,9 @@
     (source, atMillis) => {
       if (atMillis === 5000) source.change('servers/1');
       if (atMillis === 5800) source.change('op/config');
-      if (atMillis === 6400) source.deafen(true);
+      if (atMillis === 6400) source.holdWatches(true);
       if (atMillis === 6600) source.compact();
-      if (atMillis === 6700) source.deafen(false);
+      if (atMillis === 6700) source.holdWatches(false);
     },
   );
   t.true(worstDelayMillis <= 1900, `${String(worstDelayMillis)} ms`);
@@ -216,8 +216,12 @@
   // A node with a fault of its own, or of another fleet, could keep all others
   // asking. Each pause of 1.5 s is followed by a short watch, one that is given up
   // after 0.4 s, and a read.
-  const {callsPerSecond} = await replay(30, 2000, (_source, atMillis, news) => {
-    news.hear(1_000_000 + atMillis);
-  });
+  const {callsPerSecond} = await replay(
+    30,
+    2000,
+    (_source, atMillis, peerRevisions) => {
+      peerRevisions.noteTold(1_000_000 + atMillis);
+    },
+  );
   t.true(callsPerSecond <= 3 / 2, `${String(callsPerSecond)} calls a second`);
 });
--- a/test/unit/daemon/document_feeds.test.ts
+++ b/test/unit/daemon/document_feeds.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {createRevisionNews} from '../../../src/process/membership/revision_news.js';
+import {createPeerRevisions} from '../../../src/process/membership/peer_revisions.js';
 import {startDocumentFeeds} from '../../../src/daemon/document_feeds.js';
 import {createConfigurationHolder} from '../../../src/process/membership/configuration_holder.js';
 import {DecisionLog} from '../../../src/process/log/decision_log.js';
@@ -70,7 +70,7 @@
   const feeds = startDocumentFeeds({
     documents,
     directory,
-    news: createRevisionNews(),
+    peerRevisions: createPeerRevisions(),
     configuration: createConfigurationHolder(),
     log: new (class extends DecisionLog {
       override request(event: string): void {
--- a/test/unit/process/membership/follow_pace.test.ts
+++ b/test/unit/process/membership/follow_pace.test.ts
@@ -5,7 +5,7 @@
 const NODES_COUNT = 12;
 
 /** Time for which a store that has just dropped its history tells nothing. */
-const DEAF_MILLIS = 60;
+const HELD_MILLIS = 60;
 
 /** Ends of the pauses and of the first watches after a change that all learn of. */
 function askTimes(): readonly {firstMillis: number; secondMillis: number}[] {
@@ -26,7 +26,7 @@
   const seconds = askTimes().map(({secondMillis}) => secondMillis);
   for (const from of seconds) {
     const askingCount = seconds.filter(
-      millis => millis >= from && millis < from + DEAF_MILLIS,
+      millis => millis >= from && millis < from + HELD_MILLIS,
     ).length;
     t.true(askingCount <= NODES_COUNT / 2, String(askingCount));
   }
