Failing test: a node short of processor time does not wait for the denial

Beside a load of twice the processors 7 of 12 bursts of 60 reads after a loss of power were served in part, 55 to 59: the wait of 20 ms is over when the process runs again, before it has read what came meanwhile.

--- a/test/unit/request/first_hand_over.test.ts
+++ b/test/unit/request/first_hand_over.test.ts
@@ -34,3 +34,18 @@
   t.true(await isResolved(behind));
   t.is(firsts.enter('u-1'), 'first');
 });
+
+test('a process that was held up reads what has come before it lets go', async t => {
+  // Of 60 reads that came at once after a loss of power 55 to 59 were served in 7 of
+  // 12 runs beside a load of twice the processors. Their node was short of processor
+  // time: the time for which they waited was over before it had read the denial, so
+  // that all were handed over for the former id, and some did not fit into the budget.
+  const firsts = createFirstHandOvers();
+  firsts.enter('u-1');
+  const behind = firsts.enter('u-1');
+  const untilMillis = performance.now() + 60;
+  while (performance.now() < untilMillis) continue;
+  t.false(await isResolved(behind));
+  firsts.settle('u-1');
+  t.true(await isResolved(behind));
+});
