The test of the wait for turns fails on the code without it

As committed before the mend it passed there, against what its message said: its one turn of the loop came before the timers that were due.

--- a/test/unit/request/first_hand_over.test.ts
+++ b/test/unit/request/first_hand_over.test.ts
@@ -41,10 +41,12 @@
   // time: the time for which they waited was over before it had read the denial, so
   // that all were handed over for the former id, and some did not fit into the budget.
   const firsts = createFirstHandOvers();
-  firsts.enter('u-1');
+  t.is(firsts.enter('u-1'), 'first');
   const behind = firsts.enter('u-1');
   const untilMillis = performance.now() + 60;
   while (performance.now() < untilMillis) continue;
+  // Timers that are due run first, in the order in which they were due.
+  await new Promise(resolve => setTimeout(resolve, 1));
   t.false(await isResolved(behind));
   firsts.settle('u-1');
   t.true(await isResolved(behind));
