--- a/src/emulator/stand_in_upstream.ts
+++ b/src/emulator/stand_in_upstream.ts
@@ -2,7 +2,6 @@
  * Stand-in for an upstream: executes requests in slots, calls deeper into the
  * graph through its own node, and misbehaves on request.
  */
-import {createHash} from 'node:crypto';
 import * as http from 'node:http';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -18,17 +17,24 @@
   readWhole,
   trackSockets,
 } from './http_support.js';
+import {createFaultSwitch} from './fault_switch.js';
+import {createHeldAnswers} from './held_answers.js';
 import {createSeededRandom} from './seeded_random.js';
 import {createSlotPool} from './slot_pool.js';
 import {createUpstreamCalls} from './upstream_calls.js';
+import {
+  answerHeaders,
+  cutBody,
+  cutHeaders,
+  sendPlain,
+} from './upstream_answers.js';
 import type {
-  CutPosition,
   FaultMode,
   UpstreamConfig,
   UpstreamFault,
   UpstreamRoute,
 } from './upstream_config.js';
-import {NO_FAULT, findUpstreamRoute} from './upstream_config.js';
+import {findUpstreamRoute} from './upstream_config.js';
 
 /** Counters since the start. */
 export interface UpstreamCounts {
@@ -83,7 +89,8 @@
     config.slotsCount,
     config.queueCount ?? DEFAULT_QUEUE_COUNT,
   );
-  const held = new Set<() => void>();
+  const held = createHeldAnswers();
+  const faults = createFaultSwitch();
   const counts = {
     receivedCount: 0,
     startedCount: 0,
@@ -92,17 +99,6 @@
     cancelledCount: 0,
     peakInProgressCount: 0,
   };
-  let fault = NO_FAULT;
-
-  /** Takes the fault for one request, using up its remaining count. */
-  const takeFaultMode = (path: string): FaultMode => {
-    const {mode, remainingCount, pathPrefix} = fault;
-    if (mode === 'none' || !path.startsWith(pathPrefix)) return 'none';
-    if (remainingCount === null) return mode;
-    if (remainingCount <= 0) return 'none';
-    fault = {...fault, remainingCount: remainingCount - 1};
-    return mode;
-  };
 
   const handle = async (
     request: IncomingMessage,
@@ -133,7 +129,7 @@
       sendPlain(response, 404);
       return;
     }
-    const faultMode = takeFaultMode(url.pathname);
+    const faultMode = faults.takeMode(url.pathname);
     if (faultMode === 'reset-unrun') {
       request.socket.resetAndDestroy();
       return;
@@ -176,11 +172,11 @@
         route.callStages ?? [],
         incoming,
         execution,
-        fault,
+        faults.current(),
       );
       execution.isComplete = true;
       counts.completedCount += 1;
-      if (faultMode === 'hold') await waitForRelease(incoming.signal);
+      if (faultMode === 'hold') await held.wait(incoming.signal);
       const statusCode = result.isSuccess ? 200 : 502;
       incoming.response.once('finish', () => {
         execution.isAnswered = true;
@@ -201,21 +197,10 @@
   ): Promise<void> => {
     const serviceMillis =
       random.logNormal(route.serviceMillis, route.serviceSigma ?? 0) *
-      fault.slowFactor;
+      faults.current().slowFactor;
     if (serviceMillis > 0) await sleep(serviceMillis, undefined, {signal});
   };
 
-  const waitForRelease = (signal: AbortSignal): Promise<void> =>
-    new Promise(resolve => {
-      const finish = (): void => {
-        held.delete(finish);
-        signal.removeEventListener('abort', finish);
-        resolve();
-      };
-      held.add(finish);
-      signal.addEventListener('abort', finish, {once: true});
-    });
-
   const answer = (
     incoming: Incoming,
     route: UpstreamRoute,
@@ -243,22 +228,16 @@
       },
       route.answerBytes,
     );
-    if (faultMode === 'cut' && fault.cutAt === 'headers') {
+    const {cutAt} = faults.current();
+    if (faultMode === 'cut' && cutAt === 'headers') {
       cutHeaders(incoming.request);
       return;
     }
     response.writeHead(statusCode, answerHeaders(route, body));
-    if (faultMode === 'cut') cutBody(response, body, fault.cutAt);
+    if (faultMode === 'cut') cutBody(response, body, cutAt);
     else response.end(body);
   };
 
-  const releaseHeld = (): void => {
-    for (const release of [...held]) release();
-  };
-  const setFault = (change: Partial<UpstreamFault>): void => {
-    fault = {...fault, ...change};
-  };
-
   const server = http.createServer((request, response) => {
     handle(request, response).catch(() => {
       response.destroy();
@@ -294,12 +273,12 @@
         record.clear();
         return {};
       case 'GET /fault':
-        return fault;
+        return faults.current();
       case 'PUT /fault':
-        setFault(JSON.parse(body.toString()) as Partial<UpstreamFault>);
-        return fault;
+        faults.set(JSON.parse(body.toString()) as Partial<UpstreamFault>);
+        return faults.current();
       case 'POST /release':
-        releaseHeld();
+        held.release();
         return {};
       default:
         return undefined;
@@ -312,8 +291,8 @@
     port,
     controlPort,
     record,
-    setFault,
-    releaseHeld,
+    setFault: faults.set,
+    releaseHeld: held.release,
     counts: readCounts,
     close: async () => {
       calls.dispose();
@@ -332,48 +311,3 @@
     else signal.addEventListener('abort', onAbort, {once: true});
   });
 }
-
-function sendPlain(
-  response: ServerResponse,
-  statusCode: number,
-  headers: http.OutgoingHttpHeaders = {},
-): void {
-  response.writeHead(statusCode, {...headers, 'content-length': 0}).end();
-}
-
-function answerHeaders(
-  route: UpstreamRoute,
-  body: Buffer,
-): http.OutgoingHttpHeaders {
-  const headers: http.OutgoingHttpHeaders = {
-    'content-type': 'application/octet-stream',
-  };
-  if (route.hasDigest === true) {
-    const digest = createHash('sha256').update(body).digest('base64');
-    headers['content-digest'] = `sha-256=:${digest}:`;
-  }
-  if (route.isChunked === true) headers['transfer-encoding'] = 'chunked';
-  else headers['content-length'] = body.byteLength;
-  return headers;
-}
-
-/** Breaks off within the status line and headers. */
-function cutHeaders(request: IncomingMessage): void {
-  const {socket} = request;
-  socket.write('HTTP/1.1 200 OK\r\ncontent-ty', () => {
-    socket.destroy();
-  });
-}
-
-/** Breaks off within the body, as an upstream that dies would. */
-function cutBody(
-  response: ServerResponse,
-  body: Buffer,
-  position: CutPosition,
-): void {
-  const keptBytes =
-    position === 'last-byte' ? body.byteLength - 1 : body.byteLength >> 1;
-  response.write(body.subarray(0, keptBytes), () => {
-    response.destroy();
-  });
-}
