--- a/bench/latency_bench.ts
+++ b/bench/latency_bench.ts
@@ -4,11 +4,8 @@
  */
 import http from 'node:http';
 import type {FleetHost} from '../test/fakes/platform_fleet.js';
-import {
-  FLEET_HOST_NAME,
-  fleetPath,
-  startPlatformFleet,
-} from '../test/fakes/platform_fleet.js';
+import {FLEET_HOST_NAME} from '../test/fakes/fleet_client.js';
+import {fleetPath, startPlatformFleet} from '../test/fakes/platform_fleet.js';
 
 /** Requests of each way, after as many tenths to warm up. */
 const REQUESTS_COUNT = 3000;
--- a/test/contract/platform_connection_ends.test.ts
+++ b/test/contract/platform_connection_ends.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava';
 import {once} from 'node:events';
 import net from 'node:net';
-import {FLEET_HOST_NAME, SAFE_PATH} from '../fakes/platform_fleet.js';
+import {FLEET_HOST_NAME} from '../fakes/fleet_client.js';
+import {SAFE_PATH} from '../fakes/platform_fleet.js';
 import {connectRawClient} from '../fakes/raw_client.js';
 import {signatureOf} from '../fakes/stand_in_backend.js';
 import {startFleet} from '../fakes/test_fleet.js';
--- a/test/contract/platform_path.test.ts
+++ b/test/contract/platform_path.test.ts
@@ -3,8 +3,8 @@
 import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
+import {FLEET_HOST_NAME} from '../fakes/fleet_client.js';
 import {
-  FLEET_HOST_NAME,
   fleetPath,
   isReady,
   ORDER_PATH,
--- a/test/contract/platform_stop_answers.test.ts
+++ b/test/contract/platform_stop_answers.test.ts
@@ -1,11 +1,8 @@
 import test from 'ava';
 import {once} from 'node:events';
 import net from 'node:net';
-import {
-  FLEET_HOST_NAME,
-  fleetPath,
-  SAFE_PATH,
-} from '../fakes/platform_fleet.js';
+import {FLEET_HOST_NAME} from '../fakes/fleet_client.js';
+import {fleetPath, SAFE_PATH} from '../fakes/platform_fleet.js';
 import {signatureOf} from '../fakes/stand_in_backend.js';
 import {startFleet} from '../fakes/test_fleet.js';
 import {waitUntil} from '../fakes/wait_until.js';
--- a/test/contract/platform_stop_bodies.test.ts
+++ b/test/contract/platform_stop_bodies.test.ts
@@ -4,12 +4,8 @@
 import type {ExecutionContext} from 'ava';
 import test from 'ava';
 import type {FleetHost, PlatformFleet} from '../fakes/platform_fleet.js';
-import {
-  FLEET_HOST_NAME,
-  fleetPath,
-  ORDER_PATH,
-  SAFE_PATH,
-} from '../fakes/platform_fleet.js';
+import {FLEET_HOST_NAME} from '../fakes/fleet_client.js';
+import {fleetPath, ORDER_PATH, SAFE_PATH} from '../fakes/platform_fleet.js';
 import {connectRawClient} from '../fakes/raw_client.js';
 import type {ReceivedRequest} from '../fakes/stand_in_backend.js';
 import {startFleet} from '../fakes/test_fleet.js';
--- a/test/fakes/platform_fleet.ts
+++ b/test/fakes/platform_fleet.ts
@@ -2,7 +2,6 @@
  * A small fleet on the platform in one process: a store, and hosts of one
  * upstream and one node each, every host with a loopback address of its own.
  */
-import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {createServer} from 'node:net';
 import {createDocuments} from '../../platform/documents.js';
@@ -14,6 +13,8 @@
 import type {NodeMetrics} from '../../src/process/log/node_metrics.js';
 import {createNodeMetrics} from '../../src/process/log/node_metrics.js';
 import type {NodeSettings} from '../../src/process/settings/node_settings.js';
+import type {ClientAnswer, ClientRequest} from './fleet_client.js';
+import {FLEET_HOST_NAME, sendRequest} from './fleet_client.js';
 import type {StandInBackend} from './stand_in_backend.js';
 import {startStandInBackend} from './stand_in_backend.js';
 import type {StandInStore} from './stand_in_store.js';
@@ -36,25 +37,6 @@
   readonly fields: DecisionFields;
 }
 
-/** A request of a client. */
-export interface ClientRequest {
-  readonly attemptId: string;
-  readonly method?: string;
-  readonly path: string;
-  readonly timeoutMillis?: number;
-  readonly headers?: Readonly<Record<string, string>>;
-  readonly body?: string;
-}
-
-/** What a client received. */
-export interface ClientAnswer {
-  readonly statusCode: number;
-  readonly headers: http.IncomingHttpHeaders;
-  readonly body: string;
-  /** The answer broke off before its end. */
-  readonly isBroken: boolean;
-}
-
 /** The fleet. */
 export interface PlatformFleet {
   readonly store: StandInStore;
@@ -104,9 +86,6 @@
 /** Repeats that the fleet may send for each request. */
 export const REPEAT_RATIO = 0.2;
 
-/** Name under which clients address every route. */
-export const FLEET_HOST_NAME = 'shop.example';
-
 /** A route as operators write it. */
 export function fleetPath(fields: object = {}): object {
   return {
@@ -313,41 +292,3 @@
   }
   return ports;
 }
-
-function sendRequest(
-  address: string,
-  port: number,
-  request: ClientRequest,
-): Promise<ClientAnswer> {
-  return new Promise((resolve, reject) => {
-    const outgoing = http.request({
-      host: address,
-      port,
-      method: request.method ?? 'GET',
-      path: request.path,
-      agent: false,
-      headers: {
-        host: FLEET_HOST_NAME,
-        'attempt-id': request.attemptId,
-        'timeout-ms': String(request.timeoutMillis ?? 10_000),
-        ...request.headers,
-      },
-    });
-    outgoing.on('error', reject);
-    outgoing.on('response', response => {
-      const chunks: Buffer[] = [];
-      const finish = (): void => {
-        resolve({
-          statusCode: response.statusCode ?? 0,
-          headers: response.headers,
-          body: Buffer.concat(chunks).toString('utf8'),
-          isBroken: !response.complete,
-        });
-      };
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
-      response.on('error', finish);
-      response.on('end', finish);
-    });
-    outgoing.end(request.body);
-  });
-}
--- a/test/fakes/raw_client.ts
+++ b/test/fakes/raw_client.ts
@@ -5,7 +5,7 @@
 import {once} from 'node:events';
 import net from 'node:net';
 import type {ExecutionContext} from 'ava';
-import {FLEET_HOST_NAME} from './platform_fleet.js';
+import {FLEET_HOST_NAME} from './fleet_client.js';
 
 /** One connection of such a client. */
 export interface RawClient {
--- a/test/unit/request/attempts.test.ts
+++ b/test/unit/request/attempts.test.ts
@@ -1,17 +1,13 @@
 import test from 'ava';
-import {createCancelSource} from '../../../src/base/cancel_signal.js';
-import type {
-  ExecutionCall,
-  ExecutionEnd,
-} from '../../../src/connection/execution.js';
+import type {ExecutionEnd} from '../../../src/connection/execution.js';
 import {createAttemptPatience} from '../../../src/process/repeats/attempt_patience.js';
 import {createLoadBoard} from '../../../src/process/admission/load_board.js';
 import {createPlacementChooser} from '../../../src/process/placement/placement.js';
 import {createStopPlan} from '../../../src/process/stop/stop_plan.js';
-import {createRetryGrant} from '../../../src/process/repeats/shared_retry_grant.js';
 import {createUpstreamDirectory} from '../../../src/process/membership/upstream_directory.js';
 import {createAttempts} from '../../../src/request/attempts.js';
 import type {RepeatRules} from '../../../src/request/repeat_rules.js';
+import {executionCall} from '../../fakes/execution_call.js';
 import {serviceRoute, upstreamEntry} from '../../fakes/route_documents.js';
 
 const SILENT: ExecutionEnd = {
@@ -28,29 +24,6 @@
   mayGiveUp: () => false,
 };
 
-function createCall(isRepeatable: boolean): ExecutionCall {
-  return {
-    attemptId: 'a',
-    callerService: 'orders',
-    method: 'GET',
-    target: '/',
-    headers: [],
-    body: Buffer.alloc(0),
-    isRepeatable,
-    origin: {
-      importance: 0,
-      rootId: 'a',
-      rootRouteName: 'r',
-      rootBeganAtMillis: 0,
-      isRepeat: false,
-      grant: createRetryGrant(3),
-    },
-    deadlineMillis: nowMillis() + 10_000,
-    startByMillis: nowMillis() + 10_000,
-    cancel: createCancelSource().signal,
-  };
-}
-
 /** Tries upstreams 1 to 3 of which the last two are lost; returns whom. */
 async function tried(
   end: ExecutionEnd,
@@ -96,7 +69,11 @@
   await attempts.run({
     route,
     service: 'orders',
-    call: createCall(isRepeatable),
+    call: executionCall(nowMillis(), {
+      isRepeatable,
+      deadlineMillis: nowMillis() + 10_000,
+      startByMillis: nowMillis() + 10_000,
+    }),
   });
   return ids;
 }
--- a/test/unit/request/misdirected.test.ts
+++ b/test/unit/request/misdirected.test.ts
@@ -1,5 +1,4 @@
 import test from 'ava';
-import {createCancelSource} from '../../../src/base/cancel_signal.js';
 import type {ExecutionEnd} from '../../../src/connection/execution.js';
 import type {UpstreamEnd} from '../../../src/connection/upstream_sender.js';
 import {createAdmissionLevel} from '../../../src/process/admission/admission_level.js';
@@ -9,7 +8,6 @@
 import {createRejectionRate} from '../../../src/process/admission/rejection_rate.js';
 import {createRelativeSlowness} from '../../../src/process/placement/relative_slowness.js';
 import {createRepeatBudget} from '../../../src/process/repeats/repeat_budget.js';
-import {createRetryGrant} from '../../../src/process/repeats/shared_retry_grant.js';
 import {createUpstreamDirectory} from '../../../src/process/membership/upstream_directory.js';
 import {createUpstreamQueue} from '../../../src/process/admission/upstream_queue.js';
 import type {HopReason} from '../../../src/protocol/hop_messages.js';
@@ -17,6 +15,7 @@
 import {createLocalExecution} from '../../../src/request/local_execution.js';
 import {createLocalUpstream} from '../../../src/request/local_upstream.js';
 import {createRepeatRules} from '../../../src/request/repeat_rules.js';
+import {executionCall} from '../../fakes/execution_call.js';
 import {serviceRoute, upstreamEntry} from '../../fakes/route_documents.js';
 
 /** The upstream's own answer that it is not the one that was asked for. */
@@ -77,31 +76,14 @@
     nowMillis,
   });
   const call = (upstreamId: string): LocalCall => ({
-    attemptId: 'a',
+    ...executionCall(now),
     upstreamId,
-    callerService: 'shop',
-    method: 'GET',
-    target: '/',
-    headers: [],
-    isRepeatable: true,
-    origin: {
-      importance: 0,
-      rootId: 'a',
-      rootRouteName: 'r',
-      rootBeganAtMillis: 0,
-      isRepeat: false,
-      grant: createRetryGrant(3),
-    },
-    deadlineMillis: now + 5000,
-    startByMillis: now + 5000,
     fetchBody: () => Buffer.alloc(0),
-    cancel: createCancelSource().signal,
   });
   return {
     execute: (upstreamId: string): Promise<ExecutionEnd> =>
       execution.execute(call(upstreamId)),
     sentIds,
-    call,
     nowMillis,
     advance: (millis: number) => {
       now += millis;
@@ -131,7 +113,7 @@
 test('what another upstream was handed is charged as a repeat', t => {
   // The same sequence: each such answer is an arrival, and the next attempt one
   // beyond the first. Cause: the budget took them for questions to nodes.
-  const {call, nowMillis} = createFixture();
+  const {nowMillis} = createFixture();
   const trees = createCallTrees();
   const rules = createRepeatRules({
     budget: createRepeatBudget({
@@ -146,7 +128,7 @@
   const request = {
     route: serviceRoute(),
     service: 'orders',
-    call: {...call('u-1'), body: Buffer.alloc(0)},
+    call: executionCall(nowMillis()),
   };
   const mayGoOn = (): boolean =>
     rules.mayTryAgain(request, {kind: 'refused', reason: MISDIRECTED}, 0);
--- a/test/unit/request/repeat_rules.test.ts
+++ b/test/unit/request/repeat_rules.test.ts
@@ -1,12 +1,11 @@
 import test from 'ava';
-import {createCancelSource} from '../../../src/base/cancel_signal.js';
 import type {ExecutionEnd} from '../../../src/connection/execution.js';
 import {createCallTrees} from '../../../src/process/admission/call_trees.js';
 import {createLoadBoard} from '../../../src/process/admission/load_board.js';
 import {createRepeatBudget} from '../../../src/process/repeats/repeat_budget.js';
-import {createRetryGrant} from '../../../src/process/repeats/shared_retry_grant.js';
 import type {AttemptedRequest} from '../../../src/request/attempts.js';
 import {createRepeatRules} from '../../../src/request/repeat_rules.js';
+import {executionCall} from '../../fakes/execution_call.js';
 import {serviceRoute} from '../../fakes/route_documents.js';
 
 const BOUND = {ratio: 0.2, windowMillis: 10_000, slackCount: 40};
@@ -36,26 +35,7 @@
   const request = (): AttemptedRequest => ({
     route: serviceRoute(),
     service: 'orders',
-    call: {
-      attemptId: 'a',
-      callerService: 'shop',
-      method: 'GET',
-      target: '/',
-      headers: [],
-      body: Buffer.alloc(0),
-      isRepeatable: true,
-      origin: {
-        importance: 0,
-        rootId: 'a',
-        rootRouteName: 'route',
-        rootBeganAtMillis: now,
-        isRepeat: false,
-        grant: createRetryGrant(4),
-      },
-      deadlineMillis: now + 5000,
-      startByMillis: now + 5000,
-      cancel: createCancelSource().signal,
-    },
+    call: executionCall(now),
   });
   return {budget, rules, request};
 }
