Reread: a name that a rename took by mistake, and one empty set of calls

The rename of a watch's state had also caught isOvertaken of the directory of upstreams, which asks something else; it has its name again. The empty set of calls stood three times.

--- a/src/process/admission/call_trees.ts
+++ b/src/process/admission/call_trees.ts
@@ -28,7 +28,8 @@
 /** Mean calls below which a service no longer belongs to a tree. */
 const FORGET_COUNT = 0.02;
 
-const NO_CALLS: CallCounts = new Map();
+/** No calls at all. */
+export const NO_CALLS: CallCounts = new Map();
 
 /** Creates trees that know nothing. */
 export function createCallTrees(): CallTrees {
--- a/src/process/membership/upstream_directory.ts
+++ b/src/process/membership/upstream_directory.ts
@@ -188,7 +188,7 @@
     isServiceNamed(before.service) && !isServiceNamed(entry.service);
 
   const putSameStart = (entry: UpstreamEntry, before: KnownUpstream): void => {
-    if (isReadDue(entry, before.entry)) return;
+    if (isOvertaken(entry, before.entry)) return;
     if (losesName(entry, before.entry)) {
       contestOne(entry.id);
       return;
@@ -294,7 +294,7 @@
  * Whether one start has told something newer before. Without births an id that
  * starts again cannot be told from one that goes on, and counts anew.
  */
-function isReadDue(entry: UpstreamEntry, before: UpstreamEntry): boolean {
+function isOvertaken(entry: UpstreamEntry, before: UpstreamEntry): boolean {
   if (entry.bornMillis === undefined) return false;
   return (entry.sequenceNumber ?? 0) < (before.sequenceNumber ?? 0);
 }
--- a/src/request/inbound_exchange.ts
+++ b/src/request/inbound_exchange.ts
@@ -4,6 +4,7 @@
 import type {ExecutionEnd} from '../connection/execution.js';
 import type {HopArrival} from '../connection/hop_arrival.js';
 import type {CallOrigin} from '../process/repeats/in_flight_parents.js';
+import {NO_CALLS} from '../process/admission/call_trees.js';
 import {LEAST_IMPORTANT} from '../process/admission/importance.js';
 import type {PeerRevisions} from '../process/membership/peer_revisions.js';
 import type {LoadReport} from '../process/admission/load_board.js';
@@ -111,8 +112,6 @@
   'outcome' | 'reason' | 'hasFailedCall' | 'calls'
 >;
 
-const NO_CALLS: HopAnswer['calls'] = new Map();
-
 function outcomeOf(end: ExecutionEnd): OutcomeFields {
   switch (end.kind) {
     case 'answered':
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -9,8 +9,8 @@
   UpstreamRequest,
   UpstreamSender,
 } from '../connection/upstream_sender.js';
-import type {CallCounts, CallTrees} from '../process/admission/call_trees.js';
-import {attemptCounts} from '../process/admission/call_trees.js';
+import type {CallTrees} from '../process/admission/call_trees.js';
+import {attemptCounts, NO_CALLS} from '../process/admission/call_trees.js';
 import type {AdmissionLevel} from '../process/admission/admission_level.js';
 import type {
   InFlightParent,
@@ -56,8 +56,6 @@
   readonly onMisdirected?: (call: LocalCall, actualId?: string) => void;
 }
 
-const NO_CALLS: CallCounts = new Map();
-
 /** Less time than this is not worth handing over. */
 const MIN_LEFT_MILLIS = 8;
 
