Log crashes of the own upstream with the requests in progress

Callers saw 502 for twenty requests at once and nothing that tells why. In the logs a crash of an upstream could not be told from a reset connection, and a request was known by the id of one attempt only, so that neither of the hypotheses of the incident could be ruled out.

The node beside an upstream now probes its port when a connection is lost under a request: refused means that the process has ended. It writes upstream-crashed and one in-progress-at-crash line for each request that was at work or cancelled within the last half second, with fingerprints that stay the same when the caller sends the request again. Counted in fulmarhollow_upstream_crashes_total. Nothing is hashed unless an upstream crashes; a request's end waits for the probe only if its connection was lost. No decision depends on it yet.

--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -1,12 +1,15 @@
 /**
  * Wiring of the requests of one node: what enters, and what other nodes send.
  */
+import {randomBytes} from 'node:crypto';
 import type {Disposable} from '../base/lifecycle.js';
 import type {ExecutionEnd} from '../connection/execution.js';
 import type {PeerRelay} from '../connection/peer_relay.js';
 import {createPeerRelay} from '../connection/peer_relay.js';
 import type {RemoteExecution} from '../connection/remote_execution.js';
 import {createRemoteExecution} from '../connection/remote_execution.js';
+import {fingerprintsOf} from '../connection/request_fingerprint.js';
+import {probeUpstream} from '../connection/upstream_probe.js';
 import {createUpstreamSender} from '../connection/upstream_sender.js';
 import {createAttemptPatience} from '../process/repeats/attempt_patience.js';
 import type {DecisionLog} from '../process/log/decision_log.js';
@@ -23,6 +26,8 @@
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {AttemptedRequest} from '../request/attempts.js';
 import {createAttempts} from '../request/attempts.js';
+import type {HandedOverRequest} from '../request/crash_detector.js';
+import {createCrashDetector} from '../request/crash_detector.js';
 import {createEntryAnswers} from '../request/entry_answers.js';
 import type {InboundExchanges} from '../request/inbound_exchange.js';
 import {createInboundExchanges} from '../request/inbound_exchange.js';
@@ -64,6 +69,8 @@
   readonly executingCount: number;
 }
 
+const CRASH_ID_BYTES = 8;
+
 /** Loads of other upstreams that one answer reports at most. */
 const REPORTED_LOADS_COUNT = 6;
 
@@ -83,6 +90,14 @@
     rejections: decisions.rejections,
     slowness: decisions.slowness,
     parents,
+    crashes: createCrashDetector({
+      probe: () => probeUpstream(settings().upstream),
+      nowMillis,
+      onCrash: inProgress => {
+        options.metrics.recordUpstreamCrash();
+        logCrash(options, inProgress);
+      },
+    }),
     sender,
     budget: decisions.budget,
     trees: decisions.trees,
@@ -256,6 +271,29 @@
   });
 }
 
+/** The crash, and each request that may have caused it. */
+function logCrash(
+  {log, nowMillis}: NodeExchangesOptions,
+  inProgress: readonly HandedOverRequest[],
+): void {
+  const crashId = randomBytes(CRASH_ID_BYTES).toString('hex');
+  log.state('upstream-crashed', {
+    crashId,
+    upstream: inProgress[0]?.upstreamId,
+    inProgressCount: inProgress.length,
+  });
+  for (const request of inProgress) {
+    const {content, contentOfCaller} = fingerprintsOf(request);
+    log.request('in-progress-at-crash', {
+      requestId: request.attemptId,
+      crashId,
+      fingerprint: content,
+      callerFingerprint: contentOfCaller,
+      ageMillis: Math.round(nowMillis() - request.startedMillis),
+    });
+  }
+}
+
 /** The line that tells what became of a request at the own upstream. */
 function logEnd(
   options: NodeExchangesOptions,
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -15,6 +15,8 @@
   recordUnknown(reason: HopReason): void;
   /** The own upstream was handed a request and says that it is another one. */
   recordMisdirected(): void;
+  /** The own upstream crashed while it worked on requests. */
+  recordUpstreamCrash(): void;
   /** A request entered, from the own upstream or from a client. */
   recordEntered(isUpstreams: boolean): void;
   recordStoreLost(): void;
@@ -77,6 +79,11 @@
     'Requests that the own upstream denies as meant for another one',
     [],
   );
+  const upstreamCrashes = counter(
+    'upstream_crashes_total',
+    'Crashes of the own upstream with requests in progress',
+    [],
+  );
   const enteredCounts = {upstream: 0, client: 0};
   // Filled in when it is asked for: this one counts each request.
   new Counter({
@@ -129,6 +136,9 @@
     recordMisdirected: () => {
       misdirected.inc();
     },
+    recordUpstreamCrash: () => {
+      upstreamCrashes.inc();
+    },
     recordEntered: isUpstreams => {
       enteredCounts[isUpstreams ? 'upstream' : 'client'] += 1;
     },
--- /dev/null
+++ b/src/request/crash_detector.ts
@@ -0,0 +1,86 @@
+/**
+ * Tells a crash of the own upstream from the loss of a connection, and names the
+ * requests that were in progress.
+ *
+ * Only the node beside an upstream can: to the callers of all these requests a
+ * crash looks like one connection that was reset.
+ */
+import type {ProbeResult} from '../connection/upstream_probe.js';
+import type {FingerprintedRequest} from '../connection/request_fingerprint.js';
+import type {UpstreamEnd} from '../connection/upstream_sender.js';
+import {createExecutionsInProgress} from '../process/quarantine/executions_in_progress.js';
+
+/** A request that the upstream was handed. */
+export interface HandedOverRequest extends FingerprintedRequest {
+  readonly attemptId: string;
+  /** Id of the start of the upstream. */
+  readonly upstreamId: string;
+  readonly startedMillis: number;
+}
+
+/** Detects crashes of one upstream. */
+export interface CrashDetector {
+  /** Records a request that is handed over now. */
+  begin(request: HandedOverRequest): void;
+  /** Records its end; tells whether the upstream crashed under it. */
+  end(request: HandedOverRequest, end: UpstreamEnd): boolean | Promise<boolean>;
+}
+
+/** What detection needs. */
+export interface CrashDetectorOptions {
+  /** Asks whether the upstream still listens. */
+  readonly probe: () => Promise<ProbeResult>;
+  readonly nowMillis: () => number;
+  /** The upstream has crashed while it worked on these requests. */
+  readonly onCrash: (inProgress: readonly HandedOverRequest[]) => void;
+}
+
+/** Creates the detector of one upstream. */
+export function createCrashDetector(
+  options: CrashDetectorOptions,
+): CrashDetector {
+  const executions = createExecutionsInProgress<HandedOverRequest>(
+    options.nowMillis,
+  );
+  let verdict: Promise<boolean> | undefined;
+  /** Requests of crashes that were told already: each counts in one crash. */
+  const named = new WeakSet<HandedOverRequest>();
+
+  /** Requests handed over during the probe never reached the crashed process. */
+  const judge = async (): Promise<boolean> => {
+    const candidates = executions.current();
+    const result = await options.probe();
+    if (result !== 'refused') return false;
+    const inProgress = candidates.filter(executions.has);
+    for (const request of inProgress) named.add(request);
+    options.onCrash(inProgress);
+    return true;
+  };
+
+  /** Connections lost at the same moment share one probe. */
+  const judgeOnce = (): Promise<boolean> => {
+    verdict ??= judge().finally(() => {
+      verdict = undefined;
+    });
+    return verdict;
+  };
+
+  const endLost = async (request: HandedOverRequest): Promise<boolean> => {
+    const hasCrashed = named.has(request) || (await judgeOnce());
+    executions.end(request);
+    return hasCrashed;
+  };
+
+  return {
+    begin: executions.begin,
+    end: (request, end) => {
+      if (end.kind === 'unknown' && end.reason === 'connection-lost') {
+        return endLost(request);
+      }
+      const isCancelled = end.kind === 'unknown' && end.reason === 'cancelled';
+      if (isCancelled) executions.cancel(request);
+      else executions.end(request);
+      return false;
+    },
+  };
+}
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -24,6 +24,7 @@
   UpstreamQueue,
 } from '../process/admission/upstream_queue.js';
 import type {HopReason} from '../protocol/hop_messages.js';
+import type {CrashDetector, HandedOverRequest} from './crash_detector.js';
 import type {LocalUpstream} from './local_upstream.js';
 
 /** A request to execute here. */
@@ -47,6 +48,7 @@
   readonly rejections: RejectionRate;
   readonly slowness: RelativeSlowness;
   readonly parents: InFlightParents;
+  readonly crashes: CrashDetector;
   readonly sender: UpstreamSender;
   readonly budget: RepeatBudget;
   readonly trees: CallTrees;
@@ -88,12 +90,33 @@
   }
   const startedMillis = nowMillis();
   const parent = options.parents.open(call.attemptId, call.origin);
+  const request = handedOverRequest(call, body, startedMillis);
+  options.crashes.begin(request);
   const end = await handOverToCurrent(options, call, body);
+  const crashed = options.crashes.end(request, end);
+  if (crashed !== false) await crashed;
   parent.close();
   settle(options, call, end, nowMillis() - startedMillis);
   return executionEnd(end, parent);
 }
 
+function handedOverRequest(
+  call: LocalCall,
+  body: Buffer,
+  startedMillis: number,
+): HandedOverRequest {
+  return {
+    attemptId: call.attemptId,
+    upstreamId: call.upstreamId,
+    callerService: call.callerService,
+    method: call.method,
+    target: call.target,
+    headers: call.headers,
+    body,
+    startedMillis,
+  };
+}
+
 type WaitEnd = 'started' | 'queue-full' | 'too-late' | 'cancelled';
 
 function waitForSlot(
--- /dev/null
+++ b/test/unit/request/crash_detector.test.ts
@@ -0,0 +1,88 @@
+import test from 'ava';
+import type {ProbeResult} from '../../../src/connection/upstream_probe.js';
+import type {UpstreamEnd} from '../../../src/connection/upstream_sender.js';
+import type {HandedOverRequest} from '../../../src/request/crash_detector.js';
+import {createCrashDetector} from '../../../src/request/crash_detector.js';
+
+const LOST: UpstreamEnd = {
+  kind: 'unknown',
+  reason: 'connection-lost',
+  wasReused: false,
+};
+const CANCELLED: UpstreamEnd = {...LOST, reason: 'cancelled'};
+const REJECTED: UpstreamEnd = {kind: 'not-run', reason: 'not-executed'};
+
+function createFixture(result: ProbeResult) {
+  let now = 0;
+  let probesCount = 0;
+  const crashes: (readonly string[])[] = [];
+  const detector = createCrashDetector({
+    probe: () => {
+      probesCount += 1;
+      return Promise.resolve(result);
+    },
+    nowMillis: () => now,
+    onCrash: inProgress => {
+      crashes.push(inProgress.map(({attemptId}) => attemptId));
+    },
+  });
+  const begin = (attemptId: string): HandedOverRequest => {
+    const request = {
+      attemptId,
+      upstreamId: 'u-1',
+      callerService: 'shop',
+      method: 'GET',
+      target: '/',
+      headers: [],
+      body: Buffer.alloc(0),
+      startedMillis: now,
+    };
+    detector.begin(request);
+    return request;
+  };
+  return {
+    detector,
+    begin,
+    crashes,
+    probesCount: () => probesCount,
+    advance: (millis: number) => {
+      now += millis;
+    },
+  };
+}
+
+test('a crash names all requests in progress once, with one probe', async t => {
+  const {detector, begin, crashes, probesCount} = createFixture('refused');
+  const [first, second, third] = ['a', 'b', 'c'].map(begin);
+  t.false(detector.end(third!, REJECTED));
+  const verdicts = [detector.end(first!, LOST), detector.end(second!, LOST)];
+  t.deepEqual(await Promise.all(verdicts), [true, true]);
+  t.deepEqual(crashes, [['a', 'b']]);
+  t.is(probesCount(), 1);
+});
+
+test('a loss that is noticed after the verdict belongs to the same crash', async t => {
+  const {detector, begin, crashes, probesCount} = createFixture('refused');
+  const [first, second] = ['a', 'b'].map(begin);
+  await detector.end(first!, LOST);
+  t.true(await detector.end(second!, LOST));
+  t.deepEqual(crashes, [['a', 'b']]);
+  t.is(probesCount(), 1);
+});
+
+test('a connection that is lost while the upstream listens is no crash', async t => {
+  const {detector, begin, crashes} = createFixture('accepted');
+  t.false(await detector.end(begin('a'), LOST));
+  t.deepEqual(crashes, []);
+});
+
+test('a request cancelled shortly before a crash is named, an earlier one is not', async t => {
+  const {detector, begin, crashes, advance} = createFixture('refused');
+  const [early, late, last] = ['early', 'late', 'last'].map(begin);
+  t.false(detector.end(early!, CANCELLED));
+  advance(600);
+  t.false(detector.end(late!, CANCELLED));
+  advance(100);
+  await detector.end(last!, LOST);
+  t.deepEqual(crashes, [['last', 'late']]);
+});
--- a/test/unit/request/misdirected.test.ts
+++ b/test/unit/request/misdirected.test.ts
@@ -11,6 +11,7 @@
 import {createUpstreamDirectory} from '../../../src/process/membership/upstream_directory.js';
 import {createUpstreamQueue} from '../../../src/process/admission/upstream_queue.js';
 import type {HopReason} from '../../../src/protocol/hop_messages.js';
+import {createCrashDetector} from '../../../src/request/crash_detector.js';
 import type {LocalCall} from '../../../src/request/local_execution.js';
 import {createLocalExecution} from '../../../src/request/local_execution.js';
 import {createLocalUpstream} from '../../../src/request/local_upstream.js';
@@ -54,6 +55,11 @@
     rejections: createRejectionRate(nowMillis),
     slowness: createRelativeSlowness(),
     parents: createInFlightParents(),
+    crashes: createCrashDetector({
+      probe: () => Promise.resolve('accepted'),
+      nowMillis,
+      onCrash: () => undefined,
+    }),
     sender: {
       send: ({upstreamId}, onEnd: (end: UpstreamEnd) => void) => {
         sentIds.push(upstreamId);
