Failing test: a request that crashes upstreams is sent to one after the other

A fleet of six nodes, four upstreams of one service that end 30 ms after they begin to run one request and are back under a new id 0.4 s later. Its caller sends it through one node after the other.

--- /dev/null
+++ b/test/contract/platform_crashing_requests.test.ts
@@ -0,0 +1,135 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {ExecutionContext} from 'ava';
+import test from 'ava';
+import type {ClientAnswer} from '../fakes/fleet_client.js';
+import {SAFE_PATH, ORDER_PATH} from '../fakes/platform_fleet.js';
+import type {FleetHost, PlatformFleet} from '../fakes/platform_fleet.js';
+import {startFleet} from '../fakes/test_fleet.js';
+
+const CULPRIT_PATH = '/a/culprit?page=1';
+
+/** Time that the bystanders' upstreams work, so that many are in progress. */
+const WORK_MILLIS = 60;
+const CRASH_MILLIS = 30;
+const DOWN_MILLIS = 400;
+
+/** Sends of a request that are allowed once it has crashed three upstreams. */
+const ALLOWED_COUNT = 3;
+const CRASHES_COUNT = 3;
+
+interface CrashingFleet {
+  readonly fleet: PlatformFleet;
+  readonly callers: readonly FleetHost[];
+  /** Crashes of all upstreams. */
+  crashesCount(): number;
+  /** Times that the culprit was handed to an upstream. */
+  culpritRunsCount(): number;
+  sendCulprit(): Promise<ClientAnswer>;
+}
+
+/** Upstreams of `orders` that crash whenever they run the culprit. */
+async function startCrashingFleet(
+  t: ExecutionContext,
+  culpritTarget = CULPRIT_PATH,
+): Promise<CrashingFleet> {
+  const fleet = await startFleet(t, {
+    services: ['shop', 'desk', 'orders', 'orders', 'orders', 'orders'],
+    paths: [SAFE_PATH, ORDER_PATH],
+    slots: 40,
+  });
+  const callers = fleet.hosts;
+  const orders = fleet.hosts.filter(({service}) => service === 'orders');
+  let runsCount = 0;
+  let sentCount = 0;
+  for (const host of orders) {
+    host.backend.setBehaviour(request => {
+      setTimeout(() => {
+        request.answer(200, 'served');
+      }, WORK_MILLIS);
+    });
+    host.backend.crashOn({
+      isCulprit: ({target}) => {
+        if (target !== culpritTarget) return false;
+        runsCount += 1;
+        return true;
+      },
+      afterMillis: CRASH_MILLIS,
+      downMillis: DOWN_MILLIS,
+      onStarted: () => {
+        fleet.publish(host);
+      },
+    });
+  }
+  return {
+    fleet,
+    callers,
+    crashesCount: () =>
+      orders.reduce((sum, {backend}) => sum + backend.crashesCount, 0),
+    culpritRunsCount: () => runsCount,
+    sendCulprit: () => {
+      const caller = callers[sentCount % callers.length];
+      sentCount += 1;
+      return fleet.send(caller!, {
+        attemptId: `culprit${String(sentCount)}`,
+        path: culpritTarget,
+        timeoutMillis: 1000,
+      });
+    },
+  };
+}
+
+/** Sends the culprit through one node after the other until it is known. */
+async function crashThree(crashing: CrashingFleet): Promise<void> {
+  for (let index = 0; index < 40; index += 1) {
+    if (crashing.crashesCount() >= CRASHES_COUNT) break;
+    await crashing.sendCulprit();
+    await sleep(20);
+  }
+  await sleep(2 * DOWN_MILLIS);
+}
+
+test('a request that crashed three upstreams is sent to no more than three others', async t => {
+  // Guards against a request that takes down all upstreams of its service, again
+  // and again, because each attempt of its callers is new to every node.
+  const crashing = await startCrashingFleet(t);
+  await crashThree(crashing);
+  t.true(crashing.crashesCount() >= CRASHES_COUNT);
+  const runsBefore = crashing.culpritRunsCount();
+  const answers: ClientAnswer[] = [];
+  for (let index = 0; index < 18; index += 1) {
+    answers.push(await crashing.sendCulprit());
+    await sleep(50);
+  }
+  const moreCount = crashing.culpritRunsCount() - runsBefore;
+  t.true(moreCount <= ALLOWED_COUNT, String(moreCount));
+  // None of them has run, and each is told when to come back.
+  for (const {statusCode, headers} of answers.slice(ALLOWED_COUNT)) {
+    t.is(statusCode, 503);
+    t.true(Number(headers['retry-after']) > 0);
+  }
+});
+
+test('requests in progress beside one that crashes upstreams are served when sent again', async t => {
+  // Guards against a quarantine that takes the bystanders of crashes for their
+  // cause.
+  const crashing = await startCrashingFleet(t);
+  const {fleet, callers} = crashing;
+  const bystanders = Array.from({length: 30}, (_, index) => index);
+  const sendAll = (round: number): Promise<ClientAnswer[]> =>
+    Promise.all(
+      bystanders.map(index =>
+        fleet.send(callers[index % 2]!, {
+          attemptId: `by${String(round)}-${String(index)}`,
+          path: `/a/${String(index)}`,
+        }),
+      ),
+    );
+  for (let round = 0; round < 6; round += 1) {
+    await Promise.all([sendAll(round), crashing.sendCulprit()]);
+    await sleep(50);
+  }
+  await crashThree(crashing);
+  const answers = await sendAll(100);
+  const servedCount = answers.filter(({statusCode}) => statusCode === 200);
+  t.is(servedCount.length, bystanders.length);
+});
--- a/test/fakes/stand_in_backend.ts
+++ b/test/fakes/stand_in_backend.ts
@@ -4,6 +4,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 /** One request as the upstream received it. */
 export interface ReceivedRequest {
@@ -40,9 +41,27 @@
    * what it held is lost, and its connections are reset.
    */
   restart(nextId?: string): Promise<void>;
+  /**
+   * Ends as in a crash whenever it begins to run one of these requests, and
+   * starts again later under a new id.
+   */
+  crashOn(crash: CrashPlan): void;
+  /** Crashes so far. */
+  readonly crashesCount: number;
   close(): Promise<void>;
 }
 
+/** Which requests crash an upstream, and what follows. */
+export interface CrashPlan {
+  readonly isCulprit: (request: ReceivedRequest) => boolean;
+  /** Time for which it works on the request before it ends. */
+  readonly afterMillis: number;
+  /** Time until it starts again. */
+  readonly downMillis: number;
+  /** It has started again under a new id. */
+  readonly onStarted: () => void;
+}
+
 /** What an upstream is made of. */
 export interface StandInBackendOptions {
   readonly id: string;
@@ -66,6 +85,9 @@
   let maxAtOnce = 0;
   let cutCount = 0;
   let denialMillis = 0;
+  let crashesCount = 0;
+  let crashPlan: CrashPlan | undefined;
+  let isClosed = false;
   let behaviour: Behaviour = request => {
     request.answer(200, `body of ${request.attemptId}`);
   };
@@ -78,9 +100,26 @@
       atWorkCount -= 1;
       if (!received.response.writableFinished) cutCount += 1;
     });
+    if (crashPlan?.isCulprit(received) === true) {
+      void crash(crashPlan);
+      return;
+    }
     behaviour(received);
   };
 
+  const crash = async (plan: CrashPlan): Promise<void> => {
+    const crashedId = id;
+    await sleep(plan.afterMillis);
+    if (isClosed || id !== crashedId) return;
+    crashesCount += 1;
+    id = `${options.id}-after-${String(crashesCount)}`;
+    await endAtOnce(server);
+    await sleep(plan.downMillis);
+    if (isClosed) return;
+    server = await listen(handle, options);
+    plan.onStarted();
+  };
+
   const handle = (request: IncomingMessage, response: ServerResponse): void => {
     const chunks: Buffer[] = [];
     request.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -121,7 +160,16 @@
       id = nextId;
       server = await listen(handle, options);
     },
-    close: () => endAtOnce(server),
+    crashOn: plan => {
+      crashPlan = plan;
+    },
+    get crashesCount() {
+      return crashesCount;
+    },
+    close: () => {
+      isClosed = true;
+      return endAtOnce(server);
+    },
   };
 }
 
