--- a/src/connection/execution.ts
+++ b/src/connection/execution.ts
@@ -49,4 +49,6 @@
       readonly kind: 'unknown';
       readonly reason: HopReason;
       readonly hasFailedCall: boolean;
+      /** Crashes under the request so far, if its upstream crashed. */
+      readonly crashesCount?: number | undefined;
     };
--- a/src/connection/hop_link.ts
+++ b/src/connection/hop_link.ts
@@ -32,10 +32,8 @@
   claim(hop: OutgoingHop): void;
   /** Asks for a sign of life. */
   ping(): void;
-  /** Asks for what the other end knows of loads. */
-  askLoads(): void;
-  /** Asks for changes of the published documents. */
-  askChanges(question: Buffer): void;
+  /** Asks the other end; the first byte tells for what. */
+  ask(question: Buffer): void;
   /** Closes it and returns the requests that were on it. */
   retire(): readonly OutgoingHop[];
 }
@@ -57,6 +55,7 @@
   readonly onHeard: () => void;
   readonly onLoads: (loads: readonly LoadFields[]) => void;
   readonly onChanges: (answer: Buffer) => void;
+  readonly onCrashReport: (report: Buffer) => void;
   /** Closed by the other end or the network, with the requests on it. */
   readonly onClosed: (how: LinkClose, hops: readonly OutgoingHop[]) => void;
 }
@@ -73,9 +72,6 @@
 
 const GRANT_LENGTH_BYTES = 4;
 
-/** Any payload: a sign of life that is asked for has none. */
-const LOADS_WANTED = Buffer.from([1]);
-
 /** Plain fields, which are read for each choice of a connection. */
 interface OwnLink extends HopLink {
   instanceId: string | undefined;
@@ -234,6 +230,9 @@
       case FRAME_KIND.changes:
         options.onChanges(payload);
         break;
+      case FRAME_KIND.crashes:
+        options.onCrashReport(payload);
+        break;
       case FRAME_KIND.goingAway:
         link.isLeaving = true;
         endIfLeft();
@@ -302,11 +301,7 @@
     ping: () => {
       connection.send(FRAME_KIND.ping, 0);
     },
-    askLoads: () => {
-      link.usedMillis = nowMillis();
-      connection.send(FRAME_KIND.ping, 0, LOADS_WANTED);
-    },
-    askChanges: question => {
+    ask: question => {
       link.usedMillis = nowMillis();
       connection.send(FRAME_KIND.ping, 0, question);
     },
--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -8,6 +8,7 @@
 import type {Frame} from '../protocol/hop_frames.js';
 import {FRAME_KIND} from '../protocol/hop_frames.js';
 import type {LoadFields} from '../protocol/hop_messages.js';
+import {isCrashReport} from '../protocol/crash_report_codec.js';
 import {encodeLoads} from '../protocol/load_codec.js';
 import {encodeHopAnswer} from '../protocol/hop_answer_codec.js';
 import {decodeHopRequest} from '../protocol/hop_request_codec.js';
@@ -30,6 +31,8 @@
   readonly loads: () => readonly LoadFields[];
   /** Answers a question for changes; `undefined` if it is none. */
   readonly answerQuestion: (question: Buffer) => Buffer | undefined;
+  /** Takes a report of crashes; returns one if the sender lacks any. */
+  readonly receiveCrashReport: (report: Buffer) => Buffer | undefined;
   readonly nowMillis: () => number;
   /** Bytes came that are no message of a node. */
   readonly onMalformed: (peer: string) => void;
@@ -155,6 +158,13 @@
       connection.send(FRAME_KIND.pong, channelId, EMPTY);
       return;
     }
+    if (isCrashReport(question)) {
+      const report = options.receiveCrashReport(question);
+      if (report !== undefined) {
+        connection.send(FRAME_KIND.crashes, channelId, report);
+      }
+      return;
+    }
     const changes = options.answerQuestion(question);
     if (changes !== undefined) {
       connection.send(FRAME_KIND.changes, channelId, changes);
--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -14,10 +14,8 @@
 /** Another node as requests are sent to it. */
 export interface HopPeer extends WatchedPeer {
   send(hop: OutgoingHop): void;
-  /** Asks for what the node knows of loads. */
-  askLoads(): void;
-  /** Asks for changes of the published documents. */
-  askChanges(question: Buffer): void;
+  /** Asks the node; the first byte tells for what. */
+  ask(question: Buffer): void;
   /** Closes connections that have not been used for a while. */
   expire(): void;
   dispose(): void;
@@ -31,6 +29,7 @@
   readonly onHeard: () => void;
   readonly onLoads: (loads: readonly LoadFields[]) => void;
   readonly onChanges: (answer: Buffer) => void;
+  readonly onCrashReport: (report: Buffer) => void;
   /** So many requests went on after their connection was lost. */
   readonly onReplaced: (hopsCount: number) => void;
 }
@@ -80,6 +79,7 @@
       onHeard: options.onHeard,
       onLoads: options.onLoads,
       onChanges: options.onChanges,
+      onCrashReport: options.onCrashReport,
       onClosed: (how, hops) => {
         links.delete(link);
         onFailed(how);
@@ -193,11 +193,8 @@
     send: hop => {
       chooseLink().send(hop);
     },
-    askLoads: () => {
-      chooseLink().askLoads();
-    },
-    askChanges: question => {
-      chooseLink().askChanges(question);
+    ask: question => {
+      chooseLink().ask(question);
     },
     verify: async isUrgent => {
       const fresh = await openFresh(isUrgent);
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -17,6 +17,7 @@
   LoadFields,
   PositionFields,
 } from '../protocol/hop_messages.js';
+import {LOADS_QUESTION} from '../protocol/load_codec.js';
 import type {ExecutionCall, ExecutionEnd} from './execution.js';
 import type {HopPeer} from './hop_peer.js';
 import {createHopPeer} from './hop_peer.js';
@@ -37,6 +38,8 @@
     target: UpstreamEntry,
     question: Buffer,
   ): Promise<Buffer | undefined>;
+  /** Sends a node a report of crashes, or asks it for one. */
+  sendCrashReport(peer: Endpoint, report: Buffer): void;
 }
 
 /** What it needs. */
@@ -47,6 +50,8 @@
   /** A node did not reply; so many requests for it were given up. */
   readonly onPeerLost: (peer: Endpoint, hopsCount: number) => void;
   readonly onPeerFound: (peer: Endpoint) => void;
+  /** A node answered a report of crashes with what this one lacks. */
+  readonly onCrashReport: (peer: Endpoint, report: Buffer) => void;
   /** A connection was lost; so many requests on it went on elsewhere. */
   readonly onLinkLost: (peer: Endpoint, hopsCount: number) => void;
 }
@@ -75,7 +80,7 @@
     execute: (target, call) => executeResent(execution, target, call),
     isLost: target => peers.isLost(target.node),
     askLoads: target => {
-      peers.of(target.node).askLoads();
+      peers.of(target.node).ask(LOADS_QUESTION);
     },
     askChanges: (target, question) =>
       new Promise(resolve => {
@@ -86,8 +91,11 @@
           clearTimeout(timer);
           resolve(answer);
         });
-        peers.of(target.node).askChanges(question);
+        peers.of(target.node).ask(question);
       }),
+    sendCrashReport: (peer, report) => {
+      peers.of(peer).ask(report);
+    },
     dispose: store.dispose,
   };
 }
@@ -136,6 +144,9 @@
           changesListeners.delete(key);
           listener?.(answer);
         },
+        onCrashReport: report => {
+          options.onCrashReport(endpoint, report);
+        },
         onReplaced: hopsCount => {
           options.onLinkLost(endpoint, hopsCount);
         },
@@ -272,10 +283,10 @@
   answer,
   received,
 }: Extract<HopEnd, {kind: 'answer'}>): ExecutionEnd {
-  const {outcome, reason, hasFailedCall, calls} = answer;
+  const {outcome, reason, hasFailedCall, calls, crashesCount} = answer;
   if (outcome === 'refused') return {kind: 'refused', reason};
   if (outcome === 'unknown' || received === undefined) {
-    return {kind: 'unknown', reason, hasFailedCall};
+    return {kind: 'unknown', reason, hasFailedCall, crashesCount};
   }
   return {kind: 'answered', answer: received, calls, hasFailedCall};
 }
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -1,22 +1,25 @@
 /**
  * Wiring of the requests of one node: what enters, and what other nodes send.
  */
-import {randomBytes} from 'node:crypto';
 import type {Disposable} from '../base/lifecycle.js';
 import type {ExecutionEnd} from '../connection/execution.js';
 import type {PeerRelay} from '../connection/peer_relay.js';
 import {createPeerRelay} from '../connection/peer_relay.js';
-import type {RemoteExecution} from '../connection/remote_execution.js';
+import type {
+  RemoteExecution,
+  RemoteExecutionOptions,
+} from '../connection/remote_execution.js';
 import {createRemoteExecution} from '../connection/remote_execution.js';
-import {fingerprintsOf} from '../connection/request_fingerprint.js';
-import {probeUpstream} from '../connection/upstream_probe.js';
 import {createUpstreamSender} from '../connection/upstream_sender.js';
 import {createAttemptPatience} from '../process/repeats/attempt_patience.js';
 import type {DecisionLog} from '../process/log/decision_log.js';
 import {createEntryGate} from '../process/admission/entry_gate.js';
 import type {LoadReport} from '../process/admission/load_board.js';
 import type {NodeMetrics} from '../process/log/node_metrics.js';
-import type {NodeSettings} from '../process/settings/node_settings.js';
+import type {
+  Endpoint,
+  NodeSettings,
+} from '../process/settings/node_settings.js';
 import type {StopPlan} from '../process/stop/stop_plan.js';
 import {createWeightedTargets} from '../process/placement/weighted_targets.js';
 import {createKnownDocuments} from '../process/membership/known_documents.js';
@@ -26,8 +29,6 @@
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {AttemptedRequest} from '../request/attempts.js';
 import {createAttempts} from '../request/attempts.js';
-import type {HandedOverRequest} from '../request/crash_detector.js';
-import {createCrashDetector} from '../request/crash_detector.js';
 import {createEntryAnswers} from '../request/entry_answers.js';
 import type {InboundExchanges} from '../request/inbound_exchange.js';
 import {createInboundExchanges} from '../request/inbound_exchange.js';
@@ -38,6 +39,8 @@
 import type {OpenRequests} from '../request/open_requests.js';
 import {createOpenRequests} from '../request/open_requests.js';
 import {createRepeatRules} from '../request/repeat_rules.js';
+import type {CrashHandling} from './crash_handling.js';
+import {startCrashHandling} from './crash_handling.js';
 import type {NodeDecisions} from './node_decisions.js';
 
 /** What the exchanges need. */
@@ -61,6 +64,8 @@
   readonly open: OpenRequests;
   /** Changes of the published documents from other nodes and for them. */
   readonly relay: PeerRelay;
+  /** Requests that crash upstreams, and what is known of them. */
+  readonly crashes: CrashHandling;
   /** What this node tells of loads to one that asks. */
   loads(): readonly LoadFields[];
   /** Asks about services whose loads are heard of no more. */
@@ -69,8 +74,6 @@
   readonly executingCount: number;
 }
 
-const CRASH_ID_BYTES = 8;
-
 /** Loads of other upstreams that one answer reports at most. */
 const REPORTED_LOADS_COUNT = 6;
 
@@ -82,7 +85,21 @@
   const {upstream, queue, level, parents} = decisions;
   const sender = createUpstreamSender(settings().upstream, names);
   const started = upstream.onStarted(sender.dropIdle);
-  const remote = createRemote(options);
+  const remote = createRemote(options, {
+    onCrashReport: (peer, report) => {
+      crashes.gossip.receiveAnswer(peer, report);
+    },
+    onPeerFound: peer => {
+      crashes.gossip.compareWith(peer);
+    },
+  });
+  const crashes = startCrashHandling({
+    ...options,
+    upstream: () => settings().upstream,
+    peers: () => otherNodes(options),
+    send: remote.sendCrashReport,
+    onCrash: upstream.markUnreachable,
+  });
   const execution = createLocalExecution({
     upstream,
     queue,
@@ -90,14 +107,8 @@
     rejections: decisions.rejections,
     slowness: decisions.slowness,
     parents,
-    crashes: createCrashDetector({
-      probe: () => probeUpstream(settings().upstream),
-      nowMillis,
-      onCrash: inProgress => {
-        options.metrics.recordUpstreamCrash();
-        logCrash(options, inProgress);
-      },
-    }),
+    crashes: crashes.detector,
+    quarantine: crashes.quarantine,
     sender,
     budget: decisions.budget,
     trees: decisions.trees,
@@ -139,6 +150,7 @@
     attempts: createAttempts({
       placement: decisions.placement,
       rules: createRepeatRules({...decisions, nowMillis}),
+      quarantine: crashes.quarantine,
       patience: createAttemptPatience(),
       stop: options.stop,
       hostKey: settings().hostKey,
@@ -180,6 +192,7 @@
     inbound,
     open,
     relay: createRelay(options, remote),
+    crashes,
     loads: inbound.loads,
     askLoads: () => {
       for (const service of decisions.questions.due()) {
@@ -192,6 +205,7 @@
     },
     dispose: () => {
       started.dispose();
+      crashes.dispose();
       sender.dispose();
       remote.dispose();
     },
@@ -233,7 +247,23 @@
   return entries[Math.floor(random() * entries.length)];
 }
 
-function createRemote(options: NodeExchangesOptions): RemoteExecution {
+/** Nodes beside all other upstreams. */
+function otherNodes({
+  decisions,
+  settings,
+}: NodeExchangesOptions): readonly Endpoint[] {
+  return [...decisions.directory.hosts()]
+    .filter(({entry}) => entry.hostKey !== settings().hostKey)
+    .map(({entry}) => entry.node);
+}
+
+function createRemote(
+  options: NodeExchangesOptions,
+  {
+    onCrashReport,
+    onPeerFound,
+  }: Pick<RemoteExecutionOptions, 'onCrashReport' | 'onPeerFound'>,
+): RemoteExecution {
   return createRemoteExecution({
     board: options.decisions.board,
     peerPositions: options.decisions.peerPositions,
@@ -243,7 +273,9 @@
     },
     onPeerFound: peer => {
       options.log.request('peer-found', {peer: peer.address});
+      onPeerFound(peer);
     },
+    onCrashReport,
     onLinkLost: (peer, hopsCount) => {
       options.log.request('connection-replaced', {
         peer: peer.address,
@@ -271,29 +303,6 @@
   });
 }
 
-/** The crash, and each request that may have caused it. */
-function logCrash(
-  {log, nowMillis}: NodeExchangesOptions,
-  inProgress: readonly HandedOverRequest[],
-): void {
-  const crashId = randomBytes(CRASH_ID_BYTES).toString('hex');
-  log.state('upstream-crashed', {
-    crashId,
-    upstream: inProgress[0]?.upstreamId,
-    inProgressCount: inProgress.length,
-  });
-  for (const request of inProgress) {
-    const {content, contentOfCaller} = fingerprintsOf(request);
-    log.request('in-progress-at-crash', {
-      requestId: request.attemptId,
-      crashId,
-      fingerprint: content,
-      callerFingerprint: contentOfCaller,
-      ageMillis: Math.round(nowMillis() - request.startedMillis),
-    });
-  }
-}
-
 /** The line that tells what became of a request at the own upstream. */
 function logEnd(
   options: NodeExchangesOptions,
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -21,6 +21,9 @@
 import {startNodeUpkeep} from './node_upkeep.js';
 import {runStopSequence} from './stop_sequence.js';
 
+/** Suspects of crashes that the state shows, those with most crashes first. */
+const SHOWN_SUSPECTS_COUNT = 100;
+
 /** What a node is made of. */
 export interface ServiceNodeOptions {
   readonly settings: NodeSettings;
@@ -105,6 +108,7 @@
     handle: exchanges.inbound.handle,
     loads: exchanges.loads,
     answerQuestion: exchanges.relay.answer,
+    receiveCrashReport: exchanges.crashes.gossip.receive,
     nowMillis,
     onMalformed: peer => {
       log.request('malformed-message', {peer});
@@ -210,6 +214,11 @@
         shedding: board.shedding(),
       },
       repeats: {budget: decisions.budget.use()},
+      quarantine: {
+        suspects: exchanges.crashes.evidence
+          .suspects()
+          .slice(0, SHOWN_SUSPECTS_COUNT),
+      },
     }),
     configuration: configuration.current,
   };
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -17,6 +17,10 @@
   recordMisdirected(): void;
   /** The own upstream crashed while it worked on requests. */
   recordUpstreamCrash(): void;
+  /** A request was refused because it crashes, or may crash, upstreams. */
+  recordCrashRefusal(reason: string): void;
+  /** A request suspected of crashes was answered. */
+  recordCrashClearance(): void;
   /** A request entered, from the own upstream or from a client. */
   recordEntered(isUpstreams: boolean): void;
   recordStoreLost(): void;
@@ -44,6 +48,7 @@
   | 'queue_length'
   | 'in_flight'
   | 'configuration_version'
+  | 'quarantined_requests'
   | 'known_upstreams';
 
 /** Upper bounds in milliseconds: the objectives of today's routes and between. */
@@ -84,6 +89,16 @@
     'Crashes of the own upstream with requests in progress',
     [],
   );
+  const crashRefusals = counter(
+    'crash_refusals_total',
+    'Attempts refused because the request crashes, or may crash, upstreams',
+    ['reason'],
+  );
+  const crashClearances = counter(
+    'crash_clearances_total',
+    'Requests suspected of crashes that were answered',
+    [],
+  );
   const enteredCounts = {upstream: 0, client: 0};
   // Filled in when it is asked for: this one counts each request.
   new Counter({
@@ -139,6 +154,12 @@
     recordUpstreamCrash: () => {
       upstreamCrashes.inc();
     },
+    recordCrashRefusal: reason => {
+      crashRefusals.inc({reason});
+    },
+    recordCrashClearance: () => {
+      crashClearances.inc();
+    },
     recordEntered: isUpstreams => {
       enteredCounts[isUpstreams ? 'upstream' : 'client'] += 1;
     },
--- /dev/null
+++ b/src/protocol/crash_report_codec.ts
@@ -0,0 +1,60 @@
+/**
+ * Reports of crashes as payloads of frames.
+ */
+import type {CrashFields, CrashReport} from './crash_fields.js';
+import {areTexts, isNumber, parseJson} from './message_payload.js';
+
+/** First byte of a report that asks for one; other questions begin with 1 and 2. */
+const CRASH_REPORT = 3;
+
+/** Whether a question of another node is a report of crashes. */
+export function isCrashReport(payload: Buffer): boolean {
+  return payload[0] === CRASH_REPORT;
+}
+
+/** Writes a report; lists instead of objects keep it short. */
+export function encodeCrashReport({digest, crashes}: CrashReport): Buffer {
+  const list = crashes.map(crash => [
+    crash.crashId,
+    crash.upstreamId,
+    crash.ageMillis,
+    crash.fingerprints,
+    crash.clearedFingerprints,
+  ]);
+  const text = JSON.stringify([digest, list]);
+  return Buffer.concat([Buffer.from([CRASH_REPORT]), Buffer.from(text)]);
+}
+
+/** Reads a report; `undefined` if it is none. */
+export function decodeCrashReport(payload: Buffer): CrashReport | undefined {
+  if (!isCrashReport(payload)) return undefined;
+  const value = parseJson(payload.subarray(1).toString());
+  if (!Array.isArray(value)) return undefined;
+  const [digest, list] = value as readonly unknown[];
+  if (typeof digest !== 'string' || !Array.isArray(list)) return undefined;
+  const crashes = (list as readonly unknown[]).map(crashOf);
+  if (!crashes.every(crash => crash !== undefined)) return undefined;
+  return {digest, crashes};
+}
+
+function crashOf(value: unknown): CrashFields | undefined {
+  if (!Array.isArray(value)) return undefined;
+  const [crashId, upstreamId, ageMillis, fingerprints, cleared] =
+    value as readonly unknown[];
+  if (typeof crashId !== 'string' || typeof upstreamId !== 'string') {
+    return undefined;
+  }
+  if (!isNumber(ageMillis) || ageMillis < 0) return undefined;
+  if (!isTextList(fingerprints) || !isTextList(cleared)) return undefined;
+  return {
+    crashId,
+    upstreamId,
+    ageMillis,
+    fingerprints,
+    clearedFingerprints: cleared,
+  };
+}
+
+function isTextList(value: unknown): value is readonly string[] {
+  return Array.isArray(value) && areTexts(value as readonly unknown[]);
+}
--- a/src/protocol/hop_answer_codec.ts
+++ b/src/protocol/hop_answer_codec.ts
@@ -29,6 +29,8 @@
   readonly LoadList[],
   MessageList | 0,
   ...PositionList,
+  // Crashes under the request, where its upstream crashed.
+  ...([number] | []),
 ];
 
 /** Writes an answer with its body or the beginning of it. */
@@ -50,10 +52,15 @@
           message.hasRest ? 1 : 0,
         ],
     ...listOfPosition(answer.knownPosition),
+    ...listOfCrashes(answer.crashesCount),
   ];
   return joinPayload(list, start);
 }
 
+function listOfCrashes(crashesCount: number | undefined): [number] | [] {
+  return crashesCount === undefined ? [] : [crashesCount];
+}
+
 /** Reads an answer; `undefined` if the payload is none. */
 export function decodeHopAnswer(
   payload: Buffer,
@@ -65,6 +72,7 @@
   if (!isOutcome(outcome) || typeof reason !== 'string') return undefined;
   const message = messageOf(list[6]);
   const knownPosition = positionOf(list[7], list[8]);
+  const crashesCount = list[9];
   if (outcome === 'answered' && message === undefined) return undefined;
   return {
     message: {
@@ -75,6 +83,7 @@
       calls: callsOf(list[4]),
       loads: loadsOf(list[5]),
       ...(knownPosition === undefined ? {} : {knownPosition}),
+      ...(isNumber(crashesCount) && crashesCount > 0 ? {crashesCount} : {}),
       message,
     },
     body: parts.body,
--- a/src/protocol/hop_frames.ts
+++ b/src/protocol/hop_frames.ts
@@ -28,7 +28,7 @@
   cancel: 10,
   /** Bytes of the rest that the receiver has passed on. */
   window: 11,
-  /** Asks for a sign of life; with a payload, for loads or changes as well. */
+  /** Asks for a sign of life; with a payload, for loads, changes or crashes as well. */
   ping: 12,
   /** The sign, with loads if they were asked for. */
   pong: 13,
@@ -39,6 +39,8 @@
   goingAway: 16,
   /** Changes of the published documents that were asked for. */
   changes: 17,
+  /** Crashes of upstreams that the asking node lacks. */
+  crashes: 18,
 } as const;
 
 /** Kind of a frame. */
--- a/src/protocol/hop_messages.ts
+++ b/src/protocol/hop_messages.ts
@@ -78,6 +78,12 @@
   | 'not-executed'
   | 'broken-answer'
   | 'connection-lost'
+  /** The upstream's process ended while it worked on the request. */
+  | 'upstream-crashed'
+  /** Not run, since it crashes the upstreams that run it. */
+  | 'quarantined'
+  /** Not run now, since it may crash upstreams and is tried apart from others. */
+  | 'isolated'
   | 'silent'
   | 'timeout'
   | 'cancelled';
@@ -88,6 +94,8 @@
   readonly reason: HopReason;
   /** A call that was made for the request failed. */
   readonly hasFailedCall: boolean;
+  /** Crashes under the request, if its upstream crashed; none otherwise. */
+  readonly crashesCount?: number | undefined;
   /** Repeats that went with the request and were not spent. */
   readonly unspentCount: number;
   /** Calls made below, by service. */
--- a/src/protocol/load_codec.ts
+++ b/src/protocol/load_codec.ts
@@ -4,6 +4,9 @@
 import type {LoadFields, RejectionFields} from './hop_messages.js';
 import {isNumber} from './message_payload.js';
 
+/** Question for loads. */
+export const LOADS_QUESTION = Buffer.from([1]);
+
 type RejectionList = readonly [number, number];
 
 /** Lists instead of objects: names would double the bytes between zones. */
--- a/src/protocol/message_payload.ts
+++ b/src/protocol/message_payload.ts
@@ -32,13 +32,13 @@
   if (payload.length < LENGTH_BYTES) return undefined;
   const end = LENGTH_BYTES + payload.readUInt32BE(0);
   if (end > payload.length) return undefined;
-  const header = parse(payload.toString('utf8', LENGTH_BYTES, end));
+  const header = parseJson(payload.toString('utf8', LENGTH_BYTES, end));
   if (!Array.isArray(header)) return undefined;
   return {header: header as readonly unknown[], body: payload.subarray(end)};
 }
 
-/** A header that is not JSON is none; its connection is closed for it. */
-function parse(text: string): unknown {
+/** Parses JSON; `undefined` if the text is none. */
+export function parseJson(text: string): unknown {
   try {
     return JSON.parse(text) as unknown;
   } catch {
--- a/src/protocol/relay_codec.ts
+++ b/src/protocol/relay_codec.ts
@@ -1,7 +1,7 @@
 /**
  * Questions of nodes for changes of the published documents, and their answers.
  */
-import {isNumber} from './message_payload.js';
+import {isNumber, parseJson} from './message_payload.js';
 import type {PositionFields} from './hop_messages.js';
 
 /** A change, as sent. */
@@ -35,7 +35,7 @@
   payload: Buffer,
 ): PositionFields | undefined {
   if (payload[0] !== CHANGES_WANTED) return undefined;
-  return positionOf(parse(payload.subarray(1)));
+  return positionOf(parseJson(payload.subarray(1).toString()));
 }
 
 /** Writes an answer. */
@@ -52,7 +52,7 @@
 
 /** Reads an answer; `undefined` if it is none. */
 export function decodeRelayAnswer(payload: Buffer): RelayAnswer | undefined {
-  const value = parse(payload);
+  const value = parseJson(payload.toString());
   if (!Array.isArray(value)) return undefined;
   const [place, watching, list] = value as readonly unknown[];
   const position = positionOf(place);
@@ -77,11 +77,3 @@
   if (!isNumber(epoch) || !isNumber(revision)) return undefined;
   return {epoch, revision};
 }
-
-function parse(payload: Buffer): unknown {
-  try {
-    return JSON.parse(payload.toString());
-  } catch {
-    return undefined;
-  }
-}
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -17,6 +17,7 @@
 import type {AttemptEnd} from '../process/placement/upstream_record.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {ServiceRoute} from '../version/route_configuration.js';
+import type {CrashQuarantine} from './crash_quarantine.js';
 import type {LocalExecution} from './local_execution.js';
 import type {PatientEnd} from './patient_attempt.js';
 import {runPatiently} from './patient_attempt.js';
@@ -53,6 +54,7 @@
   readonly local: LocalExecution;
   readonly remote: RemoteExecution;
   readonly rules: RepeatRules;
+  readonly quarantine: Pick<CrashQuarantine, 'holds'>;
   readonly patience: AttemptPatience;
   readonly stop: StopPlan;
   readonly nowMillis: () => number;
@@ -73,6 +75,8 @@
 
 const NOWHERE: ExecutionEnd = {kind: 'refused', reason: 'unreachable'};
 
+const QUARANTINED: ExecutionEnd = {kind: 'refused', reason: 'quarantined'};
+
 /** Creates the attempts of one node. */
 export function createAttempts(options: AttemptsOptions): Attempts {
   return {run: request => runAttempts(options, request)};
@@ -89,6 +93,10 @@
   const {rules} = options;
 
   while (course.mayOffer) {
+    if (options.quarantine.holds(request.call)) {
+      if (course.ranCount === 0) last = QUARANTINED;
+      break;
+    }
     const usualMillis = options.patience.usualMillis(patienceKeyOf(request));
     const placement = placeNext(options, request, {course, usualMillis});
     if (placement === undefined) break;
@@ -254,6 +262,7 @@
     case 'other-upstream':
     case 'misdirected':
     case 'unreachable':
+    case 'upstream-crashed':
     case 'silent':
       return 'unreachable';
     case 'not-executed':
--- /dev/null
+++ b/src/request/crash_quarantine.ts
@@ -0,0 +1,160 @@
+/**
+ * Keeps requests that crash the upstreams that run them from the upstreams.
+ *
+ * Load pattern: one request of a caller that comes again and again at any node,
+ * among many that were in progress beside it. After enough crashes it is not run
+ * any more. Before that, the requests that were in progress under a crash run a few
+ * at a time at each upstream, and those of several crashes one at a time, so that
+ * each further crash leaves fewer suspects. The latter are not tried until the
+ * upstreams that crashed last can be there again.
+ */
+import type {
+  FingerprintedRequest,
+  RequestFingerprints,
+} from '../connection/request_fingerprint.js';
+import {fingerprintsOf} from '../connection/request_fingerprint.js';
+import type {UpstreamEnd} from '../connection/upstream_sender.js';
+import type {CrashEvidence} from '../process/quarantine/crash_evidence.js';
+import type {TurnQueue, TurnWait} from '../process/quarantine/turn_queue.js';
+import {createTurnQueue} from '../process/quarantine/turn_queue.js';
+
+/** A request as decisions and their log lines see it. */
+export interface IdentifiedRequest extends FingerprintedRequest {
+  readonly attemptId: string;
+}
+
+/** Decides for the requests of one node. */
+export interface CrashQuarantine {
+  /** Whether a request must not be sent to any upstream. */
+  holds(request: IdentifiedRequest): boolean;
+  /**
+   * Admits a request to the own upstream, or tells why not; one that is suspected
+   * may have to wait for its turn. Ended by `end` once it was admitted.
+   */
+  admit(
+    request: IdentifiedRequest,
+    wait: TurnWait,
+  ): CrashRefusal | undefined | Promise<CrashRefusal | undefined>;
+  /** Ends an execution that was admitted; left out, it was not handed over. */
+  end(request: IdentifiedRequest, end?: UpstreamEnd): void;
+  /** Crashes under a request so far. */
+  crashesCount(request: FingerprintedRequest): number;
+}
+
+/** Why a request is not handed over. */
+export type CrashRefusal = 'quarantined' | 'isolated';
+
+/** What decisions need. */
+export interface CrashQuarantineOptions {
+  readonly evidence: CrashEvidence;
+  /** A request is held or refused. */
+  readonly onRefused: (
+    request: IdentifiedRequest,
+    fingerprints: RequestFingerprints,
+    reason: CrashRefusal,
+  ) => void;
+  /** A request that was suspected was answered. */
+  readonly onCleared: (
+    request: IdentifiedRequest,
+    fingerprints: RequestFingerprints,
+  ) => void;
+}
+
+/** Crashes after which a request is tried alone, and not retried by a node. */
+export const ISOLATED_CRASHES_COUNT = 2;
+
+/** Time after its last crash in which an isolated request is not tried. */
+const ISOLATED_PAUSE_MILLIS = 3000;
+
+/** Requests that were in progress under one crash that run at once. */
+const SUSPECTS_AT_ONCE_COUNT = 4;
+
+const STATUS_FAILURE = 400;
+
+/** Creates the decisions of one node. */
+export function createCrashQuarantine(
+  options: CrashQuarantineOptions,
+): CrashQuarantine {
+  const {evidence} = options;
+  const fingerprints = new WeakMap<FingerprintedRequest, RequestFingerprints>();
+  const suspectTurns = createTurnQueue(SUSPECTS_AT_ONCE_COUNT);
+  const isolatedTurns = createTurnQueue(1);
+  const heldTurns = new Map<IdentifiedRequest, TurnQueue>();
+
+  const identify = (request: FingerprintedRequest): RequestFingerprints => {
+    const known = fingerprints.get(request) ?? fingerprintsOf(request);
+    fingerprints.set(request, known);
+    return known;
+  };
+  const listOf = (request: FingerprintedRequest): readonly string[] => {
+    const {content, contentOfCaller} = identify(request);
+    return [content, contentOfCaller];
+  };
+  const crashesCount = (request: FingerprintedRequest): number =>
+    evidence.isEmpty ? 0 : evidence.crashesCount(listOf(request));
+
+  const refusalOf = (request: IdentifiedRequest): CrashRefusal | undefined => {
+    const list = listOf(request);
+    if (evidence.isQuarantined(list)) return 'quarantined';
+    if (evidence.crashesCount(list) < ISOLATED_CRASHES_COUNT) return undefined;
+    const isPaused = evidence.lastCrashAgeMillis(list) < ISOLATED_PAUSE_MILLIS;
+    return isPaused ? 'isolated' : undefined;
+  };
+
+  const refuse = (
+    request: IdentifiedRequest,
+    reason: CrashRefusal,
+  ): CrashRefusal => {
+    options.onRefused(request, identify(request), reason);
+    return reason;
+  };
+
+  const endTurn = (request: IdentifiedRequest): void => {
+    heldTurns.get(request)?.release();
+    heldTurns.delete(request);
+  };
+
+  /** More may be known about the request when its turn comes. */
+  const admitAfter = async (
+    request: IdentifiedRequest,
+    turn: Promise<boolean>,
+    turns: TurnQueue,
+  ): Promise<CrashRefusal | undefined> => {
+    if (!(await turn)) return refuse(request, 'isolated');
+    heldTurns.set(request, turns);
+    const reason = refusalOf(request);
+    if (reason === undefined) return undefined;
+    endTurn(request);
+    return refuse(request, reason);
+  };
+
+  return {
+    holds: request => {
+      if (evidence.isEmpty || !evidence.isQuarantined(listOf(request))) {
+        return false;
+      }
+      refuse(request, 'quarantined');
+      return true;
+    },
+    admit: (request, wait) => {
+      const count = crashesCount(request);
+      if (count === 0) return undefined;
+      const reason = refusalOf(request);
+      if (reason !== undefined) return refuse(request, reason);
+      const isIsolated = count >= ISOLATED_CRASHES_COUNT;
+      const turns = isIsolated ? isolatedTurns : suspectTurns;
+      const turn = turns.take(wait);
+      if (turn !== true) return admitAfter(request, turn, turns);
+      heldTurns.set(request, turns);
+      return undefined;
+    },
+    end: (request, end) => {
+      endTurn(request);
+      if (evidence.isEmpty || end?.kind !== 'answered') return;
+      if (end.answer.statusCode >= STATUS_FAILURE) return;
+      if (!evidence.clear(listOf(request))) return;
+      options.onCleared(request, identify(request));
+    },
+    crashesCount,
+  };
+}
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -85,6 +85,12 @@
 const RETURN_EARLIEST_RATIO = 0.2;
 const RETURN_LATEST_RATIO = 0.7;
 
+/**
+ * Asked of callers whose request crashes upstreams: it is refused for as long as it
+ * is not cleared, so that a short time would only bring them back in vain.
+ */
+const RETURN_QUARANTINED_MILLIS = 30_000;
+
 /** Asked of clients whose request has no route yet to take an objective from. */
 const RETURN_UNKNOWN_MILLIS = 500;
 
@@ -215,7 +221,10 @@
       }
       if (!end.mayHaveRun) {
         const {reason} = end.last;
-        const returnAfter = returnMillis(route);
+        const returnAfter =
+          reason === 'quarantined'
+            ? RETURN_QUARANTINED_MILLIS
+            : returnMillis(route);
         writeRefusal(exchange, reason, returnAfter);
         const millis = record(request, STATUS_UNAVAILABLE);
         log.request('refused', {
--- a/src/request/inbound_exchange.ts
+++ b/src/request/inbound_exchange.ts
@@ -109,7 +109,7 @@
 
 type OutcomeFields = Pick<
   HopAnswer,
-  'outcome' | 'reason' | 'hasFailedCall' | 'calls'
+  'outcome' | 'reason' | 'hasFailedCall' | 'calls' | 'crashesCount'
 >;
 
 function outcomeOf(end: ExecutionEnd): OutcomeFields {
@@ -134,6 +134,7 @@
         reason: end.reason,
         hasFailedCall: end.hasFailedCall,
         calls: NO_CALLS,
+        crashesCount: end.crashesCount,
       };
   }
 }
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -25,6 +25,7 @@
 } from '../process/admission/upstream_queue.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {CrashDetector, HandedOverRequest} from './crash_detector.js';
+import type {CrashQuarantine} from './crash_quarantine.js';
 import type {LocalUpstream} from './local_upstream.js';
 
 /** A request to execute here. */
@@ -49,6 +50,7 @@
   readonly slowness: RelativeSlowness;
   readonly parents: InFlightParents;
   readonly crashes: CrashDetector;
+  readonly quarantine: CrashQuarantine;
   readonly sender: UpstreamSender;
   readonly budget: RepeatBudget;
   readonly trees: CallTrees;
@@ -82,24 +84,64 @@
   if (waitEnd !== 'started') return refused(waitEnd);
   const fetched = call.fetchBody();
   const body = fetched instanceof Promise ? await fetched : fetched;
-  const late =
-    upstream.leavingReason(call.upstreamId) ?? tooLate(options, call);
-  if (body === undefined || late !== undefined || call.cancel.isCancelled) {
-    queue.releaseUnused();
-    return refused(late ?? 'cancelled');
+  if (body === undefined) return refuseUnused(options, 'cancelled');
+  const request = handedOverRequest(call, body, nowMillis());
+  const admission = options.quarantine.admit(request, {
+    waitMillis: call.startByMillis - nowMillis(),
+    cancel: call.cancel,
+  });
+  const crashRefusal =
+    admission instanceof Promise ? await admission : admission;
+  if (crashRefusal !== undefined) return refuseUnused(options, crashRefusal);
+  const late = lateReason(options, call);
+  if (late !== undefined) {
+    options.quarantine.end(request);
+    return refuseUnused(options, late);
   }
   const startedMillis = nowMillis();
   const parent = options.parents.open(call.attemptId, call.origin);
-  const request = handedOverRequest(call, body, startedMillis);
-  options.crashes.begin(request);
-  const end = await handOverToCurrent(options, call, body);
-  const crashed = options.crashes.end(request, end);
-  if (crashed !== false) await crashed;
+  const {end, hasCrashed} = await observeCrash(options, request, () =>
+    handOverToCurrent(options, call, body),
+  );
   parent.close();
   settle(options, call, end, nowMillis() - startedMillis);
+  if (hasCrashed) return crashEnd(options, request, parent);
   return executionEnd(end, parent);
 }
 
+/** How the upstream ended a request, and whether it crashed under it. */
+interface ObservedEnd {
+  readonly end: UpstreamEnd;
+  readonly hasCrashed: boolean;
+}
+
+async function observeCrash(
+  {crashes, quarantine}: LocalExecutionOptions,
+  request: HandedOverRequest,
+  run: () => Promise<UpstreamEnd>,
+): Promise<ObservedEnd> {
+  crashes.begin(request);
+  const end = await run();
+  const verdict = crashes.end(request, end);
+  const hasCrashed = typeof verdict === 'boolean' ? verdict : await verdict;
+  quarantine.end(request, end);
+  return {end, hasCrashed};
+}
+
+function crashEnd(
+  {quarantine}: LocalExecutionOptions,
+  request: HandedOverRequest,
+  {hasFailedCall}: InFlightParent,
+): ExecutionEnd {
+  const crashesCount = quarantine.crashesCount(request);
+  return {
+    kind: 'unknown',
+    reason: 'upstream-crashed',
+    hasFailedCall,
+    crashesCount,
+  };
+}
+
 function handedOverRequest(
   call: LocalCall,
   body: Buffer,
@@ -162,12 +204,23 @@
   });
 }
 
-function tooLate(
-  options: LocalExecutionOptions,
+/** Why a request that holds a slot must not be handed over any more. */
+function lateReason(
+  {upstream, nowMillis}: LocalExecutionOptions,
   call: LocalCall,
 ): HopReason | undefined {
-  const leftMillis = call.deadlineMillis - options.nowMillis();
-  return leftMillis < MIN_LEFT_MILLIS ? 'too-late' : undefined;
+  const reason = upstream.leavingReason(call.upstreamId);
+  if (reason !== undefined) return reason;
+  if (call.deadlineMillis - nowMillis() < MIN_LEFT_MILLIS) return 'too-late';
+  return call.cancel.isCancelled ? 'cancelled' : undefined;
+}
+
+function refuseUnused(
+  {queue}: LocalExecutionOptions,
+  reason: HopReason,
+): ExecutionEnd {
+  queue.releaseUnused();
+  return refused(reason);
 }
 
 /**
--- a/src/request/repeat_rules.ts
+++ b/src/request/repeat_rules.ts
@@ -9,6 +9,7 @@
 import type {LoadBoard} from '../process/admission/load_board.js';
 import type {RepeatBudget} from '../process/repeats/repeat_budget.js';
 import type {AttemptedRequest} from './attempts.js';
+import {ISOLATED_CRASHES_COUNT} from './crash_quarantine.js';
 
 /** Rules of one node. */
 export interface RepeatRules {
@@ -97,10 +98,12 @@
       if (call.cancel.isCancelled) return false;
       if (leftMillis(request) < MIN_LEFT_MILLIS) return false;
       if (end.kind === 'refused') {
+        if (end.reason === 'quarantined') return false;
         if (end.reason === 'misdirected') return mayTurnElsewhere(request);
         return !wasHandedOver(end) || mayAskAgain(request);
       }
       if (!isWorthRepeating(end, request)) return false;
+      if (mayCrashAgain(end)) return false;
       if (ranCount >= route.maxAttemptsCount) return false;
       return mayRepeat(request, end);
     },
@@ -122,6 +125,12 @@
   return end.reason === 'not-executed' || end.reason === 'misdirected';
 }
 
+/** Each retry of what may have caused several crashes costs another upstream. */
+function mayCrashAgain(end: ExecutionEnd): boolean {
+  if (end.kind !== 'unknown') return false;
+  return (end.crashesCount ?? 0) >= ISOLATED_CRASHES_COUNT;
+}
+
 /** Only a failure of the upstream itself: one below it would fail again. */
 function isWorthRepeating(
   end: Exclude<ExecutionEnd, {readonly kind: 'refused'}>,
--- a/test/fakes/hop_fixture.ts
+++ b/test/fakes/hop_fixture.ts
@@ -32,6 +32,7 @@
       handle,
       loads: () => [],
       answerQuestion: () => undefined,
+      receiveCrashReport: () => undefined,
       nowMillis,
       onMalformed: peer => {
         t.fail(`malformed message from ${peer}`);
@@ -54,6 +55,7 @@
     },
     onLoads: () => undefined,
     onChanges: () => undefined,
+    onCrashReport: () => undefined,
     onReplaced: count => {
       replacedCount += count;
     },
--- /dev/null
+++ b/test/unit/process/quarantine/crash_evidence.test.ts
@@ -0,0 +1,127 @@
+import test from 'ava';
+import type {CrashFields} from '../../../../src/protocol/crash_fields.js';
+import type {CrashSuspect} from '../../../../src/process/quarantine/crash_evidence.js';
+import {
+  createCrashEvidence,
+  MAX_SIGHTINGS_COUNT,
+  RETENTION_MILLIS,
+} from '../../../../src/process/quarantine/crash_evidence.js';
+
+function createFixture() {
+  let now = 0;
+  const quarantined: CrashSuspect[] = [];
+  const released: string[] = [];
+  const evidence = createCrashEvidence({
+    nowMillis: () => now,
+    onQuarantined: suspect => quarantined.push(suspect),
+    onReleased: fingerprint => released.push(fingerprint),
+  });
+  return {
+    evidence,
+    quarantined,
+    released,
+    advance: (millis: number) => {
+      now += millis;
+    },
+  };
+}
+
+function crash(index: number, ...fingerprints: string[]): CrashFields {
+  return {
+    crashId: `c${String(index)}`,
+    upstreamId: `u-${String(index)}`,
+    ageMillis: 0,
+    fingerprints,
+    clearedFingerprints: [],
+  };
+}
+
+test('the request that is in progress under three crashes is quarantined, others are not', t => {
+  const {evidence, quarantined} = createFixture();
+  t.true(evidence.add([crash(1, 'culprit', 'a', 'b')]));
+  t.true(evidence.add([crash(2, 'culprit', 'a', 'c')]));
+  t.deepEqual(quarantined, []);
+  t.true(evidence.add([crash(3, 'culprit', 'd')]));
+  t.deepEqual(
+    quarantined.map(({fingerprint}) => fingerprint),
+    ['culprit'],
+  );
+  t.deepEqual(
+    quarantined[0]!.crashes.map(({upstreamId}) => upstreamId),
+    ['u-1', 'u-2', 'u-3'],
+  );
+  t.is(evidence.crashesCount(['a', 'b']), 2);
+  t.true(evidence.isQuarantined(['x', 'culprit']));
+  t.false(evidence.isQuarantined(['a', 'b', 'c', 'd']));
+});
+
+test('a crash that is reported again counts once', t => {
+  const {evidence} = createFixture();
+  for (let index = 0; index < 5; index += 1) evidence.add([crash(1, 'a')]);
+  t.is(evidence.crashesCount(['a']), 1);
+  t.false(evidence.add([crash(1, 'a')]));
+});
+
+test('a request that is answered is cleared of all crashes before, not of later ones', t => {
+  const {evidence, released} = createFixture();
+  evidence.add([crash(1, 'a'), crash(2, 'a'), crash(3, 'a')]);
+  t.true(evidence.clear(['a']));
+  t.deepEqual(released, ['a']);
+  t.true(evidence.isEmpty);
+  // A node that has not heard of it reports the crashes once more.
+  t.false(evidence.add([crash(1, 'a'), crash(2, 'a')]));
+  t.is(evidence.crashesCount(['a']), 0);
+  evidence.add([crash(4, 'a')]);
+  t.is(evidence.crashesCount(['a']), 1);
+});
+
+test('evidence is the same whatever the order and repetition of reports', t => {
+  const first = createFixture().evidence;
+  const second = createFixture().evidence;
+  const third = createFixture().evidence;
+  first.add([crash(1, 'a', 'b'), crash(2, 'a')]);
+  first.clear(['b']);
+  second.add([crash(2, 'a')]);
+  second.add(first.crashes());
+  third.add([crash(1, 'b', 'a')]);
+  third.clear(['b']);
+  third.add([crash(2, 'a')]);
+  third.add(second.crashes());
+  t.is(second.digest, first.digest);
+  t.is(third.digest, first.digest);
+  t.is(third.crashesCount(['a']), 2);
+});
+
+test('crashes expire by their age at the node that saw them', t => {
+  const {evidence, released, advance} = createFixture();
+  const late = {...crash(1, 'a'), ageMillis: RETENTION_MILLIS - 10};
+  evidence.add([late, crash(2, 'a'), crash(3, 'a')]);
+  t.true(evidence.isQuarantined(['a']));
+  advance(10);
+  evidence.expire();
+  t.is(evidence.crashesCount(['a']), 2);
+  t.deepEqual(released, ['a']);
+  t.false(evidence.add([{...late, ageMillis: RETENTION_MILLIS}]));
+  advance(RETENTION_MILLIS);
+  evidence.expire();
+  t.true(evidence.isEmpty);
+  t.is(evidence.digest, createFixture().evidence.digest);
+});
+
+test('a flood of crashing requests is bounded and releases no quarantined one', t => {
+  const {evidence, released, advance} = createFixture();
+  evidence.add([crash(1, 'culprit'), crash(2, 'culprit'), crash(3, 'culprit')]);
+  const perCrashCount = 100;
+  const floodCount = (2 * MAX_SIGHTINGS_COUNT) / perCrashCount;
+  for (let index = 0; index < floodCount; index += 1) {
+    advance(1);
+    const fingerprints = Array.from(
+      {length: perCrashCount},
+      (_, at) => `f${String(index)}-${String(at)}`,
+    );
+    evidence.add([crash(10 + index, ...fingerprints)]);
+  }
+  t.true(evidence.isQuarantined(['culprit']));
+  t.deepEqual(released, []);
+  t.true(evidence.suspects().length <= MAX_SIGHTINGS_COUNT);
+});
--- /dev/null
+++ b/test/unit/process/quarantine/crash_gossip.test.ts
@@ -0,0 +1,197 @@
+import type {ExecutionContext} from 'ava';
+import test from 'ava';
+import {createSeededRandom} from '../../../../src/emulator/seeded_random.js';
+import type {CrashEvidence} from '../../../../src/process/quarantine/crash_evidence.js';
+import {createCrashEvidence} from '../../../../src/process/quarantine/crash_evidence.js';
+import type {CrashGossip} from '../../../../src/process/quarantine/crash_gossip.js';
+import {
+  COMPARE_INTERVAL_MILLIS,
+  createCrashGossip,
+} from '../../../../src/process/quarantine/crash_gossip.js';
+import type {Endpoint} from '../../../../src/process/settings/node_settings.js';
+import type {EventClock} from '../../../fakes/event_clock.js';
+import {createEventClock} from '../../../fakes/event_clock.js';
+
+const HOP_MILLIS = 2;
+
+/** Time in which a node that is in touch must know of a third crash. */
+const KNOWN_WITHIN_MILLIS = 2500;
+
+const CULPRIT = ['culprit'];
+
+interface GossipNode {
+  readonly endpoint: Endpoint;
+  evidence: CrashEvidence;
+  gossip: CrashGossip;
+}
+
+interface GossipFleet {
+  readonly clock: EventClock;
+  readonly nodes: readonly GossipNode[];
+  /** Messages so far. */
+  messagesCount(): number;
+  setReach(canReach: (from: GossipNode, to: GossipNode) => boolean): void;
+  restart(node: GossipNode): void;
+  crash(node: GossipNode, id: string): void;
+}
+
+function createFleet(
+  nodesCount: number,
+  seed: number,
+  lossRatio = 0,
+): GossipFleet {
+  const clock = createEventClock();
+  const random = createSeededRandom(seed);
+  const byPort = new Map<number, GossipNode>();
+  let messagesCount = 0;
+  let canReach = (_from: GossipNode, _to: GossipNode): boolean => true;
+
+  const deliver = (
+    from: GossipNode,
+    to: GossipNode,
+    onArrival: () => void,
+  ): void => {
+    messagesCount += 1;
+    if (!canReach(from, to) || random.next() < lossRatio) return;
+    clock.after(HOP_MILLIS, onArrival);
+  };
+  const send = (node: GossipNode, peer: Endpoint, report: Buffer): void => {
+    const target = byPort.get(peer.port)!;
+    deliver(node, target, () => {
+      const answer = target.gossip.receive(report);
+      if (answer === undefined) return;
+      deliver(target, node, () => {
+        node.gossip.receiveAnswer(peer, answer);
+      });
+    });
+  };
+  const start = (endpoint: Endpoint): GossipNode => {
+    const evidence = createCrashEvidence({
+      nowMillis: clock.nowMillis,
+      onQuarantined: () => undefined,
+      onReleased: () => undefined,
+    });
+    const gossip = createCrashGossip({
+      evidence,
+      peers: () =>
+        [...byPort.values()]
+          .map(other => other.endpoint)
+          .filter(({port}) => port !== endpoint.port),
+      send: (peer, report) => {
+        send(byPort.get(endpoint.port)!, peer, report);
+      },
+      onMalformed: () => {
+        throw new Error('malformed report');
+      },
+      nowMillis: clock.nowMillis,
+      random: random.next,
+    });
+    return {endpoint, evidence, gossip};
+  };
+  for (let port = 1; port <= nodesCount; port += 1) {
+    byPort.set(port, start({address: 'a', port}));
+  }
+  const nodes = [...byPort.values()];
+  for (const node of nodes) {
+    const tick = (): void => {
+      node.gossip.tick();
+      clock.after(COMPARE_INTERVAL_MILLIS, tick);
+    };
+    clock.after(random.next() * COMPARE_INTERVAL_MILLIS, tick);
+  }
+  return {
+    clock,
+    nodes,
+    messagesCount: () => messagesCount,
+    setReach: next => {
+      canReach = next;
+    },
+    restart: node => {
+      Object.assign(node, start(node.endpoint));
+    },
+    crash: (node, id) => {
+      node.gossip.report({
+        crashId: id,
+        upstreamId: id,
+        ageMillis: 0,
+        fingerprints: CULPRIT,
+        clearedFingerprints: [],
+      });
+    },
+  };
+}
+
+function knowingCount({nodes}: GossipFleet): number {
+  return nodes.filter(({evidence}) => evidence.isQuarantined(CULPRIT)).length;
+}
+
+/** Three crashes, seen by three nodes. */
+function crashThree(fleet: GossipFleet): void {
+  for (const [index, node] of fleet.nodes.slice(0, 3).entries()) {
+    fleet.crash(node, `c${String(index)}`);
+  }
+}
+
+const SIZES = [13, 194, 830];
+
+for (const nodesCount of SIZES) {
+  test(`${String(nodesCount)} nodes learn of a third crash in time, with lost messages`, t => {
+    const fleet = createFleet(nodesCount, 1, 0.1);
+    fleet.clock.runUntil(20_000);
+    crashThree(fleet);
+    fleet.clock.runUntil(20_000 + KNOWN_WITHIN_MILLIS);
+    t.is(knowingCount(fleet), nodesCount);
+  });
+
+  test(`${String(nodesCount)} nodes: a zone that was cut off learns of a third crash in time`, t => {
+    // Guards against a request that goes on crashing upstreams through the nodes
+    // of a zone that heard of no crash while it was cut off.
+    const fleet = createFleet(nodesCount, 2);
+    const cutOff = new Set(fleet.nodes.slice(-Math.floor(nodesCount / 3)));
+    fleet.setReach((from, to) => cutOff.has(from) === cutOff.has(to));
+    fleet.clock.runUntil(20_000);
+    crashThree(fleet);
+    fleet.clock.runUntil(26_000);
+    t.is(knowingCount(fleet), nodesCount - cutOff.size);
+    fleet.setReach(() => true);
+    fleet.clock.runUntil(26_000 + KNOWN_WITHIN_MILLIS);
+    t.is(knowingCount(fleet), nodesCount);
+  });
+
+  test(`${String(nodesCount)} nodes: those that start again learn of a third crash in time`, t => {
+    // Guards against evidence that is lost with the nodes that held it: four of
+    // five nodes are killed at once.
+    const fleet = createFleet(nodesCount, 3);
+    fleet.clock.runUntil(20_000);
+    crashThree(fleet);
+    fleet.clock.runUntil(25_000);
+    for (const [index, node] of fleet.nodes.entries()) {
+      if (index % 5 !== 0) fleet.restart(node);
+    }
+    fleet.clock.runUntil(25_000 + KNOWN_WITHIN_MILLIS);
+    t.is(knowingCount(fleet), nodesCount);
+  });
+}
+
+function messagesIn(fleet: GossipFleet, millis: number): number {
+  const before = fleet.messagesCount();
+  fleet.clock.runUntil(fleet.clock.nowMillis() + millis);
+  return fleet.messagesCount() - before;
+}
+
+test('nodes that know of no crash send nothing once they have started', (t: ExecutionContext) => {
+  const fleet = createFleet(13, 4);
+  fleet.clock.runUntil(11_000);
+  t.is(messagesIn(fleet, 10_000), 0);
+});
+
+test('a clearance reaches all nodes, and they fall silent', t => {
+  const fleet = createFleet(13, 5);
+  fleet.clock.runUntil(20_000);
+  crashThree(fleet);
+  fleet.clock.runUntil(22_000);
+  fleet.nodes[5]!.evidence.clear(CULPRIT);
+  fleet.clock.runUntil(26_000);
+  t.is(knowingCount(fleet), 0);
+  t.is(messagesIn(fleet, 10_000), 0);
+});
--- /dev/null
+++ b/test/unit/protocol/crash_report_codec.test.ts
@@ -0,0 +1,52 @@
+import test from 'ava';
+import type {CrashReport} from '../../../src/protocol/crash_fields.js';
+import {
+  decodeCrashReport,
+  encodeCrashReport,
+  isCrashReport,
+} from '../../../src/protocol/crash_report_codec.js';
+import {LOADS_QUESTION} from '../../../src/protocol/load_codec.js';
+import {encodeRelayQuestion} from '../../../src/protocol/relay_codec.js';
+
+const REPORT: CrashReport = {
+  digest: '2.ab',
+  crashes: [
+    {
+      crashId: 'c1',
+      upstreamId: 'u-1',
+      ageMillis: 12,
+      fingerprints: ['a', 'b'],
+      clearedFingerprints: ['c'],
+    },
+  ],
+};
+
+test('a report is read as it was written', t => {
+  const payload = encodeCrashReport(REPORT);
+  t.true(isCrashReport(payload));
+  t.deepEqual(decodeCrashReport(payload), REPORT);
+});
+
+test('other questions of nodes are no reports', t => {
+  t.false(isCrashReport(LOADS_QUESTION));
+  t.false(isCrashReport(encodeRelayQuestion({epoch: 1, revision: 2})));
+  t.false(isCrashReport(Buffer.alloc(0)));
+});
+
+test('broken reports are rejected', t => {
+  const first = Buffer.from([3]);
+  for (const text of [
+    '',
+    '{',
+    '[]',
+    '["1",1]',
+    '["1",[1]]',
+    '["1",[["c","u",-1,[],[]]]]',
+    '["1",[["c","u",1,[1],[]]]]',
+    '["1",[["c","u",1,[]]]]',
+    '["1",[["c",7,1,[],[]]]]',
+  ]) {
+    const payload = Buffer.concat([first, Buffer.from(text)]);
+    t.is(decodeCrashReport(payload), undefined, text);
+  }
+});
--- a/test/unit/request/attempts.test.ts
+++ b/test/unit/request/attempts.test.ts
@@ -38,6 +38,7 @@
     ['1', '2', '3'].map(id => upstreamEntry({id, hostKey: `10.0.0.${id}:1`})),
   );
   const attempts = createAttempts({
+    quarantine: {holds: () => false},
     hostKey: 'here',
     placement: createPlacementChooser({
       directory,
@@ -56,6 +57,7 @@
       },
       isLost: ({id}) => id !== '1',
       askLoads: () => undefined,
+      sendCrashReport: () => undefined,
       askChanges: () => Promise.resolve(undefined),
       dispose: () => undefined,
     },
--- /dev/null
+++ b/test/unit/request/crash_quarantine.test.ts
@@ -0,0 +1,148 @@
+import test from 'ava';
+import {createCancelSource} from '../../../src/base/cancel_signal.js';
+import type {UpstreamEnd} from '../../../src/connection/upstream_sender.js';
+import {fingerprintsOf} from '../../../src/connection/request_fingerprint.js';
+import {createCrashEvidence} from '../../../src/process/quarantine/crash_evidence.js';
+import type {IdentifiedRequest} from '../../../src/request/crash_quarantine.js';
+import {createCrashQuarantine} from '../../../src/request/crash_quarantine.js';
+
+const PAUSE_MILLIS = 3000;
+
+function requestTo(target: string, callerService = 'shop'): IdentifiedRequest {
+  return {
+    attemptId: target,
+    callerService,
+    method: 'GET',
+    target,
+    headers: ['host', 'shop.example'],
+    body: Buffer.alloc(0),
+  };
+}
+
+function answered(statusCode: number): UpstreamEnd {
+  const answer = {
+    statusCode,
+    headers: [],
+    isUnframed: false,
+    start: Buffer.alloc(0),
+    rest: undefined,
+  };
+  return {kind: 'answered', answer};
+}
+
+function createFixture() {
+  let now = 0;
+  let crashesCount = 0;
+  const evidence = createCrashEvidence({
+    nowMillis: () => now,
+    onQuarantined: () => undefined,
+    onReleased: () => undefined,
+  });
+  const refusals: string[] = [];
+  const cleared: string[] = [];
+  const quarantine = createCrashQuarantine({
+    evidence,
+    onRefused: ({attemptId}, _fingerprints, reason) => {
+      refusals.push(`${attemptId} ${reason}`);
+    },
+    onCleared: ({attemptId}) => cleared.push(attemptId),
+  });
+  const wait = {waitMillis: 60_000, cancel: createCancelSource().signal};
+  return {
+    quarantine,
+    refusals,
+    cleared,
+    admit: (request: IdentifiedRequest) => quarantine.admit(request, wait),
+    crash: (...requests: IdentifiedRequest[]) => {
+      crashesCount += 1;
+      evidence.add([
+        {
+          crashId: `c${String(crashesCount)}`,
+          upstreamId: 'u-1',
+          ageMillis: 0,
+          fingerprints: requests.flatMap(request =>
+            Object.values(fingerprintsOf(request)),
+          ),
+          clearedFingerprints: [],
+        },
+      ]);
+    },
+    advance: (millis: number) => {
+      now += millis;
+    },
+  };
+}
+
+test('a request is held at every node after three crashes, whichever service sends it', t => {
+  const {quarantine, admit, crash, refusals} = createFixture();
+  const culprit = requestTo('/culprit');
+  for (let index = 0; index < 3; index += 1) crash(culprit);
+  t.true(quarantine.holds(requestTo('/culprit')));
+  t.true(quarantine.holds(requestTo('/culprit', 'desk')));
+  t.is(admit(requestTo('/culprit')), 'quarantined');
+  t.false(quarantine.holds(requestTo('/other')));
+  t.is(admit(requestTo('/other')), undefined);
+  t.is(refusals.length, 3);
+});
+
+test('an answer to another caller leaves a request held for the caller whose own crashes upstreams', t => {
+  const {quarantine, crash} = createFixture();
+  const culprit = requestTo('/culprit');
+  for (let index = 0; index < 3; index += 1) crash(culprit);
+  const fromDesk = requestTo('/culprit', 'desk');
+  quarantine.end(fromDesk, answered(200));
+  t.false(quarantine.holds(fromDesk));
+  t.true(quarantine.holds(culprit));
+});
+
+test('suspects run a few at a time, those of two crashes alone and after a pause', async t => {
+  const {admit, quarantine, crash, advance} = createFixture();
+  const once = ['/1', '/2', '/3', '/4', '/5'].map(path => requestTo(path));
+  const twice = ['/6', '/7'].map(path => requestTo(path));
+  crash(...once, ...twice);
+  crash(...twice);
+  for (const request of once.slice(0, 4)) t.is(admit(request), undefined);
+  const fifth = admit(once[4]!);
+  t.true(fifth instanceof Promise);
+  quarantine.end(once[0]!, answered(200));
+  t.is(await fifth, undefined);
+
+  t.is(admit(twice[0]!), 'isolated');
+  advance(PAUSE_MILLIS);
+  t.is(admit(twice[0]!), undefined);
+  const waiting = admit(twice[1]!);
+  t.true(waiting instanceof Promise);
+  // The first one has crashed an upstream alone, and the other did not.
+  crash(twice[0]!);
+  quarantine.end(twice[0]!);
+  t.is(await waiting, undefined);
+  t.true(quarantine.holds(twice[0]!));
+  t.false(quarantine.holds(twice[1]!));
+});
+
+test('a request that waits for its turn is refused if it is quarantined meanwhile', async t => {
+  const {admit, quarantine, crash, advance} = createFixture();
+  const first = requestTo('/1');
+  const second = requestTo('/2');
+  crash(first, second);
+  crash(first, second);
+  advance(PAUSE_MILLIS);
+  t.is(admit(first), undefined);
+  const waiting = admit(second);
+  crash(second);
+  quarantine.end(first, answered(200));
+  t.is(await waiting, 'quarantined');
+  advance(PAUSE_MILLIS);
+  t.is(admit(first), undefined);
+});
+
+test('an answer clears a suspect, a failure of the upstream does not', t => {
+  const {quarantine, crash, cleared} = createFixture();
+  const request = requestTo('/1');
+  crash(request);
+  quarantine.end(request, answered(500));
+  t.is(quarantine.crashesCount(request), 1);
+  quarantine.end(request, answered(200));
+  t.is(quarantine.crashesCount(request), 0);
+  t.deepEqual(cleared, ['/1']);
+});
--- a/test/unit/request/misdirected.test.ts
+++ b/test/unit/request/misdirected.test.ts
@@ -3,6 +3,7 @@
 import type {UpstreamEnd} from '../../../src/connection/upstream_sender.js';
 import {createAdmissionLevel} from '../../../src/process/admission/admission_level.js';
 import {createCallTrees} from '../../../src/process/admission/call_trees.js';
+import {createCrashEvidence} from '../../../src/process/quarantine/crash_evidence.js';
 import {createInFlightParents} from '../../../src/process/repeats/in_flight_parents.js';
 import {createLoadBoard} from '../../../src/process/admission/load_board.js';
 import {createRejectionRate} from '../../../src/process/admission/rejection_rate.js';
@@ -12,6 +13,7 @@
 import {createUpstreamQueue} from '../../../src/process/admission/upstream_queue.js';
 import type {HopReason} from '../../../src/protocol/hop_messages.js';
 import {createCrashDetector} from '../../../src/request/crash_detector.js';
+import {createCrashQuarantine} from '../../../src/request/crash_quarantine.js';
 import type {LocalCall} from '../../../src/request/local_execution.js';
 import {createLocalExecution} from '../../../src/request/local_execution.js';
 import {createLocalUpstream} from '../../../src/request/local_upstream.js';
@@ -60,6 +62,15 @@
       nowMillis,
       onCrash: () => undefined,
     }),
+    quarantine: createCrashQuarantine({
+      evidence: createCrashEvidence({
+        nowMillis,
+        onQuarantined: () => undefined,
+        onReleased: () => undefined,
+      }),
+      onRefused: () => undefined,
+      onCleared: () => undefined,
+    }),
     sender: {
       send: ({upstreamId}, onEnd: (end: UpstreamEnd) => void) => {
         sentIds.push(upstreamId);
