Test: node processes that are killed and started again refuse a quarantined request

Five processes beside upstreams that one request crashes; four are killed after the third crash, and each has the evidence again 2.5 s later. Without comparisons between nodes the test fails.

--- /dev/null
+++ b/test/contract/platform_crashing_processes.test.ts
@@ -0,0 +1,84 @@
+/**
+ * Nodes as processes of their own beside upstreams that one request crashes.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import test from 'ava';
+import type {ClientAnswer} from '../fakes/fleet_client.js';
+import {
+  startProcessFleet,
+  untilAllListed,
+  untilInForce,
+} from '../fakes/process_fleet.js';
+import {waitUntil} from '../fakes/wait_until.js';
+
+const SERVICES = ['shop', 'orders', 'orders', 'orders', 'orders'];
+const CULPRIT_PATH = '/a/culprit';
+const CRASHES_COUNT = 3;
+const DOWN_MILLIS = 300;
+
+/** Time in which a node that starts must have learned what others know. */
+const LEARN_MILLIS = 2500;
+
+test('nodes that are killed and start again refuse a request that crashed upstreams', async t => {
+  // Guards against a request that crashes three upstreams more after each loss of
+  // most nodes.
+  const fleet = await startProcessFleet(t, SERVICES);
+  const {hosts, publish, restart, send} = fleet;
+  await untilInForce(hosts, 1);
+  await untilAllListed(hosts);
+  let runsCount = 0;
+  let startsCount = 0;
+  for (const [index, {backend}] of hosts.entries()) {
+    backend.crashOn({
+      isCulprit: ({target}) => {
+        if (target !== CULPRIT_PATH) return false;
+        runsCount += 1;
+        return true;
+      },
+      afterMillis: 20,
+      downMillis: DOWN_MILLIS,
+      onStarted: () => {
+        startsCount += 1;
+        const bornMillis = 1_790_000_000_000 + startsCount;
+        publish(index, {id: backend.id, bornMillis, seq: 1});
+      },
+    });
+  }
+  let sentCount = 0;
+  const sendCulprit = (): Promise<ClientAnswer> => {
+    sentCount += 1;
+    return send(sentCount % hosts.length, {
+      attemptId: `culprit${String(sentCount)}`,
+      path: CULPRIT_PATH,
+    });
+  };
+  const crashesCount = (): number =>
+    hosts.reduce((sum, {backend}) => sum + backend.crashesCount, 0);
+  for (let index = 0; index < 400; index += 1) {
+    if (crashesCount() >= CRASHES_COUNT) break;
+    await sendCulprit();
+    await sleep(20);
+  }
+  t.is(crashesCount(), CRASHES_COUNT);
+  await waitUntil('all nodes know', () =>
+    hosts.every(({lines}) =>
+      lines.some(({event}) => event === 'request-quarantined'),
+    ),
+  );
+  await waitUntil(
+    'upstreams are there again',
+    () => startsCount === CRASHES_COUNT,
+  );
+
+  for (const index of [0, 1, 2, 3]) restart(index);
+  await untilInForce(hosts, 1);
+  await sleep(LEARN_MILLIS);
+  const runsBefore = runsCount;
+  for (let round = 0; round < 2 * hosts.length; round += 1) {
+    const answer = await sendCulprit();
+    t.is(answer.statusCode, 503);
+  }
+  t.is(runsCount, runsBefore);
+  const served = await send(0, {attemptId: 'other', path: '/a/other'});
+  t.is(served.statusCode, 200);
+});
