--- a/bench/decisions_bench.ts
+++ b/bench/decisions_bench.ts
@@ -7,6 +7,8 @@
 import {createPlacementChooser} from '../src/process/placement/placement.js';
 import {createUpstreamDirectory} from '../src/process/membership/upstream_directory.js';
 import type {UpstreamEntry} from '../src/process/membership/upstream_entry.js';
+import {createCrashEvidence} from '../src/process/quarantine/crash_evidence.js';
+import {createCrashQuarantine} from '../src/request/crash_quarantine.js';
 import {createUpstreamQueue} from '../src/process/admission/upstream_queue.js';
 
 /** Fleets compared: today's larger one, and the size to design for. */
@@ -33,6 +35,11 @@
   {name: 'gate, three services deep', prepare: prepareGate},
   {name: 'queue, offer and release', prepare: prepareQueue},
   {name: 'entry of one upstream changes', prepare: prepareEntryChange},
+  {name: 'quarantine, no suspect', prepare: () => prepareQuarantine(0)},
+  {
+    name: 'quarantine, one crash per 10 upstreams',
+    prepare: ({upstreamsCount}) => prepareQuarantine(upstreamsCount / 10),
+  },
 ];
 
 /** Measures every decision at both sizes. */
@@ -140,6 +147,51 @@
   };
 }
 
+/** Requests in progress under each crash. */
+const SUSPECTS_COUNT = 20;
+
+const BODY = Buffer.alloc(4096);
+
+/** What a node asks of each request that enters. */
+function prepareQuarantine(crashesCount: number): (round: number) => void {
+  const evidence = createCrashEvidence({
+    nowMillis: () => performance.now(),
+    onQuarantined: () => undefined,
+    onReleased: () => undefined,
+  });
+  for (let index = 0; index < crashesCount; index += 1) {
+    const crashId = `crash-${String(index)}`;
+    const fingerprints = Array.from(
+      {length: SUSPECTS_COUNT},
+      (_, suspect) => `${crashId}-${String(suspect)}`,
+    );
+    evidence.add([
+      {
+        crashId,
+        upstreamId: 'u-1',
+        ageMillis: 0,
+        fingerprints,
+        clearedFingerprints: [],
+      },
+    ]);
+  }
+  const quarantine = createCrashQuarantine({
+    evidence,
+    onRefused: () => undefined,
+    onCleared: () => undefined,
+  });
+  return round => {
+    quarantine.holds({
+      attemptId: String(round),
+      callerService: 'service-0',
+      method: 'POST',
+      target: `/orders/${String(round)}`,
+      headers: ['host', 'shop.example'],
+      body: BODY,
+    });
+  };
+}
+
 function prepareEntryChange(size: FleetSize): (round: number) => void {
   const {directory, entries} = createPictures(size);
   return round => {
--- a/src/cli/losses.ts
+++ b/src/cli/losses.ts
@@ -61,6 +61,9 @@
   timeout: 'late at',
   silent: 'silent nodes of',
   'connection-lost': 'cut by',
+  'upstream-crashed': 'crashed upstreams of',
+  quarantined: 'quarantined at',
+  isolated: 'may crash upstreams of',
 };
 
 /** Creates a counter that has gathered nothing. */
