Failing test: a crash in the middle of a long answer is not noticed

The same cause elsewhere: an execution counts as over once the beginning of an answer longer than 64 KiB has come, while the upstream still works on it. A request that crashes upstreams after that is never suspected, and clears itself of earlier crashes.

--- a/test/unit/request/crash_detector.test.ts
+++ b/test/unit/request/crash_detector.test.ts
@@ -1,3 +1,4 @@
+import {PassThrough} from 'node:stream';
 import test from 'ava';
 import type {ProbeResult} from '../../../src/connection/upstream_probe.js';
 import type {UpstreamEnd} from '../../../src/connection/upstream_sender.js';
@@ -86,3 +87,36 @@
   await detector.end(last!, LOST);
   t.deepEqual(crashes, [['last', 'late']]);
 });
+
+function answerWithRest(rest: PassThrough): UpstreamEnd {
+  const answer = {
+    statusCode: 200,
+    headers: [],
+    isUnframed: false,
+    start: Buffer.alloc(0),
+    rest,
+  };
+  return {kind: 'answered', answer};
+}
+
+test('a crash in the middle of a long answer names its request', async t => {
+  // Guards against a request that crashes upstreams after the beginning of its
+  // answer and counts as answered.
+  const {detector, begin, crashes} = createFixture('refused');
+  const rest = new PassThrough();
+  t.false(detector.end(begin('long'), answerWithRest(rest)));
+  rest.on('error', () => undefined);
+  rest.destroy(new Error('aborted'));
+  await new Promise(setImmediate);
+  t.deepEqual(crashes, [['long']]);
+});
+
+test('a long answer that was read to its end is over', async t => {
+  const {detector, begin, crashes} = createFixture('refused');
+  const rest = new PassThrough();
+  t.false(detector.end(begin('long'), answerWithRest(rest)));
+  rest.resume().end('end');
+  await new Promise(resolve => rest.once('close', resolve));
+  await detector.end(begin('other'), LOST);
+  t.deepEqual(crashes, [['other']]);
+});
