Notice crashes in the middle of a long answer

Callers of a download that crashes its upstream after the first 64 KiB saw an answer break off, each time at another upstream, for as long as they asked.

Cause: an execution was over, and the request cleared of suspicion, as soon as the beginning of its answer had come. Now both wait until the rest of the answer is closed: read to its end, the request is cleared; broken off, the upstream is probed as for any lost connection. A caller that leaves in the middle costs one probe, which a sound upstream accepts.

--- a/src/connection/received_answer.ts
+++ b/src/connection/received_answer.ts
@@ -68,6 +68,16 @@
   });
 }
 
+/** Waits until a rest is closed; tells whether it was read to its end. */
+export function readWhole(rest: Readable): Promise<boolean> {
+  if (rest.closed) return Promise.resolve(rest.readableEnded);
+  return new Promise(resolve => {
+    rest.once('close', () => {
+      resolve(rest.readableEnded);
+    });
+  });
+}
+
 function isUnframed(message: IncomingMessage): boolean {
   const {headers} = message;
   return (
--- a/src/request/crash_detector.ts
+++ b/src/request/crash_detector.ts
@@ -5,7 +5,9 @@
  * Only the node beside an upstream can: to the callers of all these requests a
  * crash looks like one connection that was reset.
  */
+import type {Readable} from 'node:stream';
 import type {ProbeResult} from '../connection/upstream_probe.js';
+import {readWhole} from '../connection/received_answer.js';
 import type {FingerprintedRequest} from '../connection/request_fingerprint.js';
 import type {UpstreamEnd} from '../connection/upstream_sender.js';
 import {createExecutionsInProgress} from '../process/quarantine/executions_in_progress.js';
@@ -71,9 +73,22 @@
     return hasCrashed;
   };
 
+  /** The upstream works on until it has sent the rest of its answer. */
+  const endWithRest = async (
+    request: HandedOverRequest,
+    rest: Readable,
+  ): Promise<void> => {
+    if (await readWhole(rest)) executions.end(request);
+    else await endLost(request);
+  };
+
   return {
     begin: executions.begin,
     end: (request, end) => {
+      if (end.kind === 'answered' && end.answer.rest !== undefined) {
+        void endWithRest(request, end.answer.rest);
+        return false;
+      }
       if (end.kind === 'unknown' && end.reason === 'connection-lost') {
         return endLost(request);
       }
--- a/src/request/crash_quarantine.ts
+++ b/src/request/crash_quarantine.ts
@@ -8,6 +8,7 @@
  * each further crash leaves fewer suspects. The latter are not tried until the
  * upstreams that crashed last can be there again.
  */
+import {readWhole} from '../connection/received_answer.js';
 import type {
   FingerprintedRequest,
   RequestFingerprints,
@@ -128,6 +129,14 @@
     return refuse(request, reason);
   };
 
+  const conclude = (request: IdentifiedRequest, end?: UpstreamEnd): void => {
+    endTurn(request);
+    if (evidence.isEmpty || end?.kind !== 'answered') return;
+    if (end.answer.statusCode >= STATUS_FAILURE) return;
+    if (!evidence.clear(listOf(request))) return;
+    options.onCleared(request, identify(request));
+  };
+
   return {
     holds: request => {
       if (evidence.isEmpty || !evidence.isQuarantined(listOf(request))) {
@@ -149,11 +158,14 @@
       return undefined;
     },
     end: (request, end) => {
-      endTurn(request);
-      if (evidence.isEmpty || end?.kind !== 'answered') return;
-      if (end.answer.statusCode >= STATUS_FAILURE) return;
-      if (!evidence.clear(listOf(request))) return;
-      options.onCleared(request, identify(request));
+      const rest = end?.kind === 'answered' ? end.answer.rest : undefined;
+      if (rest === undefined) {
+        conclude(request, end);
+        return;
+      }
+      void readWhole(rest).then(isWhole => {
+        conclude(request, isWhole ? end : undefined);
+      });
     },
     crashesCount,
   };
--- a/test/unit/request/crash_quarantine.test.ts
+++ b/test/unit/request/crash_quarantine.test.ts
@@ -1,3 +1,5 @@
+import type {Readable} from 'node:stream';
+import {PassThrough} from 'node:stream';
 import test from 'ava';
 import {createCancelSource} from '../../../src/base/cancel_signal.js';
 import type {UpstreamEnd} from '../../../src/connection/upstream_sender.js';
@@ -19,13 +21,13 @@
   };
 }
 
-function answered(statusCode: number): UpstreamEnd {
+function answered(statusCode: number, rest?: Readable): UpstreamEnd {
   const answer = {
     statusCode,
     headers: [],
     isUnframed: false,
     start: Buffer.alloc(0),
-    rest: undefined,
+    rest,
   };
   return {kind: 'answered', answer};
 }
@@ -136,6 +138,23 @@
   t.is(admit(first), undefined);
 });
 
+test('a long answer clears a suspect at its end, and not if it breaks off', async t => {
+  const {quarantine, crash, cleared} = createFixture();
+  const request = requestTo('/1');
+  crash(request);
+  const broken = new PassThrough();
+  broken.on('error', () => undefined);
+  quarantine.end(request, answered(200, broken));
+  broken.destroy(new Error('aborted'));
+  const whole = new PassThrough();
+  quarantine.end(request, answered(200, whole));
+  t.deepEqual(cleared, []);
+  whole.resume().end('end');
+  await new Promise(resolve => whole.once('close', resolve));
+  await new Promise(setImmediate);
+  t.deepEqual(cleared, ['/1']);
+});
+
 test('an answer clears a suspect, a failure of the upstream does not', t => {
   const {quarantine, crash, cleared} = createFixture();
   const request = requestTo('/1');
