--- a/test/contract/platform_crashing_requests.test.ts
+++ b/test/contract/platform_crashing_requests.test.ts
@@ -4,6 +4,7 @@
 import type {ClientAnswer} from '../fakes/fleet_client.js';
 import {SAFE_PATH, ORDER_PATH} from '../fakes/platform_fleet.js';
 import type {FleetHost, PlatformFleet} from '../fakes/platform_fleet.js';
+import type {ReceivedRequest} from '../fakes/stand_in_backend.js';
 import {startFleet} from '../fakes/test_fleet.js';
 
 const CULPRIT_PATH = '/a/culprit?page=1';
@@ -27,10 +28,28 @@
   sendCulprit(): Promise<ClientAnswer>;
 }
 
+/** What the culprit looks like. */
+interface Culprit {
+  readonly method: string;
+  readonly path: string;
+  readonly body?: string;
+}
+
+const CULPRIT_READ: Culprit = {method: 'GET', path: CULPRIT_PATH};
+
+function isSame(culprit: Culprit, request: ReceivedRequest): boolean {
+  const {method, path, body = ''} = culprit;
+  return (
+    request.method === method &&
+    request.target === path &&
+    request.body === body
+  );
+}
+
 /** Upstreams of `orders` that crash whenever they run the culprit. */
 async function startCrashingFleet(
   t: ExecutionContext,
-  culpritTarget = CULPRIT_PATH,
+  culprit = CULPRIT_READ,
 ): Promise<CrashingFleet> {
   const fleet = await startFleet(t, {
     services: ['shop', 'desk', 'orders', 'orders', 'orders', 'orders'],
@@ -48,8 +67,8 @@
       }, WORK_MILLIS);
     });
     host.backend.crashOn({
-      isCulprit: ({target}) => {
-        if (target !== culpritTarget) return false;
+      isCulprit: request => {
+        if (!isSame(culprit, request)) return false;
         runsCount += 1;
         return true;
       },
@@ -70,8 +89,8 @@
       const caller = callers[sentCount % callers.length];
       sentCount += 1;
       return fleet.send(caller!, {
+        ...culprit,
         attemptId: `culprit${String(sentCount)}`,
-        path: culpritTarget,
         timeoutMillis: 1000,
       });
     },
@@ -133,3 +152,24 @@
   const servedCount = answers.filter(({statusCode}) => statusCode === 200);
   t.is(servedCount.length, bystanders.length);
 });
+
+test('an order that crashes upstreams is refused, orders with other bodies are served', async t => {
+  // Guards against a quarantine of a path for the fault of one body.
+  const culprit = {method: 'POST', path: '/order/1', body: 'culprit'};
+  const crashing = await startCrashingFleet(t, culprit);
+  const {fleet, callers} = crashing;
+  await crashThree(crashing);
+  t.is(crashing.crashesCount(), CRASHES_COUNT);
+  const runsBefore = crashing.culpritRunsCount();
+  for (const [index, caller] of callers.entries()) {
+    const refused = await crashing.sendCulprit();
+    t.is(refused.statusCode, 503);
+    const served = await fleet.send(caller, {
+      ...culprit,
+      body: 'other',
+      attemptId: `other${String(index)}`,
+    });
+    t.is(served.statusCode, 200);
+  }
+  t.is(crashing.culpritRunsCount(), runsBefore);
+});
