--- /dev/null
+++ b/src/base/fnv_hash.ts
@@ -0,0 +1,15 @@
+/**
+ * A fast hash of short texts, the same at all nodes; not for secrets.
+ */
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/** 32-bit FNV-1a, without a sign. */
+export function fnvHash(text: string): number {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  return hash >>> 0;
+}
--- a/src/process/admission/importance.ts
+++ b/src/process/admission/importance.ts
@@ -7,6 +7,7 @@
  * divided into buckets by the attempt's id: a request is in or out at every
  * service alike, and a service can shed a sixty-fourth of a rank.
  */
+import {fnvHash} from '../../base/fnv_hash.js';
 
 /** Steps within one rank; one step is 1.6% of its traffic. */
 export const BUCKETS_COUNT = 64;
@@ -21,9 +22,6 @@
 const SPREAD_BITS = 12;
 const SPREAD_MASK = 2 ** SPREAD_BITS - 1;
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-
 /** Importance of an attempt; lower is more important. */
 export function importanceOf(rank: number, attemptId: string): number {
   const bounded = Math.min(MAX_RANK, Math.max(0, Math.floor(rank)));
@@ -37,19 +35,9 @@
 
 /** Place of an attempt in [0, 1), independent of its bucket. */
 export function spreadOf(attemptId: string): number {
-  return (hashOf(attemptId) & SPREAD_MASK) / (SPREAD_MASK + 1);
+  return (fnvHash(attemptId) & SPREAD_MASK) / (SPREAD_MASK + 1);
 }
 
 function bucketOf(attemptId: string): number {
-  return (hashOf(attemptId) >>> SPREAD_BITS) % BUCKETS_COUNT;
-}
-
-/** FNV-1a, since ids may differ in few characters only. */
-function hashOf(attemptId: string): number {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < attemptId.length; index += 1) {
-    hash ^= attemptId.charCodeAt(index);
-    hash = Math.imul(hash, FNV_PRIME);
-  }
-  return hash >>> 0;
+  return (fnvHash(attemptId) >>> SPREAD_BITS) % BUCKETS_COUNT;
 }
--- a/src/process/membership/watch_duty.ts
+++ b/src/process/membership/watch_duty.ts
@@ -9,6 +9,7 @@
  * watch more. A zone that is cut off has its own, and a node that is told nothing
  * watches itself.
  */
+import {fnvHash} from '../../base/fnv_hash.js';
 import type {KnownUpstream} from './upstream_directory.js';
 import type {UpstreamEntry} from './upstream_entry.js';
 
@@ -64,7 +65,7 @@
       if (entry.zone !== zone || entry.isDraining) continue;
       if (isOwnLeftOut && entry.hostKey === ownHostKey) continue;
       if (isFailing(entry)) continue;
-      const rank = hashOf(entry.hostKey);
+      const rank = fnvHash(entry.hostKey);
       if (rank >= firstRank) continue;
       first = entry;
       firstRank = rank;
@@ -96,15 +97,3 @@
     },
   };
 }
-
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-
-/** 32-bit FNV-1a, which spreads hosts with all but the same addresses. */
-function hashOf(text: string): number {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
-  }
-  return hash >>> 0;
-}
--- a/src/process/quarantine/crash_evidence.ts
+++ b/src/process/quarantine/crash_evidence.ts
@@ -8,6 +8,7 @@
  * therefore a set that only grows and is merged by union, so that messages may be
  * lost, repeated and reordered.
  */
+import {fnvHash} from '../../base/fnv_hash.js';
 import type {CrashFields, CrashSummary} from '../../protocol/crash_fields.js';
 
 /** One crash that a suspect was in progress under. */
@@ -148,9 +149,9 @@
   };
 
   const digestOf = (crash: KnownCrash): number => {
-    let digest = hashOf(crash.crashId);
+    let digest = fnvHash(crash.crashId);
     for (const fingerprint of sharedClearances(crash)) {
-      digest ^= hashOf(`${crash.crashId} ${fingerprint}`);
+      digest ^= fnvHash(`${crash.crashId} ${fingerprint}`);
     }
     return digest;
   };
@@ -312,15 +313,3 @@
 function textOf(digest: number): string {
   return (digest >>> 0).toString(36);
 }
-
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-
-/** FNV-1a; the digest of a set is the exclusive or of its items'. */
-function hashOf(text: string): number {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
-  }
-  return hash;
-}
