--- a/src/emulator/faulty_link.ts
+++ b/src/emulator/faulty_link.ts
@@ -35,6 +35,11 @@
   setMode(source: string, mode: LinkMode): void;
   /** Sets the mode for sources without one of their own. */
   setDefaultMode(mode: LinkMode): void;
+  /**
+   * Bounds what each connection carries in each direction, from its next bytes on;
+   * without a figure there is no bound.
+   */
+  setWidth(bytesPerSecond: number | undefined): void;
   /**
    * Opens or closes the listener. Without one, connecting is refused, as it is
    * by a host whose process has ended.
@@ -46,6 +51,8 @@
   close(): void;
 }
 
+const MILLIS_PER_SECOND = 1000;
+
 /** Source of connections that nothing tells apart. */
 export const ANY_SOURCE = 'any';
 
@@ -66,6 +73,7 @@
   const unassigned = new Set<Socket>();
   let defaultMode: LinkMode = 'open';
   let targetPort = options.targetPort;
+  let widthBytesPerSecond: number | undefined;
 
   const modeOf = (source: string): LinkMode => modes.get(source) ?? defaultMode;
 
@@ -103,12 +111,25 @@
 
   /** Carries one direction; an end or error passes on unless silent. */
   const carry = (relay: Relay, from: Socket, to: Socket): void => {
-    from.on('data', chunk => {
+    const write = (chunk: Buffer): void => {
       if (to.write(chunk)) return;
       from.pause();
       to.once('drain', () => {
         applyMode(relay);
       });
+    };
+    from.on('data', (chunk: Buffer) => {
+      if (widthBytesPerSecond === undefined) {
+        write(chunk);
+        return;
+      }
+      from.pause();
+      const millis = (chunk.length * MILLIS_PER_SECOND) / widthBytesPerSecond;
+      setTimeout(() => {
+        if (to.destroyed) return;
+        applyMode(relay);
+        write(chunk);
+      }, millis);
     });
     from.on('end', () => to.end());
     from.on('error', () => {
@@ -166,6 +187,9 @@
       defaultMode = mode;
       applyAll();
     },
+    setWidth: bytesPerSecond => {
+      widthBytesPerSecond = bytesPerSecond;
+    },
     setAccepting,
     forgetOpenConnections: () => {
       for (const relay of relays) relay.isForgotten = true;
--- a/test/scenario/scenario_ast.ts
+++ b/test/scenario/scenario_ast.ts
@@ -38,7 +38,7 @@
 
 /** Ways a daemon is acted upon. */
 export type DaemonAction =
-  'kill' | 'stop' | 'freeze' | 'resume' | 'replace' | 'launch';
+  'kill' | 'stop' | 'freeze' | 'resume' | 'replace' | 'launch' | 'reload';
 
 /** Links in front of a host. */
 export type LinkName = 'peer' | 'upstream';
@@ -164,6 +164,13 @@
       readonly hosts: HostsRef;
       readonly mode: LinkMode;
     }
+  | {
+      readonly kind: 'link-width';
+      readonly link: LinkName;
+      readonly hosts: HostsRef;
+      /** Without it the link has its full width. */
+      readonly bytesPerSecond?: number | undefined;
+    }
   | {
       readonly kind: 'forget';
       readonly link: LinkName;
--- a/test/scenario/scenario_daemons.ts
+++ b/test/scenario/scenario_daemons.ts
@@ -44,6 +44,9 @@
       run.frozen.delete(name);
       host.daemon()?.signal('SIGCONT');
       return;
+    case 'reload':
+      host.daemon()?.signal('SIGHUP');
+      return;
     case 'launch':
       await fleet.startDaemon(name);
       await fleet.waitUntilReady(LAUNCH_LIMIT_MILLIS, [name]);
--- a/test/scenario/scenario_grammar.peggy
+++ b/test/scenario/scenario_grammar.peggy
@@ -15,7 +15,7 @@
       Fleet / PolicySet / Start
       / PublishPolicy / PublishDocument / PublishHosts
       / Send / Load / AwaitGroup / Daemon
-      / ZoneLink / HostLink / Forget / Platform / Upstream
+      / ZoneLink / HostLink / LinkWidth / Forget / Platform / Upstream
       / Pause / WaitUntil / Expect
     ) { return {...body, line: location().start.line}; }
 
@@ -114,7 +114,7 @@
 // Hosts
 
 Daemon
-  = action:("kill" / "stop" / "freeze" / "resume" / "replace" / "launch") __
+  = action:("kill" / "stop" / "freeze" / "resume" / "replace" / "launch" / "reload") __
     hosts:Hosts group:(__ "as" __ @Name)?
     { return {kind: 'daemon', action, hosts, group: group ?? undefined}; }
 
@@ -167,6 +167,12 @@
       return {kind: 'host-link', link, hosts, mode: modes[mode]};
     }
 
+LinkWidth
+  = "narrow" __ link:LinkName __ "link" __ "of" __ hosts:Hosts __ "to" __ kilobytes:Integer __ "kB/s"
+    { return {kind: 'link-width', link, hosts, bytesPerSecond: kilobytes * 1000}; }
+  / "widen" __ link:LinkName __ "link" __ "of" __ hosts:Hosts
+    { return {kind: 'link-width', link, hosts}; }
+
 Forget
   = "forget" __ link:LinkName __ "connections" __ "of" __ hosts:Hosts
     { return {kind: 'forget', link, hosts}; }
--- a/test/scenario/scenario_runner.ts
+++ b/test/scenario/scenario_runner.ts
@@ -156,7 +156,7 @@
 }
 
 type FaultStatement = StatementOf<
-  'zone-link' | 'host-link' | 'forget' | 'platform' | 'upstream'
+  'zone-link' | 'host-link' | 'link-width' | 'forget' | 'platform' | 'upstream'
 >;
 
 async function applyFault(run: Run, statement: FaultStatement): Promise<void> {
@@ -179,7 +179,9 @@
     const link = host.links?.[statement.link];
     if (link === undefined) throw new Error('the fleet has no links');
     if (statement.kind === 'forget') link.forgetOpenConnections();
-    else link.setDefaultMode(statement.mode);
+    else if (statement.kind === 'link-width') {
+      link.setWidth(statement.bytesPerSecond);
+    } else link.setDefaultMode(statement.mode);
   }
 }
 
--- a/test/unit/emulator/faulty_link.test.ts
+++ b/test/unit/emulator/faulty_link.test.ts
@@ -112,3 +112,30 @@
   await link.setAccepting(true);
   t.is(await echoOf(await open(), 'one'), 'one');
 });
+
+test('a narrow link carries all bytes in order, one connection beside another', async t => {
+  const {link, open} = await start(t, []);
+  link.setWidth(4000);
+  const first = await open();
+  const second = await open();
+  const text = Array.from({length: 400}, (_, i) => `line ${String(i)}\n`).join(
+    '',
+  );
+  const received: string[] = [];
+  const whole = new Promise<void>(resolve => {
+    first.on('data', (chunk: Buffer) => {
+      received.push(chunk.toString());
+      if (received.join('').length === text.length) resolve();
+    });
+  });
+  for (let at = 0; at < text.length; at += 100) {
+    first.write(text.slice(at, at + 100));
+  }
+  t.is(await echoOf(second, 'two'), 'two');
+  // What the link holds back is not there yet.
+  t.true(received.join('').length < text.length);
+  await whole;
+  t.is(received.join(''), text);
+  link.setWidth(undefined);
+  t.is(await echoOf(second, 'three'), 'three');
+});
