--- a/src/connection/document_follower.ts
+++ b/src/connection/document_follower.ts
@@ -17,7 +17,7 @@
 import type {DocumentListener} from './document_listener.js';
 import {createFollowState} from './follow_state.js';
 import {followRelay, RELAY_MILLIS} from './relay_follower.js';
-import {untilBehind} from './until_behind.js';
+import {waitForStalePosition} from './wait_for_stale_position.js';
 
 /** What a follower needs. */
 export interface DocumentFollowerOptions {
@@ -165,7 +165,7 @@
 
 /** Ends once this node has been behind another one for too long. */
 function untilStale(peerPositions: PeerPositions): Effect.Effect<'stale'> {
-  return untilBehind(peerPositions).pipe(
+  return waitForStalePosition(peerPositions).pipe(
     Effect.andThen(Effect.sleep(STALE_MILLIS)),
     // Another node may have told it meanwhile.
     Effect.flatMap(() =>
--- a/src/connection/hop_link.ts
+++ b/src/connection/hop_link.ts
@@ -32,7 +32,7 @@
   claim(hop: OutgoingHop): void;
   /** Asks for a sign of life. */
   ping(): void;
-  /** Asks the other end; the first byte tells for what. */
+  /** Sends a question; its first byte is its kind. */
   ask(question: Buffer): void;
   /** Closes it and returns the requests that were on it. */
   retire(): readonly OutgoingHop[];
--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -14,7 +14,7 @@
 /** Another node as requests are sent to it. */
 export interface HopPeer extends WatchedPeer {
   send(hop: OutgoingHop): void;
-  /** Asks the node; the first byte tells for what. */
+  /** Sends a question; its first byte is its kind. */
   ask(question: Buffer): void;
   /** Closes connections that have not been used for a while. */
   expire(): void;
--- a/src/connection/received_answer.ts
+++ b/src/connection/received_answer.ts
@@ -68,7 +68,7 @@
   });
 }
 
-/** Waits until a rest is closed; tells whether it was read to its end. */
+/** Waits until a rest is closed; true if it was read to its end. */
 export function readWhole(rest: Readable): Promise<boolean> {
   if (rest.closed) return Promise.resolve(rest.readableEnded);
   return new Promise(resolve => {
--- a/src/connection/relay_follower.ts
+++ b/src/connection/relay_follower.ts
@@ -9,7 +9,7 @@
 import type {SourcePosition} from '../process/membership/document_source.js';
 import type {PeerPositions} from '../process/membership/peer_positions.js';
 import type {FollowState} from './follow_state.js';
-import {untilBehind} from './until_behind.js';
+import {waitForStalePosition} from './wait_for_stale_position.js';
 
 /** What it needs. */
 export interface RelayFollowerOptions {
@@ -77,7 +77,7 @@
       ? Effect.sleep(RELAY_MILLIS)
       : Effect.raceFirst(
           Effect.sleep(RELAY_MILLIS),
-          untilBehind(peerPositions),
+          waitForStalePosition(peerPositions),
         );
 
   const pauseFor = (millis: number): Effect.Effect<unknown> => {
--- a/src/connection/until_behind.ts
+++ b/src/connection/wait_for_stale_position.ts
@@ -1,11 +1,11 @@
 /**
- * Waits for the moment at which other nodes know more.
+ * Waits until another node has a later position in the source.
  */
 import * as Effect from 'effect/Effect';
 import type {PeerPositions} from '../process/membership/peer_positions.js';
 
-/** Ends once this node is behind another one. */
-export function untilBehind(
+/** Completes once the position of this node is stale. */
+export function waitForStalePosition(
   peerPositions: PeerPositions,
 ): Effect.Effect<undefined> {
   return Effect.callback<undefined>(resume => {
--- a/src/process/quarantine/crash_gossip.ts
+++ b/src/process/quarantine/crash_gossip.ts
@@ -1,8 +1,8 @@
 /**
  * Spreads evidence of crashes among the nodes of a fleet.
  *
- * New crashes are passed on at once to a few random nodes, which pass them on in
- * turn. Nodes that missed them, were cut off or have just started get them from
+ * New crashes are announced to a few random nodes, which fetch and announce them in
+ * turn. Nodes that missed them, were partitioned or have just started get them from
  * comparisons of random pairs.
  */
 import type {
@@ -60,7 +60,7 @@
 /** Nodes that a new crash is passed on to by each node that learns it. */
 const FANOUT_COUNT = 8;
 
-/** Time in which a node that was asked for a crash can send it. */
+/** Time in which a node can send a crash that was requested. */
 const ASKED_MILLIS = 200;
 
 /** Creates the gossip of a node that starts now. */
@@ -84,7 +84,7 @@
     return report;
   };
 
-  /** New crashes are announced by their ids; who lacks them asks for them. */
+  /** Announces new crashes by their ids; nodes that lack them request them. */
   const add = (crashes: readonly CrashFields[]): void => {
     const added = evidence.add(crashes);
     if (added.length === 0) return;
@@ -97,7 +97,7 @@
     for (const peer of choose(FANOUT_COUNT)) options.send(peer, report);
   };
 
-  /** Several nodes announce a crash at the same moment; one of them is asked. */
+  /** Requests each crash from one of the nodes that announce it at the same moment. */
   const askFor = (summaries: readonly CrashSummary[]): readonly string[] => {
     const now = nowMillis();
     for (const [crashId, untilMillis] of askedUntilMillis) {
--- a/src/process/repeats/offer_course.ts
+++ b/src/process/repeats/attempt_history.ts
@@ -1,9 +1,8 @@
 /**
- * Whom a request has been offered to, and whether it may be offered once more.
+ * Upstreams that a request has been offered to, and whether another offer is allowed.
  *
- * Load patterns: a service is full, and each further question costs time; its
- * upstreams reject a share of what they are handed though they have room, and
- * who asks again is served.
+ * Load patterns: a service is full, and each further offer costs time; its upstreams
+ * reject a share of what they are handed though they have room, and a retry is served.
  */
 
 /** What became of an offer. */
@@ -18,7 +17,7 @@
   | 'refused';
 
 /** Offers of one request. */
-export interface OfferCourse {
+export interface AttemptHistory {
   /** Upstreams that it must not be offered to. */
   readonly excludedIds: ReadonlySet<string>;
   /** Upstreams that may have worked on it. */
@@ -29,33 +28,26 @@
   readonly mayOffer: boolean;
   begin(upstreamId: string): void;
   end(how: OfferEnd): void;
-  /** Lets those that rejected it be asked again; false if there are none. */
+  /** Allows offers to those that rejected it; false if there are none. */
   readmitRejecting(): boolean;
-  /** Lets all be asked again. */
+  /** Allows offers to all. */
   readmitAll(): void;
 }
 
-/**
- * Upstreams that one request is offered to, refusals counted: beyond a few the
- * whole service is full, and each further question costs time.
- */
+/** Offers of one request, refusals included. */
 const MAX_OFFERS_COUNT = 4;
 
 /**
- * Refusals for load after which the service as a whole counts as full. With two,
- * the fast upstreams refuse and a slow one with free slots is never asked: in a
- * replay of a burst all 211 refused reads of four seconds were refused so.
+ * Refusals for load after which the service as a whole counts as full. With fewer,
+ * fast upstreams refuse and a slow one with free slots is never tried.
  */
 const MAX_FULL_COUNT = 3;
 
-/**
- * Rejections after which it is given up. Of requests that are rejected more
- * often than not, one in a hundred is rejected so many times.
- */
+/** Rejections after which a request is abandoned. */
 const MAX_REJECTED_COUNT = 8;
 
-/** Creates the course of a request that has been offered to nobody. */
-export function createOfferCourse(): OfferCourse {
+/** Creates the history of a request that has not been offered yet. */
+export function createAttemptHistory(): AttemptHistory {
   const excludedIds = new Set<string>();
   const rejectingIds = new Set<string>();
   let lastId = '';
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -6,8 +6,11 @@
 import type {ExecutionCall, ExecutionEnd} from '../connection/execution.js';
 import type {RemoteExecution} from '../connection/remote_execution.js';
 import type {AttemptPatience} from '../process/repeats/attempt_patience.js';
-import type {OfferCourse, OfferEnd} from '../process/repeats/offer_course.js';
-import {createOfferCourse} from '../process/repeats/offer_course.js';
+import type {
+  AttemptHistory,
+  OfferEnd,
+} from '../process/repeats/attempt_history.js';
+import {createAttemptHistory} from '../process/repeats/attempt_history.js';
 import type {
   Placement,
   PlacementChooser,
@@ -62,16 +65,13 @@
   readonly onRetry: (request: AttemptedRequest, reason: HopReason) => void;
 }
 
-/**
- * Time in which a node that was taken for lost is asked again and can reply:
- * half a second until it is asked, and as long for a busy process.
- */
-const FIND_AGAIN_MILLIS = 1000;
+/** Time for an unreachable node to be probed again and to reply. */
+const REACHABLE_WAIT_MILLIS = 1000;
 
-/** Interval at which it is looked whether one has replied. */
-const FIND_STEP_MILLIS = 50;
+/** Interval at which it is checked whether one has replied. */
+const REACHABLE_POLL_MILLIS = 50;
 
-const NOBODY: ReadonlySet<string> = new Set();
+const NO_IDS: ReadonlySet<string> = new Set();
 
 const NOWHERE: ExecutionEnd = {kind: 'refused', reason: 'unreachable'};
 
@@ -86,35 +86,37 @@
   options: AttemptsOptions,
   request: AttemptedRequest,
 ): Promise<AttemptsEnd> {
-  const course = createOfferCourse();
+  const history = createAttemptHistory();
   let last: ExecutionEnd = NOWHERE;
   let upstreamId: string | undefined;
   let call = request.call;
   const {rules} = options;
 
-  while (course.mayOffer) {
+  while (history.mayOffer) {
     if (options.quarantine.holds(request.call)) {
-      if (course.ranCount === 0) last = QUARANTINED;
+      if (history.ranCount === 0) last = QUARANTINED;
       break;
     }
     const usualMillis = options.patience.usualMillis(patienceKeyOf(request));
-    const placement = placeNext(options, request, {course, usualMillis});
+    const placement = placeNext(options, request, {history, usualMillis});
     if (placement === undefined) break;
     const {entry} = placement.upstream;
     upstreamId = entry.id;
-    course.begin(entry.id);
+    history.begin(entry.id);
     const {end, isGivenUp} = await attemptPatiently(options, request, {
       entry,
       call: {...call, usualMillis},
-      course,
+      history,
     });
     last = end;
-    placement.end(lessonOf(last));
+    placement.end(outcomeOf(last));
     options.onAttempt(last);
-    course.end(offerEndOf(last));
-    if (!course.mayOffer) break;
-    if (!isGivenUp && !rules.mayTryAgain(request, last, course.ranCount)) break;
-    if (isSilent(last)) await findAgain(options, request, course);
+    history.end(offerEndOf(last));
+    if (!history.mayOffer) break;
+    const mayTryAgain = (): boolean =>
+      rules.mayTryAgain(request, last, history.ranCount);
+    if (!isGivenUp && !mayTryAgain()) break;
+    if (isSilent(last)) await awaitReachableUpstream(options, request, history);
     if (wasHandedOver(last)) {
       options.onRetry(request, reasonOf(last));
       call = {...call, origin: {...call.origin, isRepeat: true}};
@@ -122,50 +124,50 @@
   }
   return {
     last,
-    mayHaveRun: course.ranCount > 0,
-    sentCount: course.handedCount,
+    mayHaveRun: history.ranCount > 0,
+    sentCount: history.handedCount,
     upstreamId,
   };
 }
 
 /** What the next offer goes by. */
 interface NextOffer {
-  readonly course: OfferCourse;
+  readonly history: AttemptHistory;
   /** What its like usually takes, if any was answered. */
   readonly usualMillis: number | undefined;
 }
 
-/** Where nobody else is left, those that rejected the request may take it now. */
+/** Falls back to upstreams that rejected the request if no other is left. */
 function placeNext(
   {placement, remote}: AttemptsOptions,
   {service, route}: AttemptedRequest,
-  {course, usualMillis}: NextOffer,
+  {history, usualMillis}: NextOffer,
 ): Placement | undefined {
   const goal = {objectiveMillis: route.objectiveMillis, usualMillis};
   const choose = (): Placement | undefined =>
-    placement.choose(service, course.excludedIds, remote.isLost, goal);
-  return choose() ?? (course.readmitRejecting() ? choose() : undefined);
+    placement.choose(service, history.excludedIds, remote.isLost, goal);
+  return choose() ?? (history.readmitRejecting() ? choose() : undefined);
 }
 
 /**
- * Before a request that may run twice is sent where nobody replies, it waits a
- * moment for one that does, be it one that it was sent to: busy nodes fall
- * silent for less than a second, and nodes that are cut off for longer.
+ * Waits a moment for a reachable upstream, even one that was tried, before a retry of
+ * a repeatable request: busy nodes are silent for less than a second, partitioned ones
+ * for longer.
  */
-async function findAgain(
+async function awaitReachableUpstream(
   options: AttemptsOptions,
   {service, call}: AttemptedRequest,
-  course: OfferCourse,
+  history: AttemptHistory,
 ): Promise<void> {
   const {placement, remote, nowMillis} = options;
   if (!call.isRepeatable) return;
   const canReachBeside = (ids: ReadonlySet<string>): boolean =>
     placement.canReachOther(service, ids, remote.isLost);
-  const untilMillis = nowMillis() + FIND_AGAIN_MILLIS;
-  while (!canReachBeside(course.excludedIds)) {
-    if (canReachBeside(NOBODY)) course.readmitAll();
+  const untilMillis = nowMillis() + REACHABLE_WAIT_MILLIS;
+  while (!canReachBeside(history.excludedIds)) {
+    if (canReachBeside(NO_IDS)) history.readmitAll();
     else if (call.cancel.isCancelled || nowMillis() >= untilMillis) return;
-    else await sleep(FIND_STEP_MILLIS);
+    else await sleep(REACHABLE_POLL_MILLIS);
   }
 }
 
@@ -174,14 +176,14 @@
   readonly entry: UpstreamEntry;
   readonly call: ExecutionCall;
   /** Offers before, and this one. */
-  readonly course: OfferCourse;
+  readonly history: AttemptHistory;
 }
 
 /** An attempt that is the last one anyway is waited for to its deadline. */
 async function attemptPatiently(
   options: AttemptsOptions,
   request: AttemptedRequest,
-  {entry, call, course}: NextAttempt,
+  {entry, call, history}: NextAttempt,
 ): Promise<PatientEnd> {
   const {patience, placement, rules, nowMillis} = options;
   const key = patienceKeyOf(request);
@@ -189,7 +191,7 @@
   const hasNext = (): boolean =>
     placement.hasOther(
       request.service,
-      course.excludedIds,
+      history.excludedIds,
       options.remote.isLost,
     );
   const patient = await runPatiently({
@@ -203,7 +205,7 @@
     mayGiveUp: () =>
       !options.stop.isStopping &&
       hasNext() &&
-      rules.mayGiveUp(request, course.ranCount),
+      rules.mayGiveUp(request, history.ranCount),
   });
   if (patient.isGivenUp) patience.observeGivenUp(key);
   else if (patient.end.kind === 'answered') {
@@ -252,7 +254,7 @@
   return end.kind === 'answered' ? 'none' : end.reason;
 }
 
-function lessonOf(end: ExecutionEnd): AttemptEnd {
+function outcomeOf(end: ExecutionEnd): AttemptEnd {
   if (end.kind === 'answered') {
     if (end.answer.statusCode < 500) return 'served';
     return end.hasFailedCall ? 'neutral' : 'failed';
--- a/src/request/crash_detector.ts
+++ b/src/request/crash_detector.ts
@@ -1,9 +1,9 @@
 /**
- * Tells a crash of the own upstream from the loss of a connection, and names the
- * requests that were in progress.
+ * Distinguishes a crash of the own upstream from the loss of a connection, and names
+ * the requests that were in progress.
  *
- * Only the node beside an upstream can: to the callers of all these requests a
- * crash looks like one connection that was reset.
+ * Only the node beside an upstream can: to the callers of these requests a crash looks
+ * like a connection that was reset.
  */
 import type {Readable} from 'node:stream';
 import type {ProbeResult} from '../connection/upstream_probe.js';
@@ -24,7 +24,7 @@
 export interface CrashDetector {
   /** Records a request that is handed over now. */
   begin(request: HandedOverRequest): void;
-  /** Records its end; tells whether the upstream crashed under it. */
+  /** Records its end; true if the upstream crashed under it. */
   end(request: HandedOverRequest, end: UpstreamEnd): boolean | Promise<boolean>;
 }
 
@@ -45,7 +45,7 @@
     options.nowMillis,
   );
   let verdict: Promise<boolean> | undefined;
-  /** Requests of crashes that were told already: each counts in one crash. */
+  /** Requests that were named already: each counts in one crash. */
   const named = new WeakSet<HandedOverRequest>();
 
   /** Requests handed over during the probe never reached the crashed process. */
--- a/src/request/crash_quarantine.ts
+++ b/src/request/crash_quarantine.ts
@@ -29,8 +29,8 @@
   /** Whether a request must not be sent to any upstream. */
   holds(request: IdentifiedRequest): boolean;
   /**
-   * Admits a request to the own upstream, or tells why not; one that is suspected
-   * may have to wait for its turn. Ended by `end` once it was admitted.
+   * Admits a request to the own upstream, or returns why not; a suspect may have to
+   * wait for its turn. Ended by `end` once it was admitted.
    */
   admit(
     request: IdentifiedRequest,
--- a/test/fakes/fleet_replay.ts
+++ b/test/fakes/fleet_replay.ts
@@ -6,7 +6,7 @@
 import {LEVEL_WINDOW_MILLIS} from '../../src/process/admission/admission_level.js';
 import {importanceOf} from '../../src/process/admission/importance.js';
 import {callsBelow} from '../../src/process/admission/call_trees.js';
-import {createOfferCourse} from '../../src/process/repeats/offer_course.js';
+import {createAttemptHistory} from '../../src/process/repeats/attempt_history.js';
 import {createSeededRandom} from '../../src/emulator/seeded_random.js';
 import {createEventClock} from './event_clock.js';
 import type {
@@ -178,26 +178,26 @@
   };
 
   const attempt = (from: ReplayNode, call: Call): void => {
-    const course = createOfferCourse();
+    const history = createAttemptHistory();
     const charge = new Map([[call.route.service, 1]]);
     const offer = (): void => {
       const {name, service, objectiveMillis} = call.route;
       const offeredMillis = nowMillis();
       const usualMillis = from.patience.usualMillis(name);
       const choose = (): Placement | undefined =>
-        from.placement.choose(service, course.excludedIds, () => false, {
+        from.placement.choose(service, history.excludedIds, () => false, {
           objectiveMillis,
           usualMillis,
         });
-      const placement = course.mayOffer
-        ? (choose() ?? (course.readmitRejecting() ? choose() : undefined))
+      const placement = history.mayOffer
+        ? (choose() ?? (history.readmitRejecting() ? choose() : undefined))
         : undefined;
       if (placement === undefined || nowMillis() >= call.deadlineMillis) {
         call.onEnd('refused', new Map());
         return;
       }
       const {id} = placement.upstream.entry;
-      course.begin(id);
+      history.begin(id);
       const node = nodeOf.get(id)!;
       const isNear = node === from;
       const delayMillis = isNear ? 0 : HOP_MILLIS;
@@ -208,7 +208,7 @@
       const goOn = (verdict: Verdict): void => {
         learn();
         placement.end(verdict === 'rejected' ? 'failed' : 'neutral');
-        course.end(verdict === 'rejected' ? 'rejected' : 'full');
+        history.end(verdict === 'rejected' ? 'rejected' : 'full');
         const {grant} = call.root;
         const mayOffer =
           verdict !== 'rejected' ||
--- a/test/unit/process/placement/placement.test.ts
+++ b/test/unit/process/placement/placement.test.ts
@@ -3,7 +3,7 @@
 import {createSeededRandom} from '../../../fakes/seeded_random.js';
 import {upstreamEntry} from '../../../fakes/route_documents.js';
 
-const NOBODY: ReadonlySet<string> = new Set();
+const NO_IDS: ReadonlySet<string> = new Set();
 
 function createFixture(random = () => 0.5) {
   const node = createPlacementNode(random);
@@ -28,7 +28,7 @@
     const counts = new Map<string, number>();
     for (let index = 0; index < count; index += 1) {
       advance(5);
-      const placement = chooser.choose('orders', NOBODY);
+      const placement = chooser.choose('orders', NO_IDS);
       const id = placement?.upstream.entry.id ?? 'none';
       counts.set(id, (counts.get(id) ?? 0) + 1);
       placement?.end('served');
@@ -89,19 +89,19 @@
 test('an upstream that joins gets a request within seconds', t => {
   const {add, directory, chooser, advance} = createFixture();
   add('1', 'zone-a', 20);
-  chooser.choose('orders', NOBODY)?.end('served');
+  chooser.choose('orders', NO_IDS)?.end('served');
   directory.put([
     upstreamEntry({id: '2', zone: 'zone-b', coldLeftMillis: 3000}),
   ]);
   advance(1600);
-  chooser.choose('orders', NOBODY)?.end('served');
+  chooser.choose('orders', NO_IDS)?.end('served');
   const ids = [1, 2].map(
-    () => chooser.choose('orders', NOBODY)?.upstream.entry.id,
+    () => chooser.choose('orders', NO_IDS)?.upstream.entry.id,
   );
   t.true(ids.includes('1') || ids.includes('2'));
   advance(1600);
   const later = [1, 2].map(
-    () => chooser.choose('orders', NOBODY)?.upstream.entry.id,
+    () => chooser.choose('orders', NO_IDS)?.upstream.entry.id,
   );
   t.deepEqual(later.sort(), ['1', '2']);
 });
@@ -111,20 +111,20 @@
   add('1', 'zone-a', 20);
   add('2', 'zone-b', 20);
   for (const id of ['1', '2']) {
-    const placement = chooser.choose('orders', NOBODY);
+    const placement = chooser.choose('orders', NO_IDS);
     t.is(placement?.upstream.entry.id, id);
     placement?.end(id === '1' ? 'unreachable' : 'served');
   }
-  t.is(chooser.choose('orders', NOBODY)?.upstream.entry.id, '2');
+  t.is(chooser.choose('orders', NO_IDS)?.upstream.entry.id, '2');
   advance(200);
-  t.is(chooser.choose('orders', NOBODY)?.upstream.entry.id, '1');
+  t.is(chooser.choose('orders', NO_IDS)?.upstream.entry.id, '1');
 });
 
 test('an upstream that was tried is not chosen again', t => {
   const {add, chooser} = createFixture();
   add('1', 'zone-a', 20);
   t.is(chooser.choose('orders', new Set(['1'])), undefined);
-  t.is(chooser.choose('unknown', NOBODY), undefined);
+  t.is(chooser.choose('unknown', NO_IDS), undefined);
 });
 
 test('a later start under an id begins without what the one before did', t => {
@@ -145,7 +145,7 @@
   }
   const held = Array.from({length: 40}, () => chooser.choose('orders', others));
   chooser.choose('orders', others)?.end('unreachable');
-  t.is(chooser.choose('orders', NOBODY)?.upstream.entry.id, '2');
+  t.is(chooser.choose('orders', NO_IDS)?.upstream.entry.id, '2');
   board.forget('1');
   put(2);
   board.observe({
@@ -158,10 +158,10 @@
     level: 511,
     madeAtMillis: 10_000,
   });
-  t.is(chooser.choose('orders', NOBODY)?.upstream.entry.id, '1');
+  t.is(chooser.choose('orders', NO_IDS)?.upstream.entry.id, '1');
   // What the start before held ends late, and is not its successor's.
   for (const placement of held) placement?.end('failed');
-  t.is(chooser.choose('orders', NOBODY)?.upstream.entry.id, '1');
+  t.is(chooser.choose('orders', NO_IDS)?.upstream.entry.id, '1');
 });
 
 test('an attempt is not given up for an upstream that was out of reach', t => {
--- a/test/unit/process/placement/placement_fleet.test.ts
+++ b/test/unit/process/placement/placement_fleet.test.ts
@@ -7,7 +7,7 @@
 import {createSeededRandom} from '../../../fakes/seeded_random.js';
 import {upstreamEntry} from '../../../fakes/route_documents.js';
 
-const NOBODY: ReadonlySet<string> = new Set();
+const NO_IDS: ReadonlySet<string> = new Set();
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 const UPSTREAMS_COUNT = 32;
 const ANSWER_MILLIS = 200;
@@ -30,7 +30,7 @@
       }),
     ),
   );
-  const choose = (excludedIds = NOBODY) => {
+  const choose = (excludedIds = NO_IDS) => {
     const placement = chooser.choose('orders', excludedIds);
     return {index: Number(placement?.upstream.entry.id), placement};
   };
--- /dev/null
+++ b/test/unit/process/repeats/attempt_history.test.ts
@@ -0,0 +1,44 @@
+import test from 'ava';
+import {createAttemptHistory} from '../../../../src/process/repeats/attempt_history.js';
+
+test('who is rejected by all asks them again, a bounded number of times', t => {
+  // Load: two upstreams that reject half of what they are handed.
+  const history = createAttemptHistory();
+  let offersCount = 0;
+  while (history.mayOffer) {
+    const id = ['a', 'b'].find(each => !history.excludedIds.has(each));
+    if (id === undefined) {
+      t.true(history.readmitRejecting());
+      continue;
+    }
+    history.begin(id);
+    history.end('rejected');
+    offersCount += 1;
+  }
+  t.is(offersCount, 8);
+  t.is(history.ranCount, 0);
+  t.is(history.handedCount, 8);
+});
+
+test('one that may have run it, or has no room, is not asked again', t => {
+  const history = createAttemptHistory();
+  for (const [id, end] of [
+    ['a', 'ran'],
+    ['b', 'full'],
+  ] as const) {
+    history.begin(id);
+    history.end(end);
+  }
+  t.false(history.readmitRejecting());
+  t.deepEqual([...history.excludedIds], ['a', 'b']);
+});
+
+test('a service is full after three refusals for load', t => {
+  const history = createAttemptHistory();
+  for (const id of ['a', 'b', 'c']) {
+    t.true(history.mayOffer);
+    history.begin(id);
+    history.end('full');
+  }
+  t.false(history.mayOffer);
+});
