--- a/src/process/quarantine/crash_evidence.ts
+++ b/src/process/quarantine/crash_evidence.ts
@@ -1,12 +1,11 @@
 /**
- * Which requests crash the upstreams that run them: the crashes under which each
- * was in progress, less those it was cleared of.
+ * Evidence of which requests crash the upstreams that run them: the crashes under
+ * which each was in progress, less those it was cleared of.
  *
- * Load pattern: a caller sends one request again and again, and it ends every
- * upstream that runs it, together with all requests in progress there. The fleet
- * has to agree within seconds, whichever nodes have seen the crashes. Evidence is
- * therefore a set that only grows and is merged by union, so that messages may be
- * lost, repeated and reordered.
+ * Load pattern: a caller sends one request again and again, and it crashes every
+ * upstream that runs it, with all requests in progress there. Evidence is a set that
+ * only grows and is merged by union: nodes that have seen different crashes agree
+ * within seconds, whether messages are lost, repeated or reordered.
  */
 import {fnvHash} from '../../base/fnv_hash.js';
 import type {CrashFields, CrashSummary} from '../../protocol/crash_fields.js';
@@ -42,7 +41,7 @@
   clear(fingerprints: readonly string[]): boolean;
   /** One crash, for another node; `undefined` if it is not known. */
   find(crashId: string): CrashFields | undefined;
-  /** All crashes in short. */
+  /** Summaries of all crashes. */
   summaries(): readonly CrashSummary[];
   /** Requests that are suspected, those with most crashes first. */
   suspects(): readonly CrashSuspect[];
@@ -66,7 +65,7 @@
 /** Time for which a crash counts. */
 export const RETENTION_MILLIS = 3_600_000;
 
-/** Bounds the memory of a node, at some hundred bytes each. */
+/** Bound on pairs of a crash and a fingerprint, of some hundred bytes each. */
 export const MAX_SIGHTINGS_COUNT = 8192;
 
 interface KnownCrash {
@@ -135,9 +134,9 @@
   };
 
   /**
-   * Clearances that other nodes have to know. Most requests are in progress under
-   * one crash only, and cleared moments later: sent about, their clearances would
-   * make up most of the messages and change no decision.
+   * Clearances that are sent to other nodes. Most requests are in progress under one
+   * crash only and cleared moments later: their clearances would make up most of the
+   * messages and change no decision.
    */
   const sharedClearances = ({isClearedOf}: KnownCrash): ReadonlySet<string> => {
     const shared = new Set<string>();
--- a/src/protocol/crash_fields.ts
+++ b/src/protocol/crash_fields.ts
@@ -14,7 +14,7 @@
   readonly clearedFingerprints: readonly string[];
 }
 
-/** What a node knows of one crash, in short. */
+/** Summary of what a node knows of one crash. */
 export interface CrashSummary {
   readonly crashId: string;
   /** Equal for equal knowledge. */
