Run requests of one crash as before, those of two alone

Requests of one crash now run as before. What is lost by it: the second crash of a culprit leaves more suspects of two crashes; these still run alone and after a pause, so that the third names one of them.

--- a/src/request/crash_quarantine.ts
+++ b/src/request/crash_quarantine.ts
@@ -3,10 +3,10 @@
  *
  * Load pattern: one request of a caller that comes again and again at any node,
  * among many that were in progress beside it. After enough crashes it is not run
- * any more. Before that, the requests that were in progress under a crash run a few
- * at a time at each upstream, and those of several crashes one at a time, so that
- * each further crash leaves fewer suspects. The latter are not tried until the
- * upstreams that crashed last can be there again.
+ * any more. Before that, the requests that were in progress under several crashes
+ * run one at a time at each upstream, so that the next crash names one of them, and
+ * not until the upstreams that crashed last can be there again. Those of one crash
+ * run as before: upstreams that crash by themselves leave many of these.
  */
 import {readWhole} from '../connection/received_answer.js';
 import type {
@@ -16,7 +16,7 @@
 import {fingerprintsOf} from '../connection/request_fingerprint.js';
 import type {UpstreamEnd} from '../connection/upstream_sender.js';
 import type {CrashEvidence} from '../process/quarantine/crash_evidence.js';
-import type {TurnQueue, TurnWait} from '../process/quarantine/turn_queue.js';
+import type {TurnWait} from '../process/quarantine/turn_queue.js';
 import {createTurnQueue} from '../process/quarantine/turn_queue.js';
 
 /** A request as decisions and their log lines see it. */
@@ -67,9 +67,6 @@
 /** Time after its last crash in which an isolated request is not tried. */
 const ISOLATED_PAUSE_MILLIS = 3000;
 
-/** Requests that were in progress under one crash that run at once. */
-const SUSPECTS_AT_ONCE_COUNT = 4;
-
 const STATUS_FAILURE = 400;
 
 /** Creates the decisions of one node. */
@@ -78,9 +75,8 @@
 ): CrashQuarantine {
   const {evidence} = options;
   const fingerprints = new WeakMap<FingerprintedRequest, RequestFingerprints>();
-  const suspectTurns = createTurnQueue(SUSPECTS_AT_ONCE_COUNT);
-  const isolatedTurns = createTurnQueue(1);
-  const heldTurns = new Map<IdentifiedRequest, TurnQueue>();
+  const turns = createTurnQueue(1);
+  let isolated: IdentifiedRequest | undefined;
 
   const identify = (request: FingerprintedRequest): RequestFingerprints => {
     const known = fingerprints.get(request) ?? fingerprintsOf(request);
@@ -97,7 +93,6 @@
   const refusalOf = (request: IdentifiedRequest): CrashRefusal | undefined => {
     const list = listOf(request);
     if (evidence.isQuarantined(list)) return 'quarantined';
-    if (evidence.crashesCount(list) < ISOLATED_CRASHES_COUNT) return undefined;
     const isPaused = evidence.lastCrashAgeMillis(list) < ISOLATED_PAUSE_MILLIS;
     return isPaused ? 'isolated' : undefined;
   };
@@ -111,18 +106,18 @@
   };
 
   const endTurn = (request: IdentifiedRequest): void => {
-    heldTurns.get(request)?.release();
-    heldTurns.delete(request);
+    if (isolated !== request) return;
+    isolated = undefined;
+    turns.release();
   };
 
   /** More may be known about the request when its turn comes. */
   const admitAfter = async (
     request: IdentifiedRequest,
     turn: Promise<boolean>,
-    turns: TurnQueue,
   ): Promise<CrashRefusal | undefined> => {
     if (!(await turn)) return refuse(request, 'isolated');
-    heldTurns.set(request, turns);
+    isolated = request;
     const reason = refusalOf(request);
     if (reason === undefined) return undefined;
     endTurn(request);
@@ -146,15 +141,12 @@
       return true;
     },
     admit: (request, wait) => {
-      const count = crashesCount(request);
-      if (count === 0) return undefined;
+      if (crashesCount(request) < ISOLATED_CRASHES_COUNT) return undefined;
       const reason = refusalOf(request);
       if (reason !== undefined) return refuse(request, reason);
-      const isIsolated = count >= ISOLATED_CRASHES_COUNT;
-      const turns = isIsolated ? isolatedTurns : suspectTurns;
       const turn = turns.take(wait);
-      if (turn !== true) return admitAfter(request, turn, turns);
-      heldTurns.set(request, turns);
+      if (turn !== true) return admitAfter(request, turn);
+      isolated = request;
       return undefined;
     },
     end: (request, end) => {
