Send reports of crashes on connections of their own

Requests that were sent in the first seconds of a zone cut failed more often once any upstream had crashed. Cause, as suspected: reports of crashes used the connections of requests, opened some to nodes that no request went to, and kept all from expiring after four idle seconds; a request on such a connection is silent until its node is asked, while a new connection to a node that is cut off fails after 0.25 s and the request goes elsewhere, not run. Now each report is sent on a connection that ends behind its answer.

--- a/src/connection/hop_link.ts
+++ b/src/connection/hop_link.ts
@@ -55,7 +55,6 @@
   readonly onHeard: () => void;
   readonly onLoads: (loads: readonly LoadFields[]) => void;
   readonly onChanges: (answer: Buffer) => void;
-  readonly onCrashReport: (report: Buffer) => void;
   /** Closed by the other end or the network, with the requests on it. */
   readonly onClosed: (how: LinkClose, hops: readonly OutgoingHop[]) => void;
 }
@@ -230,9 +229,6 @@
       case FRAME_KIND.changes:
         options.onChanges(payload);
         break;
-      case FRAME_KIND.crashes:
-        options.onCrashReport(payload);
-        break;
       case FRAME_KIND.goingAway:
         link.isLeaving = true;
         endIfLeft();
--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -29,7 +29,6 @@
   readonly onHeard: () => void;
   readonly onLoads: (loads: readonly LoadFields[]) => void;
   readonly onChanges: (answer: Buffer) => void;
-  readonly onCrashReport: (report: Buffer) => void;
   /** So many requests went on after their connection was lost. */
   readonly onReplaced: (hopsCount: number) => void;
 }
@@ -79,7 +78,6 @@
       onHeard: options.onHeard,
       onLoads: options.onLoads,
       onChanges: options.onChanges,
-      onCrashReport: options.onCrashReport,
       onClosed: (how, hops) => {
         links.delete(link);
         onFailed(how);
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -18,6 +18,7 @@
   PositionFields,
 } from '../protocol/hop_messages.js';
 import {LOADS_QUESTION} from '../protocol/load_codec.js';
+import {sendCrashReport} from './crash_report_sender.js';
 import type {ExecutionCall, ExecutionEnd} from './execution.js';
 import type {HopPeer} from './hop_peer.js';
 import {createHopPeer} from './hop_peer.js';
@@ -94,7 +95,9 @@
         peers.of(target.node).ask(question);
       }),
     sendCrashReport: (peer, report) => {
-      peers.of(peer).ask(report);
+      sendCrashReport(peer, report, answer => {
+        options.onCrashReport(peer, answer);
+      });
     },
     dispose: store.dispose,
   };
@@ -144,9 +147,6 @@
           changesListeners.delete(key);
           listener?.(answer);
         },
-        onCrashReport: report => {
-          options.onCrashReport(endpoint, report);
-        },
         onReplaced: hopsCount => {
           options.onLinkLost(endpoint, hopsCount);
         },
--- a/test/fakes/hop_fixture.ts
+++ b/test/fakes/hop_fixture.ts
@@ -55,7 +55,6 @@
     },
     onLoads: () => undefined,
     onChanges: () => undefined,
-    onCrashReport: () => undefined,
     onReplaced: count => {
       replacedCount += count;
     },
