Failing test: requests run without a usable API key, and keys reach upstreams

Seven of nine tests of API keys fail on the current code: it knows neither keys nor organisations, so a request without a key, with an unknown one or with one that was taken away runs, and the header of credentials is passed on to upstreams. Two hold today and stay as guards: a node without a configuration answers 503, and without organisations the header passes like any other.

--- /dev/null
+++ b/test/contract/platform_api_keys.test.ts
@@ -0,0 +1,234 @@
+import http from 'node:http';
+import type {ExecutionContext} from 'ava';
+import test from 'ava';
+import type {ClientRequest} from '../fakes/fleet_client.js';
+import type {FleetHost, PlatformFleet} from '../fakes/platform_fleet.js';
+import {
+  fleetPath,
+  isReady,
+  ORDER_PATH,
+  SAFE_PATH,
+} from '../fakes/platform_fleet.js';
+import {connectRawClient} from '../fakes/raw_client.js';
+import {startFleet} from '../fakes/test_fleet.js';
+import {waitUntil} from '../fakes/wait_until.js';
+
+const ACME_KEY = 'k4x7acmefirst';
+const ACME_SECOND_KEY = 'k4x7acmesecond';
+const GLOBEX_KEY = 'p9w2globexonly';
+
+const ACME = {name: 'acme', apiKeys: [ACME_KEY, ACME_SECOND_KEY], priority: 1};
+const GLOBEX = {name: 'globex', apiKeys: [GLOBEX_KEY], priority: 0};
+
+const PUBLIC_PATH = fleetPath({name: 'r-3', prefix: '/open/', public: true});
+
+const PATHS = [SAFE_PATH, ORDER_PATH, PUBLIC_PATH];
+
+interface Seen {
+  readonly id: string;
+  readonly headers: http.IncomingHttpHeaders;
+}
+
+/** A fleet of `atlas` and `orders`, whose upstream of `orders` tells what it gets. */
+async function startKeyedFleet(
+  t: ExecutionContext,
+  tenants: readonly object[] | undefined = [ACME, GLOBEX],
+): Promise<{fleet: PlatformFleet; atlas: FleetHost; seen: readonly Seen[]}> {
+  const fleet = await startFleet(t, {
+    services: ['atlas', 'orders'],
+    paths: PATHS,
+    ...(tenants === undefined ? {} : {tenants}),
+  });
+  const [atlas, orders] = fleet.hosts;
+  const seen: Seen[] = [];
+  orders!.backend.setBehaviour(request => {
+    seen.push({id: request.attemptId, headers: request.headers});
+    request.answer(200, 'served');
+  });
+  return {fleet, atlas: atlas!, seen};
+}
+
+function keyed(request: ClientRequest, key: string): ClientRequest {
+  const headers = {...request.headers, authorization: `Bearer ${key}`};
+  return {...request, headers};
+}
+
+function read(attemptId: string, path = '/a/1'): ClientRequest {
+  return {attemptId, path};
+}
+
+/** Waits until all nodes have this version in force. */
+async function awaitVersion(
+  fleet: PlatformFleet,
+  version: number,
+): Promise<void> {
+  await waitUntil('version in force', () =>
+    fleet.hosts.every(({node}) => node.configuration()?.version === version),
+  );
+}
+
+test('an upstream learns the organisation of a key, never the key', async t => {
+  const {fleet, atlas, seen} = await startKeyedFleet(t);
+  const order = {attemptId: 'c3', method: 'POST', path: '/order/1', body: 'x'};
+  await fleet.send(atlas, keyed(read('c1'), ACME_KEY));
+  await fleet.send(atlas, keyed(read('c2'), ACME_SECOND_KEY));
+  await fleet.send(atlas, keyed(order, GLOBEX_KEY));
+  await fleet.send(atlas, keyed(read('c4', '/open/1'), GLOBEX_KEY));
+  await fleet.send(atlas, keyed(read('c5', '/open/1'), 'unknown'));
+  t.deepEqual(
+    seen.map(({headers}) => headers['tenant']),
+    ['acme', 'acme', 'globex', 'globex', undefined],
+  );
+  for (const {headers} of seen) t.is(headers.authorization, undefined);
+  t.false(JSON.stringify(seen).includes(ACME_KEY));
+});
+
+test('a request without a usable key is refused and not run', async t => {
+  const {fleet, atlas, seen} = await startKeyedFleet(t);
+  const unusable: readonly (readonly string[])[] = [
+    [],
+    ['authorization: Bearer unknown'],
+    ['authorization: Bearer'],
+    ['authorization: Bearer '],
+    [`authorization: Basic ${ACME_KEY}`],
+    [`authorization: ${ACME_KEY}`],
+    [`authorization: Bearer ${ACME_KEY} ${GLOBEX_KEY}`],
+    [`authorization: Bearer ${ACME_KEY}, Bearer ${GLOBEX_KEY}`],
+    [
+      `authorization: Bearer ${ACME_KEY}`,
+      `Authorization: Bearer ${GLOBEX_KEY}`,
+    ],
+    [`authorization: Bearer ${ACME_KEY.toUpperCase()}`],
+    [`authorization: Bearer ${'k'.repeat(5000)}`],
+    ['authorization: Bearer __proto__'],
+  ];
+  const client = await connectRawClient(t, atlas.address, fleet.outboundPort);
+  for (const [index, lines] of unusable.entries()) {
+    client.ask(`c${String(index)}`, '/a/1', lines);
+    await waitUntil(
+      'answered',
+      () => client.statusCodes.length === index + 1 || client.isClosed,
+    );
+  }
+  t.deepEqual(
+    client.statusCodes,
+    unusable.map(() => 401),
+  );
+  const challenges = [
+    ...client.received.matchAll(/www-authenticate: Bearer/gi),
+  ];
+  t.is(challenges.length, unusable.length);
+  client.ask('good', '/a/1', [`Authorization: bEaReR ${ACME_KEY}`]);
+  await waitUntil('served', () => client.received.includes('served'));
+  t.deepEqual(
+    seen.map(({id}) => id),
+    ['good'],
+  );
+});
+
+test('an organisation that a client names itself never arrives', async t => {
+  const {fleet, atlas, seen} = await startKeyedFleet(t);
+  const client = await connectRawClient(t, atlas.address, fleet.outboundPort);
+  const forged = ['Tenant: globex', 'tenant: globex', 'TENANT: globex'];
+  client.ask('c1', '/a/1', [...forged, `authorization: Bearer ${ACME_KEY}`]);
+  client.ask('c2', '/open/1', forged);
+  await waitUntil('both', () => client.statusCodes.length === 2);
+  const byId = new Map(seen.map(({id, headers}) => [id, headers['tenant']]));
+  t.is(byId.get('c1'), 'acme');
+  t.is(byId.get('c2'), undefined);
+});
+
+test('calls of an upstream need no key', async t => {
+  const fleet = await startFleet(t, {
+    services: ['atlas', 'orders', 'tiles'],
+    paths: [
+      ...PATHS,
+      fleetPath({name: 'r-4', prefix: '/t/', service: 'tiles'}),
+    ],
+    tenants: [ACME],
+  });
+  const [atlas, orders, tiles] = fleet.hosts;
+  const tenants: unknown[] = [];
+  tiles!.backend.setBehaviour(request => {
+    tenants.push(request.headers['tenant']);
+    request.answer(200, '');
+  });
+  orders!.backend.setBehaviour(request => {
+    const call = read(`${request.attemptId}.1`, '/t/1');
+    void fleet.send(orders!, call).then(answer => {
+      request.answer(answer.statusCode, '');
+    });
+  });
+  const answer = await fleet.send(atlas!, keyed(read('c1'), ACME_KEY));
+  t.is(answer.statusCode, 200);
+  t.deepEqual(tenants, ['acme']);
+  // An id that merely looks like that of a call gives no access.
+  const forged = await fleet.send(orders!, read('zz.1', '/t/1'));
+  t.is(forged.statusCode, 401);
+});
+
+test('a key that a version takes away is refused from then on', async t => {
+  const {fleet, atlas, seen} = await startKeyedFleet(t);
+  t.is((await fleet.send(atlas, keyed(read('c1'), ACME_KEY))).statusCode, 200);
+  const reduced = {...ACME, apiKeys: [ACME_SECOND_KEY]};
+  fleet.configure(PATHS, {tenants: [reduced, GLOBEX]});
+  await awaitVersion(fleet, 2);
+  t.is((await fleet.send(atlas, keyed(read('c2'), ACME_KEY))).statusCode, 401);
+  const second = await fleet.send(atlas, keyed(read('c3'), ACME_SECOND_KEY));
+  t.is(second.statusCode, 200);
+  // An older version, read late, does not bring the key back.
+  fleet.configure(PATHS, {tenants: [ACME, GLOBEX], version: 1});
+  await waitUntil('older version read', () =>
+    atlas.events.some(({event}) => event === 'configuration-not-newer'),
+  );
+  t.is((await fleet.send(atlas, keyed(read('c4'), ACME_KEY))).statusCode, 401);
+  t.deepEqual(
+    seen.map(({id}) => id),
+    ['c1', 'c3'],
+  );
+});
+
+test('a key added by a version serves with it', async t => {
+  const {fleet, atlas} = await startKeyedFleet(t, [GLOBEX]);
+  t.is((await fleet.send(atlas, keyed(read('c1'), ACME_KEY))).statusCode, 401);
+  fleet.configure(PATHS, {tenants: [ACME, GLOBEX]});
+  await awaitVersion(fleet, 2);
+  t.is((await fleet.send(atlas, keyed(read('c2'), ACME_KEY))).statusCode, 200);
+});
+
+test('a node without a configuration promises to serve later instead of refusing a key', async t => {
+  const fleet = await startFleet(t, {services: ['orders']});
+  const [host] = fleet.hosts;
+  t.false(isReady(host!));
+  const answer = await fleet.send(host!, keyed(read('c1'), ACME_KEY));
+  t.is(answer.statusCode, 503);
+  t.true(Number(answer.headers['retry-after']) > 0);
+});
+
+test('keys are in nothing that a node logs or shows', async t => {
+  const {fleet, atlas} = await startKeyedFleet(t);
+  await fleet.send(atlas, keyed(read('c1'), ACME_KEY));
+  await fleet.send(atlas, keyed(read('c2'), 'unknownkeyofaclient'));
+  const twice = {...GLOBEX, apiKeys: [ACME_KEY]};
+  fleet.configure(PATHS, {tenants: [ACME, twice]});
+  await waitUntil('invalid', () =>
+    atlas.events.some(({event}) => event === 'configuration-invalid'),
+  );
+  const shown = fleet.hosts.map(({node, events}) =>
+    JSON.stringify([node.state(), node.configuration(), events]),
+  );
+  const metrics = await Promise.all(
+    fleet.hosts.map(host => host.metrics.text()),
+  );
+  for (const text of [...shown, ...metrics]) {
+    for (const key of [ACME_KEY, ACME_SECOND_KEY, GLOBEX_KEY, 'unknownkey']) {
+      t.false(text.includes(key));
+    }
+  }
+});
+
+test('without organisations the header of credentials passes like any other', async t => {
+  const {fleet, atlas, seen} = await startKeyedFleet(t, undefined);
+  await fleet.send(atlas, keyed(read('c1'), ACME_KEY));
+  t.is(seen[0]?.headers.authorization, `Bearer ${ACME_KEY}`);
+});
--- a/test/fakes/platform_fleet.ts
+++ b/test/fakes/platform_fleet.ts
@@ -49,15 +49,25 @@
   send(host: FleetHost, request: ClientRequest): Promise<ClientAnswer>;
   /**
    * Publishes a configuration with the given routes as the next version; it
-   * names the services of all hosts.
+   * names the services of all hosts, and the organisations of `fields`.
    */
-  configure(paths: readonly object[]): void;
+  configure(paths: readonly object[], fields?: ConfigurationFields): void;
   /** Publishes the state of a host's upstream. */
   publish(host: FleetHost, fields?: EntryFields): void;
   withdraw(host: FleetHost): void;
   close(): Promise<void>;
 }
 
+/** What a configuration holds beside its routes. */
+export interface ConfigurationFields {
+  /** Organisations as operators write them; the field is left out without any. */
+  readonly tenants?: readonly object[];
+  /** Services that it names, if not those of all hosts. */
+  readonly namedServices?: readonly string[];
+  /** Version to publish instead of the next one. */
+  readonly version?: number;
+}
+
 /** What an entry says, where it differs from a ready upstream of 20 slots. */
 export interface EntryFields {
   readonly state?: string;
@@ -77,6 +87,8 @@
   readonly paths?: readonly object[];
   /** Services that the first version names, if not those of all hosts. */
   readonly namedServices?: readonly string[];
+  /** Organisations of the first version. */
+  readonly tenants?: readonly object[];
   readonly slots?: number;
   /** Time in which a document has to be in force; changes gather for most of it. */
   readonly applyWithinMillis?: number;
@@ -154,24 +166,30 @@
 
   const configure = (
     paths: readonly object[],
-    serviceNames: readonly string[] = options.services,
+    fields: ConfigurationFields = {},
   ): void => {
-    version += 1;
+    const {namedServices = options.services, tenants} = fields;
+    version = fields.version ?? version + 1;
     store.put('op/config', {
       version: version.toString(16).padStart(8, '0'),
-      services: [...new Set(serviceNames)].map(name => ({name})),
+      services: [...new Set(namedServices)].map(name => ({name})),
       limits: {
         maxHeaderBytes: 16_384,
         maxBodyBytes: 1_000_000,
         headerTimeoutS: 3,
         idleTimeoutS: 15,
       },
+      ...(tenants === undefined ? {} : {tenants}),
       virtualHosts: [{host: FLEET_HOST_NAME, paths}],
     });
   };
 
   if (options.paths !== undefined) {
-    configure(options.paths, options.namedServices);
+    const {namedServices, tenants} = options;
+    configure(options.paths, {
+      ...(namedServices === undefined ? {} : {namedServices}),
+      ...(tenants === undefined ? {} : {tenants}),
+    });
   }
   const hosts: FleetHost[] = [];
   for (const [index, service] of options.services.entries()) {
--- a/test/fakes/raw_client.ts
+++ b/test/fakes/raw_client.ts
@@ -14,8 +14,8 @@
   /** Status codes of the answers, in the order in which they came. */
   readonly statusCodes: readonly number[];
   readonly isClosed: boolean;
-  /** Writes a request without a body. */
-  ask(attemptId: string, path: string): void;
+  /** Writes a request without a body, with further header lines if given. */
+  ask(attemptId: string, path: string, lines?: readonly string[]): void;
 }
 
 /** Connects; closes with the test. */
@@ -48,12 +48,13 @@
     get isClosed() {
       return isClosed;
     },
-    ask: (attemptId, path) => {
+    ask: (attemptId, path, lines = []) => {
       const head = [
         `GET ${path} HTTP/1.1`,
         `host: ${FLEET_HOST_NAME}`,
         `attempt-id: ${attemptId}`,
         'timeout-ms: 5000',
+        ...lines,
       ];
       socket.write(`${head.join('\r\n')}\r\n\r\n`);
     },
