Authenticate clients by API key and tell upstreams their organisation

Callers without a key, with an unknown one or with one that had been taken away were served, and upstreams received the keys themselves.

Cause: nothing in the code knew of keys. Now a configuration may list organisations with digests of their keys. At the entry a request on a route that is not public needs one key that the version in force holds: 401 with WWW-Authenticate otherwise, not run, the connection stays usable. The name of the organisation goes to the upstream in a header of its own, with whatever the client sent under that name dropped, and so is the key, on public routes as well. Calls of upstreams carry no key; they belong to the organisation of the request they are made for. A node without a configuration answers 503 as before.

The rank of the organisation goes before that of the route, for the whole chain: it is part of the importance that calls inherit. Requests on public routes without a known key have the rank of the least important organisations.

The policy document of the product holds digests of keys, never keys, with a command that makes one; the adapter makes digests as it decodes, and the document that operators are shown has the first eight digits in place of each key. Without organisations nothing changes: the header passes like any other.

--- a/src/cli/console/change_summary.ts
+++ b/src/cli/console/change_summary.ts
@@ -138,11 +138,12 @@
   'availabilityZones',
   'classes',
   'services',
+  'organisations',
 ]);
 
 /** Names have no dots, so that a path of names can be split again. */
 function readPlace(path: string): ChangePlace {
-  const [section = '', name, member, routeName, routeField] = path.split('.');
+  const [section = '', name, member, itemName, itemField] = path.split('.');
   if (name === undefined) {
     return {owner: '', fieldName: section, schemaPath: section};
   }
@@ -155,9 +156,16 @@
   }
   if (section === 'services' && member === 'routes') {
     return {
-      owner: `route ${String(routeName)} of service ${name}`,
-      fieldName: routeField,
-      schemaPath: `services[].routes[].${String(routeField)}`,
+      owner: `route ${String(itemName)} of service ${name}`,
+      fieldName: itemField,
+      schemaPath: `services[].routes[].${String(itemField)}`,
+    };
+  }
+  if (section === 'organisations' && member === 'apiKeys') {
+    return {
+      owner: `API key ${String(itemName)} of organisation ${name}`,
+      fieldName: itemField,
+      schemaPath: `organisations[].apiKeys[].${String(itemField)}`,
     };
   }
   return {
--- a/src/cli/console/field_guide.ts
+++ b/src/cli/console/field_guide.ts
@@ -111,6 +111,48 @@
     effect:
       'Retries that one request which enters here may cause over the whole chain, however deep or wide. Calls that services make spend from the grant of their request, not from this.',
   },
+  'services[].routes[].isPublic': {
+    unit: undefined,
+    effect: 'Clients need no API key on this route.',
+  },
+  organisations: {
+    unit: undefined,
+    effect:
+      'Organisations whose clients send API keys, with distinct names. Empty: clients need no key, and the `Authorization` header is passed on like any other.',
+  },
+  'organisations[].name': {
+    unit: undefined,
+    effect: 'Told to upstreams in `fulmarhollow-organisation`; named in logs.',
+  },
+  'organisations[].priority': {
+    unit: undefined,
+    effect:
+      'Importance before that of classes; 0 is the highest. Calls made on behalf of a request inherit it.',
+  },
+  'organisations[].ratePerSecond': {
+    unit: 'requests per second',
+    effect:
+      'Requests that may run in the whole deployment on average; more are refused with 429. 0: no limit.',
+  },
+  'organisations[].burstCount': {
+    unit: 'requests',
+    effect:
+      'Requests that may run at once after a quiet time, on top of the rate.',
+  },
+  'organisations[].apiKeys': {
+    unit: undefined,
+    effect:
+      'Keys of its clients, with distinct names; none is held by another organisation. Without any, its clients are refused.',
+  },
+  'organisations[].apiKeys[].name': {
+    unit: undefined,
+    effect: 'What operators call the key.',
+  },
+  'organisations[].apiKeys[].digest': {
+    unit: undefined,
+    effect:
+      'Digest that `policy digest-key` prints; the key itself is in no document.',
+  },
   'retryBudget.ratio': {
     unit: 'retries per first attempt',
     effect:
--- a/src/cli/console/field_words.ts
+++ b/src/cli/console/field_words.ts
@@ -6,6 +6,7 @@
 const UNIT_SUFFIX = /(?<=[a-z])(?:Millis|Bytes|Count|Ratio|PerSecond)$/;
 const SPECIAL_LABELS: Readonly<Record<string, string>> = {
   className: 'Class',
+  apiKeys: 'API keys',
 };
 
 /** `queueWaitMillis` as `Queue wait`; the unit is told by itself. */
--- a/src/cli/console/new_items.ts
+++ b/src/cli/console/new_items.ts
@@ -14,6 +14,14 @@
   availabilityZones: [{name: '', region: ''}],
 });
 
+const EMPTY_ORGANISATION = {
+  name: '',
+  priority: 0,
+  ratePerSecond: 0,
+  burstCount: 0,
+  apiKeys: [],
+};
+
 /** Words of a route that are wrong for some routes whatever is preset. */
 const CHOSEN_BY_OPERATOR: ReadonlySet<string> = new Set([
   'name',
@@ -39,6 +47,10 @@
       return {...createBlank(path, TEMPLATE.classes[0]), reservedRatio: '0'};
     case 'services':
       return createBlank(path, TEMPLATE.services[0]);
+    case 'organisations':
+      return createBlank(path, EMPTY_ORGANISATION);
+    case 'organisations.apiKeys':
+      return createBlank(path, {name: '', digest: ''});
     case 'services.routes':
       return createBlank(path, TEMPLATE.services[0]?.routes[0]);
     default:
--- a/src/cli/policy_changes.ts
+++ b/src/cli/policy_changes.ts
@@ -1,7 +1,12 @@
 /**
  * Differences between two policies, each with those whom it concerns.
  */
-import type {Policy, Route, Service} from '../version/policy.js';
+import type {
+  Policy,
+  PolicyOrganisation,
+  Route,
+  Service,
+} from '../version/policy.js';
 
 /** One difference. */
 export interface PolicyChange {
@@ -72,6 +77,15 @@
       }),
       compareServices,
     ),
+    ...compareItems(
+      before.organisations,
+      after.organisations,
+      ({name}) => ({
+        path: `organisations.${name}`,
+        concerns: `clients of ${name}`,
+      }),
+      compareOrganisations,
+    ),
     ...SECTIONS.flatMap(([section, concerns]) =>
       compareFields(
         {path: section, concerns},
@@ -122,6 +136,27 @@
   ];
 }
 
+function compareOrganisations(
+  scope: Scope,
+  before: PolicyOrganisation,
+  after: PolicyOrganisation,
+): readonly PolicyChange[] {
+  const {apiKeys: keysBefore, ...fieldsBefore} = before;
+  const {apiKeys: keysAfter, ...fieldsAfter} = after;
+  return [
+    ...compareFields(scope, fieldsBefore, fieldsAfter),
+    ...compareItems(
+      keysBefore,
+      keysAfter,
+      ({name}) => ({
+        path: `${scope.path}.apiKeys.${name}`,
+        concerns: `clients of ${after.name} with this key`,
+      }),
+      compareFields,
+    ),
+  ];
+}
+
 function compareItems<T extends NamedItem>(
   before: readonly T[],
   after: readonly T[],
--- a/src/cli/policy_command.ts
+++ b/src/cli/policy_command.ts
@@ -3,6 +3,7 @@
  */
 import type {CommandModule} from 'yargs';
 import {policyCheckCommand} from './policy_check_command.js';
+import {policyDigestKeyCommand} from './policy_digest_key_command.js';
 import {policyDiffCommand} from './policy_diff_command.js';
 import {policyExplainCommand} from './policy_explain_command.js';
 import {policyNewCommand} from './policy_new_command.js';
@@ -17,6 +18,7 @@
       .command(policyCheckCommand)
       .command(policyExplainCommand)
       .command(policyDiffCommand)
+      .command(policyDigestKeyCommand)
       .demandCommand(),
   handler: () => undefined,
 };
--- /dev/null
+++ b/src/cli/policy_digest_key_command.ts
@@ -0,0 +1,38 @@
+/**
+ * `fulmarhollow policy digest-key`: the digest of an API key for the policy
+ * document. The key is read from standard input, since arguments of a process are
+ * visible to others.
+ */
+import {readFileSync} from 'node:fs';
+import type {CommandModule} from 'yargs';
+import type {CommandOutput, ExitCode} from './command_output.js';
+import {EXIT, processOutput} from './command_output.js';
+import {apiKeyDigest} from '../version/organisation.js';
+
+/** What a client can send as a bearer token (RFC 6750, 2.1). */
+const KEY_PATTERN = /^[A-Za-z0-9\-._~+/]{16,1024}=*$/;
+
+const STANDARD_INPUT = 0;
+
+/** The command for yargs. */
+export const policyDigestKeyCommand: CommandModule = {
+  command: 'digest-key',
+  describe: 'read an API key from standard input and print its digest',
+  handler: () => {
+    const text = readFileSync(STANDARD_INPUT, 'utf8');
+    process.exitCode = digestKey(text, processOutput);
+  },
+};
+
+/** Prints the digest; a text that no client can send as a key is an error. */
+export function digestKey(text: string, output: CommandOutput): ExitCode {
+  const key = text.replace(/\r?\n$/, '');
+  if (!KEY_PATTERN.test(key)) {
+    output.writeErrorLine(
+      'a key has 16 to 1024 letters, digits and -._~+/, and may end with =',
+    );
+    return EXIT.invalid;
+  }
+  output.writeLine(apiKeyDigest(key));
+  return EXIT.ok;
+}
--- a/src/cli/starting_policy.ts
+++ b/src/cli/starting_policy.ts
@@ -38,6 +38,7 @@
             repeat: 'never',
             deadlineMillis: 4_000,
             retryBound: 2,
+            isPublic: false,
           },
           {
             name: 'read-order',
@@ -47,6 +48,7 @@
             repeat: 'safe',
             deadlineMillis: 2_000,
             retryBound: 2,
+            isPublic: false,
           },
           {
             name: 'rebuild-index',
@@ -56,10 +58,12 @@
             repeat: 'idempotent',
             deadlineMillis: 30_000,
             retryBound: 0,
+            isPublic: false,
           },
         ],
       },
     ],
+    organisations: [],
     retryBudget: {ratio: 0.1, minimumPerSecond: 1},
     bodies: {requestBytes: 1_048_576, bufferedAnswerBytes: 262_144},
     ejection: {
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -250,6 +250,7 @@
     usualMillis: call.usualMillis,
     origin: {
       importance: origin.importance,
+      organisationName: origin.organisationName,
       rootId: origin.rootId,
       rootRouteName: origin.rootRouteName,
       rootAgeMillis: now - origin.rootBeganAtMillis,
--- a/src/emulator/small_deployment.ts
+++ b/src/emulator/small_deployment.ts
@@ -48,6 +48,7 @@
         route('show-record', 'GET', '/records/:id', {className: 'browse'}),
       ]),
     ],
+    organisations: [],
     retryBudget: {ratio: 0.2, minimumPerSecond: 10},
     bodies: {requestBytes: 1_048_576, bufferedAnswerBytes: 65_536},
     ejection: {
@@ -144,6 +145,7 @@
     repeat: 'safe',
     deadlineMillis: 12_000,
     retryBound: 3,
+    isPublic: false,
     ...rest,
   };
 }
--- a/src/process/admission/importance.ts
+++ b/src/process/admission/importance.ts
@@ -28,6 +28,24 @@
   return bounded * BUCKETS_COUNT + bucketOf(attemptId);
 }
 
+/** A request as far as its rank is concerned. */
+export interface RankedRequest {
+  readonly routeRank: number;
+  /** Rank of the least important routes. */
+  readonly lowestRouteRank: number;
+  /** `undefined` where organisations are not told apart. */
+  readonly organisationRank: number | undefined;
+}
+
+/** Rank of a request: that of its organisation first, then that of its route. */
+export function rankOfRequest({
+  routeRank,
+  lowestRouteRank,
+  organisationRank = 0,
+}: RankedRequest): number {
+  return organisationRank * (lowestRouteRank + 1) + routeRank;
+}
+
 /** The rank that an importance belongs to. */
 export function rankOf(importance: number): number {
   return Math.floor(importance / BUCKETS_COUNT);
--- a/src/protocol/hop_messages.ts
+++ b/src/protocol/hop_messages.ts
@@ -39,6 +39,8 @@
 /** What the calls of a request inherit, as sent. */
 export interface OriginFields {
   readonly importance: number;
+  /** Organisation whose client sent the root, where clients are told apart. */
+  readonly organisationName?: string | undefined;
   readonly rootId: string;
   readonly rootRouteName: string;
   /** Age of the root's attempt. */
--- a/src/protocol/hop_request_codec.ts
+++ b/src/protocol/hop_request_codec.ts
@@ -13,7 +13,16 @@
 } from './message_payload.js';
 
 /** Lists instead of objects: names would double the bytes between zones. */
-type OriginList = readonly [number, string, string, number, number, number];
+type OriginList = readonly [
+  number,
+  string,
+  string,
+  number,
+  number,
+  number,
+  // Only where clients are told apart.
+  ...([string] | []),
+];
 type RequestList = readonly [
   string,
   string,
@@ -53,6 +62,7 @@
       Math.round(origin.rootAgeMillis),
       origin.isRepeat ? 1 : 0,
       origin.repeatsCount,
+      ...listOfName(origin.organisationName),
     ],
     Math.round(request.usualMillis ?? 0),
     ...listOfPosition(request.knownPosition),
@@ -104,8 +114,8 @@
 function originOf(value: unknown): OriginFields | undefined {
   if (!Array.isArray(value)) return undefined;
   const list = value as readonly unknown[];
-  const [importance, rootId, rootRouteName, rootAgeMillis, repeat, repeats] =
-    list;
+  const [importance, rootId, rootRouteName, rootAgeMillis, ...rest] = list;
+  const [repeat, repeats, organisationName] = rest;
   if (typeof rootId !== 'string') return undefined;
   if (typeof rootRouteName !== 'string') return undefined;
   if (!isNumber(importance) || !isNumber(rootAgeMillis)) return undefined;
@@ -116,5 +126,10 @@
     rootAgeMillis,
     isRepeat: repeat === 1,
     repeatsCount: isNumber(repeats) ? repeats : 0,
+    ...(typeof organisationName === 'string' ? {organisationName} : {}),
   };
 }
+
+function listOfName(name: string | undefined): [string] | [] {
+  return name === undefined ? [] : [name];
+}
--- a/src/protocol/own_headers.ts
+++ b/src/protocol/own_headers.ts
@@ -13,6 +13,7 @@
   expectedUpstreamId: 'fulmarhollow-host',
   notExecuted: 'fulmarhollow-not-run',
   callerService: 'fulmarhollow-caller',
+  organisation: 'fulmarhollow-organisation',
   notes: {
     outcome: 'fulmarhollow-outcome',
     reason: 'fulmarhollow-reason',
--- a/src/protocol/wire_headers.ts
+++ b/src/protocol/wire_headers.ts
@@ -20,6 +20,8 @@
   readonly notExecuted: string;
   /** Service on whose host the request began. */
   readonly callerService: string;
+  /** Name of the organisation whose client sent the request; set by nodes only. */
+  readonly organisation: string;
   /** What a node adds to its answers, where clients want to know. */
   readonly notes?: NoteHeaders;
 }
--- /dev/null
+++ b/src/request/credentials.ts
@@ -0,0 +1,35 @@
+/**
+ * Reads the API key of a request (RFC 6750, 2.1).
+ */
+import type {RawHeaders} from '../connection/raw_headers.js';
+
+/** What a request holds in place of a key that can be looked up. */
+export type Credentials =
+  | {readonly kind: 'key'; readonly key: string}
+  | {readonly kind: 'none'}
+  /** Another scheme, several fields, or bytes that are no token. */
+  | {readonly kind: 'malformed'};
+
+/** Lower-case name of the header of credentials. */
+export const CREDENTIALS_HEADER = 'authorization';
+
+/** Longer ones are not hashed: a client would choose what a refusal costs. */
+const MAX_KEY_CHARS = 1024;
+
+const BEARER_PATTERN = /^bearer +([A-Za-z0-9\-._~+/]+=*)$/i;
+
+/** Reads the fields as they stand on the wire, where they can be told apart. */
+export function readCredentials(headers: RawHeaders): Credentials {
+  let value: string | undefined;
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (headers[index]?.toLowerCase() !== CREDENTIALS_HEADER) continue;
+    if (value !== undefined) return {kind: 'malformed'};
+    value = headers[index + 1] ?? '';
+  }
+  if (value === undefined) return {kind: 'none'};
+  const key = BEARER_PATTERN.exec(value)?.[1];
+  if (key === undefined || key.length > MAX_KEY_CHARS) {
+    return {kind: 'malformed'};
+  }
+  return {kind: 'key', key};
+}
--- a/src/request/entered_request.ts
+++ b/src/request/entered_request.ts
@@ -9,11 +9,14 @@
 import {
   importanceOf,
   LEAST_IMPORTANT,
+  rankOfRequest,
 } from '../process/admission/importance.js';
 import type {StopPlan} from '../process/stop/stop_plan.js';
 import type {WeightedTargets} from '../process/placement/weighted_targets.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
+import type {Organisation} from '../version/organisation.js';
 import type {ServiceRoute} from '../version/route_configuration.js';
+import type {RouteTable} from '../version/route_table.js';
 import type {AnsweredRequest, EntryAnswers} from './entry_answers.js';
 
 /** What entering needs. */
@@ -42,6 +45,10 @@
    */
   readonly isLocal: boolean;
   readonly parent: InFlightParent | undefined;
+  /** The version that it was routed by. */
+  readonly table: RouteTable;
+  /** Organisation of the client, where clients are told apart. */
+  readonly organisation: Organisation | undefined;
 }
 
 /** Time left for the last answer to reach a client before it gives up. */
@@ -61,14 +68,18 @@
 export function enterRequest(
   options: EntryOptions,
   exchange: Exchange,
-  {route, attemptId, isLocal, parent}: RoutedRequest,
+  routed: RoutedRequest,
 ): EnteredRequest {
+  const {route, attemptId, isLocal, parent, organisation} = routed;
   const arrivedMillis = options.nowMillis();
   const timeoutMillis =
     readTimeout(options.names, exchange) ?? route.timeoutMillis;
   options.answers.countEntered(parent !== undefined);
   const origin = parent?.origin ?? {
-    importance: isLocal ? LEAST_IMPORTANT : importanceOf(route.rank, attemptId),
+    importance: isLocal
+      ? LEAST_IMPORTANT
+      : importanceOf(rankOf(routed), attemptId),
+    organisationName: organisation?.name,
     rootId: attemptId,
     rootRouteName: route.name,
     rootBeganAtMillis: arrivedMillis,
@@ -92,6 +103,15 @@
   };
 }
 
+/** A request without an organisation goes after those of all organisations. */
+function rankOf({route, table, organisation}: RoutedRequest): number {
+  return rankOfRequest({
+    routeRank: route.rank,
+    lowestRouteRank: table.lowestRank,
+    organisationRank: organisation?.rank ?? table.organisations?.lowestRank,
+  });
+}
+
 function readTimeout(
   names: WireHeaders,
   exchange: Exchange,
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -54,6 +54,8 @@
   refuse(exchange: Exchange, refusal: {readonly reason: string}): void;
   /** The request itself is not acceptable. */
   reject(exchange: Exchange, statusCode: number, reason: string): void;
+  /** Not run: the client has to send an API key that is in force. */
+  challenge(exchange: Exchange, reason: string): void;
   /** Counts a request that entered, by who sent it. */
   countEntered(isUpstreams: boolean): void;
 }
@@ -73,6 +75,7 @@
   readonly random: () => number;
 }
 
+const STATUS_UNAUTHORIZED = 401;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
 const STATUS_GATEWAY_TIMEOUT = 504;
@@ -96,6 +99,9 @@
 
 const MILLIS_PER_SECOND = 1000;
 
+/** Required in an answer of status 401 (RFC 9110, 11.6.1). */
+const CHALLENGE_HEADERS = ['www-authenticate', 'Bearer'];
+
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
 /** Creates the answers of one node. */
@@ -212,6 +218,25 @@
     });
   };
 
+  const reject = (
+    exchange: Exchange,
+    statusCode: number,
+    reason: string,
+    headers: readonly string[] = [],
+  ): void => {
+    write(exchange, statusCode, [
+      ...headers,
+      ...failureNotes('not-run', reason),
+    ]);
+    log.request('rejected', {
+      statusCode,
+      reason,
+      host: exchange.request.headers.host,
+      target: exchange.request.url,
+      configurationVersion: options.configurationVersion(),
+    });
+  };
+
   return {
     finish: (request, end) => {
       const {exchange, route} = request;
@@ -287,15 +312,9 @@
       writeRefusal(exchange, refusal.reason, returnMillis(undefined));
       log.request('refused', {reason: refusal.reason});
     },
-    reject: (exchange, statusCode, reason) => {
-      write(exchange, statusCode, failureNotes('not-run', reason));
-      log.request('rejected', {
-        statusCode,
-        reason,
-        host: exchange.request.headers.host,
-        target: exchange.request.url,
-        configurationVersion: options.configurationVersion(),
-      });
+    reject,
+    challenge: (exchange, reason) => {
+      reject(exchange, STATUS_UNAUTHORIZED, reason, CHALLENGE_HEADERS);
     },
     countEntered: metrics.recordEntered,
   };
--- a/src/request/inbound_exchange.ts
+++ b/src/request/inbound_exchange.ts
@@ -84,6 +84,7 @@
   const importance = Math.floor(fields.importance);
   return {
     importance: Math.min(LEAST_IMPORTANT, Math.max(0, importance)),
+    organisationName: fields.organisationName,
     rootId: fields.rootId,
     rootRouteName: fields.rootRouteName,
     rootBeganAtMillis: now - fields.rootAgeMillis,
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -21,11 +21,16 @@
 import type {StopPlan} from '../process/stop/stop_plan.js';
 import type {WeightedTargets} from '../process/placement/weighted_targets.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
+import type {RouteTable} from '../version/route_table.js';
 import type {AttemptsEnd, Attempts} from './attempts.js';
 import type {EntryAnswers} from './entry_answers.js';
 import type {EnteredRequest} from './entered_request.js';
 import {enterRequest, readAttemptId} from './entered_request.js';
 import type {OpenRequests} from './open_requests.js';
+import {CREDENTIALS_HEADER} from './credentials.js';
+import type {RoutedRequest} from './entered_request.js';
+import type {SenderIdentity} from './sender_identity.js';
+import {identifySender} from './sender_identity.js';
 
 /** Answers requests that enter here. */
 export interface OutboundExchanges {
@@ -60,34 +65,51 @@
  */
 const WAIT_RATIO = 0.25;
 
+const NO_ORGANISATION: SenderIdentity = {
+  kind: 'accepted',
+  organisation: undefined,
+};
+
 /** Creates the entry of one node. */
 export function createOutboundExchanges(
   options: OutboundOptions,
 ): OutboundExchanges {
+  const {names} = options;
   const ownHeaders: ReadonlySet<string> = new Set([
-    options.names.timeoutMillis,
-    options.names.expectedUpstreamId,
-    options.names.callerService,
-    ...(options.names.isAttemptIdRequired ? [] : [options.names.attemptId]),
+    names.timeoutMillis,
+    names.expectedUpstreamId,
+    names.callerService,
+    ...(names.isAttemptIdRequired ? [] : [names.attemptId]),
   ]);
+  const dropped = {
+    ownHeaders,
+    withKeys: new Set([...ownHeaders, CREDENTIALS_HEADER, names.organisation]),
+  };
   return {
-    handle: exchange => handle(options, exchange, {ownHeaders, isLocal: false}),
+    handle: exchange => handle(options, exchange, {dropped, isLocal: false}),
     handleLocal: exchange =>
-      handle(options, exchange, {ownHeaders, isLocal: true}),
+      handle(options, exchange, {dropped, isLocal: true}),
   };
 }
 
+/** Lower-case names of headers that are not passed on. */
+interface DroppedHeaders {
+  /** Those that nodes set and others may not. */
+  readonly ownHeaders: ReadonlySet<string>;
+  /** Where clients send API keys, these and the organisation as well. */
+  readonly withKeys: ReadonlySet<string>;
+}
+
 /** How a request came in. */
 interface EntryWay {
-  /** Headers that nodes set and others may not. */
-  readonly ownHeaders: ReadonlySet<string>;
+  readonly dropped: DroppedHeaders;
   readonly isLocal: boolean;
 }
 
 async function handle(
   options: OutboundOptions,
   exchange: Exchange,
-  {ownHeaders, isLocal}: EntryWay,
+  {dropped, isLocal}: EntryWay,
 ): Promise<void> {
   const {answers, configuration} = options;
   const table = configuration.current();
@@ -119,7 +141,13 @@
     return true;
   };
   if (isTurnedAway()) return;
-  const routed = {route, attemptId, isLocal, parent};
+  const identity = identify(exchange, table, {route, isLocal, parent});
+  if (identity.kind === 'refused') {
+    answers.challenge(exchange, identity.reason);
+    return;
+  }
+  const {organisation} = identity;
+  const routed = {route, attemptId, isLocal, parent, table, organisation};
   const entered = enterRequest(options, exchange, routed);
   if (!passesGate(options, entered)) return;
   if (exchange.isBodyHeldBack) exchange.response.writeContinue();
@@ -132,10 +160,39 @@
   if (body.kind === 'broken') return;
   // Its body may have come so late that the answer would not come any more.
   if (isTurnedAway()) return;
-  const headers = passedOnHeaders(request.rawHeaders, ownHeaders);
+  const headers = headersFor(options.names, entered, table, dropped);
   await serve(options, entered, headers, body.bytes);
 }
 
+/** Calls of the upstream carry no API key. */
+function identify(
+  {request}: Exchange,
+  {organisations}: RouteTable,
+  {route, isLocal, parent}: Pick<RoutedRequest, 'route' | 'isLocal' | 'parent'>,
+): SenderIdentity {
+  const isCall = isLocal || parent !== undefined;
+  if (organisations === undefined || isCall) return NO_ORGANISATION;
+  const {rawHeaders: headers} = request;
+  return identifySender(organisations, {headers, isPublic: route.isPublic});
+}
+
+/** Fields to pass on, with the organisation in place of the API key. */
+function headersFor(
+  names: WireHeaders,
+  {exchange, origin}: EnteredRequest,
+  {organisations}: RouteTable,
+  dropped: DroppedHeaders,
+): readonly string[] {
+  const {rawHeaders} = exchange.request;
+  if (organisations === undefined) {
+    return passedOnHeaders(rawHeaders, dropped.ownHeaders);
+  }
+  const headers = passedOnHeaders(rawHeaders, dropped.withKeys);
+  const {organisationName} = origin;
+  if (organisationName === undefined) return headers;
+  return [...headers, names.organisation, organisationName];
+}
+
 /** Turns a client's request away if a service on its way sheds its like. */
 function passesGate(
   options: OutboundOptions,
--- /dev/null
+++ b/src/request/sender_identity.ts
@@ -0,0 +1,52 @@
+/**
+ * Decides for which organisation a request is made, or that it needs an API key.
+ */
+import type {RawHeaders} from '../connection/raw_headers.js';
+import type {
+  Organisation,
+  OrganisationDirectory,
+} from '../version/organisation.js';
+import {readCredentials} from './credentials.js';
+
+/** A request as far as its sender is concerned. */
+export interface IdentifiedRequest {
+  readonly headers: RawHeaders;
+  /** Its route needs no API key. */
+  readonly isPublic: boolean;
+}
+
+/** The sender of a request. */
+export type SenderIdentity =
+  | {
+      readonly kind: 'accepted';
+      /** `undefined` on public routes without a known key. */
+      readonly organisation: Organisation | undefined;
+    }
+  | {
+      readonly kind: 'refused';
+      readonly reason:
+        'no-api-key' | 'malformed-credentials' | 'unknown-api-key';
+    };
+
+/** Identifies a client by one version of the configuration. */
+export function identifySender(
+  organisations: OrganisationDirectory,
+  {headers, isPublic}: IdentifiedRequest,
+): SenderIdentity {
+  const credentials = readCredentials(headers);
+  const organisation =
+    credentials.kind === 'key'
+      ? organisations.findByKey(credentials.key)
+      : undefined;
+  if (organisation !== undefined || isPublic) {
+    return {kind: 'accepted', organisation};
+  }
+  switch (credentials.kind) {
+    case 'none':
+      return {kind: 'refused', reason: 'no-api-key'};
+    case 'malformed':
+      return {kind: 'refused', reason: 'malformed-credentials'};
+    case 'key':
+      return {kind: 'refused', reason: 'unknown-api-key'};
+  }
+}
--- a/src/version/policy.ts
+++ b/src/version/policy.ts
@@ -19,6 +19,26 @@
   readonly reservedRatio: number;
 }
 
+/** An API key, of which the document holds no more than a digest. */
+export interface ApiKey {
+  /** What operators call the key, for example by the year of its issue. */
+  readonly name: string;
+  /** SHA-256 of the key, lower-case hex. */
+  readonly digest: string;
+}
+
+/** An organisation whose clients send requests with API keys. */
+export interface PolicyOrganisation {
+  readonly name: string;
+  /** Importance before that of classes; 0 is the highest. */
+  readonly priority: number;
+  /** Requests that may run in the whole deployment; 0 means no limit. */
+  readonly ratePerSecond: number;
+  /** Requests that may run at once after a quiet time. */
+  readonly burstCount: number;
+  readonly apiKeys: readonly ApiKey[];
+}
+
 /** One kind of request a service answers. */
 export interface Route {
   readonly name: string;
@@ -30,6 +50,8 @@
   readonly deadlineMillis: number;
   /** Retries one request entering here may cause over the whole chain. */
   readonly retryBound: number;
+  /** Clients need no API key. */
+  readonly isPublic: boolean;
 }
 
 /** A group of equal upstreams. */
@@ -98,6 +120,8 @@
   readonly availabilityZones: readonly AvailabilityZone[];
   readonly classes: readonly RequestClass[];
   readonly services: readonly Service[];
+  /** Empty where clients need no API key. */
+  readonly organisations: readonly PolicyOrganisation[];
   readonly retryBudget: RetryBudgetPolicy;
   readonly bodies: BodyPolicy;
   readonly ejection: EjectionPolicy;
--- a/src/version/policy_checks.ts
+++ b/src/version/policy_checks.ts
@@ -2,6 +2,7 @@
  * Rules of the policy document that involve more than one field.
  */
 import {findDuplicateNames, findRouteOverlaps} from './name_checks.js';
+import {findSharedKeys} from './organisation.js';
 import type {Policy, Route, Service} from './policy.js';
 import type {Problem} from './problem.js';
 
@@ -11,6 +12,7 @@
     ...findDuplicateNames('$.availabilityZones', policy.availabilityZones),
     ...findDuplicateNames('$.classes', policy.classes),
     ...findDuplicateNames('$.services', policy.services),
+    ...checkOrganisations(policy),
     ...checkReserves(policy),
     ...policy.services.flatMap((service, index) =>
       checkService(policy, service, `$.services[${String(index)}]`),
@@ -19,6 +21,23 @@
   ];
 }
 
+function checkOrganisations({organisations}: Policy): readonly Problem[] {
+  const keyDigests = organisations.map(({apiKeys}) => ({
+    keyDigests: apiKeys.map(({digest}) => digest),
+  }));
+  return [
+    ...findDuplicateNames('$.organisations', organisations),
+    ...organisations.flatMap(({apiKeys}, index) =>
+      findDuplicateNames(`$.organisations[${String(index)}].apiKeys`, apiKeys),
+    ),
+    ...findSharedKeys(keyDigests).map(({digest, indexes}) => ({
+      path: `$.organisations[${String(indexes[1])}].apiKeys`,
+      value: digest,
+      allowed: `keys that $.organisations[${String(indexes[0])}] does not have`,
+    })),
+  ];
+}
+
 /** Sum of all reserves, which lower classes leave free together. */
 export function sumOfReserves(policy: Policy): number {
   return policy.classes.reduce(
--- a/src/version/policy_routes.ts
+++ b/src/version/policy_routes.ts
@@ -1,7 +1,9 @@
 /**
  * Routes of a policy document, looked up by service, method and path pattern.
  */
-import type {CompiledPolicy, RouteMatch} from './policy.js';
+import type {Organisation} from './organisation.js';
+import {createOrganisationDirectory} from './organisation.js';
+import type {CompiledPolicy, PolicyOrganisation, RouteMatch} from './policy.js';
 import type {ClientLimits, ServiceRoute} from './route_configuration.js';
 import type {RouteTable} from './route_table.js';
 import {hostNameOf, pathOf} from './route_table.js';
@@ -29,11 +31,17 @@
     routes.set(match, created);
     return created;
   };
+  const {organisations} = compiled.policy;
   return {
     version: compiled.version,
     limits: {...CALLER_LIMITS, bodyBytes: compiled.policy.bodies.requestBytes},
     retryBudget: compiled.policy.retryBudget,
     document: Buffer.from(compiled.documentBytes).toString('utf8'),
+    lowestRank: compiled.policy.classes.length - 1,
+    organisations:
+      organisations.length === 0
+        ? undefined
+        : createOrganisationDirectory(organisations.map(organisationOf)),
     hasService: name => compiled.findService(name) !== undefined,
     match: ({method, host, target}) => {
       const match = compiled.findRoute(
@@ -46,6 +54,16 @@
   };
 }
 
+function organisationOf(organisation: PolicyOrganisation): Organisation {
+  const {name, priority, ratePerSecond, burstCount, apiKeys} = organisation;
+  return {
+    name,
+    keyDigests: apiKeys.map(({digest}) => digest),
+    rank: priority,
+    quota: ratePerSecond === 0 ? undefined : {ratePerSecond, burstCount},
+  };
+}
+
 /** The service a request is for is the first label of its host name. */
 function serviceNameOf(host: string): string {
   return hostNameOf(host).split('.', 1)[0] ?? '';
@@ -63,6 +81,7 @@
     maxAttemptsCount: route.retryBound + 1,
     repeatsCount: route.retryBound,
     rank: classIndex,
+    isPublic: route.isPublic,
     targets: [{service: service.name, weightRatio: 1}],
   };
 }
--- a/src/version/policy_schema.ts
+++ b/src/version/policy_schema.ts
@@ -1,6 +1,7 @@
 /**
  * Schema of the policy document; every field is required and has a range.
  */
+import * as Effect from 'effect/Effect';
 import * as Schema from 'effect/Schema';
 import type {Policy} from './policy.js';
 import {
@@ -23,6 +24,11 @@
 const MAX_CALLS_PER_UPSTREAM = 100_000;
 const MAX_PATTERN_CHARS = 256;
 
+const MAX_ORGANISATIONS = 2_000;
+const MAX_KEYS_PER_ORGANISATION = 64;
+const MAX_PRIORITY = 7;
+const MAX_REQUESTS_PER_SECOND = 1_000_000;
+
 const METHODS = [
   'GET',
   'HEAD',
@@ -45,6 +51,10 @@
   description: `an absolute path of at most ${String(MAX_PATTERN_CHARS)} characters whose segments are literals without percent-encoding, \`:name\`, or a final \`*\``,
 }).check(Schema.isPattern(PATH_PATTERN), Schema.isMaxLength(MAX_PATTERN_CHARS));
 
+const digestField = Schema.String.annotate({
+  description: 'the SHA-256 of an API key as 64 lower-case hex digits',
+}).check(Schema.isPattern(/^[0-9a-f]{64}$/));
+
 const millisField = (minimum: number, maximum: number) =>
   wholeNumberField({minimum, maximum}, 'milliseconds');
 
@@ -69,6 +79,26 @@
   repeat: wordField(['safe', 'idempotent', 'never']),
   deadlineMillis: millisField(1, 10 * MINUTE_MILLIS),
   retryBound: countField(0, 16, 'retries'),
+  isPublic: Schema.Boolean.annotate({description: 'true or false'}).pipe(
+    Schema.withDecodingDefaultKey(Effect.succeed(false)),
+  ),
+});
+
+const apiKeySchema = Schema.Struct({name: nameField, digest: digestField});
+
+const organisationSchema = Schema.Struct({
+  name: nameField,
+  priority: wholeNumberField({minimum: 0, maximum: MAX_PRIORITY}),
+  ratePerSecond: numberField(
+    {minimum: 0, maximum: MAX_REQUESTS_PER_SECOND},
+    'requests per second',
+  ),
+  burstCount: countField(0, MAX_REQUESTS_PER_SECOND, 'requests'),
+  apiKeys: listField(
+    apiKeySchema,
+    {minimum: 0, maximum: MAX_KEYS_PER_ORGANISATION},
+    'API keys',
+  ),
 });
 
 const serviceSchema = Schema.Struct({
@@ -113,7 +143,7 @@
 });
 
 /** Shape and ranges of a policy document, field by field. */
-export const policySchema: Schema.Codec<Policy> = Schema.Struct({
+export const policySchema: Schema.Codec<Policy, unknown> = Schema.Struct({
   formatVersion: Schema.Literal(1).annotate({
     description: 'the number 1, the only format there is',
   }),
@@ -134,6 +164,11 @@
     {minimum: 1, maximum: MAX_SERVICES},
     'services',
   ),
+  organisations: listField(
+    organisationSchema,
+    {minimum: 0, maximum: MAX_ORGANISATIONS},
+    'organisations',
+  ).pipe(Schema.withDecodingDefaultKey(Effect.succeed([]))),
   retryBudget: retryBudgetSchema,
   bodies: bodiesSchema,
   ejection: ejectionSchema,
--- a/src/version/route_configuration.ts
+++ b/src/version/route_configuration.ts
@@ -2,6 +2,8 @@
  * The routing configuration of one version, as operators publish it.
  */
 
+import type {Organisation} from './organisation.js';
+
 /** Whether a request may be run more than once. */
 export type RepeatRule = 'repeatable' | 'once';
 
@@ -38,6 +40,8 @@
   readonly repeatsCount: number;
   /** Importance; 0 is the most important. */
   readonly rank: number;
+  /** Clients need no API key. */
+  readonly isPublic: boolean;
   /** One entry, or more where a route is split. */
   readonly targets: readonly WeightedService[];
 }
@@ -64,5 +68,7 @@
   /** Names of services, whether routes lead to them or not. */
   readonly services: readonly string[];
   readonly routes: readonly ServiceRoute[];
+  /** Empty where clients are not told apart and need no API key. */
+  readonly organisations: readonly Organisation[];
   readonly limits: ClientLimits;
 }
--- a/src/version/route_table.ts
+++ b/src/version/route_table.ts
@@ -1,6 +1,8 @@
 /**
  * Lookup of the route of a request within one version of the configuration.
  */
+import type {OrganisationDirectory} from './organisation.js';
+import {createOrganisationDirectory} from './organisation.js';
 import type {
   ClientLimits,
   RetryBudget,
@@ -23,25 +25,40 @@
   readonly limits: ClientLimits;
   /** What a node may spend on repeats, if the document names it. */
   readonly retryBudget?: RetryBudget;
-  /** The document as published. */
+  /** The document, with digests in place of API keys. */
   readonly document: string;
+  /** Rank of the least important routes. */
+  readonly lowestRank: number;
+  /** `undefined` where clients are not told apart and need no API key. */
+  readonly organisations: OrganisationDirectory | undefined;
   /** Whether this version knows a service of this name. */
   hasService(name: string): boolean;
   /** The route of a request, or `undefined` if none matches. */
   match(query: RouteQuery): ServiceRoute | undefined;
 }
 
-/** Compiles a configuration, in which the longest path prefix counts. */
+/**
+ * Compiles a configuration, in which the longest path prefix counts. The document
+ * is read only when an operator asks for it.
+ */
 export function createRouteTable(
   configuration: RouteConfiguration,
-  document: string,
+  readDocument: () => string,
 ): RouteTable {
+  const {organisations} = configuration;
   const routesByHost = groupByHost(configuration.routes);
   const services = serviceNamesOf(configuration);
   return {
     version: configuration.version,
     limits: configuration.limits,
-    document,
+    lowestRank: Math.max(0, ...configuration.routes.map(({rank}) => rank)),
+    get document() {
+      return readDocument();
+    },
+    organisations:
+      organisations.length === 0
+        ? undefined
+        : createOrganisationDirectory(organisations),
     hasService: name => services.has(name),
     match: ({host, target}) => {
       const routes = routesByHost.get(hostNameOf(host));
--- a/test/contract/platform_api_keys.test.ts
+++ b/test/contract/platform_api_keys.test.ts
@@ -1,8 +1,12 @@
-import http from 'node:http';
+import type http from 'node:http';
 import type {ExecutionContext} from 'ava';
 import test from 'ava';
 import type {ClientRequest} from '../fakes/fleet_client.js';
-import type {FleetHost, PlatformFleet} from '../fakes/platform_fleet.js';
+import type {
+  FleetHost,
+  FleetOptions,
+  PlatformFleet,
+} from '../fakes/platform_fleet.js';
 import {
   fleetPath,
   isReady,
@@ -32,7 +36,7 @@
 /** A fleet of `atlas` and `orders`, whose upstream of `orders` tells what it gets. */
 async function startKeyedFleet(
   t: ExecutionContext,
-  tenants: readonly object[] | undefined = [ACME, GLOBEX],
+  {tenants}: Pick<FleetOptions, 'tenants'> = {tenants: [ACME, GLOBEX]},
 ): Promise<{fleet: PlatformFleet; atlas: FleetHost; seen: readonly Seen[]}> {
   const fleet = await startFleet(t, {
     services: ['atlas', 'orders'],
@@ -189,7 +193,7 @@
 });
 
 test('a key added by a version serves with it', async t => {
-  const {fleet, atlas} = await startKeyedFleet(t, [GLOBEX]);
+  const {fleet, atlas} = await startKeyedFleet(t, {tenants: [GLOBEX]});
   t.is((await fleet.send(atlas, keyed(read('c1'), ACME_KEY))).statusCode, 401);
   fleet.configure(PATHS, {tenants: [ACME, GLOBEX]});
   await awaitVersion(fleet, 2);
@@ -228,7 +232,7 @@
 });
 
 test('without organisations the header of credentials passes like any other', async t => {
-  const {fleet, atlas, seen} = await startKeyedFleet(t, undefined);
+  const {fleet, atlas, seen} = await startKeyedFleet(t, {});
   await fleet.send(atlas, keyed(read('c1'), ACME_KEY));
   t.is(seen[0]?.headers.authorization, `Bearer ${ACME_KEY}`);
 });
--- a/test/fakes/policy_documents.ts
+++ b/test/fakes/policy_documents.ts
@@ -38,6 +38,7 @@
           repeat: 'never',
           deadlineMillis: 3_000,
           retryBound: 2,
+          isPublic: false,
         },
         {
           name: 'read-order',
@@ -47,10 +48,12 @@
           repeat: 'safe',
           deadlineMillis: 2_000,
           retryBound: 2,
+          isPublic: false,
         },
       ],
     },
   ],
+  organisations: [],
   retryBudget: {ratio: 0.1, minimumPerSecond: 1},
   bodies: {requestBytes: 1_048_576, bufferedAnswerBytes: 65_536},
   ejection: {
--- a/test/fakes/route_documents.ts
+++ b/test/fakes/route_documents.ts
@@ -21,6 +21,7 @@
     maxAttemptsCount: 2,
     repeatsCount: 4,
     rank: 0,
+    isPublic: false,
     targets: [{service: 'orders', weightRatio: 1}],
     ...fields,
   };
@@ -30,7 +31,7 @@
 export function routeTable(
   fields: Partial<RouteConfiguration> = {},
 ): RouteTable {
-  return createRouteTable(routeConfiguration(fields), 'document');
+  return createRouteTable(routeConfiguration(fields), () => 'document');
 }
 
 /** Version 1 with one route. */
@@ -41,6 +42,7 @@
     version: 1,
     services: ['orders'],
     routes: [serviceRoute()],
+    organisations: [],
     limits: {
       headerBytes: 16_384,
       bodyBytes: 1_000_000,
--- a/test/unit/cli/policy_check_command.test.ts
+++ b/test/unit/cli/policy_check_command.test.ts
@@ -88,3 +88,44 @@
   t.is(checkPolicyFiles({files: [next], previous: broken}, output), 1);
   t.regex(output.errorLines[0] ?? '', /broken\.json: \$: /);
 });
+
+test('API keys that organisations share, or that are no digests, are faults with their place', t => {
+  const writeFile = createFileWriter(t);
+  const digest = 'ab'.repeat(32);
+  const organisation = (name: string, digests: readonly string[]) => ({
+    name,
+    priority: 0,
+    ratePerSecond: 5,
+    burstCount: 5,
+    apiKeys: digests.map((value, index) => ({
+      name: `key-${String(index)}`,
+      digest: value,
+    })),
+  });
+  const check = (edit: (draft: Mutable<Policy>) => void) => {
+    const output = createRecordedOutput();
+    const file = writeFile('policy.json', createPolicyBytes(1, edit));
+    const code = checkPolicyFiles({files: [file], previous: undefined}, output);
+    return {code, text: output.lines.join('\n')};
+  };
+  const good = check(draft => {
+    draft.organisations = [organisation('acme', [digest])];
+  });
+  t.is(good.code, 0, good.text);
+  const shared = check(draft => {
+    draft.organisations = [
+      organisation('acme', [digest]),
+      organisation('globex', ['cd'.repeat(32), digest]),
+    ];
+  });
+  t.is(shared.code, 1);
+  t.regex(shared.text, /\$\.organisations\[1\]\.apiKeys/);
+  const noDigest = check(draft => {
+    draft.organisations = [organisation('acme', ['a-key-itself'])];
+  });
+  t.regex(noDigest.text, /\$\.organisations\[0\]\.apiKeys\[0\]\.digest/);
+  const negative = check(draft => {
+    draft.organisations = [{...organisation('acme', []), ratePerSecond: -1}];
+  });
+  t.regex(negative.text, /\$\.organisations\[0\]\.ratePerSecond/);
+});
--- /dev/null
+++ b/test/unit/cli/policy_digest_key_command.test.ts
@@ -0,0 +1,22 @@
+import test from 'ava';
+import {digestKey} from '../../../src/cli/policy_digest_key_command.js';
+import {apiKeyDigest} from '../../../src/version/organisation.js';
+import {createRecordedOutput} from '../../fakes/recorded_output.js';
+
+test('the digest of a key is printed, with or without a line end', t => {
+  const key = 'abcdefghij0123456789';
+  for (const text of [key, `${key}\n`, `${key}\r\n`]) {
+    const output = createRecordedOutput();
+    t.is(digestKey(text, output), 0);
+    t.deepEqual(output.lines, [apiKeyDigest(key)]);
+  }
+});
+
+test('a text that is no key is refused and not repeated', t => {
+  for (const text of ['', 'short', 'two words of a key', 'x'.repeat(1025)]) {
+    const output = createRecordedOutput();
+    t.is(digestKey(text, output), 1);
+    t.deepEqual(output.lines, []);
+    t.false(text !== '' && output.errorLines.join('').includes(text));
+  }
+});
--- a/test/unit/daemon/restored_source_model.test.ts
+++ b/test/unit/daemon/restored_source_model.test.ts
@@ -89,7 +89,7 @@
             kind: 'valid',
             value: createRouteTable(
               routeConfiguration({version: Number(text)}),
-              text,
+              () => text,
             ),
           },
     decodeUpstreams: ({text}) =>
--- a/test/unit/platform/decoding.test.ts
+++ b/test/unit/platform/decoding.test.ts
@@ -1,7 +1,11 @@
 import test from 'ava';
 import {decodeBackendEntry} from '../../../platform/backend_entry.js';
-import {decodeOperatorDocument} from '../../../platform/operator_document.js';
+import {
+  decodeOperatorDocument,
+  redactOperatorDocument,
+} from '../../../platform/operator_document.js';
 import {decodeSettings, decodeZones} from '../../../platform/settings.js';
+import {apiKeyDigest} from '../../../src/version/organisation.js';
 
 const DOCUMENT = {
   version: '0000001c',
@@ -149,3 +153,57 @@
   t.throws(() => decodeSettings(broken), {message: /service/});
   t.throws(() => decodeSettings('listen: [\n'), {message: /./});
 });
+
+const TENANT = {
+  name: 'acme',
+  apiKeys: ['first-key', 'second-key'],
+  priority: 1,
+  ratePerS: 12.5,
+  burst: 3,
+};
+
+function withTenants(tenants: unknown): string {
+  return JSON.stringify({...DOCUMENT, tenants});
+}
+
+test('organisations are decoded with digests in place of keys', t => {
+  const tenants = [TENANT, {name: 'globex', apiKeys: [], ratePerS: 0}];
+  const {organisations} = decodeOperatorDocument(withTenants(tenants));
+  t.deepEqual(organisations, [
+    {
+      name: 'acme',
+      keyDigests: [apiKeyDigest('first-key'), apiKeyDigest('second-key')],
+      rank: 1,
+      quota: {ratePerSecond: 12.5, burstCount: 3},
+    },
+    {name: 'globex', keyDigests: [], rank: 0, quota: undefined},
+  ]);
+  const without = decodeOperatorDocument(JSON.stringify(DOCUMENT));
+  t.deepEqual(without.organisations, []);
+});
+
+test('a document with organisations that cannot be told apart is refused without naming a key', t => {
+  const broken = [
+    [{...TENANT, name: 'a\u0007b'}],
+    [{...TENANT, name: ''}],
+    [{...TENANT, apiKeys: ['']}],
+    [{...TENANT, apiKeys: ['first-key', 7]}],
+    [{...TENANT, ratePerS: -1}],
+    [{...TENANT, priority: -1}],
+    [TENANT, {...TENANT, name: 'globex'}],
+    {acme: TENANT},
+  ];
+  for (const tenants of broken) {
+    const error = t.throws(() => decodeOperatorDocument(withTenants(tenants)));
+    t.false(error.message.includes('first-key'));
+  }
+});
+
+test('what operators are shown of a document holds no key', t => {
+  const shown = redactOperatorDocument(withTenants([TENANT]));
+  t.false(/first-key|second-key/.test(shown));
+  t.true(shown.includes(apiKeyDigest('first-key').slice(0, 8)));
+  t.false(shown.includes(apiKeyDigest('first-key')));
+  const plain = JSON.stringify(DOCUMENT);
+  t.is(redactOperatorDocument(plain), plain);
+});
--- a/test/unit/protocol/hop_codecs.test.ts
+++ b/test/unit/protocol/hop_codecs.test.ts
@@ -27,6 +27,7 @@
   startWithinMillis: 300,
   origin: {
     importance: 70,
+    organisationName: 'acme',
     rootId: 'r,;1',
     rootRouteName: 'route "one"',
     rootAgeMillis: 12,
