Keep quotas of organisations over the whole fleet

An organisation could run any number of requests, whatever its quota.

Each node counts what enters there, less what was refused without having run, and reports it every 200 ms to the coordinator of the organisation, the first node that can be reached in an order that all find alike. The coordinator keeps one account and answers with the share to admit, by rank of the route, so that urgent requests go first at the limit. Requests are admitted without a message; only where one request at each node would use up the tolerated excess, a node that knows nothing of an organisation asks first, for 50 ms at most. Debt of the time before reports arrive is paid back before anything else is admitted. What is over is answered 429, not run, with a time to return that is not before the quota has room.

No store, no election: each part of a partitioned fleet has a coordinator, which allows the part of the quota that the nodes it can reach are of the fleet. While a coordinator does not answer, its last word is followed until it is known whether it has ended or its zone is cut off; one that has taken over leaves the last word in force until it knows the demand.

--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -9,6 +9,7 @@
 import {FRAME_KIND} from '../protocol/hop_frames.js';
 import type {LoadFields} from '../protocol/hop_messages.js';
 import {isCrashReport} from '../protocol/crash_report_codec.js';
+import {isQuotaReport} from '../protocol/quota_codec.js';
 import {encodeLoads} from '../protocol/load_codec.js';
 import {encodeHopAnswer} from '../protocol/hop_answer_codec.js';
 import {decodeHopRequest} from '../protocol/hop_request_codec.js';
@@ -33,6 +34,8 @@
   readonly answerQuestion: (question: Buffer) => Buffer | undefined;
   /** Takes a report of crashes; returns one if the sender lacks any. */
   readonly receiveCrashReport: (report: Buffer) => Buffer | undefined;
+  /** Answers a report of the use of quotas; `undefined` if it is none. */
+  readonly answerQuotaReport: (report: Buffer) => Buffer | undefined;
   readonly nowMillis: () => number;
   /** Bytes came that are no message of a node. */
   readonly onMalformed: (peer: string) => void;
@@ -165,6 +168,13 @@
       }
       return;
     }
+    if (isQuotaReport(question)) {
+      const answer = options.answerQuotaReport(question);
+      if (answer !== undefined) {
+        connection.send(FRAME_KIND.quotas, channelId, answer);
+      }
+      return;
+    }
     const changes = options.answerQuestion(question);
     if (changes !== undefined) {
       connection.send(FRAME_KIND.changes, channelId, changes);
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -18,6 +18,9 @@
  */
 const REPEAT_BOUND = {ratio: 0.2, windowMillis: 10_000, slackCount: 50};
 
+/** Time for nodes to learn of a surge before its organisation is held to its quota. */
+const QUOTA_BOUND = {windowMillis: 5000, overageRatio: 0.25, slackCount: 20};
+
 /**
  * Bound from a publication to its effect at a node: time for a policy or a list
  * of hosts that is published step by step to be taken in at once.
@@ -79,5 +82,6 @@
     graceMillis: settings.graceMillis,
     applyWithinMillis: APPLY_WITHIN_MILLIS,
     repeatBound: REPEAT_BOUND,
+    quotaBound: QUOTA_BOUND,
   };
 }
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -42,6 +42,8 @@
 import type {CrashHandling} from './crash_handling.js';
 import {startCrashHandling} from './crash_handling.js';
 import type {NodeDecisions} from './node_decisions.js';
+import type {QuotaHandling} from './quota_handling.js';
+import {startQuotaHandling} from './quota_handling.js';
 
 /** What the exchanges need. */
 export interface NodeExchangesOptions {
@@ -66,6 +68,8 @@
   readonly relay: PeerRelay;
   /** Requests that crash upstreams, and what is known of them. */
   readonly crashes: CrashHandling;
+  /** Quotas of organisations. */
+  readonly quotas: QuotaHandling;
   /** What this node tells of loads to one that asks. */
   loads(): readonly LoadFields[];
   /** Asks about services whose loads are heard of no more. */
@@ -100,6 +104,7 @@
     send: remote.sendCrashReport,
     onCrash: upstream.markUnreachable,
   });
+  const quotas = startQuotaHandling({...options, ...decisions});
   const execution = createLocalExecution({
     upstream,
     queue,
@@ -147,6 +152,7 @@
         .some(({entry}) => !remote.isLost(entry)),
     ),
     targets: createWeightedTargets(random),
+    quotas: quotas.exchange,
     attempts: createAttempts({
       placement: decisions.placement,
       rules: createRepeatRules({...decisions, nowMillis}),
@@ -193,6 +199,7 @@
     open,
     relay: createRelay(options, remote),
     crashes,
+    quotas,
     loads: inbound.loads,
     askLoads: () => {
       for (const service of decisions.questions.due()) {
@@ -206,6 +213,7 @@
     dispose: () => {
       started.dispose();
       crashes.dispose();
+      quotas.dispose();
       sender.dispose();
       remote.dispose();
     },
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -109,6 +109,7 @@
     loads: exchanges.loads,
     answerQuestion: exchanges.relay.answer,
     receiveCrashReport: exchanges.crashes.gossip.receive,
+    answerQuotaReport: exchanges.quotas.answer,
     nowMillis,
     onMalformed: peer => {
       log.request('malformed-message', {peer});
@@ -214,6 +215,7 @@
         shedding: board.shedding(),
       },
       repeats: {budget: decisions.budget.use()},
+      quotas: exchanges.quotas.state(),
       quarantine: {
         suspects: exchanges.crashes.evidence
           .suspects()
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -10,6 +10,8 @@
   /** A request ended at the entry with a status and after a time. */
   recordAnswer(routeName: string, statusCode: number, millis: number): void;
   recordShed(service: string): void;
+  /** A request was refused since its organisation is over its quota. */
+  recordOverQuota(): void;
   recordRetry(reason: HopReason): void;
   recordRefusal(reason: HopReason): void;
   recordUnknown(reason: HopReason): void;
@@ -74,6 +76,11 @@
   const sheds = counter('shed_total', 'Requests turned away at the entry', [
     'service',
   ]);
+  const overQuotas = counter(
+    'over_quota_total',
+    'Requests refused since their organisation is over its quota',
+    [],
+  );
   const retries = counter('retries_total', 'Requests sent again', ['reason']);
   const refusals = counter('refusals_total', 'Attempts not run', ['reason']);
   const unknowns = counter('unknown_total', 'Attempts that may have run', [
@@ -139,6 +146,9 @@
     recordShed: service => {
       sheds.inc({service});
     },
+    recordOverQuota: () => {
+      overQuotas.inc();
+    },
     recordRetry: reason => {
       retries.inc({reason});
     },
--- a/src/process/settings/node_settings.ts
+++ b/src/process/settings/node_settings.ts
@@ -17,6 +17,16 @@
   readonly slackCount: number;
 }
 
+/** How far the quotas of organisations may be exceeded. */
+export interface QuotaBound {
+  /** Time over which requests are counted. */
+  readonly windowMillis: number;
+  /** Part of a quota that may run on top of it within the window. */
+  readonly overageRatio: number;
+  /** Requests that may run on top of both. */
+  readonly slackCount: number;
+}
+
 /** Settings of a node. */
 export interface NodeSettings {
   readonly nodeName: string;
@@ -45,4 +55,5 @@
   /** Bound from the acknowledgement of a document to its effect at a node. */
   readonly applyWithinMillis: number;
   readonly repeatBound: RepeatBound;
+  readonly quotaBound: QuotaBound;
 }
--- a/src/protocol/hop_frames.ts
+++ b/src/protocol/hop_frames.ts
@@ -28,7 +28,7 @@
   cancel: 10,
   /** Bytes of the rest that the receiver has passed on. */
   window: 11,
-  /** Asks for a sign of life; with a payload, for loads, changes or crashes as well. */
+  /** Asks for a sign of life; with a payload, for loads, changes, crashes or quotas as well. */
   ping: 12,
   /** The sign, with loads if they were asked for. */
   pong: 13,
@@ -41,6 +41,8 @@
   changes: 17,
   /** Crashes of upstreams that the asking node lacks. */
   crashes: 18,
+  /** What the coordinator of quotas answers to a report. */
+  quotas: 19,
 } as const;
 
 /** Kind of a frame. */
--- a/src/request/entered_request.ts
+++ b/src/request/entered_request.ts
@@ -32,6 +32,8 @@
 export interface EnteredRequest extends AnsweredRequest {
   /** The request at the own upstream that this call is made for. */
   readonly parent: InFlightParent | undefined;
+  /** Organisation of the client, where clients are told apart. */
+  readonly organisation: Organisation | undefined;
 }
 
 /** A request as far as it is known when it enters. */
@@ -99,6 +101,7 @@
       options.stop.finishingUntilMillis,
     ),
     parent,
+    organisation,
     origin,
   };
 }
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -9,6 +9,7 @@
 import type {ShedCause} from '../process/admission/entry_gate.js';
 import type {CallOrigin} from '../process/repeats/in_flight_parents.js';
 import type {NodeMetrics} from '../process/log/node_metrics.js';
+import type {QuotaDecision} from '../process/quota/quota_exchange.js';
 import type {StopPlan} from '../process/stop/stop_plan.js';
 import type {NoteHeaders} from '../protocol/wire_headers.js';
 import type {ServiceRoute} from '../version/route_configuration.js';
@@ -34,6 +35,13 @@
   readonly arrivedMillis: number;
 }
 
+/** A request whose organisation is over its quota. */
+export interface OverQuotaRequest {
+  readonly attemptId: string;
+  readonly route: ServiceRoute;
+  readonly decision: Extract<QuotaDecision, {readonly kind: 'over-quota'}>;
+}
+
 /** A request that comes to a node that stops. */
 export interface LateRequest {
   readonly attemptId: string;
@@ -48,6 +56,8 @@
   noteLeft(request: AnsweredRequest, end: AttemptsEnd): void;
   /** Not run: the gate kept it out. */
   shed(exchange: Exchange, request: ShedRequest): void;
+  /** Not run: its organisation is over its quota. */
+  refuseOverQuota(exchange: Exchange, request: OverQuotaRequest): void;
   /** Not run: this node stops and takes nothing more. */
   turnAway(exchange: Exchange, request: LateRequest): void;
   /** Not run: this node cannot serve anything yet. */
@@ -77,6 +87,7 @@
 
 const STATUS_UNAUTHORIZED = 401;
 const STATUS_BAD_GATEWAY = 502;
+const STATUS_TOO_MANY_REQUESTS = 429;
 const STATUS_UNAVAILABLE = 503;
 const STATUS_GATEWAY_TIMEOUT = 504;
 
@@ -147,9 +158,10 @@
     exchange: Exchange,
     reason: string,
     millis: number,
+    statusCode = STATUS_UNAVAILABLE,
   ): void => {
     const seconds = (millis / MILLIS_PER_SECOND).toFixed(3);
-    write(exchange, STATUS_UNAVAILABLE, [
+    write(exchange, statusCode, [
       'retry-after',
       seconds,
       ...failureNotes('not-run', reason),
@@ -292,6 +304,27 @@
         retryAfterMillis: Math.round(returnAfter),
       });
     },
+    refuseOverQuota: (exchange, {attemptId, route, decision}) => {
+      const {known, coordinator} = decision;
+      // Not before the quota has room again, or its client would come in vain.
+      const returnAfter = Math.max(returnMillis(route), known.returnMillis);
+      const statusCode = STATUS_TOO_MANY_REQUESTS;
+      writeRefusal(exchange, 'over-quota', returnAfter, statusCode);
+      metrics.recordOverQuota();
+      metrics.recordAnswer(route.name, statusCode, 0);
+      log.request('over-quota', {
+        requestId: attemptId,
+        route: route.name,
+        organisation: known.organisation,
+        ranPerSecond: known.ranPerSecond,
+        limitPerSecond: known.limitPerSecond,
+        admittedRatios: known.admittedRatios.join(' '),
+        knownAgeMillis: Math.round(known.ageMillis),
+        coordinator,
+        configurationVersion: options.configurationVersion(),
+        retryAfterMillis: Math.round(returnAfter),
+      });
+    },
     turnAway: (exchange, {attemptId, route}) => {
       // Not the time at which this host serves again: another host may serve it
       // by then, and asked back seconds later most clients are past their
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -18,6 +18,10 @@
 } from '../process/repeats/in_flight_parents.js';
 import type {LoadQuestions} from '../process/admission/load_questions.js';
 import type {RepeatBudget} from '../process/repeats/repeat_budget.js';
+import type {
+  QuotaDecision,
+  QuotaExchange,
+} from '../process/quota/quota_exchange.js';
 import type {StopPlan} from '../process/stop/stop_plan.js';
 import type {WeightedTargets} from '../process/placement/weighted_targets.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
@@ -50,6 +54,7 @@
   readonly targets: WeightedTargets;
   readonly trees: CallTrees;
   readonly budget: RepeatBudget;
+  readonly quotas: QuotaExchange;
   readonly parents: InFlightParents;
   readonly stop: StopPlan;
   readonly attempts: Attempts;
@@ -111,11 +116,37 @@
   exchange: Exchange,
   {dropped, isLocal}: EntryWay,
 ): Promise<void> {
-  const {answers, configuration} = options;
+  const {answers} = options;
+  const routed = routeRequest(options, exchange, isLocal);
+  if (routed === undefined || isTurnedAway(options, exchange, routed)) return;
+  const isWithin = isWithinQuota(options, exchange, routed);
+  if (!(isWithin instanceof Promise ? await isWithin : isWithin)) return;
+  const entered = enterRequest(options, exchange, routed);
+  if (!passesGate(options, entered)) return;
+  if (exchange.isBodyHeldBack) exchange.response.writeContinue();
+  const bodyBytes = routed.table.limits.bodyBytes;
+  const body = await readRequestBody(exchange.request, bodyBytes);
+  if (body.kind === 'too-large') {
+    answers.reject(exchange, 413, 'body-too-large');
+    return;
+  }
+  if (body.kind === 'broken') return;
+  // Its body may have come so late that the answer would not come any more.
+  if (isTurnedAway(options, exchange, routed)) return;
+  const headers = headersFor(options.names, entered, routed.table, dropped);
+  await serve(options, entered, headers, body.bytes);
+}
+
+/** Finds what a request is for and who sent it; answers one that is neither. */
+function routeRequest(
+  {answers, configuration, names, parents}: OutboundOptions,
+  exchange: Exchange,
+  isLocal: boolean,
+): RoutedRequest | undefined {
   const table = configuration.current();
   if (table === undefined) {
     answers.refuse(exchange, {reason: 'no-configuration'});
-    return;
+    return undefined;
   }
   const {request} = exchange;
   const route = table.match({
@@ -125,43 +156,48 @@
   });
   if (route === undefined) {
     answers.reject(exchange, 404, 'no-route');
-    return;
+    return undefined;
   }
-  const attemptId = readAttemptId(options.names, exchange);
+  const attemptId = readAttemptId(names, exchange);
   if (attemptId === undefined) {
     answers.reject(exchange, 400, 'no-attempt-id');
-    return;
+    return undefined;
   }
-  const parent = options.parents.find(attemptId);
-  const isTurnedAway = (): boolean => {
-    if (options.stop.takes({isUpstreams: isLocal || parent !== undefined})) {
-      return false;
-    }
-    answers.turnAway(exchange, {attemptId, route});
-    return true;
-  };
-  if (isTurnedAway()) return;
+  const parent = parents.find(attemptId);
   const identity = identify(exchange, table, {route, isLocal, parent});
   if (identity.kind === 'refused') {
     answers.challenge(exchange, identity.reason);
-    return;
+    return undefined;
   }
   const {organisation} = identity;
-  const routed = {route, attemptId, isLocal, parent, table, organisation};
-  const entered = enterRequest(options, exchange, routed);
-  if (!passesGate(options, entered)) return;
-  if (exchange.isBodyHeldBack) exchange.response.writeContinue();
-  const bodyBytes = table.limits.bodyBytes;
-  const body = await readRequestBody(request, bodyBytes);
-  if (body.kind === 'too-large') {
-    answers.reject(exchange, 413, 'body-too-large');
-    return;
-  }
-  if (body.kind === 'broken') return;
-  // Its body may have come so late that the answer would not come any more.
-  if (isTurnedAway()) return;
-  const headers = headersFor(options.names, entered, table, dropped);
-  await serve(options, entered, headers, body.bytes);
+  return {route, attemptId, isLocal, parent, table, organisation};
+}
+
+/** Refuses a request that comes to a node which stops and takes nothing more. */
+function isTurnedAway(
+  {stop, answers}: OutboundOptions,
+  exchange: Exchange,
+  {attemptId, route, isLocal, parent}: RoutedRequest,
+): boolean {
+  if (stop.takes({isUpstreams: isLocal || parent !== undefined})) return false;
+  answers.turnAway(exchange, {attemptId, route});
+  return true;
+}
+
+/** Refuses a request whose organisation is over its quota. */
+function isWithinQuota(
+  {quotas, answers}: OutboundOptions,
+  exchange: Exchange,
+  {attemptId, route, organisation}: RoutedRequest,
+): boolean | Promise<boolean> {
+  if (organisation === undefined) return true;
+  const settle = (decision: QuotaDecision): boolean => {
+    if (decision.kind === 'admitted') return true;
+    answers.refuseOverQuota(exchange, {attemptId, route, decision});
+    return false;
+  };
+  const decided = quotas.decide(organisation, route.rank);
+  return decided instanceof Promise ? decided.then(settle) : settle(decided);
 }
 
 /** Calls of the upstream carry no API key. */
@@ -228,8 +264,9 @@
   headers: readonly string[],
   body: Buffer,
 ): Promise<void> {
-  const {exchange, route, service, parent} = entered;
+  const {exchange, route, service, parent, organisation} = entered;
   const source = createCancelSource();
+  if (organisation !== undefined) options.quotas.recordRan(organisation);
   options.open.add(entered, source);
   const left = exchange.cancel.onCancel(source.cancel);
   const timer = startDeadline(options, entered, source);
@@ -239,6 +276,9 @@
   left.dispose();
   options.open.delete(entered);
   learn(options, entered, end);
+  if (organisation !== undefined && !end.mayHaveRun) {
+    options.quotas.takeBack(organisation);
+  }
   if (parent !== undefined) reportToParent(parent, service, end);
   if (exchange.cancel.isCancelled) {
     options.answers.noteLeft(entered, end);
--- a/test/contract/platform_quotas.test.ts
+++ b/test/contract/platform_quotas.test.ts
@@ -83,15 +83,17 @@
   const fleet = await startFleet(t, {
     services: SERVICES,
     paths: [fleetPath({priority: 2}), ORDER_PATH],
-    tenants: [LIMITED],
+    tenants: [{...LIMITED, ratePerS: 100}],
   });
-  await sendInTurn(fleet, {key: KEY, count: 200});
+  // Until the quota is found to be exceeded, reads and orders are served alike.
+  await sendInTurn(fleet, {key: KEY, count: 250});
   const [reads, orders] = await Promise.all([
     sendInTurn(fleet, {key: KEY, count: 800}),
     sendInTurn(fleet, {key: KEY, count: 800, path: '/order/1'}),
   ]);
   const servedOf = (sent: readonly Sent[]): number =>
     sent.filter(({answer}) => answer.statusCode === 200).length;
+  t.true(servedOf(orders) > 50, `${String(servedOf(orders))} orders`);
   t.true(
     servedOf(orders) > 4 * servedOf(reads),
     `${String(servedOf(orders))} orders, ${String(servedOf(reads))} reads`,
--- a/test/fakes/hop_fixture.ts
+++ b/test/fakes/hop_fixture.ts
@@ -33,6 +33,7 @@
       loads: () => [],
       answerQuestion: () => undefined,
       receiveCrashReport: () => undefined,
+      answerQuotaReport: () => undefined,
       nowMillis,
       onMalformed: peer => {
         t.fail(`malformed message from ${peer}`);
--- a/test/fakes/platform_fleet.ts
+++ b/test/fakes/platform_fleet.ts
@@ -302,5 +302,6 @@
       windowMillis: 10_000,
       slackCount: parts.slackCount,
     },
+    quotaBound: {windowMillis: 5000, overageRatio: 0.25, slackCount: 20},
   };
 }
--- a/test/unit/connection/crash_report_sender.test.ts
+++ b/test/unit/connection/crash_report_sender.test.ts
@@ -48,6 +48,7 @@
     loads: () => [],
     answerQuestion: () => undefined,
     receiveCrashReport: report => report,
+    answerQuotaReport: () => undefined,
     nowMillis,
     onMalformed: peer => {
       t.fail(`malformed message from ${peer}`);
--- a/test/unit/platform/decoding.test.ts
+++ b/test/unit/platform/decoding.test.ts
@@ -142,6 +142,7 @@
     heartbeatMillis: 1500,
     applyWithinMillis: 2000,
     repeatBound: {ratio: 0.2, windowMillis: 10_000, slackCount: 47},
+    quotaBound: {windowMillis: 5000, overageRatio: 0.25, slackCount: 20},
     outbound: {address: '10.1.0.8', port: 8304},
     store: {address: '10.200.1.7', port: 8309},
   });
--- /dev/null
+++ b/test/unit/process/quota/quota_fleet.test.ts
@@ -0,0 +1,84 @@
+/**
+ * Quotas of organisations over whole fleets: no window runs more than is tolerated,
+ * whatever happens, and what is within a quota is served.
+ */
+import test from 'ava';
+import type {QuotaOutcome} from '../../../fakes/quota_replay.js';
+import {replayQuota} from '../../../fakes/quota_replay.js';
+import type {ScenarioName} from '../../../fakes/quota_scenarios.js';
+import {
+  QUOTA_SCENARIOS,
+  SCENARIO_MILLIS,
+} from '../../../fakes/quota_scenarios.js';
+import {coordinated} from '../../../fakes/quota_ways.js';
+
+function replay(
+  name: ScenarioName,
+  fleet: {nodesCount: number; ratePerSecond: number; seed?: number},
+): Promise<QuotaOutcome> {
+  return replayQuota(coordinated, {
+    seed: 1,
+    lastsMillis: SCENARIO_MILLIS,
+    ...fleet,
+    ...QUOTA_SCENARIOS[name],
+  });
+}
+
+const NAMES = Object.keys(QUOTA_SCENARIOS) as ScenarioName[];
+
+const SMALL_FLEETS = [
+  {nodesCount: 13, ratePerSecond: 12},
+  {nodesCount: 13, ratePerSecond: 338},
+  {nodesCount: 57, ratePerSecond: 12},
+  {nodesCount: 57, ratePerSecond: 338},
+];
+
+for (const fleet of SMALL_FLEETS) {
+  const {nodesCount, ratePerSecond} = fleet;
+  const title = `${String(nodesCount)} nodes, ${String(ratePerSecond)} a second`;
+  test(`no window runs more than the quota tolerates: ${title}`, async t => {
+    for (const name of NAMES) {
+      const {worstRatio} = await replay(name, fleet);
+      t.true(worstRatio <= 1, `${name}: ${worstRatio.toFixed(3)}`);
+    }
+  });
+}
+
+const LARGE_FLEETS: readonly (readonly [ScenarioName, number, number])[] = [
+  ['surge at all nodes', 194, 338],
+  ['surge with each zone cut off', 194, 12],
+  ['surge and a third of the nodes killed', 194, 12],
+  ['surge at all nodes', 830, 12],
+  ['surge with one zone cut off', 830, 12],
+];
+
+test('no window runs more than the quota tolerates: large fleets', async t => {
+  for (const [name, nodesCount, ratePerSecond] of LARGE_FLEETS) {
+    const {worstRatio} = await replay(name, {nodesCount, ratePerSecond});
+    t.true(worstRatio <= 1, `${name}: ${worstRatio.toFixed(3)}`);
+  }
+});
+
+test('what is within a quota is served', async t => {
+  for (const fleet of SMALL_FLEETS) {
+    for (const name of ['usual', 'surge just to the limit'] as const) {
+      const {servedRatio} = await replay(name, fleet);
+      t.true(servedRatio > 0.99, `${name}: ${servedRatio.toFixed(3)}`);
+    }
+  }
+});
+
+test('at its quota an organisation has its urgent requests served first', async t => {
+  const {urgentRatio, otherRatio} = await replay('surge at all nodes', {
+    nodesCount: 57,
+    ratePerSecond: 338,
+  });
+  t.true(urgentRatio > 4 * otherRatio);
+});
+
+test('messages about quotas stay a small part of what a node may send', async t => {
+  for (const fleet of SMALL_FLEETS) {
+    const {bytesPerSecond} = await replay('surge at all nodes', fleet);
+    t.true(bytesPerSecond < 1000, bytesPerSecond.toFixed(0));
+  }
+});
