Let timers of a process tick together

An idle node woke 30 times a second, each of its timers by itself.

Intervals that are a multiple of 100 ms now share one timer.

--- a/src/base/lifecycle.ts
+++ b/src/base/lifecycle.ts
@@ -71,13 +71,54 @@
   if (errors.length > 0) throw errors[0];
 }
 
-/** Registers an interval timer as a disposable that keeps no process alive. */
+/** Intervals that are a multiple of this share one timer of the process. */
+const STEP_MILLIS = 100;
+
+/** Calls listeners at multiples of a step, all from one timer. */
+function createSteppedTimer(stepMillis: number) {
+  const listeners = new Map<() => void, number>();
+  let timer: NodeJS.Timeout | undefined;
+  let stepsCount = 0;
+  const step = (): void => {
+    stepsCount += 1;
+    for (const [listener, everyCount] of [...listeners]) {
+      const isDue = stepsCount % everyCount === 0;
+      if (isDue && listeners.has(listener)) listener();
+    }
+  };
+  return {
+    add: (everyCount: number, onTick: () => void): Disposable => {
+      // The same function may be registered several times.
+      const listener = (): void => {
+        onTick();
+      };
+      listeners.set(listener, everyCount);
+      timer ??= setInterval(step, stepMillis).unref();
+      return toDisposable(() => {
+        listeners.delete(listener);
+        if (listeners.size > 0) return;
+        clearInterval(timer);
+        timer = undefined;
+      });
+    },
+  };
+}
+
+const sharedTimer = createSteppedTimer(STEP_MILLIS);
+
+/**
+ * Registers an interval timer as a disposable that keeps no process alive. Timers
+ * of one process tick together where their intervals allow it: each wake of a
+ * process that is idle otherwise costs more than what it does then.
+ */
 export function createIntervalTimer(
   intervalMillis: number,
   onTick: () => void,
 ): Disposable {
-  const timer = setInterval(onTick, intervalMillis);
-  timer.unref();
+  if (intervalMillis % STEP_MILLIS === 0) {
+    return sharedTimer.add(intervalMillis / STEP_MILLIS, onTick);
+  }
+  const timer = setInterval(onTick, intervalMillis).unref();
   return toDisposable(() => {
     clearInterval(timer);
   });
