Failing test: a request that is answered 404 stays suspected of crashes

A request that is rightly answered 404 and was in progress beside three crashes is refused for an hour, as no answer with a status of 400 or more clears a suspect.

--- a/test/unit/request/crash_quarantine.test.ts
+++ b/test/unit/request/crash_quarantine.test.ts
@@ -161,3 +161,29 @@
   t.is(quarantine.crashesCount(request), 0);
   t.deepEqual(cleared, ['/1']);
 });
+
+test('a suspect that upstreams rightly answer with a client error is not quarantined', t => {
+  // Guards against an hour of refusals for a request beside three crashes that names
+  // something that does not exist.
+  const {quarantine, admit, crash, advance, cleared} = createFixture();
+  const bystander = requestTo('/missing');
+  for (let index = 0; index < 3; index += 1) {
+    advance(PAUSE_MILLIS);
+    t.is(admit(bystander), undefined);
+    quarantine.end(bystander, answered(404));
+    crash(bystander);
+  }
+  t.false(quarantine.holds(bystander));
+  t.true(cleared.length > 0);
+});
+
+test('an answer that does not show that the request was run clears no suspect', t => {
+  for (const statusCode of [408, 425, 429, 500, 503]) {
+    const {quarantine, crash, advance, cleared} = createFixture();
+    const suspect = requestTo('/suspect');
+    crash(suspect);
+    advance(PAUSE_MILLIS);
+    quarantine.end(suspect, answered(statusCode));
+    t.deepEqual(cleared, [], String(statusCode));
+  }
+});
