Clear suspects of crashes that upstreams answer with a client error

Callers of a request that is rightly answered 404 got 503 for an hour where it had been in progress beside three crashes, since only statuses below 400 cleared it. A request that crashes its upstream ends without an answer, so an answer that shows that the request ran clears it, whatever it says: any below 500 but 408, 421, 425 and 429, which an upstream may give before it runs anything. Server errors still clear nothing, as they may come from a call before the crash.

--- a/src/request/crash_quarantine.ts
+++ b/src/request/crash_quarantine.ts
@@ -67,7 +67,10 @@
 /** Time after its last crash in which an isolated request is not tried. */
 const ISOLATED_PAUSE_MILLIS = 3000;
 
-const STATUS_FAILURE = 400;
+const STATUS_SERVER_ERROR = 500;
+
+/** Client errors that an upstream may answer before it runs a request. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 425, 429]);
 
 /** Creates the decisions of one node. */
 export function createCrashQuarantine(
@@ -127,7 +130,7 @@
   const conclude = (request: IdentifiedRequest, end?: UpstreamEnd): void => {
     endTurn(request);
     if (evidence.isEmpty || end?.kind !== 'answered') return;
-    if (end.answer.statusCode >= STATUS_FAILURE) return;
+    if (!showsThatItRan(end.answer.statusCode)) return;
     if (!evidence.clear(listOf(request))) return;
     options.onCleared(request, identify(request));
   };
@@ -162,3 +165,8 @@
     crashesCount,
   };
 }
+
+/** A request that crashes its upstream ends without an answer. */
+function showsThatItRan(statusCode: number): boolean {
+  return statusCode < STATUS_SERVER_ERROR && !NOT_RUN_STATUSES.has(statusCode);
+}
