--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,12 +4,14 @@
 import {measureCost} from './cost_bench.js';
 import {measureDecisions} from './decisions_bench.js';
 import {measureLatency} from './latency_bench.js';
+import {measureQuotas} from './quota_bench.js';
 
 const MEASUREMENTS: ReadonlyMap<string, () => Promise<readonly string[]>> =
   new Map([
     ['cost', measureCost],
     ['decisions', measureDecisions],
     ['latency', measureLatency],
+    ['quotas', measureQuotas],
   ]);
 
 const [wanted] = process.argv.slice(2);
