--- a/src/connection/peer_relay.ts
+++ b/src/connection/peer_relay.ts
@@ -10,7 +10,7 @@
 import {isLaterPosition} from '../process/membership/document_source.js';
 import type {KnownDocuments} from '../process/membership/known_documents.js';
 import type {UpstreamEntry} from '../process/membership/upstream_entry.js';
-import type {WatchDuty} from '../process/membership/watch_duty.js';
+import type {WatcherSelection} from '../process/membership/watcher_selection.js';
 import type {RelayAnswer} from '../protocol/relay_codec.js';
 import {
   decodeRelayAnswer,
@@ -27,7 +27,7 @@
 
 /** What a relay needs. */
 export interface PeerRelayOptions {
-  readonly duty: WatchDuty;
+  readonly selection: WatcherSelection;
   readonly documents: KnownDocuments;
   /** Asks the node beside an upstream; `undefined` if it does not answer. */
   readonly send: (
@@ -46,18 +46,18 @@
 
 /** Creates the relay of a node that knows nothing. */
 export function createPeerRelay(options: PeerRelayOptions): PeerRelay {
-  const {duty, documents} = options;
+  const {selection, documents} = options;
   let isWatching = false;
   return {
     ask: async (position, isSourceLost) => {
-      const turn = duty.next(isSourceLost);
+      const turn = selection.next(isSourceLost);
       if (turn.kind === 'watch') return 'watch';
       const {entry} = turn;
       const reply = await options.send(entry, encodeRelayQuestion(position));
       const answer = reply === undefined ? undefined : decodeRelayAnswer(reply);
       const end = endOf(position, answer);
-      if (end === 'failed') duty.noteFailed(entry);
-      else duty.noteAnswered();
+      if (end === 'failed') selection.noteFailed(entry);
+      else selection.noteAnswered();
       options.onAsked?.(entry, end);
       return end;
     },
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -24,7 +24,7 @@
 import {createWeightedTargets} from '../process/placement/weighted_targets.js';
 import {createKnownDocuments} from '../process/membership/known_documents.js';
 import type {UpstreamEntry} from '../process/membership/upstream_entry.js';
-import {createWatchDuty} from '../process/membership/watch_duty.js';
+import {createWatcherSelection} from '../process/membership/watcher_selection.js';
 import type {LoadFields} from '../protocol/hop_messages.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {AttemptedRequest} from '../request/attempts.js';
@@ -226,7 +226,7 @@
 ): PeerRelay {
   const {hostKey, zone} = settings();
   return createPeerRelay({
-    duty: createWatchDuty({
+    selection: createWatcherSelection({
       hosts: decisions.directory.hosts,
       ownHostKey: hostKey,
       zone,
--- a/src/process/membership/watch_duty.ts
+++ b/src/process/membership/watcher_selection.ts
@@ -1,13 +1,12 @@
 /**
  * Decides whether this node watches the source of documents itself, or which other
- * node it asks for what has changed.
+ * node it polls for changes.
  *
- * Load pattern: every change of every entry ends the watches of all nodes, and each
- * of them asks again: calls to the source grow with the fleet, though all are told
- * the same. So one node of each availability zone watches and the others ask it,
- * each by its own opinion and without a word to anybody: two opinions only mean one
- * watch more. A zone that is cut off has its own, and a node that is told nothing
- * watches itself.
+ * Load pattern: every change of every entry ends the watches of all nodes, and each of
+ * them polls again: calls to the source grow with the fleet, though all of them bring
+ * the same changes. So one node of each availability zone watches and the others poll
+ * it. Each node selects for itself: two opinions only cost one watch more. A zone that
+ * is cut off has its own watcher, and a node that gets no answer watches itself.
  */
 import {fnvHash} from '../../base/fnv_hash.js';
 import type {KnownUpstream} from './upstream_directory.js';
@@ -18,17 +17,17 @@
   | {readonly kind: 'watch'}
   | {readonly kind: 'ask'; readonly entry: UpstreamEntry};
 
-/** The duty of one node. */
-export interface WatchDuty {
+/** Selection of one node. */
+export interface WatcherSelection {
   /** `isSourceLost`: this node cannot watch, whoever should. */
   next(isSourceLost: boolean): WatchTurn;
-  /** A node that was asked did not answer, or does not watch itself. */
+  /** A polled node did not answer, or does not watch itself. */
   noteFailed(entry: UpstreamEntry): void;
   noteAnswered(): void;
 }
 
-/** What a duty needs. */
-export interface WatchDutyOptions {
+/** What a selection needs. */
+export interface WatcherSelectionOptions {
   /** The latest upstream of each host. */
   readonly hosts: () => Iterable<KnownUpstream>;
   readonly ownHostKey: string;
@@ -42,8 +41,10 @@
 /** Failures in a row after which a node watches itself, for that time. */
 const FAILURES_COUNT = 2;
 
-/** Creates the duty of a node that knows nothing. */
-export function createWatchDuty(options: WatchDutyOptions): WatchDuty {
+/** Creates the selection of a node that knows of no failure. */
+export function createWatcherSelection(
+  options: WatcherSelectionOptions,
+): WatcherSelection {
   const {hosts, ownHostKey, zone, nowMillis} = options;
   const failedUntilMillis = new Map<string, number>();
   let failuresCount = 0;
@@ -57,7 +58,7 @@
     return false;
   };
 
-  /** The first of the zone in an order that all nodes find alike. */
+  /** The first host of the zone in an order that is the same at all nodes. */
   const firstOfZone = (isOwnLeftOut: boolean): UpstreamEntry | undefined => {
     let first: UpstreamEntry | undefined;
     let firstRank = Infinity;
--- a/test/fakes/relay_fleet.ts
+++ b/test/fakes/relay_fleet.ts
@@ -15,7 +15,7 @@
 import {createPeerPositions} from '../../src/process/membership/peer_positions.js';
 import {createKnownDocuments} from '../../src/process/membership/known_documents.js';
 import type {KnownUpstream} from '../../src/process/membership/upstream_directory.js';
-import {createWatchDuty} from '../../src/process/membership/watch_duty.js';
+import {createWatcherSelection} from '../../src/process/membership/watcher_selection.js';
 import {createReplayedSource} from './replayed_source.js';
 import type {ReplayedSource} from './replayed_source.js';
 import {upstreamEntry} from './route_documents.js';
@@ -112,7 +112,7 @@
     const positions = createPeerPositions();
     const texts = new Map<string, string>();
     const relay = createPeerRelay({
-      duty: createWatchDuty({
+      selection: createWatcherSelection({
         hosts: () => hosts,
         ownHostKey: entry.hostKey,
         zone: entry.zone,
--- a/test/unit/connection/peer_relay.test.ts
+++ b/test/unit/connection/peer_relay.test.ts
@@ -2,7 +2,7 @@
 import {createPeerRelay} from '../../../src/connection/peer_relay.js';
 import {createKnownDocuments} from '../../../src/process/membership/known_documents.js';
 import type {KnownUpstream} from '../../../src/process/membership/upstream_directory.js';
-import {createWatchDuty} from '../../../src/process/membership/watch_duty.js';
+import {createWatcherSelection} from '../../../src/process/membership/watcher_selection.js';
 import {encodeFrame, FRAME_KIND} from '../../../src/protocol/hop_frames.js';
 import {createFrameReader} from '../../../src/protocol/hop_frames.js';
 import {encodeRelayQuestion} from '../../../src/protocol/relay_codec.js';
@@ -19,7 +19,7 @@
   }));
   const relayOf = (ownHostKey: string) =>
     createPeerRelay({
-      duty: createWatchDuty({
+      selection: createWatcherSelection({
         hosts: () => hosts,
         ownHostKey,
         zone: 'zone-a',
--- a/test/unit/daemon/document_feeds.test.ts
+++ b/test/unit/daemon/document_feeds.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {createPeerRelay} from '../../../src/connection/peer_relay.js';
 import {createKnownDocuments} from '../../../src/process/membership/known_documents.js';
-import {createWatchDuty} from '../../../src/process/membership/watch_duty.js';
+import {createWatcherSelection} from '../../../src/process/membership/watcher_selection.js';
 import {createPeerPositions} from '../../../src/process/membership/peer_positions.js';
 import {startDocumentFeeds} from '../../../src/daemon/document_feeds.js';
 import {createConfigurationHolder} from '../../../src/process/membership/configuration_holder.js';
@@ -77,7 +77,7 @@
     directory,
     peerPositions: createPeerPositions(),
     relay: createPeerRelay({
-      duty: createWatchDuty({
+      selection: createWatcherSelection({
         hosts: directory.hosts,
         ownHostKey: '',
         zone: '',
