--- a/src/connection/document_follower.ts
+++ b/src/connection/document_follower.ts
@@ -6,7 +6,6 @@
  */
 import * as Effect from 'effect/Effect';
 import {describeError} from '../base/errors.js';
-import type {DocumentRelay} from '../process/membership/document_relay.js';
 import type {
   DocumentRead,
   DocumentSource,
@@ -14,22 +13,16 @@
 } from '../process/membership/document_source.js';
 import type {FollowPace} from '../process/membership/follow_pace.js';
 import type {PeerPositions} from '../process/membership/peer_positions.js';
-import type {DocumentListener} from './document_listener.js';
+import type {FollowStateOptions} from './follow_state.js';
 import {createFollowState} from './follow_state.js';
 import {followRelay, RELAY_MILLIS} from './relay_follower.js';
 import {waitForStalePosition} from './wait_for_stale_position.js';
 
 /** What a follower needs. */
-export interface DocumentFollowerOptions {
+export interface DocumentFollowerOptions extends FollowStateOptions {
   readonly source: DocumentSource;
   readonly prefix: string;
-  readonly listener: DocumentListener;
   readonly pace: FollowPace;
-  /** What other nodes tell of later revisions; left out, nobody tells. */
-  readonly peerPositions?: PeerPositions | undefined;
-  /** Changes from other nodes; left out, this node watches the source itself. */
-  readonly relay?: DocumentRelay | undefined;
-  readonly nowMillis: () => number;
 }
 
 /**
@@ -48,7 +41,7 @@
 /** How a watch ended. */
 type WatchEnd = DocumentRead | 'history-lost' | 'stale';
 
-/** A task that follows for ever; interrupt it to stop. */
+/** Follows the documents until interrupted. */
 export function followDocuments(
   options: DocumentFollowerOptions,
 ): Effect.Effect<never> {
--- a/src/connection/follow_state.ts
+++ b/src/connection/follow_state.ts
@@ -8,8 +8,9 @@
   SourcePosition,
 } from '../process/membership/document_source.js';
 import {laterPosition} from '../process/membership/document_source.js';
-import type {DocumentFollowerOptions} from './document_follower.js';
-import type {SourceCall} from './document_listener.js';
+import type {DocumentRelay} from '../process/membership/document_relay.js';
+import type {PeerPositions} from '../process/membership/peer_positions.js';
+import type {DocumentListener, SourceCall} from './document_listener.js';
 
 /** Whether the next call has to be a read. */
 export type ReadDue =
@@ -54,10 +55,18 @@
   takeChanges(after: SourcePosition, read: DocumentRead): void;
 }
 
+/** What the state of a follower needs. */
+export interface FollowStateOptions {
+  readonly listener: DocumentListener;
+  /** Later revisions that other nodes report; left out, none does. */
+  readonly peerPositions?: PeerPositions | undefined;
+  /** Changes from other nodes; left out, this node watches the source itself. */
+  readonly relay?: DocumentRelay | undefined;
+  readonly nowMillis: () => number;
+}
+
 /** Creates the state of a follower that knows nothing. */
-export function createFollowState(
-  options: DocumentFollowerOptions,
-): FollowState {
+export function createFollowState(options: FollowStateOptions): FollowState {
   const {listener, peerPositions, relay, nowMillis} = options;
   let position: SourcePosition | undefined;
   let readDue: ReadDue = 'until-read';
--- a/src/connection/relay_follower.ts
+++ b/src/connection/relay_follower.ts
@@ -1,5 +1,5 @@
 /**
- * Asks the node that watches for this one for what has changed, again and again.
+ * Polls the watching node for changes.
  */
 import * as Effect from 'effect/Effect';
 import type {
@@ -31,7 +31,7 @@
 const PAUSE_MILLIS = 50;
 const STALE_PAUSE_MILLIS = 300;
 
-/** A task that asks for ever; interrupt it to stop. */
+/** Polls the watching node until interrupted. */
 export function followRelay(
   options: RelayFollowerOptions,
 ): Effect.Effect<never> {
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -27,7 +27,7 @@
 import {createWatcherSelection} from '../process/membership/watcher_selection.js';
 import type {LoadFields} from '../protocol/hop_messages.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
-import type {AttemptedRequest} from '../request/attempts.js';
+import type {AttemptedRequest} from '../request/attempted_request.js';
 import {createAttempts} from '../request/attempts.js';
 import {createEntryAnswers} from '../request/entry_answers.js';
 import type {InboundExchanges} from '../request/inbound_exchange.js';
--- a/src/process/membership/upstream_directory.ts
+++ b/src/process/membership/upstream_directory.ts
@@ -2,21 +2,13 @@
  * The upstreams a node knows, by service, with what is published about each.
  */
 import {createMissingUpstreams, REAPPEAR_MILLIS} from './missing_upstreams.js';
+import type {KnownUpstream} from './known_upstream.js';
 import type {UpstreamEntry} from './upstream_entry.js';
 import {createLeftStarts} from './left_starts.js';
 import type {UpstreamIndex} from './upstream_index.js';
 import {indexUpstreams} from './upstream_index.js';
 import {compareStarts} from './upstream_start.js';
 
-/** A published entry and when this node learned it. */
-export interface KnownUpstream {
-  readonly entry: UpstreamEntry;
-  /** Until when the upstream is slow after its start. */
-  readonly coldUntilMillis: number;
-  /** When this node first saw an entry of this start. */
-  readonly firstSeenMillis: number;
-}
-
 /** A change that deserves a log line. */
 export interface DirectoryChange {
   readonly kind:
--- a/src/process/membership/upstream_index.ts
+++ b/src/process/membership/upstream_index.ts
@@ -3,7 +3,7 @@
  * at a host.
  */
 import {compareStarts} from './upstream_start.js';
-import type {KnownUpstream} from './upstream_directory.js';
+import type {KnownUpstream} from './known_upstream.js';
 
 /** Lookups of one moment. */
 export interface UpstreamIndex {
--- a/src/process/membership/watcher_selection.ts
+++ b/src/process/membership/watcher_selection.ts
@@ -9,7 +9,7 @@
  * is cut off has its own watcher, and a node that gets no answer watches itself.
  */
 import {fnvHash} from '../../base/fnv_hash.js';
-import type {KnownUpstream} from './upstream_directory.js';
+import type {KnownUpstream} from './known_upstream.js';
 import type {UpstreamEntry} from './upstream_entry.js';
 
 /** What this node does next. */
--- a/src/process/placement/expected_answer.ts
+++ b/src/process/placement/expected_answer.ts
@@ -2,7 +2,7 @@
  * When an upstream is expected to answer, by its load and its start.
  */
 import type {LoadReport} from '../admission/load_board.js';
-import type {KnownUpstream} from '../membership/upstream_directory.js';
+import type {KnownUpstream} from '../membership/known_upstream.js';
 
 /** A cold upstream is taken to need this many times its usual time. */
 const COLD_FACTOR = 2;
--- a/src/process/placement/placement.ts
+++ b/src/process/placement/placement.ts
@@ -10,10 +10,8 @@
 import type {LoadBoard, LoadReport} from '../admission/load_board.js';
 import {createProbeRation} from './probe_ration.js';
 import type {UpstreamEntry} from '../membership/upstream_entry.js';
-import type {
-  KnownUpstream,
-  UpstreamDirectory,
-} from '../membership/upstream_directory.js';
+import type {UpstreamDirectory} from '../membership/upstream_directory.js';
+import type {KnownUpstream} from '../membership/known_upstream.js';
 import type {AttemptEnd, UpstreamRecord} from './upstream_record.js';
 import {learnFrom} from './upstream_record.js';
 import {isSameStart} from '../membership/upstream_start.js';
--- a/src/process/placement/upstream_score.ts
+++ b/src/process/placement/upstream_score.ts
@@ -3,7 +3,7 @@
  * answer, with failures and distance counted as time; the least is chosen.
  */
 import type {LoadReport} from '../admission/load_board.js';
-import type {KnownUpstream} from '../membership/upstream_directory.js';
+import type {KnownUpstream} from '../membership/known_upstream.js';
 import type {ExpectedUpstream} from './expected_answer.js';
 import {busyRatioOf, expectedAnswerMillis} from './expected_answer.js';
 import type {UpstreamRecord} from './upstream_record.js';
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -19,7 +19,7 @@
 import type {UpstreamEntry} from '../process/membership/upstream_entry.js';
 import type {AttemptEnd} from '../process/placement/upstream_record.js';
 import type {HopReason} from '../protocol/hop_messages.js';
-import type {ServiceRoute} from '../version/route_configuration.js';
+import type {AttemptedRequest} from './attempted_request.js';
 import type {CrashQuarantine} from './crash_quarantine.js';
 import type {LocalExecution} from './local_execution.js';
 import type {PatientEnd} from './patient_attempt.js';
@@ -27,13 +27,6 @@
 import type {RepeatRules} from './repeat_rules.js';
 import {wasHandedOver} from './repeat_rules.js';
 
-/** A request to be attempted. */
-export interface AttemptedRequest {
-  readonly route: ServiceRoute;
-  readonly service: string;
-  readonly call: ExecutionCall;
-}
-
 /** What came of all attempts together. */
 export interface AttemptsEnd {
   readonly last: ExecutionEnd;
--- a/src/request/repeat_rules.ts
+++ b/src/request/repeat_rules.ts
@@ -8,7 +8,7 @@
 import {attemptCounts} from '../process/admission/call_trees.js';
 import type {LoadBoard} from '../process/admission/load_board.js';
 import type {RepeatBudget} from '../process/repeats/repeat_budget.js';
-import type {AttemptedRequest} from './attempts.js';
+import type {AttemptedRequest} from './attempted_request.js';
 import {ISOLATED_CRASHES_COUNT} from './crash_quarantine.js';
 
 /** Rules of one node. */
--- a/test/fakes/relay_fleet.ts
+++ b/test/fakes/relay_fleet.ts
@@ -14,7 +14,7 @@
 import type {PeerPositions} from '../../src/process/membership/peer_positions.js';
 import {createPeerPositions} from '../../src/process/membership/peer_positions.js';
 import {createKnownDocuments} from '../../src/process/membership/known_documents.js';
-import type {KnownUpstream} from '../../src/process/membership/upstream_directory.js';
+import type {KnownUpstream} from '../../src/process/membership/known_upstream.js';
 import {createWatcherSelection} from '../../src/process/membership/watcher_selection.js';
 import {createReplayedSource} from './replayed_source.js';
 import type {ReplayedSource} from './replayed_source.js';
--- a/test/unit/connection/peer_relay.test.ts
+++ b/test/unit/connection/peer_relay.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {createPeerRelay} from '../../../src/connection/peer_relay.js';
 import {createKnownDocuments} from '../../../src/process/membership/known_documents.js';
-import type {KnownUpstream} from '../../../src/process/membership/upstream_directory.js';
+import type {KnownUpstream} from '../../../src/process/membership/known_upstream.js';
 import {createWatcherSelection} from '../../../src/process/membership/watcher_selection.js';
 import {encodeFrame, FRAME_KIND} from '../../../src/protocol/hop_frames.js';
 import {createFrameReader} from '../../../src/protocol/hop_frames.js';
--- a/test/unit/request/repeat_rules.test.ts
+++ b/test/unit/request/repeat_rules.test.ts
@@ -3,7 +3,7 @@
 import {createCallTrees} from '../../../src/process/admission/call_trees.js';
 import {createLoadBoard} from '../../../src/process/admission/load_board.js';
 import {createRepeatBudget} from '../../../src/process/repeats/repeat_budget.js';
-import type {AttemptedRequest} from '../../../src/request/attempts.js';
+import type {AttemptedRequest} from '../../../src/request/attempted_request.js';
 import {createRepeatRules} from '../../../src/request/repeat_rules.js';
 import {executionCall} from '../../fakes/execution_call.js';
 import {serviceRoute} from '../../fakes/route_documents.js';
