--- a/src/daemon/crash_handling.ts
+++ b/src/daemon/crash_handling.ts
@@ -21,7 +21,7 @@
 import type {Endpoint} from '../process/settings/node_settings.js';
 import type {
   CrashDetector,
-  HandedOverRequest,
+  DispatchedRequest,
 } from '../request/crash_detector.js';
 import {createCrashDetector} from '../request/crash_detector.js';
 import type {CrashQuarantine} from '../request/crash_quarantine.js';
@@ -125,7 +125,7 @@
 function recordCrash(
   {log, metrics, nowMillis}: CrashHandlingOptions,
   {evidence, gossip}: Pick<CrashHandling, 'evidence' | 'gossip'>,
-  inProgress: readonly HandedOverRequest[],
+  inProgress: readonly DispatchedRequest[],
 ): void {
   const crashId = randomBytes(CRASH_ID_BYTES).toString('hex');
   const upstreamId = inProgress[0]?.upstreamId ?? '';
--- a/src/process/admission/entry_gate.ts
+++ b/src/process/admission/entry_gate.ts
@@ -3,7 +3,7 @@
  * all services that it will reach.
  *
  * Load pattern: demand on a service deep in the graph exceeds what it can do.
- * A request that it would refuse is turned away here, where nothing has been
+ * A request that it would refuse is refused here, where nothing has been
  * done for it yet; what is let in is carried through. So is a request that needs a
  * service of which no upstream is left: it would fail after all services on the
  * way there have worked for it.
--- a/src/process/admission/load_questions.ts
+++ b/src/process/admission/load_questions.ts
@@ -1,7 +1,7 @@
 /**
  * Which services this node asks about, since it hears of their loads no more.
  *
- * Load pattern: a service sheds, and a node turns away all that its clients want
+ * Load pattern: a service sheds, and a node refuses all that its clients want
  * of it. Loads come with answers, and a node that sends nothing gets none: its
  * picture ages, it lets everything in again, and what it lets in fails deeper
  * down.
@@ -10,7 +10,7 @@
 
 /** Questions of one node. */
 export interface LoadQuestions {
-  /** A request was turned away for the load of a service. */
+  /** A request was refused for the load of a service. */
   noteShed(service: string): void;
   /** Services to ask about now; each is asked about once an interval. */
   due(): readonly string[];
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -73,7 +73,7 @@
     'Time from a request to its answer at the entry',
     BUCKETS_MILLIS,
   );
-  const sheds = counter('shed_total', 'Requests turned away at the entry', [
+  const sheds = counter('shed_total', 'Requests refused at the entry', [
     'service',
   ]);
   const overQuotas = counter(
--- a/src/process/repeats/repeat_budget.ts
+++ b/src/process/repeats/repeat_budget.ts
@@ -15,7 +15,7 @@
 
 /** Budget of one node. */
 export interface RepeatBudget {
-  /** Counts requests that this node sends, or turns away, itself. */
+  /** Counts requests that this node sends, or refuses, itself. */
   recordRequest(counts: CallCounts): void;
   /** Counts calls that others are expected to make for what is let in here. */
   recordExpected(counts: CallCounts): void;
--- a/src/process/repeats/window_sum.ts
+++ b/src/process/repeats/window_sum.ts
@@ -3,7 +3,7 @@
  *
  * The bound on repeats counts requests in its window, in the one before it or in
  * the one half a window before it, whichever has most. A service whose requests
- * are turned away early would otherwise lose its repeats with them.
+ * are refused early would otherwise lose its repeats with them.
  */
 
 /** A sum over windows. */
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -25,7 +25,7 @@
 import type {PatientEnd} from './patient_attempt.js';
 import {runPatiently} from './patient_attempt.js';
 import type {RepeatRules} from './repeat_rules.js';
-import {wasHandedOver} from './repeat_rules.js';
+import {wasDispatched} from './repeat_rules.js';
 
 /** What came of all attempts together. */
 export interface AttemptsEnd {
@@ -110,7 +110,7 @@
       rules.mayTryAgain(request, last, history.ranCount);
     if (!isGivenUp && !mayTryAgain()) break;
     if (isSilent(last)) await awaitReachableUpstream(options, request, history);
-    if (wasHandedOver(last)) {
+    if (wasDispatched(last)) {
       options.onRetry(request, reasonOf(last));
       call = {...call, origin: {...call.origin, isRepeat: true}};
     }
--- a/src/request/crash_detector.ts
+++ b/src/request/crash_detector.ts
@@ -13,7 +13,7 @@
 import {createExecutionsInProgress} from '../process/quarantine/executions_in_progress.js';
 
 /** A request that the upstream was handed. */
-export interface HandedOverRequest extends FingerprintedRequest {
+export interface DispatchedRequest extends FingerprintedRequest {
   readonly attemptId: string;
   /** Id of the start of the upstream. */
   readonly upstreamId: string;
@@ -22,10 +22,10 @@
 
 /** Detects crashes of one upstream. */
 export interface CrashDetector {
-  /** Records a request that is handed over now. */
-  begin(request: HandedOverRequest): void;
+  /** Records a request that is dispatched now. */
+  begin(request: DispatchedRequest): void;
   /** Records its end; true if the upstream crashed under it. */
-  end(request: HandedOverRequest, end: UpstreamEnd): boolean | Promise<boolean>;
+  end(request: DispatchedRequest, end: UpstreamEnd): boolean | Promise<boolean>;
 }
 
 /** What detection needs. */
@@ -34,19 +34,19 @@
   readonly probe: () => Promise<ProbeResult>;
   readonly nowMillis: () => number;
   /** The upstream has crashed while it worked on these requests. */
-  readonly onCrash: (inProgress: readonly HandedOverRequest[]) => void;
+  readonly onCrash: (inProgress: readonly DispatchedRequest[]) => void;
 }
 
 /** Creates the detector of one upstream. */
 export function createCrashDetector(
   options: CrashDetectorOptions,
 ): CrashDetector {
-  const executions = createExecutionsInProgress<HandedOverRequest>(
+  const executions = createExecutionsInProgress<DispatchedRequest>(
     options.nowMillis,
   );
   let verdict: Promise<boolean> | undefined;
   /** Requests that were named already: each counts in one crash. */
-  const named = new WeakSet<HandedOverRequest>();
+  const named = new WeakSet<DispatchedRequest>();
 
   /** Requests handed over during the probe never reached the crashed process. */
   const judge = async (): Promise<boolean> => {
@@ -67,7 +67,7 @@
     return verdict;
   };
 
-  const endLost = async (request: HandedOverRequest): Promise<boolean> => {
+  const endLost = async (request: DispatchedRequest): Promise<boolean> => {
     const hasCrashed = named.has(request) || (await judgeOnce());
     executions.end(request);
     return hasCrashed;
@@ -75,7 +75,7 @@
 
   /** The upstream works on until it has sent the rest of its answer. */
   const endWithRest = async (
-    request: HandedOverRequest,
+    request: DispatchedRequest,
     rest: Readable,
   ): Promise<void> => {
     if (await readWhole(rest)) executions.end(request);
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -59,7 +59,7 @@
   /** Not run: its organisation is over its quota. */
   refuseOverQuota(exchange: Exchange, request: OverQuotaRequest): void;
   /** Not run: this node stops and takes nothing more. */
-  turnAway(exchange: Exchange, request: LateRequest): void;
+  refuseLate(exchange: Exchange, request: LateRequest): void;
   /** Not run: this node cannot serve anything yet. */
   refuse(exchange: Exchange, refusal: {readonly reason: string}): void;
   /** The request itself is not acceptable. */
@@ -325,7 +325,7 @@
         retryAfterMillis: Math.round(returnAfter),
       });
     },
-    turnAway: (exchange, {attemptId, route}) => {
+    refuseLate: (exchange, {attemptId, route}) => {
       // Not the time at which this host serves again: another host may serve it
       // by then, and asked back seconds later most clients are past their
       // objective. In a run of stops in turn under a press 0.92 of all
--- a/src/request/first_hand_over.ts
+++ b/src/request/first_dispatch.ts
@@ -3,12 +3,12 @@
  *
  * Load pattern: after a loss of power all upstreams are there again under new ids
  * while the former ones are still listed, and clients come at once. Each request
- * that is handed over under an id that the upstream denies has to be handed over
+ * that is dispatched under an id that the upstream denies has to be dispatched
  * once more, which the fleet's bound on repeats counts.
  */
 
-/** When a request may be handed over. */
-export type HandOverTurn =
+/** When a request may be dispatched. */
+export type DispatchTurn =
   /** At once: it is the first one that names its id. */
   | 'first'
   /** At once: the upstream has said whether it goes by that id, or was too slow. */
@@ -16,10 +16,10 @@
   /** When this resolves, after `HOLD_MILLIS` at the latest. */
   | Promise<void>;
 
-/** First hand-overs of one start of the upstream. */
-export interface FirstHandOvers {
+/** First dispatches of one start of the upstream. */
+export interface FirstDispatches {
   /** Asks whether a request that names an id may go. */
-  enter(upstreamId: string): HandOverTurn;
+  enter(upstreamId: string): DispatchTurn;
   /** The upstream has said whether it goes by this id. */
   settle(upstreamId: string): void;
   /** Nothing is known of the upstream, which may have started again. */
@@ -44,15 +44,15 @@
 /** Ids remembered; requests name one or two for each start of the upstream. */
 const MAX_IDS_COUNT = 64;
 
-interface FirstHandOver {
+interface FirstDispatch {
   readonly settled: Promise<void>;
   readonly settle: () => void;
   isSettled: boolean;
 }
 
 /** Creates a record that knows of no id. */
-export function createFirstHandOvers(): FirstHandOvers {
-  const firsts = new Map<string, FirstHandOver>();
+export function createFirstDispatches(): FirstDispatches {
+  const firsts = new Map<string, FirstDispatch>();
 
   const reset = (): void => {
     for (const first of firsts.values()) first.settle();
@@ -74,12 +74,12 @@
   };
 }
 
-function openFirst(): FirstHandOver {
+function openFirst(): FirstDispatch {
   let resolve: () => void = () => undefined;
   const settled = new Promise<void>(onSettled => {
     resolve = onSettled;
   });
-  const first: FirstHandOver = {
+  const first: FirstDispatch = {
     settled,
     isSettled: false,
     settle: () => {
@@ -95,7 +95,7 @@
   return first;
 }
 
-function settleAfterTurns(first: FirstHandOver, turnsCount: number): void {
+function settleAfterTurns(first: FirstDispatch, turnsCount: number): void {
   if (turnsCount === 0) first.settle();
   else setImmediate(settleAfterTurns, first, turnsCount - 1);
 }
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -24,7 +24,7 @@
   UpstreamQueue,
 } from '../process/admission/upstream_queue.js';
 import type {HopReason} from '../protocol/hop_messages.js';
-import type {CrashDetector, HandedOverRequest} from './crash_detector.js';
+import type {CrashDetector, DispatchedRequest} from './crash_detector.js';
 import type {CrashQuarantine} from './crash_quarantine.js';
 import type {LocalUpstream} from './local_upstream.js';
 
@@ -85,7 +85,7 @@
   const fetched = call.fetchBody();
   const body = fetched instanceof Promise ? await fetched : fetched;
   if (body === undefined) return refuseUnused(options, 'cancelled');
-  const request = handedOverRequest(call, body, nowMillis());
+  const request = dispatchedRequest(call, body, nowMillis());
   const admission = options.quarantine.admit(request, {
     waitMillis: call.deadlineMillis - MIN_LEFT_MILLIS - nowMillis(),
     cancel: call.cancel,
@@ -101,7 +101,7 @@
   const startedMillis = nowMillis();
   const parent = options.parents.open(call.attemptId, call.origin);
   const {end, hasCrashed} = await observeCrash(options, request, () =>
-    handOverToCurrent(options, call, body),
+    dispatchToCurrent(options, call, body),
   );
   parent.close();
   settle(options, call, end, nowMillis() - startedMillis);
@@ -117,7 +117,7 @@
 
 async function observeCrash(
   {crashes, quarantine}: LocalExecutionOptions,
-  request: HandedOverRequest,
+  request: DispatchedRequest,
   run: () => Promise<UpstreamEnd>,
 ): Promise<ObservedEnd> {
   crashes.begin(request);
@@ -130,7 +130,7 @@
 
 function crashEnd(
   {quarantine}: LocalExecutionOptions,
-  request: HandedOverRequest,
+  request: DispatchedRequest,
   {hasFailedCall}: InFlightParent,
 ): ExecutionEnd {
   const crashesCount = quarantine.crashesCount(request);
@@ -142,11 +142,11 @@
   };
 }
 
-function handedOverRequest(
+function dispatchedRequest(
   call: LocalCall,
   body: Buffer,
   startedMillis: number,
-): HandedOverRequest {
+): DispatchedRequest {
   return {
     attemptId: call.attemptId,
     upstreamId: call.upstreamId,
@@ -204,7 +204,7 @@
   });
 }
 
-/** Why a request that holds a slot must not be handed over any more. */
+/** Why a request that holds a slot must not be dispatched any more. */
 function lateReason(
   {upstream, nowMillis}: LocalExecutionOptions,
   call: LocalCall,
@@ -229,7 +229,7 @@
  * service would else fail: half of those that were lost in the four seconds after
  * a loss of power.
  */
-async function handOverToCurrent(
+async function dispatchToCurrent(
   options: LocalExecutionOptions,
   call: LocalCall,
   body: Buffer,
@@ -238,23 +238,23 @@
   const turn = upstream.turnOf(call.upstreamId);
   if (turn instanceof Promise) await turn;
   const askedId = upstream.currentIdOf(call.upstreamId);
-  const end = await handOver(options, {...call, upstreamId: askedId}, body);
+  const end = await dispatch(options, {...call, upstreamId: askedId}, body);
   if (end.kind !== 'not-run' || end.reason !== 'misdirected') return end;
   options.onMisdirected?.(call, end.actualId);
   upstream.markMisdirected(call.upstreamId, end.actualId);
   const currentId = upstream.currentIdOf(call.upstreamId);
   if (currentId === call.upstreamId || currentId === askedId) return end;
-  if (!mayHandOverAgain(options, call, turn === 'first')) return end;
-  return handOver(options, {...call, upstreamId: currentId}, body);
+  if (!mayDispatchAgain(options, call, turn === 'first')) return end;
+  return dispatch(options, {...call, upstreamId: currentId}, body);
 }
 
 /**
- * The second hand-over is an arrival beyond the first, which only this node knows
+ * The second dispatch is an arrival beyond the first, which only this node knows
  * of. The first one for an id is charged without being asked, as there is one for
  * each start; those that a late denial has let through share the budget, and what
  * does not fit is left to its sender.
  */
-function mayHandOverAgain(
+function mayDispatchAgain(
   {budget, trees, ownService}: LocalExecutionOptions,
   {attemptId, origin}: LocalCall,
   isFirst: boolean,
@@ -268,7 +268,7 @@
 }
 
 /** Hands the request over and ends it at its deadline at the latest. */
-function handOver(
+function dispatch(
   options: LocalExecutionOptions,
   call: LocalCall,
   body: Buffer,
--- a/src/request/local_upstream.ts
+++ b/src/request/local_upstream.ts
@@ -6,14 +6,14 @@
 import {toDisposable} from '../base/lifecycle.js';
 import type {UpstreamDirectory} from '../process/membership/upstream_directory.js';
 import type {HopReason} from '../protocol/hop_messages.js';
-import type {HandOverTurn} from './first_hand_over.js';
-import {createFirstHandOvers} from './first_hand_over.js';
+import type {DispatchTurn} from './first_dispatch.js';
+import {createFirstDispatches} from './first_dispatch.js';
 
 /** State of the upstream beside this node. */
 export interface LocalUpstream {
   /** Why a request for this upstream is refused as it arrives. */
   refusalFor(upstreamId: string): HopReason | undefined;
-  /** Why a request that was let in must not be handed over any more. */
+  /** Why a request that was let in must not be dispatched any more. */
   leavingReason(upstreamId: string): HopReason | undefined;
   markUnreachable(): void;
   /** The upstream says that it is not the one with this id, but another. */
@@ -22,8 +22,8 @@
   currentIdOf(upstreamId: string): string;
   /** The upstream has answered a request that named this id. */
   markAnswered(upstreamId: string): void;
-  /** Asks whether a request that names this id may be handed over now. */
-  turnOf(upstreamId: string): HandOverTurn;
+  /** Asks whether a request that names this id may be dispatched now. */
+  turnOf(upstreamId: string): DispatchTurn;
   markReached(): void;
   /** False while it cannot be reached. */
   readonly isReachable: boolean;
@@ -33,7 +33,7 @@
   markStarted(): void;
   /** Calls the listener when the upstream has started, or started again. */
   onStarted(listener: () => void): Disposable;
-  /** This node stops: nothing new is handed over. */
+  /** This node stops: nothing new is dispatched. */
   startDraining(): void;
 }
 
@@ -82,7 +82,7 @@
   let retryAtMillis = 0;
   let isDraining = false;
   const deniedIds = new Map<string, DeniedId>();
-  const firstHandOvers = createFirstHandOvers();
+  const firstDispatches = createFirstDispatches();
 
   const denied = (upstreamId: string): DeniedId | undefined => {
     const known = deniedIds.get(upstreamId);
@@ -134,7 +134,7 @@
       retryAtMillis = nowMillis() + RETRY_MILLIS;
       if (failuresInARow === 1) {
         options.onChange(false);
-        firstHandOvers.reset();
+        firstDispatches.reset();
       }
       if (failuresInARow !== LOST_COUNT) return;
       // The upstream ended without a word; what it was working on would hold
@@ -146,11 +146,11 @@
         untilMillis: nowMillis() + MISDIRECTED_MILLIS,
         currentId: isOfOwnService(upstreamId) ? actualId : undefined,
       });
-      firstHandOvers.settle(upstreamId);
+      firstDispatches.settle(upstreamId);
     },
     markAnswered: upstreamId => {
       markReached();
-      firstHandOvers.settle(upstreamId);
+      firstDispatches.settle(upstreamId);
       const known = denied(upstreamId);
       if (known?.currentId === undefined) return;
       // It has just answered under its own id; asked again under the former one
@@ -160,7 +160,7 @@
         untilMillis: nowMillis() + MISDIRECTED_MILLIS,
       });
     },
-    turnOf: firstHandOvers.enter,
+    turnOf: firstDispatches.enter,
     currentIdOf: upstreamId => denied(upstreamId)?.currentId ?? upstreamId,
     markReached,
     get isReachable() {
@@ -169,7 +169,7 @@
     onLost: listener => listenIn(lostListeners, listener),
     markStarted: () => {
       deniedIds.clear();
-      firstHandOvers.reset();
+      firstDispatches.reset();
       markReached();
       for (const listener of [...startedListeners]) listener();
     },
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -118,7 +118,7 @@
 ): Promise<void> {
   const {answers} = options;
   const routed = routeRequest(options, exchange, isLocal);
-  if (routed === undefined || isTurnedAway(options, exchange, routed)) return;
+  if (routed === undefined || isRefusedLate(options, exchange, routed)) return;
   const isWithin = isWithinQuota(options, exchange, routed);
   if (!(isWithin instanceof Promise ? await isWithin : isWithin)) return;
   const entered = enterRequest(options, exchange, routed);
@@ -132,7 +132,7 @@
   }
   if (body.kind === 'broken') return;
   // Its body may have come so late that the answer would not come any more.
-  if (isTurnedAway(options, exchange, routed)) return;
+  if (isRefusedLate(options, exchange, routed)) return;
   const headers = headersFor(options.names, entered, routed.table, dropped);
   await serve(options, entered, headers, body.bytes);
 }
@@ -174,13 +174,13 @@
 }
 
 /** Refuses a request that comes to a node which stops and takes nothing more. */
-function isTurnedAway(
+function isRefusedLate(
   {stop, answers}: OutboundOptions,
   exchange: Exchange,
   {attemptId, route, isLocal, parent}: RoutedRequest,
 ): boolean {
   if (stop.takes({isUpstreams: isLocal || parent !== undefined})) return false;
-  answers.turnAway(exchange, {attemptId, route});
+  answers.refuseLate(exchange, {attemptId, route});
   return true;
 }
 
--- a/src/request/repeat_rules.ts
+++ b/src/request/repeat_rules.ts
@@ -100,7 +100,7 @@
       if (end.kind === 'refused') {
         if (end.reason === 'quarantined') return false;
         if (end.reason === 'misdirected') return mayTurnElsewhere(request);
-        return !wasHandedOver(end) || mayAskAgain(request);
+        return !wasDispatched(end) || mayAskAgain(request);
       }
       if (!isWorthRepeating(end, request)) return false;
       if (mayCrashAgain(end)) return false;
@@ -120,7 +120,7 @@
 }
 
 /** The upstream received the request, whether it ran it or not. */
-export function wasHandedOver(end: ExecutionEnd): boolean {
+export function wasDispatched(end: ExecutionEnd): boolean {
   if (end.kind !== 'refused') return true;
   return end.reason === 'not-executed' || end.reason === 'misdirected';
 }
--- a/test/unit/request/crash_detector.test.ts
+++ b/test/unit/request/crash_detector.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import type {ProbeResult} from '../../../src/connection/upstream_probe.js';
 import type {UpstreamEnd} from '../../../src/connection/upstream_sender.js';
-import type {HandedOverRequest} from '../../../src/request/crash_detector.js';
+import type {DispatchedRequest} from '../../../src/request/crash_detector.js';
 import {createCrashDetector} from '../../../src/request/crash_detector.js';
 
 const LOST: UpstreamEnd = {
@@ -27,7 +27,7 @@
       crashes.push(inProgress.map(({attemptId}) => attemptId));
     },
   });
-  const begin = (attemptId: string): HandedOverRequest => {
+  const begin = (attemptId: string): DispatchedRequest => {
     const request = {
       attemptId,
       upstreamId: 'u-1',
--- a/test/unit/request/first_hand_over.test.ts
+++ b/test/unit/request/first_dispatch.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {createFirstHandOvers} from '../../../src/request/first_hand_over.js';
+import {createFirstDispatches} from '../../../src/request/first_dispatch.js';
 
 /** Whether a promise has resolved once the loop has turned. */
 async function isResolved(turn: unknown): Promise<boolean> {
@@ -9,7 +9,7 @@
 }
 
 test('requests behind the first one wait until the upstream has answered', async t => {
-  const firsts = createFirstHandOvers();
+  const firsts = createFirstDispatches();
   t.is(firsts.enter('u-1'), 'first');
   const behind = firsts.enter('u-1');
   t.false(await isResolved(behind));
@@ -20,14 +20,14 @@
 
 test('nobody waits longer than a denial takes', async t => {
   // An upstream that goes by the id answers only when it has run the request.
-  const firsts = createFirstHandOvers();
+  const firsts = createFirstDispatches();
   void firsts.enter('u-1');
   await firsts.enter('u-1');
   t.is(firsts.enter('u-1'), 'settled');
 });
 
 test('nothing is known of an upstream that may have started again', async t => {
-  const firsts = createFirstHandOvers();
+  const firsts = createFirstDispatches();
   void firsts.enter('u-1');
   const behind = firsts.enter('u-1');
   firsts.reset();
@@ -40,7 +40,7 @@
   // 12 runs beside a load of twice the processors. Their node was short of processor
   // time: the time for which they waited was over before it had read the denial, so
   // that all were handed over for the former id, and some did not fit into the budget.
-  const firsts = createFirstHandOvers();
+  const firsts = createFirstDispatches();
   t.is(firsts.enter('u-1'), 'first');
   const behind = firsts.enter('u-1');
   const untilMillis = performance.now() + 60;
