Split routing from the exchange at the entry; one reader of lists; plainer comments

The entry's file held routing and identification besides serving, and its answers the types of requests; both are files of their own now. The codecs of crash reports and of quotas share their reader of lists. Comments of the new modules in the field's terms. No behaviour changes.

--- a/src/connection/follow_state.ts
+++ b/src/connection/follow_state.ts
@@ -37,7 +37,7 @@
   readonly untilWoken: Effect.Effect<undefined>;
   /** When the last call began. */
   readonly askedMillis: number;
-  /** Tells how a call ended that began then or at another time. */
+  /** Reports how a call ended; it began at the last one, or at another time. */
   tellCall(call: SourceCall, answer?: DocumentRead, sinceMillis?: number): void;
   beginCall(isRead: boolean): void;
   requireRead(due: ReadDue): void;
--- a/src/process/admission/importance.ts
+++ b/src/process/admission/importance.ts
@@ -33,7 +33,7 @@
   readonly routeRank: number;
   /** Rank of the least important routes. */
   readonly lowestRouteRank: number;
-  /** `undefined` where organisations are not told apart. */
+  /** `undefined` where clients have no organisation. */
   readonly organisationRank: number | undefined;
 }
 
--- a/src/process/quota/coordinator_choice.ts
+++ b/src/process/quota/coordinator_choice.ts
@@ -18,7 +18,7 @@
   isFirstChoice(organisation: string): boolean;
   /** Part of all nodes that this one can reach, itself included. */
   reachableRatio(): number;
-  /** Other nodes of a zone, in random order, that tell whether it is cut off. */
+  /** A few random nodes of a zone, to find out whether it is cut off. */
   witnesses(zone: string, exceptKey?: string): readonly T[];
   /** Zones that have other nodes. */
   zones(): readonly string[];
@@ -38,7 +38,7 @@
 /** Time for which an order of hosts is kept. */
 const ORDER_MILLIS = 200;
 
-/** Nodes that are asked about the reach of a zone. */
+/** Nodes of a zone that are probed at a time. */
 const WITNESSES_COUNT = 2;
 
 /** Creates the choice of one node. */
--- a/src/process/quota/quota_coordinator.ts
+++ b/src/process/quota/quota_coordinator.ts
@@ -13,7 +13,7 @@
 
 /** The coordinator of one node. */
 export interface QuotaCoordinator {
-  /** Takes a report and tells what is allowed from now on. */
+  /** Records a report and returns the allowances that hold from now on. */
   receive(report: QuotaReport): readonly QuotaAllowance[];
   /** Organisations with an account here. */
   readonly accountsCount: number;
@@ -97,8 +97,8 @@
   };
 
   /**
-   * What ran since the last report. Less what another coordinator has confirmed
-   * meanwhile, and what this one counted though its answer was lost.
+   * Requests that ran since the last report, without those that another coordinator
+   * has confirmed meanwhile or that were counted here though the answer was lost.
    */
   const newlyRan = ({ranCounts}: Reporter, use: QuotaUse): number => {
     const before = ranCounts.get(use.organisation);
--- a/src/process/quota/quota_exchange.ts
+++ b/src/process/quota/quota_exchange.ts
@@ -1,11 +1,12 @@
 /**
- * Keeps the quotas of organisations over the whole fleet: what enters here is
- * counted and reported to the coordinator of each organisation, which tells what
- * share of the requests to admit.
+ * Enforces the quotas of organisations over the whole fleet: requests that enter here
+ * are counted and reported to the coordinator of each organisation, which answers
+ * with the share of the requests to admit.
  *
- * While a coordinator does not answer, what it allowed last is followed. Another one
+ * While a coordinator does not answer, its last allowance stays in force. Another one
  * is chosen only once it is known whether the node has ended or a zone is cut off:
- * the coordinators of both parts of a fleet would else each allow the whole quota.
+ * otherwise the coordinators of both parts of a fleet would each allow the whole
+ * quota.
  */
 import type {Organisation} from '../../version/organisation.js';
 import type {
@@ -58,7 +59,7 @@
 
 /** What an exchange needs. */
 export interface QuotaExchangeOptions<T extends ZonedHost> {
-  /** Tells this start of the process from all others. */
+  /** Identifies this start of the process. */
   readonly reporterId: string;
   readonly ownHostKey: string;
   readonly zone: string;
@@ -194,7 +195,7 @@
     probing.delete(zone);
   };
 
-  /** A zone that nothing comes from may be cut off, or quiet. */
+  /** A silent zone may be cut off, or have nothing to report. */
   const probeSilentZones = (): void => {
     for (const zone of choice.zones()) {
       const isAwaited = reach.isCutOff(zone) || coordinator.isActive();
@@ -205,7 +206,7 @@
 
   const reportUses = (): void => {
     const groups = new Map<string, {host: T | undefined; uses: QuotaUse[]}>();
-    // A node that has not answered yet gets the next report when it has.
+    // One report at a time goes to each coordinator.
     const uses = gate.takeUses(
       name => !reporting.has(choice.choose(name)?.hostKey ?? ownHostKey),
     );
--- a/src/process/repeats/in_flight_parents.ts
+++ b/src/process/repeats/in_flight_parents.ts
@@ -13,7 +13,7 @@
 /** What calls inherit from a client's request. */
 export interface CallOrigin {
   readonly importance: number;
-  /** Organisation whose client sent the root, where clients are told apart. */
+  /** Organisation whose client sent the root, if clients have API keys. */
   readonly organisationName?: string | undefined;
   /** Id of the client's attempt at the root. */
   readonly rootId: string;
--- a/src/protocol/crash_report_codec.ts
+++ b/src/protocol/crash_report_codec.ts
@@ -2,7 +2,7 @@
  * Reports of crashes as payloads of frames.
  */
 import type {CrashFields, CrashReport, CrashSummary} from './crash_fields.js';
-import {areTexts, isNumber, parseJson} from './message_payload.js';
+import {areTexts, isNumber, parseJson, readList} from './message_payload.js';
 
 /** First byte of a report that asks for one; other questions begin with 1 and 2. */
 const CRASH_REPORT = 3;
@@ -37,23 +37,13 @@
   if (!Array.isArray(value)) return undefined;
   const [digest, crashList, summaryList, wantedIds] =
     value as readonly unknown[];
-  const crashes = listOf(crashList, crashOf);
-  const summaries = listOf(summaryList, summaryOf);
+  const crashes = readList(crashList, crashOf);
+  const summaries = readList(summaryList, summaryOf);
   if (typeof digest !== 'string' || !isTextList(wantedIds)) return undefined;
   if (crashes === undefined || summaries === undefined) return undefined;
   return {digest, crashes, summaries, wantedIds};
 }
 
-/** Reads each item of a list; `undefined` if any cannot be read. */
-function listOf<T>(
-  value: unknown,
-  read: (item: unknown) => T | undefined,
-): readonly T[] | undefined {
-  if (!Array.isArray(value)) return undefined;
-  const items = (value as readonly unknown[]).map(read);
-  return items.every(item => item !== undefined) ? items : undefined;
-}
-
 function summaryOf(value: unknown): CrashSummary | undefined {
   if (!isTextList(value)) return undefined;
   const [crashId, digest] = value;
--- a/src/protocol/hop_messages.ts
+++ b/src/protocol/hop_messages.ts
@@ -39,7 +39,7 @@
 /** What the calls of a request inherit, as sent. */
 export interface OriginFields {
   readonly importance: number;
-  /** Organisation whose client sent the root, where clients are told apart. */
+  /** Organisation whose client sent the root, if clients have API keys. */
   readonly organisationName?: string | undefined;
   readonly rootId: string;
   readonly rootRouteName: string;
--- a/src/protocol/hop_request_codec.ts
+++ b/src/protocol/hop_request_codec.ts
@@ -20,7 +20,7 @@
   number,
   number,
   number,
-  // Only where clients are told apart.
+  // Only if clients have API keys.
   ...([string] | []),
 ];
 type RequestList = readonly [
--- a/src/protocol/message_payload.ts
+++ b/src/protocol/message_payload.ts
@@ -58,3 +58,13 @@
   }
   return true;
 }
+
+/** Reads each item of a list; `undefined` if any cannot be read. */
+export function readList<T>(
+  value: unknown,
+  read: (item: unknown) => T | undefined,
+): readonly T[] | undefined {
+  if (!Array.isArray(value)) return undefined;
+  const items = (value as readonly unknown[]).map(read);
+  return items.every(item => item !== undefined) ? items : undefined;
+}
--- a/src/protocol/quota_codec.ts
+++ b/src/protocol/quota_codec.ts
@@ -2,7 +2,7 @@
  * Reports of the use of quotas and their answers as payloads of frames.
  */
 import type {QuotaAllowance, QuotaReport, QuotaUse} from './quota_messages.js';
-import {isNumber, parseJson} from './message_payload.js';
+import {isNumber, parseJson, readList} from './message_payload.js';
 
 /** First byte of a report; other questions begin with 1, 2 and 3. */
 const QUOTA_REPORT = 4;
@@ -38,7 +38,7 @@
   const value = parseJson(payload.subarray(1).toString());
   if (!Array.isArray(value)) return undefined;
   const [reporterId, zone, sequence, list] = value as readonly unknown[];
-  const uses = listOf(list, useOf);
+  const uses = readList(list, useOf);
   if (typeof reporterId !== 'string' || typeof zone !== 'string') {
     return undefined;
   }
@@ -67,7 +67,7 @@
 export function decodeQuotaAllowances(
   payload: Buffer,
 ): readonly QuotaAllowance[] | undefined {
-  return listOf(parseJson(payload.toString()), allowanceOf);
+  return readList(parseJson(payload.toString()), allowanceOf);
 }
 
 function withoutTrailingZeros(counts: readonly number[]): readonly number[] {
@@ -75,16 +75,6 @@
   return counts.slice(0, last + 1);
 }
 
-/** Reads each item of a list; `undefined` if any cannot be read. */
-function listOf<T>(
-  value: unknown,
-  read: (item: unknown) => T | undefined,
-): readonly T[] | undefined {
-  if (!Array.isArray(value)) return undefined;
-  const items = (value as readonly unknown[]).map(read);
-  return items.every(item => item !== undefined) ? items : undefined;
-}
-
 function useOf(value: unknown): QuotaUse | undefined {
   if (!Array.isArray(value)) return undefined;
   const [organisation, ranCount, unconfirmedCount, offeredCounts] =
--- a/src/protocol/quota_messages.ts
+++ b/src/protocol/quota_messages.ts
@@ -5,7 +5,7 @@
 
 /** Use of quotas at one node, sent to the coordinator of these organisations. */
 export interface QuotaReport {
-  /** Tells one start of the reporting process from all others. */
+  /** Identifies one start of the reporting process. */
   readonly reporterId: string;
   /** Availability zone of the reporting node. */
   readonly zone: string;
@@ -28,7 +28,7 @@
 /** What a coordinator answers to a report, one for each organisation in it. */
 export interface QuotaAllowance {
   readonly organisation: string;
-  /** The coordinator is new and follows demand first: the last allowance stands. */
+  /** The coordinator has just taken over and does not know demand yet. */
   readonly isSettling: boolean;
   /**
    * Share of the requests to admit, by rank of their route; a rank beyond the
@@ -42,5 +42,5 @@
   readonly limitPerSecond: number;
 }
 
-/** Ranks that quotas tell apart; those beyond count as the last. */
+/** Ranks that quotas distinguish; those beyond count as the last. */
 export const QUOTA_RANKS_COUNT = 8;
--- a/src/request/entered_request.ts
+++ b/src/request/entered_request.ts
@@ -17,7 +17,8 @@
 import type {Organisation} from '../version/organisation.js';
 import type {ServiceRoute} from '../version/route_configuration.js';
 import type {RouteTable} from '../version/route_table.js';
-import type {AnsweredRequest, EntryAnswers} from './entry_answers.js';
+import type {AnsweredRequest} from './answered_request.js';
+import type {EntryAnswers} from './entry_answers.js';
 
 /** What entering needs. */
 export interface EntryOptions {
@@ -32,7 +33,7 @@
 export interface EnteredRequest extends AnsweredRequest {
   /** The request at the own upstream that this call is made for. */
   readonly parent: InFlightParent | undefined;
-  /** Organisation of the client, where clients are told apart. */
+  /** Organisation of the client, if clients have API keys. */
   readonly organisation: Organisation | undefined;
 }
 
@@ -49,7 +50,7 @@
   readonly parent: InFlightParent | undefined;
   /** The version that it was routed by. */
   readonly table: RouteTable;
-  /** Organisation of the client, where clients are told apart. */
+  /** Organisation of the client, if clients have API keys. */
   readonly organisation: Organisation | undefined;
 }
 
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -6,48 +6,18 @@
 import {passedOnHeaders} from '../connection/raw_headers.js';
 import {hasBody} from '../connection/request_body.js';
 import type {DecisionLog} from '../process/log/decision_log.js';
-import type {ShedCause} from '../process/admission/entry_gate.js';
-import type {CallOrigin} from '../process/repeats/in_flight_parents.js';
 import type {NodeMetrics} from '../process/log/node_metrics.js';
-import type {QuotaDecision} from '../process/quota/quota_exchange.js';
 import type {StopPlan} from '../process/stop/stop_plan.js';
 import type {NoteHeaders} from '../protocol/wire_headers.js';
 import type {ServiceRoute} from '../version/route_configuration.js';
+import type {
+  AnsweredRequest,
+  LateRequest,
+  OverQuotaRequest,
+  ShedRequest,
+} from './answered_request.js';
 import type {AttemptsEnd} from './attempts.js';
 
-/** A request as far as its answer is concerned. */
-export interface AnsweredRequest {
-  readonly exchange: Exchange;
-  readonly attemptId: string;
-  readonly route: ServiceRoute;
-  readonly service: string;
-  readonly arrivedMillis: number;
-  readonly deadlineMillis: number;
-  readonly origin: CallOrigin;
-}
-
-/** A request that the gate kept out. */
-export interface ShedRequest {
-  readonly attemptId: string;
-  readonly route: ServiceRoute;
-  readonly cause: ShedCause;
-  readonly importance: number;
-  readonly arrivedMillis: number;
-}
-
-/** A request whose organisation is over its quota. */
-export interface OverQuotaRequest {
-  readonly attemptId: string;
-  readonly route: ServiceRoute;
-  readonly decision: Extract<QuotaDecision, {readonly kind: 'over-quota'}>;
-}
-
-/** A request that comes to a node that stops. */
-export interface LateRequest {
-  readonly attemptId: string;
-  readonly route: ServiceRoute;
-}
-
 /** Writes answers. */
 export interface EntryAnswers {
   /** Passes on what came of the attempts. */
--- a/src/request/open_requests.ts
+++ b/src/request/open_requests.ts
@@ -5,7 +5,7 @@
  */
 import type {CancelSource} from '../base/cancel_signal.js';
 import type {DecisionLog} from '../process/log/decision_log.js';
-import type {AnsweredRequest} from './entry_answers.js';
+import type {AnsweredRequest} from './answered_request.js';
 
 /** Requests of one node that have no answer yet. */
 export interface OpenRequests {
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -29,12 +29,11 @@
 import type {AttemptsEnd, Attempts} from './attempts.js';
 import type {EntryAnswers} from './entry_answers.js';
 import type {EnteredRequest} from './entered_request.js';
-import {enterRequest, readAttemptId} from './entered_request.js';
+import {enterRequest} from './entered_request.js';
 import type {OpenRequests} from './open_requests.js';
 import {CREDENTIALS_HEADER} from './credentials.js';
 import type {RoutedRequest} from './entered_request.js';
-import type {SenderIdentity} from './sender_identity.js';
-import {identifySender} from './sender_identity.js';
+import {routeRequest} from './request_routing.js';
 
 /** Answers requests that enter here. */
 export interface OutboundExchanges {
@@ -70,11 +69,6 @@
  */
 const WAIT_RATIO = 0.25;
 
-const NO_ORGANISATION: SenderIdentity = {
-  kind: 'accepted',
-  organisation: undefined,
-};
-
 /** Creates the entry of one node. */
 export function createOutboundExchanges(
   options: OutboundOptions,
@@ -137,42 +131,6 @@
   await serve(options, entered, headers, body.bytes);
 }
 
-/** Finds what a request is for and who sent it; answers one that is neither. */
-function routeRequest(
-  {answers, configuration, names, parents}: OutboundOptions,
-  exchange: Exchange,
-  isLocal: boolean,
-): RoutedRequest | undefined {
-  const table = configuration.current();
-  if (table === undefined) {
-    answers.refuse(exchange, {reason: 'no-configuration'});
-    return undefined;
-  }
-  const {request} = exchange;
-  const route = table.match({
-    method: request.method ?? 'GET',
-    host: request.headers.host ?? '',
-    target: request.url ?? '/',
-  });
-  if (route === undefined) {
-    answers.reject(exchange, 404, 'no-route');
-    return undefined;
-  }
-  const attemptId = readAttemptId(names, exchange);
-  if (attemptId === undefined) {
-    answers.reject(exchange, 400, 'no-attempt-id');
-    return undefined;
-  }
-  const parent = parents.find(attemptId);
-  const identity = identify(exchange, table, {route, isLocal, parent});
-  if (identity.kind === 'refused') {
-    answers.challenge(exchange, identity.reason);
-    return undefined;
-  }
-  const {organisation} = identity;
-  return {route, attemptId, isLocal, parent, table, organisation};
-}
-
 /** Refuses a request that comes to a node which stops and takes nothing more. */
 function isRefusedLate(
   {stop, answers}: OutboundOptions,
@@ -200,18 +158,6 @@
   return decided instanceof Promise ? decided.then(settle) : settle(decided);
 }
 
-/** Calls of the upstream carry no API key. */
-function identify(
-  {request}: Exchange,
-  {organisations}: RouteTable,
-  {route, isLocal, parent}: Pick<RoutedRequest, 'route' | 'isLocal' | 'parent'>,
-): SenderIdentity {
-  const isCall = isLocal || parent !== undefined;
-  if (organisations === undefined || isCall) return NO_ORGANISATION;
-  const {rawHeaders: headers} = request;
-  return identifySender(organisations, {headers, isPublic: route.isPublic});
-}
-
 /** Fields to pass on, with the organisation in place of the API key. */
 function headersFor(
   names: WireHeaders,
--- /dev/null
+++ b/src/request/request_routing.ts
@@ -0,0 +1,75 @@
+/**
+ * Finds the route of a request that enters here, the request that it is a call of, and
+ * the organisation that it is sent for.
+ */
+import type {Exchange} from '../connection/node_listener.js';
+import type {ConfigurationHolder} from '../process/membership/configuration_holder.js';
+import type {InFlightParents} from '../process/repeats/in_flight_parents.js';
+import type {WireHeaders} from '../protocol/wire_headers.js';
+import type {RouteTable} from '../version/route_table.js';
+import type {EntryAnswers} from './entry_answers.js';
+import type {RoutedRequest} from './entered_request.js';
+import {readAttemptId} from './entered_request.js';
+import type {SenderIdentity} from './sender_identity.js';
+import {identifySender} from './sender_identity.js';
+
+/** What routing needs. */
+export interface RequestRoutingOptions {
+  readonly names: WireHeaders;
+  readonly configuration: ConfigurationHolder;
+  readonly parents: InFlightParents;
+  readonly answers: Pick<EntryAnswers, 'refuse' | 'reject' | 'challenge'>;
+}
+
+const NO_ORGANISATION: SenderIdentity = {
+  kind: 'accepted',
+  organisation: undefined,
+};
+
+/** Routes a request; answers one that cannot be routed and returns `undefined`. */
+export function routeRequest(
+  {answers, configuration, names, parents}: RequestRoutingOptions,
+  exchange: Exchange,
+  isLocal: boolean,
+): RoutedRequest | undefined {
+  const table = configuration.current();
+  if (table === undefined) {
+    answers.refuse(exchange, {reason: 'no-configuration'});
+    return undefined;
+  }
+  const {request} = exchange;
+  const route = table.match({
+    method: request.method ?? 'GET',
+    host: request.headers.host ?? '',
+    target: request.url ?? '/',
+  });
+  if (route === undefined) {
+    answers.reject(exchange, 404, 'no-route');
+    return undefined;
+  }
+  const attemptId = readAttemptId(names, exchange);
+  if (attemptId === undefined) {
+    answers.reject(exchange, 400, 'no-attempt-id');
+    return undefined;
+  }
+  const parent = parents.find(attemptId);
+  const identity = identify(exchange, table, {route, isLocal, parent});
+  if (identity.kind === 'refused') {
+    answers.challenge(exchange, identity.reason);
+    return undefined;
+  }
+  const {organisation} = identity;
+  return {route, attemptId, isLocal, parent, table, organisation};
+}
+
+/** Calls of the upstream carry no API key. */
+function identify(
+  {request}: Exchange,
+  {organisations}: RouteTable,
+  {route, isLocal, parent}: Pick<RoutedRequest, 'route' | 'isLocal' | 'parent'>,
+): SenderIdentity {
+  const isCall = isLocal || parent !== undefined;
+  if (organisations === undefined || isCall) return NO_ORGANISATION;
+  const {rawHeaders: headers} = request;
+  return identifySender(organisations, {headers, isPublic: route.isPublic});
+}
--- a/src/version/route_configuration.ts
+++ b/src/version/route_configuration.ts
@@ -68,7 +68,7 @@
   /** Names of services, whether routes lead to them or not. */
   readonly services: readonly string[];
   readonly routes: readonly ServiceRoute[];
-  /** Empty where clients are not told apart and need no API key. */
+  /** Empty if clients need no API key. */
   readonly organisations: readonly Organisation[];
   readonly limits: ClientLimits;
 }
--- a/src/version/route_table.ts
+++ b/src/version/route_table.ts
@@ -29,7 +29,7 @@
   readonly document: string;
   /** Rank of the least important routes. */
   readonly lowestRank: number;
-  /** `undefined` where clients are not told apart and need no API key. */
+  /** `undefined` if clients need no API key. */
   readonly organisations: OrganisationDirectory | undefined;
   /** Whether this version knows a service of this name. */
   hasService(name: string): boolean;
