--- a/src/process/admission/load_board.ts
+++ b/src/process/admission/load_board.ts
@@ -166,7 +166,7 @@
 
 /**
  * By slots; where some reject and are avoided for it, by what is sent to each:
- * the free slots of those that nobody asks would hide the queue of the others.
+ * the free slots of those that get no requests would hide the queue of the others.
  */
 function shareRule(reports: readonly LoadReport[], now: number): ShareRule {
   const isKnown = reports.every(
@@ -209,8 +209,8 @@
 }
 
 /**
- * Upstreams that were heard of lately tell the level. Those that were not would
- * raise it: their levels are let go with age, whatever the others say.
+ * Upstreams that were heard of lately set the level. Those that were not would
+ * raise it: their levels relax with age, whatever the others report.
  */
 function partsOf(reports: readonly LoadReport[], now: number): readonly Part[] {
   const fresh = reports.filter(report => isFresh(report, now));
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -32,7 +32,7 @@
   recordInvalidDocument(kind: DocumentKind): void;
   /** A call to the store ended, by what came of it. */
   recordStoreCall(result: string): void;
-  /** Another node told changes of the documents. */
+  /** Another node sent changes of the documents. */
   recordRelayed(): void;
   /** Calls to the store so far, by what came of them. */
   storeCalls(): Readonly<Record<string, number>>;
--- a/src/process/membership/document_relay.ts
+++ b/src/process/membership/document_relay.ts
@@ -3,15 +3,15 @@
  */
 import type {DocumentRead, SourcePosition} from './document_source.js';
 
-/** How a turn of a node that may be told by others ended. */
+/** How a poll of another node ended. */
 export type RelayEnd =
   /** It is this node that watches the source. */
   | 'watch'
   /** The node that was asked did not answer, or does not watch itself. */
   | 'failed'
-  /** It knows more, and not all that this one lacks: only a read can tell. */
+  /** It knows more, but not all that this one lacks: a read is required. */
   | 'read'
-  /** What it told. */
+  /** The changes that it sent. */
   | DocumentRead;
 
 /** Gets changes from other nodes. */
--- a/src/process/membership/document_source.ts
+++ b/src/process/membership/document_source.ts
@@ -8,12 +8,12 @@
  * revisions out again that it had given out after the copy was made.
  */
 export interface SourcePosition {
-  /** 0 for a source that tells none. */
+  /** 0 for a source without epochs. */
   readonly epoch: number;
   readonly revision: number;
 }
 
-/** Before everything that a source tells. */
+/** Before everything that a source holds. */
 export const NO_POSITION: SourcePosition = {epoch: 0, revision: 0};
 
 /** Whether one moment of a source is after another one. */
--- a/src/process/membership/left_starts.ts
+++ b/src/process/membership/left_starts.ts
@@ -1,5 +1,5 @@
 /**
- * Remembers the starts of upstreams that have left, and tells entries that say
+ * Remembers the starts of upstreams that have left, and recognizes entries that say
  * nothing new about them.
  *
  * Load pattern: the source is restored from an older copy, which lists upstreams
@@ -15,7 +15,7 @@
   /** There is a later entry under this id. */
   forget(id: string): void;
   has(id: string): boolean;
-  /** Whether an entry is no later than what its start had told as it left. */
+  /** Whether an entry is no later than what its start had published as it left. */
   isOutdated(entry: UpstreamEntry): boolean;
 }
 
@@ -53,7 +53,7 @@
   };
 }
 
-/** A publisher that does not count its entries tells nothing new with another. */
+/** A publisher that does not count its entries publishes nothing new with another. */
 function sequenceOf({sequenceNumber}: UpstreamEntry): number {
   return sequenceNumber ?? 0;
 }
--- a/src/process/membership/missing_upstreams.ts
+++ b/src/process/membership/missing_upstreams.ts
@@ -14,13 +14,13 @@
 export interface MissingUpstreams {
   readonly count: number;
   /**
-   * An entry is missing; its removal was told, or a read did not bring it.
+   * An entry is missing; its removal was reported, or a read did not bring it.
    * `awaited` if it was missing before.
    */
   note(id: string, wasRemoved: boolean): MissingVerdict;
-  /** The entry is there, or its upstream is let go. */
+  /** The entry is there, or its upstream has been removed. */
   forget(id: string): void;
-  /** Ids of those that are to be let go now. */
+  /** Ids of those whose grace period is over. */
   due(): readonly string[];
   noteSourceLost(): void;
   noteSourceRegained(): void;
@@ -30,7 +30,7 @@
 
 interface Missing {
   readonly untilMillis: number;
-  /** Its removal was told; otherwise a read did not bring it. */
+  /** Its removal was reported; otherwise a read did not bring it. */
   readonly wasRemoved: boolean;
 }
 
@@ -46,13 +46,13 @@
 export const REAPPEAR_MILLIS = 2000;
 
 /**
- * The same for an entry whose removal was told after the return: it may have
+ * The same for an entry whose removal was reported after the return: it may have
  * lapsed, or its upstream has left and must get nothing two seconds later. Less
  * than that by the half second between two looks at what has aged.
  */
 const LAPSED_MILLIS = 1400;
 
-/** Creates a memory in which nobody is missing. */
+/** Creates an empty tracker. */
 export function createMissingUpstreams(
   nowMillis: () => number,
 ): MissingUpstreams {
@@ -90,7 +90,7 @@
     },
     due: () => {
       const now = nowMillis();
-      // While the source is away nobody's return can be told.
+      // While the source is unavailable no return can be reported.
       const isLost = lostSinceMillis !== undefined;
       return [...missing]
         .filter(([, entry]) => entry.wasRemoved || !isLost)
--- a/src/process/membership/peer_positions.ts
+++ b/src/process/membership/peer_positions.ts
@@ -1,5 +1,5 @@
 /**
- * What other nodes tell of the position up to which they have the published
+ * What other nodes report of the position up to which they have the published
  * documents in force.
  *
  * Load pattern: the source drops its history while a version is published. A
@@ -23,7 +23,7 @@
   readonly known: SourcePosition;
   /** Another node has later documents in force than this one. */
   readonly isStale: boolean;
-  /** Another node has documents up to this position in force, or tells none. */
+  /** Another node has documents up to this position in force, or reports none. */
   noteTold(position: SourcePosition | undefined): void;
   /** A watch has brought everything up to this position. */
   noteWatched(position: SourcePosition): void;
--- a/src/process/membership/upstream_directory.ts
+++ b/src/process/membership/upstream_directory.ts
@@ -41,11 +41,11 @@
     entries: readonly UpstreamEntry[],
     contestedIds?: readonly string[],
   ): void;
-  /** Tells the directory that the source does not answer. */
+  /** Records that the source does not answer. */
   markSourceLost(): void;
-  /** Tells the directory that the source answers again after a loss. */
+  /** Records that the source answers again after a loss. */
   markSourceRegained(): void;
-  /** Tells the directory that the source was restored from an older copy. */
+  /** Records that the source was restored from an older copy. */
   markSourceRestored(): void;
   /** Looks again at which services are named. */
   reindex(): void;
@@ -167,7 +167,7 @@
 
   /**
    * Whether an entry may come from the copy that the source was restored from.
-   * Those of upstreams that have ended are written by nobody, and the platform has
+   * Those of upstreams that have ended are not written any more, and the platform has
    * dropped them after this time.
    */
   const mayBeCopied = (): boolean => nowMillis() < copiedUntilMillis;
@@ -299,8 +299,8 @@
 }
 
 /**
- * Whether one start has told something newer before. Without births an id that
- * starts again cannot be told from one that goes on, and counts anew; a smaller
+ * Whether one start has published something newer before. Without births an id that
+ * starts again cannot be distinguished from one that goes on, and counts anew; a smaller
  * count is then an older entry only if it may come from a restored copy. Taken for
  * a new start there, an upstream that drains would get requests again.
  */
--- a/src/process/membership/upstream_entry.ts
+++ b/src/process/membership/upstream_entry.ts
@@ -5,12 +5,12 @@
 import type {Endpoint} from '../settings/node_settings.js';
 import type {UpstreamStart} from './upstream_start.js';
 
-/** One start of one upstream, as it tells of itself. */
+/** One start of one upstream, as it publishes itself. */
 export interface UpstreamEntry extends UpstreamStart {
-  /** Counts what one start has told; `undefined` if its publisher does not. */
+  /** Counts the entries of one start; `undefined` if its publisher does not. */
   readonly sequenceNumber: number | undefined;
   readonly service: string;
-  /** Tells hosts apart: one host has one upstream and one node. */
+  /** Identifies the host: one host has one upstream and one node. */
   readonly hostKey: string;
   /** Where the node beside the upstream receives requests of other nodes. */
   readonly node: Endpoint;
--- a/src/process/membership/upstream_start.ts
+++ b/src/process/membership/upstream_start.ts
@@ -6,7 +6,7 @@
 export interface UpstreamStart {
   /** Id of the upstream, which it may keep when it starts again. */
   readonly id: string;
-  /** Unix time of the start; `undefined` if its publisher tells none. */
+  /** Unix time of the start; `undefined` if its publisher omits it. */
   readonly bornMillis: number | undefined;
 }
 
@@ -15,7 +15,7 @@
 
 /**
  * Order of `start` against `other`, under one id or at one host. Births decide;
- * under one id a publisher that tells none is the older one. Two ids of which
+ * under one id a publisher that omits it is the older one. Two ids of which
  * one has no birth, or with the same birth, have no order.
  */
 export function compareStarts(
--- a/src/process/placement/placement.ts
+++ b/src/process/placement/placement.ts
@@ -65,12 +65,12 @@
   readonly random: () => number;
 }
 
-/** Service time assumed while nobody has reported on the service. */
+/** Service time assumed while no node has reported on the service. */
 const UNKNOWN_AVERAGE_MILLIS = 50;
 
 /**
  * An upstream that this node has sent nothing for this long may get a probe:
- * otherwise a slow past, or no past at all, would last for ever.
+ * otherwise a slow past, or no past at all, would never be corrected.
  */
 const PROBE_MILLIS = 1500;
 
--- a/src/process/placement/probe_ration.ts
+++ b/src/process/placement/probe_ration.ts
@@ -10,7 +10,7 @@
 
 /** Rations of one node, one for each service. */
 export interface ProbeRation {
-  /** Counts a choice for a service and tells whether it may be a probe. */
+  /** Counts a choice for a service and returns whether it may be a probe. */
   isDue(service: string): boolean;
   /** A probe was sent. */
   take(service: string): void;
--- a/src/process/placement/relative_slowness.ts
+++ b/src/process/placement/relative_slowness.ts
@@ -17,7 +17,7 @@
   ratio(): number | undefined;
 }
 
-/** Answers before the ratio is told. */
+/** Answers before the ratio is reported. */
 const MIN_SAMPLES_COUNT = 5;
 
 /** Weight of one new sample in the mean: about the last fifty count. */
--- a/src/process/placement/upstream_score.ts
+++ b/src/process/placement/upstream_score.ts
@@ -51,7 +51,7 @@
 
 /**
  * Time that a certain failure costs: what a repeat elsewhere takes, 400 ms, at
- * the weight of a wait, so that nobody who can wait is sent where it fails.
+ * the weight of a wait, so that a request that can wait is not sent where it fails.
  */
 const FAILURE_MILLIS = 1600;
 
--- a/src/process/repeats/hop_registry.ts
+++ b/src/process/repeats/hop_registry.ts
@@ -4,7 +4,7 @@
  * its connection.
  */
 
-/** What a sender that asks for a hop is told. */
+/** Answer to a sender that claims a hop. */
 export type HopClaim<T> =
   /** It has not arrived, and will be refused from now on. */
   | {readonly state: 'unknown'}
--- a/src/process/repeats/retry_grant.ts
+++ b/src/process/repeats/retry_grant.ts
@@ -7,7 +7,7 @@
   readonly count: number;
   /** Returns what the callee left unspent. */
   settle(unspentCount: number): void;
-  /** Writes the loan off because no answer told what is left. */
+  /** Writes the loan off because no answer reported what is left. */
   forfeit(): void;
 }
 
--- a/src/process/settings/node_settings.ts
+++ b/src/process/settings/node_settings.ts
@@ -1,5 +1,5 @@
 /**
- * What one node is told about itself and its surroundings.
+ * Settings of one node: itself and its surroundings.
  */
 
 /** Address and port to bind or to connect to. */
@@ -32,7 +32,7 @@
   readonly nodeName: string;
   readonly zone: string;
   readonly region: string;
-  /** The own host, as entries of upstreams tell hosts apart. */
+  /** The own host, as entries of upstreams identify it. */
   readonly hostKey: string;
   /** Where clients of this host and its upstream send requests. */
   readonly outbound: Endpoint;
@@ -50,7 +50,7 @@
   readonly store: Endpoint;
   /** Time from SIGTERM until the process is killed. */
   readonly graceMillis: number;
-  /** Interval at which upstreams write their entries, if it is told. */
+  /** Interval at which upstreams write their entries, if it is known. */
   readonly heartbeatMillis?: number | undefined;
   /** Bound from the acknowledgement of a document to its effect at a node. */
   readonly applyWithinMillis: number;
--- a/src/protocol/hop_frames.ts
+++ b/src/protocol/hop_frames.ts
@@ -24,7 +24,7 @@
   data: 7,
   dataEnd: 8,
   broken: 9,
-  /** Nobody waits for the channel any more. */
+  /** The sender no longer waits for the channel. */
   cancel: 10,
   /** Bytes of the rest that the receiver has passed on. */
   window: 11,
--- a/src/protocol/hop_messages.ts
+++ b/src/protocol/hop_messages.ts
@@ -23,7 +23,7 @@
   /** What its like usually takes at this service, as far as its sender knows. */
   readonly usualMillis?: number | undefined;
   readonly origin: OriginFields;
-  /** Up to which its sender has the documents in force, if it tells. */
+  /** Up to which its sender has the documents in force, if it reports it. */
   readonly knownPosition?: PositionFields | undefined;
 }
 
@@ -52,7 +52,7 @@
 
 /** Position in the source of the published documents, as sent. */
 export interface PositionFields {
-  /** 0 from a node of a version that tells revisions alone. */
+  /** 0 from a node of a version that sends revisions alone. */
   readonly epoch: number;
   readonly revision: number;
 }
@@ -103,7 +103,7 @@
   /** Calls made below, by service. */
   readonly calls: ReadonlyMap<string, number>;
   readonly loads: readonly LoadFields[];
-  /** Up to which the receiver has the documents in force, if it tells. */
+  /** Up to which the receiver has the documents in force, if it reports it. */
   readonly knownPosition?: PositionFields | undefined;
   /** The upstream's answer; `undefined` unless the outcome is `answered`. */
   readonly message: AnswerFields | undefined;
@@ -114,7 +114,7 @@
   readonly statusCode: number;
   /** Names and values in turn, as received. */
   readonly headers: readonly string[];
-  /** The upstream told no length of the body. */
+  /** The upstream sent no length of the body. */
   readonly isUnframed: boolean;
   /** More of the body follows in frames of its own. */
   readonly hasRest: boolean;
--- a/src/protocol/load_codec.ts
+++ b/src/protocol/load_codec.ts
@@ -116,7 +116,7 @@
   return Buffer.from(JSON.stringify(loads.map(listOfLoad)));
 }
 
-/** Reads it, leaving out what is none; a node that tells none sends nothing. */
+/** Reads it, leaving out what is none; a node without any sends nothing. */
 export function decodeLoads(payload: Buffer): readonly LoadFields[] {
   if (payload.length === 0) return [];
   try {
--- a/src/protocol/wire_headers.ts
+++ b/src/protocol/wire_headers.ts
@@ -14,7 +14,7 @@
   readonly signature?: string;
   /** Id of the only upstream that may run the request. */
   readonly expectedUpstreamId: string;
-  /** Id of the upstream that answers, where it tells it. */
+  /** Id of the upstream that answers, if it sends one. */
   readonly upstreamId?: string;
   /** Mark of an answer which states that the request was not run. */
   readonly notExecuted: string;
@@ -26,7 +26,7 @@
   readonly notes?: NoteHeaders;
 }
 
-/** Headers of answers that tell how a request was treated. */
+/** Headers of answers that report how a request was treated. */
 export interface NoteHeaders {
   /** `not-run` or `unknown`, on failures of the node's own. */
   readonly outcome: string;
--- a/src/version/name_checks.ts
+++ b/src/version/name_checks.ts
@@ -1,5 +1,5 @@
 /**
- * Checks for items of a list that cannot be told apart.
+ * Checks for items of a list that are indistinguishable.
  */
 import type {PatternSegment} from './path_pattern.js';
 import {comparePatterns, parsePathPattern} from './path_pattern.js';
--- a/src/version/organisation.ts
+++ b/src/version/organisation.ts
@@ -68,7 +68,7 @@
   readonly indexes: readonly [number, number];
 }
 
-/** Keys that do not tell organisations apart. */
+/** Keys that do not identify one organisation. */
 export function findSharedKeys(
   organisations: readonly Pick<Organisation, 'keyDigests'>[],
 ): readonly SharedKey[] {
--- a/src/version/policy.ts
+++ b/src/version/policy.ts
@@ -106,9 +106,9 @@
   readonly slowStartMillis: number;
   /** Longest wait for requests in flight at a planned stop. */
   readonly drainMillis: number;
-  /** Shortest Retry-After told to a caller. */
+  /** Shortest Retry-After sent to a caller. */
   readonly retryAfterMinimumMillis: number;
-  /** Longest Retry-After told to a caller. */
+  /** Longest Retry-After sent to a caller. */
   readonly retryAfterMaximumMillis: number;
 }
 
