--- a/src/base/cancel_signal.ts
+++ b/src/base/cancel_signal.ts
@@ -1,9 +1,9 @@
 /**
- * Explicit cancellation of work that nobody waits for any more.
+ * Explicit cancellation of work that is no longer needed.
  */
 import type {Disposable} from './lifecycle.js';
 
-/** Tells work to stop. */
+/** Signals work to stop. */
 export interface CancelSignal {
   readonly isCancelled: boolean;
   /** Calls the listener once on cancellation, at once if it has taken place. */
--- a/src/connection/document_follower.ts
+++ b/src/connection/document_follower.ts
@@ -2,7 +2,7 @@
  * Follows the documents below one prefix of a source: a read of all, then one
  * watch after the other with pauses in which changes gather, again from the
  * start when the history was lost. While another node watches for this one, it
- * calls the source only for what that node cannot tell.
+ * calls the source only for what that node does not have.
  */
 import * as Effect from 'effect/Effect';
 import {describeError} from '../base/errors.js';
@@ -47,7 +47,7 @@
 ): Effect.Effect<never> {
   const {source, prefix, pace, peerPositions, relay, nowMillis} = options;
   const state = createFollowState(options);
-  /** When another node told this one last. */
+  /** When another node sent changes last. */
   let toldMillis = -Infinity;
 
   const answered = (): void => {
@@ -131,7 +131,7 @@
     state.noteSource(true);
     const now = nowMillis();
     const pauseMillis = pace.retryMillis(now - state.askedMillis);
-    // Nothing is lost to a node that others tell what it lacks.
+    // A node that gets changes from others misses nothing.
     if (now - toldMillis < 2 * RELAY_MILLIS) {
       return Math.max(pauseMillis, RELAYED_RETRY_MILLIS);
     }
@@ -160,7 +160,7 @@
 function untilStale(peerPositions: PeerPositions): Effect.Effect<'stale'> {
   return waitForStalePosition(peerPositions).pipe(
     Effect.andThen(Effect.sleep(STALE_MILLIS)),
-    // Another node may have told it meanwhile.
+    // Another node may have sent it meanwhile.
     Effect.flatMap(() =>
       peerPositions.isStale
         ? Effect.succeed('stale' as const)
--- a/src/connection/document_listener.ts
+++ b/src/connection/document_listener.ts
@@ -1,5 +1,5 @@
 /**
- * What a follower of published documents tells its owner.
+ * What a follower of published documents reports to its owner.
  */
 import type {
   DocumentChange,
@@ -18,7 +18,7 @@
   | 'restored'
   /** A watch that was given up, since other nodes know of later changes. */
   | 'stale'
-  /** No call: another node told changes. */
+  /** No call: another node sent changes. */
   | 'relayed'
   | 'failed';
 
@@ -27,13 +27,13 @@
   readonly call: SourceCall;
   /** Revision that a watch asked from; `undefined` for a read. */
   readonly afterRevision: number | undefined;
-  /** Revision that the answer tells, if there is one. */
+  /** Revision of the answer, if there is one. */
   readonly revision: number | undefined;
   readonly documentsCount: number;
   readonly tookMillis: number;
 }
 
-/** What a follower tells its owner. */
+/** Reports of a follower to its owner. */
 export interface DocumentListener {
   /** A call has ended; each one has its price. */
   onCall(end: SourceCallEnd): void;
--- a/src/connection/follow_state.ts
+++ b/src/connection/follow_state.ts
@@ -29,7 +29,7 @@
   readonly isReading: boolean;
   /** The last call failed. */
   readonly isSourceLost: boolean;
-  /** Neither the source nor another node tells anything. */
+  /** Neither the source nor another node answers. */
   readonly isLost: boolean;
   /** Another node watches for this one, and nothing is due. */
   readonly isIdle: boolean;
@@ -44,11 +44,11 @@
   setWatching(isWatching: boolean): void;
   /** The source answered, or did not. */
   noteSource(isLost: boolean): void;
-  /** A watch tells nothing, though other nodes know more. */
+  /** A watch brings nothing, though other nodes know more. */
   noteStale(): void;
-  /** Somebody told how things are. */
+  /** The source or another node answered. */
   noteReached(): void;
-  /** Nobody did, from now on. */
+  /** Neither does from now on. */
   noteLost(reason: string): void;
   takeSnapshot(all: DocumentRead): void;
   /** Takes changes that lead on from a position, which others may have overtaken. */
--- a/src/connection/hop_arrival.ts
+++ b/src/connection/hop_arrival.ts
@@ -17,7 +17,7 @@
 export interface HopChannel {
   readonly connection: FrameConnection;
   readonly channelId: number;
-  /** Loads of other upstreams have not been told here for a while. */
+  /** Loads of other upstreams have not been sent here for a while. */
   isReportDue(): boolean;
   /** Nothing more is sent on the channel. */
   close(): void;
@@ -47,7 +47,7 @@
 export interface OwnedArrival extends HopArrival {
   /** Its sender goes on with it on this channel. */
   attach(channel: HopChannel): void;
-  /** A connection was lost; no matter if its sender has come back on another. */
+  /** A connection was lost; ignored if its sender has reconnected. */
   detach(connection: FrameConnection): void;
   /** Its sender has given it up. */
   abandon(): void;
--- a/src/connection/hop_link.ts
+++ b/src/connection/hop_link.ts
@@ -120,7 +120,7 @@
     channels.set(channelId, channel);
     noteChannels();
     hop.release = () => {
-      // Its answer has come, or nobody waits for it any more.
+      // Its answer has come, or its sender no longer waits.
       if (channel.rest === undefined) cancelChannel(channelId);
     };
     link.usedMillis = nowMillis();
--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -22,13 +22,13 @@
 /** What a listener is made of. */
 export interface HopListenerOptions {
   readonly endpoint: Endpoint;
-  /** Tells this start of the process from all others. */
+  /** Identifies this start of the process. */
   readonly instanceId: string;
   /** Bound on the body of a request. */
   readonly bodyBytes: () => number;
   /** Answers one request; must not reject. */
   readonly handle: (arrival: HopArrival) => Promise<void>;
-  /** Loads that a node is told which asks for them. */
+  /** Loads for a node that asks for them. */
   readonly loads: () => readonly LoadFields[];
   /** Answers a question for changes; `undefined` if it is none. */
   readonly answerQuestion: (question: Buffer) => Buffer | undefined;
@@ -53,7 +53,7 @@
   close(): Promise<void>;
 }
 
-/** Loads of other upstreams are told on each connection at this interval. */
+/** Interval at which loads of other upstreams are sent on each connection. */
 const REPORT_MILLIS = 100;
 
 const EMPTY = Buffer.alloc(0);
@@ -146,7 +146,7 @@
         state.busyCount -= 1;
       },
     });
-    // Its sender was told that it has not arrived, and may have sent it
+    // Its sender knows that it has not arrived, and may have sent it
     // elsewhere since.
     if (!state.arrivals.begin(hopId, arrival)) {
       refuse(connection, channelId);
--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -115,7 +115,7 @@
     }
     if (typeof fresh !== 'string') options.onReplaced(hops.length);
   };
-  /** The process that had it has ended, and nobody can tell what it did. */
+  /** The process that had it has ended, so the outcome is unknown. */
   const settle = (hop: OutgoingHop): void => {
     stranded.delete(hop);
     hop.lost('connection-lost');
--- a/src/connection/node_listener.ts
+++ b/src/connection/node_listener.ts
@@ -1,5 +1,5 @@
 /**
- * A listener that tells each request when its client has left.
+ * A listener that cancels each request when its client has left.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
--- a/src/connection/outgoing_hop.ts
+++ b/src/connection/outgoing_hop.ts
@@ -38,7 +38,7 @@
   readonly isExpendable: boolean;
   /** All of it is on its way: from here on it may run. */
   noteSent(): void;
-  /** Process that it was sent to; only this one can tell what became of it. */
+  /** Process that it was sent to; only this one knows what became of it. */
   instanceId: string | undefined;
   /** Takes it off its connection; set by the connection that it is on. */
   release: () => void;
@@ -114,7 +114,7 @@
   return hop;
 }
 
-/** Random bytes that tell the hops of this process from those of all others. */
+/** Random bytes that distinguish the hops of this process from all others. */
 const PREFIX_BYTES = 8;
 const HOP_ID_PREFIX = randomBytes(PREFIX_BYTES).toString('hex');
 
--- a/src/connection/peer_relay.ts
+++ b/src/connection/peer_relay.ts
@@ -79,7 +79,7 @@
 }
 
 function endOf(asked: SourcePosition, answer?: RelayAnswer): RelayEnd {
-  // Two nodes that only told each other would both be sure, and know nothing.
+  // Two nodes that polled only each other would never learn of a change.
   if (answer?.isWatching !== true) return 'failed';
   const {position, changes} = answer;
   if (changes !== undefined) return {documents: changes, position};
--- a/src/connection/peer_watch.ts
+++ b/src/connection/peer_watch.ts
@@ -30,7 +30,7 @@
   /** Requests whose connection is lost while the node does not reply. */
   readonly strandedCount: number;
   /**
-   * Opens a fresh connection and tells whether the node replied on it. Urgent
+   * Opens a fresh connection and returns whether the node replied on it. Urgent
    * questions must not fail because of one lost packet.
    */
   verify(isUrgent: boolean): Promise<boolean>;
@@ -113,7 +113,7 @@
   /**
    * If the nodes heard last do not reply either, the fault is more likely here:
    * a process that is slow itself would give up requests that are well. Once
-   * only: a node that is cut off has nobody to ask, and its own upstream.
+   * only: a node that is cut off has no others to ask, and its own upstream.
    */
   const isOwnFault = async (state: PeerState): Promise<boolean> => {
     const others = [...states]
--- a/src/connection/received_answer.ts
+++ b/src/connection/received_answer.ts
@@ -15,7 +15,7 @@
   /** The rest of the body, paused; `undefined` if `start` is all of it. */
   readonly rest: Readable | undefined;
   /**
-   * The upstream told no length: the end of its connection was the only sign
+   * The upstream sent no length: the end of its connection was the only sign
    * that the body is complete, and may as well be that of a crash.
    */
   readonly isUnframed: boolean;
--- a/src/connection/received_rest.ts
+++ b/src/connection/received_rest.ts
@@ -18,13 +18,13 @@
 
 /** What it needs. */
 export interface ReceivedRestOptions {
-  /** Tells the sender that so many bytes were read. */
+  /** Grants the sender as many bytes as were read. */
   readonly grant: (bytes: number) => void;
   /** The reader left before the end. */
   readonly onAbandoned: () => void;
 }
 
-/** Read bytes that are told at once; each telling costs a frame. */
+/** Bytes that are granted at once; each grant costs a frame. */
 const GRANT_BYTES = REST_WINDOW_BYTES / 4;
 
 /** Creates the stream of a rest. */
@@ -49,7 +49,7 @@
       callback(error);
     },
   });
-  // Its reader may have left; the error then concerns nobody.
+  // If the reader has left, the error needs no handling.
   stream.on('error', () => undefined);
   return {
     stream,
--- a/src/connection/relay_follower.ts
+++ b/src/connection/relay_follower.ts
@@ -106,7 +106,7 @@
     );
   });
 
-  /** What could not be taken from another node is read, and told if that fails. */
+  /** Falls back to reading the source when a poll brings no changes. */
   const failed = Effect.sync(() => {
     state.requireRead('until-read');
   });
--- a/src/connection/rest_sender.ts
+++ b/src/connection/rest_sender.ts
@@ -17,7 +17,7 @@
 export interface RestSender {
   /** The other side has passed on so many bytes. */
   grant(bytes: number): void;
-  /** Nobody wants the rest any more. */
+  /** The rest is no longer wanted. */
   stop(): void;
 }
 
@@ -51,7 +51,7 @@
     end();
   });
   rest.on('error', () => {
-    // The close that follows tells the receiver; here nothing is left to do.
+    // The close that follows informs the receiver.
   });
   rest.on('close', () => {
     // A rest that closes before its end broke off, and must not look complete.
--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -1,5 +1,5 @@
 /**
- * Sends one request on a pooled connection and tells what is proven about it
+ * Sends one request on a pooled connection and reports what is proven about it
  * when no answer comes.
  */
 import http from 'node:http';
@@ -95,8 +95,8 @@
   });
   request.on('error', error => {
     // A reset ends what has no length like an end in good order: Node's client
-    // tells the error first and then finishes the message. Destroyed before, it
-    // is told as broken off.
+    // emits the error first and then finishes the message. Destroyed before, it
+    // is reported as broken off.
     if (received?.complete === false) received.destroy(error);
     fail(describeError(error));
   });
--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -1,5 +1,5 @@
 /**
- * Hands requests to the upstream of this host and tells what came of each.
+ * Sends requests to the upstream of this host and reports what came of each.
  */
 import type {CancelSignal} from '../base/cancel_signal.js';
 import type {Disposable} from '../base/lifecycle.js';
@@ -53,7 +53,7 @@
   /**
    * Closes idle connections, which lead to a start of the upstream that is gone.
    * If they fell silent, an order written on one would end without an answer,
-   * and nobody could tell whether it ran.
+   * and it would be unknown whether it ran.
    */
   dropIdle(): void;
 }
--- a/src/daemon/document_feeds.ts
+++ b/src/daemon/document_feeds.ts
@@ -16,7 +16,7 @@
 
 /** What the feeds need. */
 export interface DocumentFeedsOptions extends DocumentListenersOptions {
-  /** What other nodes tell, where one watch brings all documents. */
+  /** Reports of other nodes, where one watch brings all documents. */
   readonly peerPositions: PeerPositions;
   /** Changes from other nodes, under the same condition. */
   readonly relay: DocumentRelay;
--- a/src/daemon/document_listeners.ts
+++ b/src/daemon/document_listeners.ts
@@ -48,7 +48,7 @@
 
   const offer = (changes: readonly DocumentChange[]): void => {
     for (const change of changes) offerConfiguration(options, change);
-    // A configuration may tell more about upstreams that are listed already.
+    // A configuration may say more about upstreams that are listed already.
     if (documents.listsAllUpstreams && wholeChanges.length > 0) {
       replaceUpstreams(options, wholeChanges);
     }
@@ -226,7 +226,7 @@
   return {entries, invalidKeys};
 }
 
-/** Lines are bounded: nobody knows how often another writer writes. */
+/** Lines are bounded: another writer may write at any rate. */
 function tellInvalidUpstream(
   options: DocumentListenersOptions,
   key: string,
--- a/src/daemon/node_decisions.ts
+++ b/src/daemon/node_decisions.ts
@@ -122,7 +122,7 @@
   let ownLoad: LoadReport | undefined;
   const rejections = createRejectionRate(nowMillis);
   const slowness = createRelativeSlowness();
-  /** Of a service of which one rejects, all are told of. */
+  /** Of a service of which one rejects, all report their rejections. */
   const rejectionsOf = (service: string): RejectionFields | undefined => {
     const own = rejections.current();
     const others = board.serviceLoadOf(service);
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -70,7 +70,7 @@
   readonly crashes: CrashHandling;
   /** Quotas of organisations. */
   readonly quotas: QuotaHandling;
-  /** What this node tells of loads to one that asks. */
+  /** Loads for a node that asks for them. */
   loads(): readonly LoadFields[];
   /** Asks about services whose loads are heard of no more. */
   askLoads(): void;
@@ -311,7 +311,7 @@
   });
 }
 
-/** The line that tells what became of a request at the own upstream. */
+/** Logs what became of a request at the own upstream. */
 function logEnd(
   options: NodeExchangesOptions,
   call: LocalCall,
--- a/src/daemon/own_documents.ts
+++ b/src/daemon/own_documents.ts
@@ -33,7 +33,7 @@
 /** Slots of an upstream whose service no policy names yet. */
 const UNKNOWN_SLOTS_COUNT = 1;
 
-/** Problems of one document that are told; a log line holds them all. */
+/** Problems of one document that are logged; a log line holds them all. */
 const TOLD_PROBLEMS_COUNT = 50;
 
 const STATUS_OK = 200;
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -48,7 +48,7 @@
   dispose(): void;
   /**
    * Follows changed settings, except those of addresses, which need a restart;
-   * tells whether any of these has changed.
+   * returns whether any of these has changed.
    */
   applySettings(next: NodeSettings): 'applied' | 'needs-restart';
   /** State for operators, by section. */
--- a/src/request/credentials.ts
+++ b/src/request/credentials.ts
@@ -18,7 +18,7 @@
 
 const BEARER_PATTERN = /^bearer +([A-Za-z0-9\-._~+/]+=*)$/i;
 
-/** Reads the fields as they stand on the wire, where they can be told apart. */
+/** Reads the fields as sent: parsed headers hold only the first of several. */
 export function readCredentials(headers: RawHeaders): Credentials {
   let value: string | undefined;
   for (let index = 0; index + 1 < headers.length; index += 2) {
--- a/src/request/entered_request.ts
+++ b/src/request/entered_request.ts
@@ -95,7 +95,7 @@
     route,
     service: options.targets.choose(route),
     arrivedMillis,
-    // Nobody is left to answer what outlives this node.
+    // A request that outlives this node would get no answer.
     deadlineMillis: Math.min(
       arrivedMillis +
         Math.min(route.timeoutMillis, timeoutMillis - ANSWER_MARGIN_MILLIS),
--- a/src/request/entry_answers.ts
+++ b/src/request/entry_answers.ts
@@ -62,9 +62,9 @@
 const STATUS_GATEWAY_TIMEOUT = 504;
 
 /**
- * Window in which a refused client is asked to come back, as shares of the
+ * Window in which a refused client is asked to retry, as shares of the
  * route's objective: late enough for some of the excess to pass, early enough
- * to be answered in time, and spread so that not all come back together.
+ * to be answered in time, and spread so that not all retry together.
  */
 const RETURN_EARLIEST_RATIO = 0.2;
 const RETURN_LATEST_RATIO = 0.7;
@@ -241,7 +241,7 @@
         });
         return;
       }
-      // Nobody but the deadline cancels a request whose client is still there.
+      // Only the deadline cancels a request whose client is still there.
       const statusCode =
         end.last.reason === 'cancelled'
           ? STATUS_GATEWAY_TIMEOUT
--- a/src/request/first_dispatch.ts
+++ b/src/request/first_dispatch.ts
@@ -3,7 +3,7 @@
  *
  * Load pattern: after a loss of power all upstreams are there again under new ids
  * while the former ones are still listed, and clients come at once. Each request
- * that is dispatched under an id that the upstream denies has to be dispatched
+ * that is dispatched under an id that the upstream rejects has to be dispatched
  * once more, which the fleet's bound on repeats counts.
  */
 
--- a/src/request/inbound_exchange.ts
+++ b/src/request/inbound_exchange.ts
@@ -19,7 +19,7 @@
 /** Answers requests of other nodes. */
 export interface InboundExchanges {
   handle(arrival: HopArrival): Promise<void>;
-  /** What a node is told that asks for loads. */
+  /** Loads for a node that asks for them. */
   loads(): readonly LoadFields[];
 }
 
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -1,6 +1,6 @@
 /**
  * Executes requests at the upstream of this host: waits for a slot, hands the
- * request over, and tells what came of it.
+ * request over, and returns what came of it.
  */
 import {createCancelSource} from '../base/cancel_signal.js';
 import type {ExecutionCall, ExecutionEnd} from '../connection/execution.js';
--- a/src/request/local_upstream.ts
+++ b/src/request/local_upstream.ts
@@ -56,7 +56,7 @@
 const LOST_COUNT = 2;
 
 /**
- * Time for which it is remembered that the upstream denies an id. After a loss of
+ * Time for which it is remembered that the upstream rejects an id. After a loss of
  * power the entries of former starts are listed for seconds, and each request
  * handed over for one is an arrival beyond the first when it goes on to the next
  * upstream; the fleet has few of these. Not for good, since one answer may be
@@ -64,7 +64,7 @@
  */
 const MISDIRECTED_MILLIS = 1000;
 
-/** An id that the upstream has denied. */
+/** An id that the upstream has rejected. */
 interface DeniedId {
   readonly untilMillis: number;
   /** The id that it goes by instead, if it may take what is meant for this one. */
