Test the choice of coordinators

All nodes choose alike, whatever the order of their lists; the loss of one changes its organisations only; a zone that is cut off is passed over and left out of what is reached. All four pass on the code as it is.

--- /dev/null
+++ b/test/unit/process/quota/coordinator_choice.test.ts
@@ -0,0 +1,71 @@
+import test from 'ava';
+import {createCoordinatorChoice} from '../../../../src/process/quota/coordinator_choice.js';
+import type {ZonedHost} from '../../../../src/process/quota/zone_reach.js';
+import {createZoneReach} from '../../../../src/process/quota/zone_reach.js';
+
+const HOSTS: readonly ZonedHost[] = Array.from({length: 12}, (_, index) => ({
+  hostKey: `host-${String(index)}`,
+  zone: `zone-${String(index % 3)}`,
+}));
+
+const ORGANISATIONS = Array.from(
+  {length: 60},
+  (_, index) => `org${String(index)}`,
+);
+
+function createChoice(ownHostKey: string, hosts = HOSTS) {
+  const nowMillis = () => 0;
+  const reach = createZoneReach(nowMillis);
+  const choice = createCoordinatorChoice({
+    hosts: () => hosts,
+    ownHostKey,
+    reach,
+    nowMillis,
+    random: () => 0.5,
+  });
+  return {choice, reach};
+}
+
+function chosenBy(ownHostKey: string, hosts = HOSTS): readonly string[] {
+  const {choice} = createChoice(ownHostKey, hosts);
+  return ORGANISATIONS.map(name => choice.choose(name)?.hostKey ?? 'none');
+}
+
+test('all nodes choose the same coordinators, spread over the fleet', t => {
+  const chosen = chosenBy('host-0');
+  t.deepEqual(chosenBy('host-7'), chosen);
+  t.deepEqual(chosenBy('host-7', [...HOSTS].reverse()), chosen);
+  t.true(new Set(chosen).size >= 9);
+});
+
+test('the loss of a node changes the coordinators of its organisations only', t => {
+  const before = chosenBy('host-0');
+  const lostKey = before[0] ?? '';
+  const after = chosenBy(
+    'host-0',
+    HOSTS.filter(({hostKey}) => hostKey !== lostKey),
+  );
+  for (const [index, hostKey] of after.entries()) {
+    if (before[index] === lostKey) t.not(hostKey, lostKey);
+    else t.is(hostKey, before[index] ?? '');
+  }
+});
+
+test('nodes of a zone that is cut off are passed over, and left out of what is reached', t => {
+  const {choice, reach} = createChoice('host-0');
+  t.is(choice.reachableRatio(), 1);
+  for (const index of [1, 4]) reach.noteSilent(HOSTS[index]!);
+  t.true(reach.isCutOff('zone-1'));
+  t.is(choice.reachableRatio(), 8 / 12);
+  for (const name of ORGANISATIONS) {
+    t.not(choice.choose(name)?.zone, 'zone-1');
+  }
+  t.is(choice.witnesses('zone-1').length, 2);
+});
+
+test('a node alone is its own coordinator', t => {
+  const {choice, reach} = createChoice('host-0');
+  for (const host of HOSTS.slice(1)) reach.noteSilent(host);
+  t.is(choice.choose('org1')?.hostKey, 'host-0');
+  t.is(choice.reachableRatio(), 1 / 12);
+});
