Log the limit that an upstream announces, and what it gets meanwhile

What callers saw: upstreams that announce a limit get their usual load. No log line could tell whether nodes ignore the limit, respect it one by one, or exceed it by retries and calls.

Change: the node on the host of an upstream decodes both announcements (limit, leaving) in its responses. A change of the limit is logged, and every 5 s the requests dispatched under it by kind. Limits are ordered by the time at which their requests were sent, so that late responses do not end or renew one. No decision uses them yet.

--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -6,6 +6,8 @@
 import type {Endpoint} from '../process/settings/node_settings.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
+import type {Announcements} from './announcements.js';
+import {decodeAnnouncements} from './announcements.js';
 import {
   createKeepAliveAgent,
   closeIdleConnections,
@@ -31,13 +33,19 @@
 
 /** Result of a request. */
 export type UpstreamResult =
-  | {readonly kind: 'answered'; readonly answer: ReceivedResponse}
+  | {
+      readonly kind: 'answered';
+      readonly answer: ReceivedResponse;
+      readonly announcements?: Announcements;
+    }
   /** Not run, and it will not run. */
   | {
       readonly kind: 'not-run';
       readonly reason: HopReason;
       /** Id that the upstream reports as its own, if it differs. */
       readonly actualId?: string | undefined;
+      /** `undefined` without a response. */
+      readonly announcements?: Announcements;
     }
   /** It may have run. */
   | {
@@ -157,16 +165,17 @@
     result.discardConnection();
     return {kind: 'unknown', reason: 'broken-answer', wasReused: false};
   }
+  const announcements = decodeAnnouncements(answer.headers, wireHeaders);
   if (answer.statusCode === STATUS_MISDIRECTED) {
     const actualId =
       wireHeaders.upstreamId &&
       findHeader(answer.headers, wireHeaders.upstreamId);
-    return {kind: 'not-run', reason: 'misdirected', actualId};
+    return {kind: 'not-run', reason: 'misdirected', actualId, announcements};
   }
   if (findHeader(answer.headers, wireHeaders.notExecuted) !== undefined) {
-    return {kind: 'not-run', reason: 'not-executed'};
+    return {kind: 'not-run', reason: 'not-executed', announcements};
   }
-  return {kind: 'answered', answer};
+  return {kind: 'answered', answer, announcements};
 }
 
 /**
--- /dev/null
+++ b/src/daemon/announcement_handling.ts
@@ -0,0 +1,111 @@
+/**
+ * Records and logs what the upstream of this host announces in its responses.
+ */
+import type {Disposable} from '../base/lifecycle.js';
+import {createIntervalTimer} from '../base/lifecycle.js';
+import type {LimitAnnouncement} from '../connection/announcements.js';
+import type {AnnouncedLimit} from '../process/admission/announced_limit.js';
+import type {DecisionLog} from '../process/log/decision_log.js';
+import type {NodeMetrics} from '../process/log/node_metrics.js';
+import type {
+  AnnouncementObserver,
+  AnnouncementSource,
+} from '../request/local_execution.js';
+
+/** Dependencies of announcement handling. */
+export interface AnnouncementHandlingOptions {
+  readonly limit: AnnouncedLimit;
+  readonly log: DecisionLog;
+  readonly metrics: NodeMetrics;
+}
+
+/** Handles the announcements of the local upstream. */
+export interface AnnouncementHandling extends AnnouncementObserver, Disposable {
+  /** State for operators. */
+  state(): AnnouncementState;
+}
+
+/** Announcements as shown to operators. */
+export interface AnnouncementState {
+  /** Requests per second; `null` if the upstream announces no limit. */
+  readonly limitPerSecond: number | null;
+  /** Time since the last response of the upstream. */
+  readonly ageMillis: number;
+}
+
+/** Interval at which requests to a limited upstream are logged. */
+const LOAD_INTERVAL_MILLIS = 5000;
+
+/** Requests dispatched while a limit applies. */
+interface LimitedLoad {
+  firstAttemptsCount: number;
+  retriesCount: number;
+  callsCount: number;
+}
+
+/** Starts the handling of announcements in a node. */
+export function startAnnouncementHandling(
+  options: AnnouncementHandlingOptions,
+): AnnouncementHandling {
+  const {limit, log, metrics} = options;
+  let load = createLimitedLoad();
+
+  const logLoad = (): void => {
+    if (limit.perSecond === undefined) return;
+    log.logStateEvent('upstream-limit-load', {
+      limitPerSecond: limit.perSecond,
+      intervalMillis: LOAD_INTERVAL_MILLIS,
+      ...load,
+    });
+    load = createLimitedLoad();
+  };
+
+  const observeLimit = (
+    announcement: LimitAnnouncement,
+    {upstreamId, sentMillis}: AnnouncementSource,
+  ): void => {
+    if (announcement.kind === 'invalid') {
+      log.logRequestEvent('upstream-limit-invalid', {
+        upstream: upstreamId,
+        text: announcement.text,
+      });
+      return;
+    }
+    const before = limit.perSecond;
+    const next =
+      announcement.kind === 'limited' ? announcement.perSecond : undefined;
+    if (!limit.observe(next, sentMillis)) return;
+    metrics.setGauge('announced_limit', next ?? -1);
+    log.logRequestEvent('upstream-limit', {
+      upstream: upstreamId,
+      limitPerSecond: next ?? null,
+      previousPerSecond: before ?? null,
+    });
+  };
+
+  const timer = createIntervalTimer(LOAD_INTERVAL_MILLIS, logLoad);
+  return {
+    recordDispatch: ({attemptId, origin}) => {
+      if (limit.perSecond === undefined) return;
+      if (origin.isRepeat) load.retriesCount += 1;
+      else if (attemptId === origin.rootId) load.firstAttemptsCount += 1;
+      else load.callsCount += 1;
+    },
+    observe: ({limit: announcement, isLeaving}, source) => {
+      observeLimit(announcement, source);
+      if (!isLeaving) return;
+      log.logRequestEvent('upstream-leaving-announced', {
+        upstream: source.upstreamId,
+      });
+    },
+    state: () => ({
+      limitPerSecond: limit.perSecond ?? null,
+      ageMillis: Math.round(limit.ageMillis()),
+    }),
+    dispose: timer.dispose,
+  };
+}
+
+function createLimitedLoad(): LimitedLoad {
+  return {firstAttemptsCount: 0, retriesCount: 0, callsCount: 0};
+}
--- a/src/daemon/node_components.ts
+++ b/src/daemon/node_components.ts
@@ -4,6 +4,8 @@
  */
 import type {AdmissionLevel} from '../process/admission/admission_level.js';
 import {createAdmissionLevel} from '../process/admission/admission_level.js';
+import type {AnnouncedLimit} from '../process/admission/announced_limit.js';
+import {createAnnouncedLimit} from '../process/admission/announced_limit.js';
 import type {CallTrees} from '../process/admission/call_trees.js';
 import {createCallTrees} from '../process/admission/call_trees.js';
 import type {ConfigurationHolder} from '../process/membership/configuration_holder.js';
@@ -62,6 +64,8 @@
   readonly peerPositions: PeerPositions;
   readonly upstream: LocalUpstream;
   readonly queue: UpstreamQueue;
+  /** Limit that the upstream of this host announces. */
+  readonly limit: AnnouncedLimit;
   readonly level: AdmissionLevel;
   readonly loadTable: LoadTable;
   readonly loadPoller: LoadPoller;
@@ -137,6 +141,7 @@
     peerPositions: createPeerPositions(),
     upstream,
     queue,
+    limit: createAnnouncedLimit(nowMillis),
     level,
     loadTable,
     loadPoller: createLoadPoller({
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -40,6 +40,8 @@
 import type {OpenRequests} from '../request/open_requests.js';
 import {createOpenRequests} from '../request/open_requests.js';
 import {createRetryRules} from '../request/retry_rules.js';
+import type {AnnouncementHandling} from './announcement_handling.js';
+import {startAnnouncementHandling} from './announcement_handling.js';
 import type {CrashHandling} from './crash_handling.js';
 import {startCrashHandling} from './crash_handling.js';
 import type {NodeComponents} from './node_components.js';
@@ -67,6 +69,8 @@
   readonly open: OpenRequests;
   /** Relays changes of the published documents between nodes. */
   readonly relay: PeerRelay;
+  /** Handles the announcements of the upstream of this host. */
+  readonly announcements: AnnouncementHandling;
   /** Handles requests that crash upstreams. */
   readonly crashes: CrashHandling;
   /** Enforces the quotas of organisations. */
@@ -106,6 +110,7 @@
     onCrash: upstream.markUnreachable,
   });
   const quotas = startQuotaHandling({...options, ...components});
+  const announcements = startAnnouncementHandling({...options, ...components});
   const execution = createLocalExecution({
     upstream,
     queue,
@@ -116,6 +121,7 @@
     crashes: crashes.detector,
     quarantine: crashes.quarantine,
     sender,
+    announcements,
     budget: components.budget,
     trees: components.trees,
     ownService: () => settings().service,
@@ -199,6 +205,7 @@
     inbound,
     open,
     relay: createRelay(options, remote),
+    announcements,
     crashes,
     quotas,
     loads: inbound.loads,
@@ -213,6 +220,7 @@
     },
     dispose: () => {
       startedListener.dispose();
+      announcements.dispose();
       crashes.dispose();
       quotas.dispose();
       sender.dispose();
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -210,6 +210,7 @@
         residentBytes: process.memoryUsage.rss(),
       },
       admission: {...queue.load(), level: level.level()},
+      announcements: exchanges.announcements.state(),
       fleet: {
         configurationVersion: components.configurationVersion(),
         upstreamsCount: directory.count(),
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -48,6 +48,8 @@
 
 export type GaugeName =
   | 'admission_level'
+  /** Requests per second that the local upstream accepts; -1 if unlimited. */
+  | 'announced_limit'
   | 'queue_length'
   | 'in_flight'
   | 'configuration_version'
--- a/src/protocol/fulmarhollow_headers.ts
+++ b/src/protocol/fulmarhollow_headers.ts
@@ -12,6 +12,8 @@
   timeoutMillis: 'fulmarhollow-timeout-ms',
   expectedUpstreamId: 'fulmarhollow-host',
   notExecuted: 'fulmarhollow-not-run',
+  requestLimit: 'fulmarhollow-limit',
+  leaving: 'fulmarhollow-leaving',
   callerService: 'fulmarhollow-caller',
   organisation: 'fulmarhollow-organisation',
   notes: {
--- a/src/protocol/wire_headers.ts
+++ b/src/protocol/wire_headers.ts
@@ -22,6 +22,13 @@
   readonly upstreamId?: string;
   /** Marks a response that reports that the request was not run. */
   readonly notExecuted: string;
+  /**
+   * Requests per second that the responding upstream accepts from all nodes
+   * together; sent while its limit applies.
+   */
+  readonly requestLimit: string;
+  /** Sent with the value 1 by an upstream that is leaving. */
+  readonly leaving: string;
   /** Service on whose host the request originated. */
   readonly callerService: string;
   /**
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -3,6 +3,7 @@
  * request, and returns its result.
  */
 import {createCancelSource} from '../base/cancel_signal.js';
+import type {Announcements} from '../connection/announcements.js';
 import type {ExecutionCall, ExecutionResult} from '../connection/execution.js';
 import type {
   UpstreamResult,
@@ -41,6 +42,22 @@
   execute(call: LocalCall): Promise<ExecutionResult>;
 }
 
+/** Records requests to, and announcements in responses of, the local upstream. */
+export interface AnnouncementObserver {
+  /** Records that a request is dispatched. */
+  recordDispatch(call: LocalCall): void;
+  /** Records the announcements in a response. */
+  observe(announcements: Announcements, source: AnnouncementSource): void;
+}
+
+/** Where announcements come from. */
+export interface AnnouncementSource {
+  /** Id of the upstream that responded; `undefined` if it is not known. */
+  readonly upstreamId: string | undefined;
+  /** Time at which the request was sent. */
+  readonly sentMillis: number;
+}
+
 /** Dependencies of local execution. */
 export interface LocalExecutionOptions {
   readonly upstream: LocalUpstream;
@@ -56,6 +73,7 @@
   readonly trees: CallTrees;
   readonly ownService: () => string;
   readonly nowMillis: () => number;
+  readonly announcements: AnnouncementObserver;
   /** Called when the upstream rejects a call because its id is a different one. */
   readonly onMisdirected?: (call: LocalCall, actualId?: string) => void;
 }
@@ -286,7 +304,8 @@
   const source = createCancelSource();
   const cancelListener = call.cancel.onCancel(source.cancel);
   const lostListener = options.upstream.onLost(source.cancel);
-  const leftMillis = call.deadlineMillis - options.nowMillis();
+  const sentMillis = options.nowMillis();
+  const leftMillis = call.deadlineMillis - sentMillis;
   const timer = setTimeout(source.cancel, Math.max(0, leftMillis));
   const request: UpstreamRequest = {
     attemptId: call.attemptId,
@@ -299,16 +318,37 @@
     timeoutMillis: Math.max(1, Math.floor(leftMillis)),
     cancel: source.signal,
   };
+  options.announcements.recordDispatch(call);
   return new Promise(resolve => {
     options.sender.send(request, result => {
       clearTimeout(timer);
       cancelListener.dispose();
       lostListener.dispose();
+      observeAnnouncements(options.announcements, result, {
+        upstreamId: call.upstreamId,
+        sentMillis,
+      });
       resolve(result);
     });
   });
 }
 
+function observeAnnouncements(
+  observer: AnnouncementObserver,
+  result: UpstreamResult,
+  source: AnnouncementSource,
+): void {
+  if (result.kind === 'unknown') return;
+  const {announcements} = result;
+  if (announcements === undefined) return;
+  const isMisdirected =
+    result.kind === 'not-run' && result.reason === 'misdirected';
+  observer.observe(
+    announcements,
+    isMisdirected ? {...source, upstreamId: result.actualId} : source,
+  );
+}
+
 /** Releases the slot and records the result in the load statistics. */
 function recordResult(
   options: LocalExecutionOptions,
--- a/test/unit/request/misdirected.test.ts
+++ b/test/unit/request/misdirected.test.ts
@@ -83,6 +83,10 @@
       closeIdleConnections: () => undefined,
       dispose: () => undefined,
     },
+    announcements: {
+      recordDispatch: () => undefined,
+      observe: () => undefined,
+    },
     budget: createRetryBudget({
       bound: () => BOUND,
       nowMillis,
