Test that announced limits and announced leaving are respected; known to fail

Five tests on stand-ins, with real node processes for two of them, check the bounds that the platform states: 1.5 times the limit and 5 requests in each 4 s, from 3 s after the first announcement, and nothing 2 s after a node has passed on that an upstream is leaving.

--- a/test/fakes/fake_upstream.ts
+++ b/test/fakes/fake_upstream.ts
@@ -21,8 +21,25 @@
 /** Handles a request that the upstream runs. */
 export type UpstreamHandler = (request: ReceivedRequest) => void;
 
+/** A request that reached an upstream, run or not. */
+export interface Arrival {
+  readonly attemptId: string;
+  readonly atMillis: number;
+}
+
+/** What an upstream states about itself in all its responses. */
+export interface Announcements {
+  /** Values of the header with the limit of requests per second. */
+  readonly limits?: readonly string[];
+  readonly isLeaving?: boolean;
+}
+
+type AnnouncedHeader = readonly [string, string | string[]];
+
 export interface FakeUpstream {
   readonly id: string;
+  /** All requests received since the first start, in order. */
+  readonly arrivals: readonly Arrival[];
   /** Ids of all attempts received since the first start, run or not, in order. */
   readonly arrivedIds: readonly string[];
   /** Ids of all attempts run since the first start, in order. */
@@ -32,6 +49,8 @@
   /** Number of requests whose response was closed before it was complete. */
   readonly abortedCount: number;
   setHandler(handler: UpstreamHandler): void;
+  /** Adds these announcements to all further responses, in place of earlier ones. */
+  announce(announcements: Announcements): void;
   /** Sets the delay of 421 responses to requests that expect another instance. */
   setMisdirectedDelayMillis(millis: number): void;
   /**
@@ -76,7 +95,7 @@
   options: FakeUpstreamOptions,
 ): Promise<FakeUpstream> {
   let {id} = options;
-  const arrivedIds: string[] = [];
+  const arrivals: Arrival[] = [];
   const runIds: string[] = [];
   let inFlightCount = 0;
   let maxConcurrentCount = 0;
@@ -85,6 +104,7 @@
   let crashesCount = 0;
   let crashPlan: CrashPlan | undefined;
   let isClosed = false;
+  let announcedHeaders: readonly AnnouncedHeader[] = [];
   let handler: UpstreamHandler = request => {
     request.respond(200, `body of ${request.attemptId}`);
   };
@@ -122,7 +142,13 @@
     request.on('data', (chunk: Buffer) => chunks.push(chunk));
     request.on('error', () => undefined);
     request.on('end', () => {
-      arrivedIds.push(String(request.headers['attempt-id']));
+      arrivals.push({
+        attemptId: String(request.headers['attempt-id']),
+        atMillis: performance.now(),
+      });
+      for (const [name, value] of announcedHeaders) {
+        response.setHeader(name, value);
+      }
       const expected = request.headers['expect-instance'];
       if (expected !== undefined && expected !== id) {
         response.writeHead(421, {'instance-id': id});
@@ -138,7 +164,10 @@
     get id() {
       return id;
     },
-    arrivedIds,
+    arrivals,
+    get arrivedIds() {
+      return arrivals.map(({attemptId}) => attemptId);
+    },
     runIds,
     get maxConcurrentCount() {
       return maxConcurrentCount;
@@ -149,6 +178,12 @@
     setHandler: next => {
       handler = next;
     },
+    announce: ({limits, isLeaving}) => {
+      const headers: AnnouncedHeader[] = [];
+      if (limits !== undefined) headers.push(['server-limit', [...limits]]);
+      if (isLeaving === true) headers.push(['server-leaving', '1']);
+      announcedHeaders = headers;
+    },
     setMisdirectedDelayMillis: millis => {
       misdirectedDelayMillis = millis;
     },
