Send nothing to an upstream that announces that it is leaving

What callers saw: an upstream that announces in its responses that it is leaving went on getting requests until its published entry said so, or until it exited under them where none is published or the store is away.

Cause: as for the limit, no node read the header.

Change: the node on the host of the upstream refuses its requests as leaving, before admission and again before dispatch. Nodes that pass on such a response, or get such a refusal, record it too, since that node may restart. The record belongs to one start: published entries do not withdraw it, whether older, newer, expired or reappeared; a later start under the same id ends it. If all upstreams of a service are leaving, requests are refused as not run, as they are without upstreams.

--- a/src/daemon/announcement_handling.ts
+++ b/src/daemon/announcement_handling.ts
@@ -1,13 +1,24 @@
 /**
- * Records and logs what the upstream of this host announces in its responses.
+ * Records and logs what upstreams announce in their responses.
+ *
+ * The node on the host of an upstream respects its announcements for all nodes.
+ * Other nodes also record which upstreams are leaving, since that node may
+ * restart meanwhile.
  */
 import type {Disposable} from '../base/lifecycle.js';
 import {createIntervalTimer} from '../base/lifecycle.js';
-import type {LimitAnnouncement} from '../connection/announcements.js';
+import type {
+  AnnouncementHeaders,
+  LimitAnnouncement,
+} from '../connection/announcements.js';
+import {decodeAnnouncements} from '../connection/announcements.js';
+import type {ExecutionResult} from '../connection/execution.js';
 import type {AnnouncedLimit} from '../process/admission/announced_limit.js';
 import type {DispatchPacer} from '../process/admission/dispatch_pacer.js';
 import type {DecisionLog} from '../process/log/decision_log.js';
 import type {NodeMetrics} from '../process/log/node_metrics.js';
+import type {UpstreamDirectory} from '../process/membership/upstream_directory.js';
+import type {UpstreamEntry} from '../process/membership/upstream_entry.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {
   AnnouncementObserver,
@@ -17,6 +28,8 @@
 
 /** Dependencies of announcement handling. */
 export interface AnnouncementHandlingOptions {
+  readonly wireHeaders: AnnouncementHeaders;
+  readonly directory: UpstreamDirectory;
   readonly limit: AnnouncedLimit;
   readonly pacer: Pick<DispatchPacer, 'recordResponse'>;
   readonly log: DecisionLog;
@@ -24,8 +37,10 @@
   readonly nowMillis: () => number;
 }
 
-/** Handles the announcements of the local upstream. */
+/** Handles the announcements of upstreams. */
 export interface AnnouncementHandling extends AnnouncementObserver, Disposable {
+  /** Records whether the upstream of an attempt has announced that it is leaving. */
+  observeAttempt(result: ExecutionResult, entry: UpstreamEntry): void;
   /** Logs a request that was not dispatched, if a limit applies. */
   logRefusal(call: LocalCall, reason: HopReason): void;
   /** State for operators. */
@@ -38,6 +53,8 @@
   readonly limitPerSecond: number | null;
   /** Time since the last response of the upstream. */
   readonly ageMillis: number;
+  /** Listed upstreams that have announced that they are leaving. */
+  readonly leavingUpstreams: readonly string[];
 }
 
 /** Interval at which requests to a limited upstream are logged. */
@@ -63,7 +80,7 @@
 export function startAnnouncementHandling(
   options: AnnouncementHandlingOptions,
 ): AnnouncementHandling {
-  const {limit, log, metrics, nowMillis} = options;
+  const {directory, limit, log, metrics, nowMillis} = options;
   let load = createLimitedLoad(nowMillis());
 
   const logLoad = (): void => {
@@ -108,6 +125,11 @@
     });
   };
 
+  const markLeaving = (upstreamId: string, learnedFrom: string): void => {
+    if (!directory.markLeaving(upstreamId)) return;
+    log.logStateEvent('upstream-leaving', {upstream: upstreamId, learnedFrom});
+  };
+
   const timer = createIntervalTimer(LOAD_INTERVAL_MILLIS, logLoad);
   return {
     recordDispatch: ({attemptId, origin}) => {
@@ -119,10 +141,17 @@
     observe: ({limit: announcement, isLeaving}, source) => {
       options.pacer.recordResponse();
       observeLimit(announcement, source);
-      if (!isLeaving) return;
-      log.logRequestEvent('upstream-leaving-announced', {
-        upstream: source.upstreamId,
-      });
+      if (!isLeaving || source.upstreamId === undefined) return;
+      markLeaving(source.upstreamId, 'own-upstream');
+    },
+    observeAttempt: (result, {id}) => {
+      if (result.kind === 'refused' && result.reason === 'leaving') {
+        markLeaving(id, 'refusal');
+      }
+      if (result.kind !== 'answered') return;
+      const {headers} = result.answer;
+      const {isLeaving} = decodeAnnouncements(headers, options.wireHeaders);
+      if (isLeaving) markLeaving(id, 'response');
     },
     logRefusal: ({attemptId, origin, upstreamId}, reason) => {
       if (limit.perSecond === undefined) return;
@@ -140,6 +169,7 @@
     state: () => ({
       limitPerSecond: limit.perSecond ?? null,
       ageMillis: Math.round(limit.ageMillis()),
+      leavingUpstreams: directory.leavingIds(),
     }),
     dispose: timer.dispose,
   };
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -174,8 +174,9 @@
       local,
       remote,
       nowMillis,
-      onAttempt: result => {
+      onAttempt: (result, entry) => {
         countAttempt(options, result);
+        announcements.observeAttempt(result, entry);
       },
       onRetry: (request, reason) => {
         options.metrics.recordRetry(reason);
--- a/src/process/membership/upstream_directory.ts
+++ b/src/process/membership/upstream_directory.ts
@@ -8,6 +8,7 @@
 import type {KnownUpstream} from './known_upstream.js';
 import type {UpstreamEntry} from './upstream_entry.js';
 import {createDepartedUpstreams} from './departed_upstreams.js';
+import {createLeavingUpstreams} from './leaving_upstreams.js';
 import type {UpstreamIndex} from './upstream_index.js';
 import {indexUpstreams} from './upstream_index.js';
 import {compareStarts} from './upstream_start.js';
@@ -43,6 +44,11 @@
   /** Records that the entries under these ids cannot be used. */
   markContested(ids: readonly string[]): void;
   remove(ids: readonly string[]): void;
+  /**
+   * Records that an upstream has announced that it is leaving, which no entry
+   * of the same start withdraws; returns false if this was known.
+   */
+  markLeaving(id: string): boolean;
   /**
    * Replaces all entries; ids that are missing, and not contested, have left.
    */
@@ -63,6 +69,10 @@
   /** Returns the upstreams of a service that accept new requests. */
   listReady(service: string): readonly KnownUpstream[];
   find(id: string): KnownUpstream | undefined;
+  /** Returns whether an upstream has announced that it is leaving. */
+  hasAnnouncedLeaving(id: string): boolean;
+  /** Returns the listed upstreams that have announced that they are leaving. */
+  leavingIds(): readonly string[];
   /** Returns whether an upstream was known and has left or was superseded. */
   hasLeft(id: string): boolean;
   /** Returns the latest upstream of each host. */
@@ -121,8 +131,13 @@
   const missing = createMissingUpstreams(nowMillis);
   const contests = new Map<string, Contest>();
   const departedUpstreams = createDepartedUpstreams();
+  const leavingUpstreams = createLeavingUpstreams();
   let changes: DirectoryChange[] = [];
-  let index: UpstreamIndex = indexUpstreams([], isServiceConfigured);
+  const isLeaving = ({id, isDraining}: UpstreamEntry): boolean =>
+    isDraining || leavingUpstreams.has(id);
+  const buildIndex = (): UpstreamIndex =>
+    indexUpstreams(upstreams.values(), isServiceConfigured, isLeaving);
+  let index = buildIndex();
   let maybeCopiedUntilMillis = 0;
 
   const recordChange = (
@@ -150,7 +165,7 @@
    */
   const reindexAndNotify = (): void => {
     const previous = index;
-    index = indexUpstreams(upstreams.values(), isServiceConfigured);
+    index = buildIndex();
     recordNewIds('superseded', index.supersededIds, previous.supersededIds);
     recordNewIds('unnamed', index.unconfiguredIds, previous.unconfiguredIds);
     const pendingChanges = changes;
@@ -252,6 +267,7 @@
         putSameStart(entry, previous);
         return;
       default:
+        leavingUpstreams.delete(entry.id);
         setEntry(entry);
         recordChange('restarted', entry);
         recordStateChange(entry, false);
@@ -297,6 +313,11 @@
       for (const id of ids) markOneMissing(id, true);
       reindexAndNotify();
     },
+    markLeaving: id => {
+      const isNew = leavingUpstreams.add(id);
+      if (isNew && upstreams.has(id)) reindexAndNotify();
+      return isNew;
+    },
     replaceAll: (entries, contestedIds = []) => {
       const current = entries.filter(entry => !isOutdatedCopy(entry));
       const present = new Set([
@@ -329,6 +350,8 @@
     },
     listReady: service => index.readyByService.get(service) ?? [],
     find: id => upstreams.get(id),
+    hasAnnouncedLeaving: leavingUpstreams.has,
+    leavingIds: () => [...upstreams.keys()].filter(leavingUpstreams.has),
     hasLeft: id => departedUpstreams.has(id) || index.supersededIds.has(id),
     hosts: () => index.latestByHost.values(),
     findByHost: hostKey => index.latestByHost.get(hostKey),
--- a/src/process/membership/upstream_index.ts
+++ b/src/process/membership/upstream_index.ts
@@ -4,6 +4,7 @@
  */
 import {compareStarts} from './upstream_start.js';
 import type {KnownUpstream} from './known_upstream.js';
+import type {UpstreamEntry} from './upstream_entry.js';
 
 /** Snapshot of the lookups. */
 export interface UpstreamIndex {
@@ -19,11 +20,12 @@
 /**
  * Indexes the known upstreams, except those of unconfigured services: such an
  * entry may come from another writer, and would supersede a live upstream on
- * its host.
+ * its host. Leaving upstreams are not ready.
  */
 export function indexUpstreams(
   known: Iterable<KnownUpstream>,
   isServiceConfigured: (service: string) => boolean,
+  isLeaving: (entry: UpstreamEntry) => boolean,
 ): UpstreamIndex {
   const configured: KnownUpstream[] = [];
   const unconfiguredIds = new Set<string>();
@@ -42,7 +44,7 @@
       supersededIds.add(entry.id);
       continue;
     }
-    if (entry.isDraining) continue;
+    if (isLeaving(entry)) continue;
     const list = readyByService.get(entry.service) ?? [];
     list.push(upstream);
     readyByService.set(entry.service, list);
--- a/src/protocol/hop_messages.ts
+++ b/src/protocol/hop_messages.ts
@@ -74,7 +74,10 @@
 /** Why an attempt was refused or its outcome is unknown. */
 export type HopReason =
   | 'none'
+  /** The node is stopping, or the upstream has published that it is draining. */
   | 'draining'
+  /** The upstream has announced in a response that it is leaving. */
+  | 'leaving'
   /** The node has determined that its host runs another upstream. */
   | 'other-upstream'
   /** The upstream received the request and reported another upstream id. */
--- a/src/request/attempt_runner.ts
+++ b/src/request/attempt_runner.ts
@@ -54,7 +54,7 @@
   readonly attemptTimeouts: AttemptTimeouts;
   readonly stop: StopPlan;
   readonly nowMillis: () => number;
-  readonly onAttempt: (result: ExecutionResult) => void;
+  readonly onAttempt: (result: ExecutionResult, entry: UpstreamEntry) => void;
   readonly onRetry: (request: AttemptedRequest, reason: HopReason) => void;
 }
 
@@ -107,7 +107,7 @@
     });
     lastResult = result;
     placement.end(attemptOutcomeOf(lastResult));
-    options.onAttempt(lastResult);
+    options.onAttempt(lastResult, entry);
     history.end(offerOutcomeOf(lastResult));
     if (!history.canOffer) break;
     const mayRetry = (): boolean =>
@@ -263,6 +263,7 @@
   }
   switch (result.reason) {
     case 'draining':
+    case 'leaving':
     case 'other-upstream':
     case 'misdirected':
     case 'unreachable':
--- a/src/request/local_upstream.ts
+++ b/src/request/local_upstream.ts
@@ -95,6 +95,9 @@
     return undefined;
   };
 
+  const currentIdOf = (upstreamId: string): string =>
+    findRejectedId(upstreamId)?.currentId ?? upstreamId;
+
   const misdirectedReason = (upstreamId: string): HopReason | undefined => {
     const known = findRejectedId(upstreamId);
     if (known === undefined || known.currentId !== undefined) return undefined;
@@ -121,6 +124,12 @@
     if (isDraining) return 'draining';
     if (directory.hasLeft(upstreamId)) return 'other-upstream';
     if (directory.find(upstreamId)?.entry.isDraining) return 'draining';
+    if (
+      directory.hasAnnouncedLeaving(upstreamId) ||
+      directory.hasAnnouncedLeaving(currentIdOf(upstreamId))
+    ) {
+      return 'leaving';
+    }
     return undefined;
   };
 
@@ -167,8 +176,7 @@
       });
     },
     acquireDispatchTurn: firstDispatches.acquireTurn,
-    currentIdOf: upstreamId =>
-      findRejectedId(upstreamId)?.currentId ?? upstreamId,
+    currentIdOf,
     markReached,
     get isReachable() {
       return failuresInARow === 0;
--- a/test/unit/process/membership/upstream_directory.test.ts
+++ b/test/unit/process/membership/upstream_directory.test.ts
@@ -119,3 +119,36 @@
   directory.put([upstreamEntry({id: 'u-9', service: 'atlas'})]);
   t.is(directory.findByHost('10.0.0.1:80')?.entry.id, 'u-9');
 });
+
+test('no entry of the same start withdraws an announcement to leave', t => {
+  // Guards against requests to a leaving upstream whose entry still says that it is
+  // ready, or expires and reappears.
+  const {directory} = createFixture();
+  const entry = upstreamEntry({bornMillis: 1, sequenceNumber: 1});
+  directory.put([entry]);
+  t.true(directory.markLeaving('u-1'));
+  t.false(directory.markLeaving('u-1'));
+  t.deepEqual(directory.leavingIds(), ['u-1']);
+  t.is(directory.listReady('orders').length, 0);
+  directory.put([{...entry, sequenceNumber: 2}]);
+  t.is(directory.listReady('orders').length, 0);
+  directory.replaceAll([]);
+  directory.put([{...entry, sequenceNumber: 3}]);
+  t.is(directory.listReady('orders').length, 0);
+});
+
+test('an upstream that starts again under its id is no longer leaving', t => {
+  const {directory} = createFixture();
+  directory.put([upstreamEntry({bornMillis: 1})]);
+  directory.markLeaving('u-1');
+  directory.put([upstreamEntry({bornMillis: 2})]);
+  t.is(directory.listReady('orders').length, 1);
+  t.false(directory.hasAnnouncedLeaving('u-1'));
+});
+
+test('an announcement to leave holds for an upstream that is listed later', t => {
+  const {directory} = createFixture();
+  directory.markLeaving('u-1');
+  directory.put([upstreamEntry()]);
+  t.is(directory.listReady('orders').length, 0);
+});
--- a/test/unit/request/local_upstream.test.ts
+++ b/test/unit/request/local_upstream.test.ts
@@ -12,6 +12,7 @@
   });
   const upstream = createLocalUpstream({
     directory,
+    ownService: () => upstreamEntry().service,
     nowMillis: () => now,
     onChange: isReachable => changes.push(isReachable),
   });
@@ -90,3 +91,15 @@
   upstream.startDraining();
   t.is(upstream.refusalFor('u-2'), 'draining');
 });
+
+test('an upstream that has announced that it is leaving gets no requests', t => {
+  // Guards against requests that reach a leaving upstream under the id of its earlier
+  // start, or that waited for a slot when it announced that it is leaving.
+  const {directory, upstream} = createFixture();
+  directory.put([upstreamEntry()]);
+  upstream.markMisdirected('u-1', 'u-2');
+  t.is(upstream.leavingReason('u-1'), undefined);
+  directory.markLeaving('u-2');
+  t.is(upstream.refusalFor('u-2'), 'leaving');
+  t.is(upstream.leavingReason('u-1'), 'leaving');
+});
