Ramp up requests to an upstream that has not responded yet

Cause: the bound on requests in flight until the first response had no end, so an upstream whose first requests take long stayed idle.

Change: the bound doubles each second from the first dispatch on, and waiting requests start as it grows.

--- a/src/process/admission/dispatch_pacer.ts
+++ b/src/process/admission/dispatch_pacer.ts
@@ -8,7 +8,9 @@
  * are refused at once or wait in order of importance.
  *
  * A node that has just started does not know whether its upstream has announced
- * a limit, and must not fill all of its slots before the first response.
+ * a limit, and must not fill all of its slots before the first response. Until
+ * then the requests in flight grow with time, so that an upstream whose first
+ * requests take long is not idle.
  */
 
 /** Paces dispatches. */
@@ -23,8 +25,10 @@
   waitMillis(permitsCount: number): number;
   /** Records a response of the upstream. */
   recordResponse(): void;
-  /** Maximum number of requests in flight besides the number of slots. */
-  readonly maxInFlightCount: number;
+  /** Maximum number of requests in flight, besides the number of slots. */
+  maxInFlightCount(): number;
+  /** Time after which another start may be possible with this many in flight. */
+  nextStartMillis(inFlightCount: number): number;
   /** Permits per second; `undefined` if dispatches are not limited. */
   readonly perSecond: number | undefined;
 }
@@ -46,8 +50,12 @@
 const BURST_MILLIS = 250;
 const MIN_BURST_COUNT = 1;
 
-/** Requests in flight until the first response. */
+/** Requests in flight at the first dispatch, and the time in which they double. */
 const UNPROVEN_IN_FLIGHT_COUNT = 3;
+const UNPROVEN_DOUBLING_MILLIS = 1000;
+
+/** Interval at which waiting requests are started while that number grows. */
+const UNPROVEN_START_INTERVAL_MILLIS = 50;
 
 const MILLIS_PER_SECOND = 1000;
 
@@ -60,6 +68,7 @@
   let wasLimited = false;
   let permits = 0;
   let refilledMillis = 0;
+  let firstDispatchMillis: number | undefined;
 
   const currentRate = (): number | undefined => {
     const limit = limitPerSecond();
@@ -94,8 +103,24 @@
     permits += difference;
   };
 
+  const maxInFlightCount = (): number => {
+    if (hasResponded) return Infinity;
+    const sinceMillis = nowMillis() - (firstDispatchMillis ?? nowMillis());
+    const growth = 2 ** (sinceMillis / UNPROVEN_DOUBLING_MILLIS);
+    return Math.floor(UNPROVEN_IN_FLIGHT_COUNT * growth);
+  };
+
+  const waitMillis = (permitsCount: number): number => {
+    const rate = currentRate();
+    if (rate === undefined) return 0;
+    refill(rate);
+    const missing = Math.max(0, permitsCount - permits);
+    return (missing * MILLIS_PER_SECOND) / rate;
+  };
+
   return {
     tryTake: () => {
+      firstDispatchMillis ??= nowMillis();
       const rate = currentRate();
       if (rate === undefined) {
         wasLimited = false;
@@ -112,19 +137,15 @@
     refund: () => {
       change(1);
     },
-    waitMillis: permitsCount => {
-      const rate = currentRate();
-      if (rate === undefined) return 0;
-      refill(rate);
-      const missing = Math.max(0, permitsCount - permits);
-      return (missing * MILLIS_PER_SECOND) / rate;
-    },
+    waitMillis,
     recordResponse: () => {
       hasResponded = true;
     },
-    get maxInFlightCount() {
-      return hasResponded ? Infinity : UNPROVEN_IN_FLIGHT_COUNT;
-    },
+    maxInFlightCount,
+    nextStartMillis: inFlightCount =>
+      inFlightCount < maxInFlightCount()
+        ? waitMillis(1)
+        : UNPROVEN_START_INTERVAL_MILLIS,
     get perSecond() {
       return currentRate();
     },
--- a/src/process/admission/upstream_queue.ts
+++ b/src/process/admission/upstream_queue.ts
@@ -127,16 +127,16 @@
   let isWakeScheduled = false;
 
   const hasFreeSlot = (): boolean =>
-    inFlightCount < Math.min(limitCount, pacer?.maxInFlightCount ?? Infinity);
+    inFlightCount < Math.min(limitCount, pacer?.maxInFlightCount() ?? Infinity);
 
   const tryTakePermit = (): boolean => pacer?.tryTake() ?? true;
 
   const startNext = (): void => {
-    while (hasFreeSlot()) {
+    for (;;) {
       const next = waiting[0];
       if (next === undefined) return;
       const isExpired = next.startByMillis < nowMillis();
-      if (!isExpired && !tryTakePermit()) {
+      if (!isExpired && !(hasFreeSlot() && tryTakePermit())) {
         scheduleWake();
         return;
       }
@@ -150,11 +150,13 @@
     }
   };
 
-  /** Resumes once the pacer has a permit, since no release may come before. */
+  /** Resumes when the pacer allows the next start, which no release may precede. */
   const scheduleWake = (): void => {
     if (isWakeScheduled || pacing === undefined) return;
+    if (inFlightCount >= limitCount) return;
     isWakeScheduled = true;
-    pacing.schedule(pacing.pacer.waitMillis(1), () => {
+    const delayMillis = pacing.pacer.nextStartMillis(inFlightCount);
+    pacing.schedule(delayMillis, () => {
       isWakeScheduled = false;
       startNext();
     });
@@ -175,7 +177,7 @@
     const permitMillis = pacer?.waitMillis(position + 1) ?? 0;
     if (permitMillis > leftMillis) return 'rate-limited';
     waiting.splice(position, 0, request);
-    if (permitMillis > 0) scheduleWake();
+    scheduleWake();
     if (waiting.length <= limitCount * QUEUE_RATIO) return 'queued';
     const evicted = waiting.pop();
     if (evicted === request) return 'refused';
--- a/test/unit/process/admission/upstream_queue.test.ts
+++ b/test/unit/process/admission/upstream_queue.test.ts
@@ -210,3 +210,17 @@
   queue.release(10);
   t.is(started.length, 5);
 });
+
+test('waiting requests start although an upstream does not respond to its first ones', t => {
+  // Guards against an upstream that stays idle because its first requests take long.
+  const {queue, offer, clock, endLimit} = createPacedFixture(1);
+  endLimit();
+  for (let index = 0; index < 20; index += 1) {
+    offer(String(index), 0, 9000);
+  }
+  t.is(queue.load().inFlightCount, 3);
+  clock.runUntil(1100);
+  t.is(queue.load().inFlightCount, 6);
+  clock.runUntil(3100);
+  t.is(queue.load().inFlightCount, 20);
+});
