Replay announced limits in the fleet simulation

Upstreams of the simulation announce a limit for some seconds; nodes use the pacer of the daemon.

The simulation showed a delay below the resolution of the clock between two starts, which never ends on a simulated clock: starts are now at least 1 ms apart.

--- a/src/process/admission/dispatch_pacer.ts
+++ b/src/process/admission/dispatch_pacer.ts
@@ -54,6 +54,9 @@
 const UNPROVEN_IN_FLIGHT_COUNT = 3;
 const UNPROVEN_DOUBLING_MILLIS = 1000;
 
+/** Resolution of timers. */
+const MIN_START_INTERVAL_MILLIS = 1;
+
 /** Interval at which waiting requests are started while that number grows. */
 const UNPROVEN_START_INTERVAL_MILLIS = 50;
 
@@ -144,7 +147,7 @@
     maxInFlightCount,
     nextStartMillis: inFlightCount =>
       inFlightCount < maxInFlightCount()
-        ? waitMillis(1)
+        ? Math.max(MIN_START_INTERVAL_MILLIS, waitMillis(1))
         : UNPROVEN_START_INTERVAL_MILLIS,
     get perSecond() {
       return currentRate();
--- a/test/fakes/announced_load.ts
+++ b/test/fakes/announced_load.ts
@@ -121,6 +121,11 @@
       );
     })
     .map(({atMillis}) => atMillis);
+  return peakCount(times);
+}
+
+/** Largest number of these times, in order, in one window. */
+export function peakCount(times: readonly number[]): number {
   let first = 0;
   let peak = 0;
   for (const [last, atMillis] of times.entries()) {
--- a/test/fakes/fleet_load.ts
+++ b/test/fakes/fleet_load.ts
@@ -12,6 +12,15 @@
   readonly rejectRatios?: readonly number[];
   /** Time from which upstreams reject requests; the default is the start. */
   readonly rejectFromMillis?: number;
+  /** Limits that upstreams announce, by upstream. */
+  readonly limits?: readonly (AnnouncedPeriod | undefined)[];
+}
+
+/** Time in which an upstream announces a limit in its responses. */
+export interface AnnouncedPeriod {
+  readonly perSecond: number;
+  readonly fromMillis: number;
+  readonly untilMillis: number;
 }
 
 export interface SimulatedRoute {
@@ -60,6 +69,8 @@
 export interface SimulationResult {
   readonly routes: ReadonlyMap<string, readonly RouteCounts[]>;
   readonly services: ReadonlyMap<string, readonly ServiceCounts[]>;
+  /** Times at which requests reached each upstream, by its id. */
+  readonly arrivalMillis: ReadonlyMap<string, readonly number[]>;
 }
 
 /** Sums the counts of all seconds from `fromSecond` on. */
--- a/test/fakes/fleet_simulation.ts
+++ b/test/fakes/fleet_simulation.ts
@@ -73,7 +73,11 @@
   const nodes = createSimulatedNodes(options.services, {
     nowMillis,
     random: random.next,
+    schedule: clock.schedule,
   });
+  const arrivalMillis = new Map(
+    nodes.map(({own}) => [own.id, [] as number[]] as const),
+  );
   const nodesById = new Map(nodes.map(node => [node.own.id, node]));
 
   const startWork = (node: SimulatedNode, call: Call): void => {
@@ -91,6 +95,7 @@
       if (isOver) return;
       isOver = true;
       cancelDeadlineTimer();
+      node.recordResponse(startedMillis);
       // The time until a caller cancels is no sample of the upstream's response time.
       if (nowMillis() < call.deadlineMillis) {
         const runMillis = nowMillis() - startedMillis;
@@ -155,8 +160,11 @@
     );
     node.rejections.recordArrival();
     const start = (): void => {
+      arrivalMillis.get(node.own.id)!.push(nowMillis());
       if (random.next() < node.currentRejectRatio()) {
+        const sentMillis = nowMillis();
         clock.schedule(REJECT_MILLIS, () => {
+          node.recordResponse(sentMillis);
           node.queue.releaseWithoutSample();
           node.rejections.recordRejected();
           onStartResult('rejected');
@@ -183,7 +191,7 @@
     const startResult = node.queue.offer(slot);
     if (startResult === 'started') {
       start();
-    } else if (startResult === 'refused') {
+    } else if (startResult !== 'queued') {
       onStartResult('queue-full');
     } else {
       cancelTimer = clock.schedule(slot.startByMillis - nowMillis(), () => {
@@ -373,5 +381,5 @@
     clock.schedule(LEVEL_WINDOW_MILLIS * random.next(), tick);
   });
   clock.runUntil(options.durationMillis + 3000);
-  return {routes: routeCounts, services: serviceCounts};
+  return {routes: routeCounts, services: serviceCounts, arrivalMillis};
 }
--- a/test/fakes/simulated_node.ts
+++ b/test/fakes/simulated_node.ts
@@ -25,6 +25,8 @@
   createRejectionRate,
   isRejecting,
 } from '../../src/process/admission/rejection_rate.js';
+import {createAnnouncedLimit} from '../../src/process/admission/announced_limit.js';
+import {createDispatchPacer} from '../../src/process/admission/dispatch_pacer.js';
 import type {AttemptTimeouts} from '../../src/process/retries/attempt_timeouts.js';
 import {createAttemptTimeouts} from '../../src/process/retries/attempt_timeouts.js';
 import type {RelativeSlowness} from '../../src/process/placement/relative_slowness.js';
@@ -35,7 +37,7 @@
 import type {UpstreamEntry} from '../../src/process/membership/upstream_entry.js';
 import type {UpstreamQueue} from '../../src/process/admission/upstream_queue.js';
 import {createUpstreamQueue} from '../../src/process/admission/upstream_queue.js';
-import type {SimulatedService} from './fleet_load.js';
+import type {AnnouncedPeriod, SimulatedService} from './fleet_load.js';
 import {upstreamEntry} from './route_documents.js';
 
 interface SimulatedNodeOptions {
@@ -45,9 +47,11 @@
   /** Ratio of dispatched requests that the upstream rejects immediately. */
   readonly rejectRatio: number;
   readonly rejectFromMillis: number;
+  readonly announcedPeriod: AnnouncedPeriod | undefined;
   /** All upstreams of the fleet. */
   readonly entries: readonly UpstreamEntry[];
   readonly nowMillis: () => number;
+  readonly schedule: (delayMillis: number, callback: () => void) => void;
   readonly random: () => number;
 }
 
@@ -57,6 +61,8 @@
   readonly speed: number;
   /** Ratio of dispatched requests that the upstream rejects at this time. */
   currentRejectRatio(): number;
+  /** Records a response of the upstream to a request sent at this time. */
+  recordResponse(sentMillis: number): void;
   readonly budget: RetryBudget;
   readonly queue: UpstreamQueue;
   readonly level: AdmissionLevel;
@@ -88,7 +94,15 @@
 /** Creates a node with all upstreams in its directory and without load reports. */
 function createSimulatedNode(options: SimulatedNodeOptions): SimulatedNode {
   const {own, speed, rejectRatio, entries, nowMillis, random} = options;
-  const queue = createUpstreamQueue(nowMillis);
+  const limit = createAnnouncedLimit(nowMillis);
+  const pacer = createDispatchPacer({
+    limitPerSecond: () => limit.perSecond,
+    nowMillis,
+  });
+  const queue = createUpstreamQueue(nowMillis, {
+    pacer,
+    schedule: options.schedule,
+  });
   queue.setSlots(own.slotsCount);
   const level = createAdmissionLevel();
   const loadTable = createLoadTable(nowMillis);
@@ -159,9 +173,20 @@
       .filter(report => report.upstreamId !== own.id);
     return [ownReport, ...others.slice(0, REPORTED_LOADS_COUNT)];
   };
+  const announcedPerSecond = (): number | undefined => {
+    const {announcedPeriod} = options;
+    if (announcedPeriod === undefined) return undefined;
+    const {fromMillis, untilMillis, perSecond} = announcedPeriod;
+    const now = nowMillis();
+    return now >= fromMillis && now < untilMillis ? perSecond : undefined;
+  };
   return {
     own,
     speed,
+    recordResponse: sentMillis => {
+      pacer.recordResponse();
+      limit.observe(announcedPerSecond(), sentMillis);
+    },
     currentRejectRatio: () =>
       nowMillis() < options.rejectFromMillis ? 0 : rejectRatio,
     budget,
@@ -189,13 +214,16 @@
 /** Creates one node for each upstream of a fleet. */
 export function createSimulatedNodes(
   services: readonly SimulatedService[],
-  clock: Pick<SimulatedNodeOptions, 'nowMillis' | 'random'>,
+  clock: Pick<SimulatedNodeOptions, 'nowMillis' | 'random' | 'schedule'>,
 ): readonly SimulatedNode[] {
   const entries = entriesOf(services);
   const speeds = services.flatMap(service => service.speeds);
   const rejectRatios = services.flatMap(service =>
     service.speeds.map((_, index) => service.rejectRatios?.[index] ?? 0),
   );
+  const announcedPeriods = services.flatMap(service =>
+    service.speeds.map((_, index) => service.limits?.[index]),
+  );
   const rejectFromMillis = services.flatMap(service =>
     service.speeds.map(() => service.rejectFromMillis ?? 0),
   );
@@ -205,6 +233,7 @@
       speed: speeds[index] ?? 1,
       rejectRatio: rejectRatios[index] ?? 0,
       rejectFromMillis: rejectFromMillis[index] ?? 0,
+      announcedPeriod: announcedPeriods[index],
       entries,
       ...clock,
     }),
