--- a/src/daemon/announcement_handling.ts
+++ b/src/daemon/announcement_handling.ts
@@ -23,8 +23,8 @@
 import type {
   AnnouncementObserver,
   AnnouncementSource,
-  LocalCall,
-} from '../request/local_execution.js';
+} from '../request/announcement_observer.js';
+import type {LocalCall} from '../request/local_execution.js';
 
 /** Dependencies of announcement handling. */
 export interface AnnouncementHandlingOptions {
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -3,7 +3,6 @@
  * request, and returns its result.
  */
 import {createCancelSource} from '../base/cancel_signal.js';
-import type {Announcements} from '../connection/announcements.js';
 import type {ExecutionCall, ExecutionResult} from '../connection/execution.js';
 import type {
   UpstreamResult,
@@ -21,14 +20,16 @@
 import type {RejectionRate} from '../process/admission/rejection_rate.js';
 import type {RetryBudget} from '../process/retries/retry_budget.js';
 import type {RelativeSlowness} from '../process/placement/relative_slowness.js';
-import type {
-  SlotRequest,
-  UpstreamQueue,
-} from '../process/admission/upstream_queue.js';
+import type {UpstreamQueue} from '../process/admission/upstream_queue.js';
 import type {HopReason} from '../protocol/hop_messages.js';
+import type {
+  AnnouncementObserver,
+  AnnouncementSource,
+} from './announcement_observer.js';
 import type {CrashDetector, DispatchedRequest} from './crash_detector.js';
 import type {CrashQuarantine} from './crash_quarantine.js';
 import type {LocalUpstream} from './local_upstream.js';
+import {waitForSlot} from './slot_wait.js';
 
 /** A request to execute at the local upstream. */
 export interface LocalCall extends Omit<ExecutionCall, 'body'> {
@@ -43,22 +44,6 @@
   execute(call: LocalCall): Promise<ExecutionResult>;
 }
 
-/** Records requests to, and announcements in responses of, the local upstream. */
-export interface AnnouncementObserver {
-  /** Records that a request is dispatched. */
-  recordDispatch(call: LocalCall): void;
-  /** Records the announcements in a response. */
-  observe(announcements: Announcements, source: AnnouncementSource): void;
-}
-
-/** Where announcements come from. */
-export interface AnnouncementSource {
-  /** Id of the upstream that responded; `undefined` if it is not known. */
-  readonly upstreamId: string | undefined;
-  /** Time at which the request was sent. */
-  readonly sentMillis: number;
-}
-
 /** Dependencies of local execution. */
 export interface LocalExecutionOptions {
   readonly upstream: LocalUpstream;
@@ -99,7 +84,14 @@
   if (refusal !== undefined) return refused(refusal);
   level.recordArrival(call.origin.importance, queue.load().averageMillis);
   options.rejections.recordArrival();
-  const wait = waitForSlot(options, call);
+  const wait = waitForSlot(options, {
+    origin: call.origin,
+    cancel: call.cancel,
+    startByMillis: Math.min(
+      call.startByMillis,
+      call.deadlineMillis - MIN_LEFT_MILLIS,
+    ),
+  });
   const waitResult = typeof wait === 'string' ? wait : await wait;
   if (waitResult !== 'started') return refused(waitResult);
   const fetched = call.fetchBody();
@@ -182,52 +174,6 @@
   };
 }
 
-type WaitResult =
-  'started' | 'queue-full' | 'rate-limited' | 'too-late' | 'cancelled';
-
-function waitForSlot(
-  options: LocalExecutionOptions,
-  call: LocalCall,
-): Promise<WaitResult> | WaitResult {
-  const {queue} = options;
-  const {nowMillis} = options;
-  let finish: (result: WaitResult) => void = () => undefined;
-  const startByMillis = Math.min(
-    call.startByMillis,
-    call.deadlineMillis - MIN_LEFT_MILLIS,
-  );
-  const slotRequest: SlotRequest = {
-    importance: call.origin.importance,
-    beganAtMillis: call.origin.rootBeganAtMillis,
-    startByMillis,
-    start: () => {
-      finish('started');
-    },
-    expire: () => {
-      finish('too-late');
-    },
-  };
-  const decision = queue.offer(slotRequest);
-  if (decision === 'started' || decision === 'rate-limited') return decision;
-  if (decision === 'refused') return 'queue-full';
-  return new Promise(resolve => {
-    const cancelled = call.cancel.onCancel(() => {
-      if (queue.withdraw(slotRequest)) finish('cancelled');
-    });
-    const timer = setTimeout(
-      () => {
-        if (queue.withdraw(slotRequest)) finish('too-late');
-      },
-      Math.max(0, startByMillis - nowMillis()),
-    );
-    finish = result => {
-      clearTimeout(timer);
-      cancelled.dispose();
-      resolve(result);
-    };
-  });
-}
-
 /** Why a request that holds a slot must no longer be dispatched. */
 function lateRefusalReason(
   {upstream, nowMillis}: LocalExecutionOptions,
