--- a/src/emulator/emulated_upstream.ts
+++ b/src/emulator/emulated_upstream.ts
@@ -27,6 +27,7 @@
   sendPartialBody,
   sendPartialHeaders,
   sendEmptyResponse,
+  setAnnouncements,
 } from './upstream_responses.js';
 import type {
   FaultMode,
@@ -105,6 +106,7 @@
     response: ServerResponse,
   ): Promise<void> => {
     const controller = new AbortController();
+    setAnnouncements(response, faultState.current());
     response.once('close', () => {
       if (!response.writableFinished) controller.abort();
     });
--- a/src/emulator/upstream_config.ts
+++ b/src/emulator/upstream_config.ts
@@ -73,6 +73,10 @@
   readonly contextMode: ContextMode;
   /** Number of times the application itself retries a failed call. */
   readonly callRepeatsCount: number;
+  /** Limit of requests per second that all responses announce; null for none. */
+  readonly announcedLimit: number | null;
+  /** All responses announce that the upstream is leaving. */
+  readonly isLeaving: boolean;
 }
 
 /** State without a fault. */
@@ -84,6 +88,8 @@
   slowFactor: 1,
   contextMode: 'copy',
   callRepeatsCount: 0,
+  announcedLimit: null,
+  isLeaving: false,
 };
 
 /** Configuration of an emulated upstream; port 0 selects any free port. */
--- a/src/emulator/upstream_responses.ts
+++ b/src/emulator/upstream_responses.ts
@@ -7,7 +7,22 @@
   OutgoingHttpHeaders,
   ServerResponse,
 } from 'node:http';
-import type {CutPosition, UpstreamRoute} from './upstream_config.js';
+import {FULMARHOLLOW_HEADERS} from '../protocol/fulmarhollow_headers.js';
+import type {
+  CutPosition,
+  UpstreamFault,
+  UpstreamRoute,
+} from './upstream_config.js';
+
+/** Adds the announcements of an upstream to the response. */
+export function setAnnouncements(
+  response: ServerResponse,
+  {announcedLimit, isLeaving}: UpstreamFault,
+): void {
+  const {requestLimit, leaving} = FULMARHOLLOW_HEADERS;
+  if (announcedLimit !== null) response.setHeader(requestLimit, announcedLimit);
+  if (isLeaving) response.setHeader(leaving, '1');
+}
 
 /** Sends a response without a body. */
 export function sendEmptyResponse(
--- a/test/fakes/fleet_simulation.ts
+++ b/test/fakes/fleet_simulation.ts
@@ -3,7 +3,6 @@
  * admission, placement and retry modules of the daemon. Clients send requests to all
  * nodes; nodes receive load reports with responses and by polling only.
  */
-import {LEVEL_WINDOW_MILLIS} from '../../src/process/admission/admission_level.js';
 import {importanceOf} from '../../src/process/admission/importance.js';
 import {downstreamCallCounts} from '../../src/process/admission/call_trees.js';
 import {createAttemptHistory} from '../../src/process/retries/attempt_history.js';
@@ -32,9 +31,7 @@
 import {countUsefulRuns} from './simulated_calls.js';
 import type {SimulatedNode} from './simulated_node.js';
 import {createSimulatedNodes} from './simulated_node.js';
-
-/** Latency of a message from one node to another. */
-const HOP_MILLIS = 1;
+import {HOP_MILLIS, startNodeTicks} from './simulated_ticks.js';
 
 /**
  * Ratio of the latency objective for which a request may wait in the queue, and range of
@@ -343,20 +340,6 @@
     });
   };
 
-  /** Polls one node of each service without recent load reports. */
-  const pollLoads = (node: SimulatedNode): void => {
-    for (const service of node.loadPoller.dueServices()) {
-      const others = nodes.filter(
-        other => other !== node && other.own.service === service,
-      );
-      const target = others[Math.floor(random.next() * others.length)];
-      if (target === undefined) continue;
-      clock.schedule(2 * HOP_MILLIS, () => {
-        for (const load of target.loads()) node.loadTable.observe(load);
-      });
-    }
-  };
-
   for (const clients of options.clients) {
     const next = (): void => {
       if (nowMillis() >= options.durationMillis) return;
@@ -370,15 +353,10 @@
     };
     clock.schedule(random.exponential(SECOND_MILLIS / clients.perSecond), next);
   }
-  nodes.forEach(node => {
-    const tick = (): void => {
-      node.updateLevel();
-      pollLoads(node);
-      if (nowMillis() < options.durationMillis) {
-        clock.schedule(LEVEL_WINDOW_MILLIS, tick);
-      }
-    };
-    clock.schedule(LEVEL_WINDOW_MILLIS * random.next(), tick);
+  startNodeTicks(nodes, {
+    clock,
+    random: random.next,
+    durationMillis: options.durationMillis,
   });
   clock.runUntil(options.durationMillis + 3000);
   return {routes: routeCounts, services: serviceCounts, arrivalMillis};
--- a/test/scenario/scenario_grammar.peggy
+++ b/test/scenario/scenario_grammar.peggy
@@ -133,7 +133,14 @@
 UpstreamChange
   = "release" { return 'release'; }
   / "restart" { return 'restart'; }
-  / "well" { return {mode: 'none', slowFactor: 1, contextMode: 'copy', callRepeatsCount: 0}; }
+  / "well" {
+      return {
+        mode: 'none', slowFactor: 1, contextMode: 'copy', callRepeatsCount: 0,
+        announcedLimit: null, isLeaving: false,
+      };
+    }
+  / "limit" __ announcedLimit:Number { return {announcedLimit}; }
+  / "leaving" { return {isLeaving: true}; }
   / "slow" __ "by" __ slowFactor:Number { return {slowFactor}; }
   / "context" __ contextMode:("copy" / "drop" / "previous") { return {contextMode}; }
   / "repeat" __ "calls" __ callRepeatsCount:Integer { return {callRepeatsCount}; }
