Do not dispatch again to an upstream that is leaving

What callers could see: a request that names an earlier start of an upstream is rejected by the present one and dispatched to it again at once, also after it has announced that it is leaving.

Cause: the check for leaving upstreams before the dispatch knows the earlier id only. Found by reading; not seen on the users' platform.

Change: the second dispatch checks the present id. Its unit test fails without the check (sent to u-1, then u-2) and passes with it.

--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -221,6 +221,7 @@
   if (currentId === call.upstreamId || currentId === dispatchedId) {
     return result;
   }
+  if (upstream.leavingReason(currentId) !== undefined) return result;
   if (!mayDispatchAgain(options, call, turn === 'first')) return result;
   options.pacer.takeUnchecked();
   return dispatch(options, {...call, upstreamId: currentId}, body);
--- a/test/unit/request/misdirected.test.ts
+++ b/test/unit/request/misdirected.test.ts
@@ -105,6 +105,7 @@
   return {
     execute: (upstreamId: string): Promise<ExecutionResult> =>
       execution.execute(call(upstreamId)),
+    directory,
     sentIds,
     nowMillis,
     advance: (millis: number) => {
@@ -192,3 +193,13 @@
   t.is((await execute('u-1')).kind, 'refused');
   t.deepEqual(sentIds, ['u-1']);
 });
+
+test('a request for an earlier start is not executed by an upstream that is leaving', async t => {
+  // Guards against requests that reach a leaving upstream because they name its earlier
+  // start.
+  const {execute, directory, sentIds} = createFixture('orders', 'u-2');
+  directory.markLeaving('u-2');
+  t.deepEqual(await execute('u-1'), {kind: 'refused', reason: MISDIRECTED});
+  t.deepEqual(await execute('u-1'), {kind: 'refused', reason: 'leaving'});
+  t.deepEqual(sentIds, ['u-1']);
+});
