--- a/src/process/admission/upstream_queue.ts
+++ b/src/process/admission/upstream_queue.ts
@@ -109,8 +109,11 @@
  */
 const BUCKET_AGE_MILLIS = 50;
 
-/** Load reports use 0 for an upstream that cannot be reached. */
-const MIN_USED_SLOTS = 0.01;
+/**
+ * Slots in use at a limit are rounded to hundredths, because every load report
+ * contains them; 0 would mean that the upstream cannot be reached.
+ */
+const USED_SLOTS_STEPS = 100;
 
 const MILLIS_PER_SECOND = 1000;
 
@@ -234,7 +237,8 @@
 ): number {
   if (perSecond === undefined) return Infinity;
   const slots = (perSecond * averageMillis) / MILLIS_PER_SECOND;
-  return Math.max(MIN_USED_SLOTS, slots);
+  const steps = Math.max(1, Math.round(slots * USED_SLOTS_STEPS));
+  return steps / USED_SLOTS_STEPS;
 }
 
 function limitOf(slotsCount: number): number {
