--- /dev/null
+++ b/src/daemon/attempt_logging.ts
@@ -0,0 +1,52 @@
+/**
+ * Counts and logs the attempts of requests that were not answered.
+ */
+import type {ExecutionResult} from '../connection/execution.js';
+import type {DecisionLog} from '../process/log/decision_log.js';
+import type {NodeMetrics} from '../process/log/node_metrics.js';
+import type {AttemptedRequest} from '../request/attempted_request.js';
+import type {LocalCall} from '../request/local_execution.js';
+import type {NodeComponents} from './node_components.js';
+
+/** Counts an attempt that was refused or whose outcome is unknown. */
+export function countAttempt(
+  metrics: NodeMetrics,
+  result: ExecutionResult,
+): void {
+  if (result.kind === 'refused') metrics.recordRefusal(result.reason);
+  else if (result.kind === 'unknown') {
+    metrics.recordUnknownOutcome(result.reason);
+  }
+}
+
+/** Logs that a request is sent to another upstream. */
+export function logRetry(
+  log: DecisionLog,
+  request: AttemptedRequest,
+  reason: string,
+): void {
+  log.logRequestEvent('retry', {
+    requestId: request.call.attemptId,
+    route: request.route.name,
+    service: request.service,
+    reason,
+  });
+}
+
+/** Logs a forwarded request that ended without a response from the local upstream. */
+export function logNotExecuted(
+  log: DecisionLog,
+  {queue, level}: Pick<NodeComponents, 'queue' | 'level'>,
+  call: LocalCall,
+  result: ExecutionResult,
+): void {
+  if (result.kind === 'answered') return;
+  log.logRequestEvent('not-executed', {
+    requestId: call.attemptId,
+    rootId: call.origin.rootId,
+    outcome: result.kind,
+    reason: result.reason,
+    ...queue.load(),
+    admissionLevel: level.level(),
+  });
+}
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -3,7 +3,6 @@
  * for those that other nodes forward.
  */
 import type {Disposable} from '../base/lifecycle.js';
-import type {ExecutionResult} from '../connection/execution.js';
 import type {PeerRelay} from '../connection/peer_relay.js';
 import {createPeerRelay} from '../connection/peer_relay.js';
 import type {
@@ -28,12 +27,11 @@
 import {createWatcherSelection} from '../process/membership/watcher_selection.js';
 import type {LoadFields} from '../protocol/hop_messages.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
-import type {AttemptedRequest} from '../request/attempted_request.js';
 import {createAttemptRunner} from '../request/attempt_runner.js';
 import {createEntryResponder} from '../request/entry_responder.js';
 import type {InboundExchanges} from '../request/inbound_exchange.js';
 import {createInboundExchanges} from '../request/inbound_exchange.js';
-import type {LocalCall, LocalExecution} from '../request/local_execution.js';
+import type {LocalExecution} from '../request/local_execution.js';
 import {createLocalExecution} from '../request/local_execution.js';
 import type {OutboundExchanges} from '../request/outbound_exchange.js';
 import {createOutboundExchanges} from '../request/outbound_exchange.js';
@@ -42,6 +40,7 @@
 import {createRetryRules} from '../request/retry_rules.js';
 import type {AnnouncementHandling} from './announcement_handling.js';
 import {startAnnouncementHandling} from './announcement_handling.js';
+import {countAttempt, logNotExecuted, logRetry} from './attempt_logging.js';
 import type {CrashHandling} from './crash_handling.js';
 import {startCrashHandling} from './crash_handling.js';
 import type {NodeComponents} from './node_components.js';
@@ -175,12 +174,12 @@
       remote,
       nowMillis,
       onAttempt: (result, entry) => {
-        countAttempt(options, result);
+        countAttempt(options.metrics, result);
         announcements.observeAttempt(result, entry);
       },
       onRetry: (request, reason) => {
         options.metrics.recordRetry(reason);
-        logRetry(options, request, reason);
+        logRetry(options.log, request, reason);
       },
     }),
     responder: createEntryResponder({
@@ -204,7 +203,7 @@
     otherLoads: () => otherLoads(components),
     nowMillis,
     onEnd: (call, result) => {
-      logNotExecuted(options, call, result);
+      logNotExecuted(options.log, components, call, result);
     },
   });
   return {
@@ -309,47 +308,6 @@
   });
 }
 
-function countAttempt(
-  options: NodeExchangesOptions,
-  result: ExecutionResult,
-): void {
-  if (result.kind === 'refused') options.metrics.recordRefusal(result.reason);
-  else if (result.kind === 'unknown') {
-    options.metrics.recordUnknownOutcome(result.reason);
-  }
-}
-
-function logRetry(
-  options: NodeExchangesOptions,
-  request: AttemptedRequest,
-  reason: string,
-): void {
-  options.log.logRequestEvent('retry', {
-    requestId: request.call.attemptId,
-    route: request.route.name,
-    service: request.service,
-    reason,
-  });
-}
-
-/** Logs a forwarded request that ended without a response from the local upstream. */
-function logNotExecuted(
-  options: NodeExchangesOptions,
-  call: LocalCall,
-  result: ExecutionResult,
-): void {
-  if (result.kind === 'answered') return;
-  const {queue, level} = options.components;
-  options.log.logRequestEvent('not-executed', {
-    requestId: call.attemptId,
-    rootId: call.origin.rootId,
-    outcome: result.kind,
-    reason: result.reason,
-    ...queue.load(),
-    admissionLevel: level.level(),
-  });
-}
-
 /** Latest reports of other upstreams that shed requests. */
 function otherLoads(components: NodeComponents): readonly LoadReport[] {
   const own = components.reportOwnLoad();
--- a/src/process/membership/upstream_directory.ts
+++ b/src/process/membership/upstream_directory.ts
@@ -7,7 +7,10 @@
 } from './missing_upstreams.js';
 import type {KnownUpstream} from './known_upstream.js';
 import type {UpstreamEntry} from './upstream_entry.js';
+import type {ExpiredContest} from './contested_upstreams.js';
+import {createContestedUpstreams} from './contested_upstreams.js';
 import {createDepartedUpstreams} from './departed_upstreams.js';
+import {isOutdated} from './entry_order.js';
 import {createLeavingUpstreams} from './leaving_upstreams.js';
 import type {UpstreamIndex} from './upstream_index.js';
 import {indexUpstreams} from './upstream_index.js';
@@ -111,15 +114,6 @@
 /** Heartbeat if the settings have none: that of the current platform. */
 const DEFAULT_HEARTBEAT_MILLIS = 1500;
 
-/** An upstream whose entry was overwritten. */
-interface Contest {
-  readonly untilMillis: number;
-  /**
-   * Entry of an earlier start, used if the known start does not write again.
-   */
-  readonly successor: UpstreamEntry | undefined;
-}
-
 /** Creates an empty directory. */
 export function createUpstreamDirectory(
   options: UpstreamDirectoryOptions,
@@ -129,7 +123,7 @@
   const contestedMillis = heartbeatMillis * CONTESTED_HEARTBEATS_COUNT;
   const upstreams = new Map<string, KnownUpstream>();
   const missing = createMissingUpstreams(nowMillis);
-  const contests = new Map<string, Contest>();
+  const contests = createContestedUpstreams(nowMillis, contestedMillis);
   const departedUpstreams = createDepartedUpstreams();
   const leavingUpstreams = createLeavingUpstreams();
   let changes: DirectoryChange[] = [];
@@ -177,11 +171,8 @@
   const markOneContested = (id: string, successor?: UpstreamEntry): void => {
     const upstream = upstreams.get(id);
     if (upstream === undefined) return;
-    const contest = contests.get(id);
-    // A deadline extended by each such entry would never be reached.
-    const untilMillis = contest?.untilMillis ?? nowMillis() + contestedMillis;
-    contests.set(id, {untilMillis, successor});
-    if (contest === undefined) recordChange('contested', upstream.entry);
+    const isNew = contests.add(id, successor);
+    if (isNew) recordChange('contested', upstream.entry);
   };
 
   const setEntry = (entry: UpstreamEntry, previous?: KnownUpstream): void => {
@@ -291,11 +282,11 @@
     if (state === 'kept') recordChange('kept', upstream.entry);
   };
 
-  const expireContest = (id: string, contest: Contest): void => {
+  const expireContest = ({id, successor}: ExpiredContest): void => {
     const upstream = upstreams.get(id);
-    if (upstream === undefined || nowMillis() < contest.untilMillis) return;
+    if (upstream === undefined) return;
     removeUpstream(upstream);
-    if (contest.successor !== undefined) putOne(contest.successor);
+    if (successor !== undefined) putOne(successor);
   };
 
   return {
@@ -340,12 +331,12 @@
     },
     reindex: reindexAndNotify,
     removeExpired: () => {
-      if (missing.count + contests.size === 0) return;
+      if (missing.count + contests.count === 0) return;
       for (const id of missing.expiredIds()) {
         const upstream = upstreams.get(id);
         if (upstream !== undefined) removeUpstream(upstream);
       }
-      for (const [id, contest] of [...contests]) expireContest(id, contest);
+      for (const contest of contests.expired()) expireContest(contest);
       reindexAndNotify();
     },
     listReady: service => index.readyByService.get(service) ?? [],
@@ -358,19 +349,3 @@
     count: () => upstreams.size,
   };
 }
-
-/**
- * Returns whether the same start has already published a newer entry. Without
- * start times, a restart under the same id cannot be distinguished from the
- * previous start, and its sequence numbers begin again; a smaller number is
- * then an older entry only if the entry may come from a restored copy. Treated
- * as a restart in that case, a draining upstream would get requests again.
- */
-function isOutdated(
-  entry: UpstreamEntry,
-  previous: UpstreamEntry,
-  mayBeCopied: boolean,
-): boolean {
-  if (entry.bornMillis === undefined && !mayBeCopied) return false;
-  return (entry.sequenceNumber ?? 0) < (previous.sequenceNumber ?? 0);
-}
