--- a/src/daemon/announcement_handling.ts
+++ b/src/daemon/announcement_handling.ts
@@ -30,7 +30,7 @@
 export interface AnnouncementHandlingOptions {
   readonly wireHeaders: AnnouncementHeaders;
   readonly directory: UpstreamDirectory;
-  readonly limit: AnnouncedLimit;
+  readonly announcedLimit: AnnouncedLimit;
   readonly pacer: Pick<DispatchPacer, 'recordResponse'>;
   readonly log: DecisionLog;
   readonly metrics: NodeMetrics;
@@ -76,11 +76,20 @@
   callsCount: number;
 }
 
+/** How a node has learned that an upstream is leaving. */
+type LeavingSource =
+  | 'own-upstream'
+  /** A response that this node passes on to its caller. */
+  | 'response'
+  /** A refusal by the node of the upstream. */
+  | 'refusal';
+
 /** Starts the handling of announcements in a node. */
 export function startAnnouncementHandling(
   options: AnnouncementHandlingOptions,
 ): AnnouncementHandling {
-  const {directory, limit, log, metrics, nowMillis} = options;
+  const {directory, log, metrics, nowMillis} = options;
+  const limit = options.announcedLimit;
   let load = createLimitedLoad(nowMillis());
 
   const logLoad = (): void => {
@@ -125,7 +134,10 @@
     });
   };
 
-  const markLeaving = (upstreamId: string, learnedFrom: string): void => {
+  const markLeaving = (
+    upstreamId: string,
+    learnedFrom: LeavingSource,
+  ): void => {
     if (!directory.markLeaving(upstreamId)) return;
     log.logStateEvent('upstream-leaving', {upstream: upstreamId, learnedFrom});
   };
--- a/src/daemon/node_components.ts
+++ b/src/daemon/node_components.ts
@@ -8,10 +8,10 @@
 import {createAnnouncedLimit} from '../process/admission/announced_limit.js';
 import type {CallTrees} from '../process/admission/call_trees.js';
 import {createCallTrees} from '../process/admission/call_trees.js';
-import type {ConfigurationHolder} from '../process/membership/configuration_holder.js';
-import {createConfigurationHolder} from '../process/membership/configuration_holder.js';
 import type {DispatchPacer} from '../process/admission/dispatch_pacer.js';
 import {createDispatchPacer} from '../process/admission/dispatch_pacer.js';
+import type {ConfigurationHolder} from '../process/membership/configuration_holder.js';
+import {createConfigurationHolder} from '../process/membership/configuration_holder.js';
 import type {DecisionLog} from '../process/log/decision_log.js';
 import type {InFlightParents} from '../process/retries/in_flight_parents.js';
 import {createInFlightParents} from '../process/retries/in_flight_parents.js';
@@ -67,7 +67,7 @@
   readonly upstream: LocalUpstream;
   readonly queue: UpstreamQueue;
   /** Limit that the upstream of this host announces. */
-  readonly limit: AnnouncedLimit;
+  readonly announcedLimit: AnnouncedLimit;
   readonly pacer: DispatchPacer;
   readonly level: AdmissionLevel;
   readonly loadTable: LoadTable;
@@ -92,9 +92,9 @@
   const {settings, nowMillis, random} = options;
   const {hostKey, zone, region} = settings();
   const configuration = createConfigurationHolder();
-  const limit = createAnnouncedLimit(nowMillis);
+  const announcedLimit = createAnnouncedLimit(nowMillis);
   const pacer = createDispatchPacer({
-    limitPerSecond: () => limit.perSecond,
+    limitPerSecond: () => announcedLimit.perSecond,
     nowMillis,
   });
   const queue = createUpstreamQueue(nowMillis, {
@@ -154,7 +154,7 @@
     peerPositions: createPeerPositions(),
     upstream,
     queue,
-    limit,
+    announcedLimit,
     pacer,
     level,
     loadTable,
