Test the pacer under limits that change, end and return

100 seeds, 20 s each: no window of 4 s has more than 1.5 times the integral of the limit and 5 dispatches.

--- a/test/unit/process/admission/dispatch_pacer.test.ts
+++ b/test/unit/process/admission/dispatch_pacer.test.ts
@@ -45,6 +45,15 @@
   return peak;
 }
 
+/** Steps of the clock, and those in a window of four seconds. */
+const STEP_MILLIS = 20;
+const STEPS_COUNT = 1000;
+const WINDOW_STEPS_COUNT = 200;
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
 test('without a limit every dispatch is allowed', t => {
   const {pacer} = createFixture();
   t.is(pacer.perSecond, undefined);
@@ -124,3 +133,38 @@
   pacer.recordResponse();
   t.is(pacer.maxInFlightCount(), Infinity);
 });
+
+test('no window exceeds a limit that changes, ends and returns', t => {
+  // Guards against permits of a higher limit, or of the time without one, that are spent
+  // under a lower limit.
+  for (let seed = 1; seed <= 100; seed += 1) {
+    const random = createSeededRandom(seed);
+    const fixture = createFixture();
+    const dispatched: number[] = [];
+    /** Dispatches tolerated in each step of the clock; unlimited is infinite. */
+    const tolerated: number[] = [];
+    let limit: number | undefined;
+    for (let step = 0; step < STEPS_COUNT; step += 1) {
+      if (random.next() < 0.01) {
+        limit = random.next() < 0.2 ? undefined : 80 * random.next() ** 4;
+        fixture.setLimit(limit);
+      }
+      fixture.setNow(step * STEP_MILLIS);
+      let count = 0;
+      while (count < 5 && fixture.pacer.tryTake()) count += 1;
+      if (count > 0 && random.next() < 0.1) {
+        fixture.pacer.refund();
+        count -= 1;
+      }
+      dispatched.push(count);
+      tolerated.push(1.5 * (limit ?? Infinity) * (STEP_MILLIS / 1000));
+    }
+    for (let end = WINDOW_STEPS_COUNT; end <= STEPS_COUNT; end += 1) {
+      const range = [end - WINDOW_STEPS_COUNT, end] as const;
+      const count = sum(dispatched.slice(...range));
+      const toleratedCount = sum(tolerated.slice(...range)) + 5;
+      if (count > toleratedCount) t.fail(`seed ${String(seed)}, step ${end}`);
+    }
+  }
+  t.pass();
+});
