--- a/src/cli/losses.ts
+++ b/src/cli/losses.ts
@@ -57,6 +57,7 @@
   'queue-full': 'no slot in time at',
   'too-late': 'no slot in time at',
   'rate-limited': 'limited by upstreams of',
+  leaving: 'leaving upstreams of',
   unreachable: 'no upstream of',
   cancelled: 'late at',
   timeout: 'late at',
