--- a/src/process/membership/upstream_directory.ts
+++ b/src/process/membership/upstream_directory.ts
@@ -82,9 +82,7 @@
   hosts(): Iterable<KnownUpstream>;
   /** Returns the latest upstream of a host. */
   findByHost(hostKey: string): KnownUpstream | undefined;
-  /**
-   * Returns the number of upstreams of all services, one per node of the fleet.
-   */
+  /** Returns the number of known upstreams, one per node of the fleet. */
   count(): number;
 }
 
