Round the slots that a limit can use to three digits

Cause: with hundredths, 0.008 slots of short requests were reported as 0.01, a capacity of 0.6/s.

Change: three significant digits.

--- a/src/process/admission/upstream_queue.ts
+++ b/src/process/admission/upstream_queue.ts
@@ -110,10 +110,11 @@
 const BUCKET_AGE_MILLIS = 50;
 
 /**
- * Slots in use at a limit are rounded to hundredths, because every load report
- * contains them; 0 would mean that the upstream cannot be reached.
+ * Slots in use at a limit are rounded, because every load report contains them;
+ * 0 would mean that the upstream cannot be reached.
  */
-const USED_SLOTS_STEPS = 100;
+const USED_SLOTS_DIGITS = 3;
+const MIN_USED_SLOTS = 0.0001;
 
 const MILLIS_PER_SECOND = 1000;
 
@@ -237,8 +238,7 @@
 ): number {
   if (perSecond === undefined) return Infinity;
   const slots = (perSecond * averageMillis) / MILLIS_PER_SECOND;
-  const steps = Math.max(1, Math.round(slots * USED_SLOTS_STEPS));
-  return steps / USED_SLOTS_STEPS;
+  return Math.max(MIN_USED_SLOTS, Number(slots.toPrecision(USED_SLOTS_DIGITS)));
 }
 
 function limitOf(slotsCount: number): number {
--- a/test/unit/process/admission/upstream_queue.test.ts
+++ b/test/unit/process/admission/upstream_queue.test.ts
@@ -146,6 +146,9 @@
     endLimit: () => {
       limit = undefined;
     },
+    setLimit: (perSecond: number) => {
+      limit = perSecond;
+    },
     offer: (name: string, importance: number, startByMillis: number) =>
       queue.offer({
         importance,
@@ -187,6 +190,22 @@
   t.is(queue.load().limitCount, 0.25);
 });
 
+test('a limited queue of short requests reports its capacity within a hundredth', t => {
+  // Guards against clients of a limited service that are told to retry too early, because
+  // a small number of slots was rounded to a multiple of it.
+  const {queue, offer, pacer, endLimit, setLimit} = createPacedFixture(0.5);
+  pacer.recordResponse();
+  endLimit();
+  for (let index = 0; index < 200; index += 1) {
+    offer(String(index), 0, 1000);
+    queue.release(7);
+  }
+  setLimit(0.5);
+  const {limitCount, averageMillis} = queue.load();
+  const perSecond = (limitCount * 1000) / averageMillis;
+  t.true(Math.abs(perSecond - 0.5) < 0.005, String(perSecond));
+});
+
 test('a permit of a request that was not dispatched goes to the next one', t => {
   const {clock, pacer, queue, started, offer} = createPacedFixture(1);
   pacer.recordResponse();
