--- a/src/process/admission/announced_limit.ts
+++ b/src/process/admission/announced_limit.ts
@@ -11,7 +11,7 @@
 export interface AnnouncedLimit {
   /** Requests per second from all nodes together; `undefined` if unlimited. */
   readonly perSecond: number | undefined;
-  /** Time since the last response that announced it. */
+  /** Time since the last response that confirmed or changed it. */
   ageMillis(): number;
   /**
    * Records the limit of a response, `undefined` if it announces none; returns
