--- a/review/lib/stand_ins.mjs
+++ b/review/lib/stand_ins.mjs
@@ -182,7 +182,8 @@
   });
 }
 
-function respondSmall(request, response, attemptId) {
+/** Sends a small answer with a length. */
+export function respondSmall(request, response, attemptId) {
   const body = `done ${attemptId}`;
   response.writeHead(200, {
     'attempt-id': attemptId,
