Replace review case 3: a planned stop cuts downloads that are under way

A stopping node closes connections whose last bytes still wait in the system for a slow reader; the reader's next request then resets them.

--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,8 +1,9 @@
 /**
- * Some backends spoil a few of their answers: the status is 000. Each request
- * must get a final answer soon after its route's time is over.
+ * Clients read long downloads slowly and send further requests ahead, and the
+ * node that took them is stopped as planned. Every download must arrive whole.
  */
-/* global performance */
+/* global Buffer, clearInterval, performance, setInterval, setTimeout */
+import {connect} from 'node:net';
 import {dirname} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
@@ -20,30 +21,37 @@
   configuration,
   createAttemptId,
   digestOf,
-  respondSmall,
-  sendRequest,
   startBackend,
   startStore,
 } from '../lib/stand_ins.mjs';
 
-/** Share of the backends that spoil answers, and of their answers. */
-const SPOILING_MACHINES = ['bookings-1', 'bookings-2'];
-const SPOILED_RATIO = 0.02;
+/** Bounds of the deployment `isc-terrain-large`. */
+const GRACE_S = 10;
+const BOUNDS = {
+  stableWindowS: 4,
+  ackS: 5,
+  catchUpS: 6,
+  drainS: 3,
+  graceS: GRACE_S,
+  configApplyS: 3,
+  outerS: 6,
+  budgetSlack: 213,
+};
 
-/** Backends spoil answers in eight periods of five seconds. */
-const PERIODS_COUNT = 8;
-const SPOILING_MILLIS = 5000;
-const CALM_MILLIS = 1000;
+const DOWNLOAD_BYTES = 24_000_000;
+const DOWNLOAD_TIMEOUT_MILLIS = 6000;
 
-const REQUESTS_PER_SECOND = 80;
-const WORK_MILLIS = 210;
-const TIMEOUT_MILLIS = 6000;
-const ROUTE_TIMEOUT_S = 1.2;
+/** Rates at which the clients read; the slowest needs less than 5.8 s. */
+const READ_BYTES_PER_MILLI = [4200, 4250, 4300, 4350, 4400, 4450];
 
-/** Bounds of the rule. */
-const FINAL_ANSWER_MILLIS = 500;
-const MIN_UNANSWERED_COUNT = 8;
-const MAX_UNANSWERED_RATIO = 0.25;
+/** Interval of the further requests of each client. */
+const FURTHER_INTERVAL_MILLIS = 500;
+
+/** When the node gets SIGTERM, after the downloads were requested. */
+const STOP_AFTER_MILLIS = 400;
+const WORK_MILLIS = 50;
+
+const HEAD_END = '\r\n\r\n';
 
 const machineOf = (service, number, host) => ({
   name: `${service}-${String(number)}`,
@@ -53,133 +61,146 @@
   bornMillis: 1_764_800_000_000 + host,
 });
 
-/** Sends an answer whose status is not one. */
-function respondSpoiled(response, attemptId) {
-  const body = `done ${attemptId}`;
-  response.socket?.end(
-    [
-      'HTTP/1.1 000 OK',
-      `Attempt-Id: ${attemptId}`,
-      `Response-Signature: ${digestOf(body)}`,
-      `Content-Length: ${String(body.length)}`,
-      '',
-      body,
-    ].join('\r\n'),
-  );
+const WHOLE_BODY = Buffer.alloc(DOWNLOAD_BYTES, 'terrain');
+const WHOLE_SIGNATURE = digestOf(WHOLE_BODY);
+
+function respondWhole(_request, response, attemptId) {
+  response.writeHead(200, {
+    'attempt-id': attemptId,
+    'response-signature': WHOLE_SIGNATURE,
+    'content-length': String(WHOLE_BODY.length),
+  });
+  response.end(WHOLE_BODY);
+}
+
+function requestText(service, attemptId) {
+  return [
+    `GET /${service}/2f HTTP/1.1`,
+    `Host: ${service}.example`,
+    `Attempt-Id: ${attemptId}`,
+    `Timeout-Ms: ${String(DOWNLOAD_TIMEOUT_MILLIS)}`,
+    '',
+    '',
+  ].join('\r\n');
+}
+
+/**
+ * Requests a download, reads it at a limited rate, and sends further safe
+ * requests on the same connection until the download is whole or an answer says
+ * that the connection will be closed.
+ */
+function download({network, write}, machine, bytesPerMilli) {
+  const attemptId = createAttemptId();
+  const sentMillis = performance.now();
+  const socket = connect({
+    host: network.address(machine.host),
+    port: network.ports.outbound,
+  });
+  let received = Buffer.alloc(0);
+  let headBytes = 0;
+  let bodyBytes = 0;
+  let isClosing = false;
+  write(`send ${attemptId}, read at ${String(bytesPerMilli)} bytes a ms`);
+  socket.write(requestText('tileyard', attemptId));
+  return new Promise(resolve => {
+    let ending = 'closed';
+    const isWhole = () => bodyBytes >= DOWNLOAD_BYTES;
+    const timer = setInterval(() => {
+      if (isWhole() || isClosing || socket.destroyed) return;
+      const furtherId = createAttemptId();
+      write(`send ${furtherId} behind ${attemptId}`);
+      socket.write(requestText('atlas', furtherId));
+    }, FURTHER_INTERVAL_MILLIS);
+    socket.on('data', chunk => {
+      if (headBytes === 0) {
+        received = Buffer.concat([received, chunk]);
+        const end = received.indexOf(HEAD_END);
+        if (end < 0) return;
+        headBytes = end + HEAD_END.length;
+        const head = received.subarray(0, headBytes).toString('latin1');
+        isClosing = /^connection: close\r$/im.test(head);
+        bodyBytes = received.length - headBytes;
+      } else {
+        bodyBytes += chunk.length;
+      }
+      if (isWhole()) {
+        socket.destroy();
+        return;
+      }
+      socket.pause();
+      setTimeout(() => socket.resume(), chunk.length / bytesPerMilli);
+    });
+    socket.on('error', error => {
+      ending = error.code;
+    });
+    socket.on('close', () => {
+      clearInterval(timer);
+      const tookMillis = performance.now() - sentMillis;
+      const bytes = Math.min(bodyBytes, DOWNLOAD_BYTES);
+      write(
+        `${isWhole() ? 'whole' : `cut, ${ending},`} ${attemptId}, ` +
+          `${String(bytes)} of ${String(DOWNLOAD_BYTES)} bytes after ` +
+          `${tookMillis.toFixed(0)} ms`,
+      );
+      resolve({isWhole: isWhole(), tookMillis, endedMillis: performance.now()});
+    });
+  });
 }
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async context => {
   const {network, write} = context;
   const machines = [
-    machineOf('crewboard', 1, 11),
-    machineOf('crewboard', 2, 12),
-    machineOf('bookings', 1, 21),
-    machineOf('bookings', 2, 22),
-    machineOf('bookings', 3, 23),
-    machineOf('bookings', 4, 24),
+    machineOf('atlas', 1, 11),
+    machineOf('atlas', 2, 12),
+    machineOf('tileyard', 1, 21),
+    machineOf('tileyard', 2, 22),
+    machineOf('tileyard', 3, 23),
   ];
+  const entry = machines[0];
   const store = await startStore(context);
   store.put(
     'op/config',
     configuration([
-      {service: 'crewboard', kind: 'safe', timeoutS: 1, sloS: 1.5},
-      {
-        service: 'bookings',
-        kind: 'unsafe',
-        timeoutS: ROUTE_TIMEOUT_S,
-        sloS: 2,
-      },
+      {service: 'atlas', kind: 'safe', timeoutS: 6, sloS: 2},
+      {service: 'tileyard', kind: 'download', timeoutS: 6, sloS: 1.5},
     ]),
   );
-  let isSpoiling = false;
-  let spoiledCount = 0;
-  const ran = new Set();
   for (const machine of machines) {
-    const maySpoil = SPOILING_MACHINES.includes(machine.name);
     await startBackend(context, machine, {
       workMillis: WORK_MILLIS,
-      onRun: ({attemptId}) => ran.add(attemptId),
-      respond: (request, response, attemptId) => {
-        if (maySpoil && isSpoiling && Math.random() < SPOILED_RATIO) {
-          spoiledCount += 1;
-          write(`spoil ${attemptId} at ${machine.name}`);
-          respondSpoiled(response, attemptId);
-          return;
-        }
-        respondSmall(request, response, attemptId);
-      },
+      ...(machine.service === 'tileyard' ? {respond: respondWhole} : {}),
+      onRun: ({attemptId}) => write(`run ${attemptId} at ${machine.name}`),
     });
     store.put(`servers/${machine.id}`, backendEntry(network, machine));
   }
-  for (const machine of machines) startNode(context, machine);
+  const nodes = machines.map(machine => startNode(context, machine, BOUNDS));
   await waitUntilReady(context, machines);
   await sleep(1000);
 
-  const requests = [];
-  const sendOne = () => {
-    const attemptId = createAttemptId();
-    const sentMillis = performance.now();
-    const request = sendRequest(context, {
-      machine: machines[requests.length % machines.length],
-      service: 'bookings',
-      method: 'POST',
-      body: 'confirm',
-      attemptId,
-      timeoutMillis: TIMEOUT_MILLIS,
-    });
-    requests.push(
-      request.then(result => {
-        const tookMillis = performance.now() - sentMillis;
-        if (result.statusCode !== 200) {
-          write(
-            `${result.kind} ${attemptId}, ` +
-              `status ${String(result.statusCode ?? '-')}, after ` +
-              `${tookMillis.toFixed(0)} ms, ` +
-              `${ran.has(attemptId) ? 'ran' : 'did not run'}`,
-          );
-        }
-        return {...result, tookMillis};
-      }),
-    );
-  };
-  const sendFor = async millis => {
-    const startMillis = performance.now();
-    let sentCount = 0;
-    for (;;) {
-      const passedMillis = performance.now() - startMillis;
-      if (passedMillis >= millis) return;
-      while (sentCount < (passedMillis / 1000) * REQUESTS_PER_SECOND) {
-        sendOne();
-        sentCount += 1;
-      }
-      await sleep(5);
-    }
-  };
-  for (let period = 0; period < PERIODS_COUNT; period += 1) {
-    await sendFor(CALM_MILLIS);
-    isSpoiling = HAS_TROUBLE;
-    await sendFor(SPOILING_MILLIS);
-    isSpoiling = false;
+  const downloads = READ_BYTES_PER_MILLI.map(bytesPerMilli =>
+    download(context, entry, bytesPerMilli),
+  );
+  await sleep(STOP_AFTER_MILLIS);
+  const stoppedMillis = performance.now();
+  if (HAS_TROUBLE) {
+    write(`SIGTERM to ${entry.name}`);
+    nodes[0].child.kill('SIGTERM');
   }
-  const results = await Promise.all(requests);
+  const results = await Promise.all(downloads);
+  await sleep(1000);
 
-  const routeMillis = ROUTE_TIMEOUT_S * 1000;
-  const served = results.filter(({statusCode}) => statusCode === 200).length;
-  const long = results.filter(({tookMillis}) => tookMillis > routeMillis);
-  const unanswered = long.filter(
-    ({kind, tookMillis}) =>
-      kind === 'no answer' || tookMillis > routeMillis + FINAL_ANSWER_MILLIS,
+  const whole = results.filter(({isWhole}) => isWhole).length;
+  const lost = results.filter(
+    ({isWhole, tookMillis, endedMillis}) =>
+      !isWhole &&
+      tookMillis < DOWNLOAD_TIMEOUT_MILLIS &&
+      endedMillis - stoppedMillis < GRACE_S * 1000,
   );
   write(
-    `${String(results.length)} requests, ${String(served)} served, ` +
-      `${String(spoiledCount)} answers spoiled; ${String(long.length)} ` +
-      `requests lasted longer than ${String(ROUTE_TIMEOUT_S)} s, ` +
-      `${String(unanswered.length)} of them had no final answer half a ` +
-      'second later',
+    `${String(results.length)} downloads, ${String(whole)} whole, ` +
+      `${String(lost.length)} cut before their deadline and within the grace ` +
+      'period',
   );
-  if (served === 0) return NOT_RUN;
-  const isBroken =
-    unanswered.length >= MIN_UNANSWERED_COUNT &&
-    unanswered.length > long.length * MAX_UNANSWERED_RATIO;
-  return isBroken ? BROKEN : HELD;
+  if (whole + lost.length === 0) return NOT_RUN;
+  return lost.length > 0 ? BROKEN : HELD;
 });
