--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -71,11 +71,9 @@
 await runCase(dirname(fileURLToPath(import.meta.url)), async context => {
   const {network, write} = context;
   const machines = [
-    machineOf('atlas', 1, 11),
-    machineOf('atlas', 2, 12),
-    machineOf('tileyard', 1, 21),
-    machineOf('tileyard', 2, 22),
-    machineOf('tileyard', 3, 23),
+    ...[1, 2, 3, 4].map(number => machineOf('atlas', number, 10 + number)),
+    ...[1, 2, 3].map(number => machineOf('tileyard', number, 20 + number)),
+    ...[1, 2, 3].map(number => machineOf('catalogue', number, 30 + number)),
   ];
   const entry = machines[0];
   const store = await startStore(context);
@@ -84,6 +82,7 @@
     configuration([
       {service: 'atlas', kind: 'safe', timeoutS: 5, sloS: 1.5},
       {service: 'tileyard', kind: 'download', timeoutS: 5, sloS: 1.5},
+      {service: 'catalogue', kind: 'safe', timeoutS: 5, sloS: 1.5},
     ]),
   );
   for (const machine of machines) {
