Release the previous channel of a request that its sender resumes

What callers saw: orders with bodies of 2 MB over a link that narrowed to 10 Mbit/s ran with bodies that no client had sent, too short, too long or of the right size with pieces in other places, and were answered 200.

Cause: a sender that receives nothing for its reply timeout opens another connection and claims its requests there. The connection that it replaces was slow, not dead: what had been written on it still arrived. The listener found the request by the channel of either connection and appended the chunks of both in order of arrival; the first last chunk of either ended the body. A cancellation that arrived late on the previous connection ended the resumed request in the same way.

Change: `attach` releases the previous channel, so that its connection no longer finds the request; this holds for body chunks, cancellations and window updates alike. The sending side already drops the channels of a connection that it closes. `request-resumed` and `resumed_total` tell when a request goes on elsewhere, and how much of its body had arrived.

--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -42,10 +42,20 @@
   /** Responds to a quota report; returns `undefined` if it is invalid. */
   readonly answerQuotaReport: (report: Buffer) => Buffer | undefined;
   readonly nowMillis: () => number;
+  /** The sender of a request in progress has resumed it on this connection. */
+  readonly onResumed: (resumed: ResumedHop) => void;
   /** A peer sent bytes that are not a valid message. */
   readonly onMalformed: (peer: string) => void;
 }
 
+/** A request whose sender has replaced its connection. */
+export interface ResumedHop {
+  readonly attemptId: string;
+  readonly peer: string;
+  /** Bytes of the request body that had arrived on the previous connection. */
+  readonly receivedBodyBytes: number;
+}
+
 /** An open listener. */
 export interface HopListener {
   readonly port: number;
@@ -196,8 +206,11 @@
     const claimed = state.incomingHops.claim(frame.payload.toString());
     connection.send(FRAME_KIND.claimed, channelId, Buffer.from(claimed.state));
     if (claimed.state === 'unknown' || claimed.state === 'gone') return;
+    const {request, receivedBodyBytes} = claimed.hop;
     channels.set(channelId, claimed.hop);
     claimed.hop.attach(openChannel(channelId));
+    const {attemptId} = request;
+    options.onResumed({attemptId, peer, receivedBodyBytes});
   };
   const onFrame = (frame: Frame): void => {
     const {kind, channelId, payload} = frame;
--- a/src/connection/incoming_hop.ts
+++ b/src/connection/incoming_hop.ts
@@ -50,7 +50,13 @@
 
 /** A request, as managed by its listener. */
 export interface ManagedIncomingHop extends IncomingHop {
-  /** The sender resumes the request on this channel. */
+  /** Bytes of the request body received on the current channel. */
+  readonly receivedBodyBytes: number;
+  /**
+   * The sender resumes the request on this channel. The previous channel is
+   * released: its connection may have been slow rather than lost, and still
+   * deliver frames.
+   */
   attach(channel: HopChannel): void;
   /** A connection was lost; ignored if the sender has already reconnected. */
   detach(connection: FrameConnection): void;
@@ -95,6 +101,7 @@
   let bodyRestSender: BodyRestSender | undefined;
   let isAnswered = false;
   let bodyChunks: Buffer[] = [options.inlineBody];
+  let receivedBodyBytes = options.inlineBody.length;
   let isBodyComplete = request.bodyForm === 'inline';
   let isBodyRequested = request.bodyForm === 'follows';
   let resolveBody: (body: Buffer | undefined) => void = () => undefined;
@@ -139,6 +146,9 @@
   return {
     request,
     cancel: source.signal,
+    get receivedBodyBytes() {
+      return receivedBodyBytes;
+    },
     fetchBody: () => {
       if (isBodyComplete) return concatChunks(bodyChunks);
       if (source.signal.isCancelled) return undefined;
@@ -168,6 +178,7 @@
     },
     attach: next => {
       clearTimeout(reconnectTimer);
+      closeChannel();
       channel = next;
       if (isAnswered) {
         if (cachedResponse !== undefined) sendResponse(cachedResponse);
@@ -175,8 +186,9 @@
         return;
       }
       if (isBodyComplete || !isBodyRequested) return;
-      // Chunks from the lost connection may be incomplete.
+      // Chunks from the previous connection may be incomplete.
       bodyChunks = [];
+      receivedBodyBytes = 0;
       requestBody();
     },
     detach: connection => {
@@ -190,7 +202,8 @@
     receiveBody: (chunk, isLast) => {
       if (isBodyComplete) return;
       bodyChunks.push(chunk);
-      if (totalBytes(bodyChunks) > options.bodyBytes()) {
+      receivedBodyBytes += chunk.length;
+      if (receivedBodyBytes > options.bodyBytes()) {
         resolveBody(undefined);
         return;
       }
@@ -210,10 +223,6 @@
   return Buffer.concat(bodyChunks);
 }
 
-function totalBytes(bodyChunks: readonly Buffer[]): number {
-  return bodyChunks.reduce((sum, chunk) => sum + chunk.length, 0);
-}
-
 function toResponseFields(
   received: ReceivedResponse | undefined,
 ): HopResponse['message'] {
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -112,6 +112,14 @@
     receiveCrashReport: exchanges.crashes.gossip.receive,
     answerQuotaReport: exchanges.quotas.answer,
     nowMillis,
+    onResumed: ({attemptId, peer, receivedBodyBytes}) => {
+      metrics.recordResumed();
+      log.logRequestEvent('request-resumed', {
+        requestId: attemptId,
+        peer,
+        receivedBodyBytes,
+      });
+    },
     onMalformed: peer => {
       log.logRequestEvent('malformed-message', {peer});
     },
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -26,6 +26,8 @@
   recordCrashRefusal(reason: string): void;
   /** Records that a request suspected of crashes got a response. */
   recordCrashClearance(): void;
+  /** Records a request that its sender resumed on another connection. */
+  recordResumed(): void;
   /** Records a request received from the local upstream or from a client. */
   recordEntered(isFromUpstream: boolean): void;
   recordStoreLost(): void;
@@ -114,6 +116,11 @@
     'Requests suspected of crashes that were answered',
     [],
   );
+  const resumedRequests = counter(
+    'resumed_total',
+    'Requests that their sender resumed on another connection',
+    [],
+  );
   const enteredCounts = {upstream: 0, client: 0};
   // Computed on collection, because it counts every request.
   new Counter({
@@ -178,6 +185,9 @@
     recordCrashClearance: () => {
       crashClearances.inc();
     },
+    recordResumed: () => {
+      resumedRequests.inc();
+    },
     recordEntered: isFromUpstream => {
       enteredCounts[isFromUpstream ? 'upstream' : 'client'] += 1;
     },
--- a/test/fakes/hop_fixture.ts
+++ b/test/fakes/hop_fixture.ts
@@ -38,6 +38,7 @@
       receiveCrashReport: () => undefined,
       answerQuotaReport: () => undefined,
       nowMillis,
+      onResumed: () => undefined,
       onMalformed: peer => {
         t.fail(`malformed message from ${peer}`);
       },
@@ -106,7 +107,8 @@
   cancel(): void;
 }
 
-function createHopRequest(isRepeatable: boolean) {
+/** A request without a body of its own. */
+export function createHopRequest(isRepeatable: boolean) {
   return {
     attemptId: 'a',
     upstreamId: 'u',
--- a/test/unit/connection/crash_report_sender.test.ts
+++ b/test/unit/connection/crash_report_sender.test.ts
@@ -50,6 +50,7 @@
     receiveCrashReport: report => report,
     answerQuotaReport: () => undefined,
     nowMillis,
+    onResumed: () => undefined,
     onMalformed: peer => {
       t.fail(`malformed message from ${peer}`);
     },
