Acknowledge the chunks of a request body between nodes

What callers saw: orders with bodies of 2 MB over a link of 10 Mbit/s, which carries such a body in 1.6 s, were answered 504 at their route's timeout of 3 s.

Cause: silence is judged by what a sender receives, and while it sends a long body it receives nothing. Once the body took longer than the reply timeout (400 ms at first), the connection was replaced and the whole body sent again, on the link that was narrow already, again and again.

Change: the listener acknowledges each chunk of 64 KiB but the last with a frame of its own, `bodyReceived`, which counts as a sign of life like any other data. Bodies of up to 64 KiB need none, so calls with short bodies cost what they did.

Evidence: the test of a slow connection did not finish before the change (the body was sent again until the test timed out); now the body arrives once, on the first connection.

--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -220,7 +220,9 @@
         acceptRequest(frame);
         break;
       case FRAME_KIND.body:
-        hop?.receiveBody(payload, false);
+        if (hop === undefined) return;
+        connection.send(FRAME_KIND.bodyReceived, channelId);
+        hop.receiveBody(payload, false);
         break;
       case FRAME_KIND.bodyEnd:
         hop?.receiveBody(payload, true);
--- a/src/protocol/hop_frames.ts
+++ b/src/protocol/hop_frames.ts
@@ -51,6 +51,11 @@
   crashes: 18,
   /** Response of the quota coordinator to a quota report. */
   quotas: 19,
+  /**
+   * A chunk of the request body has arrived. While a long body is under way,
+   * the sender has no other sign that the connection is slow rather than lost.
+   */
+  bodyReceived: 20,
 } as const;
 
 export type FrameKind = (typeof FRAME_KIND)[keyof typeof FRAME_KIND];
--- a/test/unit/connection/hop_transport.test.ts
+++ b/test/unit/connection/hop_transport.test.ts
@@ -64,6 +64,43 @@
   t.is(replacedCount(), 1);
 });
 
+test('a connection that is slow with a long body is not replaced', async t => {
+  // Guards against long bodies that are sent again and again on a link that has narrowed.
+  const body = Buffer.alloc(800_000, 'terrain');
+  let received: Buffer | undefined;
+  const {send, link, replacedCount} = await createHopFixture(t, async hop => {
+    received = await hop.fetchBody();
+    respondWith(hop, 'done');
+  });
+  t.is(describeResult(await send(false).ended), 'done');
+  link.setBandwidth(400_000);
+  t.is(describeResult(await send(false, body).ended), 'done');
+  t.true(received?.equals(body));
+  t.is(replacedCount(), 0);
+});
+
+test('a connection that falls silent within a long body is replaced', async t => {
+  // Guards against requests that wait for their deadline on a connection that was dropped.
+  const body = Buffer.alloc(800_000, 'terrain');
+  const bodies: (Buffer | undefined)[] = [];
+  let isReceiving = false;
+  const {send, link, replacedCount} = await createHopFixture(t, async hop => {
+    isReceiving = true;
+    bodies.push(await hop.fetchBody());
+    respondWith(hop, 'done');
+  });
+  link.setBandwidth(400_000);
+  const {ended} = send(false, body);
+  await waitUntil('receiving', () => isReceiving);
+  await sleep(600);
+  t.true(link.stallOpenConnections() > 0);
+  link.setBandwidth(undefined);
+  t.is(describeResult(await ended), 'done');
+  t.is(bodies.length, 1);
+  t.true(bodies[0]?.equals(body));
+  t.is(replacedCount(), 1);
+});
+
 test('a response that was lost with its connection is sent again', async t => {
   // As above, with a silently dropped connection: the response is written on it and
   // never arrives.
