Send the rest of a long response without a length in chunks

What callers saw: downloads of 1 MiB, which their upstream sent without a length, ended normally with about half of the body when the node that took the request was killed: 12 of 12 looked complete.

Cause: such a response was passed on without a length, so that the close of the connection marked the end of its body. The system closes the connections of a killed process in the same way as an end, and no code of the process runs then. A planned stop resets unfinished responses, which a kill can't.

Change: the rest of a response that is longer than the 64 KiB that a node buffers is sent in chunks if its length is unknown and the client speaks HTTP/1.1: without the last chunk it is seen as cut. The connection then stays open, and requests that were sent behind it get their responses. For a client of HTTP/1.0, which knows no chunks, the close still marks the end, and a body that breaks off is now reset there too if its upstream had sent chunks; before, it ended normally.

A complete response without a length, of up to 64 KiB, is still sent without one.

`response-cut` and `cut_responses_total` tell of each response that broke off after its header, with the cause.

--- a/src/connection/response_sender.ts
+++ b/src/connection/response_sender.ts
@@ -5,88 +5,94 @@
 import type {ServerResponse} from 'node:http';
 import type {Readable} from 'node:stream';
 import {pipeline} from 'node:stream';
+import {describeError} from '../base/errors.js';
 import type {ReceivedResponse} from './received_response.js';
 import {findHeader} from './received_response.js';
 
-/**
- * Sends a response with the given headers instead of its own; a response to
- * `HEAD` has no body.
- */
+/** The request that a response belongs to. */
+export interface RespondedRequest {
+  /** A response to `HEAD` has no body. */
+  readonly method: string;
+  /** The response broke off: its body was aborted, or the client left. */
+  readonly onCut: (reason: string) => void;
+}
+
+/** Sends a response with the given headers instead of its own. */
 export function sendResponse(
   response: ServerResponse,
   received: ReceivedResponse,
   headers: readonly string[],
-  method: string,
+  {method, onCut}: RespondedRequest,
 ): void {
   if (response.destroyed) {
     received.bodyRest?.destroy();
     return;
   }
   const fields = [...headers];
-  if (isCloseDelimited(received, method)) {
-    sendUnframed(response, received, fields);
-    return;
+  const length = contentLength(received, method);
+  if (length !== undefined) fields.push('content-length', length);
+  const endsWithConnection = isCloseDelimited(response, received, method);
+  if (endsWithConnection) {
+    response.useChunkedEncodingByDefault = false;
+    setConnectionClose(fields);
   }
-  if (received.bodyRest === undefined) {
-    addContentLength(fields, received, method);
-    response.writeHead(received.statusCode, fields);
+  response.writeHead(received.statusCode, fields);
+  const {bodyRest, bodyStart} = received;
+  if (bodyRest === undefined) {
     // A string body is sent in one write with the header; a buffer would need a
     // second write.
-    response.end(received.bodyStart.toString('latin1'), 'latin1');
+    response.end(bodyStart.toString('latin1'), 'latin1');
     return;
   }
-  const length = findHeader(received.headers, 'content-length');
-  if (length !== undefined) fields.push('content-length', length);
-  response.writeHead(received.statusCode, fields);
-  writeWithBodyRest(response, received, received.bodyRest);
+  bodyRest.once('error', error => {
+    // A normal close would mark the end of the body; a reset reports the abort.
+    if (endsWithConnection || received.isUnframed) {
+      response.socket?.resetAndDestroy();
+    }
+    onCut(describeError(error));
+  });
+  writeWithBodyRest(response, bodyStart, bodyRest);
 }
 
-/** Whether the close of the connection marks the end of the body. */
+/**
+ * Whether the close of the connection marks the end of the body: for a client
+ * without support for chunks (HTTP/1.0), and for a complete unframed body, since
+ * a last chunk would present it as complete although a crash of the upstream may
+ * have cut it short.
+ *
+ * The system closes the connections of a killed process in the same way. A
+ * complete body is written at once, but a long one would be cut unnoticed for as
+ * long as it is being sent, so it is sent in chunks.
+ */
 export function isCloseDelimited(
+  response: ServerResponse,
   received: ReceivedResponse,
   method: string,
 ): boolean {
-  return received.isUnframed && hasBody(received, method);
+  if (!hasBody(received, method)) return false;
+  if (contentLength(received, method) !== undefined) return false;
+  return (
+    received.bodyRest === undefined || !response.useChunkedEncodingByDefault
+  );
 }
 
-/**
- * Closes the connection at the end of the body, as the upstream did. A content
- * length would present a body as complete that a crash may have cut short.
- */
-function sendUnframed(
-  response: ServerResponse,
+/** Length of the body; `undefined` if the upstream has not determined it. */
+function contentLength(
   received: ReceivedResponse,
-  fields: readonly string[],
-): void {
-  response.useChunkedEncodingByDefault = false;
-  response.shouldKeepAlive = false;
-  const otherFields = withoutConnectionHeader(fields);
-  response.writeHead(received.statusCode, [
-    ...otherFields,
-    'connection',
-    'close',
-  ]);
-  const {bodyRest} = received;
-  if (bodyRest === undefined) {
-    response.end(received.bodyStart);
-    return;
-  }
-  // A normal close marks the end of such a response, so an aborted body would
-  // look complete to the client; a reset reports the abort.
-  bodyRest.once('error', () => {
-    response.socket?.resetAndDestroy();
-  });
-  writeWithBodyRest(response, received, bodyRest);
+  method: string,
+): string | undefined {
+  const announced = findHeader(received.headers, 'content-length');
+  if (method === 'HEAD') return announced;
+  if (!hasBody(received, method) || received.isUnframed) return undefined;
+  if (received.bodyRest !== undefined) return announced;
+  return String(received.bodyStart.length);
 }
 
-function withoutConnectionHeader(fields: readonly string[]): readonly string[] {
-  const kept: string[] = [];
+function setConnectionClose(fields: string[]): void {
   for (let index = 0; index + 1 < fields.length; index += 2) {
-    const name = fields[index] ?? '';
-    if (name === 'connection') continue;
-    kept.push(name, fields[index + 1] ?? '');
+    if (fields[index] === 'connection') return;
   }
-  return kept;
+  fields.push('connection', 'close');
 }
 
 /**
@@ -95,10 +101,10 @@
  */
 function writeWithBodyRest(
   response: ServerResponse,
-  received: ReceivedResponse,
+  bodyStart: Buffer,
   bodyRest: Readable,
 ): void {
-  response.write(received.bodyStart);
+  response.write(bodyStart);
   pipeline(bodyRest, response, () => undefined);
 }
 
@@ -107,18 +113,3 @@
 }
 
 const NO_BODY_STATUS_CODES: ReadonlySet<number> = new Set([204, 304]);
-
-function addContentLength(
-  fields: string[],
-  received: ReceivedResponse,
-  method: string,
-): void {
-  if (hasBody(received, method)) {
-    fields.push('content-length', String(received.bodyStart.length));
-    return;
-  }
-  const length = findHeader(received.headers, 'content-length');
-  if (method === 'HEAD' && length !== undefined) {
-    fields.push('content-length', length);
-  }
-}
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -26,6 +26,8 @@
   recordCrashRefusal(reason: string): void;
   /** Records that a request suspected of crashes got a response. */
   recordCrashClearance(): void;
+  /** Records a response whose body broke off after its header had been sent. */
+  recordCutResponse(): void;
   /** Records a request that its sender resumed on another connection. */
   recordResumed(): void;
   /** Records a request received from the local upstream or from a client. */
@@ -116,6 +118,11 @@
     'Requests suspected of crashes that were answered',
     [],
   );
+  const cutResponses = counter(
+    'cut_responses_total',
+    'Responses that broke off after their header had been sent',
+    [],
+  );
   const resumedRequests = counter(
     'resumed_total',
     'Requests that their sender resumed on another connection',
@@ -185,6 +192,9 @@
     recordCrashClearance: () => {
       crashClearances.inc();
     },
+    recordCutResponse: () => {
+      cutResponses.inc();
+    },
     recordResumed: () => {
       resumedRequests.inc();
     },
--- a/src/request/entry_responder.ts
+++ b/src/request/entry_responder.ts
@@ -177,8 +177,19 @@
       ...closingHeaders(exchange, false),
     ];
     const method = exchange.request.method ?? 'GET';
-    if (isCloseDelimited(answer, method)) exchange.ignoreFurtherRequests();
-    sendResponse(exchange.response, answer, headers, method);
+    const {response} = exchange;
+    if (isCloseDelimited(response, answer, method)) {
+      exchange.ignoreFurtherRequests();
+    }
+    const onCut = (cause: string): void => {
+      metrics.recordCutResponse();
+      log.logRequestEvent('response-cut', {
+        ...describeResult(request, result),
+        cause,
+        millis: Math.round(nowMillis() - request.arrivedMillis),
+      });
+    };
+    sendResponse(response, answer, headers, {method, onCut});
     const millis = recordResponse(request, answer.statusCode);
     if (answer.statusCode < 500) return;
     log.logRequestEvent('answered-failure', {
--- a/test/unit/connection/unfinished_response.test.ts
+++ b/test/unit/connection/unfinished_response.test.ts
@@ -24,7 +24,10 @@
           bodyStart: body,
           bodyRest: undefined,
         };
-        sendResponse(exchange.response, response, [], 'GET');
+        sendResponse(exchange.response, response, [], {
+          method: 'GET',
+          onCut: () => undefined,
+        });
         return Promise.resolve();
       },
     });
