Close connections of clients only when they have read the last response

What callers saw: downloads of 24 MB, read at 4.2 to 4.45 MB a second, were cut by a reset when the node that took them was stopped as planned, with 2 to 4 MB left and half of the grace period to go. Each client sent further requests ahead. Clients that send a long body or header and read afterwards saw a reset in place of a refusal (413, 431 or 400).

Cause: a response counts as sent once the system has taken its last bytes, which wait there for the reader, several megabytes of them. After a response with `Connection: close`, and for idle connections when a listener closes, both directions were closed at that moment. The system replies to whatever the client still sends on such a connection with a reset, and discards what the client has not read. The stopping process then ended at most 500 ms later, to the same effect.

Change: one routine, `closeLingering`, closes the sending side alone and discards what arrives until the client closes its side (RFC 9112, 9.6), for at most 5 s, or until the deadline of a long response if that is later, and at most 128 MiB. It is used after each response that closes its connection, after invalid requests, and for connections that become idle behind a long response whose client's deadline is not over. Other idle connections are closed as before, so a stop does not wait for clients that only keep one open. A stop waits for the readers of long responses (over 64 KiB) until their deadline, within its grace period. `stop-step` tells how many are left.

--- /dev/null
+++ b/src/connection/client_connection.ts
@@ -0,0 +1,119 @@
+/**
+ * A connection of a client to an HTTP listener, and how it is closed.
+ */
+import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {CancelSource} from '../base/cancel_signal.js';
+import {closeLingering} from './lingering_close.js';
+
+/** Connection of a client. */
+export interface ClientConnection {
+  readonly socket: Socket;
+  /** Response to the request that was read last. */
+  readonly newestResponse: ServerResponse | undefined;
+  /** A response closes the connection; later requests are not handled. */
+  isEnding: boolean;
+  /** The sending side is closed; what arrives is discarded. */
+  readonly isLingering: boolean;
+  /** Requests without a complete response. */
+  readonly openCount: number;
+  /**
+   * Until then the client may be reading a long response, of which the last
+   * bytes were handed to the operating system; 0 if there is none.
+   */
+  readonly deliveringUntilMillis: number;
+  /** A request has been read. */
+  begin(source: CancelSource, response: ServerResponse): void;
+  /** The response has been handed to the operating system, or was aborted. */
+  end(source: CancelSource, deadlineMillis: number): void;
+  /** A request has been read, and none is in progress or partly received. */
+  isIdle(): boolean;
+  /** Cancels all requests without a response. */
+  cancelRequests(): void;
+  /** Closes an idle connection, for its client to read a long response first. */
+  closeIdle(): void;
+  /** Closes the connection after a response that says so. */
+  closeAfterResponse(): void;
+}
+
+/**
+ * Size up to which a response leaves the system within a few round trips: it
+ * fits into the usual receive buffer of a client.
+ */
+const PROMPTLY_DELIVERED_BYTES = 65_536;
+
+/** Time for a client to read a response and close its side. */
+const LINGER_MILLIS = 5000;
+
+/** Bytes of a rejected request that are discarded for its client to read the response. */
+const MAX_DISCARDED_BYTES = 134_217_728;
+
+/** Creates the state of an accepted connection. */
+export function createClientConnection(
+  socket: Socket,
+  nowMillis: () => number,
+): ClientConnection {
+  const sources = new Set<CancelSource>();
+  let newestResponse: ServerResponse | undefined;
+  let readBytes = 0;
+  let writtenBytes = 0;
+  let deliveringUntilMillis = 0;
+  let isLingering = false;
+
+  const linger = (): void => {
+    if (isLingering) return;
+    isLingering = true;
+    connection.isEnding = true;
+    closeLingering(socket, {
+      timeoutMillis: Math.max(
+        LINGER_MILLIS,
+        deliveringUntilMillis - nowMillis(),
+      ),
+      maxDiscardedBytes: MAX_DISCARDED_BYTES,
+    });
+  };
+  const connection: ClientConnection = {
+    socket,
+    get newestResponse() {
+      return newestResponse;
+    },
+    isEnding: false,
+    get isLingering() {
+      return isLingering;
+    },
+    get openCount() {
+      return sources.size;
+    },
+    get deliveringUntilMillis() {
+      return deliveringUntilMillis;
+    },
+    begin: (source, response) => {
+      sources.add(source);
+      newestResponse = response;
+    },
+    end: (source, deadlineMillis) => {
+      sources.delete(source);
+      readBytes = socket.bytesRead;
+      const sentBytes = socket.bytesWritten - writtenBytes;
+      writtenBytes += sentBytes;
+      if (sentBytes <= PROMPTLY_DELIVERED_BYTES) return;
+      deliveringUntilMillis = Math.max(deliveringUntilMillis, deadlineMillis);
+    },
+    isIdle: () =>
+      newestResponse !== undefined &&
+      sources.size === 0 &&
+      socket.bytesRead === readBytes,
+    cancelRequests: () => {
+      for (const source of [...sources]) source.cancel();
+    },
+    closeIdle: () => {
+      if (deliveringUntilMillis > nowMillis()) linger();
+      else if (!isLingering) socket.destroy();
+    },
+    closeAfterResponse: linger,
+  };
+  // Called by Node.js after a response with `Connection: close`; its own version
+  // closes both directions.
+  socket.destroySoon = linger;
+  return connection;
+}
--- a/src/connection/http_listener.ts
+++ b/src/connection/http_listener.ts
@@ -2,12 +2,15 @@
  * HTTP listener that cancels a request when its client disconnects.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {createServer} from 'node:http';
+import {Server} from 'node:http';
 import type {Socket} from 'node:net';
-import type {CancelSignal, CancelSource} from '../base/cancel_signal.js';
+import type {CancelSignal} from '../base/cancel_signal.js';
 import {createCancelSource} from '../base/cancel_signal.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
 import {bindListener, acceptPendingConnections} from './bind_listener.js';
+import type {ClientConnection} from './client_connection.js';
+import {createClientConnection} from './client_connection.js';
+import {respondToClientError} from './client_error_response.js';
 
 /** One request and its response. */
 export interface HttpExchange {
@@ -25,21 +28,18 @@
    * The response closes the connection: later requests on it are not handled.
    */
   ignoreFurtherRequests(): void;
-}
-
-/** Connection of a client. */
-interface ClientConnection {
-  /** Cancel sources of requests without a response. */
-  readonly sources: Set<CancelSource>;
-  /** Response to the request that was read last. */
-  newestResponse: ServerResponse | undefined;
-  isEnding: boolean;
+  /**
+   * The client waits for the response until this time; as long, the connection
+   * stays open for it to read a long one.
+   */
+  setDeadline(deadlineMillis: number): void;
 }
 
 export interface HttpListenerOptions {
   readonly endpoint: Endpoint;
   /** Handles one request; must not reject. */
   readonly handle: (exchange: HttpExchange) => Promise<void>;
+  readonly nowMillis: () => number;
 }
 
 /** An open listener. */
@@ -47,6 +47,13 @@
   readonly port: number;
   /** Requests that were read and have no response yet. */
   readonly busyCount: number;
+  /** Open connections whose clients may still be reading a long response. */
+  readonly deliveringCount: number;
+  /**
+   * When the last of these clients stops waiting for its response; in the past if
+   * there is none.
+   */
+  readonly deliveringUntilMillis: number;
   /** Sets the keep-alive timeout and the timeout for receiving headers. */
   setTimeouts(idleMillis: number, headerMillis: number): void;
   /** Stops accepting connections; resolves when the last one has closed. */
@@ -71,52 +78,45 @@
 export async function openHttpListener(
   options: HttpListenerOptions,
 ): Promise<HttpListener> {
-  const server = createServer({
+  const connections = new Map<Socket, ClientConnection>();
+  const server = new (class extends Server {
+    /** Called by Node.js when the server closes. */
+    override closeIdleConnections(): void {
+      for (const connection of connections.values()) {
+        if (connection.isIdle()) connection.closeIdle();
+      }
+    }
+  })({
     keepAliveTimeout: DEFAULT_IDLE_MILLIS,
     headersTimeout: DEFAULT_HEADER_MILLIS,
     requestTimeout: 0,
     maxHeaderSize: MAX_HEADER_BYTES,
     noDelay: true,
   });
-  const connections = new Map<Socket, ClientConnection>();
   let busyCount = 0;
 
-  const getConnection = (socket: Socket): ClientConnection => {
-    const existing = connections.get(socket);
-    if (existing !== undefined) return existing;
-    const sources = new Set<CancelSource>();
-    const created = {sources, newestResponse: undefined, isEnding: false};
-    connections.set(socket, created);
-    socket.once('close', () => {
-      connections.delete(socket);
-      for (const source of sources) source.cancel();
-    });
-    return created;
-  };
-
   const accept = (
     request: IncomingMessage,
     response: ServerResponse,
     expectsContinue: boolean,
   ): void => {
-    const connection = getConnection(request.socket);
-    if (connection.isEnding) {
+    const connection = connections.get(request.socket);
+    if (connection === undefined || connection.isEnding) {
       // No response can follow the one that closes the connection, so the
       // client sends this request again; handling it here would waste the work.
       request.resume();
       return;
     }
-    const {sources} = connection;
     const source = createCancelSource();
-    sources.add(source);
-    connection.newestResponse = response;
+    connection.begin(source, response);
     busyCount += 1;
+    let deadlineMillis = 0;
     let isOpen = true;
     const finish = (): void => {
       if (!isOpen) return;
       isOpen = false;
       busyCount -= 1;
-      sources.delete(source);
+      connection.end(source, deadlineMillis);
     };
     response.once('finish', finish);
     response.once('close', () => {
@@ -138,9 +138,29 @@
       ignoreFurtherRequests: () => {
         connection.isEnding = true;
       },
+      setDeadline: millis => {
+        deadlineMillis = millis;
+      },
     });
   };
 
+  server.on('connection', (socket: Socket) => {
+    const connection = createClientConnection(socket, options.nowMillis);
+    connections.set(socket, connection);
+    socket.once('close', () => {
+      connections.delete(socket);
+      connection.cancelRequests();
+    });
+  });
+  // Emitted for connections that were idle for the keep-alive timeout.
+  server.on('timeout', socket => {
+    connections.get(socket)?.closeIdle();
+  });
+  server.on('clientError', (error, socket) => {
+    const connection = connections.get(socket as Socket);
+    if (connection === undefined) socket.destroy(error);
+    else respondToClientError(connection, error);
+  });
   server.on('request', (request, response) => {
     accept(request, response, false);
   });
@@ -153,6 +173,19 @@
     get busyCount() {
       return busyCount;
     },
+    get deliveringCount() {
+      const now = options.nowMillis();
+      return [...connections.values()].filter(
+        ({deliveringUntilMillis}) => deliveringUntilMillis > now,
+      ).length;
+    },
+    get deliveringUntilMillis() {
+      let latestMillis = 0;
+      for (const {deliveringUntilMillis} of connections.values()) {
+        latestMillis = Math.max(latestMillis, deliveringUntilMillis);
+      }
+      return latestMillis;
+    },
     setTimeouts: (idleMillis, headerMillis) => {
       server.keepAliveTimeout = idleMillis;
       server.headersTimeout = headerMillis;
@@ -163,7 +196,6 @@
         server.close(() => {
           resolve();
         });
-        server.closeIdleConnections();
       });
     },
     // When the process exits, the system closes connections normally, and a
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -94,6 +94,7 @@
   const outbound = await openHttpListener({
     endpoint: settings.outbound,
     handle: exchanges.outbound.handle,
+    nowMillis,
   });
   const local =
     settings.local === undefined
@@ -101,6 +102,7 @@
       : await openHttpListener({
           endpoint: settings.local,
           handle: exchanges.outbound.handleLocal,
+          nowMillis,
         });
   const inbound = await openHopListener({
     endpoint: settings.inbound,
@@ -181,6 +183,11 @@
             exchanges.open.cancelAll();
           },
           closeListeners: () => closeAll([outbound, local, inbound]),
+          deliveringUntilMillis: () =>
+            Math.max(
+              outbound.deliveringUntilMillis,
+              local?.deliveringUntilMillis ?? 0,
+            ),
         },
         plan: stop,
         nowMillis,
@@ -190,6 +197,8 @@
             busyCount: busyCount(),
             openCount: exchanges.open.count,
             executingCount: exchanges.executingCount,
+            deliveringCount:
+              outbound.deliveringCount + (local?.deliveringCount ?? 0),
           });
         },
       });
--- a/src/daemon/stop_sequence.ts
+++ b/src/daemon/stop_sequence.ts
@@ -13,6 +13,11 @@
   cancelRequests(): void;
   /** Stops listening; resolves when the last connection is closed. */
   closeListeners(): Promise<void>;
+  /**
+   * Until then clients may be reading long responses that were handed to the
+   * operating system.
+   */
+  deliveringUntilMillis(): number;
 }
 
 /** Dependencies of a stop. */
@@ -49,14 +54,17 @@
   // final response shows whether the request was executed and may be sent again.
   node.cancelRequests();
   onStep('closing');
-  const closed = node.closeListeners();
+  let isClosed = false;
+  void node.closeListeners().then(() => (isClosed = true));
   // A request that arrives at the last moment still gets a response; one that was read
   // and then aborted by the exit of the process would be lost.
-  const endMillis = Math.min(
-    plan.endMillis,
-    nowMillis() + CLOSE_TIMEOUT_MILLIS,
-  );
-  await Promise.race([closed, sleep(endMillis - nowMillis())]);
+  const closeMillis = nowMillis() + CLOSE_TIMEOUT_MILLIS;
+  await pollUntil(options, plan.endMillis, () => {
+    if (isClosed) return true;
+    // Clients that only keep a connection open are not waited for, but the exit would
+    // cut a response whose last bytes still wait for a slow reader.
+    return nowMillis() >= Math.max(closeMillis, node.deliveringUntilMillis());
+  });
   onStep('ended');
 }
 
--- a/src/request/entered_request.ts
+++ b/src/request/entered_request.ts
@@ -92,6 +92,10 @@
     isRepeat: isLocal,
     grant: createRetryGrant(isLocal ? 0 : route.repeatsCount),
   };
+  const clientDeadlineMillis =
+    arrivedMillis +
+    Math.min(route.timeoutMillis, timeoutMillis - RESPONSE_MARGIN_MILLIS);
+  exchange.setDeadline(clientDeadlineMillis);
   return {
     exchange,
     attemptId,
@@ -100,8 +104,7 @@
     arrivedMillis,
     // A request that outlives this process would get no response.
     deadlineMillis: Math.min(
-      arrivedMillis +
-        Math.min(route.timeoutMillis, timeoutMillis - RESPONSE_MARGIN_MILLIS),
+      clientDeadlineMillis,
       options.stop.finishingUntilMillis,
     ),
     parent,
--- a/test/unit/connection/http_listener.test.ts
+++ b/test/unit/connection/http_listener.test.ts
@@ -13,6 +13,7 @@
   const exchanges: HttpExchange[] = [];
   const listener = await openHttpListener({
     endpoint: {address: '127.0.0.1', port: 0},
+    nowMillis: () => performance.now(),
     handle: exchange => {
       exchanges.push(exchange);
       return Promise.resolve();
@@ -58,6 +59,7 @@
   // still in its backlog, and their requests were never read.
   const listener = await openHttpListener({
     endpoint: {address: '127.0.0.1', port: 0},
+    nowMillis: () => performance.now(),
     handle: ({response}) => {
       response.writeHead(503, {connection: 'close', 'content-length': 0});
       response.end();
--- a/test/unit/connection/response_framing.test.ts
+++ b/test/unit/connection/response_framing.test.ts
@@ -34,6 +34,7 @@
 ): Promise<Client> {
   const listener = await openHttpListener({
     endpoint: {address: '127.0.0.1', port: 0},
+    nowMillis: () => performance.now(),
     handle: exchange => {
       handle(exchange);
       return Promise.resolve();
--- a/test/unit/connection/unfinished_response.test.ts
+++ b/test/unit/connection/unfinished_response.test.ts
@@ -16,6 +16,7 @@
     const body = Buffer.alloc(isSlow ? 64 * 1024 * 1024 : 1024);
     const listener = await openHttpListener({
       endpoint: {address: '127.0.0.1', port: 0},
+      nowMillis: () => performance.now(),
       handle: exchange => {
         const response = {
           statusCode: 200,
