--- a/src/emulator/faulty_link.ts
+++ b/src/emulator/faulty_link.ts
@@ -121,21 +121,42 @@
         applyMode(relay);
       });
     };
-    from.on('data', (chunk: Buffer) => {
-      if (bandwidthBytesPerSecond === undefined) {
-        write(chunk);
+    // A change of the mode may resume the source while a chunk is delayed; later
+    // chunks wait for it, because a connection never reorders bytes.
+    const delayedChunks: Buffer[] = [];
+    let hasEnded = false;
+    const forwardDelayed = (): void => {
+      const [chunk] = delayedChunks;
+      if (to.destroyed) return;
+      if (chunk === undefined) {
+        if (hasEnded) to.end();
         return;
       }
       from.pause();
       const transferMillis =
-        (chunk.length * MILLIS_PER_SECOND) / bandwidthBytesPerSecond;
+        bandwidthBytesPerSecond === undefined
+          ? 0
+          : (chunk.length * MILLIS_PER_SECOND) / bandwidthBytesPerSecond;
       setTimeout(() => {
+        delayedChunks.shift();
         if (to.destroyed) return;
         applyMode(relay);
         write(chunk);
+        forwardDelayed();
       }, transferMillis);
+    };
+    from.on('data', (chunk: Buffer) => {
+      if (bandwidthBytesPerSecond === undefined && delayedChunks.length === 0) {
+        write(chunk);
+        return;
+      }
+      delayedChunks.push(chunk);
+      if (delayedChunks.length === 1) forwardDelayed();
+    });
+    from.on('end', () => {
+      hasEnded = true;
+      if (delayedChunks.length === 0) to.end();
     });
-    from.on('end', () => to.end());
     from.on('error', () => {
       // Followed by 'close', which propagates the error to the other side.
     });
--- a/test/fakes/hop_fixture.ts
+++ b/test/fakes/hop_fixture.ts
@@ -73,14 +73,18 @@
   });
 
   /** Sends a request; `ended` resolves with its result. */
-  const send = (isRepeatable: boolean, body = EMPTY_BODY): SentHop => {
+  const send = (
+    isRepeatable: boolean,
+    body = EMPTY_BODY,
+    attemptId = 'a',
+  ): SentHop => {
     let hop: OutgoingHop | undefined;
     const ended = new Promise<HopResult>(resolve => {
       hop = createOutgoingHop({
         body,
         startedMillis: nowMillis(),
         onEnd: resolve,
-        request: createHopRequest(isRepeatable),
+        request: createHopRequest(isRepeatable, attemptId),
       });
       peer.send(hop);
     });
@@ -108,9 +112,9 @@
 }
 
 /** A request without a body of its own. */
-export function createHopRequest(isRepeatable: boolean) {
+export function createHopRequest(isRepeatable: boolean, attemptId = 'a') {
   return {
-    attemptId: 'a',
+    attemptId,
     upstreamId: 'u',
     callerService: 'shop',
     method: 'GET',
