--- a/src/connection/client_connection.ts
+++ b/src/connection/client_connection.ts
@@ -36,6 +36,17 @@
   closeAfterResponse(): void;
 }
 
+/**
+ * Plain fields: accessors in an object literal make each connection costly in
+ * memory.
+ */
+interface MutableClientConnection extends ClientConnection {
+  newestResponse: ServerResponse | undefined;
+  isLingering: boolean;
+  openCount: number;
+  deliveringUntilMillis: number;
+}
+
 /**
  * Size up to which a response leaves the system within a few round trips: it
  * fits into the usual receive buffer of a client.
@@ -54,61 +65,55 @@
   nowMillis: () => number,
 ): ClientConnection {
   const sources = new Set<CancelSource>();
-  let newestResponse: ServerResponse | undefined;
   let readBytes = 0;
   let writtenBytes = 0;
-  let deliveringUntilMillis = 0;
-  let isLingering = false;
 
   const linger = (): void => {
-    if (isLingering) return;
-    isLingering = true;
+    if (connection.isLingering) return;
+    connection.isLingering = true;
     connection.isEnding = true;
     closeLingering(socket, {
       timeoutMillis: Math.max(
         LINGER_MILLIS,
-        deliveringUntilMillis - nowMillis(),
+        connection.deliveringUntilMillis - nowMillis(),
       ),
       maxDiscardedBytes: MAX_DISCARDED_BYTES,
     });
   };
-  const connection: ClientConnection = {
+  const connection: MutableClientConnection = {
     socket,
-    get newestResponse() {
-      return newestResponse;
-    },
+    newestResponse: undefined,
     isEnding: false,
-    get isLingering() {
-      return isLingering;
-    },
-    get openCount() {
-      return sources.size;
-    },
-    get deliveringUntilMillis() {
-      return deliveringUntilMillis;
-    },
+    isLingering: false,
+    openCount: 0,
+    deliveringUntilMillis: 0,
     begin: (source, response) => {
       sources.add(source);
-      newestResponse = response;
+      connection.openCount = sources.size;
+      connection.newestResponse = response;
     },
     end: (source, deadlineMillis) => {
       sources.delete(source);
+      connection.openCount = sources.size;
       readBytes = socket.bytesRead;
       const sentBytes = socket.bytesWritten - writtenBytes;
       writtenBytes += sentBytes;
       if (sentBytes <= PROMPTLY_DELIVERED_BYTES) return;
-      deliveringUntilMillis = Math.max(deliveringUntilMillis, deadlineMillis);
+      connection.deliveringUntilMillis = Math.max(
+        connection.deliveringUntilMillis,
+        deadlineMillis,
+      );
     },
     isIdle: () =>
-      newestResponse !== undefined &&
+      connection.newestResponse !== undefined &&
       sources.size === 0 &&
       socket.bytesRead === readBytes,
     cancelRequests: () => {
       for (const source of [...sources]) source.cancel();
     },
     closeIdle: () => {
-      if (deliveringUntilMillis > nowMillis()) linger();
-      else if (!isLingering) socket.destroy();
+      if (connection.deliveringUntilMillis > nowMillis()) linger();
+      else if (!connection.isLingering) socket.destroy();
     },
     closeAfterResponse: linger,
   };
