--- a/test/unit/connection/hop_soak.test.ts
+++ b/test/unit/connection/hop_soak.test.ts
@@ -1,7 +1,7 @@
 import {createHash, randomBytes} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ExecutionContext} from 'ava';
-import test from 'ava';
+import test, {registerCompletionHandler} from 'ava';
 import type {IncomingHop} from '../../../src/connection/incoming_hop.js';
 import type {HopResult} from '../../../src/connection/outgoing_hop.js';
 import type {FaultyLink} from '../../../src/emulator/faulty_link.js';
@@ -119,6 +119,12 @@
   t.log(`seed ${String(seed)}: ${[...kinds].join(' ')}`);
 }
 
+// Without it, the clean-up of Node.js 20 at the end of the event loop may wait for
+// ever for a write on a connection that was reset.
+registerCompletionHandler(() => {
+  process.exit();
+});
+
 for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS_COUNT; seed += 1) {
   test.serial(
     `requests over a faulty link run with their own body, once: seed ${String(seed)}`,
