Let clients read a long last response until its deadline

What callers saw: a long response that itself closes its connection was cut if its client had not read it 5 s after its last bytes were handed to the operating system, though its deadline was later.

Cause: Node.js handles the end of a response first and closes the connection, so the time to linger was computed before the response was recorded as long.

Change: the end of the lingering is looked up while it lasts, by the timer that checks the discarded bytes. One copy of the number of open requests is kept, not two. `request-resumed` is written for requests in progress only, as its page says.

--- a/src/connection/client_connection.ts
+++ b/src/connection/client_connection.ts
@@ -15,13 +15,13 @@
   isEnding: boolean;
   /** The sending side is closed; what arrives is discarded. */
   readonly isLingering: boolean;
-  /** Requests without a complete response. */
-  readonly openCount: number;
   /**
    * Until then the client may be reading a long response, of which the last
    * bytes were handed to the operating system; 0 if there is none.
    */
   readonly deliveringUntilMillis: number;
+  /** Number of requests without a complete response. */
+  openCount(): number;
   /** A request has been read. */
   begin(source: CancelSource, response: ServerResponse): void;
   /** The response has been handed to the operating system, or was aborted. */
@@ -30,7 +30,10 @@
   isIdle(): boolean;
   /** Cancels all requests without a response. */
   cancelRequests(): void;
-  /** Closes an idle connection, for its client to read a long response first. */
+  /**
+   * Closes an idle connection. If the client may be reading a long response, only
+   * the sending side is closed.
+   */
   closeIdle(): void;
   /** Closes the connection after a response that says so. */
   closeAfterResponse(): void;
@@ -43,7 +46,6 @@
 interface MutableClientConnection extends ClientConnection {
   newestResponse: ServerResponse | undefined;
   isLingering: boolean;
-  openCount: number;
   deliveringUntilMillis: number;
 }
 
@@ -53,7 +55,7 @@
  */
 const PROMPTLY_DELIVERED_BYTES = 65_536;
 
-/** Time for a client to read a response and close its side. */
+/** Time for a client to read a short response and close its side. */
 const LINGER_MILLIS = 5000;
 
 /** Bytes of a rejected request that are discarded for its client to read the response. */
@@ -72,11 +74,13 @@
     if (connection.isLingering) return;
     connection.isLingering = true;
     connection.isEnding = true;
+    const shortEndMillis = nowMillis() + LINGER_MILLIS;
     closeLingering(socket, {
-      timeoutMillis: Math.max(
-        LINGER_MILLIS,
-        connection.deliveringUntilMillis - nowMillis(),
-      ),
+      nowMillis,
+      // Node.js closes the connection before the end of its last response is
+      // recorded here.
+      endMillis: () =>
+        Math.max(shortEndMillis, connection.deliveringUntilMillis),
       maxDiscardedBytes: MAX_DISCARDED_BYTES,
     });
   };
@@ -85,16 +89,14 @@
     newestResponse: undefined,
     isEnding: false,
     isLingering: false,
-    openCount: 0,
     deliveringUntilMillis: 0,
+    openCount: () => sources.size,
     begin: (source, response) => {
       sources.add(source);
-      connection.openCount = sources.size;
       connection.newestResponse = response;
     },
     end: (source, deadlineMillis) => {
       sources.delete(source);
-      connection.openCount = sources.size;
       readBytes = socket.bytesRead;
       const sentBytes = socket.bytesWritten - writtenBytes;
       writtenBytes += sentBytes;
--- a/src/connection/client_error_response.ts
+++ b/src/connection/client_error_response.ts
@@ -21,9 +21,10 @@
   connection: ClientConnection,
   error: NodeJS.ErrnoException,
 ): void {
-  const {socket, newestResponse, openCount} = connection;
+  const {socket, newestResponse} = connection;
   // What follows the invalid bytes is discarded as well.
   if (connection.isLingering) return;
+  const openCount = connection.openCount();
   const isHeaderUnsent =
     openCount === 1 && newestResponse?.headersSent === false;
   if (!socket.writable || (openCount > 0 && !isHeaderUnsent)) {
--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -209,6 +209,7 @@
     const {request, receivedBodyBytes} = claimed.hop;
     channels.set(channelId, claimed.hop);
     claimed.hop.attach(openChannel(channelId));
+    if (claimed.state !== 'working') return;
     const {attemptId} = request;
     options.onResumed({attemptId, peer, receivedBodyBytes});
   };
--- a/src/connection/http_listener.ts
+++ b/src/connection/http_listener.ts
@@ -29,8 +29,8 @@
    */
   ignoreFurtherRequests(): void;
   /**
-   * The client waits for the response until this time; as long, the connection
-   * stays open for it to read a long one.
+   * Sets the time until which the client waits for the response. A connection
+   * that is closed after a long response stays readable until then.
    */
   setDeadline(deadlineMillis: number): void;
 }
--- a/src/connection/lingering_close.ts
+++ b/src/connection/lingering_close.ts
@@ -10,11 +10,11 @@
 import type {Socket} from 'node:net';
 import {createIntervalTimer} from '../base/lifecycle.js';
 
-/** Limits of a lingering close. */
+/** Limits of a lingering close; beyond them, both directions are closed. */
 export interface LingeringCloseLimits {
-  /** Time after which the connection is closed in both directions. */
-  readonly timeoutMillis: number;
-  /** Number of received bytes after which it is. */
+  readonly nowMillis: () => number;
+  /** End of the time for the client; a response that ends may still extend it. */
+  readonly endMillis: () => number;
   readonly maxDiscardedBytes: number;
 }
 
@@ -23,22 +23,18 @@
 /** Ends the sending side and closes the connection when the client has closed its side. */
 export function closeLingering(
   socket: Socket,
-  {timeoutMillis, maxDiscardedBytes}: LingeringCloseLimits,
+  {nowMillis, endMillis, maxDiscardedBytes}: LingeringCloseLimits,
 ): void {
   if (socket.destroyed) return;
   const startBytes = socket.bytesRead;
-  const timer = setTimeout(() => {
-    socket.destroy();
-  }, timeoutMillis);
   // A listener for the data would take it from the parser of Node.js, which then
   // no longer resumes a connection that it has paused.
   const check = createIntervalTimer(CHECK_INTERVAL_MILLIS, () => {
-    if (socket.bytesRead - startBytes > maxDiscardedBytes) socket.destroy();
-  });
-  socket.once('close', () => {
-    clearTimeout(timer);
-    check.dispose();
+    const isLate = nowMillis() >= endMillis();
+    const hasSentTooMuch = socket.bytesRead - startBytes > maxDiscardedBytes;
+    if (isLate || hasSentTooMuch) socket.destroy();
   });
+  socket.once('close', check.dispose);
   socket.end();
   socket.resume();
 }
--- a/test/unit/connection/lingering_close.test.ts
+++ b/test/unit/connection/lingering_close.test.ts
@@ -13,6 +13,8 @@
 import {waitUntil} from '../../fakes/wait_until.js';
 
 const LONG_BODY = Buffer.alloc(1_000_000, 'x');
+/** Time that clients have to read a short response. */
+const SHORT_RESPONSE_LINGER_MILLIS = 5000;
 const REQUEST = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
 
 interface Client {
@@ -105,6 +107,18 @@
   t.is(handledCount, 1);
 });
 
+test('a long last response may be read until its deadline', async t => {
+  // Guards against a response that is cut after the time for short ones.
+  const listener = await startListener(t, exchange => {
+    respondLong(exchange, {connection: 'close'});
+  });
+  const client = await connectPaused(t, listener.port);
+  client.socket.write(REQUEST);
+  await sleep(SHORT_RESPONSE_LINGER_MILLIS + 400);
+  await readAfterRequests(client, listener);
+  assertWhole(t, client);
+});
+
 test('a listener that closes lets a slow reader get the whole response', async t => {
   // Guards against a response that the close of an idle connection cuts with a reset.
   const listener = await startListener(t, exchange => {
@@ -182,7 +196,12 @@
     // Guards against connections that a client holds without limit.
     const server = net.createServer({allowHalfOpen: true}, socket => {
       socket.on('error', () => undefined);
-      closeLingering(socket, {timeoutMillis, maxDiscardedBytes});
+      const acceptedMillis = performance.now();
+      closeLingering(socket, {
+        nowMillis: () => performance.now(),
+        endMillis: () => acceptedMillis + timeoutMillis,
+        maxDiscardedBytes,
+      });
     });
     t.teardown(() => server.close());
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
