--- a/test/fakes/relay_fleet.ts
+++ b/test/fakes/relay_fleet.ts
@@ -28,8 +28,12 @@
   readonly appliedPosition: SourcePosition;
   /** Texts of the documents that the node has applied, by key. */
   readonly texts: ReadonlyMap<string, string>;
+  /** Number of polls that have reached the node. */
+  readonly pollsCount: number;
   /** Whether the node and all other nodes are unreachable for each other. */
   isPartitioned: boolean;
+  /** Whether the process has ended: connections to it are refused. */
+  isKilled: boolean;
 }
 
 export interface RelayFleetOptions {
@@ -38,6 +42,10 @@
   readonly applyWithinMillis: number;
   /** Position exchanges that each node starts with others per second. */
   readonly messagesPerSecond: number;
+  /** One-way delay of a poll and of its response; 0 if omitted. */
+  readonly linkDelayMillis?: number;
+  /** Delay of each response of the source; 0 if omitted. */
+  readonly sourceDelayMillis?: number;
   readonly random: () => number;
 }
 
@@ -58,6 +66,7 @@
 const STEP_MILLIS = 20;
 
 interface SimulatedRelayNode extends RelayNode {
+  pollsCount: number;
   readonly relay: PeerRelay;
   readonly positions: PeerPositions;
 }
@@ -79,7 +88,7 @@
   fleet: RelayFleet;
   followers: ReadonlyArray<Effect.Effect<never>>;
 } {
-  const {nodesCount, zonesCount, random} = options;
+  const {nodesCount, zonesCount, random, linkDelayMillis = 0} = options;
   let now = 0;
   const nowMillis = (): number => now;
   const timers = new Set<{atMillis: number; onTimeout: () => void}>();
@@ -96,16 +105,37 @@
     }),
   );
   const nodes: SimulatedRelayNode[] = [];
-  const waitForTimeout = (): Promise<undefined> =>
+  const wait = (millis: number): Promise<undefined> =>
     new Promise(resolve => {
       const onTimeout = (): void => {
         resolve(undefined);
       };
-      timers.add({atMillis: now + CHANGES_QUERY_TIMEOUT_MILLIS, onTimeout});
+      if (millis === 0) onTimeout();
+      else timers.add({atMillis: now + millis, onTimeout});
     });
+  const poll = async (
+    from: SimulatedRelayNode,
+    hostKey: string,
+    query: Buffer,
+  ): Promise<Buffer | undefined> => {
+    const peer = nodes.find(node => node.hostKey === hostKey);
+    const startedMillis = now;
+    await wait(linkDelayMillis);
+    if (peer?.isKilled === true) return undefined;
+    if (peer !== undefined && !peer.isPartitioned && !from.isPartitioned) {
+      peer.pollsCount += 1;
+      const response = peer.relay.answerQuery(query);
+      await wait(linkDelayMillis);
+      if (!from.isPartitioned) return response;
+    }
+    return wait(startedMillis + CHANGES_QUERY_TIMEOUT_MILLIS - now);
+  };
 
   const followers = hosts.map(({entry}) => {
-    const source = createSimulatedSource(nowMillis);
+    const source = createSimulatedSource(nowMillis, {
+      responseDelayMillis: options.sourceDelayMillis ?? 0,
+      wait,
+    });
     const positions = createPeerPositions();
     const texts = new Map<string, string>();
     const relay = createPeerRelay({
@@ -116,13 +146,7 @@
         nowMillis,
       }),
       documents: createDocumentCache(),
-      send: async (target, query) => {
-        const peer = nodes.find(({hostKey}) => hostKey === target.hostKey);
-        if (peer === undefined || peer.isPartitioned || node.isPartitioned) {
-          return waitForTimeout();
-        }
-        return peer.relay.answerQuery(query);
-      },
+      send: (target, query) => poll(node, target.hostKey, query),
     });
     const node: SimulatedRelayNode = {
       hostKey: entry.hostKey,
@@ -132,7 +156,9 @@
         return positions.applied;
       },
       texts,
+      pollsCount: 0,
       isPartitioned: false,
+      isKilled: false,
       relay,
       positions,
     };
@@ -168,13 +194,16 @@
     });
   });
 
+  const isReachable = (node: RelayNode): boolean =>
+    !node.isPartitioned && !node.isKilled;
+
   /** Simulates the positions that nodes attach to unrelated messages. */
   const exchangePositions = (): void => {
     const probability = (options.messagesPerSecond * STEP_MILLIS) / 1000;
     for (const node of nodes) {
       if (random() >= probability) continue;
       const other = nodes[Math.floor(random() * nodes.length)];
-      if (other === undefined || other.isPartitioned || node.isPartitioned) {
+      if (other === undefined || !isReachable(other) || !isReachable(node)) {
         continue;
       }
       node.positions.recordPeerPosition(other.positions.applied);
--- a/test/fakes/simulated_source.ts
+++ b/test/fakes/simulated_source.ts
@@ -58,8 +58,21 @@
   readonly reject: (error: Error) => void;
 }
 
+export interface SimulatedSourceOptions {
+  /** Time from a response of the source to its arrival. */
+  readonly responseDelayMillis: number;
+  /** Resolves after a time of the simulated clock. */
+  readonly wait: (millis: number) => Promise<unknown>;
+}
+
+const WITHOUT_DELAY: SimulatedSourceOptions = {
+  responseDelayMillis: 0,
+  wait: () => Promise.resolve(),
+};
+
 export function createSimulatedSource(
   nowMillis: () => number,
+  {responseDelayMillis, wait}: SimulatedSourceOptions = WITHOUT_DELAY,
 ): SimulatedSource {
   let documents = new Map<string, DocumentChange>();
   let history: DocumentChange[] = [];
@@ -146,10 +159,16 @@
     },
     read: async () => {
       await startCall(0, 0);
-      return {documents: [...documents.values()], position: currentPosition()};
+      const documentsRead = [...documents.values()];
+      const position = currentPosition();
+      await wait(responseDelayMillis);
+      return {documents: documentsRead, position};
+    },
+    watch: async (_prefix, afterRevision, waitMillis, signal) => {
+      const result = await startCall(afterRevision, waitMillis, signal);
+      await wait(responseDelayMillis);
+      return result;
     },
-    watch: (_prefix, afterRevision, waitMillis, signal) =>
-      startCall(afterRevision, waitMillis, signal),
     get revision() {
       return revision;
     },
