Track the age of relayed knowledge and call the source once it is too old

Callers were served by a replaced version for up to a second beyond the bound of 2 s. All nodes that watched the store for their zones had lost it without a reset.

Cause: the relay reported what a node does (it watches), not when it last knew everything; nothing bounded the age of that knowledge, and each step of the way to a node had a constant of its own.

Change: each node tracks the time up to which it knows all changes: the start of the last call that the source answered, or the end of a wait without changes. Responses to polls carry that time relative to the arrival of the poll, so no clocks are compared. A node whose knowledge is too old for its role calls the source itself, whatever the reason; the bound is divided once, in document_freshness. The watching node renews its knowledge in time for the nodes behind it, and batch delays end with it. One node of the fleet watches, one of each other zone polls it, so that the shorter watches cost fewer calls than one long watch for each zone. Polls wait at the polled node until it has something new, on connections of their own that match responses to queries, and fail at once when the process ends. Logs, a histogram and the state dump show the age.

--- a/src/connection/document_follower.ts
+++ b/src/connection/document_follower.ts
@@ -1,8 +1,9 @@
 /**
  * Follows the documents below one prefix of a source: one initial read, then
  * consecutive watches with pauses that batch changes, and a new read after the
- * history was lost. While another node watches on behalf of this one, the
- * source is called only for changes that the other node cannot provide.
+ * history was lost. While another node relays changes to this one, the source
+ * is called only for changes that the other node cannot provide, and once the
+ * relayed knowledge is too old.
  */
 import * as Effect from 'effect/Effect';
 import {describeError} from '../base/errors.js';
@@ -15,7 +16,7 @@
 import type {PeerPositions} from '../process/membership/peer_positions.js';
 import type {FollowerStateOptions} from './follower_state.js';
 import {createFollowerState} from './follower_state.js';
-import {followRelay, RELAY_POLL_INTERVAL_MILLIS} from './relay_follower.js';
+import {followRelay} from './relay_follower.js';
 import {waitForStalePosition} from './wait_for_stale_position.js';
 
 export interface DocumentFollowerOptions extends FollowerStateOptions {
@@ -40,14 +41,19 @@
 
 type WatchResult = DocumentBatch | 'history-lost' | 'stale';
 
+/** A watch and how long it waits for changes. */
+interface Watch {
+  readonly after: SourcePosition;
+  readonly timeoutMillis: number;
+}
+
 /** Follows the documents until interrupted. */
 export function followDocuments(
   options: DocumentFollowerOptions,
 ): Effect.Effect<never> {
   const {source, prefix, pacing, peerPositions, relay, nowMillis} = options;
   const state = createFollowerState(options);
-  /** Time of the last response that relayed changes. */
-  let lastRelayResponseMillis = -Infinity;
+  const freshness = relay?.freshness;
 
   const handleSourceResponse = (): void => {
     pacing.recordSuccess();
@@ -55,6 +61,9 @@
     state.setSourceLost(false);
   };
 
+  const batchDelayMillis = (): number =>
+    pacing.batchDelayMillis(freshness?.renewInMillis);
+
   /**
    * Returns the pause before the next call. Changes are batched also after a
    * new read, because every loss of the history costs a read, and after a
@@ -65,14 +74,14 @@
     const wasRead = state.position !== undefined;
     handleSourceResponse();
     state.reportCall('read', snapshot);
-    state.applySnapshot(snapshot);
+    state.applySnapshot(snapshot, state.callStartedMillis);
     const isInitialContent = !wasRead && snapshot.documents.length > 0;
-    return isInitialContent ? 0 : pacing.batchDelayMillis();
+    return isInitialContent ? 0 : batchDelayMillis();
   };
 
   /** Returns the pause before the next call. */
   const applyWatchResult = (
-    after: SourcePosition,
+    {after, timeoutMillis}: Watch,
     result: WatchResult,
   ): number => {
     if (result === 'stale') {
@@ -96,21 +105,29 @@
     }
     const isUnchanged = result.documents.length === 0;
     state.reportCall(isUnchanged ? 'unchanged' : 'changed', result);
-    state.applyChanges(after, result);
-    return isUnchanged ? 0 : pacing.batchDelayMillis();
+    state.applyChanges(after, result, knownUntil(timeoutMillis, isUnchanged));
+    return isUnchanged ? 0 : batchDelayMillis();
   };
 
-  const watch = (
-    after: SourcePosition,
-  ): Effect.Effect<WatchResult, unknown> => {
+  /**
+   * Time up to which a watch has returned all changes. The source responds
+   * after the start of the call, and after the whole wait if nothing changes;
+   * a response may have been delayed on its way.
+   */
+  const knownUntil = (timeoutMillis: number, isUnchanged: boolean): number => {
+    const startedMillis = state.callStartedMillis;
+    const tookMillis = nowMillis() - startedMillis;
+    const hasWaited = isUnchanged && tookMillis >= timeoutMillis;
+    return hasWaited ? startedMillis + timeoutMillis : startedMillis;
+  };
+
+  const startWatch = ({
+    after,
+    timeoutMillis,
+  }: Watch): Effect.Effect<WatchResult, unknown> => {
     const watchCall = Effect.tryPromise({
       try: signal =>
-        source.watch(
-          prefix,
-          after.revision,
-          pacing.watchTimeoutMillis(),
-          signal,
-        ),
+        source.watch(prefix, after.revision, timeoutMillis, signal),
       catch: error => error,
     });
     // A node that has lost the source lags behind and retries soon anyway.
@@ -118,14 +135,25 @@
     return Effect.raceFirst(watchCall, untilStale(peerPositions));
   };
 
+  /** Completes when the knowledge that other nodes relay is too old. */
+  const untilTooOld: Effect.Effect<void> = Effect.suspend(() => {
+    const renewInMillis = freshness?.renewInMillis ?? 0;
+    if (renewInMillis === 0) return Effect.void;
+    return Effect.andThen(Effect.sleep(renewInMillis), untilTooOld);
+  });
+
+  const untilCallRequired = Effect.raceFirst(state.untilNotIdle, untilTooOld);
+
   /** Makes the next call; returns the pause after it. */
   const step = Effect.suspend((): Effect.Effect<number, unknown> => {
-    if (state.isIdle) return Effect.as(state.untilNotIdle, 0);
+    if (state.isIdle) return Effect.as(untilCallRequired, 0);
     const after = state.position;
     if (after !== undefined && state.readRequirement === 'no') {
       state.beginCall(false);
-      return Effect.flatMap(watch(after), result =>
-        trySync(() => applyWatchResult(after, result)),
+      const timeoutMillis = pacing.watchTimeoutMillis(freshness?.renewInMillis);
+      const watch = {after, timeoutMillis};
+      return Effect.flatMap(startWatch(watch), result =>
+        trySync(() => applyWatchResult(watch, result)),
       );
     }
     state.beginCall(true);
@@ -136,34 +164,32 @@
     return Effect.flatMap(read, snapshot => trySync(() => applyRead(snapshot)));
   });
 
-  const handleFailure = (error: unknown): number => {
+  /** Returns the pause before the next call. */
+  const handleFailure = (error: unknown): Effect.Effect<unknown> => {
     state.reportCall('failed');
     state.setSourceLost(true);
-    const now = nowMillis();
-    const pauseMillis = pacing.retryDelayMillis(now - state.callStartedMillis);
-    // A node that receives changes from other nodes misses nothing.
-    if (now - lastRelayResponseMillis < 2 * RELAY_POLL_INTERVAL_MILLIS) {
-      return Math.max(pauseMillis, RELAYED_RETRY_MILLIS);
+    const tookMillis = nowMillis() - state.callStartedMillis;
+    const pause = Effect.sleep(pacing.retryDelayMillis(tookMillis));
+    const isRelayed = !state.isWatching && (freshness?.renewInMillis ?? 0) > 0;
+    if (!isRelayed) {
+      state.markLost(describeError(error));
+      return pause;
     }
-    state.markLost(describeError(error));
-    return pauseMillis;
+    // A node that receives changes from other nodes misses nothing.
+    const untilRetry = Effect.sleep(RELAYED_RETRY_MILLIS);
+    return Effect.andThen(pause, Effect.raceFirst(untilRetry, untilTooOld));
   };
 
   const follow = step.pipe(
-    Effect.catch(error => Effect.sync(() => handleFailure(error))),
-    Effect.flatMap(pauseMillis =>
+    Effect.map(pauseMillis =>
       pauseMillis > 0 ? Effect.sleep(pauseMillis) : Effect.void,
     ),
+    Effect.catch(error => Effect.sync(() => handleFailure(error))),
+    Effect.flatMap(pause => pause),
     Effect.forever,
   );
   if (relay === undefined) return follow;
-  const onResponse = (): void => {
-    lastRelayResponseMillis = nowMillis();
-  };
-  return Effect.raceFirst(
-    follow,
-    followRelay({relay, state, peerPositions, onResponse, nowMillis}),
-  );
+  return Effect.raceFirst(follow, followRelay({relay, state, nowMillis}));
 }
 
 /** Completes once this node has lagged behind another node for too long. */
--- a/src/connection/document_listener.ts
+++ b/src/connection/document_listener.ts
@@ -33,6 +33,12 @@
   readonly revision: number | undefined;
   readonly documentsCount: number;
   readonly tookMillis: number;
+  /**
+   * Age of this node's knowledge before the call, which is the maximum age of
+   * the changes; `undefined` if no node relays changes, or before the first
+   * read.
+   */
+  readonly ageMillis: number | undefined;
 }
 
 /** Listener for events of a document follower. */
--- a/src/connection/follower_state.ts
+++ b/src/connection/follower_state.ts
@@ -34,7 +34,12 @@
   readonly isSourceLost: boolean;
   /** Neither the source nor another node responds. */
   readonly isLost: boolean;
-  /** Another node watches on behalf of this one, and no read is required. */
+  /** This node watches the source, because no other node does so for it. */
+  readonly isWatching: boolean;
+  /**
+   * Another node relays changes to this one, whose knowledge is recent, and no
+   * read is required.
+   */
   readonly isIdle: boolean;
   /** Completes when the follower is no longer idle. */
   readonly untilNotIdle: Effect.Effect<undefined>;
@@ -60,12 +65,17 @@
   markReached(): void;
   /** Neither the source nor another node responds any more. */
   markLost(reason: string): void;
-  applySnapshot(snapshot: DocumentBatch): void;
+  /** Applies a read of all documents, complete up to a time. */
+  applySnapshot(snapshot: DocumentBatch, knownUntilMillis: number): void;
   /**
-   * Applies changes after a position; skips those that the other task has
-   * already applied.
+   * Applies changes after a position, complete up to a time; skips those that
+   * the other task has already applied.
    */
-  applyChanges(after: SourcePosition, batch: DocumentBatch): void;
+  applyChanges(
+    after: SourcePosition,
+    batch: DocumentBatch,
+    knownUntilMillis: number,
+  ): void;
 }
 
 export interface FollowerStateOptions {
@@ -99,11 +109,17 @@
     !isWatching &&
     !isSourceLost &&
     position !== undefined &&
-    readRequirement === 'no';
+    readRequirement === 'no' &&
+    relay !== undefined &&
+    relay.freshness.renewInMillis > 0;
 
-  const updateWatching = (): void => {
-    const isHealthy = position !== undefined && !isSourceLost && !isStale;
-    relay?.setWatching(isWatching && isHealthy);
+  const updateServing = (): void => {
+    relay?.setServing(position !== undefined && !isSourceLost && !isStale);
+  };
+
+  const knowledgeAgeMillis = (): number | undefined => {
+    const ageMillis = relay?.freshness.ageMillis ?? Infinity;
+    return Number.isFinite(ageMillis) ? Math.round(ageMillis) : undefined;
   };
 
   return {
@@ -122,6 +138,9 @@
     get isLost() {
       return lostAtMillis !== undefined;
     },
+    get isWatching() {
+      return isWatching;
+    },
     get callStartedMillis() {
       return callStartedMillis;
     },
@@ -141,6 +160,7 @@
         revision: response?.position.revision,
         documentsCount: response?.documents.length ?? 0,
         tookMillis: Math.round(nowMillis() - sinceMillis),
+        ageMillis: knowledgeAgeMillis(),
       });
     },
     beginCall: isRead => {
@@ -154,20 +174,19 @@
     },
     setWatching: next => {
       isWatching = next;
-      updateWatching();
       if (!isIdle()) wake();
     },
     setSourceLost: isLost => {
       isReading = false;
       isSourceLost = isLost;
       isStale = false;
-      updateWatching();
+      updateServing();
     },
     // Until the source responds, nodes that poll this one must switch to other
     // nodes: a hanging source is detected as lost only seconds later.
     markStale: () => {
       isStale = true;
-      updateWatching();
+      updateServing();
     },
     markReached: () => {
       if (!isBeforeFirstResponse && lostAtMillis === undefined) return;
@@ -181,7 +200,7 @@
       lostAtMillis = nowMillis();
       listener.onLost(reason);
     },
-    applySnapshot: snapshot => {
+    applySnapshot: (snapshot, knownUntilMillis) => {
       const {documents, position: nextPosition} = snapshot;
       if (position !== undefined && position.epoch !== nextPosition.epoch) {
         listener.onRestored(position, nextPosition);
@@ -189,11 +208,11 @@
       listener.onSnapshot(documents, nextPosition.revision);
       position = nextPosition;
       peerPositions?.recordRead(nextPosition);
-      relay?.recordRead(snapshot);
+      relay?.recordRead(snapshot, knownUntilMillis);
       readRequirement = 'no';
-      updateWatching();
+      updateServing();
     },
-    applyChanges: (after, batch) => {
+    applyChanges: (after, batch, knownUntilMillis) => {
       const previous = position ?? after;
       const documents = batch.documents.filter(
         ({revision}) => revision > previous.revision,
@@ -203,7 +222,7 @@
         listener.onChanges(documents, position.revision);
       }
       peerPositions?.recordWatched(position);
-      relay?.recordChanges({documents, position});
+      relay?.recordChanges({documents, position}, knownUntilMillis);
     },
   };
 }
--- a/src/connection/hop_connection.ts
+++ b/src/connection/hop_connection.ts
@@ -56,7 +56,6 @@
   readonly onReady: () => void;
   readonly onDataReceived: () => void;
   readonly onLoads: (loads: readonly LoadFields[]) => void;
-  readonly onChanges: (response: Buffer) => void;
   /** Closed by the peer or the network, with the requests that were on it. */
   readonly onClosed: (
     reason: HopConnectionCloseReason,
@@ -242,9 +241,6 @@
       case FRAME_KIND.pong:
         if (payload.length > 0) options.onLoads(decodeLoads(payload));
         break;
-      case FRAME_KIND.changes:
-        options.onChanges(payload);
-        break;
       case FRAME_KIND.goingAway:
         hopConnection.isGoingAway = true;
         endIfDrained();
--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -33,8 +33,14 @@
   readonly handle: (hop: IncomingHop) => Promise<void>;
   /** Loads to send to a node that queries them. */
   readonly loads: () => readonly LoadFields[];
-  /** Responds to a query for changes; returns `undefined` for other queries. */
-  readonly answerRelayQuery: (query: Buffer) => Buffer | undefined;
+  /**
+   * Accepts a query for changes, and responds once there are any; returns false
+   * for other queries.
+   */
+  readonly acceptRelayQuery: (
+    query: Buffer,
+    respond: (response: Buffer) => void,
+  ) => boolean;
   /**
    * Processes a crash report; returns a report if the sender lacks any crashes.
    */
@@ -194,11 +200,10 @@
       }
       return;
     }
-    const changes = options.answerRelayQuery(query);
-    if (changes !== undefined) {
+    const isRelayQuery = options.acceptRelayQuery(query, changes => {
       connection.send(FRAME_KIND.changes, channelId, changes);
-      return;
-    }
+    });
+    if (isRelayQuery) return;
     connection.send(FRAME_KIND.pong, channelId, encodeLoads(options.loads()));
   };
   const handleClaim = (frame: Frame): void => {
--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -30,7 +30,6 @@
   readonly replyTimeout?: ReplyTimeout;
   readonly onDataReceived: () => void;
   readonly onLoads: (loads: readonly LoadFields[]) => void;
-  readonly onChanges: (response: Buffer) => void;
   /** This many requests were resumed after their connection was lost. */
   readonly onHopsResumed: (hopsCount: number) => void;
 }
@@ -79,7 +78,6 @@
       onReady,
       onDataReceived: options.onDataReceived,
       onLoads: options.onLoads,
-      onChanges: options.onChanges,
       onClosed: (reason, hops) => {
         connections.delete(connection);
         onFailed(reason);
--- a/src/connection/peer_query_client.ts
+++ b/src/connection/peer_query_client.ts
@@ -12,7 +12,15 @@
 
 /** Sends queries to other nodes. */
 export interface PeerQueryClient extends Disposable {
-  query(peer: Endpoint, query: Buffer): Promise<PeerQueryResult>;
+  /**
+   * Sends a query. `timeoutMillis`: for a query to which the other node may
+   * respond later.
+   */
+  query(
+    peer: Endpoint,
+    query: Buffer,
+    timeoutMillis?: number,
+  ): Promise<PeerQueryResult>;
   /** Closes connections that have been idle for `MAX_IDLE_MILLIS`. */
   closeIdleConnections(): void;
 }
@@ -93,7 +101,7 @@
   };
 
   return {
-    query: (peer, query) => {
+    query: (peer, query, timeoutMillis = RESPONSE_TIMEOUT_MILLIS) => {
       const key = formatEndpoint(peer);
       const connection = connections.get(key) ?? open(key, peer);
       connection.usedMillis = nowMillis();
@@ -104,7 +112,7 @@
         const timer = setTimeout(() => {
           connection.connection.destroy();
           finishPending(key, connection, 'silent');
-        }, RESPONSE_TIMEOUT_MILLIS);
+        }, timeoutMillis);
         connection.pending.set(channelId, result => {
           clearTimeout(timer);
           connection.pending.delete(channelId);
--- a/src/connection/relay_follower.ts
+++ b/src/connection/relay_follower.ts
@@ -1,59 +1,54 @@
 /**
- * Polls the watching node for changes.
+ * Polls another node for changes. The other node responds when it has changes,
+ * or newer knowledge of the source.
  */
 import * as Effect from 'effect/Effect';
 import type {
   DocumentRelay,
+  RelayedBatch,
   RelayPollResult,
 } from '../process/membership/document_relay.js';
 import type {SourcePosition} from '../process/membership/document_source.js';
-import type {PeerPositions} from '../process/membership/peer_positions.js';
 import type {FollowerState} from './follower_state.js';
-import {waitForStalePosition} from './wait_for_stale_position.js';
 
 export interface RelayFollowerOptions {
   readonly relay: DocumentRelay;
   readonly state: FollowerState;
-  readonly peerPositions: PeerPositions | undefined;
-  /** Another node responded to a poll. */
-  readonly onResponse: () => void;
   readonly nowMillis: () => number;
 }
 
 /**
- * Maximum interval between polls: it limits the delay of a change, and lets a
- * node detect the loss of the watching node within the configured bound.
+ * Interval of the checks that need no response: whether this node still has to
+ * watch the source, and whether another node responds again.
  */
-export const RELAY_POLL_INTERVAL_MILLIS = 700;
+const CHECK_INTERVAL_MILLIS = 700;
 
-/**
- * Minimum pauses between polls; the second applies while other nodes have later
- * changes.
- */
+/** Minimum pause between two polls. */
 const POLL_PAUSE_MILLIS = 50;
-const STALE_POLL_PAUSE_MILLIS = 300;
 
-/** Polls the watching node until interrupted. */
-export function followRelay(
-  options: RelayFollowerOptions,
-): Effect.Effect<never> {
-  const {relay, state, peerPositions, nowMillis} = options;
+/** Polls other nodes until interrupted. */
+export function followRelay({
+  relay,
+  state,
+  nowMillis,
+}: RelayFollowerOptions): Effect.Effect<never> {
+  const {freshness} = relay;
 
   /** Returns the pause before the next poll. */
-  const applyDocuments = (
+  const applyBatch = (
     after: SourcePosition,
-    batch: Exclude<RelayPollResult, string>,
+    batch: RelayedBatch,
     sinceMillis: number,
   ): number => {
-    options.onResponse();
-    state.markReached();
+    const {knownUntilMillis = -Infinity} = batch;
+    const hasNews = knownUntilMillis > freshness.knownUntilMillis;
+    if (hasNews) state.markReached();
     if (batch.documents.length > 0) {
       state.reportCall('relayed', batch, sinceMillis);
     }
-    state.applyChanges(after, batch);
+    state.applyChanges(after, batch, knownUntilMillis);
     state.setWatching(false);
-    const isStale = peerPositions?.isStale ?? false;
-    return isStale ? STALE_POLL_PAUSE_MILLIS : POLL_PAUSE_MILLIS;
+    return hasNews ? POLL_PAUSE_MILLIS : CHECK_INTERVAL_MILLIS;
   };
 
   /** Returns the pause before the next poll. */
@@ -64,44 +59,26 @@
   ): number => {
     if (result === 'watch') {
       state.setWatching(true);
-      return RELAY_POLL_INTERVAL_MILLIS;
+      return CHECK_INTERVAL_MILLIS;
     }
     if (result === 'failed') {
-      return state.isSourceLost ? RELAY_POLL_INTERVAL_MILLIS : 0;
+      return state.isSourceLost ? CHECK_INTERVAL_MILLIS : 0;
     }
     // The polled position is invalid, or is about to become invalid.
     if (state.isReading || state.readRequirement !== 'no') {
-      return RELAY_POLL_INTERVAL_MILLIS;
-    }
-    if (state.position?.epoch !== after.epoch) {
-      return RELAY_POLL_INTERVAL_MILLIS;
+      return CHECK_INTERVAL_MILLIS;
     }
-    if (result !== 'read') return applyDocuments(after, result, sinceMillis);
+    if (state.position?.epoch !== after.epoch) return CHECK_INTERVAL_MILLIS;
+    if (result !== 'read') return applyBatch(after, result, sinceMillis);
     state.setWatching(false);
     state.requireRead('until-read');
-    return RELAY_POLL_INTERVAL_MILLIS;
-  };
-
-  const untilNextPoll =
-    peerPositions === undefined
-      ? Effect.sleep(RELAY_POLL_INTERVAL_MILLIS)
-      : Effect.raceFirst(
-          Effect.sleep(RELAY_POLL_INTERVAL_MILLIS),
-          waitForStalePosition(peerPositions),
-        );
-
-  const pauseFor = (millis: number): Effect.Effect<unknown> => {
-    if (millis === 0) return Effect.void;
-    const sleep = Effect.sleep(millis);
-    return millis < RELAY_POLL_INTERVAL_MILLIS
-      ? Effect.andThen(sleep, untilNextPoll)
-      : sleep;
+    return CHECK_INTERVAL_MILLIS;
   };
 
-  const step = Effect.suspend((): Effect.Effect<unknown, unknown> => {
+  const step = Effect.suspend((): Effect.Effect<number, unknown> => {
     const after = state.position;
     if (after === undefined || state.isReading) {
-      return pauseFor(RELAY_POLL_INTERVAL_MILLIS);
+      return Effect.succeed(CHECK_INTERVAL_MILLIS);
     }
     const sinceMillis = nowMillis();
     return Effect.tryPromise({
@@ -114,18 +91,19 @@
           catch: error => error,
         }),
       ),
-      Effect.flatMap(pauseFor),
     );
   });
 
   /** Falls back to reading the source when a poll fails. */
   const requireRead = Effect.sync(() => {
     state.requireRead('until-read');
+    return CHECK_INTERVAL_MILLIS;
   });
 
   return step.pipe(
-    Effect.catch(() =>
-      Effect.andThen(requireRead, pauseFor(RELAY_POLL_INTERVAL_MILLIS)),
+    Effect.catch(() => requireRead),
+    Effect.flatMap(pauseMillis =>
+      pauseMillis > 0 ? Effect.sleep(pauseMillis) : Effect.void,
     ),
     Effect.forever,
   );
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -34,13 +34,6 @@
   isLost(target: UpstreamEntry): boolean;
   /** Queries the loads that the node of an upstream has recorded. */
   queryLoads(target: UpstreamEntry): void;
-  /**
-   * Queries changes of the published documents; `undefined` without a response.
-   */
-  queryChanges(
-    target: UpstreamEntry,
-    query: Buffer,
-  ): Promise<Buffer | undefined>;
   /** Sends a crash report to a node; the report may request crashes from it. */
   sendCrashReport(peer: Endpoint, report: Buffer): void;
 }
@@ -61,13 +54,6 @@
   readonly onConnectionReplaced: (peer: Endpoint, hopsCount: number) => void;
 }
 
-/**
- * Timeout of a query for changes. The reply timeout is not used, because it
- * grows in a busy fleet: two consecutive nodes without a response must leave
- * time for a call to the source within the shortest bound on documents.
- */
-export const CHANGES_QUERY_TIMEOUT_MILLIS = 400;
-
 /** Interval of the check for idle connections. */
 const IDLE_CHECK_INTERVAL_MILLIS = 1000;
 
@@ -89,17 +75,6 @@
     queryLoads: target => {
       peers.get(target.node).sendQuery(LOADS_QUERY);
     },
-    queryChanges: (target, query) =>
-      new Promise(resolve => {
-        const timer = setTimeout(() => {
-          resolve(undefined);
-        }, CHANGES_QUERY_TIMEOUT_MILLIS);
-        peers.onChanges(target.node, response => {
-          clearTimeout(timer);
-          resolve(response);
-        });
-        peers.get(target.node).sendQuery(query);
-      }),
     sendCrashReport: (peer, report) => {
       sendCrashReport(peer, report, response => {
         options.onCrashReport(peer, response);
@@ -112,11 +87,6 @@
 interface PeerRegistry extends Disposable {
   get(endpoint: Endpoint): HopPeer;
   isLost(endpoint: Endpoint): boolean;
-  /**
-   * Calls the listener with the next response of a node; a new listener
-   * replaces the previous one.
-   */
-  onChanges(endpoint: Endpoint, listener: (response: Buffer) => void): void;
 }
 
 /** A node to which requests have been sent. */
@@ -132,7 +102,6 @@
   replyTimeout: ReplyTimeout,
 ): PeerRegistry {
   const peers = new Map<string, MonitoredHopPeer>();
-  const changesListeners = new Map<string, (response: Buffer) => void>();
   const timer = createIntervalTimer(IDLE_CHECK_INTERVAL_MILLIS, () => {
     for (const {peer} of peers.values()) peer.closeIdleConnections();
   });
@@ -151,11 +120,6 @@
         onLoads: loads => {
           observeLoads(options, loads);
         },
-        onChanges: response => {
-          const listener = changesListeners.get(key);
-          changesListeners.delete(key);
-          listener?.(response);
-        },
         onHopsResumed: hopsCount => {
           options.onConnectionReplaced(endpoint, hopsCount);
         },
@@ -166,9 +130,6 @@
     },
     isLost: endpoint =>
       peers.get(formatEndpoint(endpoint))?.liveness.isLost ?? false,
-    onChanges: (endpoint, listener) => {
-      changesListeners.set(formatEndpoint(endpoint), listener);
-    },
     dispose: () => {
       timer.dispose();
       for (const {peer} of peers.values()) peer.dispose();
--- a/src/daemon/document_feeds.ts
+++ b/src/daemon/document_feeds.ts
@@ -8,6 +8,7 @@
 import type {DocumentListener} from '../connection/document_listener.js';
 import {followDocuments} from '../connection/document_follower.js';
 import {createPrefixListener} from '../connection/prefix_listener.js';
+import {RELAY_RESERVE_MILLIS} from '../process/membership/document_freshness.js';
 import {createFollowerPacing} from '../process/membership/follower_pacing.js';
 import type {DocumentRelay} from '../process/membership/document_relay.js';
 import type {PeerPositions} from '../process/membership/peer_positions.js';
@@ -33,12 +34,6 @@
   readonly hasUpstreams: boolean;
 }
 
-/**
- * Part of `applyWithinMillis` reserved for nodes that get changes through this one: the
- * time until they receive a new position, and their query.
- */
-export const RELAY_RESERVE_MILLIS = 600;
-
 /** Starts to watch the configuration and the upstreams. */
 export function startDocumentFeeds(
   options: DocumentFeedsOptions,
--- a/src/daemon/document_listeners.ts
+++ b/src/daemon/document_listeners.ts
@@ -112,6 +112,9 @@
   const {log, metrics} = options;
   return {
     onCall: result => {
+      if (result.documentsCount > 0 && result.ageMillis !== undefined) {
+        metrics.recordAppliedChanges(result.ageMillis);
+      }
       if (result.call === 'relayed') {
         metrics.recordRelayedChanges();
         log.logRequestEvent('documents-relayed', {...result});
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -4,7 +4,6 @@
  */
 import type {Disposable} from '../base/lifecycle.js';
 import type {PeerRelay} from '../connection/peer_relay.js';
-import {createPeerRelay} from '../connection/peer_relay.js';
 import type {
   RemoteExecution,
   RemoteExecutionOptions,
@@ -22,9 +21,7 @@
 } from '../process/settings/node_settings.js';
 import type {StopPlan} from '../process/stop/stop_plan.js';
 import {createWeightedTargets} from '../process/placement/weighted_targets.js';
-import {createDocumentCache} from '../process/membership/document_cache.js';
 import type {UpstreamEntry} from '../process/membership/upstream_entry.js';
-import {createWatcherSelection} from '../process/membership/watcher_selection.js';
 import type {LoadFields} from '../protocol/hop_messages.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import {createAttemptRunner} from '../request/attempt_runner.js';
@@ -46,6 +43,7 @@
 import type {NodeComponents} from './node_components.js';
 import type {QuotaHandling} from './quota_handling.js';
 import {startQuotaHandling} from './quota_handling.js';
+import {startRelayHandling} from './relay_handling.js';
 
 /** Dependencies of the exchanges. */
 export interface NodeExchangesOptions {
@@ -109,6 +107,7 @@
     onCrash: upstream.markUnreachable,
   });
   const quotas = startQuotaHandling({...options, ...components});
+  const relaying = startRelayHandling({...options, ...components});
   const announcements = startAnnouncementHandling({...options, ...components});
   const execution = createLocalExecution({
     upstream,
@@ -210,7 +209,7 @@
     outbound,
     inbound,
     open,
-    relay: createRelay(options, remote),
+    relay: relaying.relay,
     announcements,
     crashes,
     quotas,
@@ -229,33 +228,13 @@
       announcements.dispose();
       crashes.dispose();
       quotas.dispose();
+      relaying.dispose();
       sender.dispose();
       remote.dispose();
     },
   };
 }
 
-function createRelay(
-  {components, settings, log, nowMillis}: NodeExchangesOptions,
-  remote: RemoteExecution,
-): PeerRelay {
-  const {hostKey, zone} = settings();
-  return createPeerRelay({
-    selection: createWatcherSelection({
-      hosts: components.directory.hosts,
-      ownHostKey: hostKey,
-      zone,
-      nowMillis,
-    }),
-    documents: createDocumentCache(),
-    send: remote.queryChanges,
-    onPolled: (entry, result) => {
-      if (result !== 'failed') return;
-      log.logRequestEvent('relay-failed', {peer: entry.node.address});
-    },
-  });
-}
-
 /** Any reachable node of the service: its reports include the other upstreams. */
 function choosePolledNode(
   {components, settings, random}: NodeExchangesOptions,
--- a/src/daemon/node_maintenance.ts
+++ b/src/daemon/node_maintenance.ts
@@ -16,6 +16,11 @@
   readonly busyCount: () => number;
   /** Queries loads without recent reports. */
   readonly pollLoads: () => void;
+  /**
+   * Age of the knowledge of the published documents; `Infinity` if it is not
+   * tracked.
+   */
+  readonly documentsAgeMillis: () => number;
   readonly log: DecisionLog;
   readonly metrics: NodeMetrics;
 }
@@ -77,6 +82,10 @@
   metrics.setGauge('in_flight', queue.load().inFlightCount);
   metrics.setGauge('admission_level', level.level());
   metrics.setGauge('known_upstreams', directory.count());
+  const documentsAgeMillis = options.documentsAgeMillis();
+  if (Number.isFinite(documentsAgeMillis)) {
+    metrics.setGauge('documents_age_millis', documentsAgeMillis);
+  }
   metrics.setGauge('configuration_version', components.configurationVersion());
 }
 
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -11,6 +11,7 @@
 import type {DecisionLog} from '../process/log/decision_log.js';
 import type {NodeMetrics} from '../process/log/node_metrics.js';
 import {formatEndpoint} from '../process/settings/format_endpoint.js';
+import type {DocumentFreshness} from '../process/membership/document_freshness.js';
 import type {NodeSettings} from '../process/settings/node_settings.js';
 import type {PublishedDocuments} from '../process/membership/published_documents.js';
 import {createStopPlan} from '../process/stop/stop_plan.js';
@@ -110,7 +111,7 @@
     bodyBytes: () => configuration.current()?.limits.bodyBytes ?? Infinity,
     handle: exchanges.inbound.handle,
     loads: exchanges.loads,
-    answerRelayQuery: exchanges.relay.answerQuery,
+    acceptRelayQuery: exchanges.relay.acceptQuery,
     receiveCrashReport: exchanges.crashes.gossip.receive,
     answerQuotaReport: exchanges.quotas.answer,
     nowMillis,
@@ -153,6 +154,7 @@
       service: () => current.service,
       busyCount,
       pollLoads: exchanges.pollLoads,
+      documentsAgeMillis: () => exchanges.relay.freshness.ageMillis,
       log,
       metrics,
     }),
@@ -233,6 +235,7 @@
         upstreamsCount: directory.count(),
         shedding: loadTable.shedding(),
       },
+      documents: documentsState(exchanges.relay.freshness),
       repeats: {budget: components.budget.usage()},
       quotas: exchanges.quotas.state(),
       quarantine: {
@@ -245,6 +248,10 @@
   };
 }
 
+function documentsState({role, ageMillis}: DocumentFreshness) {
+  return {role, ...(Number.isFinite(ageMillis) ? {ageMillis} : {})};
+}
+
 async function closeAll(
   listeners: readonly (HttpListener | HopListener | undefined)[],
 ): Promise<void> {
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -1,7 +1,7 @@
 /**
  * Counters, gauges and latency histograms of a node.
  */
-import {Counter, Gauge, Registry} from 'prom-client';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {HopReason} from '../../protocol/hop_messages.js';
 import {createResponseTimes} from './response_times.js';
 
@@ -41,6 +41,8 @@
   recordStoreCall(result: string): void;
   /** Records document changes received from another node. */
   recordRelayedChanges(): void;
+  /** Records the maximum age of document changes when they are applied. */
+  recordAppliedChanges(maxAgeMillis: number): void;
   /** Calls to the store so far, by result. */
   storeCalls(): Readonly<Record<string, number>>;
   setGauge(name: GaugeName, value: number): void;
@@ -57,6 +59,8 @@
   | 'queue_length'
   | 'in_flight'
   | 'configuration_version'
+  /** Age of the knowledge of the published documents. */
+  | 'documents_age_millis'
   | 'quarantined_requests'
   | 'known_upstreams';
 
@@ -66,6 +70,12 @@
  */
 const BUCKETS_MILLIS = [5, 10, 25, 50, 100, 200, 400, 800, 1500, 5000];
 
+/**
+ * Upper bounds of the age of applied documents: the shortest bound on applying
+ * one is two seconds.
+ */
+const APPLIED_BUCKETS_MILLIS = [100, 500, 1000, 1500, 2000, 3000, 5000];
+
 const PREFIX = 'fulmarhollow_';
 
 /** Creates metrics at zero. */
@@ -148,6 +158,12 @@
     'Changes of documents that other nodes told',
     [],
   );
+  const appliedChanges = new Histogram({
+    name: `${PREFIX}documents_applied_age_millis`,
+    help: 'Maximum age of changes of documents when they were applied',
+    buckets: APPLIED_BUCKETS_MILLIS,
+    registers,
+  });
   const storeRestores = counter(
     'store_restored_total',
     'Returns of the store from an older copy',
@@ -204,6 +220,9 @@
     recordRelayedChanges: () => {
       relayedChanges.inc();
     },
+    recordAppliedChanges: maxAgeMillis => {
+      appliedChanges.observe(maxAgeMillis);
+    },
     recordStoreRestored: () => {
       storeRestores.inc();
     },
--- a/src/process/membership/follower_pacing.ts
+++ b/src/process/membership/follower_pacing.ts
@@ -10,12 +10,17 @@
  * enough after its return.
  */
 
+import {CALL_RESERVE_MILLIS} from './document_freshness.js';
+
 /** Delays and timeouts of one follower. */
 export interface FollowerPacing {
-  /** Timeout of the next watch. */
-  watchTimeoutMillis(): number;
+  /**
+   * Timeout of the next watch. If other nodes receive changes through this one,
+   * `renewInMillis` is the time until its knowledge is too old for them.
+   */
+  watchTimeoutMillis(renewInMillis?: number): number;
   /** Delay between a watch that returned changes and the next one. */
-  batchDelayMillis(): number;
+  batchDelayMillis(renewInMillis?: number): number;
   /**
    * Random delay before a read that all nodes have to make at the same time.
    */
@@ -55,12 +60,10 @@
 const SOURCE_LOST_WATCH_TIMEOUT_MILLIS = 100;
 
 /**
- * Part of the bound reserved after the batch delay: for a response of a store a
- * hundred times slower than its usual 4 ms, and for a timer that fires late
- * because the process has used up its CPU quota of a period of a tenth of a
- * second.
+ * Minimum timeout of a watch that renews this node's knowledge: each watch costs
+ * a call, although it returns changes at once.
  */
-const BATCH_RESERVE_MILLIS = 450;
+const MIN_WATCH_TIMEOUT_MILLIS = 100;
 
 /** Jitter of the batch delay, so that nodes do not all poll at once. */
 const BATCH_JITTER_MILLIS = 50;
@@ -105,17 +108,22 @@
   let failuresCount = 0;
   let isAfterBatchDelay = false;
   return {
-    watchTimeoutMillis: () => {
+    watchTimeoutMillis: renewInMillis => {
       if (failuresCount > 0) return SOURCE_LOST_WATCH_TIMEOUT_MILLIS;
+      if (renewInMillis !== undefined) {
+        isAfterBatchDelay = false;
+        return Math.max(MIN_WATCH_TIMEOUT_MILLIS, renewInMillis);
+      }
       if (!isAfterBatchDelay) return IDLE_WATCH_TIMEOUT_MILLIS;
       isAfterBatchDelay = false;
       return FIRST_WATCH_TIMEOUT_MILLIS + random() * FIRST_WATCH_JITTER_MILLIS;
     },
-    batchDelayMillis: () => {
+    batchDelayMillis: (renewInMillis = Infinity) => {
       isAfterBatchDelay = true;
       const delayMillis =
-        applyWithinMillis - BATCH_RESERVE_MILLIS - relayReserveMillis;
-      return Math.max(0, delayMillis - random() * BATCH_JITTER_MILLIS);
+        applyWithinMillis - CALL_RESERVE_MILLIS - relayReserveMillis;
+      const jitterMillis = random() * BATCH_JITTER_MILLIS;
+      return Math.max(0, Math.min(delayMillis, renewInMillis) - jitterMillis);
     },
     readJitterMillis: () => random() * READ_JITTER_MILLIS,
     retryDelayMillis: tookMillis => {
--- a/src/process/membership/watcher_selection.ts
+++ b/src/process/membership/watcher_selection.ts
@@ -4,11 +4,11 @@
  *
  * Load pattern: every change of every entry ends the watches of all nodes, and
  * each of them polls again: calls to the source grow with the fleet, although
- * all of them return the same changes. So one node of each availability zone
- * watches the source and the others poll that node. Each node selects
- * independently: a disagreement only costs one additional watch. A partitioned
- * zone has its own watcher, and a node that gets no response watches the source
- * itself.
+ * all of them return the same changes. So one node of the fleet watches the
+ * source, one node of each other availability zone polls it, and the others
+ * poll the node of their zone. Each node selects independently: a disagreement
+ * only costs additional calls. A partitioned zone has its own watcher, and a
+ * node that gets no response watches the source itself.
  */
 import {fnvHash} from '../../base/fnv_hash.js';
 import type {KnownUpstream} from './known_upstream.js';
@@ -17,7 +17,12 @@
 /** Next step of this node. */
 export type WatchDecision =
   | {readonly kind: 'watch'}
-  | {readonly kind: 'ask'; readonly entry: UpstreamEntry};
+  | {
+      readonly kind: 'ask';
+      readonly entry: UpstreamEntry;
+      /** The other nodes of this zone poll this node. */
+      readonly isRelaying: boolean;
+    };
 
 /** Selection made by one node. */
 export interface WatcherSelection {
@@ -27,7 +32,7 @@
    */
   decide(isSourceLost: boolean): WatchDecision;
   /**
-   * Records that a polled node did not respond, or does not watch the source.
+   * Records that a polled node did not respond, or has lost the source.
    */
   recordFailure(entry: UpstreamEntry): void;
   recordSuccess(): void;
@@ -68,16 +73,18 @@
   };
 
   /**
-   * Returns the first host of the zone, in an order that is the same on all
-   * nodes.
+   * Returns the first host of a zone, or of all zones, in an order that is the
+   * same on all nodes.
    */
-  const findFirstOfZone = (
+  const findFirst = (
+    zoneName: string | undefined,
     isOwnHostExcluded: boolean,
   ): UpstreamEntry | undefined => {
     let first: UpstreamEntry | undefined;
     let firstRank = Infinity;
     for (const {entry} of hosts()) {
-      if (entry.zone !== zone || entry.isDraining) continue;
+      if (zoneName !== undefined && entry.zone !== zoneName) continue;
+      if (entry.isDraining) continue;
       if (isOwnHostExcluded && entry.hostKey === ownHostKey) continue;
       if (hasRecentFailure(entry)) continue;
       const rank = fnvHash(entry.hostKey);
@@ -93,11 +100,15 @@
       if (nowMillis() < watchUntilMillis && !isSourceLost) {
         return {kind: 'watch'};
       }
-      const entry = findFirstOfZone(isSourceLost);
-      if (entry === undefined || entry.hostKey === ownHostKey) {
+      const zoneRelay = findFirst(zone, false);
+      if (zoneRelay !== undefined && zoneRelay.hostKey !== ownHostKey) {
+        return {kind: 'ask', entry: zoneRelay, isRelaying: false};
+      }
+      const watcher = findFirst(undefined, isSourceLost);
+      if (watcher === undefined || watcher.hostKey === ownHostKey) {
         return {kind: 'watch'};
       }
-      return {kind: 'ask', entry};
+      return {kind: 'ask', entry: watcher, isRelaying: true};
     },
     recordFailure: ({hostKey}) => {
       const now = nowMillis();
--- a/test/unit/daemon/document_feeds.test.ts
+++ b/test/unit/daemon/document_feeds.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {createPeerRelay} from '../../../src/connection/peer_relay.js';
+import {createDocumentFreshness} from '../../../src/process/membership/document_freshness.js';
 import {createDocumentCache} from '../../../src/process/membership/document_cache.js';
 import {createWatcherSelection} from '../../../src/process/membership/watcher_selection.js';
 import {createPeerPositions} from '../../../src/process/membership/peer_positions.js';
@@ -84,6 +85,11 @@
         nowMillis: () => 0,
       }),
       documents: createDocumentCache(),
+      freshness: createDocumentFreshness({
+        applyWithinMillis: 0,
+        nowMillis: () => 0,
+      }),
+      nowMillis: () => 0,
       send: () => Promise.resolve(undefined),
     }),
     configuration: createConfigurationHolder(),
