Wait for whole milliseconds in watches of the store

The platform's store takes whole milliseconds as the wait of a watch, and responds at once to a fraction.

Timeouts are rounded up, and a response without changes that comes early is followed by a pause, so that no source is called in a tight loop. The stand-ins of the store now do not wait for a fraction either. The new tests of the pacing failed before.

--- a/src/connection/document_follower.ts
+++ b/src/connection/document_follower.ts
@@ -104,9 +104,12 @@
       return pacing.readJitterMillis();
     }
     const isUnchanged = result.documents.length === 0;
+    const tookMillis = nowMillis() - state.callStartedMillis;
     state.reportCall(isUnchanged ? 'unchanged' : 'changed', result);
     state.applyChanges(after, result, knownUntil(timeoutMillis, isUnchanged));
-    return isUnchanged ? 0 : batchDelayMillis();
+    return isUnchanged
+      ? pacing.unchangedDelayMillis(tookMillis, timeoutMillis)
+      : batchDelayMillis();
   };
 
   /**
--- a/src/process/membership/document_source.ts
+++ b/src/process/membership/document_source.ts
@@ -55,7 +55,7 @@
   read(prefix: string): Promise<DocumentBatch>;
   /**
    * Returns the changes after a revision as soon as there are any, no changes
-   * if there are none within `waitMillis`, or `history-lost` if the source no
+   * if there are none within `waitMillis` (whole milliseconds), or `history-lost` if the source no
    * longer has all of them. Rejects when the signal aborts it. The epoch of the
    * result may differ from the revision's: the changes then omit what was
    * written in between.
--- a/src/process/membership/follower_pacing.ts
+++ b/src/process/membership/follower_pacing.ts
@@ -15,10 +15,15 @@
 /** Delays and timeouts of one follower. */
 export interface FollowerPacing {
   /**
-   * Timeout of the next watch. If other nodes receive changes through this one,
+   * Timeout of the next watch, in whole milliseconds. If other nodes receive changes through this one,
    * `renewInMillis` is the time until its knowledge is too old for them.
    */
   watchTimeoutMillis(renewInMillis?: number): number;
+  /**
+   * Delay after a watch without changes: none if it has waited for them, but a
+   * source may respond early, and must not be called in a tight loop.
+   */
+  unchangedDelayMillis(tookMillis: number, timeoutMillis: number): number;
   /** Delay between a watch that returned changes and the next one. */
   batchDelayMillis(renewInMillis?: number): number;
   /**
@@ -112,12 +117,17 @@
       if (failuresCount > 0) return SOURCE_LOST_WATCH_TIMEOUT_MILLIS;
       if (renewInMillis !== undefined) {
         isAfterBatchDelay = false;
-        return Math.max(MIN_WATCH_TIMEOUT_MILLIS, renewInMillis);
+        return Math.ceil(Math.max(MIN_WATCH_TIMEOUT_MILLIS, renewInMillis));
       }
       if (!isAfterBatchDelay) return IDLE_WATCH_TIMEOUT_MILLIS;
       isAfterBatchDelay = false;
-      return FIRST_WATCH_TIMEOUT_MILLIS + random() * FIRST_WATCH_JITTER_MILLIS;
+      const jitterMillis = random() * FIRST_WATCH_JITTER_MILLIS;
+      return Math.ceil(FIRST_WATCH_TIMEOUT_MILLIS + jitterMillis);
     },
+    unchangedDelayMillis: (tookMillis, timeoutMillis) =>
+      tookMillis < timeoutMillis
+        ? Math.max(0, MIN_WATCH_TIMEOUT_MILLIS - tookMillis)
+        : 0,
     batchDelayMillis: (renewInMillis = Infinity) => {
       isAfterBatchDelay = true;
       const delayMillis =
--- a/test/fakes/fake_store.ts
+++ b/test/fakes/fake_store.ts
@@ -144,7 +144,7 @@
     response: ServerResponse,
   ): void => {
     delayedWatchesCount -= 1;
-    const waitMillis = Number(query.get('waitMs'));
+    const waitMillis = parseWaitMillis(query);
     const timer = setTimeout(() => {
       longestDelayMillis = Math.max(longestDelayMillis, waitMillis);
       sendJson(response, 410, {error: 'history'});
@@ -179,13 +179,10 @@
     }
     const pending: Watch = {endpoint, prefix, after, response};
     watches.add(pending);
-    const timer = setTimeout(
-      () => {
-        if (!watches.delete(pending)) return;
-        sendJson(response, 200, {events: [], atRev: revision});
-      },
-      Number(query.get('waitMs')),
-    );
+    const timer = setTimeout(() => {
+      if (!watches.delete(pending)) return;
+      sendJson(response, 200, {events: [], atRev: revision});
+    }, parseWaitMillis(query));
     timer.unref();
     response.on('close', () => {
       clearTimeout(timer);
@@ -312,3 +309,9 @@
 export function encodeBase64(text: string): string {
   return Buffer.from(text).toString('base64');
 }
+
+/** Like the platform's store, does not wait if the wait is not a whole number. */
+function parseWaitMillis(query: URLSearchParams): number {
+  const waitMillis = Number(query.get('waitMs'));
+  return Number.isInteger(waitMillis) ? waitMillis : 0;
+}
--- a/test/fakes/simulated_source.ts
+++ b/test/fakes/simulated_source.ts
@@ -165,7 +165,9 @@
       return {documents: documentsRead, position};
     },
     watch: async (_prefix, afterRevision, waitMillis, signal) => {
-      const result = await startCall(afterRevision, waitMillis, signal);
+      // The platform's store does not wait if the wait is not a whole number.
+      const acceptedMillis = Number.isInteger(waitMillis) ? waitMillis : 0;
+      const result = await startCall(afterRevision, acceptedMillis, signal);
       await wait(responseDelayMillis);
       return result;
     },
--- a/test/unit/process/membership/follower_pacing.test.ts
+++ b/test/unit/process/membership/follower_pacing.test.ts
@@ -42,3 +42,25 @@
     t.true(secondMillis - firstMillis <= 600);
   }
 });
+
+test('watches wait for whole milliseconds', t => {
+  // The platform's store responds at once to a watch whose wait is a fraction: nodes made
+  // a hundred calls a second.
+  const pacing = createFollowerPacing({
+    applyWithinMillis: 2000,
+    random: createSeededRandom(2),
+  });
+  for (const renewInMillis of [undefined, 949.2, 0.4]) {
+    pacing.batchDelayMillis();
+    t.true(Number.isInteger(pacing.watchTimeoutMillis(renewInMillis)));
+  }
+});
+
+test('a source that responds early without changes is not called in a tight loop', t => {
+  const pacing = createFollowerPacing({
+    applyWithinMillis: 2000,
+    random: createSeededRandom(3),
+  });
+  t.is(pacing.unchangedDelayMillis(8, 950), 92);
+  t.is(pacing.unchangedDelayMillis(954, 950), 0);
+});
