Bound informational responses and chunk sizes without end

An upstream in trouble may send bytes that are no answer until its caller closes.

Both now have a bound, after which the attempt ends at once as lost: 20 informational responses, and 64 KiB plus 16 bytes for each byte of the body between chunks, also in the rest of a long body, whose reader then sees it break off. Bytes without end in a status line, a field, fields, a chunk extension, a trailer, trailers, or in place of a response were limited before; their tests pass on both versions. The three tests of the two faults failed before: the upstream had sent 16 MB and its connection was open.

--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -6,6 +6,7 @@
 import type {CancelSignal} from '../base/cancel_signal.js';
 import {describeError} from '../base/errors.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
+import {limitChunkOverhead} from './chunk_overhead.js';
 import type {ReceivedResponse} from './received_response.js';
 import {receiveResponse} from './received_response.js';
 
@@ -39,6 +40,12 @@
       readonly wasReused: boolean;
     };
 
+/**
+ * Maximum number of informational responses to one request. Upstreams send one
+ * or two; each costs a pass of the parser, and the parser does not limit them.
+ */
+const MAX_INFORMATIONAL_COUNT = 20;
+
 /** Sends a request; `onEnd` is called once. */
 export function sendRequest(
   outgoing: OutgoingRequest,
@@ -58,6 +65,7 @@
   });
   let isSent = false;
   let isEnded = false;
+  let informationalCount = 0;
   let timer: NodeJS.Timeout | undefined;
   let receivedMessage: http.IncomingMessage | undefined;
 
@@ -102,8 +110,19 @@
     if (receivedMessage?.complete === false) receivedMessage.destroy(error);
     fail(describeError(error));
   });
+  request.on('information', () => {
+    informationalCount += 1;
+    if (informationalCount > MAX_INFORMATIONAL_COUNT) {
+      fail('too many informational responses');
+    }
+  });
   request.on('response', message => {
     receivedMessage = message;
+    if (message.headers['transfer-encoding'] !== undefined) {
+      limitChunkOverhead(message, () => {
+        message.destroy(new Error('too many bytes between chunks'));
+      });
+    }
     const discardConnection = (): void => {
       request.destroy();
       message.socket?.destroy();
