Return a complete response although invalid bytes follow it

An upstream in trouble may send further bytes after a complete response. If they arrived in the same packet, the parser's error reached the request before the end of the body did, and the response was dropped: callers got 502 for a request that had run and been answered, and reads were repeated.

Such an error no longer fails a request whose response is complete; its connection is closed as before, and a response that is not complete still breaks off. Tests with a length, in chunks, with length 0 and without a body failed before with connection-lost.

--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -104,6 +104,8 @@
     });
   });
   request.on('error', error => {
+    // Invalid bytes after a complete response belong to no request.
+    if (receivedMessage?.complete === true) return;
     // Without a length, a reset looks like a normal end of the body: the client
     // of Node.js emits the error first and then completes the message.
     // Destroying the message first reports it as aborted.
--- a/test/unit/connection/endless_response.test.ts
+++ b/test/unit/connection/endless_response.test.ts
@@ -54,6 +54,18 @@
   ],
 ];
 
+/** Complete responses, followed by bytes that belong to no request. */
+const COMPLETE: ReadonlyArray<readonly [string, string, string]> = [
+  [
+    'with a length',
+    'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello',
+    'hello',
+  ],
+  ['in chunks', `${CHUNKED}5\r\nhello\r\n0\r\n\r\n`, 'hello'],
+  ['with length 0', 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n', ''],
+  ['without a body', 'HTTP/1.1 204 No Content\r\n\r\n', ''],
+];
+
 interface EndlessUpstream {
   readonly port: number;
   readonly sentBytes: number;
@@ -166,3 +178,16 @@
   if (result.kind !== 'answered') return;
   t.is(result.answer.bodyStart.length, 60_000);
 });
+
+for (const [name, start, body] of COMPLETE) {
+  test(`a complete response is returned although endless bytes follow: ${name}`, async t => {
+    // Guards against a response that ran and is reported as lost.
+    const upstream = await startUpstream(t, {start, repeated: LONG});
+    const result = await request(t, upstream);
+    t.is(result.kind, 'answered');
+    if (result.kind !== 'answered') return;
+    t.is(result.answer.bodyStart.toString(), body);
+    t.is(result.answer.bodyRest, undefined);
+    await waitUntil('closed', () => upstream.isClosed);
+  });
+}
