Wait for the closed listener by an event in the test of its slow reader

The test failed once in a whole run at load 20 on 8 cores: its client had received 1,000,088 bytes instead of 1,000,000. It sends further requests 50 ms after it begins to close the listener, and assumed that this takes hold within that time.

The test now waits until the listener refuses connections. What it checks is unchanged.

--- a/test/unit/connection/lingering_close.test.ts
+++ b/test/unit/connection/lingering_close.test.ts
@@ -63,6 +63,23 @@
   return listener;
 }
 
+/** Connects until the listener has closed. */
+async function waitUntilRefused(port: number): Promise<void> {
+  let isRefused = false;
+  while (!isRefused) {
+    const socket = net.connect({port, host: '127.0.0.1'});
+    isRefused = await new Promise(resolve => {
+      socket.once('connect', () => {
+        resolve(false);
+      });
+      socket.once('error', () => {
+        resolve(true);
+      });
+    });
+    socket.destroy();
+  }
+}
+
 function respondLong(exchange: HttpExchange, headers: object): void {
   const {response} = exchange;
   exchange.setDeadline(performance.now() + 20_000);
@@ -133,7 +150,7 @@
   t.true(listener.deliveringUntilMillis > performance.now());
   const closed = listener.close();
   // The listener first accepts the connections that wait in the system.
-  await sleep(50);
+  await waitUntilRefused(listener.port);
   await readAfterRequests(client, listener);
   assertWhole(t, client);
   client.socket.end();
