--- a/src/process/membership/follower_pacing.ts
+++ b/src/process/membership/follower_pacing.ts
@@ -15,8 +15,9 @@
 /** Delays and timeouts of one follower. */
 export interface FollowerPacing {
   /**
-   * Timeout of the next watch, in whole milliseconds. If other nodes receive changes through this one,
-   * `renewInMillis` is the time until its knowledge is too old for them.
+   * Timeout of the next watch, in whole milliseconds. `renewInMillis`: time
+   * until the knowledge of this node is too old for the nodes that poll it; if
+   * omitted, none does.
    */
   watchTimeoutMillis(renewInMillis?: number): number;
   /**
