Log and count why an order may be offered again

Callers saw one order run twice, and no line told the ways apart in which that can happen: only requests that an upstream received leave a retry line, and a request whose connection an earlier response closed ends as if its client had left.

An attempt of a request that must not be repeated and was not run now leaves order-not-run with the evidence (not-sent, not-received, not-dispatched, rejected), and counts in orders_not_run_total. A refused result can't be made without naming its evidence. A request that is sent again on another connection leaves request-resent, and client-left tells how many requests before it on its connection were unanswered. No decision is changed; reads cost nothing more.

platform_responses.test.ts asserts line and counter; it fails before, as neither is there.

--- a/src/connection/execution.ts
+++ b/src/connection/execution.ts
@@ -31,6 +31,23 @@
   readonly cancel: CancelSignal;
 }
 
+/** Why it is certain that an attempt has not run and will not run. */
+export type NotRunEvidence =
+  /** The request, or its body, has not left this node. */
+  | 'not-sent'
+  /** The other node never received the request and refuses it from now on. */
+  | 'not-received'
+  /** The node of the upstream did not dispatch it. */
+  | 'not-dispatched'
+  /** The upstream responded to this request that it did not execute it. */
+  | 'rejected';
+
+/** Evidence of a refusal by the node of the upstream, by its reason. */
+export function refusalEvidence(reason: HopReason): NotRunEvidence {
+  const isRejected = reason === 'not-executed' || reason === 'misdirected';
+  return isRejected ? 'rejected' : 'not-dispatched';
+}
+
 /** Result of an attempt. */
 export type ExecutionResult =
   | {
@@ -45,6 +62,7 @@
   | {
       readonly kind: 'refused';
       readonly reason: HopReason;
+      readonly evidence: NotRunEvidence;
     }
   /** It may have run. */
   | {
--- a/src/connection/hop_connection.ts
+++ b/src/connection/hop_connection.ts
@@ -192,7 +192,7 @@
         return;
       case 'unknown':
         closeChannel(channelId);
-        hop.failNotRun('silent');
+        hop.failNotReceived('silent');
         return;
       case 'gone':
         closeChannel(channelId);
--- a/src/connection/http_listener.ts
+++ b/src/connection/http_listener.ts
@@ -18,6 +18,8 @@
   readonly response: ServerResponse;
   /** Cancelled when the connection closes before the response has been sent. */
   readonly cancel: CancelSignal;
+  /** Requests before it on the connection that had no complete response when it was read. */
+  readonly precedingCount: number;
   /** The client sent `Expect: 100-continue` and withholds the body. */
   readonly expectsContinue: boolean;
   /**
@@ -108,6 +110,7 @@
       return;
     }
     const source = createCancelSource();
+    const precedingCount = connection.openCount();
     connection.begin(source, response);
     busyCount += 1;
     let deadlineMillis = 0;
@@ -133,6 +136,7 @@
       request,
       response,
       cancel: source.signal,
+      precedingCount,
       expectsContinue,
       isNewestOnConnection: () => connection.newestResponse === response,
       ignoreFurtherRequests: () => {
--- a/src/connection/outgoing_hop.ts
+++ b/src/connection/outgoing_hop.ts
@@ -4,6 +4,7 @@
 import {randomBytes} from 'node:crypto';
 import type {HopResponse, HopRequest} from '../protocol/hop_messages.js';
 import {encodeHopRequest} from '../protocol/hop_request_codec.js';
+import type {NotRunEvidence} from './execution.js';
 import type {ReceivedResponse} from './received_response.js';
 
 /** How a hop ended. */
@@ -15,7 +16,11 @@
       readonly received: ReceivedResponse | undefined;
     }
   /** The other node has not received the complete request and never will. */
-  | {readonly kind: 'not-run'; readonly reason: HopFailureReason}
+  | {
+      readonly kind: 'not-run';
+      readonly reason: HopFailureReason;
+      readonly evidence: Extract<NotRunEvidence, 'not-sent' | 'not-received'>;
+    }
   /** It may have run. */
   | {readonly kind: 'lost'; readonly reason: HopFailureReason};
 
@@ -47,8 +52,8 @@
   detach: () => void;
   /** Ends with a response. */
   complete(response: HopResponse, received: ReceivedResponse | undefined): void;
-  /** Ends as not run. */
-  failNotRun(reason: HopFailureReason): void;
+  /** Ends as not run: the other node never received the request. */
+  failNotReceived(reason: HopFailureReason): void;
   /** Ends without a response; as not run if it was not sent completely. */
   fail(reason: HopFailureReason): void;
 }
@@ -110,11 +115,15 @@
     complete: (answer, received) => {
       finish({kind: 'answer', answer, received});
     },
-    failNotRun: reason => {
-      finish({kind: 'not-run', reason});
+    failNotReceived: reason => {
+      finish({kind: 'not-run', reason, evidence: 'not-received'});
     },
     fail: reason => {
-      finish({kind: isSent ? 'lost' : 'not-run', reason});
+      finish(
+        isSent
+          ? {kind: 'lost', reason}
+          : {kind: 'not-run', reason, evidence: 'not-sent'},
+      );
     },
   };
   return hop;
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -20,6 +20,7 @@
 import {LOADS_QUERY} from '../protocol/load_codec.js';
 import {sendCrashReport} from './crash_report_sender.js';
 import type {ExecutionCall, ExecutionResult} from './execution.js';
+import {refusalEvidence} from './execution.js';
 import type {HopPeer} from './hop_peer.js';
 import {createHopPeer} from './hop_peer.js';
 import type {HopResult} from './outgoing_hop.js';
@@ -52,6 +53,8 @@
    * one.
    */
   readonly onConnectionReplaced: (peer: Endpoint, hopsCount: number) => void;
+  /** A request is sent again to a node that never received it. */
+  readonly onResent: (target: UpstreamEntry, call: ExecutionCall) => void;
 }
 
 /** Interval of the check for idle connections. */
@@ -155,6 +158,7 @@
     executeHop(execution, target, call, result => {
       const isSilent = result.kind === 'refused' && result.reason === 'silent';
       if (isSilent && !call.cancel.isCancelled) {
+        execution.options.onResent(target, call);
         executeHop(execution, target, call, resolve);
       } else {
         resolve(result);
@@ -170,7 +174,7 @@
   onEnd: (result: ExecutionResult) => void,
 ): void {
   if (call.cancel.isCancelled) {
-    onEnd({kind: 'refused', reason: 'cancelled'});
+    onEnd({kind: 'refused', reason: 'cancelled', evidence: 'not-sent'});
     return;
   }
   const delegatedRetries = call.origin.grant.delegate();
@@ -239,7 +243,11 @@
   switch (result.kind) {
     case 'not-run':
       delegatedRetries.reclaim(delegatedRetries.count);
-      return {kind: 'refused', reason: result.reason};
+      return {
+        kind: 'refused',
+        reason: result.reason,
+        evidence: result.evidence,
+      };
     case 'lost':
       return {kind: 'unknown', reason: result.reason, hasFailedCall: false};
     case 'answer':
@@ -255,7 +263,9 @@
   received,
 }: Extract<HopResult, {kind: 'answer'}>): ExecutionResult {
   const {outcome, reason, hasFailedCall, calls, crashesCount} = answer;
-  if (outcome === 'refused') return {kind: 'refused', reason};
+  if (outcome === 'refused') {
+    return {kind: 'refused', reason, evidence: refusalEvidence(reason)};
+  }
   if (outcome === 'unknown' || received === undefined) {
     return {kind: 'unknown', reason, hasFailedCall, crashesCount};
   }
--- a/src/daemon/attempt_logging.ts
+++ b/src/daemon/attempt_logging.ts
@@ -4,6 +4,7 @@
 import type {ExecutionResult} from '../connection/execution.js';
 import type {DecisionLog} from '../process/log/decision_log.js';
 import type {NodeMetrics} from '../process/log/node_metrics.js';
+import type {EndedAttempt} from '../request/attempt_runner.js';
 import type {AttemptedRequest} from '../request/attempted_request.js';
 import type {LocalCall} from '../request/local_execution.js';
 import type {NodeComponents} from './node_components.js';
@@ -11,14 +12,33 @@
 /** Counts an attempt that was refused or whose outcome is unknown. */
 export function countAttempt(
   metrics: NodeMetrics,
-  result: ExecutionResult,
+  {request, result}: EndedAttempt,
 ): void {
-  if (result.kind === 'refused') metrics.recordRefusal(result.reason);
-  else if (result.kind === 'unknown') {
+  if (result.kind === 'refused') {
+    metrics.recordRefusal(result.reason);
+    if (request.call.isRepeatable) return;
+    metrics.recordNotRunEvidence(result.evidence);
+  } else if (result.kind === 'unknown') {
     metrics.recordUnknownOutcome(result.reason);
   }
 }
 
+/** Logs why a request that must not be repeated may be offered again. */
+export function logNotRun(
+  log: DecisionLog,
+  {request, result, entry}: EndedAttempt,
+): void {
+  if (request.call.isRepeatable || result.kind !== 'refused') return;
+  log.logRequestEvent('order-not-run', {
+    requestId: request.call.attemptId,
+    route: request.route.name,
+    upstream: entry.id,
+    host: entry.hostKey,
+    reason: result.reason,
+    evidence: result.evidence,
+  });
+}
+
 /** Logs that a request is sent to another upstream. */
 export function logRetry(
   log: DecisionLog,
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -37,7 +37,12 @@
 import {createRetryRules} from '../request/retry_rules.js';
 import type {AnnouncementHandling} from './announcement_handling.js';
 import {startAnnouncementHandling} from './announcement_handling.js';
-import {countAttempt, logNotExecuted, logRetry} from './attempt_logging.js';
+import {
+  countAttempt,
+  logNotExecuted,
+  logNotRun,
+  logRetry,
+} from './attempt_logging.js';
 import type {CrashHandling} from './crash_handling.js';
 import {startCrashHandling} from './crash_handling.js';
 import type {NodeComponents} from './node_components.js';
@@ -172,9 +177,10 @@
       local,
       remote,
       nowMillis,
-      onAttempt: (result, entry) => {
-        countAttempt(options.metrics, result);
-        announcements.observeAttempt(result, entry);
+      onAttempt: attempt => {
+        countAttempt(options.metrics, attempt);
+        logNotRun(options.log, attempt);
+        announcements.observeAttempt(attempt.result, attempt.entry);
       },
       onRetry: (request, reason) => {
         options.metrics.recordRetry(reason);
@@ -278,6 +284,13 @@
       onPeerFound(peer);
     },
     onCrashReport,
+    onResent: (entry, call) => {
+      options.log.logRequestEvent('request-resent', {
+        requestId: call.attemptId,
+        upstream: entry.id,
+        host: entry.hostKey,
+      });
+    },
     onConnectionReplaced: (peer, hopsCount) => {
       options.log.logRequestEvent('connection-replaced', {
         peer: peer.address,
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -15,6 +15,8 @@
   recordRetry(reason: HopReason): void;
   recordRefusal(reason: HopReason): void;
   recordUnknownOutcome(reason: HopReason): void;
+  /** Records why a request that must not be repeated is certain not to have run. */
+  recordNotRunEvidence(evidence: string): void;
   /**
    * Records that the local upstream rejected a request as meant for another
    * one.
@@ -103,6 +105,11 @@
   );
   const retries = counter('retries_total', 'Requests sent again', ['reason']);
   const refusals = counter('refusals_total', 'Attempts not run', ['reason']);
+  const notRunEvidence = counter(
+    'orders_not_run_total',
+    'Attempts of requests that must not be repeated and were not run',
+    ['evidence'],
+  );
   const unknownOutcomes = counter(
     'unknown_total',
     'Attempts that may have run',
@@ -193,6 +200,9 @@
     recordRefusal: reason => {
       refusals.inc({reason});
     },
+    recordNotRunEvidence: evidence => {
+      notRunEvidence.inc({evidence});
+    },
     recordUnknownOutcome: reason => {
       unknownOutcomes.inc({reason});
     },
--- a/src/request/attempt_runner.ts
+++ b/src/request/attempt_runner.ts
@@ -43,6 +43,13 @@
   run(request: AttemptedRequest): Promise<AttemptsResult>;
 }
 
+/** An attempt and its result. */
+export interface EndedAttempt {
+  readonly request: AttemptedRequest;
+  readonly result: ExecutionResult;
+  readonly entry: UpstreamEntry;
+}
+
 /** Dependencies of the attempt runner. */
 export interface AttemptRunnerOptions {
   readonly hostKey: string;
@@ -54,7 +61,7 @@
   readonly attemptTimeouts: AttemptTimeouts;
   readonly stop: StopPlan;
   readonly nowMillis: () => number;
-  readonly onAttempt: (result: ExecutionResult, entry: UpstreamEntry) => void;
+  readonly onAttempt: (attempt: EndedAttempt) => void;
   readonly onRetry: (request: AttemptedRequest, reason: HopReason) => void;
 }
 
@@ -66,9 +73,17 @@
 
 const NO_IDS: ReadonlySet<string> = new Set();
 
-const UNREACHABLE: ExecutionResult = {kind: 'refused', reason: 'unreachable'};
+const UNREACHABLE: ExecutionResult = {
+  kind: 'refused',
+  reason: 'unreachable',
+  evidence: 'not-sent',
+};
 
-const QUARANTINED: ExecutionResult = {kind: 'refused', reason: 'quarantined'};
+const QUARANTINED: ExecutionResult = {
+  kind: 'refused',
+  reason: 'quarantined',
+  evidence: 'not-sent',
+};
 
 /** Creates the attempt runner of a node. */
 export function createAttemptRunner(
@@ -107,7 +122,7 @@
     });
     lastResult = result;
     placement.end(attemptOutcomeOf(lastResult));
-    options.onAttempt(lastResult, entry);
+    options.onAttempt({request, result: lastResult, entry});
     history.end(offerOutcomeOf(lastResult));
     if (!history.canOffer) break;
     const mayRetry = (): boolean =>
--- a/src/request/entry_responder.ts
+++ b/src/request/entry_responder.ts
@@ -258,6 +258,7 @@
       const millis = Math.round(nowMillis() - request.arrivedMillis);
       log.logRequestEvent('client-left', {
         ...describeResult(request, result),
+        precedingCount: request.exchange.precedingCount,
         millis,
       });
     },
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -4,6 +4,7 @@
  */
 import {createCancelSource} from '../base/cancel_signal.js';
 import type {ExecutionCall, ExecutionResult} from '../connection/execution.js';
+import {refusalEvidence} from '../connection/execution.js';
 import type {
   UpstreamResult,
   UpstreamRequest,
@@ -346,5 +347,5 @@
 }
 
 function refused(reason: HopReason): ExecutionResult {
-  return {kind: 'refused', reason};
+  return {kind: 'refused', reason, evidence: refusalEvidence(reason)};
 }
--- a/test/contract/platform_responses.test.ts
+++ b/test/contract/platform_responses.test.ts
@@ -155,6 +155,28 @@
   t.deepEqual(second!.upstream.runIds, ['c1']);
 });
 
+test('an order that is offered again leaves a line with its evidence', async t => {
+  const fleet = await startFleet(t, {
+    services: ['orders', 'orders', 'shop'],
+    paths: [SAFE_PATH, ORDER_PATH],
+  });
+  const [first, second, shop] = fleet.hosts;
+  for (const {upstream} of [first!, second!]) {
+    upstream.setHandler(request => {
+      const isFirstRun =
+        first!.upstream.runIds.length + second!.upstream.runIds.length === 1;
+      if (isFirstRun) request.reject();
+      else request.respond(200, 'served');
+    });
+  }
+  const answer = await fleet.send(shop!, orderRequest('c1'));
+  t.is(answer.statusCode, 200);
+  const lines = shop!.events.filter(({event}) => event === 'order-not-run');
+  t.like(lines, [{fields: {requestId: 'c1', evidence: 'rejected'}}]);
+  const metrics = await shop!.metrics.text();
+  t.regex(metrics, /orders_not_run_total\{evidence="rejected"\} 1\b/);
+});
+
 for (const [title, services] of [
   ['local upstream', ['orders']],
   ['forwarded to another node', ['atlas', 'orders']],
--- a/test/fakes/fake_upstream.ts
+++ b/test/fakes/fake_upstream.ts
@@ -16,6 +16,8 @@
   readonly response: ServerResponse;
   /** Responds with the headers and signature that nodes expect. */
   respond(statusCode: number, body: string): void;
+  /** Responds that the request was not run. */
+  reject(): void;
 }
 
 /** Handles a request that the upstream runs. */
@@ -251,5 +253,9 @@
       });
       response.end(body);
     },
+    reject: () => {
+      response.writeHead(503, {'attempt-id': attemptId, 'not-executed': '1'});
+      response.end();
+    },
   };
 }
--- a/test/unit/connection/crash_report_sender.test.ts
+++ b/test/unit/connection/crash_report_sender.test.ts
@@ -33,6 +33,7 @@
       onCrashReport(report);
     },
     onConnectionReplaced: noop,
+    onResent: noop,
   });
 }
 
--- a/test/unit/request/attempt_runner.test.ts
+++ b/test/unit/request/attempt_runner.test.ts
@@ -15,7 +15,11 @@
   reason: 'silent',
   hasFailedCall: false,
 };
-const REFUSED: ExecutionResult = {kind: 'refused', reason: 'draining'};
+const REFUSED: ExecutionResult = {
+  kind: 'refused',
+  reason: 'draining',
+  evidence: 'not-dispatched',
+};
 
 const nowMillis = (): number => performance.now();
 
--- a/test/unit/request/misdirected.test.ts
+++ b/test/unit/request/misdirected.test.ts
@@ -120,10 +120,18 @@
   // each request for an old id is dispatched and rejected. Only the sender recorded the
   // rejection, and each node is a sender.
   const {execute, sentIds, advance} = createFixture();
-  t.deepEqual(await execute('u-1'), {kind: 'refused', reason: MISDIRECTED});
+  t.deepEqual(await execute('u-1'), {
+    kind: 'refused',
+    reason: MISDIRECTED,
+    evidence: 'rejected',
+  });
   for (let sender = 0; sender < 5; sender += 1) {
     const result = await execute('u-1');
-    t.deepEqual(result, {kind: 'refused', reason: 'other-upstream'});
+    t.deepEqual(result, {
+      kind: 'refused',
+      reason: 'other-upstream',
+      evidence: 'not-dispatched',
+    });
   }
   t.is(sentIds.length, 1);
   // The rejection expires, since it may have been faulty.
@@ -153,11 +161,27 @@
     call: executionCall(nowMillis()),
   };
   const mayRetry = (): boolean =>
-    rules.mayRetry(request, {kind: 'refused', reason: MISDIRECTED}, 0);
+    rules.mayRetry(
+      request,
+      {
+        kind: 'refused',
+        reason: MISDIRECTED,
+        evidence: 'rejected',
+      },
+      0,
+    );
   const decisions = Array.from({length: 12}, mayRetry);
   t.is(decisions.filter(Boolean).length, 3);
   t.true(
-    rules.mayRetry(request, {kind: 'refused', reason: 'other-upstream'}, 0),
+    rules.mayRetry(
+      request,
+      {
+        kind: 'refused',
+        reason: 'other-upstream',
+        evidence: 'not-dispatched',
+      },
+      0,
+    ),
   );
 });
 
@@ -199,7 +223,15 @@
   // start.
   const {execute, directory, sentIds} = createFixture('orders', 'u-2');
   directory.markLeaving('u-2');
-  t.deepEqual(await execute('u-1'), {kind: 'refused', reason: MISDIRECTED});
-  t.deepEqual(await execute('u-1'), {kind: 'refused', reason: 'leaving'});
+  t.deepEqual(await execute('u-1'), {
+    kind: 'refused',
+    reason: MISDIRECTED,
+    evidence: 'rejected',
+  });
+  t.deepEqual(await execute('u-1'), {
+    kind: 'refused',
+    reason: 'leaving',
+    evidence: 'not-dispatched',
+  });
   t.deepEqual(sentIds, ['u-1']);
 });
