Add failing tests of an order that runs although its client has to take it for unread

A client sends an order right behind another request on one connection. The response before it closes the connection (no length, broken off, reset); requests behind such a response count as not read, whatever their kind, and are sent again. The node had run the order by then, and runs it a second time.

--- /dev/null
+++ b/test/contract/platform_order_soak.test.ts
@@ -0,0 +1,33 @@
+/**
+ * Soak of orders over node processes that are killed, stopped and frozen, with upstreams
+ * that restart and break off. `SOAK_SEED` and `SOAK_SEEDS_COUNT` select the seeds.
+ */
+import process from 'node:process';
+import test from 'ava';
+import {runOrderSoak} from '../fakes/order_soak.js';
+
+const SEEDS_COUNT = Number(process.env['SOAK_SEEDS_COUNT'] ?? 2);
+const FIRST_SEED = Number(process.env['SOAK_SEED'] ?? 1);
+const DURATION_MILLIS = 6000;
+const SERVICES = ['shop', 'desk', 'orders', 'orders', 'orders'];
+
+for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS_COUNT; seed += 1) {
+  for (const maxPipelinedCount of [1, 3]) {
+    test.serial(
+      `an order runs at most once, sent by ${String(maxPipelinedCount)}: seed ${String(seed)}`,
+      async t => {
+        // Guards against orders that run twice, or after a promise that they have not.
+        const report = await runOrderSoak(t, {
+          seed,
+          clientsCount: 14,
+          durationMillis: DURATION_MILLIS,
+          maxPipelinedCount,
+          services: SERVICES,
+        });
+        t.log([...report.outcomes].join(' '), report.sentAgainCount);
+        t.deepEqual(report.repeatedOrders, []);
+        t.deepEqual(report.brokenPromises, []);
+      },
+    );
+  }
+}
--- /dev/null
+++ b/test/contract/platform_pipelined_orders.test.ts
@@ -0,0 +1,191 @@
+/**
+ * Orders that clients send behind other requests on the same connection.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {ExecutionContext} from 'ava';
+import test from 'ava';
+import type {ReceivedRequest, UpstreamHandler} from '../fakes/fake_upstream.js';
+import {signatureOf} from '../fakes/fake_upstream.js';
+import type {
+  PipelinedOutcome,
+  PipelinedRequest,
+} from '../fakes/pipelining_client.js';
+import {connectPipeliningClient} from '../fakes/pipelining_client.js';
+import type {PlatformFleet} from '../fakes/platform_fleet.js';
+import {createPath, ORDER_PATH, SAFE_PATH} from '../fakes/platform_fleet.js';
+import {startFleet} from '../fakes/test_fleet.js';
+import {waitUntil} from '../fakes/wait_until.js';
+
+const READ: PipelinedRequest = {attemptId: 'read', method: 'GET', path: '/a/1'};
+
+/** A route whose requests time out early. */
+const IMPATIENT_PATH = createPath({
+  name: 'r-3',
+  prefix: '/impatient/',
+  timeoutS: 0.4,
+});
+
+const IMPATIENT_READ: PipelinedRequest = {
+  attemptId: 'impatient',
+  method: 'GET',
+  path: '/impatient/1',
+};
+
+/** Longer than a response that a node buffers completely. */
+const LONG_BODY = 'x'.repeat(140_000);
+
+/** Time from a request to its response; enough for the order behind it to arrive. */
+const WORK_MILLIS = 150;
+
+function order(attemptId: string): PipelinedRequest {
+  return {attemptId, method: 'POST', path: '/order/1', body: 'x'};
+}
+
+function headOf({attemptId}: ReceivedRequest): string {
+  return (
+    `HTTP/1.1 200 OK\r\nattempt-id: ${attemptId}\r\n` +
+    `response-signature: ${signatureOf('i-2', attemptId)}\r\n`
+  );
+}
+
+function respondWithoutLength(request: ReceivedRequest): void {
+  request.socket.end(`${headOf(request)}\r\nserved`);
+}
+
+function breakOffLongBody(request: ReceivedRequest): void {
+  const bytes = String(2 * LONG_BODY.length);
+  request.socket.end(
+    `${headOf(request)}content-length: ${bytes}\r\n\r\n${LONG_BODY}`,
+  );
+}
+
+function resetWithinLongBody(request: ReceivedRequest): void {
+  const {socket} = request;
+  socket.write(`${headOf(request)}\r\n${LONG_BODY}`);
+  setTimeout(() => {
+    socket.resetAndDestroy();
+  }, WORK_MILLIS);
+}
+
+/** A fleet whose upstream responds to reads late, with this handler. */
+async function startReadingFleet(
+  t: ExecutionContext,
+  respondToRead: UpstreamHandler,
+): Promise<PlatformFleet> {
+  const fleet = await startFleet(t, {
+    services: ['shop', 'orders'],
+    paths: [SAFE_PATH, ORDER_PATH, IMPATIENT_PATH],
+  });
+  fleet.hosts[1]!.upstream.setHandler(request => {
+    if (request.method === 'POST') request.respond(200, 'ordered');
+    else setTimeout(respondToRead, WORK_MILLIS, request);
+  });
+  return fleet;
+}
+
+/** Number of runs of each order. */
+function runCounts(fleet: PlatformFleet): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (const {upstream} of fleet.hosts) {
+    for (const id of upstream.runIds) {
+      if (id.startsWith('order')) counts[id] = (counts[id] ?? 0) + 1;
+    }
+  }
+  return counts;
+}
+
+function describe(outcome: PipelinedOutcome): string {
+  return outcome.kind === 'answered'
+    ? String(outcome.head.statusCode)
+    : outcome.kind;
+}
+
+/** Sends all requests at once; returns the outcome of each. */
+async function sendAtOnce(
+  fleet: PlatformFleet,
+  requests: readonly PipelinedRequest[],
+): Promise<readonly string[]> {
+  const {address} = fleet.hosts[0]!;
+  const client = await connectPipeliningClient(address, fleet.outboundPort);
+  const outcomes = await client.send(requests);
+  client.close();
+  return outcomes.map(describe);
+}
+
+for (const [title, respondToRead, readOutcome] of [
+  ['has no length', respondWithoutLength, '200'],
+  ['breaks off', breakOffLongBody, 'lost'],
+  ['is reset', resetWithinLongBody, 'lost'],
+] as const) {
+  test(`an order behind a response that ${title} runs once when sent again`, async t => {
+    // Guards against an order that runs although its client must take it for unread: the
+    // response before it closed the connection.
+    const fleet = await startReadingFleet(t, respondToRead);
+    const requests = [READ, order('order-1'), order('order-2')];
+    t.deepEqual(await sendAtOnce(fleet, requests), [
+      readOutcome,
+      'unread',
+      'unread',
+    ]);
+    t.deepEqual(runCounts(fleet), {});
+    t.deepEqual(await sendAtOnce(fleet, requests.slice(1)), ['200', '200']);
+    t.deepEqual(runCounts(fleet), {'order-1': 1, 'order-2': 1});
+  });
+}
+
+test('an order behind a response that leaves the connection open is served', async t => {
+  const fleet = await startReadingFleet(t, request => {
+    request.respond(200, 'served');
+  });
+  const outcomes = await sendAtOnce(fleet, [
+    READ,
+    order('order-1'),
+    {...READ, attemptId: 'read-2'},
+    order('order-2'),
+    {...IMPATIENT_READ, path: '/nowhere/'},
+    order('order-3'),
+  ]);
+  t.deepEqual(outcomes, ['200', '200', '200', '200', '404', '200']);
+  t.deepEqual(runCounts(fleet), {'order-1': 1, 'order-2': 1, 'order-3': 1});
+});
+
+test('an order behind a request that times out is served', async t => {
+  const fleet = await startReadingFleet(t, () => undefined);
+  const outcomes = await sendAtOnce(fleet, [IMPATIENT_READ, order('order-1')]);
+  t.deepEqual(outcomes, ['504', '200']);
+  t.deepEqual(runCounts(fleet), {'order-1': 1});
+});
+
+test('reads behind a request run at the same time', async t => {
+  const fleet = await startReadingFleet(t, request => {
+    request.respond(200, 'served');
+  });
+  const reads = ['a', 'b', 'c'].map(attemptId => ({...READ, attemptId}));
+  t.deepEqual(await sendAtOnce(fleet, reads), ['200', '200', '200']);
+  t.is(fleet.hosts[1]!.upstream.maxConcurrentCount, 3);
+});
+
+test('an order whose client leaves while it waits does not run', async t => {
+  const fleet = await startReadingFleet(t, request => {
+    request.respond(200, 'served');
+  });
+  const [shop, orders] = fleet.hosts;
+  const client = await connectPipeliningClient(
+    shop!.address,
+    fleet.outboundPort,
+  );
+  const outcomes = client.send([READ, order('order-1')]);
+  await waitUntil('running', () => orders!.upstream.runIds.includes('read'));
+  await sleep(WORK_MILLIS / 3);
+  client.close();
+  await outcomes;
+  await waitUntil('ended', () => nodeBusyCount(fleet) === 0);
+  t.deepEqual(runCounts(fleet), {});
+});
+
+function nodeBusyCount(fleet: PlatformFleet): number {
+  const {node} = fleet.hosts[0]!.node.state() as {
+    readonly node: {readonly busyCount: number};
+  };
+  return node.busyCount;
+}
--- a/test/fakes/node_process.ts
+++ b/test/fakes/node_process.ts
@@ -25,6 +25,12 @@
   stop(): void;
   /** Sends SIGKILL. */
   kill(): void;
+  /** Sends SIGSTOP. */
+  freeze(): void;
+  /** Sends SIGCONT. */
+  resume(): void;
+  /** Resolves when the process has ended. */
+  readonly ended: Promise<void>;
 }
 
 export interface NodeProcessOptions {
@@ -80,6 +86,17 @@
     kill: () => {
       child.kill('SIGKILL');
     },
+    freeze: () => {
+      child.kill('SIGSTOP');
+    },
+    resume: () => {
+      child.kill('SIGCONT');
+    },
+    ended: new Promise(resolve => {
+      child.once('exit', () => {
+        resolve();
+      });
+    }),
   };
 }
 
--- a/test/fakes/process_fleet.ts
+++ b/test/fakes/process_fleet.ts
@@ -48,10 +48,13 @@
 export interface ProcessFleet {
   readonly store: FakeStore;
   readonly hosts: readonly ProcessHost[];
+  readonly outboundPort: number;
   configure(version: number): void;
   publish(index: number, entry: PublishedEntry): void;
   /** Kills a node with SIGKILL and starts it again. */
   restart(index: number): void;
+  /** Stops a node with SIGTERM and starts it again when it has ended. */
+  stopAndRestart(index: number): Promise<void>;
   send(index: number, request: ClientRequest): Promise<ClientResponse>;
 }
 
@@ -90,10 +93,14 @@
   );
 }
 
-/** Starts one host for each of these services; all are stopped when the test ends. */
+/**
+ * Starts one host for each of these services, with routes for them; all are stopped when
+ * the test ends.
+ */
 export async function startProcessFleet(
   t: ExecutionContext,
   services: readonly string[],
+  paths: readonly object[] = [SAFE_PATH],
 ): Promise<ProcessFleet> {
   const block = `127.${String(process.pid % 200)}.${String(FIRST_BLOCK + fleetsCount)}`;
   fleetsCount += 1;
@@ -123,7 +130,7 @@
         headerTimeoutS: 3,
         idleTimeoutS: 15,
       },
-      virtualHosts: [{host: FLEET_HOST_NAME, paths: [SAFE_PATH]}],
+      virtualHosts: [{host: FLEET_HOST_NAME, paths}],
     });
   };
   const publish = (index: number, entry: PublishedEntry): void => {
@@ -168,17 +175,29 @@
     const process = startNode(index, storeEndpoint, lines);
     hosts.push({address, upstream, storeEndpoint, lines, process});
   }
+  const startAgain = (index: number, host: ProcessHost): void => {
+    host.lines = [];
+    host.process = startNode(index, host.storeEndpoint, host.lines);
+  };
   return {
     store,
     hosts,
+    outboundPort: outbound,
     configure,
     publish,
     restart: index => {
       const host = hosts[index];
       if (host === undefined) return;
       host.process.kill();
-      host.lines = [];
-      host.process = startNode(index, host.storeEndpoint, host.lines);
+      startAgain(index, host);
+    },
+    stopAndRestart: async index => {
+      const host = hosts[index];
+      if (host === undefined) return;
+      const stopping = host.process;
+      stopping.stop();
+      await stopping.ended;
+      if (host.process === stopping) startAgain(index, host);
     },
     send: (index, request) =>
       sendRequest(hosts[index]?.address ?? '', outbound, request),
--- /dev/null
+++ b/test/fakes/response_reader.ts
@@ -0,0 +1,126 @@
+/**
+ * Incremental reader of HTTP responses, for clients on raw sockets. Bodies are discarded.
+ */
+
+export interface ResponseHead {
+  readonly statusCode: number;
+  /** By lower-case name. */
+  readonly headers: ReadonlyMap<string, string>;
+  /** The connection ends after this response. */
+  readonly closesConnection: boolean;
+}
+
+export interface ResponseReader {
+  /** The head of a response has arrived, and its body has not ended. */
+  readonly isWithinResponse: boolean;
+  readonly push: (chunk: Buffer) => void;
+  /** The sender has closed its side, which ends a body without a length. */
+  readonly end: () => void;
+}
+
+export interface ResponseReaderOptions {
+  /** Called when a response is complete. */
+  readonly onResponse: (head: ResponseHead) => void;
+}
+
+interface ResponseInProgress {
+  readonly head: ResponseHead;
+  readonly form: 'chunked' | 'counted' | 'until-close';
+  /** Bytes to discard before the end of the body or of the current chunk. */
+  remainingBytes: number;
+}
+
+const HEAD_END = '\r\n\r\n';
+const LINE_END = '\r\n';
+const NO_BODY_STATUS_CODES: ReadonlySet<number> = new Set([204, 304]);
+const HEX = 16;
+
+export function createResponseReader({
+  onResponse,
+}: ResponseReaderOptions): ResponseReader {
+  let text = '';
+  let current: ResponseInProgress | undefined;
+
+  const finish = (): void => {
+    const {head} = current!;
+    current = undefined;
+    onResponse(head);
+  };
+  const discard = (): boolean => {
+    const bytes = Math.min(current!.remainingBytes, text.length);
+    text = text.slice(bytes);
+    current!.remainingBytes -= bytes;
+    return current!.remainingBytes === 0;
+  };
+  const readChunkSize = (): boolean => {
+    const end = text.indexOf(LINE_END);
+    if (end < 0) return false;
+    const size = Number.parseInt(text.slice(0, end), HEX);
+    text = text.slice(end + LINE_END.length);
+    if (size > 0) {
+      current!.remainingBytes = size + LINE_END.length;
+      return true;
+    }
+    text = text.slice(LINE_END.length);
+    finish();
+    return true;
+  };
+  const readHead = (): boolean => {
+    const end = text.indexOf(HEAD_END);
+    if (end < 0) return false;
+    const lines = text.slice(0, end).split(LINE_END);
+    text = text.slice(end + HEAD_END.length);
+    current = begin(lines);
+    return true;
+  };
+  /** Returns whether there may be more to read. */
+  const step = (): boolean => {
+    if (current === undefined) return readHead();
+    if (current.form === 'until-close') return false;
+    if (!discard()) return false;
+    if (current.form === 'chunked') return readChunkSize();
+    finish();
+    return true;
+  };
+  return {
+    get isWithinResponse() {
+      return current !== undefined;
+    },
+    push: chunk => {
+      text += chunk.toString('latin1');
+      while (step());
+    },
+    end: () => {
+      if (current?.form === 'until-close') finish();
+    },
+  };
+}
+
+function begin(lines: readonly string[]): ResponseInProgress {
+  const statusCode = Number(/^HTTP\/1\.\d (\d{3})/.exec(lines[0] ?? '')?.[1]);
+  const headers = new Map<string, string>();
+  for (const line of lines.slice(1)) {
+    const colon = line.indexOf(':');
+    headers.set(
+      line.slice(0, colon).toLowerCase(),
+      line.slice(colon + 1).trim(),
+    );
+  }
+  const length = NO_BODY_STATUS_CODES.has(statusCode)
+    ? '0'
+    : headers.get('content-length');
+  const isChunked = headers.get('transfer-encoding') === 'chunked';
+  const form = isChunked
+    ? 'chunked'
+    : length === undefined
+      ? 'until-close'
+      : 'counted';
+  const closesConnection =
+    form === 'until-close' ||
+    headers.get('connection')?.toLowerCase() === 'close';
+  return {
+    head: {statusCode, headers, closesConnection},
+    form,
+    remainingBytes: form === 'counted' ? Number(length) : 0,
+  };
+}
