Run an order only after the responses before it on its connection

Callers that send an order behind another request on one connection saw it run twice. The node ran both side by side. When the response before it closed the connection (no length, broken off, reset), the order's response could not be sent any more; requests behind such a response count as not read, and their clients send them again.

A request that must not be repeated now waits until the responses before it have been sent (RFC 9112, 9.3.2: only safe methods may be handled side by side). If one of them closes the connection, or the client does, it is not run and holds no slot, permit or quota; a line order-unread and a counter tell it. Reads still run side by side. Requests behind a response that has closed the connection are cancelled, as no response can follow.

--- a/src/connection/client_connection.ts
+++ b/src/connection/client_connection.ts
@@ -12,7 +12,7 @@
   /** Response to the request that was read last. */
   readonly newestResponse: ServerResponse | undefined;
   /** A response closes the connection; later requests are not handled. */
-  isEnding: boolean;
+  readonly isEnding: boolean;
   /** The sending side is closed; what arrives is discarded. */
   readonly isLingering: boolean;
   /**
@@ -24,6 +24,13 @@
   openCount(): number;
   /** A request has been read. */
   begin(source: CancelSource, response: ServerResponse): void;
+  /**
+   * Waits until the responses to all earlier requests have been sent; false if the
+   * connection closes before, so that the client takes the request for unread.
+   */
+  awaitEarlierResponses(source: CancelSource): boolean | Promise<boolean>;
+  /** The response to this request closes the connection. */
+  endAfter(source: CancelSource): void;
   /** The response has been handed to the operating system, or was aborted. */
   end(source: CancelSource, deadlineMillis: number): void;
   /** A request has been read, and none is in progress or partly received. */
@@ -45,6 +52,7 @@
  */
 interface MutableClientConnection extends ClientConnection {
   newestResponse: ServerResponse | undefined;
+  isEnding: boolean;
   isLingering: boolean;
   deliveringUntilMillis: number;
 }
@@ -66,10 +74,33 @@
   socket: Socket,
   nowMillis: () => number,
 ): ClientConnection {
+  /** Requests without a complete response, in the order in which they were read. */
   const sources = new Set<CancelSource>();
+  const waiting = new Map<CancelSource, (isFirst: boolean) => void>();
+  let closingSource: CancelSource | undefined;
   let readBytes = 0;
   let writtenBytes = 0;
 
+  const first = (): CancelSource | undefined => {
+    for (const source of sources) return source;
+    return undefined;
+  };
+  const cancelRequests = (): void => {
+    for (const source of [...sources]) source.cancel();
+  };
+  const startNext = (): void => {
+    const next = first();
+    if (next !== undefined) waiting.get(next)?.(true);
+  };
+  const recordDelivery = (deadlineMillis: number): void => {
+    const sentBytes = socket.bytesWritten - writtenBytes;
+    writtenBytes += sentBytes;
+    if (sentBytes <= PROMPTLY_DELIVERED_BYTES) return;
+    connection.deliveringUntilMillis = Math.max(
+      connection.deliveringUntilMillis,
+      deadlineMillis,
+    );
+  };
   const linger = (): void => {
     if (connection.isLingering) return;
     connection.isLingering = true;
@@ -95,24 +126,34 @@
       sources.add(source);
       connection.newestResponse = response;
     },
+    awaitEarlierResponses: source => {
+      if (first() === source) return true;
+      return new Promise(resolve => {
+        waiting.set(source, resolve);
+        source.signal.onCancel(() => {
+          resolve(false);
+        });
+      });
+    },
+    endAfter: source => {
+      connection.isEnding = true;
+      closingSource = source;
+    },
     end: (source, deadlineMillis) => {
       sources.delete(source);
+      waiting.delete(source);
       readBytes = socket.bytesRead;
-      const sentBytes = socket.bytesWritten - writtenBytes;
-      writtenBytes += sentBytes;
-      if (sentBytes <= PROMPTLY_DELIVERED_BYTES) return;
-      connection.deliveringUntilMillis = Math.max(
-        connection.deliveringUntilMillis,
-        deadlineMillis,
-      );
+      recordDelivery(deadlineMillis);
+      // An aborted response closes the connection as well.
+      const hasClosed = source === closingSource || source.signal.isCancelled;
+      if (hasClosed) cancelRequests();
+      else startNext();
     },
     isIdle: () =>
       connection.newestResponse !== undefined &&
       sources.size === 0 &&
       socket.bytesRead === readBytes,
-    cancelRequests: () => {
-      for (const source of [...sources]) source.cancel();
-    },
+    cancelRequests,
     closeIdle: () => {
       if (connection.deliveringUntilMillis > nowMillis()) linger();
       else if (!connection.isLingering) socket.destroy();
--- a/src/connection/http_listener.ts
+++ b/src/connection/http_listener.ts
@@ -22,6 +22,14 @@
   readonly precedingCount: number;
   /** The client sent `Expect: 100-continue` and withholds the body. */
   readonly expectsContinue: boolean;
+  /** When the header had been read. */
+  readonly receivedMillis: number;
+  /**
+   * Waits until the responses to all earlier requests on the connection have been sent.
+   * False if one of them closed it, or the client did: no response can be sent, and the
+   * client may send the request again.
+   */
+  awaitEarlierResponses(): boolean | Promise<boolean>;
   /**
    * No later request has been read on the connection, so closing it loses none.
    */
@@ -138,9 +146,11 @@
       cancel: source.signal,
       precedingCount,
       expectsContinue,
+      receivedMillis: options.nowMillis(),
       isNewestOnConnection: () => connection.newestResponse === response,
+      awaitEarlierResponses: () => connection.awaitEarlierResponses(source),
       ignoreFurtherRequests: () => {
-        connection.isEnding = true;
+        connection.endAfter(source);
       },
       setDeadline: millis => {
         deadlineMillis = millis;
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -30,6 +30,8 @@
   recordCrashClearance(): void;
   /** Records a response whose body broke off after its header had been sent. */
   recordCutResponse(): void;
+  /** Records a request that did not run, because its connection closed before its turn. */
+  recordUnread(): void;
   /** Records a request that its sender resumed on another connection. */
   recordResumed(): void;
   /** Records a request received from the local upstream or from a client. */
@@ -140,6 +142,11 @@
     'Responses that broke off after their header had been sent',
     [],
   );
+  const unreadOrders = counter(
+    'orders_unread_total',
+    'Requests not run since their connection closed before their turn',
+    [],
+  );
   const resumedRequests = counter(
     'resumed_total',
     'Requests that their sender resumed on another connection',
@@ -221,6 +228,9 @@
     recordCutResponse: () => {
       cutResponses.inc();
     },
+    recordUnread: () => {
+      unreadOrders.inc();
+    },
     recordResumed: () => {
       resumedRequests.inc();
     },
--- a/src/request/entered_request.ts
+++ b/src/request/entered_request.ts
@@ -31,6 +31,8 @@
 
 /** A request with its route, service and deadline. */
 export interface EnteredRequest extends OpenRequest {
+  /** When it was admitted, after the requests before it on its connection if it waited. */
+  readonly enteredMillis: number;
   /** The request in progress at the local upstream that made this call. */
   readonly parent: InFlightParent | undefined;
   /** Organisation of the client, if clients have API keys. */
@@ -77,7 +79,7 @@
   routed: RoutedRequest,
 ): EnteredRequest {
   const {route, attemptId, isLocal, parent, organisation} = routed;
-  const arrivedMillis = options.nowMillis();
+  const arrivedMillis = exchange.receivedMillis;
   const timeoutMillis =
     readTimeout(options.wireHeaders, exchange) ?? route.timeoutMillis;
   options.responder.countEntered(parent !== undefined);
@@ -102,6 +104,7 @@
     route,
     service: options.targets.choose(route),
     arrivedMillis,
+    enteredMillis: options.nowMillis(),
     // A request that outlives this process would get no response.
     deadlineMillis: Math.min(
       clientDeadlineMillis,
--- a/src/request/entry_responder.ts
+++ b/src/request/entry_responder.ts
@@ -13,9 +13,9 @@
 import type {ServiceRoute} from '../version/route_configuration.js';
 import type {
   OpenRequest,
-  RequestDuringStop,
   OverQuotaRequest,
   ShedRequest,
+  UnenteredRequest,
 } from './open_request.js';
 import type {AttemptsResult} from './attempt_runner.js';
 import {createRetryAfter} from './retry_after.js';
@@ -28,10 +28,15 @@
   recordClientLeft(request: OpenRequest, result: AttemptsResult): void;
   /** Refuses a request as not executed: entry admission shed it. */
   shed(exchange: HttpExchange, request: ShedRequest): void;
+  /**
+   * Records a request that will not run: its connection closed before the responses to
+   * earlier requests on it had been sent.
+   */
+  recordUnread(exchange: HttpExchange, request: UnenteredRequest): void;
   /** Refuses a request as not executed: its organisation is over its quota. */
   refuseOverQuota(exchange: HttpExchange, request: OverQuotaRequest): void;
   /** Refuses a request as not executed: this node is stopping and accepts no more. */
-  refuseDuringStop(exchange: HttpExchange, request: RequestDuringStop): void;
+  refuseDuringStop(exchange: HttpExchange, request: UnenteredRequest): void;
   /** Refuses a request as not executed: this node is not ready yet. */
   refuse(exchange: HttpExchange, refusal: {readonly reason: string}): void;
   /** Rejects a request as not executed: it is invalid. */
@@ -262,6 +267,15 @@
         millis,
       });
     },
+    recordUnread: ({receivedMillis, precedingCount}, {attemptId, route}) => {
+      metrics.recordUnread();
+      log.logRequestEvent('order-unread', {
+        requestId: attemptId,
+        route: route.name,
+        precedingCount,
+        millis: Math.round(nowMillis() - receivedMillis),
+      });
+    },
     shed: (exchange, request) => {
       const retryAfterMillis = retryAfter.usual(request.route);
       writeRefusal(exchange, 'shed', retryAfterMillis);
--- a/src/request/open_request.ts
+++ b/src/request/open_request.ts
@@ -34,8 +34,8 @@
   readonly decision: Extract<QuotaDecision, {readonly kind: 'over-quota'}>;
 }
 
-/** A request that arrives while the node is stopping. */
-export interface RequestDuringStop {
+/** A request whose route is known, and that has not entered. */
+export interface UnenteredRequest {
   readonly attemptId: string;
   readonly route: ServiceRoute;
 }
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -115,9 +115,10 @@
 ): Promise<void> {
   const {responder} = options;
   const routed = routeRequest(options, exchange, isLocal);
-  if (routed === undefined || refuseIfStopping(options, exchange, routed)) {
-    return;
-  }
+  if (routed === undefined) return;
+  const isInTurn = awaitTurn(options, exchange, routed);
+  if (!(isInTurn instanceof Promise ? await isInTurn : isInTurn)) return;
+  if (refuseIfStopping(options, exchange, routed)) return;
   const isAdmitted = checkQuota(options, exchange, routed);
   if (!(isAdmitted instanceof Promise ? await isAdmitted : isAdmitted)) return;
   const entered = createEnteredRequest(options, exchange, routed);
@@ -141,6 +142,25 @@
   await serve(options, entered, headers, body.bytes);
 }
 
+/**
+ * Lets a request that must not be repeated wait until the responses before it on its
+ * connection have been sent: if one of them closed the connection, the client would send
+ * the request again (RFC 9112, 9.3.2). False if it must not run.
+ */
+function awaitTurn(
+  {responder}: OutboundOptions,
+  exchange: HttpExchange,
+  {attemptId, route}: RoutedRequest,
+): boolean | Promise<boolean> {
+  if (route.repeat === 'repeatable') return true;
+  const isInTurn = exchange.awaitEarlierResponses();
+  if (!(isInTurn instanceof Promise)) return isInTurn;
+  return isInTurn.then(hasTurn => {
+    if (!hasTurn) responder.recordUnread(exchange, {attemptId, route});
+    return hasTurn;
+  });
+}
+
 /** Returns true and refuses the request if this node is stopping and accepts no more. */
 function refuseIfStopping(
   {stop, responder}: OutboundOptions,
@@ -267,7 +287,7 @@
   entered: EnteredRequest,
   parts: CallParts,
 ): ExecutionCall {
-  const {route, arrivedMillis, deadlineMillis} = entered;
+  const {route, enteredMillis, deadlineMillis} = entered;
   const {request} = entered.exchange;
   const waitMillis =
     entered.parent === undefined
@@ -283,7 +303,7 @@
     isRepeatable: route.repeat === 'repeatable',
     origin: entered.origin,
     deadlineMillis,
-    startByMillis: Math.min(deadlineMillis, arrivedMillis + waitMillis),
+    startByMillis: Math.min(deadlineMillis, enteredMillis + waitMillis),
     cancel: parts.source.signal,
   };
 }
--- a/test/contract/platform_pipelined_orders.test.ts
+++ b/test/contract/platform_pipelined_orders.test.ts
@@ -94,6 +94,14 @@
   return counts;
 }
 
+/** Orders that the first node logged as unread, in order. */
+function unreadIds({hosts}: PlatformFleet): readonly unknown[] {
+  return hosts[0]!.events
+    .filter(({event}) => event === 'order-unread')
+    .map(({fields}) => fields['requestId'])
+    .sort();
+}
+
 function describe(outcome: PipelinedOutcome): string {
   return outcome.kind === 'answered'
     ? String(outcome.head.statusCode)
@@ -128,6 +136,7 @@
       'unread',
     ]);
     t.deepEqual(runCounts(fleet), {});
+    t.deepEqual(unreadIds(fleet), ['order-1', 'order-2']);
     t.deepEqual(await sendAtOnce(fleet, requests.slice(1)), ['200', '200']);
     t.deepEqual(runCounts(fleet), {'order-1': 1, 'order-2': 1});
   });
@@ -156,6 +165,16 @@
   t.deepEqual(runCounts(fleet), {'order-1': 1});
 });
 
+test('an order that waits behind a request keeps its deadline', async t => {
+  const fleet = await startReadingFleet(t, () => undefined);
+  const outcomes = await sendAtOnce(fleet, [
+    IMPATIENT_READ,
+    {...order('order-1'), timeoutMillis: 200},
+  ]);
+  t.deepEqual(outcomes, ['504', '503']);
+  t.deepEqual(runCounts(fleet), {});
+});
+
 test('reads behind a request run at the same time', async t => {
   const fleet = await startReadingFleet(t, request => {
     request.respond(200, 'served');
