Never take a hop that has run for one that never arrived

Found beside the case of an order that ran twice, by reading and a test; no caller has reported it. A sender whose connection was lost asks the receiver what became of its request. The receiver remembered the last 4,096 ids: of one that it had answered and forgotten it said that it never arrived, and the sender offered the order again, or promised by 503 that it had not run. It held the proof of the opposite: the receiver had asked for the body.

Ids are now remembered until their senders' time is over (expiring_ids), so that memory is bounded by rate and time instead of by count. And a report that the request is not known ends a hop as not run only if its body has not been asked for, or if it may be repeated.

Before: hop_registry.test.ts (20,000 others) 'unknown' where 'gone' is due, and hop_transport.test.ts (a receiver that has forgotten everything) 'not-run silent' where 'lost connection-lost' is due.

--- a/src/connection/hop_connection.ts
+++ b/src/connection/hop_connection.ts
@@ -192,7 +192,7 @@
         return;
       case 'unknown':
         closeChannel(channelId);
-        hop.failNotReceived('silent');
+        hop.failNotReceived();
         return;
       case 'gone':
         closeChannel(channelId);
--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -79,6 +79,12 @@
  */
 const LOAD_REPORT_MILLIS = 100;
 
+/** Time beyond the deadline of a request in which its sender may still claim it. */
+const CLAIM_MARGIN_MILLIS = 2000;
+
+/** Longest time for which a request is remembered, whatever its sender states. */
+const MAX_CLAIMABLE_MILLIS = 600_000;
+
 const EMPTY_PAYLOAD = Buffer.alloc(0);
 
 const noop = (): void => undefined;
@@ -173,7 +179,9 @@
     });
     // The sender claimed this hop before it arrived and received the state
     // `unknown`, so it may have resent the request to another node.
-    if (!state.incomingHops.begin(hopId, hop)) {
+    const claimableUntilMillis =
+      options.nowMillis() + claimableMillis(decoded.message.leftMillis);
+    if (!state.incomingHops.begin(hopId, hop, claimableUntilMillis)) {
       sendRefusal(connection, channelId);
       return;
     }
@@ -266,6 +274,10 @@
   return connection;
 }
 
+function claimableMillis(leftMillis: number): number {
+  return Math.min(leftMillis + CLAIM_MARGIN_MILLIS, MAX_CLAIMABLE_MILLIS);
+}
+
 function sendGoingAway(connection: FrameConnection): void {
   connection.send(FRAME_KIND.goingAway, 0);
 }
--- a/src/connection/outgoing_hop.ts
+++ b/src/connection/outgoing_hop.ts
@@ -52,8 +52,11 @@
   detach: () => void;
   /** Ends with a response. */
   complete(response: HopResponse, received: ReceivedResponse | undefined): void;
-  /** Ends as not run: the other node never received the request. */
-  failNotReceived(reason: HopFailureReason): void;
+  /**
+   * The other node does not know the request. Ends as not run, unless that node has
+   * requested its body and so must have received it.
+   */
+  failNotReceived(): void;
   /** Ends without a response; as not run if it was not sent completely. */
   fail(reason: HopFailureReason): void;
 }
@@ -115,8 +118,12 @@
     complete: (answer, received) => {
       finish({kind: 'answer', answer, received});
     },
-    failNotReceived: reason => {
-      finish({kind: 'not-run', reason, evidence: 'not-received'});
+    failNotReceived: () => {
+      finish(
+        hop.isResendable
+          ? {kind: 'not-run', reason: 'silent', evidence: 'not-received'}
+          : {kind: 'lost', reason: 'connection-lost'},
+      );
     },
     fail: reason => {
       finish(
--- a/src/process/retries/hop_registry.ts
+++ b/src/process/retries/hop_registry.ts
@@ -4,6 +4,8 @@
  * after the connection was lost.
  */
 
+import {createExpiringIds} from './expiring_ids.js';
+
 /** Result of a claim, which a sender makes to resume a hop. */
 export type HopClaim<T> =
   /** The hop has not arrived, and will be refused if it arrives later. */
@@ -15,19 +17,20 @@
 /** Hops that one node has received. */
 export interface HopRegistry<T> {
   /**
-   * Records an arrival; returns false if its sender has already abandoned it.
+   * Records an arrival; returns false if its sender has already abandoned it. The hop is
+   * remembered until its sender no longer claims it.
    */
-  begin(hopId: string, hop: T): boolean;
+  begin(hopId: string, hop: T, claimableUntilMillis: number): boolean;
   /** Records a response, of which `keptBytes` are kept for a claim. */
   end(hopId: string, keptBytes: number): void;
   claim(hopId: string): HopClaim<T>;
 }
 
 /**
- * Maximum ids remembered of answered and of abandoned hops: senders make claims
- * within a second, in which a node handles a few hundred hops.
+ * Time for which a hop that was claimed before its arrival is refused; the connection on
+ * which it may still arrive was closed by its sender.
  */
-const MAX_REMEMBERED_IDS_COUNT = 4096;
+const REFUSED_RETENTION_MILLIS = 30_000;
 
 /** Time for which responses are kept; a lost connection is detected sooner. */
 const RESPONSE_RETENTION_MILLIS = 1500;
@@ -35,18 +38,22 @@
 /** Maximum bytes of responses kept: a few seconds of usual responses. */
 const MAX_KEPT_BYTES = 2_097_152;
 
-interface FinishedHop<T> {
+interface WorkingHop<T> {
   readonly hop: T;
+  readonly claimableUntilMillis: number;
+}
+
+interface FinishedHop<T> extends WorkingHop<T> {
   readonly keptBytes: number;
   readonly finishedMillis: number;
 }
 
 /** Creates an empty registry. */
 export function createHopRegistry<T>(nowMillis: () => number): HopRegistry<T> {
-  const working = new Map<string, T>();
+  const working = new Map<string, WorkingHop<T>>();
   const finished = new Map<string, FinishedHop<T>>();
-  const gone = createRecentIds();
-  const refused = createRecentIds();
+  const gone = createExpiringIds(nowMillis);
+  const refused = createExpiringIds(nowMillis);
   let keptBytes = 0;
 
   /** Evicts responses that are expired or exceed the size limit, oldest first. */
@@ -56,57 +63,38 @@
       if (entry.finishedMillis > cutoff && keptBytes <= MAX_KEPT_BYTES) return;
       finished.delete(hopId);
       keptBytes -= entry.keptBytes;
-      gone.add(hopId);
+      gone.add(hopId, entry.claimableUntilMillis);
     }
   };
 
   return {
-    begin: (hopId, hop) => {
+    begin: (hopId, hop, claimableUntilMillis) => {
       if (refused.has(hopId)) return false;
-      working.set(hopId, hop);
+      working.set(hopId, {hop, claimableUntilMillis});
       return true;
     },
     end: (hopId, bytes) => {
-      const hop = working.get(hopId);
-      if (hop === undefined) return;
+      const entry = working.get(hopId);
+      if (entry === undefined) return;
       working.delete(hopId);
       if (bytes === 0) {
-        gone.add(hopId);
+        gone.add(hopId, entry.claimableUntilMillis);
         return;
       }
       keptBytes += bytes;
       const finishedMillis = nowMillis();
-      finished.set(hopId, {hop, keptBytes: bytes, finishedMillis});
+      finished.set(hopId, {...entry, keptBytes: bytes, finishedMillis});
       evictOld();
     },
     claim: hopId => {
-      const hop = working.get(hopId);
-      if (hop !== undefined) return {state: 'working', hop};
+      const current = working.get(hopId);
+      if (current !== undefined) return {state: 'working', hop: current.hop};
       evictOld();
       const entry = finished.get(hopId);
       if (entry !== undefined) return {state: 'finished', hop: entry.hop};
       if (gone.has(hopId)) return {state: 'gone'};
-      refused.add(hopId);
+      refused.add(hopId, nowMillis() + REFUSED_RETENTION_MILLIS);
       return {state: 'unknown'};
     },
   };
 }
-
-interface RecentIds {
-  has(id: string): boolean;
-  add(id: string): void;
-}
-
-/** Creates a bounded set of ids that evicts the oldest ones. */
-function createRecentIds(): RecentIds {
-  const ids = new Set<string>();
-  return {
-    has: id => ids.has(id),
-    add: id => {
-      ids.add(id);
-      if (ids.size <= MAX_REMEMBERED_IDS_COUNT) return;
-      const [oldest] = ids;
-      if (oldest !== undefined) ids.delete(oldest);
-    },
-  };
-}
--- a/test/unit/connection/hop_transport.test.ts
+++ b/test/unit/connection/hop_transport.test.ts
@@ -143,6 +143,27 @@
   await second.close();
 });
 
+test('an order whose body was sent is not reported as not run', async t => {
+  // Guards against an order that runs twice: the node that received it has forgotten it
+  // and reports it as never received.
+  let executionsCount = 0;
+  const {send, link, listen} = await createHopFixture(t, async hop => {
+    await hop.fetchBody();
+    executionsCount += 1;
+    await new Promise(resolve => hop.cancel.onCancel(() => resolve(0)));
+    respondWith(hop, 'cancelled');
+  });
+  const {ended} = send(false);
+  await waitUntil('running', () => executionsCount === 1);
+  const forgetful = await listen('first');
+  link.retarget(forgetful.port);
+  link.setDefaultMode('reset');
+  link.setDefaultMode('open');
+  t.is(describeResult(await ended), 'lost connection-lost');
+  t.is(executionsCount, 1);
+  await forgetful.close();
+});
+
 test('a request that never arrived is reported as not run', async t => {
   let executionsCount = 0;
   const {send, link} = await createHopFixture(t, hop => {
--- a/test/unit/process/retries/hop_registry.test.ts
+++ b/test/unit/process/retries/hop_registry.test.ts
@@ -3,11 +3,14 @@
 
 const RESPONSE_BYTES = 100;
 
+/** Time until which the sender of a hop may claim it. */
+const CLAIMABLE_UNTIL_MILLIS = 10_000;
+
 test('a hop that was claimed before its arrival is refused when it arrives', t => {
   const registry = createHopRegistry<string>(() => 0);
   t.deepEqual(registry.claim('late'), {state: 'unknown'});
-  t.false(registry.begin('late', 'a'));
-  t.true(registry.begin('other', 'b'));
+  t.false(registry.begin('late', 'a', CLAIMABLE_UNTIL_MILLIS));
+  t.true(registry.begin('other', 'b', CLAIMABLE_UNTIL_MILLIS));
   t.deepEqual(registry.claim('other'), {state: 'working', hop: 'b'});
   registry.end('other', RESPONSE_BYTES);
   t.deepEqual(registry.claim('other'), {state: 'finished', hop: 'b'});
@@ -19,9 +22,9 @@
   // whose response is no longer kept must not be reported as never received.
   let now = 0;
   const registry = createHopRegistry<string>(() => now);
-  registry.begin('old', 'a');
+  registry.begin('old', 'a', CLAIMABLE_UNTIL_MILLIS);
   registry.end('old', RESPONSE_BYTES);
-  registry.begin('long', 'b');
+  registry.begin('long', 'b', CLAIMABLE_UNTIL_MILLIS);
   registry.end('long', 0);
   t.deepEqual(registry.claim('long'), {state: 'gone'});
   now = 5000;
@@ -31,9 +34,25 @@
 test('kept responses are bounded by their bytes', t => {
   const registry = createHopRegistry<string>(() => 0);
   for (let index = 0; index < 100; index += 1) {
-    registry.begin(`h${String(index)}`, 'x');
+    registry.begin(`h${String(index)}`, 'x', CLAIMABLE_UNTIL_MILLIS);
     registry.end(`h${String(index)}`, 60_000);
   }
   t.deepEqual(registry.claim('h0'), {state: 'gone'});
   t.is(registry.claim('h99').state, 'finished');
 });
+
+test('a hop is remembered until its sender no longer claims it, however many follow', t => {
+  // Guards against an order that runs twice: a hop that has run and was forgotten is
+  // reported as never received, and its sender offers it again.
+  let now = 0;
+  const registry = createHopRegistry<string>(() => now);
+  registry.begin('order', 'a', CLAIMABLE_UNTIL_MILLIS);
+  registry.end('order', 0);
+  for (let index = 0; index < 20_000; index += 1) {
+    const hopId = `h${String(index)}`;
+    registry.begin(hopId, 'x', CLAIMABLE_UNTIL_MILLIS);
+    registry.end(hopId, 0);
+  }
+  now = CLAIMABLE_UNTIL_MILLIS - 1;
+  t.deepEqual(registry.claim('order'), {state: 'gone'});
+});
