Take a rejection of an order as evidence only if it names the order

Found beside the case of an order that ran twice, by a test; no caller has reported it. Upstreams may send a response late, where the next one is due; the id tells them apart. A late response that said 'not executed' or 'misdirected' and had no id was taken for one of the order that was running on that connection, which then ran at a second upstream or was promised by 503 not to have run.

On the users' platform, where all responses bear the id, a rejection without it now leaves the outcome of an order unknown and closes the connection. Reads are retried as before.

The rejections of the test in platform_responses and of the stand-in upstream lacked the id that the platform's upstreams send; they have it now.

--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -27,6 +27,7 @@
   readonly target: string;
   readonly headers: RawHeaders;
   readonly body: Buffer;
+  readonly isRepeatable: boolean;
   readonly timeoutMillis: number;
   readonly cancel: CancelSignal;
 }
@@ -165,19 +166,40 @@
     result.discardConnection();
     return {kind: 'unknown', reason: 'broken-answer', wasReused: false};
   }
+  const isMisdirected = answer.statusCode === STATUS_MISDIRECTED;
+  const isRejected =
+    isMisdirected ||
+    findHeader(answer.headers, wireHeaders.notExecuted) !== undefined;
+  if (isRejected && !isEvidence(answer, request, wireHeaders)) {
+    result.discardConnection();
+    return {kind: 'unknown', reason: 'broken-answer', wasReused: false};
+  }
   const announcements = decodeAnnouncements(answer.headers, wireHeaders);
-  if (answer.statusCode === STATUS_MISDIRECTED) {
+  if (isMisdirected) {
     const actualId =
       wireHeaders.upstreamId &&
       findHeader(answer.headers, wireHeaders.upstreamId);
     return {kind: 'not-run', reason: 'misdirected', actualId, announcements};
   }
-  if (findHeader(answer.headers, wireHeaders.notExecuted) !== undefined) {
+  if (isRejected) {
     return {kind: 'not-run', reason: 'not-executed', announcements};
   }
   return {kind: 'answered', answer, announcements};
 }
 
+/**
+ * Whether a rejection shows that this request was not executed. One without its id may be
+ * a late response to an earlier request on the connection.
+ */
+function isEvidence(
+  {headers}: ReceivedResponse,
+  {attemptId, isRepeatable}: UpstreamRequest,
+  wireHeaders: WireHeaders,
+): boolean {
+  if (isRepeatable || !wireHeaders.isAttemptIdEchoed) return true;
+  return findHeader(headers, wireHeaders.attemptId) === attemptId;
+}
+
 /**
  * Whether the response does not belong to this request. A faulty upstream may
  * send a second response late, which is then read as the response to the next
--- a/src/protocol/fulmarhollow_headers.ts
+++ b/src/protocol/fulmarhollow_headers.ts
@@ -9,6 +9,7 @@
 > = {
   attemptId: 'fulmarhollow-request-id',
   isAttemptIdRequired: false,
+  isAttemptIdEchoed: false,
   timeoutMillis: 'fulmarhollow-timeout-ms',
   expectedUpstreamId: 'fulmarhollow-host',
   notExecuted: 'fulmarhollow-not-run',
--- a/src/protocol/wire_headers.ts
+++ b/src/protocol/wire_headers.ts
@@ -11,6 +11,8 @@
   readonly timeoutMillis: string;
   /** Requests of clients without an attempt id are refused. */
   readonly isAttemptIdRequired: boolean;
+  /** Upstreams return the attempt id in all responses. */
+  readonly isAttemptIdEchoed: boolean;
   /**
    * Signature that marks a response as produced by the upstream, if it sends
    * one.
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -267,6 +267,7 @@
     target: call.target,
     headers: call.headers,
     body,
+    isRepeatable: call.isRepeatable,
     timeoutMillis: Math.max(1, Math.floor(leftMillis)),
     cancel: source.signal,
   };
--- a/test/contract/platform_responses.test.ts
+++ b/test/contract/platform_responses.test.ts
@@ -146,9 +146,8 @@
     paths: [ORDER_PATH],
   });
   const [first, second] = fleet.hosts;
-  first!.upstream.setHandler(({response}) => {
-    response.writeHead(503, {'not-executed': '1'});
-    response.end();
+  first!.upstream.setHandler(request => {
+    request.reject();
   });
   const answer = await fleet.send(first!, orderRequest('c1'));
   t.is(answer.statusCode, 200);
--- a/test/fakes/fake_upstream.ts
+++ b/test/fakes/fake_upstream.ts
@@ -153,7 +153,10 @@
       }
       const expected = request.headers['expect-instance'];
       if (expected !== undefined && expected !== id) {
-        response.writeHead(421, {'instance-id': id});
+        response.writeHead(421, {
+          'instance-id': id,
+          'attempt-id': String(request.headers['attempt-id']),
+        });
         setTimeout(() => response.end(), misdirectedDelayMillis);
         return;
       }
--- a/test/unit/connection/endless_response.test.ts
+++ b/test/unit/connection/endless_response.test.ts
@@ -121,6 +121,7 @@
       target: '/x',
       headers: ['host', 'orders'],
       body: Buffer.alloc(0),
+      isRepeatable: true,
       timeoutMillis: 5000,
       cancel: cancel.signal,
     },
