--- a/src/daemon/announcement_handling.ts
+++ b/src/daemon/announcement_handling.ts
@@ -24,7 +24,7 @@
   AnnouncementObserver,
   AnnouncementSource,
 } from '../request/announcement_observer.js';
-import type {LocalCall} from '../request/local_execution.js';
+import type {LocalCall} from '../request/local_call.js';
 
 /** Dependencies of announcement handling. */
 export interface AnnouncementHandlingOptions {
--- a/src/daemon/attempt_logging.ts
+++ b/src/daemon/attempt_logging.ts
@@ -6,7 +6,7 @@
 import type {NodeMetrics} from '../process/log/node_metrics.js';
 import type {EndedAttempt} from '../request/attempt_runner.js';
 import type {AttemptedRequest} from '../request/attempted_request.js';
-import type {LocalCall} from '../request/local_execution.js';
+import type {LocalCall} from '../request/local_call.js';
 import type {NodeComponents} from './node_components.js';
 
 /** Counts an attempt that was refused or whose outcome is unknown. */
--- a/src/request/inbound_exchange.ts
+++ b/src/request/inbound_exchange.ts
@@ -14,7 +14,8 @@
   LoadFields,
   OriginFields,
 } from '../protocol/hop_messages.js';
-import type {LocalCall, LocalExecution} from './local_execution.js';
+import type {LocalCall} from './local_call.js';
+import type {LocalExecution} from './local_execution.js';
 
 /** Handles requests of other nodes. */
 export interface InboundExchanges {
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -2,43 +2,27 @@
  * Executes requests at the upstream of this host: waits for a slot, dispatches the
  * request, and returns its result.
  */
-import {createCancelSource} from '../base/cancel_signal.js';
-import type {ExecutionCall, ExecutionResult} from '../connection/execution.js';
+import type {ExecutionResult} from '../connection/execution.js';
 import {refusalEvidence} from '../connection/execution.js';
-import type {
-  UpstreamResult,
-  UpstreamRequest,
-  UpstreamSender,
-} from '../connection/upstream_sender.js';
-import type {CallTrees} from '../process/admission/call_trees.js';
-import {attemptCallCounts, NO_CALLS} from '../process/admission/call_trees.js';
+import type {UpstreamResult} from '../connection/upstream_sender.js';
 import type {AdmissionLevel} from '../process/admission/admission_level.js';
-import type {DispatchPacer} from '../process/admission/dispatch_pacer.js';
 import type {
   InFlightParent,
   InFlightParents,
 } from '../process/retries/in_flight_parents.js';
 import type {RejectionRate} from '../process/admission/rejection_rate.js';
-import type {RetryBudget} from '../process/retries/retry_budget.js';
 import type {RelativeSlowness} from '../process/placement/relative_slowness.js';
 import type {UpstreamQueue} from '../process/admission/upstream_queue.js';
 import type {HopReason} from '../protocol/hop_messages.js';
-import type {
-  AnnouncementObserver,
-  AnnouncementSource,
-} from './announcement_observer.js';
 import type {CrashDetector, DispatchedRequest} from './crash_detector.js';
 import type {CrashQuarantine} from './crash_quarantine.js';
-import type {LocalUpstream} from './local_upstream.js';
+import type {LocalCall} from './local_call.js';
 import {waitForSlot} from './slot_wait.js';
-
-/** A request to execute at the local upstream. */
-export interface LocalCall extends Omit<ExecutionCall, 'body'> {
-  /** Id of the upstream that the sender chose. */
-  readonly upstreamId: string;
-  /** Fetches the body once a slot is held; `undefined` if the sender disconnected. */
-  readonly fetchBody: () => Buffer | undefined | Promise<Buffer | undefined>;
-}
+import type {
+  UpstreamDispatch,
+  UpstreamDispatchOptions,
+} from './upstream_dispatch.js';
+import {createUpstreamDispatch} from './upstream_dispatch.js';
 
 /** Executes requests. */
 export interface LocalExecution {
@@ -46,8 +30,7 @@
 }
 
 /** Dependencies of local execution. */
-export interface LocalExecutionOptions {
-  readonly upstream: LocalUpstream;
+export interface LocalExecutionOptions extends UpstreamDispatchOptions {
   readonly queue: UpstreamQueue;
   readonly level: AdmissionLevel;
   readonly rejections: RejectionRate;
@@ -55,15 +38,6 @@
   readonly parents: InFlightParents;
   readonly crashes: CrashDetector;
   readonly quarantine: CrashQuarantine;
-  readonly sender: UpstreamSender;
-  readonly budget: RetryBudget;
-  readonly trees: CallTrees;
-  readonly ownService: () => string;
-  readonly nowMillis: () => number;
-  readonly announcements: AnnouncementObserver;
-  readonly pacer: Pick<DispatchPacer, 'takeUnchecked'>;
-  /** Called when the upstream rejects a call because its id is a different one. */
-  readonly onMisdirected?: (call: LocalCall, actualId?: string) => void;
 }
 
 /** Requests with less time left are not dispatched. */
@@ -73,11 +47,13 @@
 export function createLocalExecution(
   options: LocalExecutionOptions,
 ): LocalExecution {
-  return {execute: call => execute(options, call)};
+  const dispatcher = createUpstreamDispatch(options);
+  return {execute: call => execute(options, dispatcher, call)};
 }
 
 async function execute(
   options: LocalExecutionOptions,
+  dispatcher: UpstreamDispatch,
   call: LocalCall,
 ): Promise<ExecutionResult> {
   const {upstream, queue, level, nowMillis} = options;
@@ -116,7 +92,7 @@
   const startedMillis = nowMillis();
   const parent = options.parents.open(call.attemptId, call.origin);
   const {result, hasCrashed} = await observeCrash(options, request, () =>
-    dispatchToCurrent(options, call, body),
+    dispatcher.dispatch(call, body),
   );
   parent.close();
   recordResult(options, call, result, nowMillis() - startedMillis);
@@ -194,114 +170,6 @@
   return refused(reason);
 }
 
-/**
- * Dispatches the request, and a second time if the upstream reports that it restarted
- * with another id. Without this, all requests to the service fail until the new entry is
- * published, which was half of the requests lost in the 4 s after a power loss.
- */
-async function dispatchToCurrent(
-  options: LocalExecutionOptions,
-  call: LocalCall,
-  body: Buffer,
-): Promise<UpstreamResult> {
-  const {upstream} = options;
-  const turn = upstream.acquireDispatchTurn(call.upstreamId);
-  if (turn instanceof Promise) await turn;
-  const dispatchedId = upstream.currentIdOf(call.upstreamId);
-  const result = await dispatch(
-    options,
-    {...call, upstreamId: dispatchedId},
-    body,
-  );
-  if (result.kind !== 'not-run' || result.reason !== 'misdirected') {
-    return result;
-  }
-  options.onMisdirected?.(call, result.actualId);
-  upstream.markMisdirected(call.upstreamId, result.actualId);
-  const currentId = upstream.currentIdOf(call.upstreamId);
-  if (currentId === call.upstreamId || currentId === dispatchedId) {
-    return result;
-  }
-  if (upstream.leavingReason(currentId) !== undefined) return result;
-  if (!mayDispatchAgain(options, call, turn === 'first')) return result;
-  options.pacer.takeUnchecked();
-  return dispatch(options, {...call, upstreamId: currentId}, body);
-}
-
-/**
- * Charges a second dispatch to the retry budget, since only this node can count it. The
- * first one for an id is always allowed, as there is one per upstream start. Others, which
- * were dispatched before a late rejection, need room in the budget; without it the sender
- * gets the refusal and decides.
- */
-function mayDispatchAgain(
-  {budget, trees, ownService}: LocalExecutionOptions,
-  {attemptId, origin}: LocalCall,
-  isFirst: boolean,
-): boolean {
-  const isRoot = attemptId === origin.rootId;
-  const tree = isRoot ? trees.callCountsOf(origin.rootRouteName) : NO_CALLS;
-  const counts = attemptCallCounts(tree, ownService());
-  if (!isFirst) return budget.tryTake(counts);
-  budget.takeUnchecked(counts);
-  return true;
-}
-
-/** Dispatches the request and cancels it at its deadline. */
-function dispatch(
-  options: LocalExecutionOptions,
-  call: LocalCall,
-  body: Buffer,
-): Promise<UpstreamResult> {
-  const source = createCancelSource();
-  const cancelListener = call.cancel.onCancel(source.cancel);
-  const lostListener = options.upstream.onLost(source.cancel);
-  const sentMillis = options.nowMillis();
-  const leftMillis = call.deadlineMillis - sentMillis;
-  const timer = setTimeout(source.cancel, Math.max(0, leftMillis));
-  const request: UpstreamRequest = {
-    attemptId: call.attemptId,
-    upstreamId: call.upstreamId,
-    callerService: call.callerService,
-    method: call.method,
-    target: call.target,
-    headers: call.headers,
-    body,
-    isRepeatable: call.isRepeatable,
-    timeoutMillis: Math.max(1, Math.floor(leftMillis)),
-    cancel: source.signal,
-  };
-  options.announcements.recordDispatch(call);
-  return new Promise(resolve => {
-    options.sender.send(request, result => {
-      clearTimeout(timer);
-      cancelListener.dispose();
-      lostListener.dispose();
-      observeAnnouncements(options.announcements, result, {
-        upstreamId: call.upstreamId,
-        sentMillis,
-      });
-      resolve(result);
-    });
-  });
-}
-
-function observeAnnouncements(
-  observer: AnnouncementObserver,
-  result: UpstreamResult,
-  source: AnnouncementSource,
-): void {
-  if (result.kind === 'unknown') return;
-  const {announcements} = result;
-  if (announcements === undefined) return;
-  const isMisdirected =
-    result.kind === 'not-run' && result.reason === 'misdirected';
-  observer.observe(
-    announcements,
-    isMisdirected ? {...source, upstreamId: result.actualId} : source,
-  );
-}
-
 /** Releases the slot and records the result in the load statistics. */
 function recordResult(
   options: LocalExecutionOptions,
--- a/test/unit/request/misdirected.test.ts
+++ b/test/unit/request/misdirected.test.ts
@@ -14,7 +14,7 @@
 import type {HopReason} from '../../../src/protocol/hop_messages.js';
 import {createCrashDetector} from '../../../src/request/crash_detector.js';
 import {createCrashQuarantine} from '../../../src/request/crash_quarantine.js';
-import type {LocalCall} from '../../../src/request/local_execution.js';
+import type {LocalCall} from '../../../src/request/local_call.js';
 import {createLocalExecution} from '../../../src/request/local_execution.js';
 import {createLocalUpstream} from '../../../src/request/local_upstream.js';
 import {createRetryRules} from '../../../src/request/retry_rules.js';
