End a request that is cancelled before its dispatch as not run

Found while looking for orders that run twice; callers saw requests without an answer and an upstream with ever fewer slots. A request waits up to 20 ms for the first dispatch under the id of its upstream. If its client left meanwhile, sending it threw an exception (the cancellation listener ran before it was assigned): the exchange never ended, its slot stayed in use, and the log had an internal-error line. A request that was cancelled while connecting counted as an upstream that cannot be reached, and two in a row have all its requests in progress cancelled.

Such a request now ends as not run for being cancelled, before anything is counted or sent.

--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -51,7 +51,11 @@
   outgoing: OutgoingRequest,
   onEnd: (result: SendResult) => void,
 ): void {
-  const {to} = outgoing;
+  const {to, cancel} = outgoing;
+  if (cancel.isCancelled) {
+    onEnd({kind: 'not-sent', reason: 'cancelled'});
+    return;
+  }
   const request = http.request({
     agent: outgoing.agent,
     host: to.address,
@@ -84,7 +88,7 @@
     }
     request.destroy();
   };
-  const cancelListener = outgoing.cancel.onCancel(() => {
+  const cancelListener = cancel.onCancel(() => {
     fail('cancelled');
   });
 
--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -155,7 +155,8 @@
   wireHeaders: WireHeaders,
 ): UpstreamResult {
   if (result.kind === 'not-sent') {
-    return {kind: 'not-run', reason: 'unreachable'};
+    const reason = request.cancel.isCancelled ? 'cancelled' : 'unreachable';
+    return {kind: 'not-run', reason};
   }
   if (result.kind === 'lost') {
     const reason = request.cancel.isCancelled ? 'cancelled' : 'connection-lost';
--- a/src/request/upstream_dispatch.ts
+++ b/src/request/upstream_dispatch.ts
@@ -99,6 +99,10 @@
   call: LocalCall,
   body: Buffer,
 ): Promise<UpstreamResult> {
+  // The client may have left while the request waited for its turn.
+  if (call.cancel.isCancelled) {
+    return Promise.resolve({kind: 'not-run', reason: 'cancelled'});
+  }
   const source = createCancelSource();
   const cancelListener = call.cancel.onCancel(source.cancel);
   const lostListener = options.upstream.onLost(source.cancel);
