Never pass on a promise that an order has not run without its upstream's word

An upstream that executed an order and failed it with 408, 429 or 503 of its own had that status passed on. To a client these statuses promise that the order has not run, and it sends it again. Only a response that says so (Not-Executed) shows it.

Without it such a response to a request that must not be repeated now leaves the outcome unknown: 502, without the upstream's signature. For reads nothing changes.

--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -84,6 +84,9 @@
 
 const STATUS_MISDIRECTED = 421;
 
+/** Statuses by which clients know that a request has not run and never will. */
+const NOT_RUN_STATUS_CODES: ReadonlySet<number> = new Set([408, 429, 503]);
+
 /** Creates a sender with an empty pool. */
 export function createUpstreamSender(
   upstream: Endpoint,
@@ -185,6 +188,11 @@
   if (isRejected) {
     return {kind: 'not-run', reason: 'not-executed', announcements};
   }
+  // Passed on, the status would promise that the request has not run.
+  if (!request.isRepeatable && NOT_RUN_STATUS_CODES.has(answer.statusCode)) {
+    result.discardConnection();
+    return {kind: 'unknown', reason: 'broken-answer', wasReused: false};
+  }
   return {kind: 'answered', answer, announcements};
 }
 
--- a/test/contract/platform_late_rejections.test.ts
+++ b/test/contract/platform_false_rejections.test.ts
@@ -1,5 +1,5 @@
 /**
- * Rejections that arrive while an upstream executes an order.
+ * Responses of upstreams that would tell wrongly that an order has not run.
  */
 import test from 'ava';
 import type {ReceivedRequest} from '../fakes/fake_upstream.js';
@@ -47,6 +47,27 @@
   }
 }
 
+for (const statusCode of [408, 429, 503]) {
+  test(`an order that its upstream has executed is not reported as not run: ${String(statusCode)}`, async t => {
+    // Guards against an order that its client sends again after a status that promises
+    // that it has not run.
+    const fleet = await startFleet(t, {
+      services: ['shop', 'orders'],
+      paths: [SAFE_PATH, ORDER_PATH],
+    });
+    const [shop, orders] = fleet.hosts;
+    orders!.upstream.setHandler(request => {
+      request.respond(statusCode, 'failed');
+    });
+    const order = await fleet.send(shop!, orderRequest('o1'));
+    t.is(order.statusCode, 502);
+    t.is(order.headers['response-signature'], undefined);
+    t.deepEqual(orders!.upstream.runIds, ['o1']);
+    const read = await fleet.send(shop!, {attemptId: 'r1', path: '/a/1'});
+    t.is(read.statusCode, statusCode);
+  });
+}
+
 test('a rejection with the id of an order is evidence that it was not executed', async t => {
   const fleet = await startFleet(t, {
     services: ['shop', 'orders'],
