Answer requests before the invalid bytes on their connection

Bytes that are no request, or a request head that is not sent in time, behind an order in progress: the order was cancelled at its upstream, and its client got 400 or 408 in the place of its response. 408 promises that the order has not run.

The requests before such bytes are now answered first; 400 or 408 follows them and closes the connection. Invalid bytes within the body of a request are its own fault, and get their response as before.

platform_pipelined_orders.test.ts: the two new tests failed before ([400] where [200, 400] is due), all 10 pass.

--- a/src/connection/client_connection.ts
+++ b/src/connection/client_connection.ts
@@ -31,6 +31,11 @@
   awaitEarlierResponses(source: CancelSource): boolean | Promise<boolean>;
   /** The response to this request closes the connection. */
   endAfter(source: CancelSource): void;
+  /**
+   * Handles no later requests, and calls the listener once all responses have been sent;
+   * not if the connection closes before.
+   */
+  endWhenAnswered(listener: () => void): void;
   /** The response has been handed to the operating system, or was aborted. */
   end(source: CancelSource, deadlineMillis: number): void;
   /** A request has been read, and none is in progress or partly received. */
@@ -78,6 +83,7 @@
   const sources = new Set<CancelSource>();
   const waiting = new Map<CancelSource, (isFirst: boolean) => void>();
   let closingSource: CancelSource | undefined;
+  let onAnswered = (): void => undefined;
   let readBytes = 0;
   let writtenBytes = 0;
 
@@ -135,6 +141,10 @@
         });
       });
     },
+    endWhenAnswered: listener => {
+      connection.isEnding = true;
+      onAnswered = listener;
+    },
     endAfter: source => {
       connection.isEnding = true;
       closingSource = source;
@@ -147,6 +157,7 @@
       // An aborted response closes the connection as well.
       const hasClosed = source === closingSource || source.signal.isCancelled;
       if (hasClosed) cancelRequests();
+      else if (sources.size === 0) onAnswered();
       else startNext();
     },
     isIdle: () =>
--- a/src/connection/client_error_response.ts
+++ b/src/connection/client_error_response.ts
@@ -14,8 +14,9 @@
 };
 
 /**
- * Responds and closes the connection, unless a response is under way on it: the
- * client would take this one for a part of it.
+ * Responds and closes the connection, once the requests before the invalid bytes have
+ * their responses. If the bytes belong to the body of a request whose response is under
+ * way, the client would take this one for a part of it.
  */
 export function respondToClientError(
   connection: ClientConnection,
@@ -23,18 +24,31 @@
 ): void {
   const {socket, newestResponse} = connection;
   // What follows the invalid bytes is discarded as well.
-  if (connection.isLingering) return;
+  if (connection.isEnding) return;
   const openCount = connection.openCount();
+  if (openCount > 0 && newestResponse?.req.complete === true) {
+    connection.endWhenAnswered(() => {
+      sendErrorResponse(connection, error);
+    });
+    return;
+  }
   const isHeaderUnsent =
     openCount === 1 && newestResponse?.headersSent === false;
   if (!socket.writable || (openCount > 0 && !isHeaderUnsent)) {
     socket.destroy(error);
     return;
   }
+  sendErrorResponse(connection, error);
+}
+
+function sendErrorResponse(
+  connection: ClientConnection,
+  error: NodeJS.ErrnoException,
+): void {
   const statusCode =
     STATUS_BY_ERROR_CODE[error.code ?? ''] ?? STATUS_BAD_REQUEST;
   const reason = STATUS_CODES[statusCode] ?? '';
-  socket.write(
+  connection.socket.write(
     `HTTP/1.1 ${String(statusCode)} ${reason}\r\nConnection: close\r\n\r\n`,
   );
   connection.cancelRequests();
--- a/test/contract/platform_pipelined_orders.test.ts
+++ b/test/contract/platform_pipelined_orders.test.ts
@@ -10,9 +10,13 @@
   PipelinedOutcome,
   PipelinedRequest,
 } from '../fakes/pipelining_client.js';
-import {connectPipeliningClient} from '../fakes/pipelining_client.js';
+import {
+  connectPipeliningClient,
+  formatRequest,
+} from '../fakes/pipelining_client.js';
 import type {PlatformFleet} from '../fakes/platform_fleet.js';
 import {createPath, ORDER_PATH, SAFE_PATH} from '../fakes/platform_fleet.js';
+import {connectRawClient} from '../fakes/raw_client.js';
 import {startFleet} from '../fakes/test_fleet.js';
 import {waitUntil} from '../fakes/wait_until.js';
 
@@ -184,6 +188,31 @@
   t.is(fleet.hosts[1]!.upstream.maxConcurrentCount, 3);
 });
 
+for (const [title, delayMillis] of [
+  ['at once', 0],
+  ['while it runs', WORK_MILLIS / 3],
+] as const) {
+  test(`an order is answered although invalid bytes follow it ${title}`, async t => {
+    // Guards against an order that is cancelled while it runs, and against a response to
+    // other bytes that its client takes for the one to its order.
+    const fleet = await startReadingFleet(t, () => undefined);
+    const [shop, orders] = fleet.hosts;
+    orders!.upstream.setHandler(request => {
+      setTimeout(() => {
+        request.respond(200, 'ordered');
+      }, WORK_MILLIS);
+    });
+    const client = await connectRawClient(t, shop!.address, fleet.outboundPort);
+    client.write(formatRequest(order('order-1')));
+    await sleep(delayMillis);
+    client.write('no request\r\n\r\n');
+    await waitUntil('closed', () => client.isClosed);
+    t.deepEqual(client.statusCodes, [200, 400]);
+    t.deepEqual(runCounts(fleet), {'order-1': 1});
+    t.is(orders!.upstream.abortedCount, 0);
+  });
+}
+
 test('an order whose client leaves while it waits does not run', async t => {
   const fleet = await startReadingFleet(t, request => {
     request.respond(200, 'served');
--- a/test/fakes/raw_client.ts
+++ b/test/fakes/raw_client.ts
@@ -14,6 +14,7 @@
   /** Status codes of the responses in the order of arrival. */
   readonly statusCodes: readonly number[];
   readonly isClosed: boolean;
+  write(text: string): void;
   /** Writes a request without a body, with additional header lines. */
   sendRequest(
     attemptId: string,
@@ -52,6 +53,9 @@
     get isClosed() {
       return isClosed;
     },
+    write: text => {
+      socket.write(text, 'latin1');
+    },
     sendRequest: (attemptId, path, headerLines = []) => {
       const head = [
         `GET ${path} HTTP/1.1`,
