--- a/src/request/entry_responder.ts
+++ b/src/request/entry_responder.ts
@@ -5,7 +5,6 @@
 import {isCloseDelimited, sendResponse} from '../connection/response_sender.js';
 import type {HttpExchange} from '../connection/http_listener.js';
 import {forwardedHeaders} from '../connection/raw_headers.js';
-import {hasBody} from '../connection/request_body.js';
 import type {DecisionLog} from '../process/log/decision_log.js';
 import type {NodeMetrics} from '../process/log/node_metrics.js';
 import type {StopPlan} from '../process/stop/stop_plan.js';
@@ -18,6 +17,7 @@
   UnenteredRequest,
 } from './open_request.js';
 import type {AttemptsResult} from './attempt_runner.js';
+import {closingHeaders, sendEmptyResponse} from './empty_response.js';
 import {createRetryAfter} from './retry_after.js';
 
 /** Sends responses. */
@@ -89,30 +89,7 @@
     statusCode: number,
     headers: readonly string[],
   ): void => {
-    const {request, response} = exchange;
-    if (response.destroyed || response.headersSent) return;
-    const isUnread = hasBody(request) && !request.complete;
-    response.writeHead(statusCode, [
-      ...headers,
-      ...closingHeaders(exchange, isUnread),
-      'content-length',
-      '0',
-    ]);
-    response.end();
-  };
-
-  /**
-   * Closes the connection if the node is stopping or the body is unread, unless later
-   * requests on it would be lost.
-   */
-  const closingHeaders = (
-    exchange: HttpExchange,
-    isUnread: boolean,
-  ): readonly string[] => {
-    if (!options.stop.isStopping && !isUnread) return [];
-    if (!exchange.isNewestOnConnection()) return [];
-    exchange.ignoreFurtherRequests();
-    return ['connection', 'close'];
+    sendEmptyResponse(options.stop, exchange, {statusCode, headers});
   };
 
   const writeRefusal = (
@@ -179,7 +156,7 @@
       ...forwardedHeaders(answer.headers, NO_HEADERS),
       ...versionNotes(),
       ...retryNotes(request),
-      ...closingHeaders(exchange, false),
+      ...closingHeaders(exchange, options.stop.isStopping),
     ];
     const method = exchange.request.method ?? 'GET';
     const {response} = exchange;
