Run an order with one attempt id at most once at a node

On the users' platform each attempt of a client has an id of its own, and a request that must not be repeated may run once under it. Nodes relied on clients alone for that: one that sends an order again after its connection closed without a response, by itself or by its HTTP library, had it run again.

A second arrival is answered 502 (it may have run), and leaves a line order-repeated and a count. The own interface, where callers may use one id for several requests, is as before.

--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -10,6 +10,11 @@
 } from '../connection/remote_execution.js';
 import {createRemoteExecution} from '../connection/remote_execution.js';
 import {createUpstreamSender} from '../connection/upstream_sender.js';
+import type {StartedOrders} from '../process/retries/started_orders.js';
+import {
+  createStartedOrders,
+  NO_STARTED_ORDERS,
+} from '../process/retries/started_orders.js';
 import {createAttemptTimeouts} from '../process/retries/attempt_timeouts.js';
 import type {DecisionLog} from '../process/log/decision_log.js';
 import {createEntryAdmission} from '../process/admission/entry_admission.js';
@@ -130,6 +135,15 @@
     trees: components.trees,
     ownService: () => settings().service,
     nowMillis,
+    startedOrders: createStartedOrdersFor(wireHeaders, nowMillis),
+    onRepeated: call => {
+      options.metrics.recordRepeatedOrder('upstream');
+      options.log.logRequestEvent('order-repeated', {
+        requestId: call.attemptId,
+        rootId: call.origin.rootId,
+        upstream: call.upstreamId,
+      });
+    },
     onMisdirected: (call, actualId) => {
       options.metrics.recordMisdirected();
       options.log.logRequestEvent('misdirected', {
@@ -158,6 +172,7 @@
     ...components,
     wireHeaders,
     open,
+    startedOrders: createStartedOrdersFor(wireHeaders, nowMillis),
     stop: options.stop,
     ownService: () => settings().service,
     entryAdmission: createEntryAdmission(components.loadTable, service =>
@@ -241,6 +256,16 @@
   };
 }
 
+/** Ids identify requests only where each attempt of a client has its own. */
+function createStartedOrdersFor(
+  {isAttemptIdRequired}: WireHeaders,
+  nowMillis: () => number,
+): StartedOrders {
+  return isAttemptIdRequired
+    ? createStartedOrders(nowMillis)
+    : NO_STARTED_ORDERS;
+}
+
 /** Any reachable node of the service: its reports include the other upstreams. */
 function choosePolledNode(
   {components, settings, random}: NodeExchangesOptions,
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -30,6 +30,8 @@
   recordCrashClearance(): void;
   /** Records a response whose body broke off after its header had been sent. */
   recordCutResponse(): void;
+  /** Records a request that arrived again with its id, and was not run again. */
+  recordRepeatedOrder(at: 'entry' | 'upstream'): void;
   /** Records a request that did not run, because its connection closed before its turn. */
   recordUnread(): void;
   /** Records a request that its sender resumed on another connection. */
@@ -142,6 +144,11 @@
     'Responses that broke off after their header had been sent',
     [],
   );
+  const repeatedOrders = counter(
+    'orders_repeated_total',
+    'Requests that arrived again with their id and were not run again',
+    ['at'],
+  );
   const unreadOrders = counter(
     'orders_unread_total',
     'Requests not run since their connection closed before their turn',
@@ -228,6 +235,9 @@
     recordCutResponse: () => {
       cutResponses.inc();
     },
+    recordRepeatedOrder: at => {
+      repeatedOrders.inc({at});
+    },
     recordUnread: () => {
       unreadOrders.inc();
     },
--- a/src/process/retries/expiring_ids.ts
+++ b/src/process/retries/expiring_ids.ts
@@ -8,6 +8,7 @@
   has(id: string): boolean;
   /** Remembers the id until this time; a later call replaces the time. */
   add(id: string, untilMillis: number): void;
+  delete(id: string): void;
 }
 
 /** Creates an empty set. */
@@ -29,5 +30,8 @@
       untilMillisById.delete(id);
       untilMillisById.set(id, untilMillis);
     },
+    delete: id => {
+      untilMillisById.delete(id);
+    },
   };
 }
--- a/src/protocol/hop_messages.ts
+++ b/src/protocol/hop_messages.ts
@@ -104,6 +104,8 @@
    * request.
    */
   | 'silent'
+  /** An order with the same attempt id may have run at this upstream already. */
+  | 'repeated'
   | 'timeout'
   | 'cancelled';
 
--- a/src/protocol/wire_headers.ts
+++ b/src/protocol/wire_headers.ts
@@ -9,7 +9,10 @@
   readonly attemptId: string;
   /** Remaining time for which the sender waits, in milliseconds. */
   readonly timeoutMillis: string;
-  /** Requests of clients without an attempt id are refused. */
+  /**
+   * Clients give each attempt an id of its own; requests of clients without one are
+   * refused.
+   */
   readonly isAttemptIdRequired: boolean;
   /** Upstreams return the attempt id in all responses. */
   readonly isAttemptIdEchoed: boolean;
--- a/src/request/entry_responder.ts
+++ b/src/request/entry_responder.ts
@@ -33,6 +33,8 @@
    * earlier requests on it had been sent.
    */
   recordUnread(exchange: HttpExchange, request: UnenteredRequest): void;
+  /** Fails a request that was sent again with its id and may have run already. */
+  failRepeated(request: OpenRequest): void;
   /** Refuses a request as not executed: its organisation is over its quota. */
   refuseOverQuota(exchange: HttpExchange, request: OverQuotaRequest): void;
   /** Refuses a request as not executed: this node is stopping and accepts no more. */
@@ -253,6 +255,18 @@
         millis: Math.round(nowMillis() - receivedMillis),
       });
     },
+    failRepeated: ({exchange, attemptId, route, arrivedMillis}) => {
+      writeEmptyResponse(exchange, STATUS_BAD_GATEWAY, [
+        ...failureNotes('unknown', 'repeated'),
+      ]);
+      metrics.recordRepeatedOrder('entry');
+      const millis = recordResponse({route, arrivedMillis}, STATUS_BAD_GATEWAY);
+      log.logRequestEvent('order-repeated', {
+        requestId: attemptId,
+        route: route.name,
+        millis,
+      });
+    },
     shed: (exchange, request) => {
       const retryAfterMillis = retryAfter.usual(request.route);
       writeRefusal(exchange, 'shed', retryAfterMillis);
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -33,6 +33,8 @@
 import type {OpenRequests} from './open_requests.js';
 import {CREDENTIALS_HEADER} from './credentials.js';
 import type {RoutedRequest} from './entered_request.js';
+import type {OrderEntryOptions} from './order_entry.js';
+import {awaitTurn, beginOrder} from './order_entry.js';
 import {routeRequest} from './request_routing.js';
 
 /** Handles requests that enter here. */
@@ -44,7 +46,7 @@
 }
 
 /** Dependencies of the outbound exchanges. */
-export interface OutboundOptions {
+export interface OutboundOptions extends OrderEntryOptions {
   readonly wireHeaders: WireHeaders;
   readonly ownService: () => string;
   readonly configuration: ConfigurationHolder;
@@ -133,6 +135,7 @@
   if (body.kind === 'broken') return;
   // The body may have arrived too late for a response before the node stops.
   if (refuseIfStopping(options, exchange, routed)) return;
+  if (!beginOrder(options, entered)) return;
   const headers = headersFor(
     options.wireHeaders,
     entered,
@@ -142,25 +145,6 @@
   await serve(options, entered, headers, body.bytes);
 }
 
-/**
- * Lets a request that must not be repeated wait until the responses before it on its
- * connection have been sent: if one of them closed the connection, the client would send
- * the request again (RFC 9112, 9.3.2). False if it must not run.
- */
-function awaitTurn(
-  {responder}: OutboundOptions,
-  exchange: HttpExchange,
-  {attemptId, route}: RoutedRequest,
-): boolean | Promise<boolean> {
-  if (route.repeat === 'repeatable') return true;
-  const isInTurn = exchange.awaitEarlierResponses();
-  if (!(isInTurn instanceof Promise)) return isInTurn;
-  return isInTurn.then(hasTurn => {
-    if (!hasTurn) responder.recordUnread(exchange, {attemptId, route});
-    return hasTurn;
-  });
-}
-
 /** Returns true and refuses the request if this node is stopping and accepts no more. */
 function refuseIfStopping(
   {stop, responder}: OutboundOptions,
@@ -256,8 +240,9 @@
   cancelListener.dispose();
   options.open.delete(entered);
   recordCallTree(options, entered, result);
-  if (organisation !== undefined && !result.mayHaveRun) {
-    options.quotas.recordNotRun(organisation);
+  if (!result.mayHaveRun) {
+    options.startedOrders.release(entered.attemptId);
+    if (organisation !== undefined) options.quotas.recordNotRun(organisation);
   }
   if (parent !== undefined) reportToParent(parent, service, result);
   if (exchange.cancel.isCancelled) {
--- a/src/request/upstream_dispatch.ts
+++ b/src/request/upstream_dispatch.ts
@@ -11,6 +11,7 @@
 import {attemptCallCounts, NO_CALLS} from '../process/admission/call_trees.js';
 import type {DispatchPacer} from '../process/admission/dispatch_pacer.js';
 import type {RetryBudget} from '../process/retries/retry_budget.js';
+import type {StartedOrders} from '../process/retries/started_orders.js';
 import type {
   AnnouncementObserver,
   AnnouncementSource,
@@ -38,6 +39,10 @@
   readonly nowMillis: () => number;
   readonly announcements: AnnouncementObserver;
   readonly pacer: Pick<DispatchPacer, 'takeUnchecked'>;
+  /** Orders that the upstream may have run. */
+  readonly startedOrders: StartedOrders;
+  /** Called when an order is not dispatched, since it may have run already. */
+  readonly onRepeated?: (call: LocalCall) => void;
   /** Called when the upstream rejects a call because its id is a different one. */
   readonly onMisdirected?: (call: LocalCall, actualId?: string) => void;
 }
@@ -46,7 +51,28 @@
 export function createUpstreamDispatch(
   options: UpstreamDispatchOptions,
 ): UpstreamDispatch {
-  return {dispatch: (call, body) => dispatchToCurrent(options, call, body)};
+  return {
+    dispatch: (call, body) =>
+      call.isRepeatable
+        ? dispatchToCurrent(options, call, body)
+        : dispatchOnce(options, call, body),
+  };
+}
+
+/** Dispatches an order unless the upstream may have run one with the same id. */
+async function dispatchOnce(
+  options: UpstreamDispatchOptions,
+  call: LocalCall,
+  body: Buffer,
+): Promise<UpstreamResult> {
+  const {startedOrders} = options;
+  if (!startedOrders.begin(call.attemptId, call.deadlineMillis)) {
+    options.onRepeated?.(call);
+    return {kind: 'unknown', reason: 'repeated', wasReused: false};
+  }
+  const result = await dispatchToCurrent(options, call, body);
+  if (result.kind === 'not-run') startedOrders.release(call.attemptId);
+  return result;
 }
 
 async function dispatchToCurrent(
--- a/test/unit/request/misdirected.test.ts
+++ b/test/unit/request/misdirected.test.ts
@@ -8,6 +8,7 @@
 import {createLoadTable} from '../../../src/process/admission/load_table.js';
 import {createRejectionRate} from '../../../src/process/admission/rejection_rate.js';
 import {createRelativeSlowness} from '../../../src/process/placement/relative_slowness.js';
+import {NO_STARTED_ORDERS} from '../../../src/process/retries/started_orders.js';
 import {createRetryBudget} from '../../../src/process/retries/retry_budget.js';
 import {createUpstreamDirectory} from '../../../src/process/membership/upstream_directory.js';
 import {createUpstreamQueue} from '../../../src/process/admission/upstream_queue.js';
@@ -88,6 +89,7 @@
       observe: () => undefined,
     },
     pacer: {takeUnchecked: () => undefined},
+    startedOrders: NO_STARTED_ORDERS,
     budget: createRetryBudget({
       bound: () => BOUND,
       nowMillis,
