--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -177,10 +177,10 @@
         state.busyCount -= 1;
       },
     });
-    // The sender claimed this hop before it arrived and received the state
-    // `unknown`, so it may have resent the request to another node.
     const claimableUntilMillis =
       options.nowMillis() + claimableMillis(decoded.message.leftMillis);
+    // The sender claimed this hop before it arrived and received the state
+    // `unknown`, so it may have resent the request to another node.
     if (!state.incomingHops.begin(hopId, hop, claimableUntilMillis)) {
       sendRefusal(connection, channelId);
       return;
