--- a/test/fakes/process_fleet.ts
+++ b/test/fakes/process_fleet.ts
@@ -58,8 +58,9 @@
   send(index: number, request: ClientRequest): Promise<ClientResponse>;
 }
 
-/** Each fleet of a test process uses a separate block of addresses, from here on. */
+/** The last fleets of a test process use separate blocks of addresses, from here on. */
 const FIRST_BLOCK = 240;
+const BLOCKS_COUNT = 16;
 
 let fleetsCount = 0;
 
@@ -102,7 +103,8 @@
   services: readonly string[],
   paths: readonly object[] = [SAFE_PATH],
 ): Promise<ProcessFleet> {
-  const block = `127.${String(process.pid % 200)}.${String(FIRST_BLOCK + fleetsCount)}`;
+  const blockIndex = FIRST_BLOCK + (fleetsCount % BLOCKS_COUNT);
+  const block = `127.${String(process.pid % 200)}.${String(blockIndex)}`;
   fleetsCount += 1;
   const store = createFakeStore();
   const directory = mkdtempSync(join(tmpdir(), 'nodes-'));
