--- a/src/cli/losses.ts
+++ b/src/cli/losses.ts
@@ -60,6 +60,7 @@
   leaving: 'leaving upstreams of',
   unreachable: 'no upstream of',
   cancelled: 'late at',
+  deadline: 'late at',
   timeout: 'late at',
   silent: 'silent nodes of',
   'connection-lost': 'cut by',
--- a/src/connection/client_connection.ts
+++ b/src/connection/client_connection.ts
@@ -3,7 +3,7 @@
  */
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {CancelSource} from '../base/cancel_signal.js';
+import type {RequestCancelSource} from '../protocol/cancel_cause.js';
 import {closeLingering} from './lingering_close.js';
 
 /** Connection of a client. */
@@ -23,21 +23,23 @@
   /** Number of requests without a complete response. */
   openCount(): number;
   /** A request has been read. */
-  begin(source: CancelSource, response: ServerResponse): void;
+  begin(source: RequestCancelSource, response: ServerResponse): void;
   /**
    * Waits until the responses to all earlier requests have been sent; false if the
    * connection closes before, so that the client takes the request for unread.
    */
-  awaitEarlierResponses(source: CancelSource): boolean | Promise<boolean>;
+  awaitEarlierResponses(
+    source: RequestCancelSource,
+  ): boolean | Promise<boolean>;
   /** The response to this request closes the connection. */
-  endAfter(source: CancelSource): void;
+  endAfter(source: RequestCancelSource): void;
   /**
    * Handles no later requests, and calls the listener once all responses have been sent;
    * not if the connection closes before.
    */
   endWhenAnswered(listener: () => void): void;
   /** The response has been handed to the operating system, or was aborted. */
-  end(source: CancelSource, deadlineMillis: number): void;
+  end(source: RequestCancelSource, deadlineMillis: number): void;
   /** A request has been read, and none is in progress or partly received. */
   isIdle(): boolean;
   /** Cancels all requests without a response. */
@@ -80,19 +82,19 @@
   nowMillis: () => number,
 ): ClientConnection {
   /** Requests without a complete response, in the order in which they were read. */
-  const sources = new Set<CancelSource>();
-  const waiting = new Map<CancelSource, (isFirst: boolean) => void>();
-  let closingSource: CancelSource | undefined;
+  const sources = new Set<RequestCancelSource>();
+  const waiting = new Map<RequestCancelSource, (isFirst: boolean) => void>();
+  let closingSource: RequestCancelSource | undefined;
   let onAnswered = (): void => undefined;
   let readBytes = 0;
   let writtenBytes = 0;
 
-  const first = (): CancelSource | undefined => {
+  const first = (): RequestCancelSource | undefined => {
     for (const source of sources) return source;
     return undefined;
   };
   const cancelRequests = (): void => {
-    for (const source of [...sources]) source.cancel();
+    for (const source of [...sources]) source.cancel('client-left');
   };
   const startNext = (): void => {
     const next = first();
--- a/src/connection/execution.ts
+++ b/src/connection/execution.ts
@@ -1,9 +1,9 @@
 /**
  * Execution of one attempt of a request at a local or remote upstream.
  */
-import type {CancelSignal} from '../base/cancel_signal.js';
 import type {CallCounts} from '../process/admission/call_trees.js';
 import type {CallOrigin} from '../process/retries/in_flight_parents.js';
+import type {RequestCancelSignal} from '../protocol/cancel_cause.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {RawHeaders} from './raw_headers.js';
 import type {ReceivedResponse} from './received_response.js';
@@ -28,7 +28,7 @@
    * Usual duration of similar requests at this service, once one has completed.
    */
   readonly usualMillis?: number | undefined;
-  readonly cancel: CancelSignal;
+  readonly cancel: RequestCancelSignal;
 }
 
 /** Why it is certain that an attempt has not run and will not run. */
--- a/src/connection/http_listener.ts
+++ b/src/connection/http_listener.ts
@@ -4,9 +4,12 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Server} from 'node:http';
 import type {Socket} from 'node:net';
-import type {CancelSignal} from '../base/cancel_signal.js';
 import {createCancelSource} from '../base/cancel_signal.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
+import type {
+  CancelCause,
+  RequestCancelSignal,
+} from '../protocol/cancel_cause.js';
 import {bindListener, acceptPendingConnections} from './bind_listener.js';
 import type {ClientConnection} from './client_connection.js';
 import {createClientConnection} from './client_connection.js';
@@ -17,7 +20,7 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   /** Cancelled when the connection closes before the response has been sent. */
-  readonly cancel: CancelSignal;
+  readonly cancel: RequestCancelSignal;
   /** Requests before it on the connection that had no complete response when it was read. */
   readonly precedingCount: number;
   /** The client sent `Expect: 100-continue` and withholds the body. */
@@ -117,7 +120,7 @@
       request.resume();
       return;
     }
-    const source = createCancelSource();
+    const source = createCancelSource<CancelCause>();
     const precedingCount = connection.openCount();
     connection.begin(source, response);
     busyCount += 1;
@@ -133,7 +136,7 @@
     response.once('close', () => {
       // Emitted before the socket closes, and without `finish` if the client
       // disconnected; the work would otherwise continue until the deadline.
-      if (!response.writableFinished) source.cancel();
+      if (!response.writableFinished) source.cancel('client-left');
       finish();
     });
     source.signal.onCancel(finish);
--- a/src/connection/incoming_hop.ts
+++ b/src/connection/incoming_hop.ts
@@ -2,8 +2,11 @@
  * A request from another node while this node processes it. If the connection
  * is lost, the sender may resume the request on another connection.
  */
-import type {CancelSignal} from '../base/cancel_signal.js';
 import {createCancelSource} from '../base/cancel_signal.js';
+import type {
+  CancelCause,
+  RequestCancelSignal,
+} from '../protocol/cancel_cause.js';
 import {FRAME_KIND} from '../protocol/hop_frames.js';
 import type {HopResponse, HopRequest} from '../protocol/hop_messages.js';
 import {encodeHopResponse} from '../protocol/hop_response_codec.js';
@@ -36,7 +39,7 @@
 export interface IncomingHop {
   readonly request: HopRequest;
   /** Cancelled when the sender no longer needs the response. */
-  readonly cancel: CancelSignal;
+  readonly cancel: RequestCancelSignal;
   /**
    * Complete body, requested from the sender if it was deferred; `undefined` if
    * it will never arrive.
@@ -94,7 +97,7 @@
   options: IncomingHopOptions,
 ): ManagedIncomingHop {
   const {request} = options;
-  const source = createCancelSource();
+  const source = createCancelSource<CancelCause>();
   let channel: HopChannel | undefined = options.channel;
   let reconnectTimer: NodeJS.Timeout | undefined;
   let cachedResponse: Buffer | undefined;
@@ -114,12 +117,12 @@
     channel?.close();
     channel = undefined;
   };
-  const abandon = (): void => {
+  const abandon = (cause: CancelCause): void => {
     clearTimeout(reconnectTimer);
     channel = undefined;
     bodyRestSender?.stop();
     resolveBody(undefined);
-    source.cancel();
+    source.cancel(cause);
   };
   const sendResponse = (payload: Buffer): void => {
     channel?.connection.send(FRAME_KIND.answer, channel.channelId, payload);
@@ -196,9 +199,13 @@
       channel = undefined;
       bodyRestSender?.stop();
       if (isAnswered) return;
-      reconnectTimer = setTimeout(abandon, RECONNECT_GRACE_MILLIS);
+      reconnectTimer = setTimeout(() => {
+        abandon('sender-lost');
+      }, RECONNECT_GRACE_MILLIS);
+    },
+    abandon: () => {
+      abandon('cancelled');
     },
-    abandon,
     receiveBody: (chunk, isLast) => {
       if (isBodyComplete) return;
       bodyChunks.push(chunk);
--- a/src/connection/outgoing_hop.ts
+++ b/src/connection/outgoing_hop.ts
@@ -2,6 +2,7 @@
  * A request to another node, independent of the connection that carries it.
  */
 import {randomBytes} from 'node:crypto';
+import type {CancelCause} from '../protocol/cancel_cause.js';
 import type {HopResponse, HopRequest} from '../protocol/hop_messages.js';
 import {encodeHopRequest} from '../protocol/hop_request_codec.js';
 import type {NotRunEvidence} from './execution.js';
@@ -26,7 +27,7 @@
 
 /** Why a hop ended without a response. */
 export type HopFailureReason =
-  'cancelled' | 'unreachable' | 'silent' | 'connection-lost' | 'broken-answer';
+  CancelCause | 'unreachable' | 'silent' | 'connection-lost' | 'broken-answer';
 
 /** A hop, as used by connections. */
 export interface OutgoingHop {
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -173,8 +173,9 @@
   call: ExecutionCall,
   onEnd: (result: ExecutionResult) => void,
 ): void {
-  if (call.cancel.isCancelled) {
-    onEnd({kind: 'refused', reason: 'cancelled', evidence: 'not-sent'});
+  const {cause} = call.cancel;
+  if (cause !== undefined) {
+    onEnd({kind: 'refused', reason: cause, evidence: 'not-sent'});
     return;
   }
   const delegatedRetries = call.origin.grant.delegate();
@@ -192,8 +193,8 @@
       onEnd(handleHopResult(options, result, delegatedRetries));
     },
   });
-  const cancelListener = call.cancel.onCancel(() => {
-    hop.fail('cancelled');
+  const cancelListener = call.cancel.onCancel(reason => {
+    hop.fail(reason);
   });
   getPeer(target.node).send(hop);
 }
--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -3,9 +3,9 @@
  * if there is no response.
  */
 import http from 'node:http';
-import type {CancelSignal} from '../base/cancel_signal.js';
 import {describeError} from '../base/errors.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
+import type {RequestCancelSignal} from '../protocol/cancel_cause.js';
 import {limitChunkOverhead} from './chunk_overhead.js';
 import type {ReceivedResponse} from './received_response.js';
 import {receiveResponse} from './received_response.js';
@@ -19,7 +19,7 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
   readonly connectTimeoutMillis: number;
-  readonly cancel: CancelSignal;
+  readonly cancel: RequestCancelSignal;
 }
 
 /** How a request ended. */
--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -1,9 +1,9 @@
 /**
  * Sends requests to the upstream of this host and reports their results.
  */
-import type {CancelSignal} from '../base/cancel_signal.js';
 import type {Disposable} from '../base/lifecycle.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
+import type {RequestCancelSignal} from '../protocol/cancel_cause.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {Announcements} from './announcements.js';
@@ -29,7 +29,7 @@
   readonly body: Buffer;
   readonly isRepeatable: boolean;
   readonly timeoutMillis: number;
-  readonly cancel: CancelSignal;
+  readonly cancel: RequestCancelSignal;
 }
 
 /** Result of a request. */
@@ -158,11 +158,11 @@
   wireHeaders: WireHeaders,
 ): UpstreamResult {
   if (result.kind === 'not-sent') {
-    const reason = request.cancel.isCancelled ? 'cancelled' : 'unreachable';
+    const reason = request.cancel.cause ?? 'unreachable';
     return {kind: 'not-run', reason};
   }
   if (result.kind === 'lost') {
-    const reason = request.cancel.isCancelled ? 'cancelled' : 'connection-lost';
+    const reason = request.cancel.cause ?? 'connection-lost';
     return {kind: 'unknown', reason, wasReused: result.wasReused};
   }
   const {answer} = result;
--- a/src/daemon/attempt_logging.ts
+++ b/src/daemon/attempt_logging.ts
@@ -4,6 +4,7 @@
 import type {ExecutionResult} from '../connection/execution.js';
 import type {DecisionLog} from '../process/log/decision_log.js';
 import type {NodeMetrics} from '../process/log/node_metrics.js';
+import type {CancelCause} from '../protocol/cancel_cause.js';
 import type {EndedAttempt} from '../request/attempt_runner.js';
 import type {AttemptedRequest} from '../request/attempted_request.js';
 import type {LocalCall} from '../request/local_call.js';
@@ -53,6 +54,29 @@
   });
 }
 
+/** Dependencies of `logCancelledRun`. */
+export interface CancelledRunOptions {
+  readonly log: DecisionLog;
+  readonly metrics: NodeMetrics;
+  readonly nowMillis: () => number;
+}
+
+/** Logs and counts a request that was cancelled while the local upstream ran it. */
+export function logCancelledRun(
+  {log, metrics, nowMillis}: CancelledRunOptions,
+  {attemptId, origin, upstreamId, deadlineMillis}: LocalCall,
+  cause: CancelCause,
+): void {
+  metrics.recordCancelledRun(cause);
+  log.logRequestEvent('run-cancelled', {
+    requestId: attemptId,
+    rootId: origin.rootId,
+    upstream: upstreamId,
+    cause,
+    leftMillis: Math.round(deadlineMillis - nowMillis()),
+  });
+}
+
 /** Logs a forwarded request that ended without a response from the local upstream. */
 export function logNotExecuted(
   log: DecisionLog,
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -27,6 +27,7 @@
 import type {StopPlan} from '../process/stop/stop_plan.js';
 import {createWeightedTargets} from '../process/placement/weighted_targets.js';
 import type {UpstreamEntry} from '../process/membership/upstream_entry.js';
+import {isCancelCause} from '../protocol/cancel_cause.js';
 import type {LoadFields} from '../protocol/hop_messages.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import {createAttemptRunner} from '../request/attempt_runner.js';
@@ -44,6 +45,7 @@
 import {startAnnouncementHandling} from './announcement_handling.js';
 import {
   countAttempt,
+  logCancelledRun,
   logNotExecuted,
   logNotRun,
   logRetry,
@@ -163,6 +165,8 @@
       components.reportOwnLoad();
       if (result.kind === 'refused') {
         announcements.logRefusal(call, result.reason);
+      } else if (result.kind === 'unknown' && isCancelCause(result.reason)) {
+        logCancelledRun(options, call, result.reason);
       }
       return result;
     },
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -2,6 +2,7 @@
  * Counters, gauges and latency histograms of a node.
  */
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {CancelCause} from '../../protocol/cancel_cause.js';
 import type {HopReason} from '../../protocol/hop_messages.js';
 import {createResponseTimes} from './response_times.js';
 
@@ -15,6 +16,8 @@
   recordRetry(reason: HopReason): void;
   recordRefusal(reason: HopReason): void;
   recordUnknownOutcome(reason: HopReason): void;
+  /** Records that a request at the local upstream was cancelled. */
+  recordCancelledRun(cause: CancelCause): void;
   /** Records why a request that must not be repeated is certain not to have run. */
   recordNotRunEvidence(evidence: string): void;
   /**
@@ -119,6 +122,11 @@
     'Attempts that may have run',
     ['reason'],
   );
+  const cancelledRuns = counter(
+    'cancelled_runs_total',
+    'Requests at the own upstream that were cancelled',
+    ['cause'],
+  );
   const misdirected = counter(
     'misdirected_total',
     'Requests that the own upstream denies as meant for another one',
@@ -220,6 +228,9 @@
     recordUnknownOutcome: reason => {
       unknownOutcomes.inc({reason});
     },
+    recordCancelledRun: cause => {
+      cancelledRuns.inc({cause});
+    },
     recordMisdirected: () => {
       misdirected.inc();
     },
--- a/src/protocol/hop_messages.ts
+++ b/src/protocol/hop_messages.ts
@@ -1,6 +1,7 @@
 /**
  * Messages between two nodes about one request.
  */
+import type {CancelCause} from './cancel_cause.js';
 
 /** A request for the upstream of the receiving node. */
 export interface HopRequest {
@@ -106,8 +107,7 @@
   | 'silent'
   /** An order with the same attempt id may have run at this upstream already. */
   | 'repeated'
-  | 'timeout'
-  | 'cancelled';
+  | CancelCause;
 
 /** Result of a request at the receiving node. */
 export interface HopResponse {
--- a/src/request/attempt_runner.ts
+++ b/src/request/attempt_runner.ts
@@ -288,8 +288,9 @@
     case 'not-executed':
     case 'broken-answer':
     case 'connection-lost':
-    case 'timeout':
       return 'failed';
+    case 'timeout':
+      return result.kind === 'unknown' ? 'failed' : 'neutral';
     default:
       return 'neutral';
   }
--- a/src/request/attempt_timeout.ts
+++ b/src/request/attempt_timeout.ts
@@ -3,6 +3,7 @@
  * be sent to another upstream.
  */
 import {createCancelSource} from '../base/cancel_signal.js';
+import type {CancelCause} from '../protocol/cancel_cause.js';
 import type {ExecutionCall, ExecutionResult} from '../connection/execution.js';
 
 /** An attempt with its timeout. */
@@ -30,13 +31,13 @@
   if (attemptTimeoutMillis === undefined) {
     return {result: await attempt.execute(call), isAbandoned: false};
   }
-  const source = createCancelSource();
+  const source = createCancelSource<CancelCause>();
   const callerCancel = call.cancel.onCancel(source.cancel);
   let isAbandoned = false;
   const timer = setTimeout(() => {
     if (call.cancel.isCancelled || !attempt.mayAbandon()) return;
     isAbandoned = true;
-    source.cancel();
+    source.cancel('timeout');
   }, attemptTimeoutMillis);
   const result = await attempt.execute({...call, cancel: source.signal});
   clearTimeout(timer);
--- a/src/request/crash_detector.ts
+++ b/src/request/crash_detector.ts
@@ -10,6 +10,7 @@
 import {waitUntilClosed} from '../connection/received_response.js';
 import type {FingerprintedRequest} from '../connection/request_fingerprint.js';
 import type {UpstreamResult} from '../connection/upstream_sender.js';
+import {isCancelCause} from '../protocol/cancel_cause.js';
 import {createExecutionsInProgress} from '../process/quarantine/executions_in_progress.js';
 
 /** A request that was dispatched to the upstream. */
@@ -102,7 +103,7 @@
         return endLostConnection(request);
       }
       const isCancelled =
-        result.kind === 'unknown' && result.reason === 'cancelled';
+        result.kind === 'unknown' && isCancelCause(result.reason);
       if (isCancelled) executions.cancel(request);
       else executions.end(request);
       return false;
--- a/src/request/entry_responder.ts
+++ b/src/request/entry_responder.ts
@@ -8,6 +8,7 @@
 import type {DecisionLog} from '../process/log/decision_log.js';
 import type {NodeMetrics} from '../process/log/node_metrics.js';
 import type {StopPlan} from '../process/stop/stop_plan.js';
+import type {HopReason} from '../protocol/hop_messages.js';
 import type {NoteHeaders} from '../protocol/wire_headers.js';
 import type {ServiceRoute} from '../version/route_configuration.js';
 import type {
@@ -77,6 +78,13 @@
 /** Required in a 401 response (RFC 9110, 11.6.1). */
 const CHALLENGE_HEADERS = ['www-authenticate', 'Bearer'];
 
+/** Reasons for which the time of a request was up. */
+const GATEWAY_TIMEOUT_REASONS: ReadonlySet<HopReason> = new Set([
+  'deadline',
+  'stopping',
+  'cancelled',
+]);
+
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
 /** Creates the entry responder of a node. */
@@ -222,13 +230,12 @@
         });
         return;
       }
-      // While the client is connected, only the deadline cancels its request.
-      const statusCode =
-        result.lastResult.reason === 'cancelled'
-          ? STATUS_GATEWAY_TIMEOUT
-          : STATUS_BAD_GATEWAY;
+      const {reason} = result.lastResult;
+      const statusCode = GATEWAY_TIMEOUT_REASONS.has(reason)
+        ? STATUS_GATEWAY_TIMEOUT
+        : STATUS_BAD_GATEWAY;
       writeEmptyResponse(exchange, statusCode, [
-        ...failureNotes('unknown', result.lastResult.reason),
+        ...failureNotes('unknown', reason),
         ...retryNotes(request),
       ]);
       const millis = recordResponse(request, statusCode);
@@ -236,6 +243,8 @@
         ...describeResult(request, result),
         statusCode,
         millis,
+        leftMillis: Math.round(request.deadlineMillis - nowMillis()),
+        isStopping: options.stop.isStopping,
       });
     },
     recordClientLeft: (request, result) => {
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -73,7 +73,9 @@
   if (waitResult !== 'started') return refused(waitResult);
   const fetched = call.fetchBody();
   const body = fetched instanceof Promise ? await fetched : fetched;
-  if (body === undefined) return refuseAndReleaseSlot(options, 'cancelled');
+  if (body === undefined) {
+    return refuseAndReleaseSlot(options, call.cancel.cause ?? 'cancelled');
+  }
   const request = dispatchedRequest(call, body, nowMillis());
   const admission = options.quarantine.admit(request, {
     waitMillis: call.deadlineMillis - MIN_LEFT_MILLIS - nowMillis(),
@@ -159,7 +161,7 @@
   const reason = upstream.leavingReason(call.upstreamId);
   if (reason !== undefined) return reason;
   if (call.deadlineMillis - nowMillis() < MIN_LEFT_MILLIS) return 'too-late';
-  return call.cancel.isCancelled ? 'cancelled' : undefined;
+  return call.cancel.cause;
 }
 
 function refuseAndReleaseSlot(
--- a/src/request/open_requests.ts
+++ b/src/request/open_requests.ts
@@ -3,15 +3,15 @@
  * planned stop they are cancelled, so that each gets a final response, and logged by id,
  * since nothing else reports them afterwards.
  */
-import type {CancelSource} from '../base/cancel_signal.js';
 import type {DecisionLog} from '../process/log/decision_log.js';
+import type {RequestCancelSource} from '../protocol/cancel_cause.js';
 import type {OpenRequest} from './open_request.js';
 
 /** Requests of a node that have no response yet. */
 export interface OpenRequests {
   readonly count: number;
   /** Cancelling the source ends the request. */
-  add(request: OpenRequest, source: CancelSource): void;
+  add(request: OpenRequest, source: RequestCancelSource): void;
   delete(request: OpenRequest): void;
   /** Logs one rate-limited line per request. */
   logAll(event: string): void;
@@ -24,7 +24,7 @@
   log: DecisionLog,
   nowMillis: () => number,
 ): OpenRequests {
-  const open = new Map<OpenRequest, CancelSource>();
+  const open = new Map<OpenRequest, RequestCancelSource>();
   let isCancelled = false;
   return {
     get count() {
@@ -32,7 +32,7 @@
     },
     add: (request, source) => {
       open.set(request, source);
-      if (isCancelled) source.cancel();
+      if (isCancelled) source.cancel('stopping');
     },
     delete: request => {
       open.delete(request);
@@ -52,7 +52,7 @@
     },
     cancelAll: () => {
       isCancelled = true;
-      for (const source of [...open.values()]) source.cancel();
+      for (const source of [...open.values()]) source.cancel('stopping');
     },
   };
 }
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -2,7 +2,6 @@
  * Handles requests that enter at this host: from clients, and from the local upstream,
  * which calls other services.
  */
-import type {CancelSource} from '../base/cancel_signal.js';
 import {createCancelSource} from '../base/cancel_signal.js';
 import type {ExecutionCall} from '../connection/execution.js';
 import type {HttpExchange} from '../connection/http_listener.js';
@@ -24,6 +23,10 @@
 } from '../process/quota/quota_enforcer.js';
 import type {StopPlan} from '../process/stop/stop_plan.js';
 import type {WeightedTargets} from '../process/placement/weighted_targets.js';
+import type {
+  CancelCause,
+  RequestCancelSource,
+} from '../protocol/cancel_cause.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {RouteTable} from '../version/route_table.js';
 import type {AttemptsResult, AttemptRunner} from './attempt_runner.js';
@@ -229,7 +232,7 @@
   body: Buffer,
 ): Promise<void> {
   const {exchange, route, service, parent, organisation} = entered;
-  const source = createCancelSource();
+  const source = createCancelSource<CancelCause>();
   if (organisation !== undefined) options.quotas.recordRan(organisation);
   options.open.add(entered, source);
   const cancelListener = exchange.cancel.onCancel(source.cancel);
@@ -255,16 +258,21 @@
 function startDeadline(
   options: OutboundOptions,
   entered: EnteredRequest,
-  source: CancelSource,
+  source: RequestCancelSource,
 ): NodeJS.Timeout {
   const leftMillis = entered.deadlineMillis - options.nowMillis();
-  return setTimeout(source.cancel, Math.max(0, leftMillis));
+  return setTimeout(
+    () => {
+      source.cancel('deadline');
+    },
+    Math.max(0, leftMillis),
+  );
 }
 
 interface CallParts {
   readonly headers: readonly string[];
   readonly body: Buffer;
-  readonly source: CancelSource;
+  readonly source: RequestCancelSource;
 }
 
 function createCall(
--- a/src/request/slot_wait.ts
+++ b/src/request/slot_wait.ts
@@ -6,6 +6,7 @@
   SlotRequest,
   UpstreamQueue,
 } from '../process/admission/upstream_queue.js';
+import type {CancelCause} from '../protocol/cancel_cause.js';
 
 /** Dependencies of the wait. */
 export interface SlotWaitOptions {
@@ -21,7 +22,7 @@
 
 /** How the wait for a slot ended. */
 export type WaitResult =
-  'started' | 'queue-full' | 'rate-limited' | 'too-late' | 'cancelled';
+  'started' | 'queue-full' | 'rate-limited' | 'too-late' | CancelCause;
 
 /** Waits for a slot; returns at once if the queue decides at once. */
 export function waitForSlot(
@@ -44,8 +45,8 @@
   if (decision === 'started' || decision === 'rate-limited') return decision;
   if (decision === 'refused') return 'queue-full';
   return new Promise(resolve => {
-    const cancelled = cancel.onCancel(() => {
-      if (queue.withdraw(slotRequest)) finish('cancelled');
+    const cancelled = cancel.onCancel(cause => {
+      if (queue.withdraw(slotRequest)) finish(cause);
     });
     const timer = setTimeout(
       () => {
--- a/src/request/upstream_dispatch.ts
+++ b/src/request/upstream_dispatch.ts
@@ -2,6 +2,7 @@
  * Dispatches requests to the upstream of this host, under the id of its current start.
  */
 import {createCancelSource} from '../base/cancel_signal.js';
+import type {CancelCause} from '../protocol/cancel_cause.js';
 import type {
   UpstreamRequest,
   UpstreamResult,
@@ -126,15 +127,23 @@
   body: Buffer,
 ): Promise<UpstreamResult> {
   // The client may have left while the request waited for its turn.
-  if (call.cancel.isCancelled) {
-    return Promise.resolve({kind: 'not-run', reason: 'cancelled'});
+  const {cause} = call.cancel;
+  if (cause !== undefined) {
+    return Promise.resolve({kind: 'not-run', reason: cause});
   }
-  const source = createCancelSource();
+  const source = createCancelSource<CancelCause>();
   const cancelListener = call.cancel.onCancel(source.cancel);
-  const lostListener = options.upstream.onLost(source.cancel);
+  const lostListener = options.upstream.onLost(() => {
+    source.cancel('upstream-lost');
+  });
   const sentMillis = options.nowMillis();
   const leftMillis = call.deadlineMillis - sentMillis;
-  const timer = setTimeout(source.cancel, Math.max(0, leftMillis));
+  const timer = setTimeout(
+    () => {
+      source.cancel('deadline');
+    },
+    Math.max(0, leftMillis),
+  );
   const request: UpstreamRequest = {
     attemptId: call.attemptId,
     upstreamId: call.upstreamId,
--- a/test/fakes/execution_call.ts
+++ b/test/fakes/execution_call.ts
@@ -3,6 +3,7 @@
  */
 import {createCancelSource} from '../../src/base/cancel_signal.js';
 import type {ExecutionCall} from '../../src/connection/execution.js';
+import type {CancelCause} from '../../src/protocol/cancel_cause.js';
 import {createRetryGrant} from '../../src/process/retries/shared_retry_grant.js';
 
 /** Default time until the deadline of a call. */
@@ -31,7 +32,7 @@
     },
     deadlineMillis: nowMillis + LEFT_MILLIS,
     startByMillis: nowMillis + LEFT_MILLIS,
-    cancel: createCancelSource().signal,
+    cancel: createCancelSource<CancelCause>().signal,
     ...fields,
   };
 }
--- a/test/unit/connection/endless_response.test.ts
+++ b/test/unit/connection/endless_response.test.ts
@@ -9,6 +9,7 @@
 import {createCancelSource} from '../../../src/base/cancel_signal.js';
 import type {UpstreamResult} from '../../../src/connection/upstream_sender.js';
 import {createUpstreamSender} from '../../../src/connection/upstream_sender.js';
+import type {CancelCause} from '../../../src/protocol/cancel_cause.js';
 import {FULMARHOLLOW_HEADERS} from '../../../src/protocol/fulmarhollow_headers.js';
 import {waitUntil} from '../../fakes/wait_until.js';
 
@@ -110,7 +111,7 @@
     FULMARHOLLOW_HEADERS,
   );
   t.teardown(sender.dispose);
-  const cancel = createCancelSource();
+  const cancel = createCancelSource<CancelCause>();
   let result: UpstreamResult | undefined;
   sender.send(
     {
@@ -133,7 +134,7 @@
     'a result',
     () => result !== undefined || upstream.sentBytes > MAX_SENT_BYTES,
   );
-  cancel.cancel();
+  cancel.cancel('client-left');
   await waitUntil('a result', () => result !== undefined);
   return result as unknown as UpstreamResult;
 }
--- a/test/unit/connection/upstream_sender.test.ts
+++ b/test/unit/connection/upstream_sender.test.ts
@@ -4,6 +4,7 @@
 import {createCancelSource} from '../../../src/base/cancel_signal.js';
 import type {UpstreamResult} from '../../../src/connection/upstream_sender.js';
 import {createUpstreamSender} from '../../../src/connection/upstream_sender.js';
+import type {CancelCause} from '../../../src/protocol/cancel_cause.js';
 import {FULMARHOLLOW_HEADERS} from '../../../src/protocol/fulmarhollow_headers.js';
 
 for (const when of ['before', 'while'] as const) {
@@ -25,8 +26,8 @@
       sender.dispose();
       server.close();
     });
-    const {signal, cancel} = createCancelSource();
-    if (when === 'before') cancel();
+    const {signal, cancel} = createCancelSource<CancelCause>();
+    if (when === 'before') cancel('client-left');
     const result = await new Promise<UpstreamResult>(resolve => {
       sender.send(
         {
@@ -43,9 +44,9 @@
         },
         resolve,
       );
-      cancel();
+      cancel('client-left');
     });
-    t.like(result, {kind: 'not-run', reason: 'cancelled'});
+    t.like(result, {kind: 'not-run', reason: 'client-left'});
     t.is(requestsCount, 0);
   });
 }
--- a/test/unit/process/quarantine/semaphore.test.ts
+++ b/test/unit/process/quarantine/semaphore.test.ts
@@ -35,7 +35,7 @@
   void semaphore.acquire(wait);
   const cancelled = waitOf(LONG_MILLIS);
   const cancelledWait = semaphore.acquire(cancelled.wait);
-  cancelled.cancel();
+  cancelled.cancel('client-left');
   t.false(await cancelledWait);
   t.false(await semaphore.acquire(waitOf(0).wait));
   semaphore.release();
--- a/test/unit/request/upstream_dispatch.test.ts
+++ b/test/unit/request/upstream_dispatch.test.ts
@@ -3,6 +3,7 @@
 import {createCallTrees} from '../../../src/process/admission/call_trees.js';
 import {createRetryBudget} from '../../../src/process/retries/retry_budget.js';
 import {NO_STARTED_ORDERS} from '../../../src/process/retries/started_orders.js';
+import type {CancelCause} from '../../../src/protocol/cancel_cause.js';
 import type {LocalUpstream} from '../../../src/request/local_upstream.js';
 import {createUpstreamDispatch} from '../../../src/request/upstream_dispatch.js';
 import {executionCall} from '../../fakes/execution_call.js';
@@ -42,7 +43,7 @@
     pacer: {takeUnchecked: () => undefined},
     startedOrders: NO_STARTED_ORDERS,
   });
-  const {signal, cancel} = createCancelSource();
+  const {signal, cancel} = createCancelSource<CancelCause>();
   const result = dispatcher.dispatch(
     {
       ...executionCall(0),
@@ -52,8 +53,8 @@
     },
     Buffer.alloc(0),
   );
-  cancel();
+  cancel('client-left');
   startTurn();
-  t.deepEqual(await result, {kind: 'not-run', reason: 'cancelled'});
+  t.deepEqual(await result, {kind: 'not-run', reason: 'client-left'});
   t.is(sentCount, 0);
 });
