--- /dev/null
+++ b/test/contract/platform_busy_upstream.test.ts
@@ -0,0 +1,84 @@
+/**
+ * Upstreams that accept no further connections while they run requests.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {ExecutionContext} from 'ava';
+import test from 'ava';
+import type {FleetHost, PlatformFleet} from '../fakes/platform_fleet.js';
+import {ORDER_PATH, SAFE_PATH} from '../fakes/platform_fleet.js';
+import {startFleet} from '../fakes/test_fleet.js';
+import {waitUntil} from '../fakes/wait_until.js';
+
+const WORK_MILLIS = 1500;
+
+/** More than the interval at which a node probes an unreachable upstream. */
+const PROBE_PAUSE_MILLIS = 200;
+
+/** More failures in a row than a single lost packet explains. */
+const REFUSED_COUNT = 3;
+
+const KINDS = [
+  {kind: 'read', method: 'GET', path: '/a/1'},
+  {kind: 'order', method: 'POST', path: '/order/1'},
+] as const;
+
+interface BusyFleet {
+  readonly fleet: PlatformFleet;
+  readonly entry: FleetHost;
+  readonly busy: FleetHost;
+}
+
+/** Starts a fleet with one upstream of the routes' service. */
+async function startBusyFleet(t: ExecutionContext): Promise<BusyFleet> {
+  const fleet = await startFleet(t, {
+    services: ['shop', 'orders'],
+    paths: [SAFE_PATH, ORDER_PATH],
+  });
+  const [entry, busy] = fleet.hosts;
+  busy!.upstream.setHandler(request => {
+    setTimeout(() => {
+      request.respond(200, 'served');
+    }, WORK_MILLIS);
+  });
+  return {fleet, entry: entry!, busy: busy!};
+}
+
+/** Sends reads that find no connection, so that the node sees its upstream as unreachable. */
+async function sendUnreachable({fleet, busy}: BusyFleet): Promise<void> {
+  for (let index = 0; index < REFUSED_COUNT; index += 1) {
+    void fleet.send(busy, {
+      attemptId: `refused-${String(index)}`,
+      path: '/a/1',
+    });
+    await sleep(PROBE_PAUSE_MILLIS);
+  }
+}
+
+for (const {kind, method, path} of KINDS) {
+  for (const isStopping of [false, true]) {
+    const title = isStopping ? `${kind}, entered at a stopping node,` : kind;
+    test(`a running ${title} is answered though its upstream refuses connections`, async t => {
+      // Guards against runs that are cut because connections of other requests failed.
+      const context = await startBusyFleet(t);
+      const {fleet, entry, busy} = context;
+      const response = fleet.send(entry, {
+        attemptId: 'running',
+        method,
+        path,
+        ...(method === 'POST' ? {body: 'x'} : {}),
+      });
+      await waitUntil('run', () => busy.upstream.runIds.includes('running'));
+      const stopped = isStopping ? entry.node.stop() : undefined;
+      busy.upstream.refuseConnections();
+      await sendUnreachable(context);
+      t.true(
+        busy.events.some(({event}) => event === 'own-upstream-lost'),
+        'the node sees that connections fail',
+      );
+      t.like(await response, {statusCode: 200, body: 'served'});
+      t.is(busy.upstream.abortedCount, 0);
+      t.deepEqual(busy.upstream.runIds, ['running']);
+      await stopped;
+    });
+  }
+}
--- a/test/fakes/fake_upstream.ts
+++ b/test/fakes/fake_upstream.ts
@@ -60,6 +60,8 @@
    * given. Requests in flight are lost.
    */
   restart(nextId?: string): Promise<void>;
+  /** Refuses new connections; requests on accepted ones go on. */
+  refuseConnections(): void;
   /**
    * Crashes whenever it starts to run a matching request, and starts again later with a
    * new id.
@@ -197,6 +199,9 @@
       id = nextId;
       server = await listen(handle, options);
     },
+    refuseConnections: () => {
+      server.close();
+    },
     crashOn: plan => {
       crashPlan = plan;
     },
