--- a/src/connection/execution.ts
+++ b/src/connection/execution.ts
@@ -29,6 +29,11 @@
    */
   readonly usualMillis?: number | undefined;
   readonly cancel: RequestCancelSignal;
+  /**
+   * Called when the upstream may have ended while it runs the request; the sender of the
+   * request decides whether another attempt replaces this one.
+   */
+  readonly onSuspected?: (() => void) | undefined;
 }
 
 /** Why it is certain that an attempt has not run and will not run. */
--- a/src/connection/hop_connection.ts
+++ b/src/connection/hop_connection.ts
@@ -223,6 +223,9 @@
         channel.hop.markSent();
         sendBody(channelId, channel.hop);
         break;
+      case FRAME_KIND.suspected:
+        channel?.hop.onSuspected();
+        break;
       case FRAME_KIND.answer:
         handleResponse(channelId, payload);
         break;
--- a/src/connection/incoming_hop.ts
+++ b/src/connection/incoming_hop.ts
@@ -47,6 +47,8 @@
   fetchBody(): Buffer | undefined | Promise<Buffer | undefined>;
   /** Loads of other upstreams should be included in the response. */
   isLoadReportDue(): boolean;
+  /** Reports to the sender that the upstream may have ended. */
+  reportSuspected(): void;
   /** Sends the response; called once. */
   answer(result: IncomingHopResult): void;
 }
@@ -161,6 +163,9 @@
       });
     },
     isLoadReportDue: () => channel?.isLoadReportDue() ?? false,
+    reportSuspected: () => {
+      channel?.connection.send(FRAME_KIND.suspected, channel.channelId);
+    },
     answer: ({answer, received}) => {
       isAnswered = true;
       clearTimeout(reconnectTimer);
--- a/src/connection/outgoing_hop.ts
+++ b/src/connection/outgoing_hop.ts
@@ -51,6 +51,8 @@
   instanceId: string | undefined;
   /** Removes the hop from its connection; set by that connection. */
   detach: () => void;
+  /** Called when the upstream may have ended while it runs the request. */
+  readonly onSuspected: () => void;
   /** Ends with a response. */
   complete(response: HopResponse, received: ReceivedResponse | undefined): void;
   /**
@@ -66,6 +68,7 @@
   readonly request: Omit<HopRequest, 'hopId' | 'bodyForm'>;
   readonly body: Buffer;
   readonly startedMillis: number;
+  readonly onSuspected?: (() => void) | undefined;
   readonly onEnd: (result: HopResult) => void;
 }
 
@@ -116,6 +119,7 @@
     },
     instanceId: undefined,
     detach: () => undefined,
+    onSuspected: options.onSuspected ?? (() => undefined),
     complete: (answer, received) => {
       finish({kind: 'answer', answer, received});
     },
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -188,6 +188,7 @@
     }),
     body: call.body,
     startedMillis: now,
+    onSuspected: call.onSuspected,
     onEnd: result => {
       cancelListener.dispose();
       onEnd(handleHopResult(options, result, delegatedRetries));
--- a/src/protocol/cancel_cause.ts
+++ b/src/protocol/cancel_cause.ts
@@ -16,7 +16,7 @@
   'cancelled',
   /** The connection to the sending node was lost, and not replaced in time. */
   'sender-lost',
-  /** The upstream is assumed to have ended: connections to it fail. */
+  /** Connections to the upstream fail, and another attempt replaces this one. */
   'upstream-lost',
 ] as const;
 
--- a/src/protocol/hop_frames.ts
+++ b/src/protocol/hop_frames.ts
@@ -56,6 +56,11 @@
    * the sender has no other sign that the connection is slow rather than lost.
    */
   bodyReceived: 20,
+  /**
+   * The upstream may have ended; the request stays in progress. Ignored by nodes that do
+   * not know it.
+   */
+  suspected: 21,
 } as const;
 
 export type FrameKind = (typeof FRAME_KIND)[keyof typeof FRAME_KIND];
--- a/src/request/attempt_runner.ts
+++ b/src/request/attempt_runner.ts
@@ -212,9 +212,7 @@
     );
   const timed = await runWithAttemptTimeout({
     call,
-    attemptTimeoutMillis: call.isRepeatable
-      ? attemptTimeouts.timeoutMillis(key)
-      : undefined,
+    attemptTimeoutMillis: attemptTimeouts.timeoutMillis(key),
     execute: timedCall => attemptAt(options, entry, timedCall),
     // A stopping node may exit before a second attempt completes, which would also
     // lose the first one, still in progress at an upstream.
@@ -223,8 +221,9 @@
       hasNext() &&
       rules.mayAbandonAttempt(request, history.ranCount),
   });
-  if (timed.isAbandoned) attemptTimeouts.recordTimeout(key);
-  else if (timed.result.kind === 'answered') {
+  if (timed.isAbandoned && reasonOf(timed.result) === 'timeout') {
+    attemptTimeouts.recordTimeout(key);
+  } else if (timed.result.kind === 'answered') {
     attemptTimeouts.recordResponse(key, nowMillis() - startedMillis);
   }
   return timed;
@@ -284,6 +283,7 @@
     case 'unreachable':
     case 'upstream-crashed':
     case 'silent':
+    case 'upstream-lost':
       return 'unreachable';
     case 'not-executed':
     case 'broken-answer':
--- a/src/request/inbound_exchange.ts
+++ b/src/request/inbound_exchange.ts
@@ -78,6 +78,7 @@
     usualMillis: request.usualMillis,
     fetchBody: hop.fetchBody,
     cancel: hop.cancel,
+    onSuspected: hop.reportSuspected,
   };
 }
 
--- a/src/request/local_upstream.ts
+++ b/src/request/local_upstream.ts
@@ -32,8 +32,11 @@
   markReached(): void;
   /** False while connections to the upstream fail. */
   readonly isReachable: boolean;
-  /** Calls the listener when the upstream is assumed to have exited. */
-  onLost(listener: () => void): Disposable;
+  /**
+   * Calls the listener when the upstream may have ended. Requests in progress may still
+   * run: an upstream at its connection limit refuses further connections as well.
+   */
+  onSuspected(listener: () => void): Disposable;
   /** Records that the upstream started or restarted. */
   markStarted(): void;
   /** Calls the listener when the upstream has started or restarted. */
@@ -57,8 +60,8 @@
  */
 const RETRY_MILLIS = 150;
 
-/** Consecutive failures after which requests in progress are cancelled. */
-const LOST_FAILURES_COUNT = 2;
+/** Consecutive failed connections after which the upstream may have ended. */
+const SUSPECTED_FAILURES_COUNT = 2;
 
 /**
  * How long a rejected id is cached. After a power loss, entries of earlier starts are
@@ -80,7 +83,7 @@
   options: LocalUpstreamOptions,
 ): LocalUpstream {
   const {directory, nowMillis} = options;
-  const lostListeners = new Set<() => void>();
+  const suspectedListeners = new Set<() => void>();
   const startedListeners = new Set<() => void>();
   let failuresInARow = 0;
   let retryAtMillis = 0;
@@ -151,10 +154,8 @@
         options.onChange(false);
         firstDispatches.reset();
       }
-      if (failuresInARow !== LOST_FAILURES_COUNT) return;
-      // The upstream exited without notice; its requests in progress would otherwise
-      // occupy its slots and block their callers until their deadlines.
-      for (const listener of [...lostListeners]) listener();
+      if (failuresInARow !== SUSPECTED_FAILURES_COUNT) return;
+      for (const listener of [...suspectedListeners]) listener();
     },
     markMisdirected: (upstreamId, actualId) => {
       rejectedIds.set(upstreamId, {
@@ -181,7 +182,7 @@
     get isReachable() {
       return failuresInARow === 0;
     },
-    onLost: listener => addListener(lostListeners, listener),
+    onSuspected: listener => addListener(suspectedListeners, listener),
     markStarted: () => {
       rejectedIds.clear();
       firstDispatches.reset();
--- a/src/request/upstream_dispatch.ts
+++ b/src/request/upstream_dispatch.ts
@@ -133,8 +133,8 @@
   }
   const source = createCancelSource<CancelCause>();
   const cancelListener = call.cancel.onCancel(source.cancel);
-  const lostListener = options.upstream.onLost(() => {
-    source.cancel('upstream-lost');
+  const suspectedListener = options.upstream.onSuspected(() => {
+    call.onSuspected?.();
   });
   const sentMillis = options.nowMillis();
   const leftMillis = call.deadlineMillis - sentMillis;
@@ -161,7 +161,7 @@
     options.sender.send(request, result => {
       clearTimeout(timer);
       cancelListener.dispose();
-      lostListener.dispose();
+      suspectedListener.dispose();
       observeAnnouncements(options.announcements, result, {
         upstreamId: call.upstreamId,
         sentMillis,
