--- a/test/fakes/hop_fixture.ts
+++ b/test/fakes/hop_fixture.ts
@@ -22,10 +22,16 @@
 export const MAX_BODY_BYTES = 1_000_000;
 const nowMillis = (): number => performance.now();
 
+export interface HopFixtureOptions {
+  /** The sender checks its connections for silence; the default. */
+  readonly isMonitored?: boolean;
+}
+
 /** Starts a listener that passes requests to `handle`, and a peer that sends to it. */
 export async function createHopFixture(
   t: ExecutionContext,
   handle: (arrival: IncomingHop) => Promise<void>,
+  {isMonitored = true}: HopFixtureOptions = {},
 ) {
   const listen = (instanceId: string): Promise<HopListener> =>
     openHopListener({
@@ -56,14 +62,14 @@
     endpoint,
     nowMillis,
     onDataReceived: () => {
-      activity.recordActivity();
+      activity?.recordActivity();
     },
     onLoads: () => undefined,
     onHopsResumed: count => {
       replacedCount += count;
     },
   });
-  const activity = monitor.add(peer);
+  const activity = isMonitored ? monitor.add(peer) : undefined;
   t.teardown(async () => {
     monitor.dispose();
     peer.dispose();
