--- /dev/null
+++ b/src/connection/detached_hops.ts
@@ -0,0 +1,133 @@
+/**
+ * Requests whose connection was lost, until they are resumed on a new connection to the
+ * process that received them. Reconnects while there are any: the receiver continues its
+ * work only for a limited time.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Disposable} from '../base/lifecycle.js';
+import {
+  RECONNECT_PAUSE_MILLIS,
+  RECONNECT_WINDOW_MILLIS,
+} from '../process/membership/reconnect_times.js';
+import type {HopConnection} from './hop_connection.js';
+import type {OutgoingHop} from './outgoing_hop.js';
+
+/** Result of opening a new connection. */
+export type FreshConnectionResult = HopConnection | 'refused' | 'silent';
+
+/** Requests to one node that have no connection. */
+export interface DetachedHops extends Disposable {
+  readonly count: number;
+  hops(): readonly OutgoingHop[];
+  /** Adds requests, and resumes them on the connection or as soon as there is one. */
+  resume(hops: readonly OutgoingHop[], connection?: HopConnection): void;
+  /** Cancels requests whose cancellation may have been lost with its connection. */
+  cancel(hopIds: readonly string[], instanceId: string): void;
+}
+
+export interface DetachedHopsOptions {
+  readonly nowMillis: () => number;
+  readonly openConnection: () => Promise<FreshConnectionResult>;
+  /** This many requests were resumed. */
+  readonly onResumed: (hopsCount: number) => void;
+}
+
+/** A request that has ended at this node and may still run at the other one. */
+interface PendingCancel {
+  readonly instanceId: string;
+  /** The receiver abandons reads at this time. */
+  readonly untilMillis: number;
+}
+
+const noop = (): void => undefined;
+
+/** Creates an empty set. */
+export function createDetachedHops(options: DetachedHopsOptions): DetachedHops {
+  const hops = new Set<OutgoingHop>();
+  const pendingCancels = new Map<string, PendingCancel>();
+  let isReconnecting = false;
+  let isDisposed = false;
+
+  const add = (hop: OutgoingHop): void => {
+    if (!hop.isOpen) return;
+    hops.add(hop);
+    hop.detach = () => {
+      hops.delete(hop);
+      if (hop.instanceId !== undefined) {
+        addCancel(hop.hopId, hop.instanceId);
+      }
+    };
+  };
+  const addCancel = (hopId: string, instanceId: string): void => {
+    const untilMillis = options.nowMillis() + RECONNECT_WINDOW_MILLIS;
+    pendingCancels.set(hopId, {instanceId, untilMillis});
+  };
+  const remove = (hop: OutgoingHop): void => {
+    hops.delete(hop);
+    hop.detach = noop;
+  };
+  /** The process that received the hop has ended, so its outcome is unknown. */
+  const failHop = (hop: OutgoingHop): void => {
+    remove(hop);
+    hop.fail('connection-lost');
+  };
+  const failAll = (): void => {
+    pendingCancels.clear();
+    for (const hop of [...hops]) failHop(hop);
+  };
+  const resumeAll = (connection: HopConnection): void => {
+    for (const [hopId, {instanceId}] of pendingCancels) {
+      if (instanceId === connection.instanceId) connection.cancelLost(hopId);
+    }
+    pendingCancels.clear();
+    let resumedCount = 0;
+    for (const hop of [...hops]) {
+      if (hop.instanceId !== connection.instanceId) {
+        failHop(hop);
+        continue;
+      }
+      remove(hop);
+      connection.claim(hop);
+      resumedCount += 1;
+    }
+    if (resumedCount > 0) options.onResumed(resumedCount);
+  };
+  const hasPending = (): boolean => {
+    const now = options.nowMillis();
+    for (const [hopId, {untilMillis}] of pendingCancels) {
+      if (untilMillis > now) break;
+      pendingCancels.delete(hopId);
+    }
+    return hops.size > 0 || pendingCancels.size > 0;
+  };
+  const reconnect = async (): Promise<void> => {
+    if (isReconnecting) return;
+    isReconnecting = true;
+    while (!isDisposed && hasPending()) {
+      const result = await options.openConnection();
+      if (result === 'refused') failAll();
+      else if (result !== 'silent') resumeAll(result);
+      else await sleep(RECONNECT_PAUSE_MILLIS, undefined, {ref: false});
+    }
+    isReconnecting = false;
+  };
+
+  return {
+    get count() {
+      return hops.size;
+    },
+    hops: () => [...hops],
+    resume: (lostHops, connection) => {
+      for (const hop of lostHops) add(hop);
+      if (connection === undefined) void reconnect();
+      else resumeAll(connection);
+    },
+    cancel: (hopIds, instanceId) => {
+      for (const hopId of hopIds) addCancel(hopId, instanceId);
+      if (hopIds.length > 0) void reconnect();
+    },
+    dispose: () => {
+      isDisposed = true;
+    },
+  };
+}
--- a/src/connection/hop_connection.ts
+++ b/src/connection/hop_connection.ts
@@ -29,11 +29,15 @@
   /** The peer process is stopping; no new requests may be sent. */
   readonly isGoingAway: boolean;
   readonly lastUsedMillis: number;
+  /** Requests that were cancelled, without any data received since then. */
+  readonly unconfirmedCancels: readonly string[];
   /** Requests without a response. */
   hops(): readonly OutgoingHop[];
   send(hop: OutgoingHop): void;
   /** Resumes a request whose connection was lost. */
   claim(hop: OutgoingHop): void;
+  /** Cancels a request whose connection was lost. */
+  cancelLost(hopId: string): void;
   ping(): void;
   /** Sends a query; its first byte is its type. */
   sendQuery(query: Buffer): void;
@@ -85,6 +89,7 @@
   waitingSinceMillis: number | undefined;
   isGoingAway: boolean;
   lastUsedMillis: number;
+  unconfirmedCancels: string[];
 }
 
 interface Channel {
@@ -139,8 +144,10 @@
     return channelId;
   };
   const cancelChannel = (channelId: number): void => {
-    if (!channels.has(channelId)) return;
+    const channel = channels.get(channelId);
+    if (channel === undefined) return;
     connection.send(FRAME_KIND.cancel, channelId);
+    hopConnection.unconfirmedCancels.push(channel.hop.hopId);
     closeChannel(channelId);
   };
   const sendBody = (channelId: number, hop: OutgoingHop): void => {
@@ -265,6 +272,7 @@
   const connection = openFrameConnection(peer, {
     onDataReceived: () => {
       hopConnection.lastReceivedMillis = nowMillis();
+      hopConnection.unconfirmedCancels.length = 0;
       options.onDataReceived();
     },
     onConnected: () => {
@@ -290,6 +298,7 @@
     waitingSinceMillis: undefined,
     isGoingAway: false,
     lastUsedMillis: nowMillis(),
+    unconfirmedCancels: [],
     hops: () =>
       [...channels.values()]
         .filter(channel => channel.bodyRest === undefined)
@@ -306,6 +315,11 @@
       const channelId = openChannel(hop);
       connection.send(FRAME_KIND.claim, channelId, Buffer.from(hop.hopId));
     },
+    cancelLost: hopId => {
+      lastChannelId += 1;
+      connection.send(FRAME_KIND.claim, lastChannelId, Buffer.from(hopId));
+      connection.send(FRAME_KIND.cancel, lastChannelId);
+    },
     ping: () => {
       connection.send(FRAME_KIND.ping, 0);
     },
--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -170,6 +170,7 @@
       inlineBody: decoded.body,
       channel: openChannel(channelId),
       bodyBytes: options.bodyBytes,
+      nowMillis: options.nowMillis,
       onAnswered: keptBytes => {
         state.incomingHops.end(hopId, keptBytes);
       },
--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -6,6 +6,8 @@
 import {createReplyTimeout} from '../process/membership/reply_timeout.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
 import type {LoadFields} from '../protocol/hop_messages.js';
+import type {FreshConnectionResult} from './detached_hops.js';
+import {createDetachedHops} from './detached_hops.js';
 import type {
   HopConnection,
   HopConnectionCloseReason,
@@ -58,14 +60,10 @@
 
 const noop = (): void => undefined;
 
-/** Result of opening a new connection. */
-type FreshConnectionResult = HopConnection | 'refused' | 'silent';
-
 /** Creates a peer without connections. */
 export function createHopPeer(options: HopPeerOptions): HopPeer {
   const {endpoint, nowMillis, replyTimeout = createReplyTimeout()} = options;
   const connections = new Set<HopConnection>();
-  const detachedHops = new Set<OutgoingHop>();
   let pendingConnection: Promise<FreshConnectionResult> | undefined;
 
   const openConnection = (
@@ -81,6 +79,7 @@
       onClosed: (reason, hops) => {
         connections.delete(connection);
         onFailed(reason);
+        cancelUnconfirmed(connection);
         handleClosed(reason, hops);
       },
     });
@@ -97,36 +96,16 @@
   ): void => {
     if (hops.length === 0) return;
     if (reason === 'closed') {
-      void resumeHops(hops);
+      detachedHops.resume(hops);
       return;
     }
     for (const hop of hops) hop.fail('unreachable');
   };
-
-  /** Resumes requests on a new connection to the same process. */
-  const resumeHops = async (hops: readonly OutgoingHop[]): Promise<void> => {
-    for (const hop of hops) detachedHops.add(hop);
-    const result = await openFreshConnection(true);
-    for (const hop of hops) {
-      if (!detachedHops.has(hop)) continue;
-      if (!hop.isOpen) detachedHops.delete(hop);
-      else if (result === 'refused') failHop(hop);
-      else if (result !== 'silent') claimHop(result, hop);
-    }
-    if (typeof result !== 'string') options.onHopsResumed(hops.length);
-  };
-  /** The process that received the hop has ended, so its outcome is unknown. */
-  const failHop = (hop: OutgoingHop): void => {
-    detachedHops.delete(hop);
-    hop.fail('connection-lost');
-  };
-  const claimHop = (connection: HopConnection, hop: OutgoingHop): void => {
-    if (hop.instanceId === connection.instanceId) {
-      detachedHops.delete(hop);
-      connection.claim(hop);
-      return;
-    }
-    failHop(hop);
+  /** A stopping process receives all that was sent before its connections end. */
+  const cancelUnconfirmed = (connection: HopConnection): void => {
+    const {instanceId, isGoingAway, unconfirmedCancels} = connection;
+    if (instanceId === undefined || isGoingAway) return;
+    detachedHops.cancel(unconfirmedCancels, instanceId);
   };
 
   /** Concurrent callers share one attempt. */
@@ -174,6 +153,20 @@
       }
     });
 
+  const detachedHops = createDetachedHops({
+    nowMillis,
+    openConnection: () => openFreshConnection(true),
+    onResumed: options.onHopsResumed,
+  });
+
+  /** A connection on which the node has replied. */
+  const findReplied = (sinceMillis: number): HopConnection | undefined =>
+    [...connections].find(
+      ({instanceId, isGoingAway, lastReceivedMillis}) =>
+        instanceId !== undefined &&
+        !isGoingAway &&
+        lastReceivedMillis >= sinceMillis,
+    );
   const chooseConnection = (): HopConnection => {
     let best: HopConnection | undefined;
     for (const connection of connections) {
@@ -190,7 +183,7 @@
     endpoint,
     connections: () => [...connections],
     get detachedHopsCount() {
-      return detachedHops.size;
+      return detachedHops.count;
     },
     send: hop => {
       chooseConnection().send(hop);
@@ -203,31 +196,26 @@
       return typeof result !== 'string';
     },
     replaceSilentConnections: sinceMillis => {
-      const hops: OutgoingHop[] = [...detachedHops];
+      const hops: OutgoingHop[] = [];
       for (const connection of [...connections]) {
         if (connection.waitingSinceMillis === undefined) continue;
         if (connection.lastReceivedMillis >= sinceMillis) continue;
         if (connection.waitingSinceMillis >= sinceMillis) continue;
         connections.delete(connection);
+        cancelUnconfirmed(connection);
         hops.push(...connection.closeAndTakeHops());
       }
-      if (hops.length > 0) void resumeHops(hops);
+      if (hops.length > 0) detachedHops.resume(hops, findReplied(sinceMillis));
     },
     failResendableHops: () => {
-      const openHops = [...detachedHops];
+      const openHops = [...detachedHops.hops()];
       for (const connection of connections) openHops.push(...connection.hops());
       const resendable = openHops.filter(hop => hop.isResendable);
-      for (const hop of resendable) {
-        detachedHops.delete(hop);
-        hop.fail('silent');
-      }
+      for (const hop of resendable) hop.fail('silent');
       return resendable.length;
     },
     closeIdleConnections: () => {
       const sinceMillis = nowMillis() - MAX_IDLE_MILLIS;
-      for (const hop of detachedHops) {
-        if (!hop.isOpen) detachedHops.delete(hop);
-      }
       for (const connection of [...connections]) {
         if (
           connection.openCount > 0 ||
@@ -240,6 +228,7 @@
       }
     },
     dispose: () => {
+      detachedHops.dispose();
       for (const connection of [...connections]) connection.closeAndTakeHops();
       connections.clear();
     },
--- a/src/connection/incoming_hop.ts
+++ b/src/connection/incoming_hop.ts
@@ -4,8 +4,13 @@
  */
 import type {CancelSignal} from '../base/cancel_signal.js';
 import {createCancelSource} from '../base/cancel_signal.js';
+import {RECONNECT_WINDOW_MILLIS} from '../process/membership/reconnect_times.js';
 import {FRAME_KIND} from '../protocol/hop_frames.js';
-import type {HopResponse, HopRequest} from '../protocol/hop_messages.js';
+import type {
+  ClaimState,
+  HopResponse,
+  HopRequest,
+} from '../protocol/hop_messages.js';
 import {encodeHopResponse} from '../protocol/hop_response_codec.js';
 import type {FrameConnection} from './frame_connection.js';
 import {withoutConnectionHeaders} from './raw_headers.js';
@@ -72,6 +77,7 @@
   readonly inlineBody: Buffer;
   readonly channel: HopChannel;
   readonly bodyBytes: () => number;
+  readonly nowMillis: () => number;
   /**
    * The response was produced; this many bytes of it are cached for a resend.
    */
@@ -80,12 +86,8 @@
   readonly onDone: () => void;
 }
 
-/**
- * Time in which a sender must reconnect after its connection was lost: a few
- * round trips, and less than the half second for which work may continue after
- * its client has left.
- */
-const RECONNECT_GRACE_MILLIS = 350;
+/** The result is not available; reads may be sent to another node. */
+const GONE: ClaimState = 'gone';
 
 const EMPTY_BODY = Buffer.alloc(0);
 
@@ -100,6 +102,8 @@
   let cachedResponse: Buffer | undefined;
   let bodyRestSender: BodyRestSender | undefined;
   let isAnswered = false;
+  let isSenderLost = false;
+  const deadlineMillis = options.nowMillis() + request.leftMillis;
   let bodyChunks: Buffer[] = [options.inlineBody];
   let receivedBodyBytes = options.inlineBody.length;
   let isBodyComplete = request.bodyForm === 'inline';
@@ -121,6 +125,30 @@
     resolveBody(undefined);
     source.cancel();
   };
+  /**
+   * Time for which work continues without a connection. A second run of an order is not
+   * allowed, so its first one continues until its deadline. A lost connection does not
+   * imply that the client has left: its sender cancels the request once it reconnects.
+   */
+  const detachedMillis = (): number => {
+    const leftMillis = Math.max(0, deadlineMillis - options.nowMillis());
+    if (!request.isRepeatable && isBodyComplete) return leftMillis;
+    return Math.min(leftMillis, RECONNECT_WINDOW_MILLIS);
+  };
+  const abandonLostSender = (): void => {
+    isSenderLost = true;
+    abandon();
+  };
+  const sendGone = (): void => {
+    channel?.connection.send(
+      FRAME_KIND.claimed,
+      channel.channelId,
+      Buffer.from(GONE),
+    );
+    closeChannel();
+    options.onAnswered(0);
+    options.onDone();
+  };
   const sendResponse = (payload: Buffer): void => {
     channel?.connection.send(FRAME_KIND.answer, channel.channelId, payload);
   };
@@ -161,6 +189,10 @@
     answer: ({answer, received}) => {
       isAnswered = true;
       clearTimeout(reconnectTimer);
+      if (isSenderLost && answer.outcome === 'unknown') {
+        sendGone();
+        return;
+      }
       const payload = encodeHopResponse(
         {...answer, message: toResponseFields(received)},
         received?.bodyStart ?? EMPTY_BODY,
@@ -185,7 +217,7 @@
         closeChannel();
         return;
       }
-      if (isBodyComplete || !isBodyRequested) return;
+      if (isSenderLost || isBodyComplete || !isBodyRequested) return;
       // Chunks from the previous connection may be incomplete.
       bodyChunks = [];
       receivedBodyBytes = 0;
@@ -196,7 +228,7 @@
       channel = undefined;
       bodyRestSender?.stop();
       if (isAnswered) return;
-      reconnectTimer = setTimeout(abandon, RECONNECT_GRACE_MILLIS);
+      reconnectTimer = setTimeout(abandonLostSender, detachedMillis());
     },
     abandon,
     receiveBody: (chunk, isLast) => {
--- a/src/connection/peer_monitor.ts
+++ b/src/connection/peer_monitor.ts
@@ -11,6 +11,7 @@
  */
 import type {Disposable} from '../base/lifecycle.js';
 import {createIntervalTimer} from '../base/lifecycle.js';
+import {SILENCE_CHECK_MILLIS} from '../process/membership/reconnect_times.js';
 import type {ReplyTimeout} from '../process/membership/reply_timeout.js';
 import {createReplyTimeout} from '../process/membership/reply_timeout.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
@@ -36,8 +37,7 @@
   probe(isUrgent: boolean): Promise<boolean>;
   /**
    * The node replied: resumes on other connections the requests of connections
-   * that have been silent since `sinceMillis`, and requests without a
-   * connection.
+   * that have been silent since `sinceMillis`.
    */
   replaceSilentConnections(sinceMillis: number): void;
   /** Fails requests that may be resent to other nodes; returns their number. */
@@ -64,8 +64,6 @@
   readonly onPeerFound: (endpoint: Endpoint) => void;
 }
 
-const CHECK_INTERVAL_MILLIS = 100;
-
 /** Silence after which a connection is pinged; a ping costs one small frame. */
 const PING_MILLIS = 150;
 
@@ -180,7 +178,7 @@
     return checkSilence(state, now);
   };
 
-  const timer = createIntervalTimer(CHECK_INTERVAL_MILLIS, () => {
+  const timer = createIntervalTimer(SILENCE_CHECK_MILLIS, () => {
     const now = nowMillis();
     for (const state of states) {
       if (shouldProbe(state, now)) void probePeer(state);
--- /dev/null
+++ b/src/process/membership/reconnect_times.ts
@@ -0,0 +1,26 @@
+/**
+ * Times within which a lost connection between two nodes is replaced. Shared by both of
+ * its ends: a receiver must not end work before its sender can have reconnected.
+ */
+
+/** Longest time for which a reply of a node is awaited. */
+export const MAX_REPLY_TIMEOUT_MILLIS = 1500;
+
+/** Interval at which connections are checked for silence. */
+export const SILENCE_CHECK_MILLIS = 100;
+
+/** Pause between attempts to reconnect; an attempt may be reset immediately. */
+export const RECONNECT_PAUSE_MILLIS = 100;
+
+/** Attempts to reconnect for which a receiver waits: any single one may fail. */
+const RECONNECT_ATTEMPTS_COUNT = 2;
+
+/**
+ * Time from the loss of a connection at the receiver until its sender has reconnected:
+ * the sender may detect the loss only as silence.
+ */
+export const RECONNECT_WINDOW_MILLIS =
+  MAX_REPLY_TIMEOUT_MILLIS +
+  SILENCE_CHECK_MILLIS +
+  RECONNECT_ATTEMPTS_COUNT *
+    (MAX_REPLY_TIMEOUT_MILLIS + RECONNECT_PAUSE_MILLIS);
--- a/src/process/membership/reply_timeout.ts
+++ b/src/process/membership/reply_timeout.ts
@@ -7,6 +7,8 @@
  * replies of an idle fleet do not predict those of a busy one.
  */
 
+import {MAX_REPLY_TIMEOUT_MILLIS} from './reconnect_times.js';
+
 /** Timeout of one node for the replies of all others. */
 export interface ReplyTimeout {
   /** Records the reply time of a node. */
@@ -21,9 +23,6 @@
 /** Allows for a new connection and the first reply of a busy process. */
 const MIN_TIMEOUT_MILLIS = 400;
 
-/** Beyond this, a request has no time left to be sent to another node. */
-const MAX_TIMEOUT_MILLIS = 1500;
-
 /** Weight of a new sample in the mean and in the mean deviation. */
 const SAMPLE_WEIGHT = 1 / 16;
 
@@ -48,7 +47,7 @@
       if (samplesCount < MIN_SAMPLES_COUNT) return MIN_TIMEOUT_MILLIS;
       const upperMillis = meanMillis + DEVIATIONS_COUNT * deviationMillis;
       return Math.min(
-        MAX_TIMEOUT_MILLIS,
+        MAX_REPLY_TIMEOUT_MILLIS,
         Math.max(MIN_TIMEOUT_MILLIS, upperMillis * SAFETY_RATIO),
       );
     },
--- a/test/fakes/hop_fixture.ts
+++ b/test/fakes/hop_fixture.ts
@@ -20,18 +20,21 @@
 const EMPTY_BODY = Buffer.alloc(0);
 /** Maximum size of a request body. */
 export const MAX_BODY_BYTES = 1_000_000;
+const LEFT_MILLIS = 5000;
 const nowMillis = (): number => performance.now();
 
 export interface HopFixtureOptions {
   /** The sender checks its connections for silence; the default. */
   readonly isMonitored?: boolean;
+  /** Time until the deadline of each request. */
+  readonly leftMillis?: number;
 }
 
 /** Starts a listener that passes requests to `handle`, and a peer that sends to it. */
 export async function createHopFixture(
   t: ExecutionContext,
   handle: (arrival: IncomingHop) => Promise<void>,
-  {isMonitored = true}: HopFixtureOptions = {},
+  {isMonitored = true, leftMillis = LEFT_MILLIS}: HopFixtureOptions = {},
 ) {
   const listen = (instanceId: string): Promise<HopListener> =>
     openHopListener({
@@ -89,7 +92,10 @@
         body,
         startedMillis: nowMillis(),
         onEnd: resolve,
-        request: createHopRequest(isRepeatable, attemptId),
+        request: {
+          ...createHopRequest(isRepeatable, attemptId),
+          leftMillis,
+        },
       });
       peer.send(hop);
     });
@@ -126,7 +132,7 @@
     target: '/',
     headers: [],
     isRepeatable,
-    leftMillis: 5000,
+    leftMillis: LEFT_MILLIS,
     startWithinMillis: 5000,
     origin: {
       importance: 0,
--- a/test/unit/connection/lost_hop_connection.test.ts
+++ b/test/unit/connection/lost_hop_connection.test.ts
@@ -65,6 +65,9 @@
   });
 }
 
+/** Longer than any wait of a test: only a cancellation ends a run. */
+const LEFT_MILLIS = 120_000;
+
 interface Outage {
   readonly isRepeatable: boolean;
   /** How the link treats attempts to reconnect. */
@@ -138,7 +141,9 @@
 test('a client that leaves while the connection is gone ends the run once there is one', async t => {
   // Guards against upstreams that work on for a client that has left.
   const upstream = createHeldUpstream();
-  const {send, link} = await createHopFixture(t, upstream.handle);
+  const {send, link} = await createHopFixture(t, upstream.handle, {
+    leftMillis: LEFT_MILLIS,
+  });
   const {ended, cancel} = send(false);
   await waitUntil('running', () => upstream.runsCount() === 1);
   link.setDefaultMode('reset');
@@ -151,6 +156,26 @@
   t.is(upstream.runsCount(), 1);
 });
 
+test('a cancellation that is lost with its connection is sent again', async t => {
+  // As above, with a client that leaves before the loss of the connection is detected.
+  const upstream = createHeldUpstream();
+  const {send, link, replacedCount} = await createHopFixture(
+    t,
+    upstream.handle,
+    {leftMillis: LEFT_MILLIS},
+  );
+  const left = send(false);
+  const other = send(false);
+  await waitUntil('running', () => upstream.runsCount() === 2);
+  t.true(link.stallOpenConnections() > 0);
+  left.cancel();
+  await waitUntil('cancelled', () => upstream.cancelledCount() === 1);
+  await waitUntil('replaced', () => replacedCount() === 1);
+  upstream.release();
+  t.is(describeResult(await other.ended), 'done');
+  t.is(upstream.cancelledCount(), 1);
+});
+
 /** Opens a connection on which the test decides what is sent. */
 function connect(t: ExecutionContext, port: number) {
   const frames: Frame[] = [];
