--- a/src/connection/incoming_hop.ts
+++ b/src/connection/incoming_hop.ts
@@ -3,12 +3,17 @@
  * is lost, the sender may resume the request on another connection.
  */
 import {createCancelSource} from '../base/cancel_signal.js';
+import {RECONNECT_WINDOW_MILLIS} from '../process/membership/reconnect_times.js';
 import type {
   CancelCause,
   RequestCancelSignal,
 } from '../protocol/cancel_cause.js';
 import {FRAME_KIND} from '../protocol/hop_frames.js';
-import type {HopResponse, HopRequest} from '../protocol/hop_messages.js';
+import type {
+  ClaimState,
+  HopResponse,
+  HopRequest,
+} from '../protocol/hop_messages.js';
 import {encodeHopResponse} from '../protocol/hop_response_codec.js';
 import type {FrameConnection} from './frame_connection.js';
 import {withoutConnectionHeaders} from './raw_headers.js';
@@ -77,6 +82,7 @@
   readonly inlineBody: Buffer;
   readonly channel: HopChannel;
   readonly bodyBytes: () => number;
+  readonly nowMillis: () => number;
   /**
    * The response was produced; this many bytes of it are cached for a resend.
    */
@@ -85,12 +91,8 @@
   readonly onDone: () => void;
 }
 
-/**
- * Time in which a sender must reconnect after its connection was lost: a few
- * round trips, and less than the half second for which work may continue after
- * its client has left.
- */
-const RECONNECT_GRACE_MILLIS = 350;
+/** The result is not available; reads may be sent to another node. */
+const GONE: ClaimState = 'gone';
 
 const EMPTY_BODY = Buffer.alloc(0);
 
@@ -105,6 +107,7 @@
   let cachedResponse: Buffer | undefined;
   let bodyRestSender: BodyRestSender | undefined;
   let isAnswered = false;
+  const deadlineMillis = options.nowMillis() + request.leftMillis;
   let bodyChunks: Buffer[] = [options.inlineBody];
   let receivedBodyBytes = options.inlineBody.length;
   let isBodyComplete = request.bodyForm === 'inline';
@@ -126,6 +129,27 @@
     resolveBody(undefined);
     source.cancel(cause);
   };
+  /**
+   * Time for which work continues without a connection. A second run of an order is not
+   * allowed, so its first one continues until its deadline. A lost connection does not
+   * imply that the client has left: its sender cancels the request once it reconnects.
+   */
+  const detachedMillis = (): number => {
+    const leftMillis = Math.max(0, deadlineMillis - options.nowMillis());
+    if (!request.isRepeatable && isBodyComplete) return leftMillis;
+    return Math.min(leftMillis, RECONNECT_WINDOW_MILLIS);
+  };
+  const isSenderLost = (): boolean => source.signal.cause === 'sender-lost';
+  const sendGone = (): void => {
+    channel?.connection.send(
+      FRAME_KIND.claimed,
+      channel.channelId,
+      Buffer.from(GONE),
+    );
+    closeChannel();
+    options.onAnswered(0);
+    options.onDone();
+  };
   const sendResponse = (payload: Buffer): void => {
     channel?.connection.send(FRAME_KIND.answer, channel.channelId, payload);
   };
@@ -169,6 +193,10 @@
     answer: ({answer, received}) => {
       isAnswered = true;
       clearTimeout(reconnectTimer);
+      if (isSenderLost() && answer.outcome === 'unknown') {
+        sendGone();
+        return;
+      }
       const payload = encodeHopResponse(
         {...answer, message: toResponseFields(received)},
         received?.bodyStart ?? EMPTY_BODY,
@@ -193,7 +221,7 @@
         closeChannel();
         return;
       }
-      if (isBodyComplete || !isBodyRequested) return;
+      if (isSenderLost() || isBodyComplete || !isBodyRequested) return;
       // Chunks from the previous connection may be incomplete.
       bodyChunks = [];
       receivedBodyBytes = 0;
@@ -204,9 +232,7 @@
       channel = undefined;
       bodyRestSender?.stop();
       if (isAnswered) return;
-      reconnectTimer = setTimeout(() => {
-        abandon('sender-lost');
-      }, RECONNECT_GRACE_MILLIS);
+      reconnectTimer = setTimeout(abandon, detachedMillis(), 'sender-lost');
     },
     abandon: () => {
       abandon('cancelled');
