--- a/test/unit/process/admission/fleet_overload.test.ts
+++ b/test/unit/process/admission/fleet_overload.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import type {
+  RouteCounts,
   SimulationResult,
   SimulatedRoute,
   SimulatedService,
@@ -53,6 +54,12 @@
   });
 }
 
+/** Ratio of requests that were served, in time or late. */
+function servedShareOf(seconds: readonly RouteCounts[]): number {
+  const {inTimeCount, lateCount, sentCount} = sumSeconds(seconds, 0);
+  return (inTimeCount + lateCount) / sentCount;
+}
+
 function route(
   name: string,
   service: string,
@@ -119,6 +126,28 @@
   });
 }
 
+/** A kind of request must be served at least this often, relative to all requests. */
+const MIN_RELATIVE_SHARE = 0.25;
+
+for (const ratio of [1.1, 1.4, 2]) {
+  test(`no kind of request is starved at ${ratio} times the capacity`, t => {
+    // Guards against a kind that is never served while more important ones
+    // take all of the capacity.
+    for (const seed of [1, 2, 3]) {
+      const result = simulateAt(ratio, seed, 7);
+      const settled = [...result.routes.values()].map(seconds =>
+        seconds.slice(SETTLED_SECOND),
+      );
+      const allShare = servedShareOf(settled.flat());
+      for (const [name, seconds] of result.routes) {
+        const share = servedShareOf(seconds.slice(SETTLED_SECOND));
+        t.log(seed, name, share, allShare);
+        t.true(share >= MIN_RELATIVE_SHARE * allShare, `${name}, seed ${seed}`);
+      }
+    }
+  });
+}
+
 test('a fleet within its capacity serves every request', t => {
   const result = simulateAt(0.8, 4, 4);
   for (const [name, seconds] of result.routes) {
