--- a/src/connection/execution.ts
+++ b/src/connection/execution.ts
@@ -29,6 +29,11 @@
    */
   readonly usualMillis?: number | undefined;
   readonly cancel: CancelSignal;
+  /**
+   * Called when the node of the upstream does not reply: whether to give up an attempt
+   * that may be running. The caller then sends the request to another upstream.
+   */
+  readonly mayGiveUp?: (() => boolean) | undefined;
 }
 
 /** Why it is certain that an attempt has not run and will not run. */
--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -210,9 +210,7 @@
     failResendableHops: () => {
       const openHops = [...detachedHops.hops()];
       for (const connection of connections) openHops.push(...connection.hops());
-      const resendable = openHops.filter(hop => hop.isResendable);
-      for (const hop of resendable) hop.fail('silent');
-      return resendable.length;
+      return openHops.filter(hop => hop.giveUp()).length;
     },
     closeIdleConnections: () => {
       const sinceMillis = nowMillis() - MAX_IDLE_MILLIS;
--- a/src/connection/outgoing_hop.ts
+++ b/src/connection/outgoing_hop.ts
@@ -41,6 +41,11 @@
   readonly isOpen: boolean;
   /** Sending the request to another node as well would do no harm. */
   readonly isResendable: boolean;
+  /**
+   * The other node does not reply. Ends a hop that has not been sent completely, or that
+   * the sender may resend now; returns whether it has ended.
+   */
+  giveUp(): boolean;
   /** The request has been sent completely: from now on it may run. */
   markSent(): void;
   /**
@@ -65,6 +70,8 @@
   readonly request: Omit<HopRequest, 'hopId' | 'bodyForm'>;
   readonly body: Buffer;
   readonly startedMillis: number;
+  /** Whether the request can be sent to another node now; absent: always. */
+  readonly mayGiveUp?: (() => boolean) | undefined;
   readonly onEnd: (result: HopResult) => void;
 }
 
@@ -109,6 +116,12 @@
     isBodyHeldBack: bodyForm === 'held-back',
     isOpen: true,
     isResendable: true,
+    giveUp: () => {
+      if (!hop.isOpen || !hop.isResendable) return false;
+      if (isSent && options.mayGiveUp?.() === false) return false;
+      hop.fail('silent');
+      return true;
+    },
     markSent: () => {
       isSent = true;
       hop.isResendable = isRepeatable;
--- a/src/connection/peer_monitor.ts
+++ b/src/connection/peer_monitor.ts
@@ -6,8 +6,9 @@
  * its own, the sender would wait until the deadline and send the next request
  * the same way. The monitor therefore pings a silent connection, then opens a
  * new one and resumes the requests of the silent connection there. If the node
- * does not reply on the new connection either, requests that may be resent to
- * other nodes are failed.
+ * does not reply on the new connection either, requests that can be resent to
+ * other nodes are failed. Without another node, the request waits: its upstream
+ * may be at work, and its node may reply again.
  */
 import type {Disposable} from '../base/lifecycle.js';
 import {createIntervalTimer} from '../base/lifecycle.js';
@@ -40,7 +41,7 @@
    * that have been silent since `sinceMillis`.
    */
   replaceSilentConnections(sinceMillis: number): void;
-  /** Fails requests that may be resent to other nodes; returns their number. */
+  /** Fails requests that can be resent to other nodes; returns their number. */
   failResendableHops(): number;
 }
 
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -187,6 +187,7 @@
     }),
     body: call.body,
     startedMillis: now,
+    mayGiveUp: call.mayGiveUp,
     onEnd: result => {
       cancelListener.dispose();
       onEnd(handleHopResult(options, result, delegatedRetries));
--- a/src/emulator/faulty_link.ts
+++ b/src/emulator/faulty_link.ts
@@ -19,6 +19,9 @@
 
 /** Options of a link. */
 export interface FaultyLinkOptions {
+  /** Address and port of the link; the default is any free loopback port. */
+  readonly listenAddress?: string | undefined;
+  readonly listenPort?: number | undefined;
   readonly targetAddress?: string | undefined;
   /** Initial port of the listener; `retarget` changes it. */
   readonly targetPort: number;
@@ -71,6 +74,7 @@
 export async function createFaultyLink(
   options: FaultyLinkOptions,
 ): Promise<FaultyLink> {
+  const {listenAddress = LOOPBACK_ADDRESS, listenPort = 0} = options;
   const modes = new Map<string, LinkMode>();
   const relays = new Set<Relay>();
   const unresolvedSockets = new Set<Socket>();
@@ -194,11 +198,11 @@
       });
     },
   );
-  const port = await listen(server, LOOPBACK_ADDRESS, 0);
+  const port = await listen(server, listenAddress, listenPort);
 
   const setAccepting = async (isAccepting: boolean): Promise<void> => {
     if (isAccepting === server.listening) return;
-    if (isAccepting) await listen(server, LOOPBACK_ADDRESS, port);
+    if (isAccepting) await listen(server, listenAddress, port);
     else server.close();
   };
 
--- a/src/request/attempt_runner.ts
+++ b/src/request/attempt_runner.ts
@@ -22,7 +22,6 @@
 import type {AttemptedRequest} from './attempted_request.js';
 import type {CrashQuarantine} from './crash_quarantine.js';
 import type {LocalExecution} from './local_execution.js';
-import type {TimedAttemptResult} from './attempt_timeout.js';
 import {runWithAttemptTimeout} from './attempt_timeout.js';
 import type {RetryRules} from './retry_rules.js';
 import {wasDispatched} from './retry_rules.js';
@@ -115,11 +114,15 @@
     const {entry} = placement.upstream;
     upstreamId = entry.id;
     history.begin(entry.id);
-    const {result, isAbandoned} = await attemptWithTimeout(options, request, {
-      entry,
-      call: {...call, usualMillis},
-      history,
-    });
+    const {result, isRetryCharged} = await attemptWithTimeout(
+      options,
+      request,
+      {
+        entry,
+        call: {...call, usualMillis},
+        history,
+      },
+    );
     lastResult = result;
     placement.end(attemptOutcomeOf(lastResult));
     options.onAttempt({request, result: lastResult, entry});
@@ -127,7 +130,7 @@
     if (!history.canOffer) break;
     const mayRetry = (): boolean =>
       rules.mayRetry(request, lastResult, history.ranCount);
-    if (!isAbandoned && !mayRetry()) break;
+    if (!isRetryCharged && !mayRetry()) break;
     if (isSilent(lastResult)) {
       await awaitReachableUpstream(options, request, history);
     }
@@ -195,23 +198,42 @@
   readonly history: AttemptHistory;
 }
 
+/** Result of one attempt. */
+interface AttemptResult {
+  readonly result: ExecutionResult;
+  /** The attempt was ended for another one, which is charged to the retry budget. */
+  readonly isRetryCharged: boolean;
+}
+
 /** Runs an attempt with a timeout; without an alternative upstream it runs to the deadline. */
 async function attemptWithTimeout(
   options: AttemptRunnerOptions,
   request: AttemptedRequest,
   {entry, call, history}: NextAttempt,
-): Promise<TimedAttemptResult> {
-  const {attemptTimeouts, placement, rules, nowMillis} = options;
+): Promise<AttemptResult> {
+  const {attemptTimeouts, placement, remote, rules, nowMillis} = options;
   const key = timeoutKeyOf(request);
   const startedMillis = nowMillis();
   const hasNext = (): boolean =>
     placement.hasAlternative(
       request.service,
       history.excludedIds,
-      options.remote.isLost,
+      remote.isLost,
     );
+  let isGivenUp = false;
+  const mayGiveUp = (): boolean => {
+    isGivenUp =
+      !options.stop.isStopping &&
+      placement.hasReachableAlternative(
+        request.service,
+        history.excludedIds,
+        remote.isLost,
+      ) &&
+      rules.mayGiveUpSilent(request, history.ranCount);
+    return isGivenUp;
+  };
   const timed = await runWithAttemptTimeout({
-    call,
+    call: {...call, mayGiveUp},
     attemptTimeoutMillis: call.isRepeatable
       ? attemptTimeouts.timeoutMillis(key)
       : undefined,
@@ -227,7 +249,10 @@
   else if (timed.result.kind === 'answered') {
     attemptTimeouts.recordResponse(key, nowMillis() - startedMillis);
   }
-  return timed;
+  return {
+    result: timed.result,
+    isRetryCharged: timed.isAbandoned || isGivenUp,
+  };
 }
 
 function timeoutKeyOf({route, service}: AttemptedRequest): string {
--- a/src/request/retry_rules.ts
+++ b/src/request/retry_rules.ts
@@ -27,6 +27,11 @@
    * retry to the budget.
    */
   mayAbandonAttempt(request: AttemptedRequest, ranCount: number): boolean;
+  /**
+   * Whether an attempt at a node that does not reply may be given up for another one;
+   * charges the retry to the budget.
+   */
+  mayGiveUpSilent(request: AttemptedRequest, ranCount: number): boolean;
 }
 
 /** Dependencies of the rules. */
@@ -73,16 +78,16 @@
    * not use the request's retry grant, and may use all that is left of the budget, but no
    * more: a node that is merely too busy to reply has received the request.
    */
+  const tryTakeSilentRetry = (request: AttemptedRequest): boolean =>
+    budget.tryTakeReserved(expectedCalls(request));
+
   const mayRetryExecuted = (
     request: AttemptedRequest,
     result: ExecutionResult,
-  ): boolean => {
-    const counts = expectedCalls(request);
-    if (result.kind === 'unknown' && result.reason === 'silent') {
-      return budget.tryTakeReserved(counts);
-    }
-    return tryTakeRetry(request, counts);
-  };
+  ): boolean =>
+    result.kind === 'unknown' && result.reason === 'silent'
+      ? tryTakeSilentRetry(request)
+      : tryTakeRetry(request, expectedCalls(request));
 
   /**
    * A request that an upstream rejected was not executed, so it may be sent to more
@@ -121,6 +126,14 @@
       // Retrying a service that is slow because it is overloaded adds to its load.
       return !isSaturated(counts) && tryTakeRetry(request, counts);
     },
+    mayGiveUpSilent: (request, ranCount) => {
+      const {call, route} = request;
+      if (!call.isRepeatable || ranCount + 1 >= route.maxAttemptsCount) {
+        return false;
+      }
+      if (leftMillis(request) < MIN_LEFT_MILLIS) return false;
+      return tryTakeSilentRetry(request);
+    },
   };
 }
 
--- a/test/fakes/platform_fleet.ts
+++ b/test/fakes/platform_fleet.ts
@@ -11,6 +11,8 @@
 import type {NodeMetrics} from '../../src/process/log/node_metrics.js';
 import {createNodeMetrics} from '../../src/process/log/node_metrics.js';
 import type {NodeSettings} from '../../src/process/settings/node_settings.js';
+import type {FaultyLink} from '../../src/emulator/faulty_link.js';
+import {createFaultyLink} from '../../src/emulator/faulty_link.js';
 import type {ClientResponse, ClientRequest} from './fleet_client.js';
 import {FLEET_HOST_NAME, sendRequest} from './fleet_client.js';
 import {freePorts} from './free_ports.js';
@@ -29,6 +31,8 @@
   readonly storeEndpoint: StoreEndpoint;
   readonly events: readonly LoggedEvent[];
   readonly metrics: NodeMetrics;
+  /** Link through which other nodes connect to this one, if the fleet has links. */
+  readonly link: FaultyLink | undefined;
 }
 
 /** A log event of a node. */
@@ -91,6 +95,8 @@
   readonly applyWithinMillis?: number;
   /** Retries that the fleet may send beyond the ratio; the default is rarely reached. */
   readonly slackCount?: number;
+  /** Other nodes connect to each node through a link that can inject faults. */
+  readonly hasLinks?: boolean;
 }
 
 /** Retries that the fleet may send per request. */
@@ -141,8 +147,9 @@
   fleetsCount += 1;
   const block = `127.${String(process.pid % 200)}.${String(fleetsCount)}`;
   const store = createFakeStore();
-  const ports = await freePorts(`${block}.1`, 4);
+  const ports = await freePorts(`${block}.1`, 5);
   const [appPort = 0, inboundPort = 0, outboundPort = 0, readyPort = 0] = ports;
+  const [, , , , linkedPort = 0] = ports;
   let version = 0;
 
   const publishEntry = (
@@ -199,7 +206,7 @@
       address,
       service,
       appPort,
-      inboundPort,
+      inboundPort: options.hasLinks === true ? linkedPort : inboundPort,
       outboundPort,
       readyPort,
       storePort: storeEndpoint.port,
@@ -209,6 +216,15 @@
     });
     const events: LoggedEvent[] = [];
     const metrics = createNodeMetrics();
+    const link =
+      options.hasLinks === true
+        ? await createFaultyLink({
+            listenAddress: address,
+            listenPort: inboundPort,
+            targetAddress: address,
+            targetPort: linkedPort,
+          })
+        : undefined;
     const node = await startServiceNode({
       settings,
       wireHeaders: HEADERS,
@@ -229,6 +245,7 @@
       storeEndpoint,
       events,
       metrics,
+      link,
     });
   }
   if (options.paths !== undefined) {
@@ -250,6 +267,7 @@
     close: async () => {
       await Promise.all(hosts.map(host => host.upstream.close()));
       for (const host of hosts) host.node.dispose();
+      for (const host of hosts) host.link?.close();
       store.close();
     },
   };
