--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -171,8 +171,8 @@
       channel: openChannel(channelId),
       bodyBytes: options.bodyBytes,
       nowMillis: options.nowMillis,
-      onAnswered: keptBytes => {
-        state.incomingHops.end(hopId, keptBytes);
+      onAnswered: (keptBytes, keptMillis) => {
+        state.incomingHops.end(hopId, keptBytes, keptMillis);
       },
       onDone: () => {
         state.busyCount -= 1;
--- a/src/connection/incoming_hop.ts
+++ b/src/connection/incoming_hop.ts
@@ -79,9 +79,10 @@
   readonly bodyBytes: () => number;
   readonly nowMillis: () => number;
   /**
-   * The response was produced; this many bytes of it are cached for a resend.
+   * The response was produced; this many bytes of it are cached for a resend, for
+   * longer than usual if a time is given.
    */
-  readonly onAnswered: (keptBytes: number) => void;
+  readonly onAnswered: (keptBytes: number, keptMillis?: number) => void;
   /** Nothing is left to send. */
   readonly onDone: () => void;
 }
@@ -135,6 +136,11 @@
     if (!request.isRepeatable && isBodyComplete) return leftMillis;
     return Math.min(leftMillis, RECONNECT_WINDOW_MILLIS);
   };
+  /** An order cannot be repeated, so its response is kept until it can be claimed. */
+  const responseRetentionMillis = (): number | undefined => {
+    if (channel === undefined) return detachedMillis();
+    return request.isRepeatable ? undefined : RECONNECT_WINDOW_MILLIS;
+  };
   const abandonLostSender = (): void => {
     isSenderLost = true;
     abandon();
@@ -203,9 +209,11 @@
         sendBodyRest(received);
         return;
       }
+      const keptMillis = responseRetentionMillis();
       closeChannel();
       cachedResponse = payload;
-      options.onAnswered(payload.length);
+      bodyChunks = [];
+      options.onAnswered(payload.length, keptMillis);
       options.onDone();
     },
     attach: next => {
--- a/src/process/retries/hop_registry.ts
+++ b/src/process/retries/hop_registry.ts
@@ -21,8 +21,11 @@
    * remembered until its sender no longer claims it.
    */
   begin(hopId: string, hop: T, claimableUntilMillis: number): boolean;
-  /** Records a response, of which `keptBytes` are kept for a claim. */
-  end(hopId: string, keptBytes: number): void;
+  /**
+   * Records a response, of which `keptBytes` are kept for a claim; by default for
+   * `RESPONSE_RETENTION_MILLIS`.
+   */
+  end(hopId: string, keptBytes: number, keptMillis?: number): void;
   claim(hopId: string): HopClaim<T>;
 }
 
@@ -32,7 +35,7 @@
  */
 const REFUSED_RETENTION_MILLIS = 30_000;
 
-/** Time for which responses are kept; a lost connection is detected sooner. */
+/** Time for which responses are kept; most lost connections are replaced sooner. */
 const RESPONSE_RETENTION_MILLIS = 1500;
 
 /** Maximum bytes of responses kept: a few seconds of usual responses. */
@@ -45,25 +48,29 @@
 
 interface FinishedHop<T> extends WorkingHop<T> {
   readonly keptBytes: number;
-  readonly finishedMillis: number;
+  readonly keptUntilMillis: number;
 }
 
 /** Creates an empty registry. */
 export function createHopRegistry<T>(nowMillis: () => number): HopRegistry<T> {
   const working = new Map<string, WorkingHop<T>>();
   const finished = new Map<string, FinishedHop<T>>();
+  /** Kept for longer; separate, so that each map is in the order of expiry. */
+  const keptLonger = new Map<string, FinishedHop<T>>();
   const gone = createExpiringIds(nowMillis);
   const refused = createExpiringIds(nowMillis);
   let keptBytes = 0;
 
   /** Evicts responses that are expired or exceed the size limit, oldest first. */
   const evictOld = (): void => {
-    const cutoff = nowMillis() - RESPONSE_RETENTION_MILLIS;
-    for (const [hopId, entry] of finished) {
-      if (entry.finishedMillis > cutoff && keptBytes <= MAX_KEPT_BYTES) return;
-      finished.delete(hopId);
-      keptBytes -= entry.keptBytes;
-      gone.add(hopId, entry.claimableUntilMillis);
+    const now = nowMillis();
+    for (const entries of [finished, keptLonger]) {
+      for (const [hopId, entry] of entries) {
+        if (entry.keptUntilMillis > now && keptBytes <= MAX_KEPT_BYTES) break;
+        entries.delete(hopId);
+        keptBytes -= entry.keptBytes;
+        gone.add(hopId, entry.claimableUntilMillis);
+      }
     }
   };
 
@@ -73,7 +80,7 @@
       working.set(hopId, {hop, claimableUntilMillis});
       return true;
     },
-    end: (hopId, bytes) => {
+    end: (hopId, bytes, keptMillis = RESPONSE_RETENTION_MILLIS) => {
       const entry = working.get(hopId);
       if (entry === undefined) return;
       working.delete(hopId);
@@ -82,15 +89,17 @@
         return;
       }
       keptBytes += bytes;
-      const finishedMillis = nowMillis();
-      finished.set(hopId, {...entry, keptBytes: bytes, finishedMillis});
+      const keptUntilMillis = nowMillis() + keptMillis;
+      const isKeptLonger = keptMillis > RESPONSE_RETENTION_MILLIS;
+      const entries = isKeptLonger ? keptLonger : finished;
+      entries.set(hopId, {...entry, keptBytes: bytes, keptUntilMillis});
       evictOld();
     },
     claim: hopId => {
       const current = working.get(hopId);
       if (current !== undefined) return {state: 'working', hop: current.hop};
       evictOld();
-      const entry = finished.get(hopId);
+      const entry = finished.get(hopId) ?? keptLonger.get(hopId);
       if (entry !== undefined) return {state: 'finished', hop: entry.hop};
       if (gone.has(hopId)) return {state: 'gone'};
       refused.add(hopId, nowMillis() + REFUSED_RETENTION_MILLIS);
--- a/test/unit/connection/lost_hop_connection.test.ts
+++ b/test/unit/connection/lost_hop_connection.test.ts
@@ -115,6 +115,21 @@
   }
 }
 
+test('the response to an order is delivered after its connection was gone for long', async t => {
+  // Guards against orders that have run and are reported with an unknown outcome.
+  const upstream = createHeldUpstream();
+  const {send, link} = await createHopFixture(t, upstream.handle);
+  const {ended} = send(false);
+  await waitUntil('running', () => upstream.runsCount() === 1);
+  link.setDefaultMode('reset');
+  await sleep(50);
+  upstream.release();
+  await sleep(2000);
+  link.setDefaultMode('open');
+  t.is(describeResult(await ended), 'done');
+  t.is(upstream.runsCount(), 1);
+});
+
 test('a read whose sender did not reconnect may be sent to another node', async t => {
   // Guards against clients that get 504 for a read that its node stopped by itself.
   const upstream = createHeldUpstream();
--- a/test/unit/process/retries/hop_registry.test.ts
+++ b/test/unit/process/retries/hop_registry.test.ts
@@ -56,3 +56,29 @@
   now = CLAIMABLE_UNTIL_MILLIS - 1;
   t.deepEqual(registry.claim('order'), {state: 'gone'});
 });
+
+test('a response that is kept for longer outlasts others', t => {
+  // Guards against orders whose response expires before their sender can reconnect.
+  let now = 0;
+  const registry = createHopRegistry<string>(() => now);
+  for (const hopId of ['usual', 'longer']) {
+    registry.begin(hopId, hopId, CLAIMABLE_UNTIL_MILLIS);
+  }
+  registry.end('longer', RESPONSE_BYTES, 4000);
+  registry.end('usual', RESPONSE_BYTES);
+  now = 3999;
+  t.deepEqual(registry.claim('usual'), {state: 'gone'});
+  t.deepEqual(registry.claim('longer'), {state: 'finished', hop: 'longer'});
+  now = 4000;
+  t.deepEqual(registry.claim('longer'), {state: 'gone'});
+});
+
+test('responses that are kept for longer are bounded by their bytes', t => {
+  const registry = createHopRegistry<string>(() => 0);
+  for (let index = 0; index < 100; index += 1) {
+    registry.begin(`h${String(index)}`, 'x', CLAIMABLE_UNTIL_MILLIS);
+    registry.end(`h${String(index)}`, 60_000, 4000);
+  }
+  t.deepEqual(registry.claim('h0'), {state: 'gone'});
+  t.deepEqual(registry.claim('h99'), {state: 'finished', hop: 'x'});
+});
