--- a/src/connection/execution.ts
+++ b/src/connection/execution.ts
@@ -34,6 +34,11 @@
    * request decides whether another attempt replaces this one.
    */
   readonly onSuspected?: (() => void) | undefined;
+  /**
+   * Called when the node of the upstream does not reply: whether to give up an attempt
+   * that may be running. The caller then sends the request to another upstream.
+   */
+  readonly mayGiveUp?: (() => boolean) | undefined;
 }
 
 /** Why it is certain that an attempt has not run and will not run. */
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -189,6 +189,7 @@
     body: call.body,
     startedMillis: now,
     onSuspected: call.onSuspected,
+    mayGiveUp: call.mayGiveUp,
     onEnd: result => {
       cancelListener.dispose();
       onEnd(handleHopResult(options, result, delegatedRetries));
