--- a/test/fakes/fake_upstream.ts
+++ b/test/fakes/fake_upstream.ts
@@ -4,6 +4,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 
 export interface ReceivedRequest {
@@ -36,6 +37,14 @@
   readonly isLeaving?: boolean;
 }
 
+/** How an upstream treats new connections; those that it has accepted stay open. */
+export type ConnectionPolicy =
+  | 'accept'
+  /** The listener is closed. */
+  | 'refuse'
+  /** Resets connections after it has accepted them, as beyond a connection limit. */
+  | 'reset';
+
 type AnnouncedHeader = readonly [string, string | string[]];
 
 export interface FakeUpstream {
@@ -55,6 +64,8 @@
   announce(announcements: Announcements): void;
   /** Sets the delay of 421 responses to requests that expect another instance. */
   setMisdirectedDelayMillis(millis: number): void;
+  /** Applies until the next call or restart. */
+  setConnectionPolicy(policy: ConnectionPolicy): Promise<void>;
   /**
    * Closes all connections as in a crash and starts again, with the same id if none is
    * given. Requests in flight are lost.
@@ -108,6 +119,7 @@
   let crashesCount = 0;
   let crashPlan: CrashPlan | undefined;
   let isClosed = false;
+  let connectionPolicy: ConnectionPolicy = 'accept';
   let announcedHeaders: readonly AnnouncedHeader[] = [];
   let handler: UpstreamHandler = request => {
     request.respond(200, `body of ${request.attemptId}`);
@@ -137,7 +149,7 @@
     await closeServer(server);
     await sleep(plan.downMillis);
     if (isClosed) return;
-    server = await listen(handle, options);
+    server = await startServer();
     plan.onStarted();
   };
 
@@ -166,7 +178,16 @@
     });
   };
 
-  let server = await listen(handle, options);
+  const startServer = (): Promise<Server> => {
+    connectionPolicy = 'accept';
+    const next = createServer(handle);
+    next.prependListener('connection', (socket: Socket) => {
+      if (connectionPolicy === 'reset') socket.resetAndDestroy();
+    });
+    return listen(next, options);
+  };
+
+  let server = await startServer();
   return {
     get id() {
       return id;
@@ -194,10 +215,17 @@
     setMisdirectedDelayMillis: millis => {
       misdirectedDelayMillis = millis;
     },
+    setConnectionPolicy: async policy => {
+      connectionPolicy = policy;
+      if ((policy === 'refuse') !== server.listening) return;
+      // `close` of an HTTP server would close the idle connections as well.
+      if (policy === 'refuse') net.Server.prototype.close.call(server);
+      else await listen(server, options);
+    },
     restart: async (nextId = id) => {
       await closeServer(server);
       id = nextId;
-      server = await listen(handle, options);
+      server = await startServer();
     },
     refuseConnections: () => {
       server.close();
@@ -215,13 +243,7 @@
   };
 }
 
-type Handler = (request: IncomingMessage, response: ServerResponse) => void;
-
-function listen(
-  handle: Handler,
-  options: FakeUpstreamOptions,
-): Promise<Server> {
-  const server = createServer(handle);
+function listen(server: Server, options: FakeUpstreamOptions): Promise<Server> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(options.port, options.address, () => {
--- a/test/fakes/node_process.ts
+++ b/test/fakes/node_process.ts
@@ -42,6 +42,8 @@
   readonly address: string;
   readonly service: string;
   readonly ports: NodePorts;
+  /** Grace period of a stop. */
+  readonly graceSeconds?: number;
   /** Called with each log line; if omitted, the output is discarded. */
   readonly onLine?: (line: Readonly<Record<string, unknown>>) => void;
 }
@@ -100,7 +102,8 @@
   };
 }
 
-function createSettings({address, service, ports}: NodeProcessOptions): object {
+function createSettings(options: NodeProcessOptions): object {
+  const {address, service, ports, graceSeconds = 1} = options;
   const at = (port: number): string => `${address}:${String(port)}`;
   return {
     node: address,
@@ -113,7 +116,11 @@
       outbound: at(ports.outbound),
       readyAddr: at(ports.ready),
     },
-    bounds: ['graceS=1', 'retryBudgetRatio=0.2', 'budgetWindowS=10'],
+    bounds: [
+      `graceS=${String(graceSeconds)}`,
+      'retryBudgetRatio=0.2',
+      'budgetWindowS=10',
+    ],
     appAddr: at(ports.app),
     service,
     platform: {address: `127.0.0.1:${String(ports.store)}`},
--- a/test/fakes/order_soak.ts
+++ b/test/fakes/order_soak.ts
@@ -261,7 +261,8 @@
   await Promise.all(pending);
 }
 
-async function freeze(
+/** Freezes a node for this long. */
+export async function freeze(
   process: ProcessFleet['hosts'][number]['process'],
   millis: number,
 ): Promise<void> {
@@ -270,13 +271,14 @@
   process.resume();
 }
 
-interface UpstreamRestart {
+export interface UpstreamRestart {
   readonly index: number;
   readonly id: string;
   readonly restartsCount: number;
 }
 
-async function restartUpstream(
+/** Restarts an upstream and publishes its entry. */
+export async function restartUpstream(
   fleet: ProcessFleet,
   {index, id, restartsCount}: UpstreamRestart,
 ): Promise<void> {
--- a/test/fakes/process_fleet.ts
+++ b/test/fakes/process_fleet.ts
@@ -23,7 +23,7 @@
 /** Default start time of upstreams. */
 const DEFAULT_BORN_MILLIS = 1_790_000_000_000;
 
-type LogLine = Readonly<Record<string, unknown>>;
+export type LogLine = Readonly<Record<string, unknown>>;
 
 /** A host with the current process of its node. */
 export interface ProcessHost {
@@ -32,6 +32,8 @@
   readonly storeEndpoint: StoreEndpoint;
   /** Log lines of the current process. */
   lines: LogLine[];
+  /** Log lines of all processes of the host. */
+  readonly allLines: LogLine[];
   process: NodeProcess;
 }
 
@@ -58,6 +60,11 @@
   send(index: number, request: ClientRequest): Promise<ClientResponse>;
 }
 
+export interface ProcessFleetOptions {
+  /** Grace period of a stop. */
+  readonly graceSeconds?: number;
+}
+
 /** The last fleets of a test process use separate blocks of addresses, from here on. */
 const FIRST_BLOCK = 240;
 const BLOCKS_COUNT = 16;
@@ -102,6 +109,7 @@
   t: ExecutionContext,
   services: readonly string[],
   paths: readonly object[] = [SAFE_PATH],
+  options: ProcessFleetOptions = {},
 ): Promise<ProcessFleet> {
   const blockIndex = FIRST_BLOCK + (fleetsCount % BLOCKS_COUNT);
   const block = `127.${String(process.pid % 200)}.${String(blockIndex)}`;
@@ -153,17 +161,24 @@
   };
   const startNode = (
     index: number,
-    storeEndpoint: StoreEndpoint,
-    lines: LogLine[],
+    {
+      storeEndpoint,
+      lines,
+      allLines,
+    }: Pick<ProcessHost, 'storeEndpoint' | 'lines' | 'allLines'>,
   ) =>
     startNodeProcess({
+      ...options,
       programPath: PROGRAM_PATH,
       runtimeFlags: [],
       directory,
       address: `${block}.${String(index + 1)}`,
       service: services[index] ?? '',
       ports: {app, inbound, outbound, ready, store: storeEndpoint.port},
-      onLine: line => lines.push(line),
+      onLine: line => {
+        lines.push(line);
+        allLines.push(line);
+      },
     });
 
   configure(1);
@@ -174,12 +189,13 @@
     publish(index, {seq: 1});
     const storeEndpoint = await store.openEndpoint();
     const lines: LogLine[] = [];
-    const process = startNode(index, storeEndpoint, lines);
-    hosts.push({address, upstream, storeEndpoint, lines, process});
+    const allLines: LogLine[] = [];
+    const host = {address, upstream, storeEndpoint, lines, allLines};
+    hosts.push({...host, process: startNode(index, host)});
   }
   const startAgain = (index: number, host: ProcessHost): void => {
     host.lines = [];
-    host.process = startNode(index, host.storeEndpoint, host.lines);
+    host.process = startNode(index, host);
   };
   return {
     store,
