--- /dev/null
+++ b/test/fakes/hop_links.ts
@@ -0,0 +1,90 @@
+/**
+ * TCP relays between the nodes of a fleet, one for each direction of each pair, which can
+ * lose their connections.
+ */
+import type {Server, Socket} from 'node:net';
+import {connect, createServer} from 'node:net';
+
+/** A relay from one node to the listener of another one. */
+export interface HopLink {
+  readonly fromIndex: number;
+  readonly toIndex: number;
+  /** Address of the receiving node and of the relay. */
+  readonly address: string;
+  readonly port: number;
+  readonly targetPort: number;
+}
+
+export interface HopLinks {
+  /**
+   * Resets the connections from and to a node. Until `restore`, new ones are accepted,
+   * but nothing is forwarded on them.
+   */
+  cut(hostIndex: number): void;
+  /** Resets the connections that were opened meanwhile; later ones are forwarded. */
+  restore(hostIndex: number): void;
+  close(): void;
+}
+
+/** Opens all relays. */
+export async function openHopLinks(
+  links: readonly HopLink[],
+): Promise<HopLinks> {
+  const cutIndexes = new Set<number>();
+  const sockets = new Map<Socket, HopLink>();
+  const servers: Server[] = [];
+
+  const isAt = ({fromIndex, toIndex}: HopLink, hostIndex: number): boolean =>
+    fromIndex === hostIndex || toIndex === hostIndex;
+  const track = (socket: Socket, link: HopLink): void => {
+    sockets.set(socket, link);
+    socket.on('error', () => undefined);
+    socket.on('close', () => sockets.delete(socket));
+  };
+  const resetAll = (hostIndex: number): void => {
+    for (const [socket, link] of [...sockets]) {
+      if (isAt(link, hostIndex)) socket.resetAndDestroy();
+    }
+  };
+  const forward = (from: Socket, to: Socket): void => {
+    from.pipe(to);
+    from.on('close', hasError => {
+      if (hasError) to.resetAndDestroy();
+      else to.destroySoon();
+    });
+  };
+
+  for (const link of links) {
+    const server = createServer({noDelay: true}, socket => {
+      track(socket, link);
+      if ([...cutIndexes].some(index => isAt(link, index))) return;
+      const target = connect({
+        host: link.address,
+        port: link.targetPort,
+        noDelay: true,
+      });
+      track(target, link);
+      forward(socket, target);
+      forward(target, socket);
+    });
+    servers.push(server);
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(link.port, link.address, resolve);
+    });
+  }
+  return {
+    cut: hostIndex => {
+      cutIndexes.add(hostIndex);
+      resetAll(hostIndex);
+    },
+    restore: hostIndex => {
+      cutIndexes.delete(hostIndex);
+      resetAll(hostIndex);
+    },
+    close: () => {
+      for (const server of servers) server.close();
+      for (const socket of sockets.keys()) socket.destroy();
+    },
+  };
+}
--- a/test/fakes/process_fleet.ts
+++ b/test/fakes/process_fleet.ts
@@ -9,6 +9,8 @@
 import type {ClientResponse, ClientRequest} from './fleet_client.js';
 import {FLEET_HOST_NAME, sendRequest} from './fleet_client.js';
 import {freePorts} from './free_ports.js';
+import type {HopLink, HopLinks} from './hop_links.js';
+import {openHopLinks} from './hop_links.js';
 import type {NodeProcess} from './node_process.js';
 import {startNodeProcess} from './node_process.js';
 import {SAFE_PATH} from './platform_fleet.js';
@@ -51,6 +53,8 @@
   readonly store: FakeStore;
   readonly hosts: readonly ProcessHost[];
   readonly outboundPort: number;
+  /** Relays between the nodes, if the fleet has them. */
+  readonly links: HopLinks | undefined;
   configure(version: number): void;
   publish(index: number, entry: PublishedEntry): void;
   /** Kills a node with SIGKILL and starts it again. */
@@ -63,6 +67,8 @@
 export interface ProcessFleetOptions {
   /** Grace period of a stop. */
   readonly graceSeconds?: number;
+  /** Connects the nodes by relays instead of directly. */
+  readonly hasLinks?: boolean;
 }
 
 /** The last fleets of a test process use separate blocks of addresses, from here on. */
@@ -116,16 +122,23 @@
   fleetsCount += 1;
   const store = createFakeStore();
   const directory = mkdtempSync(join(tmpdir(), 'nodes-'));
-  const [app = 0, inbound = 0, outbound = 0, ready = 0] = await freePorts(
-    `${block}.1`,
-    4,
-  );
+  const addressOf = (index: number): string => `${block}.${String(index + 1)}`;
+  const {hasLinks = false, graceSeconds = 1} = options;
+  const [app = 0, outbound = 0, ready = 0, inbound = 0, ...inboundPorts] =
+    await freePorts(`${block}.1`, 4 + services.length);
+  /** A node expects its own port at all others, where the relay from it listens. */
+  const inboundPortOf = (index: number): number =>
+    hasLinks ? inboundPorts[index]! : inbound;
+  const links = hasLinks
+    ? await openHopLinks(linksOf(services.length, addressOf, inboundPortOf))
+    : undefined;
   const hosts: ProcessHost[] = [];
   t.teardown(async () => {
     for (const host of hosts) {
       host.process.kill();
       await host.upstream.close();
     }
+    links?.close();
     store.close();
     rmSync(directory, {recursive: true, force: true});
   });
@@ -146,7 +159,7 @@
   const publish = (index: number, entry: PublishedEntry): void => {
     const {id = `i-${String(index)}`, bornMillis = DEFAULT_BORN_MILLIS} = entry;
     const {seq, state = 'ready', slots = 20} = entry;
-    const address = `${block}.${String(index + 1)}:${String(app)}`;
+    const address = `${addressOf(index)}:${String(app)}`;
     store.put(`servers/${id}`, {
       born: bornMillis,
       address,
@@ -168,13 +181,19 @@
     }: Pick<ProcessHost, 'storeEndpoint' | 'lines' | 'allLines'>,
   ) =>
     startNodeProcess({
-      ...options,
+      graceSeconds,
       programPath: PROGRAM_PATH,
       runtimeFlags: [],
       directory,
-      address: `${block}.${String(index + 1)}`,
+      address: addressOf(index),
       service: services[index] ?? '',
-      ports: {app, inbound, outbound, ready, store: storeEndpoint.port},
+      ports: {
+        app,
+        inbound: inboundPortOf(index),
+        outbound,
+        ready,
+        store: storeEndpoint.port,
+      },
       onLine: line => {
         lines.push(line);
         allLines.push(line);
@@ -183,7 +202,7 @@
 
   configure(1);
   for (const index of services.keys()) {
-    const address = `${block}.${String(index + 1)}`;
+    const address = addressOf(index);
     const id = `i-${String(index)}`;
     const upstream = await startFakeUpstream({id, address, port: app});
     publish(index, {seq: 1});
@@ -201,6 +220,7 @@
     store,
     hosts,
     outboundPort: outbound,
+    links,
     configure,
     publish,
     restart: index => {
@@ -221,3 +241,22 @@
       sendRequest(hosts[index]?.address ?? '', outbound, request),
   };
 }
+
+function linksOf(
+  nodesCount: number,
+  addressOf: (index: number) => string,
+  portOf: (index: number) => number,
+): readonly HopLink[] {
+  const indexes = [...Array(nodesCount).keys()];
+  return indexes.flatMap(toIndex =>
+    indexes
+      .filter(fromIndex => fromIndex !== toIndex)
+      .map(fromIndex => ({
+        fromIndex,
+        toIndex,
+        address: addressOf(toIndex),
+        port: portOf(fromIndex),
+        targetPort: portOf(toIndex),
+      })),
+  );
+}
--- a/test/fakes/work_record.ts
+++ b/test/fakes/work_record.ts
@@ -37,6 +37,7 @@
   | 'upstream restarted'
   | 'connections refused'
   | 'connections reset'
+  | 'hops cut'
   | 'configured';
 
 /** A fault at one host. */
@@ -111,6 +112,8 @@
   'stop-step',
 ]);
 
+const LOGGED_FIELDS = ['reason', 'cause', 'peer', 'step', 'millis'] as const;
+
 export function createWorkRecord(options: WorkRecordOptions): WorkRecord {
   const requests: SentRequest[] = [];
   const runs = new Map<string, WorkRun[]>();
@@ -196,9 +199,9 @@
           millis >= fromMillis &&
           millis <= untilMillis;
         if (requestId !== attemptId && !isState) continue;
-        const {reason = '', millis: tookMillis = ''} = fields;
-        const text = `${String(event)} ${String(reason)} ${String(tookMillis)}`;
-        events.push([millis, `log of node ${String(index)}: ${text.trim()}`]);
+        const values = LOGGED_FIELDS.map(field => String(fields[field] ?? ''));
+        const text = [String(event), ...values].filter(Boolean).join(' ');
+        events.push([millis, `log of node ${String(index)}: ${text}`]);
       }
     }
     events.sort(([a], [b]) => a - b);
--- a/test/fakes/work_soak.ts
+++ b/test/fakes/work_soak.ts
@@ -42,6 +42,7 @@
 const MAX_PAUSE_MILLIS = 100;
 const MAX_FAULT_INTERVAL_MILLIS = 500;
 const MAX_FREEZE_MILLIS = 600;
+const MAX_CUT_MILLIS = 1200;
 const MIN_REFUSAL_MILLIS = 300;
 const MAX_REFUSAL_MILLIS = 1500;
 const ORDER_RATIO = 0.4;
@@ -73,7 +74,7 @@
     t,
     SERVICES,
     [SAFE_PATH, ORDER_PATH, CALLING_PATH],
-    {graceSeconds: GRACE_SECONDS},
+    {graceSeconds: GRACE_SECONDS, hasLinks: true},
   );
   await waitForVersion(fleet.hosts, 1);
   await waitForAllUpstreams(fleet.hosts);
@@ -206,6 +207,7 @@
 ): Promise<void> {
   const pending: Promise<void>[] = [];
   const faultyUpstreams = new Set<number>();
+  const cutHosts = new Set<number>();
   /** A node whose stop is requested a second time exits without a grace period. */
   const stoppingNodes = new Set<NodeProcess>();
   let version = 1;
@@ -224,7 +226,7 @@
     await sleep(random() * MAX_FAULT_INTERVAL_MILLIS);
     const index = Math.floor(random() * fleet.hosts.length);
     const {process, upstream} = fleet.hosts[index]!;
-    const choice = Math.floor(random() * 12);
+    const choice = Math.floor(random() * 14);
     const lengthRatio = random();
     const refuse = (kind: FaultKind, policy: ConnectionPolicy): Promise<void> =>
       runUpstreamFault(kind, index, async () => {
@@ -280,7 +282,20 @@
         break;
       case 6:
       case 7:
+        if (cutHosts.has(index)) break;
+        cutHosts.add(index);
+        pending.push(
+          record.during('hops cut', index, async () => {
+            fleet.links?.cut(index);
+            await sleep(lengthRatio * MAX_CUT_MILLIS);
+            fleet.links?.restore(index);
+            cutHosts.delete(index);
+          }),
+        );
+        break;
       case 8:
+      case 9:
+      case 10:
         pending.push(refuse('connections refused', 'refuse'));
         break;
       default:
