--- a/test/contract/platform_work_soak.test.ts
+++ b/test/contract/platform_work_soak.test.ts
@@ -21,6 +21,7 @@
         durationMillis: 8000,
       });
       t.log([...report.outcomes].join(' '), [...report.exclusions].join(' '));
+      t.log(`longest stall ${report.maxStallMillis.toFixed(0)} ms`);
       t.deepEqual(report.failedAtWork, []);
     },
   );
--- a/test/fakes/work_soak.ts
+++ b/test/fakes/work_soak.ts
@@ -2,6 +2,7 @@
  * Seeded load of long requests on a fleet of node processes, with faults that leave most
  * work in progress intact. Upstreams make calls of their own.
  */
+import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ExecutionContext} from 'ava';
 import type {ConnectionPolicy, ReceivedRequest} from './fake_upstream.js';
@@ -21,6 +22,11 @@
 import type {FaultKind, WorkRecord, WorkReport} from './work_record.js';
 import {createWorkRecord} from './work_record.js';
 
+export interface WorkSoakReport extends WorkReport {
+  /** Longest time for which this process, with all upstreams and relays, stood still. */
+  readonly maxStallMillis: number;
+}
+
 export interface WorkSoakOptions {
   readonly seed: number;
   readonly clientsCount: number;
@@ -58,6 +64,8 @@
 /** Load and faults draw from separate streams, so that a seed has the same faults. */
 const LOAD_SEED_OFFSET = 1_000_000;
 
+const NANOS_PER_MILLI = 1e6;
+
 interface Soak {
   readonly fleet: ProcessFleet;
   readonly record: WorkRecord;
@@ -69,7 +77,7 @@
 export async function runWorkSoak(
   t: ExecutionContext,
   {seed, clientsCount, durationMillis}: WorkSoakOptions,
-): Promise<WorkReport> {
+): Promise<WorkSoakReport> {
   const fleet = await startProcessFleet(
     t,
     SERVICES,
@@ -84,13 +92,17 @@
     random: createSeededRandom(seed + LOAD_SEED_OFFSET),
     endMillis: performance.now() + durationMillis,
   };
+  const delays = monitorEventLoopDelay();
+  delays.enable();
   for (const index of fleet.hosts.keys()) installWork(soak, index);
   const clients = Array.from({length: clientsCount}, (_, index) =>
     runClient(soak, index),
   );
   await injectFaults(soak, createSeededRandom(seed));
   await Promise.all(clients);
-  return soak.record.report(fleet.hosts.map(({allLines}) => allLines));
+  delays.disable();
+  const report = soak.record.report(fleet.hosts.map(({allLines}) => allLines));
+  return {...report, maxStallMillis: delays.max / NANOS_PER_MILLI};
 }
 
 /** Lets an upstream work on each request, and call another service for some. */
