--- a/test/fakes/process_fleet.ts
+++ b/test/fakes/process_fleet.ts
@@ -9,6 +9,8 @@
 import type {ClientResponse, ClientRequest} from './fleet_client.js';
 import {FLEET_HOST_NAME, sendRequest} from './fleet_client.js';
 import {freePorts} from './free_ports.js';
+import type {HopLink, HopLinks} from './hop_links.js';
+import {openHopLinks} from './hop_links.js';
 import type {NodeProcess} from './node_process.js';
 import {startNodeProcess} from './node_process.js';
 import {SAFE_PATH} from './platform_fleet.js';
@@ -23,7 +25,7 @@
 /** Default start time of upstreams. */
 const DEFAULT_BORN_MILLIS = 1_790_000_000_000;
 
-type LogLine = Readonly<Record<string, unknown>>;
+export type LogLine = Readonly<Record<string, unknown>>;
 
 /** A host with the current process of its node. */
 export interface ProcessHost {
@@ -32,6 +34,8 @@
   readonly storeEndpoint: StoreEndpoint;
   /** Log lines of the current process. */
   lines: LogLine[];
+  /** Log lines of all processes of the host. */
+  readonly allLines: LogLine[];
   process: NodeProcess;
 }
 
@@ -49,6 +53,8 @@
   readonly store: FakeStore;
   readonly hosts: readonly ProcessHost[];
   readonly outboundPort: number;
+  /** Relays between the nodes, if the fleet has them. */
+  readonly links: HopLinks | undefined;
   configure(version: number): void;
   publish(index: number, entry: PublishedEntry): void;
   /** Kills a node with SIGKILL and starts it again. */
@@ -58,6 +64,13 @@
   send(index: number, request: ClientRequest): Promise<ClientResponse>;
 }
 
+export interface ProcessFleetOptions {
+  /** Grace period of a stop. */
+  readonly graceSeconds?: number;
+  /** Connects the nodes by relays instead of directly. */
+  readonly hasLinks?: boolean;
+}
+
 /** The last fleets of a test process use separate blocks of addresses, from here on. */
 const FIRST_BLOCK = 240;
 const BLOCKS_COUNT = 16;
@@ -102,22 +115,30 @@
   t: ExecutionContext,
   services: readonly string[],
   paths: readonly object[] = [SAFE_PATH],
+  options: ProcessFleetOptions = {},
 ): Promise<ProcessFleet> {
   const blockIndex = FIRST_BLOCK + (fleetsCount % BLOCKS_COUNT);
   const block = `127.${String(process.pid % 200)}.${String(blockIndex)}`;
   fleetsCount += 1;
   const store = createFakeStore();
   const directory = mkdtempSync(join(tmpdir(), 'nodes-'));
-  const [app = 0, inbound = 0, outbound = 0, ready = 0] = await freePorts(
-    `${block}.1`,
-    4,
-  );
+  const addressOf = (index: number): string => `${block}.${String(index + 1)}`;
+  const {hasLinks = false, graceSeconds = 1} = options;
+  const [app = 0, outbound = 0, ready = 0, inbound = 0, ...inboundPorts] =
+    await freePorts(`${block}.1`, 4 + services.length);
+  /** A node expects its own port at all others, where the relay from it listens. */
+  const inboundPortOf = (index: number): number =>
+    hasLinks ? inboundPorts[index]! : inbound;
+  const links = hasLinks
+    ? await openHopLinks(linksOf(services.length, addressOf, inboundPortOf))
+    : undefined;
   const hosts: ProcessHost[] = [];
   t.teardown(async () => {
     for (const host of hosts) {
       host.process.kill();
       await host.upstream.close();
     }
+    links?.close();
     store.close();
     rmSync(directory, {recursive: true, force: true});
   });
@@ -138,7 +159,7 @@
   const publish = (index: number, entry: PublishedEntry): void => {
     const {id = `i-${String(index)}`, bornMillis = DEFAULT_BORN_MILLIS} = entry;
     const {seq, state = 'ready', slots = 20} = entry;
-    const address = `${block}.${String(index + 1)}:${String(app)}`;
+    const address = `${addressOf(index)}:${String(app)}`;
     store.put(`servers/${id}`, {
       born: bornMillis,
       address,
@@ -153,38 +174,53 @@
   };
   const startNode = (
     index: number,
-    storeEndpoint: StoreEndpoint,
-    lines: LogLine[],
+    {
+      storeEndpoint,
+      lines,
+      allLines,
+    }: Pick<ProcessHost, 'storeEndpoint' | 'lines' | 'allLines'>,
   ) =>
     startNodeProcess({
+      graceSeconds,
       programPath: PROGRAM_PATH,
       runtimeFlags: [],
       directory,
-      address: `${block}.${String(index + 1)}`,
+      address: addressOf(index),
       service: services[index] ?? '',
-      ports: {app, inbound, outbound, ready, store: storeEndpoint.port},
-      onLine: line => lines.push(line),
+      ports: {
+        app,
+        inbound: inboundPortOf(index),
+        outbound,
+        ready,
+        store: storeEndpoint.port,
+      },
+      onLine: line => {
+        lines.push(line);
+        allLines.push(line);
+      },
     });
 
   configure(1);
   for (const index of services.keys()) {
-    const address = `${block}.${String(index + 1)}`;
+    const address = addressOf(index);
     const id = `i-${String(index)}`;
     const upstream = await startFakeUpstream({id, address, port: app});
     publish(index, {seq: 1});
     const storeEndpoint = await store.openEndpoint();
     const lines: LogLine[] = [];
-    const process = startNode(index, storeEndpoint, lines);
-    hosts.push({address, upstream, storeEndpoint, lines, process});
+    const allLines: LogLine[] = [];
+    const host = {address, upstream, storeEndpoint, lines, allLines};
+    hosts.push({...host, process: startNode(index, host)});
   }
   const startAgain = (index: number, host: ProcessHost): void => {
     host.lines = [];
-    host.process = startNode(index, host.storeEndpoint, host.lines);
+    host.process = startNode(index, host);
   };
   return {
     store,
     hosts,
     outboundPort: outbound,
+    links,
     configure,
     publish,
     restart: index => {
@@ -205,3 +241,22 @@
       sendRequest(hosts[index]?.address ?? '', outbound, request),
   };
 }
+
+function linksOf(
+  nodesCount: number,
+  addressOf: (index: number) => string,
+  portOf: (index: number) => number,
+): readonly HopLink[] {
+  const indexes = [...Array(nodesCount).keys()];
+  return indexes.flatMap(toIndex =>
+    indexes
+      .filter(fromIndex => fromIndex !== toIndex)
+      .map(fromIndex => ({
+        fromIndex,
+        toIndex,
+        address: addressOf(toIndex),
+        port: portOf(fromIndex),
+        targetPort: portOf(toIndex),
+      })),
+  );
+}
