--- a/test/contract/platform_busy_upstream.test.ts
+++ b/test/contract/platform_busy_upstream.test.ts
@@ -75,7 +75,7 @@
       });
       await waitUntil('run', () => busy.upstream.runIds.includes('running'));
       const stopped = isStopping ? entry.node.stop() : undefined;
-      busy.upstream.refuseConnections();
+      await busy.upstream.setConnectionPolicy('refuse');
       await sendUnreachable(context);
       t.true(
         busy.events.some(({event}) => event === 'own-upstream-lost'),
@@ -103,7 +103,7 @@
   }
   const response = fleet.send(entry, {attemptId: 'running', path: '/a/1'});
   await waitUntil('run', () => silent !== undefined);
-  silent!.upstream.refuseConnections();
+  await silent!.upstream.setConnectionPolicy('refuse');
   // Sent at once, so that several are placed before the first one fails.
   for (let index = 0; index < SIMULTANEOUS_COUNT; index += 1) {
     void fleet.send(silent!, {
--- a/test/fakes/fake_upstream.ts
+++ b/test/fakes/fake_upstream.ts
@@ -71,8 +71,6 @@
    * given. Requests in flight are lost.
    */
   restart(nextId?: string): Promise<void>;
-  /** Refuses new connections; requests on accepted ones go on. */
-  refuseConnections(): void;
   /**
    * Crashes whenever it starts to run a matching request, and starts again later with a
    * new id.
@@ -227,9 +225,6 @@
       id = nextId;
       server = await startServer();
     },
-    refuseConnections: () => {
-      server.close();
-    },
     crashOn: plan => {
       crashPlan = plan;
     },
