--- a/src/connection/execution.ts
+++ b/src/connection/execution.ts
@@ -8,6 +8,13 @@
 import type {RawHeaders} from './raw_headers.js';
 import type {ReceivedResponse} from './received_response.js';
 
+/** What suggests that an upstream has ended. */
+export type SuspicionCause =
+  /** Its node cannot connect to it. */
+  | 'upstream-lost'
+  /** Its node does not reply. */
+  | 'silent';
+
 /** One attempt. */
 export interface ExecutionCall {
   readonly attemptId: string;
@@ -30,15 +37,10 @@
   readonly usualMillis?: number | undefined;
   readonly cancel: RequestCancelSignal;
   /**
-   * Called when the upstream may have ended while it runs the request; the sender of the
-   * request decides whether another attempt replaces this one.
-   */
-  readonly onSuspected?: (() => void) | undefined;
-  /**
-   * Called when the node of the upstream does not reply: whether to give up an attempt
-   * that may be running. The caller then sends the request to another upstream.
+   * Called when the upstream or its node may have ended while the request may be running.
+   * The attempt continues; its caller decides whether another one is started.
    */
-  readonly mayGiveUp?: (() => boolean) | undefined;
+  readonly onSuspected?: ((cause: SuspicionCause) => void) | undefined;
 }
 
 /** Why it is certain that an attempt has not run and will not run. */
--- a/src/connection/hop_connection.ts
+++ b/src/connection/hop_connection.ts
@@ -231,7 +231,7 @@
         sendBody(channelId, channel.hop);
         break;
       case FRAME_KIND.suspected:
-        channel?.hop.onSuspected();
+        channel?.hop.suspectUpstream();
         break;
       case FRAME_KIND.answer:
         handleResponse(channelId, payload);
--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -210,7 +210,7 @@
     failResendableHops: () => {
       const openHops = [...detachedHops.hops()];
       for (const connection of connections) openHops.push(...connection.hops());
-      return openHops.filter(hop => hop.giveUp()).length;
+      return openHops.filter(hop => hop.suspectNode()).length;
     },
     closeIdleConnections: () => {
       const sinceMillis = nowMillis() - MAX_IDLE_MILLIS;
--- a/src/connection/outgoing_hop.ts
+++ b/src/connection/outgoing_hop.ts
@@ -5,7 +5,7 @@
 import type {CancelCause} from '../protocol/cancel_cause.js';
 import type {HopResponse, HopRequest} from '../protocol/hop_messages.js';
 import {encodeHopRequest} from '../protocol/hop_request_codec.js';
-import type {NotRunEvidence} from './execution.js';
+import type {NotRunEvidence, SuspicionCause} from './execution.js';
 import type {ReceivedResponse} from './received_response.js';
 
 /** How a hop ended. */
@@ -43,10 +43,10 @@
   /** Sending the request to another node as well would do no harm. */
   readonly isResendable: boolean;
   /**
-   * The other node does not reply. Ends a hop that has not been sent completely, or that
-   * the sender may resend now; returns whether it has ended.
+   * The other node does not reply. Ends a hop that has not been sent completely, and
+   * returns whether it has ended; any other one may be running.
    */
-  giveUp(): boolean;
+  suspectNode(): boolean;
   /** The request has been sent completely: from now on it may run. */
   markSent(): void;
   /**
@@ -56,8 +56,8 @@
   instanceId: string | undefined;
   /** Removes the hop from its connection; set by that connection. */
   detach: () => void;
-  /** Called when the upstream may have ended while it runs the request. */
-  readonly onSuspected: () => void;
+  /** The upstream may have ended while it runs the request. */
+  readonly suspectUpstream: () => void;
   /** Ends with a response. */
   complete(response: HopResponse, received: ReceivedResponse | undefined): void;
   /**
@@ -73,9 +73,7 @@
   readonly request: Omit<HopRequest, 'hopId' | 'bodyForm'>;
   readonly body: Buffer;
   readonly startedMillis: number;
-  readonly onSuspected?: (() => void) | undefined;
-  /** Whether the request can be sent to another node now; absent: always. */
-  readonly mayGiveUp?: (() => boolean) | undefined;
+  readonly onSuspected?: ((cause: SuspicionCause) => void) | undefined;
   readonly onEnd: (result: HopResult) => void;
 }
 
@@ -120,9 +118,12 @@
     isBodyHeldBack: bodyForm === 'held-back',
     isOpen: true,
     isResendable: true,
-    giveUp: () => {
-      if (!hop.isOpen || !hop.isResendable) return false;
-      if (isSent && options.mayGiveUp?.() === false) return false;
+    suspectNode: () => {
+      if (!hop.isOpen) return false;
+      if (isSent) {
+        options.onSuspected?.('silent');
+        return false;
+      }
       hop.fail('silent');
       return true;
     },
@@ -132,7 +133,9 @@
     },
     instanceId: undefined,
     detach: () => undefined,
-    onSuspected: options.onSuspected ?? (() => undefined),
+    suspectUpstream: () => {
+      options.onSuspected?.('upstream-lost');
+    },
     complete: (answer, received) => {
       finish({kind: 'answer', answer, received});
     },
--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -189,7 +189,6 @@
     body: call.body,
     startedMillis: now,
     onSuspected: call.onSuspected,
-    mayGiveUp: call.mayGiveUp,
     onEnd: result => {
       cancelListener.dispose();
       onEnd(handleHopResult(options, result, delegatedRetries));
--- a/src/request/attempt_runner.ts
+++ b/src/request/attempt_runner.ts
@@ -22,7 +22,10 @@
 import type {AttemptedRequest} from './attempted_request.js';
 import type {CrashQuarantine} from './crash_quarantine.js';
 import type {LocalExecution} from './local_execution.js';
-import {runWithAttemptTimeout} from './attempt_timeout.js';
+import type {ReplacementCause} from './replaceable_attempt.js';
+import {startAttempt} from './replaceable_attempt.js';
+import type {ReplacedAttempts} from './replaced_attempts.js';
+import {createReplacedAttempts, isSuccess} from './replaced_attempts.js';
 import type {RetryRules} from './retry_rules.js';
 import {wasDispatched} from './retry_rules.js';
 
@@ -96,6 +99,7 @@
   request: AttemptedRequest,
 ): Promise<AttemptsResult> {
   const history = createAttemptHistory();
+  const replaced = createReplacedAttempts();
   let lastResult: ExecutionResult = UNREACHABLE;
   let upstreamId: string | undefined;
   let call = request.call;
@@ -114,23 +118,20 @@
     const {entry} = placement.upstream;
     upstreamId = entry.id;
     history.begin(entry.id);
-    const {result, isRetryCharged} = await attemptWithTimeout(
-      options,
-      request,
-      {
-        entry,
-        call: {...call, usualMillis},
-        history,
-      },
-    );
+    const {result, isReplaced} = await runAttempt(options, request, {
+      entry,
+      call: {...call, usualMillis},
+      history,
+      replaced,
+    });
     lastResult = result;
     placement.end(attemptOutcomeOf(lastResult));
     options.onAttempt({request, result: lastResult, entry});
     history.end(offerOutcomeOf(lastResult));
-    if (!history.canOffer) break;
+    if (replaced.success !== undefined || !history.canOffer) break;
     const mayRetry = (): boolean =>
       rules.mayRetry(request, lastResult, history.ranCount);
-    if (!isRetryCharged && !mayRetry()) break;
+    if (!isReplaced && !mayRetry()) break;
     if (isSilent(lastResult)) {
       await awaitReachableUpstream(options, request, history);
     }
@@ -139,12 +140,22 @@
       call = {...call, origin: {...call.origin, isRepeat: true}};
     }
   }
-  return {
-    lastResult,
+  const counts = {
     mayHaveRun: history.ranCount > 0,
     sentCount: history.deliveredCount,
-    upstreamId,
   };
+  if (!isSuccess(lastResult)) {
+    const outcome = await replaced.settle();
+    if (outcome !== undefined && isBetter(outcome.result, lastResult)) {
+      return {
+        lastResult: outcome.result,
+        upstreamId: outcome.upstreamId,
+        ...counts,
+      };
+    }
+  }
+  replaced.cancel();
+  return {lastResult, upstreamId, ...counts};
 }
 
 /** Input for choosing the upstream of the next attempt. */
@@ -196,62 +207,69 @@
   readonly call: ExecutionCall;
   /** Attempts so far, including this one. */
   readonly history: AttemptHistory;
+  /** Earlier attempts that continue. */
+  readonly replaced: ReplacedAttempts;
 }
 
-/** Result of one attempt. */
+/** How an attempt ended, or why it is replaced and continues. */
 interface AttemptResult {
   readonly result: ExecutionResult;
-  /** The attempt was ended for another one, which is charged to the retry budget. */
-  readonly isRetryCharged: boolean;
+  /** The retry that replaces the attempt is charged to the retry budget. */
+  readonly isReplaced: boolean;
 }
 
-/** Runs an attempt with a timeout; without an alternative upstream it runs to the deadline. */
-async function attemptWithTimeout(
+/**
+ * Runs an attempt until it ends, is replaced, or an attempt that it replaced is answered;
+ * without an alternative upstream it runs to the deadline.
+ */
+async function runAttempt(
   options: AttemptRunnerOptions,
   request: AttemptedRequest,
-  {entry, call, history}: NextAttempt,
+  {entry, call, history, replaced}: NextAttempt,
 ): Promise<AttemptResult> {
-  const {attemptTimeouts, placement, remote, rules, nowMillis} = options;
+  const {attemptTimeouts, nowMillis} = options;
   const key = timeoutKeyOf(request);
   const startedMillis = nowMillis();
-  const hasNext = (): boolean =>
-    placement.hasAlternative(
-      request.service,
-      history.excludedIds,
-      remote.isLost,
-    );
-  let isGivenUp = false;
-  const mayGiveUp = (): boolean => {
-    isGivenUp =
-      !options.stop.isStopping &&
-      placement.hasReachableAlternative(
-        request.service,
-        history.excludedIds,
-        remote.isLost,
-      ) &&
-      rules.mayGiveUpSilent(request, history.ranCount);
-    return isGivenUp;
-  };
-  const timed = await runWithAttemptTimeout({
-    call: {...call, mayGiveUp},
+  const attempt = startAttempt({
+    call,
     attemptTimeoutMillis: attemptTimeouts.timeoutMillis(key),
     execute: timedCall => attemptAt(options, entry, timedCall),
-    // A stopping node may exit before a second attempt completes, which would also
-    // lose the first one, still in progress at an upstream.
-    mayAbandon: () =>
-      !options.stop.isStopping &&
-      hasNext() &&
-      rules.mayAbandonAttempt(request, history.ranCount),
+    mayReplace: cause => mayReplace(options, request, history, cause),
+  });
+  const successListener = replaced.onSuccess(() => {
+    attempt.cancel('timeout');
   });
-  if (timed.isAbandoned && reasonOf(timed.result) === 'timeout') {
-    attemptTimeouts.recordTimeout(key);
-  } else if (timed.result.kind === 'answered') {
+  const result = await attempt.endedOrReplaced;
+  successListener.dispose();
+  if (typeof result === 'string') {
+    if (result === 'timeout') attemptTimeouts.recordTimeout(key);
+    replaced.add(attempt, entry.id);
+    return {
+      result: {kind: 'unknown', reason: result, hasFailedCall: false},
+      isReplaced: true,
+    };
+  }
+  if (result.kind === 'answered') {
     attemptTimeouts.recordResponse(key, nowMillis() - startedMillis);
   }
-  return {
-    result: timed.result,
-    isRetryCharged: timed.isAbandoned || isGivenUp,
-  };
+  return {result, isReplaced: false};
+}
+
+/** Whether another attempt may replace one; charges it to the retry budget. */
+function mayReplace(
+  {placement, remote, rules, stop}: AttemptRunnerOptions,
+  request: AttemptedRequest,
+  {excludedIds, ranCount}: AttemptHistory,
+  cause: ReplacementCause,
+): boolean {
+  // A stopping node may exit before another attempt completes.
+  if (stop.isStopping) return false;
+  const {service} = request;
+  return cause === 'silent'
+    ? placement.hasReachableAlternative(service, excludedIds, remote.isLost) &&
+        rules.mayReplaceSilentAttempt(request, ranCount)
+    : placement.hasAlternative(service, excludedIds, remote.isLost) &&
+        rules.mayReplaceAttempt(request, ranCount);
 }
 
 function timeoutKeyOf({route, service}: AttemptedRequest): string {
@@ -273,6 +291,11 @@
   });
 }
 
+/** A response of an upstream is better than none, and a late outcome tells more. */
+function isBetter(outcome: ExecutionResult, last: ExecutionResult): boolean {
+  return outcome.kind === 'answered' || last.kind !== 'answered';
+}
+
 function isSilent(result: ExecutionResult): boolean {
   return result.kind === 'unknown' && result.reason === 'silent';
 }
--- a/src/request/retry_rules.ts
+++ b/src/request/retry_rules.ts
@@ -23,15 +23,15 @@
     ranCount: number,
   ): boolean;
   /**
-   * Whether an attempt without a response may be abandoned for another one; charges the
-   * retry to the budget.
+   * Whether another attempt may replace one without a response; charges the retry to the
+   * budget.
    */
-  mayAbandonAttempt(request: AttemptedRequest, ranCount: number): boolean;
+  mayReplaceAttempt(request: AttemptedRequest, ranCount: number): boolean;
   /**
-   * Whether an attempt at a node that does not reply may be given up for another one;
-   * charges the retry to the budget.
+   * Whether another attempt may replace one at a node that does not reply; charges the
+   * retry to the budget.
    */
-  mayGiveUpSilent(request: AttemptedRequest, ranCount: number): boolean;
+  mayReplaceSilentAttempt(request: AttemptedRequest, ranCount: number): boolean;
 }
 
 /** Dependencies of the rules. */
@@ -117,7 +117,7 @@
       if (ranCount >= route.maxAttemptsCount) return false;
       return mayRetryExecuted(request, result);
     },
-    mayAbandonAttempt: (request, ranCount) => {
+    mayReplaceAttempt: (request, ranCount) => {
       const {call, route} = request;
       if (!call.isRepeatable || ranCount + 1 >= route.maxAttemptsCount) {
         return false;
@@ -126,7 +126,7 @@
       // Retrying a service that is slow because it is overloaded adds to its load.
       return !isSaturated(counts) && tryTakeRetry(request, counts);
     },
-    mayGiveUpSilent: (request, ranCount) => {
+    mayReplaceSilentAttempt: (request, ranCount) => {
       const {call, route} = request;
       if (!call.isRepeatable || ranCount + 1 >= route.maxAttemptsCount) {
         return false;
--- a/src/request/upstream_dispatch.ts
+++ b/src/request/upstream_dispatch.ts
@@ -134,7 +134,7 @@
   const source = createCancelSource<CancelCause>();
   const cancelListener = call.cancel.onCancel(source.cancel);
   const suspectedListener = options.upstream.onSuspected(() => {
-    call.onSuspected?.();
+    call.onSuspected?.('upstream-lost');
   });
   const sentMillis = options.nowMillis();
   const leftMillis = call.deadlineMillis - sentMillis;
