--- a/src/connection/detached_hops.ts
+++ b/src/connection/detached_hops.ts
@@ -22,7 +22,7 @@
   /** Adds requests, and resumes them on the connection or as soon as there is one. */
   resume(hops: readonly OutgoingHop[], connection?: HopConnection): void;
   /** Cancels requests whose cancellation may have been lost with its connection. */
-  cancel(hopIds: readonly string[], instanceId: string): void;
+  cancel(hopIds: readonly string[], instanceId: string | undefined): void;
 }
 
 export interface DetachedHopsOptions {
@@ -34,7 +34,7 @@
 
 /** A request that has ended at this node and may still run at the other one. */
 interface PendingCancel {
-  readonly instanceId: string;
+  readonly instanceId: string | undefined;
   /** The receiver abandons reads at this time. */
   readonly untilMillis: number;
 }
@@ -53,12 +53,10 @@
     hops.add(hop);
     hop.detach = () => {
       hops.delete(hop);
-      if (hop.instanceId !== undefined) {
-        addCancel(hop.hopId, hop.instanceId);
-      }
+      addCancel(hop.hopId, hop.instanceId);
     };
   };
-  const addCancel = (hopId: string, instanceId: string): void => {
+  const addCancel = (hopId: string, instanceId: string | undefined): void => {
     const untilMillis = options.nowMillis() + RECONNECT_WINDOW_MILLIS;
     pendingCancels.set(hopId, {instanceId, untilMillis});
   };
@@ -77,12 +75,14 @@
   };
   const resumeAll = (connection: HopConnection): void => {
     for (const [hopId, {instanceId}] of pendingCancels) {
-      if (instanceId === connection.instanceId) connection.cancelLost(hopId);
+      if (mayBeSameProcess(instanceId, connection)) {
+        connection.cancelLost(hopId);
+      }
     }
     pendingCancels.clear();
     let resumedCount = 0;
     for (const hop of [...hops]) {
-      if (hop.instanceId !== connection.instanceId) {
+      if (!mayBeSameProcess(hop.instanceId, connection)) {
         failHop(hop);
         continue;
       }
@@ -131,3 +131,11 @@
     },
   };
 }
+
+/** A request may have been received before the reply with the id of its process. */
+function mayBeSameProcess(
+  instanceId: string | undefined,
+  connection: HopConnection,
+): boolean {
+  return instanceId === undefined || instanceId === connection.instanceId;
+}
--- a/src/connection/hop_connection.ts
+++ b/src/connection/hop_connection.ts
@@ -193,13 +193,16 @@
   const handleClaimState = (channelId: number, state: ClaimState): void => {
     const hop = channels.get(channelId)?.hop;
     if (hop === undefined) return;
+    const isSameProcess = hop.instanceId === hopConnection.instanceId;
     switch (state) {
       case 'working':
       case 'finished':
+        hop.instanceId = hopConnection.instanceId;
         return;
       case 'unknown':
         closeChannel(channelId);
-        hop.failNotReceived();
+        if (isSameProcess) hop.failNotReceived();
+        else hop.fail('connection-lost');
         return;
       case 'gone':
         closeChannel(channelId);
--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -79,7 +79,7 @@
       onClosed: (reason, hops) => {
         connections.delete(connection);
         onFailed(reason);
-        cancelUnconfirmed(connection);
+        if (reason === 'closed') cancelUnconfirmed(connection);
         handleClosed(reason, hops);
       },
     });
@@ -104,7 +104,7 @@
   /** A stopping process receives all that was sent before its connections end. */
   const cancelUnconfirmed = (connection: HopConnection): void => {
     const {instanceId, isGoingAway, unconfirmedCancels} = connection;
-    if (instanceId === undefined || isGoingAway) return;
+    if (isGoingAway) return;
     detachedHops.cancel(unconfirmedCancels, instanceId);
   };
 
