--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -207,7 +207,7 @@
       }
       if (hops.length > 0) detachedHops.resume(hops, findReplied(sinceMillis));
     },
-    failResendableHops: () => {
+    suspectHops: () => {
       const openHops = [...detachedHops.hops()];
       for (const connection of connections) openHops.push(...connection.hops());
       return openHops.filter(hop => hop.suspectNode()).length;
--- a/src/connection/peer_monitor.ts
+++ b/src/connection/peer_monitor.ts
@@ -6,9 +6,9 @@
  * its own, the sender would wait until the deadline and send the next request
  * the same way. The monitor therefore pings a silent connection, then opens a
  * new one and resumes the requests of the silent connection there. If the node
- * does not reply on the new connection either, requests that can be resent to
- * other nodes are failed. Without another node, the request waits: its upstream
- * may be at work, and its node may reply again.
+ * does not reply on the new connection either, requests that have not been sent
+ * completely are failed; for all others their senders are notified, since their
+ * upstream may be at work.
  */
 import type {Disposable} from '../base/lifecycle.js';
 import {createIntervalTimer} from '../base/lifecycle.js';
@@ -41,8 +41,11 @@
    * that have been silent since `sinceMillis`.
    */
   replaceSilentConnections(sinceMillis: number): void;
-  /** Fails requests that can be resent to other nodes; returns their number. */
-  failResendableHops(): number;
+  /**
+   * Fails requests that have not been sent completely and returns their number; notifies
+   * the senders of all others.
+   */
+  suspectHops(): number;
 }
 
 /** Monitors nodes. */
@@ -130,7 +133,7 @@
   const markLost = (state: PeerState): void => {
     const wasLost = state.isLost;
     state.isLost = true;
-    const failedCount = state.peer.failResendableHops();
+    const failedCount = state.peer.suspectHops();
     if (wasLost) return;
     options.onPeerLost(state.peer.endpoint, failedCount);
   };
--- a/test/fakes/hop_fixture.ts
+++ b/test/fakes/hop_fixture.ts
@@ -3,6 +3,7 @@
  */
 import type {Readable} from 'node:stream';
 import type {ExecutionContext} from 'ava';
+import type {SuspicionCause} from '../../src/connection/execution.js';
 import type {IncomingHop} from '../../src/connection/incoming_hop.js';
 import type {HopListener} from '../../src/connection/hop_listener.js';
 import {openHopListener} from '../../src/connection/hop_listener.js';
@@ -87,10 +88,14 @@
     attemptId = 'a',
   ): SentHop => {
     let hop: OutgoingHop | undefined;
+    const suspicions: SuspicionCause[] = [];
     const ended = new Promise<HopResult>(resolve => {
       hop = createOutgoingHop({
         body,
         startedMillis: nowMillis(),
+        onSuspected: cause => {
+          suspicions.push(cause);
+        },
         onEnd: resolve,
         request: {
           ...createHopRequest(isRepeatable, attemptId),
@@ -101,6 +106,7 @@
     });
     return {
       ended,
+      suspicions,
       cancel: () => {
         hop?.fail('cancelled');
       },
@@ -119,6 +125,8 @@
 /** A request in flight. */
 export interface SentHop {
   readonly ended: Promise<HopResult>;
+  /** Reports that the upstream or its node may have ended. */
+  readonly suspicions: readonly SuspicionCause[];
   cancel(): void;
 }
 
