--- a/src/connection/hop_connection.ts
+++ b/src/connection/hop_connection.ts
@@ -1,6 +1,7 @@
 /**
  * One connection to another node and the requests on it.
  */
+import {startIoTimeout} from '../base/io_timeout.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
 import type {Frame} from '../protocol/hop_frames.js';
 import {FRAME_KIND} from '../protocol/hop_frames.js';
@@ -108,10 +109,10 @@
   let isClosedLocally = false;
   let hasTimedOut = false;
 
-  const connectTimer = setTimeout(() => {
+  const connectTimeout = startIoTimeout(CONNECT_TIMEOUT_MILLIS, () => {
     hasTimedOut = true;
     connection.destroy();
-  }, CONNECT_TIMEOUT_MILLIS);
+  });
 
   /**
    * Ends the connection to a stopping process; only the sender can determine
@@ -282,7 +283,7 @@
       options.onDataReceived();
     },
     onConnected: () => {
-      clearTimeout(connectTimer);
+      connectTimeout.dispose();
       isConnected = true;
       for (const {hop} of channels.values()) {
         if (!hop.isBodyHeldBack) hop.markSent();
@@ -290,7 +291,7 @@
     },
     onFrame,
     onClosed: () => {
-      clearTimeout(connectTimer);
+      connectTimeout.dispose();
       if (isClosedLocally) return;
       const reason = hasTimedOut ? 'connect-timeout' : 'refused';
       options.onClosed(isConnected ? 'closed' : reason, removeHops());
--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -2,6 +2,7 @@
  * Connections to one other node: selects a connection for each request and
  * resumes requests whose connection was lost.
  */
+import {startIoTimeout} from '../base/io_timeout.js';
 import type {ReplyTimeout} from '../process/membership/reply_timeout.js';
 import {createReplyTimeout} from '../process/membership/reply_timeout.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
@@ -127,16 +128,16 @@
       const finish = (result: FreshConnectionResult): void => {
         if (isFinished) return;
         isFinished = true;
-        clearTimeout(timer);
+        timeout.dispose();
         for (const candidate of candidates) {
           if (candidate !== result) candidate.closeAndTakeHops();
         }
         if (typeof result !== 'string') connections.add(result);
         resolve(result);
       };
-      const timer = setTimeout(() => {
+      const timeout = startIoTimeout(replyTimeout.currentMillis(), () => {
         finish('silent');
-      }, replyTimeout.currentMillis());
+      });
       for (let index = 0; index < count; index += 1) {
         const candidate = openConnection(
           () => {
@@ -159,14 +160,19 @@
     onResumed: options.onHopsResumed,
   });
 
-  /** A connection on which the node has replied. */
-  const findReplied = (sinceMillis: number): HopConnection | undefined =>
-    [...connections].find(
-      ({instanceId, isGoingAway, lastReceivedMillis}) =>
-        instanceId !== undefined &&
-        !isGoingAway &&
-        lastReceivedMillis >= sinceMillis,
-    );
+  /** The connection on which the node has replied last, if it has since then. */
+  const findReplied = (sinceMillis: number): HopConnection | undefined => {
+    let latest: HopConnection | undefined;
+    for (const connection of connections) {
+      const {instanceId, isGoingAway, lastReceivedMillis} = connection;
+      if (instanceId === undefined || isGoingAway) continue;
+      if (lastReceivedMillis < (latest?.lastReceivedMillis ?? sinceMillis)) {
+        continue;
+      }
+      latest = connection;
+    }
+    return latest;
+  };
   const chooseConnection = (): HopConnection => {
     let best: HopConnection | undefined;
     for (const connection of connections) {
--- a/src/connection/peer_monitor.ts
+++ b/src/connection/peer_monitor.ts
@@ -10,6 +10,7 @@
  * completely are failed; for all others their senders are notified, since their
  * upstream may be at work.
  */
+import {afterPendingReads} from '../base/io_timeout.js';
 import type {Disposable} from '../base/lifecycle.js';
 import {createIntervalTimer} from '../base/lifecycle.js';
 import {SILENCE_CHECK_MILLIS} from '../process/membership/reconnect_times.js';
@@ -93,6 +94,7 @@
 /** Creates a monitor without nodes. */
 export function createPeerMonitor(options: PeerMonitorOptions): PeerMonitor {
   const states = new Set<PeerState>();
+  let isDisposed = false;
   const {nowMillis, replyTimeout = createReplyTimeout()} = options;
 
   const probePeer = async (state: PeerState): Promise<void> => {
@@ -101,12 +103,13 @@
     state.probedMillis = nowMillis();
     const probedMillis = state.probedMillis;
     const hasReplied = await peer.probe(true);
-    const isSilent = !hasReplied && state.lastReceivedMillis < probedMillis;
+    const isSilent = (): boolean =>
+      !hasReplied && state.lastReceivedMillis < probedMillis;
     const hasLocalFault =
-      isSilent && !state.wasLocalFault && (await isLocalFault(state));
+      isSilent() && !state.wasLocalFault && (await isLocalFault(state));
     state.wasLocalFault = hasLocalFault;
     state.isProbing = false;
-    if (isSilent && !hasLocalFault) markLost(state);
+    if (isSilent() && !hasLocalFault) markLost(state);
     if (!hasReplied) return;
     recordReceived(state);
     peer.replaceSilentConnections(probedMillis - PING_MILLIS);
@@ -182,10 +185,18 @@
     return checkSilence(state, now);
   };
 
+  /** After a stall of this process, data of the node may have arrived unread. */
+  const probeUnlessRead = (state: PeerState): void => {
+    afterPendingReads(() => {
+      if (isDisposed || !shouldProbe(state, nowMillis())) return;
+      void probePeer(state);
+    });
+  };
+
   const timer = createIntervalTimer(SILENCE_CHECK_MILLIS, () => {
     const now = nowMillis();
     for (const state of states) {
-      if (shouldProbe(state, now)) void probePeer(state);
+      if (shouldProbe(state, now)) probeUnlessRead(state);
     }
   });
 
@@ -211,6 +222,9 @@
         },
       };
     },
-    dispose: timer.dispose,
+    dispose: () => {
+      isDisposed = true;
+      timer.dispose();
+    },
   };
 }
--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -4,6 +4,8 @@
  */
 import http from 'node:http';
 import {describeError} from '../base/errors.js';
+import {startIoTimeout} from '../base/io_timeout.js';
+import type {Disposable} from '../base/lifecycle.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
 import type {RequestCancelSignal} from '../protocol/cancel_cause.js';
 import {limitChunkOverhead} from './chunk_overhead.js';
@@ -70,13 +72,13 @@
   let isSent = false;
   let isEnded = false;
   let informationalCount = 0;
-  let timer: NodeJS.Timeout | undefined;
+  let connectTimeout: Disposable | undefined;
   let receivedMessage: http.IncomingMessage | undefined;
 
   const finish = (result: SendResult): void => {
     if (isEnded) return;
     isEnded = true;
-    clearTimeout(timer);
+    connectTimeout?.dispose();
     cancelListener.dispose();
     onEnd(result);
   };
@@ -99,11 +101,11 @@
     }
     // A server behind a network partition does not respond to connection
     // attempts, and the timeout of the operating system is minutes.
-    timer = setTimeout(() => {
+    connectTimeout = startIoTimeout(outgoing.connectTimeoutMillis, () => {
       fail('connect-timeout');
-    }, outgoing.connectTimeoutMillis);
+    });
     socket.once('connect', () => {
-      clearTimeout(timer);
+      connectTimeout?.dispose();
       isSent = true;
     });
   });
--- a/src/request/first_dispatch.ts
+++ b/src/request/first_dispatch.ts
@@ -6,6 +6,7 @@
  * that the upstream rejects must be dispatched again, which counts against the fleet's
  * retry budget.
  */
+import {afterLoopTurns} from '../base/io_timeout.js';
 
 /** When a request may be dispatched. */
 export type DispatchTurn =
@@ -93,12 +94,7 @@
     },
   };
   const timer = setTimeout(() => {
-    settleAfterTurns(first, HOLD_LOOP_TURNS_COUNT);
+    afterLoopTurns(HOLD_LOOP_TURNS_COUNT, first.settle);
   }, HOLD_MILLIS);
   return first;
 }
-
-function settleAfterTurns(first: FirstDispatch, turnsCount: number): void {
-  if (turnsCount === 0) first.settle();
-  else setImmediate(settleAfterTurns, first, turnsCount - 1);
-}
