--- a/src/process/retries/attempt_history.ts
+++ b/src/process/retries/attempt_history.ts
@@ -52,52 +52,58 @@
 /** Maximum rejections of one request. */
 const MAX_REJECTED_COUNT = 8;
 
+/**
+ * Plain fields: accessors in an object literal make each history costly to create.
+ */
+interface MutableAttemptHistory extends AttemptHistory {
+  ranCount: number;
+  deliveredCount: number;
+  canOffer: boolean;
+}
+
 /** Creates the history of a request that has not been offered yet. */
 export function createAttemptHistory(): AttemptHistory {
   const excludedIds = new Set<string>();
-  const rejectingIds = new Set<string>();
+  /** Most requests are never rejected, for which no set is allocated. */
+  let rejectingIds: Set<string> | undefined;
   let lastId = '';
-  let ranCount = 0;
   let rejectedCount = 0;
   let fullCount = 0;
   let refusedCount = 0;
-  return {
+  const history: MutableAttemptHistory = {
     excludedIds,
-    get ranCount() {
-      return ranCount;
-    },
-    get deliveredCount() {
-      return ranCount + rejectedCount;
-    },
-    get canOffer() {
-      return (
-        ranCount + fullCount + refusedCount < MAX_OFFERS_COUNT &&
-        fullCount < MAX_FULL_COUNT &&
-        rejectedCount < MAX_REJECTED_COUNT
-      );
-    },
+    ranCount: 0,
+    deliveredCount: 0,
+    canOffer: true,
     begin: upstreamId => {
       lastId = upstreamId;
       excludedIds.add(upstreamId);
     },
     end: outcome => {
-      if (outcome === 'ran') ranCount += 1;
+      if (outcome === 'ran') history.ranCount += 1;
       else if (outcome === 'full') fullCount += 1;
       else if (outcome === 'refused') refusedCount += 1;
       else {
         rejectedCount += 1;
+        rejectingIds ??= new Set();
         rejectingIds.add(lastId);
       }
+      history.deliveredCount = history.ranCount + rejectedCount;
+      history.canOffer =
+        history.ranCount + fullCount + refusedCount < MAX_OFFERS_COUNT &&
+        fullCount < MAX_FULL_COUNT &&
+        rejectedCount < MAX_REJECTED_COUNT;
     },
     readmitRejectingUpstreams: () => {
-      const hasAny = rejectingIds.size > 0;
+      if (rejectingIds === undefined) return false;
       for (const id of rejectingIds) excludedIds.delete(id);
-      rejectingIds.clear();
-      return hasAny;
+      rejectingIds = undefined;
+      return true;
     },
     readmitAllUpstreams: () => {
       excludedIds.clear();
-      rejectingIds.clear();
+      rejectingIds = undefined;
     },
   };
+  return history;
 }
