--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -142,7 +142,9 @@
       },
     );
   });
-  request.end(outgoing.body);
+  // An empty chunk would be written as a separate part of the message.
+  if (outgoing.body.length === 0) request.end();
+  else request.end(outgoing.body);
 }
 
 function withFramingHeaders(outgoing: OutgoingRequest): readonly string[] {
