--- a/src/connection/remote_execution.ts
+++ b/src/connection/remote_execution.ts
@@ -25,7 +25,7 @@
 import {createHopPeer} from './hop_peer.js';
 import type {HopResult} from './outgoing_hop.js';
 import {createOutgoingHop} from './outgoing_hop.js';
-import type {PeerLiveness, PeerMonitor} from './peer_monitor.js';
+import type {PeerMonitor} from './peer_monitor.js';
 import {createPeerMonitor} from './peer_monitor.js';
 
 /** Executes requests at other hosts. */
@@ -66,15 +66,29 @@
 ): RemoteExecution {
   const disposables = createDisposableStore();
   const replyTimeout = createReplyTimeout();
+  const lostPeers = new Set<string>();
   const monitor = disposables.add(
-    createPeerMonitor({...options, replyTimeout}),
+    createPeerMonitor({
+      nowMillis: options.nowMillis,
+      replyTimeout,
+      onPeerLost: (peer, hopsCount) => {
+        lostPeers.add(formatEndpoint(peer));
+        options.onPeerLost(peer, hopsCount);
+      },
+      onPeerFound: peer => {
+        lostPeers.delete(formatEndpoint(peer));
+        options.onPeerFound(peer);
+      },
+    }),
   );
   const peers = createPeers(options, monitor, replyTimeout);
   disposables.add(peers);
   const execution: ExecutionContext = {options, getPeer: peers.get};
   return {
     execute: (target, call) => executeWithResend(execution, target, call),
-    isLost: target => peers.isLost(target.node),
+    // Asked for each candidate of each request; usually no node is lost.
+    isLost: target =>
+      lostPeers.size > 0 && lostPeers.has(formatEndpoint(target.node)),
     queryLoads: target => {
       peers.get(target.node).sendQuery(LOADS_QUERY);
     },
@@ -89,13 +103,6 @@
 
 interface PeerRegistry extends Disposable {
   get(endpoint: Endpoint): HopPeer;
-  isLost(endpoint: Endpoint): boolean;
-}
-
-/** A node to which requests have been sent. */
-interface MonitoredHopPeer {
-  readonly peer: HopPeer;
-  readonly liveness: PeerLiveness;
 }
 
 /** Creates the registry of nodes to which requests have been sent. */
@@ -104,15 +111,15 @@
   monitor: PeerMonitor,
   replyTimeout: ReplyTimeout,
 ): PeerRegistry {
-  const peers = new Map<string, MonitoredHopPeer>();
+  const peers = new Map<string, HopPeer>();
   const timer = createIntervalTimer(IDLE_CHECK_INTERVAL_MILLIS, () => {
-    for (const {peer} of peers.values()) peer.closeIdleConnections();
+    for (const peer of peers.values()) peer.closeIdleConnections();
   });
   return {
     get: endpoint => {
       const key = formatEndpoint(endpoint);
       const existing = peers.get(key);
-      if (existing !== undefined) return existing.peer;
+      if (existing !== undefined) return existing;
       const peer = createHopPeer({
         endpoint,
         nowMillis: options.nowMillis,
@@ -128,14 +135,12 @@
         },
       });
       const liveness = monitor.add(peer);
-      peers.set(key, {peer, liveness});
+      peers.set(key, peer);
       return peer;
     },
-    isLost: endpoint =>
-      peers.get(formatEndpoint(endpoint))?.liveness.isLost ?? false,
     dispose: () => {
       timer.dispose();
-      for (const {peer} of peers.values()) peer.dispose();
+      for (const peer of peers.values()) peer.dispose();
     },
   };
 }
