--- a/src/process/placement/placement.ts
+++ b/src/process/placement/placement.ts
@@ -205,9 +205,11 @@
   return {
     choose: (service, excludedIds, isLost = () => false, goal) => {
       const now = nowMillis();
-      const allowed = directory
-        .listReady(service)
-        .filter(upstream => !excludedIds.has(upstream.entry.id));
+      const ready = directory.listReady(service);
+      const allowed =
+        excludedIds.size === 0
+          ? ready
+          : ready.filter(upstream => !excludedIds.has(upstream.entry.id));
       const usable = allowed.filter(upstream =>
         canReach(upstream, isLost, now),
       );
