--- a/src/request/attempt_runner.ts
+++ b/src/request/attempt_runner.ts
@@ -265,11 +265,11 @@
   // A stopping node may exit before another attempt completes.
   if (stop.isStopping) return false;
   const {service} = request;
-  return cause === 'silent'
-    ? placement.hasReachableAlternative(service, excludedIds, remote.isLost) &&
-        rules.mayReplaceSilentAttempt(request, ranCount)
-    : placement.hasAlternative(service, excludedIds, remote.isLost) &&
-        rules.mayReplaceAttempt(request, ranCount);
+  const hasNext =
+    cause === 'silent'
+      ? placement.hasReachableAlternative(service, excludedIds, remote.isLost)
+      : placement.hasAlternative(service, excludedIds, remote.isLost);
+  return hasNext && rules.mayReplaceAttempt(request, ranCount, cause);
 }
 
 function timeoutKeyOf({route, service}: AttemptedRequest): string {
--- a/src/request/local_upstream.ts
+++ b/src/request/local_upstream.ts
@@ -154,7 +154,7 @@
         options.onChange(false);
         firstDispatches.reset();
       }
-      if (failuresInARow !== SUSPECTED_FAILURES_COUNT) return;
+      if (failuresInARow < SUSPECTED_FAILURES_COUNT) return;
       for (const listener of [...suspectedListeners]) listener();
     },
     markMisdirected: (upstreamId, actualId) => {
--- a/src/request/retry_rules.ts
+++ b/src/request/retry_rules.ts
@@ -10,6 +10,7 @@
 import type {RetryBudget} from '../process/retries/retry_budget.js';
 import type {AttemptedRequest} from './attempted_request.js';
 import {ISOLATED_CRASHES_COUNT} from './crash_quarantine.js';
+import type {ReplacementCause} from './replaceable_attempt.js';
 
 /** Retry rules of a node. */
 export interface RetryRules {
@@ -26,12 +27,11 @@
    * Whether another attempt may replace one without a response; charges the retry to the
    * budget.
    */
-  mayReplaceAttempt(request: AttemptedRequest, ranCount: number): boolean;
-  /**
-   * Whether another attempt may replace one at a node that does not reply; charges the
-   * retry to the budget.
-   */
-  mayReplaceSilentAttempt(request: AttemptedRequest, ranCount: number): boolean;
+  mayReplaceAttempt(
+    request: AttemptedRequest,
+    ranCount: number,
+    cause: ReplacementCause,
+  ): boolean;
 }
 
 /** Dependencies of the rules. */
@@ -117,22 +117,17 @@
       if (ranCount >= route.maxAttemptsCount) return false;
       return mayRetryExecuted(request, result);
     },
-    mayReplaceAttempt: (request, ranCount) => {
+    mayReplaceAttempt: (request, ranCount, cause) => {
       const {call, route} = request;
       if (!call.isRepeatable || ranCount + 1 >= route.maxAttemptsCount) {
         return false;
       }
+      if (leftMillis(request) < MIN_LEFT_MILLIS) return false;
+      if (cause === 'silent') return tryTakeSilentRetry(request);
       const counts = expectedCalls(request);
       // Retrying a service that is slow because it is overloaded adds to its load.
-      return !isSaturated(counts) && tryTakeRetry(request, counts);
-    },
-    mayReplaceSilentAttempt: (request, ranCount) => {
-      const {call, route} = request;
-      if (!call.isRepeatable || ranCount + 1 >= route.maxAttemptsCount) {
-        return false;
-      }
-      if (leftMillis(request) < MIN_LEFT_MILLIS) return false;
-      return tryTakeSilentRetry(request);
+      if (cause === 'timeout' && isSaturated(counts)) return false;
+      return tryTakeRetry(request, counts);
     },
   };
 }
--- a/test/unit/request/attempt_runner.test.ts
+++ b/test/unit/request/attempt_runner.test.ts
@@ -26,7 +26,6 @@
 const RULES: RetryRules = {
   mayRetry: (_request, _result, ranCount) => ranCount < 4,
   mayReplaceAttempt: () => false,
-  mayReplaceSilentAttempt: () => false,
 };
 
 /** Runs a request at upstreams 1 to 3, of which 2 and 3 are lost; returns the ids tried. */
--- a/test/unit/request/local_upstream.test.ts
+++ b/test/unit/request/local_upstream.test.ts
@@ -68,7 +68,7 @@
   t.is(upstream.refusalFor('u-2'), undefined);
 });
 
-test('an upstream is suspected once when two connections in a row have failed', t => {
+test('an upstream is suspected from the second failed connection in a row on', t => {
   const {upstream} = createFixture();
   let suspectedCount = 0;
   upstream.onSuspected(() => {
@@ -77,8 +77,12 @@
   upstream.markUnreachable();
   t.is(suspectedCount, 0);
   upstream.markUnreachable();
-  upstream.markUnreachable();
   t.is(suspectedCount, 1);
+  upstream.markUnreachable();
+  t.is(suspectedCount, 2);
+  upstream.markReached();
+  upstream.markUnreachable();
+  t.is(suspectedCount, 2);
 });
 
 test('a leaving upstream or a stopping node gets no requests', t => {
--- /dev/null
+++ b/test/unit/request/replaced_attempts.test.ts
@@ -0,0 +1,97 @@
+import test from 'ava';
+import type {
+  ExecutionCall,
+  ExecutionResult,
+} from '../../../src/connection/execution.js';
+import {startAttempt} from '../../../src/request/replaceable_attempt.js';
+import {createReplacedAttempts} from '../../../src/request/replaced_attempts.js';
+import {executionCall} from '../../fakes/execution_call.js';
+
+/** An attempt whose end and suspicions the test decides. */
+function createHeldAttempt(isRepeatable = true) {
+  let startedCall: ExecutionCall | undefined;
+  let resolve: (result: ExecutionResult) => void = () => undefined;
+  const attempt = startAttempt({
+    call: {...executionCall(0), isRepeatable},
+    attemptTimeoutMillis: undefined,
+    execute: call => {
+      startedCall = call;
+      return new Promise(onResult => {
+        resolve = onResult;
+      });
+    },
+    mayReplace: () => true,
+  });
+  return {
+    attempt,
+    suspect: () => startedCall?.onSuspected?.('silent'),
+    cancelCause: () => startedCall?.cancel.cause,
+    end: (statusCode: number) => {
+      resolve(answered(statusCode));
+    },
+    fail: () => {
+      resolve({kind: 'unknown', reason: 'deadline', hasFailedCall: false});
+    },
+  };
+}
+
+function answered(statusCode: number): ExecutionResult {
+  return {
+    kind: 'answered',
+    answer: {
+      statusCode,
+      headers: [],
+      bodyStart: Buffer.alloc(0),
+      bodyRest: undefined,
+      isUnframed: false,
+    },
+    calls: new Map(),
+    hasFailedCall: false,
+  };
+}
+
+test('a replaced attempt continues and its response is the result', async t => {
+  // Guards against reads that fail with their second attempt while the first one runs.
+  const first = createHeldAttempt();
+  first.suspect();
+  t.is(await first.attempt.endedOrReplaced, 'silent');
+  t.is(first.cancelCause(), undefined);
+  const replaced = createReplacedAttempts();
+  replaced.add(first.attempt, 'u-1');
+  const outcome = replaced.settle();
+  first.end(200);
+  t.like(await outcome, {upstreamId: 'u-1', result: {kind: 'answered'}});
+});
+
+test('a successful response cancels the other attempts', async t => {
+  const [first, second] = [createHeldAttempt(), createHeldAttempt()];
+  const replaced = createReplacedAttempts();
+  replaced.add(first.attempt, 'u-1');
+  replaced.add(second.attempt, 'u-2');
+  let successesCount = 0;
+  replaced.onSuccess(() => {
+    successesCount += 1;
+  });
+  second.end(200);
+  t.like(await replaced.settle(), {upstreamId: 'u-2'});
+  t.is(first.cancelCause(), 'timeout');
+  t.is(successesCount, 1);
+});
+
+test('a failure of an upstream is a better result than none', async t => {
+  const [first, second] = [createHeldAttempt(), createHeldAttempt()];
+  const replaced = createReplacedAttempts();
+  replaced.add(first.attempt, 'u-1');
+  replaced.add(second.attempt, 'u-2');
+  first.end(500);
+  second.fail();
+  t.like(await replaced.settle(), {upstreamId: 'u-1'});
+});
+
+test('an order is never replaced', async t => {
+  // Guards against orders that run twice.
+  const order = createHeldAttempt(false);
+  order.suspect();
+  order.end(200);
+  t.like(await order.attempt.endedOrReplaced, {kind: 'answered'});
+});
