--- a/src/protocol/cancel_cause.ts
+++ b/src/protocol/cancel_cause.ts
@@ -10,14 +10,12 @@
   'client-left',
   /** The entry node reached the end of its grace period. */
   'stopping',
-  /** The attempt took much longer than usual, and another one replaces it. */
+  /** Another attempt that replaced this one was answered first. */
   'timeout',
   /** The sending node no longer needs the response. */
   'cancelled',
   /** The connection to the sending node was lost, and not replaced in time. */
   'sender-lost',
-  /** Connections to the upstream fail, and another attempt replaces this one. */
-  'upstream-lost',
 ] as const;
 
 export type CancelCause = (typeof CANCEL_CAUSES)[number];
--- a/src/protocol/hop_messages.ts
+++ b/src/protocol/hop_messages.ts
@@ -107,6 +107,8 @@
   | 'silent'
   /** An order with the same attempt id may have run at this upstream already. */
   | 'repeated'
+  /** The node cannot connect to the upstream, and another attempt replaces this one. */
+  | 'upstream-lost'
   | CancelCause;
 
 /** Result of a request at the receiving node. */
