--- a/src/request/attempt_runner.ts
+++ b/src/request/attempt_runner.ts
@@ -6,10 +6,7 @@
 import type {ExecutionCall, ExecutionResult} from '../connection/execution.js';
 import type {RemoteExecution} from '../connection/remote_execution.js';
 import type {AttemptTimeouts} from '../process/retries/attempt_timeouts.js';
-import type {
-  AttemptHistory,
-  OfferOutcome,
-} from '../process/retries/attempt_history.js';
+import type {AttemptHistory} from '../process/retries/attempt_history.js';
 import {createAttemptHistory} from '../process/retries/attempt_history.js';
 import type {
   Placement,
@@ -17,15 +14,20 @@
 } from '../process/placement/placement.js';
 import type {StopPlan} from '../process/stop/stop_plan.js';
 import type {UpstreamEntry} from '../process/membership/upstream_entry.js';
-import type {AttemptOutcome} from '../process/placement/upstream_stats.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {AttemptedRequest} from './attempted_request.js';
 import type {CrashQuarantine} from './crash_quarantine.js';
 import type {LocalExecution} from './local_execution.js';
-import type {ReplacementCause} from './replaceable_attempt.js';
+import type {ReplacementCause, RunningAttempt} from './replaceable_attempt.js';
 import {startAttempt} from './replaceable_attempt.js';
 import type {ReplacedAttempts} from './replaced_attempts.js';
 import {createReplacedAttempts, isSuccess} from './replaced_attempts.js';
+import {
+  attemptOutcomeOf,
+  isSilent,
+  offerOutcomeOf,
+  reasonOf,
+} from './attempt_outcome.js';
 import type {RetryRules} from './retry_rules.js';
 import {wasDispatched} from './retry_rules.js';
 
@@ -99,7 +101,7 @@
   request: AttemptedRequest,
 ): Promise<AttemptsResult> {
   const history = createAttemptHistory();
-  const replaced = createReplacedAttempts();
+  let replaced: ReplacedAttempts | undefined;
   let lastResult: ExecutionResult = UNREACHABLE;
   let upstreamId: string | undefined;
   let call = request.call;
@@ -118,20 +120,24 @@
     const {entry} = placement.upstream;
     upstreamId = entry.id;
     history.begin(entry.id);
-    const {result, isReplaced} = await runAttempt(options, request, {
+    const {result, running} = await runAttempt(options, request, {
       entry,
       call: {...call, usualMillis},
       history,
       replaced,
     });
     lastResult = result;
+    if (running !== undefined) {
+      replaced ??= createReplacedAttempts();
+      replaced.add(running, entry.id);
+    }
     placement.end(attemptOutcomeOf(lastResult));
     options.onAttempt({request, result: lastResult, entry});
     history.end(offerOutcomeOf(lastResult));
-    if (replaced.success !== undefined || !history.canOffer) break;
+    if (replaced?.success !== undefined || !history.canOffer) break;
     const mayRetry = (): boolean =>
       rules.mayRetry(request, lastResult, history.ranCount);
-    if (!isReplaced && !mayRetry()) break;
+    if (running === undefined && !mayRetry()) break;
     if (isSilent(lastResult)) {
       await awaitReachableUpstream(options, request, history);
     }
@@ -140,22 +146,37 @@
       call = {...call, origin: {...call.origin, isRepeat: true}};
     }
   }
-  const counts = {
+  const last: RequestOutcome = {result: lastResult, upstreamId};
+  const outcome =
+    replaced === undefined ? last : await bestOutcome(last, replaced);
+  return {
+    lastResult: outcome.result,
     mayHaveRun: history.ranCount > 0,
     sentCount: history.deliveredCount,
+    upstreamId: outcome.upstreamId,
   };
-  if (!isSuccess(lastResult)) {
-    const outcome = await replaced.settle();
-    if (outcome !== undefined && isBetter(outcome.result, lastResult)) {
-      return {
-        lastResult: outcome.result,
-        upstreamId: outcome.upstreamId,
-        ...counts,
-      };
-    }
+}
+
+/** Result of a request; without an upstream if it was sent to none. */
+interface RequestOutcome {
+  readonly result: ExecutionResult;
+  readonly upstreamId: string | undefined;
+}
+
+/** Waits for attempts that were replaced, unless the last one has succeeded. */
+async function bestOutcome(
+  last: RequestOutcome,
+  replaced: ReplacedAttempts,
+): Promise<RequestOutcome> {
+  if (isSuccess(last.result)) {
+    replaced.cancel();
+    return last;
   }
-  replaced.cancel();
-  return {lastResult, upstreamId, ...counts};
+  const outcome = await replaced.settle();
+  if (outcome === undefined) return last;
+  const isBetter =
+    outcome.result.kind === 'answered' || last.result.kind !== 'answered';
+  return isBetter ? outcome : last;
 }
 
 /** Input for choosing the upstream of the next attempt. */
@@ -208,51 +229,66 @@
   /** Attempts so far, including this one. */
   readonly history: AttemptHistory;
   /** Earlier attempts that continue. */
-  readonly replaced: ReplacedAttempts;
+  readonly replaced: ReplacedAttempts | undefined;
 }
 
 /** How an attempt ended, or why it is replaced and continues. */
 interface AttemptResult {
   readonly result: ExecutionResult;
-  /** The retry that replaces the attempt is charged to the retry budget. */
-  readonly isReplaced: boolean;
+  /**
+   * The attempt, if it continues; the retry that replaces it is already charged to the
+   * retry budget.
+   */
+  readonly running?: RunningAttempt | undefined;
+}
+
+/** Runs an attempt; one that may run only once is never replaced. */
+async function runAttempt(
+  options: AttemptRunnerOptions,
+  request: AttemptedRequest,
+  attempt: NextAttempt,
+): Promise<AttemptResult> {
+  const {attemptTimeouts, nowMillis} = options;
+  const startedMillis = nowMillis();
+  const {entry, call} = attempt;
+  const ended = call.isRepeatable
+    ? await runReplaceableAttempt(options, request, attempt)
+    : {result: await attemptAt(options, entry, call)};
+  if (ended.result.kind === 'answered') {
+    const tookMillis = nowMillis() - startedMillis;
+    attemptTimeouts.recordResponse(timeoutKeyOf(request), tookMillis);
+  }
+  return ended;
 }
 
 /**
  * Runs an attempt until it ends, is replaced, or an attempt that it replaced is answered;
  * without an alternative upstream it runs to the deadline.
  */
-async function runAttempt(
+async function runReplaceableAttempt(
   options: AttemptRunnerOptions,
   request: AttemptedRequest,
   {entry, call, history, replaced}: NextAttempt,
 ): Promise<AttemptResult> {
-  const {attemptTimeouts, nowMillis} = options;
+  const {attemptTimeouts} = options;
   const key = timeoutKeyOf(request);
-  const startedMillis = nowMillis();
   const attempt = startAttempt({
     call,
     attemptTimeoutMillis: attemptTimeouts.timeoutMillis(key),
     execute: timedCall => attemptAt(options, entry, timedCall),
     mayReplace: cause => mayReplace(options, request, history, cause),
   });
-  const successListener = replaced.onSuccess(() => {
+  const successListener = replaced?.onSuccess(() => {
     attempt.cancel('timeout');
   });
   const result = await attempt.endedOrReplaced;
-  successListener.dispose();
-  if (typeof result === 'string') {
-    if (result === 'timeout') attemptTimeouts.recordTimeout(key);
-    replaced.add(attempt, entry.id);
-    return {
-      result: {kind: 'unknown', reason: result, hasFailedCall: false},
-      isReplaced: true,
-    };
-  }
-  if (result.kind === 'answered') {
-    attemptTimeouts.recordResponse(key, nowMillis() - startedMillis);
-  }
-  return {result, isReplaced: false};
+  successListener?.dispose();
+  if (typeof result !== 'string') return {result};
+  if (result === 'timeout') attemptTimeouts.recordTimeout(key);
+  return {
+    result: {kind: 'unknown', reason: result, hasFailedCall: false},
+    running: attempt,
+  };
 }
 
 /** Whether another attempt may replace one; charges it to the retry budget. */
@@ -290,56 +326,3 @@
     fetchBody: () => Promise.resolve(call.body),
   });
 }
-
-/** A response of an upstream is better than none, and a late outcome tells more. */
-function isBetter(outcome: ExecutionResult, last: ExecutionResult): boolean {
-  return outcome.kind === 'answered' || last.kind !== 'answered';
-}
-
-function isSilent(result: ExecutionResult): boolean {
-  return result.kind === 'unknown' && result.reason === 'silent';
-}
-
-function offerOutcomeOf(result: ExecutionResult): OfferOutcome {
-  if (result.kind !== 'refused') return 'ran';
-  switch (result.reason) {
-    case 'not-executed':
-      return 'rejected';
-    case 'queue-full':
-    case 'rate-limited':
-    case 'too-late':
-      return 'full';
-    default:
-      return 'refused';
-  }
-}
-
-function reasonOf(result: ExecutionResult): HopReason {
-  return result.kind === 'answered' ? 'none' : result.reason;
-}
-
-function attemptOutcomeOf(result: ExecutionResult): AttemptOutcome {
-  if (result.kind === 'answered') {
-    if (result.answer.statusCode < 500) return 'served';
-    return result.hasFailedCall ? 'neutral' : 'failed';
-  }
-  switch (result.reason) {
-    case 'draining':
-    case 'leaving':
-    case 'other-upstream':
-    case 'misdirected':
-    case 'unreachable':
-    case 'upstream-crashed':
-    case 'silent':
-    case 'upstream-lost':
-      return 'unreachable';
-    case 'not-executed':
-    case 'broken-answer':
-    case 'connection-lost':
-      return 'failed';
-    case 'timeout':
-      return result.kind === 'unknown' ? 'failed' : 'neutral';
-    default:
-      return 'neutral';
-  }
-}
--- a/src/request/replaceable_attempt.ts
+++ b/src/request/replaceable_attempt.ts
@@ -36,7 +36,7 @@
   readonly endedOrReplaced: Promise<ExecutionResult | ReplacementCause>;
 }
 
-/** Starts the attempt; one that may run only once is never replaced. */
+/** Starts an attempt that may run more than once. */
 export function startAttempt({
   call,
   attemptTimeoutMillis,
@@ -45,21 +45,24 @@
 }: ReplaceableAttempt): StartedAttempt {
   const source = createCancelSource<CancelCause>();
   const callerCancel = call.cancel.onCancel(source.cancel);
-  let onReplaced: (cause: ReplacementCause) => void = () => undefined;
-  let isReplaceable = call.isRepeatable;
-  const replaced = new Promise<ReplacementCause>(resolve => {
-    onReplaced = resolve;
-  });
+  let isReplaceable = true;
+  let finish: (outcome: ExecutionResult | ReplacementCause) => void = () =>
+    undefined;
+  const endedOrReplaced = new Promise<ExecutionResult | ReplacementCause>(
+    resolve => {
+      finish = resolve;
+    },
+  );
   const replace = (cause: ReplacementCause): void => {
     if (!isReplaceable || source.signal.isCancelled) return;
     if (!mayReplace(cause)) return;
     isReplaceable = false;
-    onReplaced(cause);
+    finish(cause);
   };
   const timer =
-    call.isRepeatable && attemptTimeoutMillis !== undefined
-      ? setTimeout(replace, attemptTimeoutMillis, 'timeout')
-      : undefined;
+    attemptTimeoutMillis === undefined
+      ? undefined
+      : setTimeout(replace, attemptTimeoutMillis, 'timeout');
   const run = async (): Promise<ExecutionResult> => {
     const result = await execute({
       ...call,
@@ -69,12 +72,8 @@
     isReplaceable = false;
     clearTimeout(timer);
     callerCancel.dispose();
+    finish(result);
     return result;
   };
-  const result = run();
-  return {
-    result,
-    endedOrReplaced: Promise.race([result, replaced]),
-    cancel: source.cancel,
-  };
+  return {result: run(), endedOrReplaced, cancel: source.cancel};
 }
