--- a/src/protocol/hop_request_codec.ts
+++ b/src/protocol/hop_request_codec.ts
@@ -80,7 +80,8 @@
   const parts = splitPayload(payload);
   if (parts === undefined) return undefined;
   const list = parts.header as Partial<RequestList>;
-  const [hopId, attemptId, upstreamId, callerService, method, target] = list;
+  const {0: hopId, 1: attemptId, 2: upstreamId, 3: callerService} = list;
+  const {4: method, 5: target} = list;
   const headers = list[6];
   const leftMillis = list[9];
   const startWithinMillis = list[10];
@@ -121,8 +122,8 @@
 function parseOrigin(value: unknown): OriginFields | undefined {
   if (!Array.isArray(value)) return undefined;
   const list = value as readonly unknown[];
-  const [importance, rootId, rootRouteName, rootAgeMillis, ...rest] = list;
-  const [repeatFlag, repeatsCount, organisationName] = rest;
+  const {0: importance, 1: rootId, 2: rootRouteName, 3: rootAgeMillis} = list;
+  const {4: repeatFlag, 5: repeatsCount, 6: organisationName} = list;
   if (typeof rootId !== 'string') return undefined;
   if (typeof rootRouteName !== 'string') return undefined;
   if (!isFiniteNumber(importance) || !isFiniteNumber(rootAgeMillis)) {
--- a/src/protocol/hop_response_codec.ts
+++ b/src/protocol/hop_response_codec.ts
@@ -71,7 +71,7 @@
   const parts = splitPayload(payload);
   if (parts === undefined) return undefined;
   const list = parts.header as Partial<ResponseList>;
-  const [outcome, reason, failedCallFlag, unspentCount] = list;
+  const {0: outcome, 1: reason, 2: failedCallFlag, 3: unspentCount} = list;
   if (!isOutcome(outcome) || typeof reason !== 'string') return undefined;
   const message = parseResponseFields(list[6]);
   const knownPosition = parsePosition(list[7], list[8]);
@@ -98,7 +98,7 @@
 function parseResponseFields(value: unknown): ResponseFields | undefined {
   if (!Array.isArray(value)) return undefined;
   const list = value as readonly unknown[];
-  const [statusCode, headers, unframedFlag, restFlag] = list;
+  const {0: statusCode, 1: headers, 2: unframedFlag, 3: restFlag} = list;
   if (!isFiniteNumber(statusCode) || !Array.isArray(headers)) return undefined;
   if (!areStrings(headers)) return undefined;
   return {
--- a/src/protocol/load_codec.ts
+++ b/src/protocol/load_codec.ts
@@ -79,13 +79,13 @@
 
 function parseLoad(value: unknown): LoadFields | undefined {
   if (!Array.isArray(value)) return undefined;
-  const [upstreamId, service, ...figures] = value as readonly unknown[];
+  const list = value as readonly unknown[];
+  const {0: upstreamId, 1: service, 2: inFlight, 3: queued, 4: limit} = list;
+  const {5: average, 6: level, 7: age, 8: slowness} = list;
   if (typeof upstreamId !== 'string' || typeof service !== 'string') {
     return undefined;
   }
-  const [inFlight, queued, limit, average, level, age, slowness, ...rest] =
-    figures;
-  const rejections = parseRejections(rest);
+  const rejections = parseRejections(list[9], list[10]);
   if (!isFiniteNumber(inFlight) || !isFiniteNumber(queued)) return undefined;
   if (!isFiniteNumber(limit) || !isFiniteNumber(average)) return undefined;
   if (!isFiniteNumber(level) || !isFiniteNumber(age)) return undefined;
@@ -106,9 +106,9 @@
 }
 
 function parseRejections(
-  figures: readonly unknown[],
+  rejected: unknown,
+  arrived: unknown,
 ): RejectionFields | undefined {
-  const [rejected, arrived] = figures;
   if (!isFiniteNumber(rejected) || !isFiniteNumber(arrived)) return undefined;
   return {
     rejectedPerSecond: rejected,
