--- a/test/fakes/fake_upstream.ts
+++ b/test/fakes/fake_upstream.ts
@@ -7,6 +7,8 @@
 import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 
+import {listenWithFullQueue} from './full_accept_queue.js';
+
 export interface ReceivedRequest {
   readonly attemptId: string;
   readonly method: string;
@@ -42,6 +44,8 @@
   | 'accept'
   /** The listener is closed. */
   | 'refuse'
+  /** Connections wait in a short queue, and are reset with the next policy. */
+  | 'leave-in-queue'
   /** Resets connections after it has accepted them, as beyond a connection limit. */
   | 'reset';
 
@@ -118,6 +122,7 @@
   let crashPlan: CrashPlan | undefined;
   let isClosed = false;
   let connectionPolicy: ConnectionPolicy = 'accept';
+  let closeQueue: () => Promise<unknown> = () => Promise.resolve();
   let announcedHeaders: readonly AnnouncedHeader[] = [];
   let handler: UpstreamHandler = request => {
     request.respond(200, `body of ${request.attemptId}`);
@@ -215,10 +220,13 @@
     },
     setConnectionPolicy: async policy => {
       connectionPolicy = policy;
-      if ((policy === 'refuse') !== server.listening) return;
+      await closeQueue();
+      const isListening = policy === 'accept' || policy === 'reset';
+      if (isListening && !server.listening) await listen(server, options);
       // `close` of an HTTP server would close the idle connections as well.
-      if (policy === 'refuse') net.Server.prototype.close.call(server);
-      else await listen(server, options);
+      if (!isListening) net.Server.prototype.close.call(server);
+      if (policy !== 'leave-in-queue') return;
+      closeQueue = await listenWithFullQueue(options);
     },
     restart: async (nextId = id) => {
       await closeServer(server);
@@ -231,9 +239,10 @@
     get crashesCount() {
       return crashesCount;
     },
-    close: () => {
+    close: async () => {
       isClosed = true;
-      return closeServer(server);
+      await closeQueue();
+      await closeServer(server);
     },
   };
 }
--- a/test/fakes/work_record.ts
+++ b/test/fakes/work_record.ts
@@ -7,6 +7,7 @@
 /** A request as its sender saw it. */
 export interface SentRequest {
   readonly attemptId: string;
+  readonly target: string;
   /** Run of an upstream that made the request as a call; `undefined` for a client's. */
   readonly parent: WorkRun | undefined;
   readonly entryIndex: number;
@@ -37,6 +38,7 @@
   | 'upstream restarted'
   | 'connections refused'
   | 'connections reset'
+  | 'connections not accepted'
   | 'hops cut'
   | 'configured';
 
@@ -64,7 +66,10 @@
 export interface WorkRecord {
   /** Records a request that is sent now. */
   begin(
-    request: Pick<SentRequest, 'attemptId' | 'parent' | 'entryIndex'>,
+    request: Pick<
+      SentRequest,
+      'attemptId' | 'target' | 'parent' | 'entryIndex'
+    >,
     timeoutMillis: number,
   ): SentRequest;
   end(request: SentRequest, outcome: string, isFailedByNode: boolean): void;
@@ -212,7 +217,8 @@
     const lines = events.map(([millis, text]) => `  ${at(millis)} ${text}`);
     const deadline = `deadline ${at(request.deadlineMillis)}`;
     const caller = parent === undefined ? 'client' : 'upstream';
-    return [`${attemptId} of ${caller}, ${deadline}`, ...lines].join('\n');
+    const head = `${attemptId} ${request.target} of ${caller}, ${deadline}`;
+    return [head, ...lines].join('\n');
   };
 
   return {
--- a/test/fakes/work_soak.ts
+++ b/test/fakes/work_soak.ts
@@ -6,7 +6,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ExecutionContext} from 'ava';
 import type {ConnectionPolicy, ReceivedRequest} from './fake_upstream.js';
-import {sendRequest} from './fleet_client.js';
 import {freeze, restartUpstream} from './order_soak.js';
 import type {NodeProcess} from './node_process.js';
 import type {PipelinedRequest, PipeliningClient} from './pipelining_client.js';
@@ -19,7 +18,12 @@
   waitForVersion,
 } from './process_fleet.js';
 import {createSeededRandom} from './seeded_random.js';
-import type {FaultKind, WorkRecord, WorkReport} from './work_record.js';
+import type {
+  FaultKind,
+  SentRequest,
+  WorkRecord,
+  WorkReport,
+} from './work_record.js';
 import {createWorkRecord} from './work_record.js';
 
 export interface WorkSoakReport extends WorkReport {
@@ -107,8 +111,8 @@
 
 /** Lets an upstream work on each request, and call another service for some. */
 function installWork(soak: Soak, hostIndex: number): void {
-  const {record, random} = soak;
-  const {upstream} = soak.fleet.hosts[hostIndex]!;
+  const {fleet, record, random} = soak;
+  const {upstream} = fleet.hosts[hostIndex]!;
   const work = (): Promise<void> => {
     const rangeMillis = MAX_WORK_MILLIS - MIN_WORK_MILLIS;
     return sleep(MIN_WORK_MILLIS + random() * rangeMillis);
@@ -123,11 +127,12 @@
     let isServed = true;
     if (target.startsWith('/shop/') && !run.isCut) {
       const callId = `${attemptId}.${String(Math.floor(run.startMillis))}`;
+      const call = createRequest(random, callId);
       const sent = record.begin(
-        {attemptId: callId, parent: run, entryIndex: hostIndex},
+        {...targetOf(call), parent: run, entryIndex: hostIndex},
         TIMEOUT_MILLIS,
       );
-      isServed = await sendCall(soak, hostIndex, callId).then(
+      isServed = await fleet.send(hostIndex, call).then(
         ({statusCode, headers}) => {
           const isSigned = 'response-signature' in headers;
           record.end(sent, String(statusCode), isFailure(statusCode, isSigned));
@@ -152,16 +157,11 @@
   return statusCode >= 500 && !isSigned;
 }
 
-function sendCall(
-  {fleet, random}: Soak,
-  hostIndex: number,
-  attemptId: string,
-): ReturnType<typeof sendRequest> {
-  const {address} = fleet.hosts[hostIndex]!;
-  return sendRequest(address, fleet.outboundPort, {
-    ...createRequest(random, attemptId),
-    timeoutMillis: TIMEOUT_MILLIS,
-  });
+function targetOf({
+  attemptId,
+  path,
+}: PipelinedRequest): Pick<SentRequest, 'attemptId' | 'target'> {
+  return {attemptId, target: path};
 }
 
 function createRequest(
@@ -193,15 +193,14 @@
     }
     requestsCount += 1;
     const attemptId = `c${String(clientIndex)}-${String(requestsCount)}`;
-    const request = createRequest(random, attemptId);
-    const isCalling = request.method === 'GET' && random() < CALLING_RATIO;
+    const plain = createRequest(random, attemptId);
+    const isCalling = plain.method === 'GET' && random() < CALLING_RATIO;
+    const request = isCalling ? {...plain, path: '/shop/1'} : plain;
     const sent = record.begin(
-      {attemptId, parent: undefined, entryIndex},
+      {...targetOf(request), parent: undefined, entryIndex},
       TIMEOUT_MILLIS,
     );
-    const [outcome] = await client.send([
-      isCalling ? {...request, path: '/shop/1'} : request,
-    ]);
+    const [outcome] = await client.send([request]);
     if (outcome?.kind !== 'answered') {
       record.end(sent, outcome?.kind ?? 'none', outcome?.kind === 'lost');
       continue;
@@ -238,7 +237,7 @@
     await sleep(random() * MAX_FAULT_INTERVAL_MILLIS);
     const index = Math.floor(random() * fleet.hosts.length);
     const {process, upstream} = fleet.hosts[index]!;
-    const choice = Math.floor(random() * 14);
+    const choice = Math.floor(random() * 15);
     const lengthRatio = random();
     const refuse = (kind: FaultKind, policy: ConnectionPolicy): Promise<void> =>
       runUpstreamFault(kind, index, async () => {
@@ -310,6 +309,10 @@
       case 10:
         pending.push(refuse('connections refused', 'refuse'));
         break;
+      case 11:
+      case 12:
+        pending.push(refuse('connections not accepted', 'leave-in-queue'));
+        break;
       default:
         pending.push(refuse('connections reset', 'reset'));
     }
