--- a/test/fakes/work_record.ts
+++ b/test/fakes/work_record.ts
@@ -87,7 +87,7 @@
 export interface WorkReport {
   /** Number of requests by outcome. */
   readonly outcomes: ReadonlyMap<string, number>;
-  /** Number of requests at work that may fail, by reason. */
+  /** Number of runs at work whose request may fail, by reason. */
   readonly exclusions: ReadonlyMap<Exclusion, number>;
   /** Requests failed while they were at work, each with its events. */
   readonly failedAtWork: readonly string[];
@@ -154,18 +154,14 @@
     return undefined;
   };
 
-  /**
-   * The last run of a request that a node failed, if it was cut or still at work. Earlier
-   * runs don't count: a read may move to another upstream.
-   */
-  const findRunAtWork = (request: SentRequest): WorkRun | undefined => {
+  /** Runs of a request that a node failed which were cut, or at work at its answer. */
+  const runsAtWork = (request: SentRequest): readonly WorkRun[] => {
     const latestMillis = request.deadlineMillis - DEADLINE_MARGIN_MILLIS;
-    if (!request.isFailedByNode) return undefined;
-    if (request.answeredMillis > latestMillis) return undefined;
-    const run = runs.get(request.attemptId)?.at(-1);
-    if (run === undefined) return undefined;
-    const isAtWork = run.isCut || run.endMillis > request.answeredMillis;
-    return isAtWork ? run : undefined;
+    if (!request.isFailedByNode) return [];
+    if (request.answeredMillis > latestMillis) return [];
+    return (runs.get(request.attemptId) ?? []).filter(
+      ({isCut, endMillis}) => isCut || endMillis > request.answeredMillis,
+    );
   };
 
   const at = (millis: number): string =>
@@ -268,11 +264,14 @@
       const failedAtWork: string[] = [];
       for (const request of requests) {
         increment(outcomes, request.outcome);
-        const run = findRunAtWork(request);
-        if (run === undefined) continue;
-        const exclusion = exclusionOf(request, run);
-        if (exclusion !== undefined) increment(exclusions, exclusion);
-        else failedAtWork.push(describe(request, logs));
+        const reasons = runsAtWork(request).map(run =>
+          exclusionOf(request, run),
+        );
+        for (const reason of reasons) {
+          if (reason !== undefined) increment(exclusions, reason);
+        }
+        if (!reasons.includes(undefined)) continue;
+        failedAtWork.push(describe(request, logs));
       }
       return {outcomes, exclusions, failedAtWork};
     },
