--- a/src/request/attempt_runner.ts
+++ b/src/request/attempt_runner.ts
@@ -21,7 +21,11 @@
 import type {ReplacementCause, RunningAttempt} from './replaceable_attempt.js';
 import {startAttempt} from './replaceable_attempt.js';
 import type {ReplacedAttempts} from './replaced_attempts.js';
-import {createReplacedAttempts, isSuccess} from './replaced_attempts.js';
+import {
+  createReplacedAttempts,
+  discardResponse,
+  isSuccess,
+} from './replaced_attempts.js';
 import {
   attemptOutcomeOf,
   isSilent,
@@ -169,14 +173,16 @@
   replaced: ReplacedAttempts,
 ): Promise<RequestOutcome> {
   if (isSuccess(last.result)) {
-    replaced.cancel();
+    replaced.discard();
     return last;
   }
   const outcome = await replaced.settle();
   if (outcome === undefined) return last;
   const isBetter =
     outcome.result.kind === 'answered' || last.result.kind !== 'answered';
-  return isBetter ? outcome : last;
+  if (!isBetter) return last;
+  discardResponse(last.result);
+  return outcome;
 }
 
 /** Input for choosing the upstream of the next attempt. */
--- a/src/request/replaced_attempts.ts
+++ b/src/request/replaced_attempts.ts
@@ -25,8 +25,8 @@
    * there is no attempt.
    */
   settle(): Promise<UpstreamOutcome | undefined>;
-  /** Cancels all attempts: their result is not needed any more. */
-  cancel(): void;
+  /** Cancels all attempts and discards their responses: none is needed any more. */
+  discard(): void;
 }
 
 /** Creates an empty set. */
@@ -35,18 +35,25 @@
   const listeners = new Set<() => void>();
   let success: UpstreamOutcome | undefined;
   let last: UpstreamOutcome | undefined;
+  let isDiscarded = false;
 
   const cancel = (): void => {
     for (const attempt of running.keys()) attempt.cancel('timeout');
   };
   const record = (outcome: UpstreamOutcome): void => {
-    if (success !== undefined) return;
+    if (isDiscarded || success !== undefined) {
+      discardResponse(outcome.result);
+      return;
+    }
     if (isSuccess(outcome.result)) {
       success = outcome;
+      if (last !== undefined) discardResponse(last.result);
       cancel();
       for (const listener of [...listeners]) listener();
     } else if (last?.result.kind !== 'answered') {
       last = outcome;
+    } else {
+      discardResponse(outcome.result);
     }
   };
   const watch = async (
@@ -75,10 +82,20 @@
       }
       return success ?? last;
     },
-    cancel,
+    discard: () => {
+      isDiscarded = true;
+      cancel();
+      const outcome = success ?? last;
+      if (outcome !== undefined) discardResponse(outcome.result);
+    },
   };
 }
 
+/** Releases the rest of a response that is not passed on; its upstream would wait. */
+export function discardResponse(result: ExecutionResult): void {
+  if (result.kind === 'answered') result.answer.bodyRest?.destroy();
+}
+
 /** Whether no other attempt can have a better result. */
 export function isSuccess(result: ExecutionResult): boolean {
   return result.kind === 'answered' && result.answer.statusCode < 500;
--- a/test/unit/request/replaced_attempts.test.ts
+++ b/test/unit/request/replaced_attempts.test.ts
@@ -1,3 +1,4 @@
+import {Readable} from 'node:stream';
 import test from 'ava';
 import type {
   ExecutionCall,
@@ -26,8 +27,8 @@
     attempt,
     suspect: () => startedCall?.onSuspected?.('silent'),
     cancelCause: () => startedCall?.cancel.cause,
-    end: (statusCode: number) => {
-      resolve(answered(statusCode));
+    end: (statusCode: number, bodyRest?: Readable) => {
+      resolve(answered(statusCode, bodyRest));
     },
     fail: () => {
       resolve({kind: 'unknown', reason: 'deadline', hasFailedCall: false});
@@ -35,14 +36,14 @@
   };
 }
 
-function answered(statusCode: number): ExecutionResult {
+function answered(statusCode: number, bodyRest?: Readable): ExecutionResult {
   return {
     kind: 'answered',
     answer: {
       statusCode,
       headers: [],
       bodyStart: Buffer.alloc(0),
-      bodyRest: undefined,
+      bodyRest,
       isUnframed: false,
     },
     calls: new Map(),
@@ -87,3 +88,27 @@
   second.fail();
   t.like(await replaced.settle(), {upstreamId: 'u-1'});
 });
+
+test('the body of a response that is not needed is released', async t => {
+  // Guards against upstreams that hold a slot for a body that is never read.
+  const [first, second, third] = [
+    createHeldAttempt(),
+    createHeldAttempt(),
+    createHeldAttempt(),
+  ];
+  const replaced = createReplacedAttempts();
+  for (const {attempt} of [first, second, third]) replaced.add(attempt, 'u');
+  const bodies = [500, 500, 200].map(
+    () => new Readable({read: () => undefined}),
+  );
+  first.end(500, bodies[0]);
+  second.end(500, bodies[1]);
+  third.end(200, bodies[2]);
+  await replaced.settle();
+  t.deepEqual(
+    bodies.map(({destroyed}) => destroyed),
+    [true, true, false],
+  );
+  replaced.discard();
+  t.true(bodies[2]!.destroyed);
+});
