--- a/src/connection/hop_connection.ts
+++ b/src/connection/hop_connection.ts
@@ -9,6 +9,7 @@
 import {decodeLoads} from '../protocol/load_codec.js';
 import {decodeHopResponse} from '../protocol/hop_response_codec.js';
 import {openFrameConnection} from './frame_connection.js';
+import {sendBody} from './request_body_sender.js';
 import type {OutgoingHop} from './outgoing_hop.js';
 import type {ReceivedBodyRest} from './received_body_rest.js';
 import {createReceivedBodyRest} from './received_body_rest.js';
@@ -75,9 +76,6 @@
  */
 const CONNECT_TIMEOUT_MILLIS = 250;
 
-/** Body bytes per frame. */
-const BODY_CHUNK_BYTES = 65_536;
-
 const WINDOW_PAYLOAD_BYTES = 4;
 
 /**
@@ -151,16 +149,6 @@
     hopConnection.unconfirmedCancels.push(channel.hop.hopId);
     closeChannel(channelId);
   };
-  const sendBody = (channelId: number, hop: OutgoingHop): void => {
-    const {body} = hop;
-    let offset = 0;
-    while (body.length - offset > BODY_CHUNK_BYTES) {
-      const chunk = body.subarray(offset, offset + BODY_CHUNK_BYTES);
-      connection.send(FRAME_KIND.body, channelId, chunk);
-      offset += BODY_CHUNK_BYTES;
-    }
-    connection.send(FRAME_KIND.bodyEnd, channelId, body.subarray(offset));
-  };
   const handleResponse = (channelId: number, payload: Buffer): void => {
     const channel = channels.get(channelId);
     if (channel === undefined) return;
@@ -232,7 +220,7 @@
       case FRAME_KIND.bodyWanted:
         if (channel === undefined) return;
         channel.hop.markSent();
-        sendBody(channelId, channel.hop);
+        sendBody(connection, channelId, channel.hop.body);
         break;
       case FRAME_KIND.suspected:
         channel?.hop.suspectUpstream();
@@ -315,7 +303,7 @@
       hop.instanceId = hopConnection.instanceId;
       connection.send(FRAME_KIND.request, channelId, hop.request);
       if (hop.isBodyHeldBack) return;
-      if (hop.body.length > 0) sendBody(channelId, hop);
+      if (hop.body.length > 0) sendBody(connection, channelId, hop.body);
       if (isConnected) hop.markSent();
     },
     claim: hop => {
--- a/src/process/membership/reconnect_times.ts
+++ b/src/process/membership/reconnect_times.ts
@@ -3,7 +3,7 @@
  * its ends: a receiver must not end work before its sender can have reconnected.
  */
 
-/** Longest time for which a reply of a node is awaited. */
+/** Longest wait for a reply of a node. */
 export const MAX_REPLY_TIMEOUT_MILLIS = 1500;
 
 /** Interval at which connections are checked for silence. */
