--- a/test/contract/platform_busy_upstream.test.ts
+++ b/test/contract/platform_busy_upstream.test.ts
@@ -40,32 +40,37 @@
     services,
     paths: [SAFE_PATH, ORDER_PATH],
   });
-  const [entry, busy] = fleet.hosts;
-  busy!.upstream.setHandler(request => {
-    setTimeout(() => {
-      request.respond(200, 'served');
-    }, WORK_MILLIS);
-  });
+  const [entry, busy, ...others] = fleet.hosts;
+  for (const {upstream} of [busy!, ...others]) {
+    upstream.setHandler(request => {
+      setTimeout(() => {
+        request.respond(200, 'served');
+      }, WORK_MILLIS);
+    });
+  }
   return {fleet, entry: entry!, busy: busy!};
 }
 
 /** Sends reads that find no connection, so that the node sees its upstream as unreachable. */
 async function sendUnreachable({fleet, busy}: BusyFleet): Promise<void> {
+  const sent: Promise<unknown>[] = [];
   for (let index = 0; index < REFUSED_COUNT; index += 1) {
-    void fleet.send(busy, {
-      attemptId: `refused-${String(index)}`,
-      path: '/a/1',
-    });
+    const attemptId = `refused-${String(index)}`;
+    sent.push(fleet.send(busy, {attemptId, path: '/a/1'}));
     await sleep(PROBE_PAUSE_MILLIS);
   }
+  await Promise.allSettled(sent);
 }
 
 /** Sends reads at once, so that several are placed before the first one fails. */
-function sendSimultaneously(fleet: PlatformFleet, host: FleetHost): void {
-  for (let index = 0; index < SIMULTANEOUS_COUNT; index += 1) {
-    const attemptId = `refused-${String(index)}`;
-    void fleet.send(host, {attemptId, path: '/a/1'});
-  }
+function sendSimultaneously(
+  fleet: PlatformFleet,
+  host: FleetHost,
+): Promise<unknown> {
+  const sent = Array.from({length: SIMULTANEOUS_COUNT}, (_, index) =>
+    fleet.send(host, {attemptId: `refused-${String(index)}`, path: '/a/1'}),
+  );
+  return Promise.allSettled(sent);
 }
 
 for (const {kind, method, path} of KINDS) {
@@ -112,7 +117,7 @@
   const response = fleet.send(entry, {attemptId: 'running', path: '/a/1'});
   await waitUntil('run', () => silent !== undefined);
   await silent!.upstream.setConnectionPolicy('refuse');
-  sendSimultaneously(fleet, silent!);
+  const others = sendSimultaneously(fleet, silent!);
   t.like(await response, {statusCode: 200, body: 'served'});
   await waitUntil(
     'first run cancelled',
@@ -124,6 +129,7 @@
         event === 'retry' && fields['reason'] === 'upstream-lost',
     ),
   );
+  await others;
 });
 
 test('a running order stays at its upstream though that may have ended', async t => {
@@ -137,10 +143,11 @@
   await waitUntil('run', () => findBusy() !== undefined);
   const busy = findBusy()!;
   await busy.upstream.setConnectionPolicy('refuse');
-  sendSimultaneously(fleet, busy);
+  const others = sendSimultaneously(fleet, busy);
   t.like(await response, {statusCode: 200, body: 'served'});
   const runsCount = candidates
     .flatMap(({upstream}) => upstream.runIds)
     .filter(id => id === 'running').length;
   t.is(runsCount, 1);
+  await others;
 });
