--- a/src/request/attempt_runner.ts
+++ b/src/request/attempt_runner.ts
@@ -111,7 +111,9 @@
   let call = request.call;
   const {rules} = options;
 
-  while (history.canOffer) {
+  const hasSuccess = (): boolean => replaced?.success !== undefined;
+
+  while (history.canOffer && !hasSuccess()) {
     if (options.quarantine.holds(request.call)) {
       if (history.ranCount === 0) lastResult = QUARANTINED;
       break;
@@ -138,7 +140,7 @@
     placement.end(attemptOutcomeOf(lastResult));
     options.onAttempt({request, result: lastResult, entry});
     history.end(offerOutcomeOf(lastResult));
-    if (replaced?.success !== undefined || !history.canOffer) break;
+    if (hasSuccess() || !history.canOffer) break;
     const mayRetry = (): boolean =>
       rules.mayRetry(request, lastResult, history.ranCount);
     if (running === undefined && !mayRetry()) break;
--- a/test/contract/platform_busy_upstream.test.ts
+++ b/test/contract/platform_busy_upstream.test.ts
@@ -5,7 +5,7 @@
 import type {ExecutionContext} from 'ava';
 import test from 'ava';
 import type {FleetHost, PlatformFleet} from '../fakes/platform_fleet.js';
-import {ORDER_PATH, orderRequest, SAFE_PATH} from '../fakes/platform_fleet.js';
+import {createPath, ORDER_PATH, orderRequest} from '../fakes/platform_fleet.js';
 import {startFleet} from '../fakes/test_fleet.js';
 import {waitUntil} from '../fakes/wait_until.js';
 
@@ -20,6 +20,11 @@
 /** Several of them are placed at each upstream of a service with two. */
 const SIMULTANEOUS_COUNT = 8;
 
+/** Longer than the pause after which an unreachable upstream is probed again. */
+const READ_TIMEOUT_S = 20;
+
+const LONG_READ_PATH = createPath({timeoutS: READ_TIMEOUT_S});
+
 const KINDS = [
   {kind: 'read', method: 'GET', path: '/a/1'},
   {kind: 'order', method: 'POST', path: '/order/1'},
@@ -38,7 +43,7 @@
 ): Promise<BusyFleet> {
   const fleet = await startFleet(t, {
     services,
-    paths: [SAFE_PATH, ORDER_PATH],
+    paths: [LONG_READ_PATH, ORDER_PATH],
   });
   const [entry, busy, ...others] = fleet.hosts;
   for (const {upstream} of [busy!, ...others]) {
@@ -66,9 +71,13 @@
 function sendSimultaneously(
   fleet: PlatformFleet,
   host: FleetHost,
+  round = 0,
 ): Promise<unknown> {
   const sent = Array.from({length: SIMULTANEOUS_COUNT}, (_, index) =>
-    fleet.send(host, {attemptId: `refused-${String(index)}`, path: '/a/1'}),
+    fleet.send(host, {
+      attemptId: `refused-${String(round)}-${String(index)}`,
+      path: '/a/1',
+    }),
   );
   return Promise.allSettled(sent);
 }
@@ -114,10 +123,23 @@
       if (silent !== host) request.respond(200, 'served');
     });
   }
-  const response = fleet.send(entry, {attemptId: 'running', path: '/a/1'});
+  let isAnswered = false;
+  const response = fleet
+    .send(entry, {
+      attemptId: 'running',
+      path: '/a/1',
+      timeoutMillis: READ_TIMEOUT_S * 1000,
+    })
+    .finally(() => {
+      isAnswered = true;
+    });
   await waitUntil('run', () => silent !== undefined);
   await silent!.upstream.setConnectionPolicy('refuse');
-  const others = sendSimultaneously(fleet, silent!);
+  const others: Promise<unknown>[] = [];
+  while (!isAnswered) {
+    others.push(sendSimultaneously(fleet, silent!, others.length));
+    await sleep(PROBE_PAUSE_MILLIS);
+  }
   t.like(await response, {statusCode: 200, body: 'served'});
   await waitUntil(
     'first run cancelled',
@@ -129,7 +151,7 @@
         event === 'retry' && fields['reason'] === 'upstream-lost',
     ),
   );
-  await others;
+  await Promise.all(others);
 });
 
 test('a running order stays at its upstream though that may have ended', async t => {
