--- a/src/connection/detached_hops.ts
+++ b/src/connection/detached_hops.ts
@@ -8,6 +8,7 @@
 import {
   RECONNECT_PAUSE_MILLIS,
   RECONNECT_WINDOW_MILLIS,
+  REFUSED_WINDOW_MILLIS,
 } from '../process/membership/reconnect_times.js';
 import type {HopConnection} from './hop_connection.js';
 import type {OutgoingHop} from './outgoing_hop.js';
@@ -35,30 +36,33 @@
 /** A request that has ended at this node and may still run at the other one. */
 interface PendingCancel {
   readonly instanceId: string | undefined;
-  /** The receiver abandons reads at this time. */
-  readonly untilMillis: number;
+  /** The receiver abandons reads after `RECONNECT_WINDOW_MILLIS`. */
+  readonly sinceMillis: number;
 }
 
 const noop = (): void => undefined;
 
 /** Creates an empty set. */
 export function createDetachedHops(options: DetachedHopsOptions): DetachedHops {
-  const hops = new Set<OutgoingHop>();
+  /** Each request with the time at which its connection was found lost. */
+  const hops = new Map<OutgoingHop, number>();
   const pendingCancels = new Map<string, PendingCancel>();
   let isReconnecting = false;
+  /** When the first of the latest attempts in a row was refused. */
+  let refusedSinceMillis: number | undefined;
   let isDisposed = false;
 
   const add = (hop: OutgoingHop): void => {
     if (!hop.isOpen) return;
-    hops.add(hop);
+    hops.set(hop, options.nowMillis());
     hop.detach = () => {
       hops.delete(hop);
       addCancel(hop.hopId, hop.instanceId);
     };
   };
   const addCancel = (hopId: string, instanceId: string | undefined): void => {
-    const untilMillis = options.nowMillis() + RECONNECT_WINDOW_MILLIS;
-    pendingCancels.set(hopId, {instanceId, untilMillis});
+    const sinceMillis = options.nowMillis();
+    pendingCancels.set(hopId, {instanceId, sinceMillis});
   };
   const remove = (hop: OutgoingHop): void => {
     hops.delete(hop);
@@ -69,9 +73,24 @@
     remove(hop);
     hop.fail('connection-lost');
   };
-  const failAll = (): void => {
-    pendingCancels.clear();
-    for (const hop of [...hops]) failHop(hop);
+  /**
+   * A process that ends loses its connections and its listener for good. A connection may
+   * be lost, or the listener be absent for a moment, while the process works.
+   */
+  const handleRefusal = (): void => {
+    const now = options.nowMillis();
+    refusedSinceMillis ??= now;
+    const endedSinceMillis = now - REFUSED_WINDOW_MILLIS;
+    const mayListen = refusedSinceMillis > endedSinceMillis;
+    for (const [hopId, {sinceMillis}] of pendingCancels) {
+      if (mayListen || sinceMillis > endedSinceMillis) break;
+      pendingCancels.delete(hopId);
+    }
+    for (const [hop, sinceMillis] of [...hops]) {
+      const hasEnded = !mayListen && sinceMillis <= endedSinceMillis;
+      if (hasEnded) failHop(hop);
+      else hop.suspectNode('upstream-lost');
+    }
   };
   const resumeAll = (connection: HopConnection): void => {
     for (const [hopId, {instanceId}] of pendingCancels) {
@@ -81,7 +100,7 @@
     }
     pendingCancels.clear();
     let resumedCount = 0;
-    for (const hop of [...hops]) {
+    for (const hop of [...hops.keys()]) {
       if (!mayBeSameProcess(hop.instanceId, connection)) {
         failHop(hop);
         continue;
@@ -94,8 +113,8 @@
   };
   const hasPending = (): boolean => {
     const now = options.nowMillis();
-    for (const [hopId, {untilMillis}] of pendingCancels) {
-      if (untilMillis > now) break;
+    for (const [hopId, {sinceMillis}] of pendingCancels) {
+      if (sinceMillis + RECONNECT_WINDOW_MILLIS > now) break;
       pendingCancels.delete(hopId);
     }
     return hops.size > 0 || pendingCancels.size > 0;
@@ -105,10 +124,12 @@
     isReconnecting = true;
     while (!isDisposed && hasPending()) {
       const result = await options.openConnection();
-      if (result === 'refused') failAll();
-      else if (result !== 'silent') resumeAll(result);
+      if (result === 'refused') handleRefusal();
+      else refusedSinceMillis = undefined;
+      if (typeof result !== 'string') resumeAll(result);
       else await sleep(RECONNECT_PAUSE_MILLIS, undefined, {ref: false});
     }
+    refusedSinceMillis = undefined;
     isReconnecting = false;
   };
 
@@ -116,7 +137,7 @@
     get count() {
       return hops.size;
     },
-    hops: () => [...hops],
+    hops: () => [...hops.keys()],
     resume: (lostHops, connection) => {
       for (const hop of lostHops) add(hop);
       if (connection === undefined) void reconnect();
--- a/src/connection/frame_connection.ts
+++ b/src/connection/frame_connection.ts
@@ -3,7 +3,6 @@
  */
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
-import {describeError} from '../base/errors.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
 import type {Frame, FrameKind} from '../protocol/hop_frames.js';
 import {createFrameReader, encodeFrame} from '../protocol/hop_frames.js';
@@ -22,8 +21,8 @@
   /** Called for each received chunk, before its frames. */
   readonly onDataReceived: () => void;
   readonly onFrame: (frame: Frame) => void;
-  /** Called once, when the connection has closed for any reason. */
-  readonly onClosed: (reason: string) => void;
+  /** Called once, when the connection has closed; with the code of its system error. */
+  readonly onClosed: (errorCode: string | undefined) => void;
 }
 
 /**
@@ -74,7 +73,7 @@
   options: FrameConnectionOptions,
 ): FrameTransport {
   let queued: Buffer[] = [];
-  let closeReason = 'closed';
+  let errorCode: string | undefined;
   let isClosed = false;
 
   const flush = (): void => {
@@ -88,29 +87,24 @@
         : Buffer.concat(frames),
     );
   };
-  const fail = (error: unknown): void => {
-    closeReason = describeError(error);
-    socket.destroy();
-  };
   const reader = createFrameReader(options.onFrame);
 
   const receive = (chunk: Buffer): void => {
     options.onDataReceived();
     try {
       reader.push(chunk);
-    } catch (error) {
-      // Bytes after an invalid frame cannot be decoded; the owner receives the
-      // error as the close reason.
-      fail(error);
+    } catch {
+      // Bytes after an invalid frame cannot be decoded.
+      socket.destroy();
     }
   };
-  socket.on('error', error => {
-    closeReason = describeError(error);
+  socket.on('error', (error: NodeJS.ErrnoException) => {
+    errorCode = error.code;
   });
   socket.on('close', () => {
     isClosed = true;
     queued = [];
-    options.onClosed(closeReason);
+    options.onClosed(errorCode);
   });
   const connection: FrameConnection = {
     send: (kind, channelId, ...parts) => {
--- a/src/connection/hop_connection.ts
+++ b/src/connection/hop_connection.ts
@@ -49,9 +49,10 @@
 
 /** Why a connection has closed. */
 export type HopConnectionCloseReason =
-  /** The connection was never established. */
+  /** Nothing listens at the address now. */
   | 'refused'
-  | 'connect-timeout'
+  /** Not established for any other reason, which may be a fault of this host. */
+  | 'connect-failed'
   /** The connection had been established. */
   | 'closed';
 
@@ -105,10 +106,8 @@
   let lastChannelId = 0;
   let isConnected = false;
   let isClosedLocally = false;
-  let hasTimedOut = false;
 
   const connectTimeout = startIoTimeout(CONNECT_TIMEOUT_MILLIS, () => {
-    hasTimedOut = true;
     connection.destroy();
   });
 
@@ -278,11 +277,12 @@
       }
     },
     onFrame,
-    onClosed: () => {
+    onClosed: errorCode => {
       connectTimeout.dispose();
       if (isClosedLocally) return;
-      const reason = hasTimedOut ? 'connect-timeout' : 'refused';
-      options.onClosed(isConnected ? 'closed' : reason, removeHops());
+      const isRefused = errorCode === 'ECONNREFUSED';
+      const failure = isRefused ? 'refused' : 'connect-failed';
+      options.onClosed(isConnected ? 'closed' : failure, removeHops());
     },
   });
 
--- a/src/connection/hop_peer.ts
+++ b/src/connection/hop_peer.ts
@@ -216,7 +216,7 @@
     suspectHops: () => {
       const openHops = [...detachedHops.hops()];
       for (const connection of connections) openHops.push(...connection.hops());
-      return openHops.filter(hop => hop.suspectNode()).length;
+      return openHops.filter(hop => hop.suspectNode('silent')).length;
     },
     closeIdleConnections: () => {
       const sinceMillis = nowMillis() - MAX_IDLE_MILLIS;
--- a/src/connection/outgoing_hop.ts
+++ b/src/connection/outgoing_hop.ts
@@ -43,10 +43,10 @@
   /** Sending the request to another node as well would do no harm. */
   readonly isResendable: boolean;
   /**
-   * The other node does not reply. Ends a hop that has not been sent completely, and
-   * returns whether it has ended; any other one may be running.
+   * The other node does not reply, or may have ended. Ends a hop that has not been sent
+   * completely, and returns whether it has ended; any other one may be running.
    */
-  suspectNode(): boolean;
+  suspectNode(cause: SuspicionCause): boolean;
   /** The request has been sent completely: from now on it may run. */
   markSent(): void;
   /**
@@ -118,10 +118,10 @@
     isBodyHeldBack: bodyForm === 'held-back',
     isOpen: true,
     isResendable: true,
-    suspectNode: () => {
+    suspectNode: cause => {
       if (!hop.isOpen) return false;
       if (isSent) {
-        options.onSuspected?.('silent');
+        options.onSuspected?.(cause);
         return false;
       }
       hop.fail('silent');
--- a/src/process/membership/reconnect_times.ts
+++ b/src/process/membership/reconnect_times.ts
@@ -12,6 +12,12 @@
 /** Pause between attempts to reconnect; an attempt may be reset immediately. */
 export const RECONNECT_PAUSE_MILLIS = 100;
 
+/**
+ * Time for which a node must refuse connections, after the connection of a request was
+ * lost, to be treated as ended: its listener may be restarted while its process works.
+ */
+export const REFUSED_WINDOW_MILLIS = MAX_REPLY_TIMEOUT_MILLIS;
+
 /** Attempts to reconnect for which a receiver waits: any single one may fail. */
 const RECONNECT_ATTEMPTS_COUNT = 2;
 
--- a/test/fakes/hop_fixture.ts
+++ b/test/fakes/hop_fixture.ts
@@ -119,6 +119,10 @@
     peer,
     send,
     replacedCount: () => replacedCount,
+    /** Changes the address to which the sender connects. */
+    setAddress: (address: string) => {
+      endpoint.address = address;
+    },
   };
 }
 
--- a/test/unit/connection/lost_hop_connection.test.ts
+++ b/test/unit/connection/lost_hop_connection.test.ts
@@ -5,6 +5,7 @@
 import type {IncomingHop} from '../../../src/connection/incoming_hop.js';
 import {createOutgoingHop} from '../../../src/connection/outgoing_hop.js';
 import type {LinkMode} from '../../../src/emulator/faulty_link.js';
+import {REFUSED_WINDOW_MILLIS} from '../../../src/process/membership/reconnect_times.js';
 import type {Frame} from '../../../src/protocol/hop_frames.js';
 import {FRAME_KIND} from '../../../src/protocol/hop_frames.js';
 import {
@@ -70,6 +71,12 @@
 /** Longer than any wait of a test: only a cancellation ends a run. */
 const LEFT_MILLIS = 120_000;
 
+/** Refusals of a listener that is restarted. */
+const REFUSED_MILLIS = 500;
+
+/** A connect to it fails at this host, and sends nothing. */
+const UNROUTABLE_ADDRESS = '255.255.255.255';
+
 interface Outage {
   readonly isRepeatable: boolean;
   /** How the link treats attempts to reconnect. */
@@ -117,6 +124,69 @@
   }
 }
 
+for (const isRepeatable of [true, false]) {
+  const kind = isRepeatable ? 'a read' : 'an order';
+  test(`${kind} at work is resumed after its node has refused connections for a while`, async t => {
+    // Guards against requests that fail since a listener is restarted beside their work.
+    const upstream = createHeldUpstream();
+    const {send, link, replacedCount} = await createHopFixture(
+      t,
+      upstream.handle,
+    );
+    const {ended} = send(isRepeatable);
+    let isEnded = false;
+    void ended.then(() => (isEnded = true));
+    await waitUntil('running', () => upstream.runsCount() === 1);
+    await link.setAccepting(false);
+    link.setDefaultMode('reset');
+    await sleep(REFUSED_MILLIS);
+    link.setDefaultMode('open');
+    await link.setAccepting(true);
+    await waitUntil('resumed or ended', () => isEnded || replacedCount() > 0);
+    upstream.release();
+    t.is(describeResult(await ended), 'done');
+    t.is(upstream.runsCount(), 1);
+    t.is(upstream.cancelledCount(), 0);
+  });
+}
+
+test('an order at work is resumed after its sender could not connect for long', async t => {
+  // Guards against a fault of the sender's own host that counts as the end of a node.
+  const upstream = createHeldUpstream();
+  const {send, link, setAddress, replacedCount} = await createHopFixture(
+    t,
+    upstream.handle,
+    {leftMillis: LEFT_MILLIS},
+  );
+  const {ended} = send(false);
+  let isEnded = false;
+  void ended.then(() => (isEnded = true));
+  await waitUntil('running', () => upstream.runsCount() === 1);
+  setAddress(UNROUTABLE_ADDRESS);
+  link.setDefaultMode('reset');
+  await sleep(REFUSED_WINDOW_MILLIS + 500);
+  link.setDefaultMode('open');
+  setAddress('127.0.0.1');
+  await waitUntil('resumed or ended', () => isEnded || replacedCount() > 0);
+  upstream.release();
+  t.is(describeResult(await ended), 'done');
+  t.is(upstream.runsCount(), 1);
+});
+
+test('a request to a node that refuses connections for long fails', async t => {
+  // Guards against clients that wait for a process that has ended.
+  const upstream = createHeldUpstream();
+  const {send, link} = await createHopFixture(t, upstream.handle, {
+    leftMillis: LEFT_MILLIS,
+  });
+  const {ended, suspicions} = send(false);
+  await waitUntil('running', () => upstream.runsCount() === 1);
+  await link.setAccepting(false);
+  link.setDefaultMode('reset');
+  t.is(describeResult(await ended), 'lost connection-lost');
+  t.true(suspicions.includes('upstream-lost'));
+});
+
 test('the response to an order is delivered after its connection was gone for long', async t => {
   // Guards against orders that have run and are reported with an unknown outcome.
   const upstream = createHeldUpstream();
