--- a/src/daemon/node_maintenance.ts
+++ b/src/daemon/node_maintenance.ts
@@ -2,6 +2,8 @@
  * Periodic tasks of a node: updates the admission level, removes expired records, and
  * logs a status line for operators.
  */
+import type {EventLoopLoad} from '../base/event_loop_load.js';
+import {createEventLoopMeter} from '../base/event_loop_load.js';
 import type {Disposable} from '../base/lifecycle.js';
 import {createDisposableStore, createIntervalTimer} from '../base/lifecycle.js';
 import {LEVEL_WINDOW_MILLIS} from '../process/admission/admission_level.js';
@@ -23,6 +25,7 @@
   readonly documentsAgeMillis: () => number;
   readonly log: DecisionLog;
   readonly metrics: NodeMetrics;
+  readonly nowMillis: () => number;
 }
 
 /** Interval of the status line. */
@@ -42,20 +45,27 @@
   const add = (intervalMillis: number, onTick: () => void): void => {
     store.add(createIntervalTimer(intervalMillis, onTick));
   };
+  const meter = createEventLoopMeter(LEVEL_WINDOW_MILLIS, options.nowMillis);
+  let eventLoop: EventLoopLoad = {busyRatio: 0, delayMillis: 0};
   add(LEVEL_WINDOW_MILLIS, () => {
-    updateLevel(options);
+    eventLoop = meter.sample();
+    updateLevel(options, eventLoop);
     options.pollLoads();
   });
   add(EXPIRE_INTERVAL_MILLIS, () => {
     expireRecords(options);
+    options.metrics.setGauge('event_loop_busy_ratio', eventLoop.busyRatio);
   });
   add(STATUS_INTERVAL_MILLIS, () => {
-    logStatus(options);
+    logStatus(options, eventLoop);
   });
   return store;
 }
 
-function updateLevel(options: NodeMaintenanceOptions): void {
+function updateLevel(
+  options: NodeMaintenanceOptions,
+  eventLoop: EventLoopLoad,
+): void {
   const {level, queue, loadTable} = options.components;
   const before = level.level();
   level.update({
@@ -69,9 +79,20 @@
     before,
     after,
     ...queue.load(),
+    ...eventLoopFields(eventLoop),
   });
 }
 
+function eventLoopFields({busyRatio, delayMillis}: EventLoopLoad): {
+  readonly eventLoopBusyRatio: number;
+  readonly eventLoopDelayMillis: number;
+} {
+  return {
+    eventLoopBusyRatio: Number(busyRatio.toFixed(3)),
+    eventLoopDelayMillis: Math.round(delayMillis),
+  };
+}
+
 function expireRecords(options: NodeMaintenanceOptions): void {
   const {metrics, components} = options;
   const {directory, placement, loadTable, queue, level} = components;
@@ -89,11 +110,15 @@
   metrics.setGauge('configuration_version', components.configurationVersion());
 }
 
-function logStatus(options: NodeMaintenanceOptions): void {
+function logStatus(
+  options: NodeMaintenanceOptions,
+  eventLoop: EventLoopLoad,
+): void {
   const {queue, level, directory, budget, configurationVersion} =
     options.components;
   options.log.logStateEvent('status', {
     ...queue.load(),
+    ...eventLoopFields(eventLoop),
     admissionLevel: level.level(),
     busyCount: options.busyCount(),
     upstreamsCount: directory.count(),
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -157,6 +157,7 @@
       documentsAgeMillis: () => exchanges.relay.freshness.ageMillis,
       log,
       metrics,
+      nowMillis,
     }),
   );
 
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -67,6 +67,8 @@
   | 'announced_limit'
   | 'queue_length'
   | 'in_flight'
+  /** Share of the time in which the event loop ran callbacks. */
+  | 'event_loop_busy_ratio'
   | 'configuration_version'
   /** Age of the knowledge of the published documents. */
   | 'documents_age_millis'
