--- a/test/unit/connection/lost_hop_connection.test.ts
+++ b/test/unit/connection/lost_hop_connection.test.ts
@@ -74,8 +74,8 @@
 /** Refusals of a listener that is restarted. */
 const REFUSED_MILLIS = 500;
 
-/** A connect to it fails at this host, and sends nothing. */
-const UNROUTABLE_ADDRESS = '255.255.255.255';
+/** Link-local without a scope: a connect to it fails at this host, and sends nothing. */
+const UNROUTABLE_ADDRESS = 'fe80::1';
 
 interface Outage {
   readonly isRepeatable: boolean;
