--- a/src/request/attempt_runner.ts
+++ b/src/request/attempt_runner.ts
@@ -306,8 +306,8 @@
   {excludedIds, ranCount}: AttemptHistory,
   cause: ReplacementCause,
 ): boolean {
-  // A stopping node may exit before another attempt completes.
-  if (stop.isStopping) return false;
+  // A slow upstream may complete its attempt before a stopping node completes another.
+  if (stop.isStopping && cause !== 'silent') return false;
   const {service} = request;
   const hasNext =
     cause === 'silent'
