Move the interpretation of upstream responses to a module of its own

upstream_sender held the pool, the request and the verdict on the response. The verdict is what an order's promise rests on, so it stands alone before it is changed. No change of logic; build, lint and the unit tests of connection and request pass.

--- /dev/null
+++ b/src/connection/upstream_result.ts
@@ -0,0 +1,119 @@
+/**
+ * What the response to a request, or its absence, shows about the request.
+ */
+import type {HopReason} from '../protocol/hop_messages.js';
+import type {WireHeaders} from '../protocol/wire_headers.js';
+import type {Announcements} from './announcements.js';
+import {decodeAnnouncements} from './announcements.js';
+import type {ReceivedResponse} from './received_response.js';
+import {findHeader} from './received_response.js';
+import type {SendResult} from './send_request.js';
+import type {UpstreamRequest} from './upstream_request.js';
+
+/** Result of a request. */
+export type UpstreamResult =
+  | {
+      readonly kind: 'answered';
+      readonly answer: ReceivedResponse;
+      readonly announcements?: Announcements;
+    }
+  /** Not run, and it will not run. */
+  | {
+      readonly kind: 'not-run';
+      readonly reason: HopReason;
+      /** Id that the upstream reports as its own, if it differs. */
+      readonly actualId?: string | undefined;
+      /** `undefined` without a response. */
+      readonly announcements?: Announcements;
+    }
+  /** It may have run. */
+  | {
+      readonly kind: 'unknown';
+      readonly reason: HopReason;
+      readonly wasReused: boolean;
+    };
+
+const STATUS_MISDIRECTED = 421;
+
+/** Statuses by which clients know that a request has not run and never will. */
+const NOT_RUN_STATUS_CODES: ReadonlySet<number> = new Set([408, 429, 503]);
+
+/** Interprets how a request ended. */
+export function toUpstreamResult(
+  result: SendResult,
+  request: UpstreamRequest,
+  wireHeaders: WireHeaders,
+): UpstreamResult {
+  if (result.kind === 'not-sent') {
+    const reason = request.cancel.cause ?? 'unreachable';
+    return {kind: 'not-run', reason};
+  }
+  if (result.kind === 'lost') {
+    const reason = request.cancel.cause ?? 'connection-lost';
+    return {kind: 'unknown', reason, wasReused: result.wasReused};
+  }
+  const {answer} = result;
+  if (isMismatched(answer, request, wireHeaders)) {
+    result.discardConnection();
+    return {kind: 'unknown', reason: 'broken-answer', wasReused: false};
+  }
+  const isMisdirected = answer.statusCode === STATUS_MISDIRECTED;
+  const isRejected =
+    isMisdirected ||
+    findHeader(answer.headers, wireHeaders.notExecuted) !== undefined;
+  if (isRejected && !isEvidence(answer, request, wireHeaders)) {
+    result.discardConnection();
+    return {kind: 'unknown', reason: 'broken-answer', wasReused: false};
+  }
+  const announcements = decodeAnnouncements(answer.headers, wireHeaders);
+  if (isMisdirected) {
+    const actualId =
+      wireHeaders.upstreamId &&
+      findHeader(answer.headers, wireHeaders.upstreamId);
+    return {kind: 'not-run', reason: 'misdirected', actualId, announcements};
+  }
+  if (isRejected) {
+    return {kind: 'not-run', reason: 'not-executed', announcements};
+  }
+  // Passed on, the status would promise that the request has not run.
+  if (!request.isRepeatable && NOT_RUN_STATUS_CODES.has(answer.statusCode)) {
+    result.discardConnection();
+    return {kind: 'unknown', reason: 'broken-answer', wasReused: false};
+  }
+  return {kind: 'answered', answer, announcements};
+}
+
+/**
+ * Whether a rejection shows that this request was not executed. One without its id may be
+ * a late response to an earlier request on the connection.
+ */
+function isEvidence(
+  {headers}: ReceivedResponse,
+  {attemptId, isRepeatable}: UpstreamRequest,
+  wireHeaders: WireHeaders,
+): boolean {
+  if (isRepeatable || !wireHeaders.isAttemptIdEchoed) return true;
+  return findHeader(headers, wireHeaders.attemptId) === attemptId;
+}
+
+/**
+ * Whether the response does not belong to this request. A faulty upstream may
+ * send a second response late, which is then read as the response to the next
+ * request; the caller would receive data of another caller.
+ */
+function isMismatched(
+  response: ReceivedResponse,
+  request: UpstreamRequest,
+  wireHeaders: WireHeaders,
+): boolean {
+  const {headers, statusCode} = response;
+  const echoedId = findHeader(headers, wireHeaders.attemptId);
+  if (echoedId !== undefined && echoedId !== request.attemptId) return true;
+  if (findHeader(headers, 'content-encoding') !== undefined) return true;
+  const isSuccess = statusCode >= 200 && statusCode < 300;
+  if (!isSuccess || wireHeaders.signature === undefined) return false;
+  return (
+    echoedId === undefined ||
+    findHeader(headers, wireHeaders.signature) === undefined
+  );
+}
--- a/src/request/crash_detector.ts
+++ b/src/request/crash_detector.ts
@@ -9,7 +9,7 @@
 import type {ProbeResult} from '../connection/upstream_probe.js';
 import {waitUntilClosed} from '../connection/received_response.js';
 import type {FingerprintedRequest} from '../connection/request_fingerprint.js';
-import type {UpstreamResult} from '../connection/upstream_sender.js';
+import type {UpstreamResult} from '../connection/upstream_result.js';
 import {isCancelCause} from '../protocol/cancel_cause.js';
 import {createExecutionsInProgress} from '../process/quarantine/executions_in_progress.js';
 
--- a/src/request/crash_quarantine.ts
+++ b/src/request/crash_quarantine.ts
@@ -14,7 +14,7 @@
   RequestFingerprints,
 } from '../connection/request_fingerprint.js';
 import {computeFingerprints} from '../connection/request_fingerprint.js';
-import type {UpstreamResult} from '../connection/upstream_sender.js';
+import type {UpstreamResult} from '../connection/upstream_result.js';
 import type {CrashEvidence} from '../process/quarantine/crash_evidence.js';
 import type {SemaphoreWait} from '../process/quarantine/semaphore.js';
 import {createSemaphore} from '../process/quarantine/semaphore.js';
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -4,7 +4,7 @@
  */
 import type {ExecutionResult} from '../connection/execution.js';
 import {refusalEvidence} from '../connection/execution.js';
-import type {UpstreamResult} from '../connection/upstream_sender.js';
+import type {UpstreamResult} from '../connection/upstream_result.js';
 import type {AdmissionLevel} from '../process/admission/admission_level.js';
 import type {
   InFlightParent,
--- a/src/request/upstream_dispatch.ts
+++ b/src/request/upstream_dispatch.ts
@@ -3,11 +3,9 @@
  */
 import {createCancelSource} from '../base/cancel_signal.js';
 import type {CancelCause} from '../protocol/cancel_cause.js';
-import type {
-  UpstreamRequest,
-  UpstreamResult,
-  UpstreamSender,
-} from '../connection/upstream_sender.js';
+import type {UpstreamRequest} from '../connection/upstream_request.js';
+import type {UpstreamResult} from '../connection/upstream_result.js';
+import type {UpstreamSender} from '../connection/upstream_sender.js';
 import type {CallTrees} from '../process/admission/call_trees.js';
 import {attemptCallCounts, NO_CALLS} from '../process/admission/call_trees.js';
 import type {DispatchPacer} from '../process/admission/dispatch_pacer.js';
--- a/test/unit/connection/upstream_sender.test.ts
+++ b/test/unit/connection/upstream_sender.test.ts
@@ -2,7 +2,7 @@
 import type {AddressInfo} from 'node:net';
 import test from 'ava';
 import {createCancelSource} from '../../../src/base/cancel_signal.js';
-import type {UpstreamResult} from '../../../src/connection/upstream_sender.js';
+import type {UpstreamResult} from '../../../src/connection/upstream_result.js';
 import {createUpstreamSender} from '../../../src/connection/upstream_sender.js';
 import type {CancelCause} from '../../../src/protocol/cancel_cause.js';
 import {FULMARHOLLOW_HEADERS} from '../../../src/protocol/fulmarhollow_headers.js';
--- a/test/unit/request/crash_detector.test.ts
+++ b/test/unit/request/crash_detector.test.ts
@@ -1,7 +1,7 @@
 import {PassThrough} from 'node:stream';
 import test from 'ava';
 import type {ProbeResult} from '../../../src/connection/upstream_probe.js';
-import type {UpstreamResult} from '../../../src/connection/upstream_sender.js';
+import type {UpstreamResult} from '../../../src/connection/upstream_result.js';
 import type {DispatchedRequest} from '../../../src/request/crash_detector.js';
 import {createCrashDetector} from '../../../src/request/crash_detector.js';
 
--- a/test/unit/request/crash_quarantine.test.ts
+++ b/test/unit/request/crash_quarantine.test.ts
@@ -2,7 +2,7 @@
 import {PassThrough} from 'node:stream';
 import test from 'ava';
 import {createCancelSource} from '../../../src/base/cancel_signal.js';
-import type {UpstreamResult} from '../../../src/connection/upstream_sender.js';
+import type {UpstreamResult} from '../../../src/connection/upstream_result.js';
 import {computeFingerprints} from '../../../src/connection/request_fingerprint.js';
 import {createCrashEvidence} from '../../../src/process/quarantine/crash_evidence.js';
 import type {QuarantineRequest} from '../../../src/request/crash_quarantine.js';
--- a/test/unit/request/misdirected.test.ts
+++ b/test/unit/request/misdirected.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import type {ExecutionResult} from '../../../src/connection/execution.js';
-import type {UpstreamResult} from '../../../src/connection/upstream_sender.js';
+import type {UpstreamResult} from '../../../src/connection/upstream_result.js';
 import {createAdmissionLevel} from '../../../src/process/admission/admission_level.js';
 import {createCallTrees} from '../../../src/process/admission/call_trees.js';
 import {createCrashEvidence} from '../../../src/process/quarantine/crash_evidence.js';
