Log where an upstream's rejection of an order was received

A rejection that is a copy of an earlier one of the same order left the same lines as a true one: order-not-run with evidence rejected. order-rejected adds the connection to the upstream and the bytes received on it by then, and whether the rejection counts as evidence. Only rejected orders pay for it; a connection gets an id when it is first asked for.

--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -3,6 +3,7 @@
  * if there is no response.
  */
 import http from 'node:http';
+import type {Socket} from 'node:net';
 import {describeError} from '../base/errors.js';
 import {startIoTimeout} from '../base/io_timeout.js';
 import type {Disposable} from '../base/lifecycle.js';
@@ -29,6 +30,8 @@
   | {
       readonly kind: 'answer';
       readonly answer: ReceivedResponse;
+      /** On which the response arrived. */
+      readonly connection: Socket;
       /** Closes the connection instead of keeping it for the next request. */
       readonly discardConnection: () => void;
     }
@@ -126,6 +129,7 @@
   });
   request.on('response', message => {
     receivedMessage = message;
+    const connection = message.socket;
     if (message.headers['transfer-encoding'] !== undefined) {
       limitChunkOverhead(message, () => {
         message.destroy(new Error('too many bytes between chunks'));
@@ -133,11 +137,11 @@
     }
     const discardConnection = (): void => {
       request.destroy();
-      message.socket?.destroy();
+      connection.destroy();
     };
     receiveResponse(message).then(
       answer => {
-        finish({kind: 'answer', answer, discardConnection});
+        finish({kind: 'answer', answer, connection, discardConnection});
       },
       (error: unknown) => {
         fail(describeError(error));
--- a/src/connection/upstream_result.ts
+++ b/src/connection/upstream_result.ts
@@ -5,6 +5,7 @@
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {Announcements} from './announcements.js';
 import {decodeAnnouncements} from './announcements.js';
+import type {ConnectionIds} from './connection_ids.js';
 import type {ReceivedResponse} from './received_response.js';
 import {findHeader} from './received_response.js';
 import type {SendResult} from './send_request.js';
@@ -33,6 +34,27 @@
       readonly wasReused: boolean;
     };
 
+/** A rejection of an order, and where it was received. */
+export interface OrderRejection {
+  readonly statusCode: number;
+  /** The order was not executed; otherwise its outcome is unknown. */
+  readonly isEvidence: boolean;
+  readonly connectionId: number;
+  /** Bytes received on the connection up to and including the rejection. */
+  readonly receivedBytes: number;
+}
+
+/** Dependencies of `toUpstreamResult`. */
+export interface UpstreamResultOptions {
+  readonly wireHeaders: WireHeaders;
+  readonly connectionIds: ConnectionIds;
+  /** The upstream has rejected a request that must not be repeated. */
+  readonly onOrderRejected?:
+    ((request: UpstreamRequest, rejection: OrderRejection) => void) | undefined;
+}
+
+type ReceivedAnswer = Extract<SendResult, {kind: 'answer'}>;
+
 const STATUS_MISDIRECTED = 421;
 
 /** Statuses by which clients know that a request has not run and never will. */
@@ -42,8 +64,9 @@
 export function toUpstreamResult(
   result: SendResult,
   request: UpstreamRequest,
-  wireHeaders: WireHeaders,
+  options: UpstreamResultOptions,
 ): UpstreamResult {
+  const {wireHeaders} = options;
   if (result.kind === 'not-sent') {
     const reason = request.cancel.cause ?? 'unreachable';
     return {kind: 'not-run', reason};
@@ -61,7 +84,7 @@
   const isRejected =
     isMisdirected ||
     findHeader(answer.headers, wireHeaders.notExecuted) !== undefined;
-  if (isRejected && !isEvidence(answer, request, wireHeaders)) {
+  if (isRejected && !acceptRejection(result, request, options)) {
     result.discardConnection();
     return {kind: 'unknown', reason: 'broken-answer', wasReused: false};
   }
@@ -83,16 +106,30 @@
   return {kind: 'answered', answer, announcements};
 }
 
-/**
- * Whether a rejection shows that this request was not executed. One without its id may be
- * a late response to an earlier request on the connection.
- */
-function isEvidence(
+/** Reports a rejection of an order; returns false if its outcome is unknown all the same. */
+function acceptRejection(
+  {answer, connection}: ReceivedAnswer,
+  request: UpstreamRequest,
+  options: UpstreamResultOptions,
+): boolean {
+  if (request.isRepeatable) return true;
+  const isEvidence = hasOwnId(answer, request, options.wireHeaders);
+  options.onOrderRejected?.(request, {
+    statusCode: answer.statusCode,
+    isEvidence,
+    connectionId: options.connectionIds.idOf(connection),
+    receivedBytes: connection.bytesRead,
+  });
+  return isEvidence;
+}
+
+/** A rejection without the id may be a late response to an earlier request. */
+function hasOwnId(
   {headers}: ReceivedResponse,
-  {attemptId, isRepeatable}: UpstreamRequest,
+  {attemptId}: UpstreamRequest,
   wireHeaders: WireHeaders,
 ): boolean {
-  if (isRepeatable || !wireHeaders.isAttemptIdEchoed) return true;
+  if (!wireHeaders.isAttemptIdEchoed) return true;
   return findHeader(headers, wireHeaders.attemptId) === attemptId;
 }
 
--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -4,13 +4,14 @@
 import type {Disposable} from '../base/lifecycle.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
+import {createConnectionIds} from './connection_ids.js';
 import {
   createKeepAliveAgent,
   closeIdleConnections,
 } from './keep_alive_agent.js';
 import {sendRequest} from './send_request.js';
 import type {UpstreamRequest} from './upstream_request.js';
-import type {UpstreamResult} from './upstream_result.js';
+import type {UpstreamResult, UpstreamResultOptions} from './upstream_result.js';
 import {toUpstreamResult} from './upstream_result.js';
 
 /** Sends requests to one upstream. */
@@ -40,15 +41,23 @@
  */
 const MAX_SOCKETS_COUNT = 1024;
 
+export interface UpstreamSenderOptions extends Pick<
+  UpstreamResultOptions,
+  'wireHeaders' | 'onOrderRejected'
+> {
+  readonly upstream: Endpoint;
+}
+
 /** Creates a sender with an empty pool. */
 export function createUpstreamSender(
-  upstream: Endpoint,
-  wireHeaders: WireHeaders,
+  options: UpstreamSenderOptions,
 ): UpstreamSender {
+  const {upstream, wireHeaders} = options;
   const agent = createKeepAliveAgent({
     maxIdleMillis: MAX_IDLE_MILLIS,
     maxSocketsCount: MAX_SOCKETS_COUNT,
   });
+  const resultOptions = {...options, connectionIds: createConnectionIds()};
   let responsesCount = 0;
   return {
     send: (request, onEnd) => {
@@ -73,7 +82,7 @@
         if (result.kind === 'lost' && result.wasReused && wasSilent) {
           closeIdleConnections(agent, upstream);
         }
-        onEnd(toUpstreamResult(result, request, wireHeaders));
+        onEnd(toUpstreamResult(result, request, resultOptions));
       });
     },
     closeIdleConnections: () => {
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -48,6 +48,7 @@
   logCancelledRun,
   logNotExecuted,
   logNotRun,
+  logOrderRejected,
   logRetry,
 } from './attempt_logging.js';
 import type {CrashHandling} from './crash_handling.js';
@@ -101,7 +102,13 @@
 ): NodeExchanges {
   const {settings, wireHeaders, components, nowMillis, random} = options;
   const {upstream, queue, level, parents} = components;
-  const sender = createUpstreamSender(settings().upstream, wireHeaders);
+  const sender = createUpstreamSender({
+    upstream: settings().upstream,
+    wireHeaders,
+    onOrderRejected: (request, rejection) => {
+      logOrderRejected(options.log, request, rejection);
+    },
+  });
   const startedListener = upstream.onStarted(sender.closeIdleConnections);
   const remote = createRemote(options, {
     onCrashReport: (peer, report) => {
--- a/test/contract/platform_false_rejections.test.ts
+++ b/test/contract/platform_false_rejections.test.ts
@@ -43,6 +43,14 @@
         orders.flatMap(({upstream}) => upstream.runIds),
         ['o1'],
       );
+      const lines = orders
+        .flatMap(({events}) => events)
+        .filter(({event}) => event === 'order-rejected');
+      // One with another id is not a rejection of this order.
+      t.deepEqual(
+        lines.map(({fields}) => fields['isEvidence']),
+        idLine === '' ? [false] : [],
+      );
     });
   }
 }
@@ -79,4 +87,7 @@
   });
   const answer = await fleet.send(shop!, orderRequest('o1'));
   t.is(answer.statusCode, 503);
+  const lines = orders!.events.filter(({event}) => event === 'order-rejected');
+  const fields = {requestId: 'o1', statusCode: 503, isEvidence: true};
+  t.like(lines[0]?.fields, {...fields, connectionId: 1});
 });
--- a/test/unit/connection/endless_response.test.ts
+++ b/test/unit/connection/endless_response.test.ts
@@ -106,10 +106,10 @@
   t: ExecutionContext,
   upstream: EndlessUpstream,
 ): Promise<UpstreamResult> {
-  const sender = createUpstreamSender(
-    {address: '127.0.0.1', port: upstream.port},
-    FULMARHOLLOW_HEADERS,
-  );
+  const sender = createUpstreamSender({
+    upstream: {address: '127.0.0.1', port: upstream.port},
+    wireHeaders: FULMARHOLLOW_HEADERS,
+  });
   t.teardown(sender.dispose);
   const cancel = createCancelSource<CancelCause>();
   let result: UpstreamResult | undefined;
--- a/test/unit/connection/upstream_sender.test.ts
+++ b/test/unit/connection/upstream_sender.test.ts
@@ -18,10 +18,10 @@
       server.listen(0, '127.0.0.1', resolve);
     });
     const {port} = server.address() as AddressInfo;
-    const sender = createUpstreamSender(
-      {address: '127.0.0.1', port},
-      FULMARHOLLOW_HEADERS,
-    );
+    const sender = createUpstreamSender({
+      upstream: {address: '127.0.0.1', port},
+      wireHeaders: FULMARHOLLOW_HEADERS,
+    });
     t.teardown(() => {
       sender.dispose();
       server.close();
