Dispatch a rejected order again only on connections that have not rejected it

Callers saw 200 for an order that had run several times, or 503, which promises that it never ran, for one that had.

Cause: the id in a rejection names the order, not its dispatch. A rejected order goes back to the same upstream within milliseconds (421 and the dispatch under the current id; all upstreams in reach rejecting), the pool hands out the connection used last, and a second copy of the first rejection on it was evidence that the new dispatch had not run.

Change: the sender remembers for each order the connections on which it was rejected. The next dispatch uses another idle one, or a new one if there is none; a rejection from a connection that has rejected the order before leaves its outcome unknown. Reads pay nothing.

Why it works: on a connection that has not delivered a rejection of the order, a rejection with its id can only belong to this dispatch.

--- a/src/connection/keep_alive_agent.ts
+++ b/src/connection/keep_alive_agent.ts
@@ -29,6 +29,32 @@
   for (const socket of agent.freeSockets[name] ?? []) socket.destroy();
 }
 
+/**
+ * Makes the next request to one address use none of these connections. Others that are idle
+ * come first, because a busy server may reset new ones.
+ */
+export function avoidConnections(
+  agent: http.Agent,
+  to: Endpoint,
+  isAvoided: (connection: Socket) => boolean,
+): void {
+  const name = agent.getName({host: to.address, port: to.port});
+  const idle = agent.freeSockets[name];
+  if (idle === undefined) return;
+  const avoided = idle.filter(isAvoided);
+  if (avoided.length < idle.length) {
+    // The agent takes the last one.
+    const others = idle.filter(socket => !isAvoided(socket));
+    idle.splice(0, idle.length, ...avoided, ...others);
+    return;
+  }
+  for (const socket of avoided) {
+    // Without this event the agent may reuse it until it has emitted `close`.
+    socket.emit('agentRemove');
+    socket.destroy();
+  }
+}
+
 /** Node.js stores the last request of a connection in this field. */
 type PooledSocket = Socket & {readonly _httpMessage?: LastMessage};
 
--- a/src/connection/upstream_result.ts
+++ b/src/connection/upstream_result.ts
@@ -1,6 +1,7 @@
 /**
  * What the response to a request, or its absence, shows about the request.
  */
+import type {RejectedOrders} from '../process/retries/rejected_orders.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {Announcements} from './announcements.js';
@@ -48,6 +49,8 @@
 export interface UpstreamResultOptions {
   readonly wireHeaders: WireHeaders;
   readonly connectionIds: ConnectionIds;
+  readonly rejectedOrders: RejectedOrders;
+  readonly nowMillis: () => number;
   /** The upstream has rejected a request that must not be repeated. */
   readonly onOrderRejected?:
     ((request: UpstreamRequest, rejection: OrderRejection) => void) | undefined;
@@ -106,18 +109,32 @@
   return {kind: 'answered', answer, announcements};
 }
 
-/** Reports a rejection of an order; returns false if its outcome is unknown all the same. */
+/**
+ * Records and reports a rejection of an order; returns false if the outcome of the order is
+ * unknown all the same.
+ */
 function acceptRejection(
   {answer, connection}: ReceivedAnswer,
   request: UpstreamRequest,
   options: UpstreamResultOptions,
 ): boolean {
-  if (request.isRepeatable) return true;
-  const isEvidence = hasOwnId(answer, request, options.wireHeaders);
+  const {attemptId, isRepeatable, timeoutMillis} = request;
+  if (isRepeatable) return true;
+  const {rejectedOrders} = options;
+  const connectionId = options.connectionIds.idOf(connection);
+  const isFirstOnConnection = !rejectedOrders
+    .connectionIdsOf(attemptId)
+    .has(connectionId);
+  const isEvidence =
+    isFirstOnConnection && hasOwnId(answer, request, options.wireHeaders);
+  if (isEvidence) {
+    const deadlineMillis = options.nowMillis() + timeoutMillis;
+    rejectedOrders.add(attemptId, connectionId, deadlineMillis);
+  }
   options.onOrderRejected?.(request, {
     statusCode: answer.statusCode,
     isEvidence,
-    connectionId: options.connectionIds.idOf(connection),
+    connectionId,
     receivedBytes: connection.bytesRead,
   });
   return isEvidence;
--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -2,10 +2,12 @@
  * Sends requests to the upstream of this host and reports their results.
  */
 import type {Disposable} from '../base/lifecycle.js';
+import {createRejectedOrders} from '../process/retries/rejected_orders.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import {createConnectionIds} from './connection_ids.js';
 import {
+  avoidConnections,
   createKeepAliveAgent,
   closeIdleConnections,
 } from './keep_alive_agent.js';
@@ -46,6 +48,7 @@
   'wireHeaders' | 'onOrderRejected'
 > {
   readonly upstream: Endpoint;
+  readonly nowMillis: () => number;
 }
 
 /** Creates a sender with an empty pool. */
@@ -57,10 +60,23 @@
     maxIdleMillis: MAX_IDLE_MILLIS,
     maxSocketsCount: MAX_SOCKETS_COUNT,
   });
-  const resultOptions = {...options, connectionIds: createConnectionIds()};
+  const connectionIds = createConnectionIds();
+  const rejectedOrders = createRejectedOrders(options.nowMillis);
+  const resultOptions = {...options, connectionIds, rejectedOrders};
   let responsesCount = 0;
+
+  /** A copy of an earlier rejection must not meet the request again. */
+  const avoidRejectedConnections = ({attemptId}: UpstreamRequest): void => {
+    const rejectedIds = rejectedOrders.connectionIdsOf(attemptId);
+    if (rejectedIds.size === 0) return;
+    avoidConnections(agent, upstream, connection =>
+      rejectedIds.has(connectionIds.idOf(connection)),
+    );
+  };
+
   return {
     send: (request, onEnd) => {
+      if (!request.isRepeatable) avoidRejectedConnections(request);
       const responsesBefore = responsesCount;
       const outgoing = {
         to: upstream,
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -105,6 +105,7 @@
   const sender = createUpstreamSender({
     upstream: settings().upstream,
     wireHeaders,
+    nowMillis,
     onOrderRejected: (request, rejection) => {
       logOrderRejected(options.log, request, rejection);
     },
--- /dev/null
+++ b/src/process/retries/rejected_orders.ts
@@ -0,0 +1,55 @@
+/**
+ * Connections on which upstreams have rejected requests that must not be repeated. The id in
+ * a rejection names the request, not its dispatch: once a connection has delivered one, a
+ * second one with this id may be a late copy of it.
+ *
+ * Load pattern: all upstreams in reach reject a share of the requests, so that an order is
+ * dispatched to one of them again within milliseconds, on its most recently used connection.
+ */
+
+import {ORDER_RETENTION_MILLIS} from './started_orders.js';
+
+/** Rejections by the id of their request. */
+export interface RejectedOrders {
+  /** Records that the request was rejected on a connection. */
+  add(attemptId: string, connectionId: number, deadlineMillis: number): void;
+  /** Connections on which the request was rejected. */
+  connectionIdsOf(attemptId: string): ReadonlySet<number>;
+}
+
+interface RejectedOrder {
+  readonly connectionIds: ReadonlySet<number>;
+  readonly untilMillis: number;
+}
+
+const NO_CONNECTIONS: ReadonlySet<number> = new Set();
+
+/**
+ * Creates an empty registry. Memory is bounded by the rate of rejected orders and the
+ * longest time for which one is remembered.
+ */
+export function createRejectedOrders(nowMillis: () => number): RejectedOrders {
+  const orders = new Map<string, RejectedOrder>();
+
+  const evictExpired = (): void => {
+    const now = nowMillis();
+    for (const [attemptId, {untilMillis}] of orders) {
+      if (untilMillis > now) return;
+      orders.delete(attemptId);
+    }
+  };
+  const connectionIdsOf = (attemptId: string): ReadonlySet<number> =>
+    orders.get(attemptId)?.connectionIds ?? NO_CONNECTIONS;
+
+  return {
+    add: (attemptId, connectionId, deadlineMillis) => {
+      evictExpired();
+      const connectionIds = new Set(connectionIdsOf(attemptId));
+      connectionIds.add(connectionId);
+      const untilMillis = deadlineMillis + ORDER_RETENTION_MILLIS;
+      orders.delete(attemptId);
+      orders.set(attemptId, {connectionIds, untilMillis});
+    },
+    connectionIdsOf,
+  };
+}
--- a/src/process/retries/started_orders.ts
+++ b/src/process/retries/started_orders.ts
@@ -19,7 +19,7 @@
  * Time beyond the deadline of a request for which its id is remembered; its client has
  * given up by then.
  */
-const RETENTION_MILLIS = 30_000;
+export const ORDER_RETENTION_MILLIS = 30_000;
 
 /** For deployments in which the id of a request does not identify it. */
 export const NO_STARTED_ORDERS: StartedOrders = {
@@ -33,7 +33,7 @@
   return {
     begin: (attemptId, deadlineMillis) => {
       if (startedIds.has(attemptId)) return false;
-      startedIds.add(attemptId, deadlineMillis + RETENTION_MILLIS);
+      startedIds.add(attemptId, deadlineMillis + ORDER_RETENTION_MILLIS);
       return true;
     },
     release: startedIds.delete,
--- a/test/unit/connection/endless_response.test.ts
+++ b/test/unit/connection/endless_response.test.ts
@@ -109,6 +109,7 @@
   const sender = createUpstreamSender({
     upstream: {address: '127.0.0.1', port: upstream.port},
     wireHeaders: FULMARHOLLOW_HEADERS,
+    nowMillis: () => performance.now(),
   });
   t.teardown(sender.dispose);
   const cancel = createCancelSource<CancelCause>();
--- a/test/unit/connection/upstream_sender.test.ts
+++ b/test/unit/connection/upstream_sender.test.ts
@@ -21,6 +21,7 @@
     const sender = createUpstreamSender({
       upstream: {address: '127.0.0.1', port},
       wireHeaders: FULMARHOLLOW_HEADERS,
+      nowMillis: () => performance.now(),
     });
     t.teardown(() => {
       sender.dispose();
