Do not send requests on idle connections that have just been closed

Callers saw 502 for an order that its upstream never received, right after a response that was discarded (another request's id, a rejection that is no evidence).

Cause: Node.js keeps a closed connection in the pool until it has emitted close, in a later phase of the event loop, and hands out the one used last. A request dispatched before then is written to it and its outcome is unknown. The order that waits for the slot of the discarded response is dispatched in the same turn.

Change: closed connections at the end of the pool are removed before each request. It reads one array element, so that reads pay nothing more.

--- a/src/connection/keep_alive_agent.ts
+++ b/src/connection/keep_alive_agent.ts
@@ -48,11 +48,17 @@
     idle.splice(0, idle.length, ...avoided, ...others);
     return;
   }
-  for (const socket of avoided) {
-    // Without this event the agent may reuse it until it has emitted `close`.
-    socket.emit('agentRemove');
-    socket.destroy();
-  }
+  for (const socket of avoided) socket.destroy();
+}
+
+/**
+ * Removes closed connections where the agent would reuse one: Node.js removes a connection
+ * only once it has emitted `close`, and a request sent before then is lost.
+ */
+export function removeClosedConnections(agent: http.Agent, to: Endpoint): void {
+  const name = agent.getName({host: to.address, port: to.port});
+  const idle = agent.freeSockets[name];
+  while (idle?.at(-1)?.destroyed === true) idle.pop();
 }
 
 /** Node.js stores the last request of a connection in this field. */
--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -10,6 +10,7 @@
 import type {Endpoint} from '../process/settings/node_settings.js';
 import type {RequestCancelSignal} from '../protocol/cancel_cause.js';
 import {limitChunkOverhead} from './chunk_overhead.js';
+import {removeClosedConnections} from './keep_alive_agent.js';
 import type {ReceivedResponse} from './received_response.js';
 import {receiveResponse} from './received_response.js';
 
@@ -61,6 +62,7 @@
     onEnd({kind: 'not-sent', reason: 'cancelled'});
     return;
   }
+  removeClosedConnections(outgoing.agent, to);
   const request = http.request({
     agent: outgoing.agent,
     host: to.address,
