Soak orders at full upstreams that send responses a second time

The order soak rejected 3 in 100 requests and repeated nothing. Faults and checks as before; the runs that were there draw the same random numbers.

The handlers of the upstreams move to a file of their own.

--- a/test/contract/platform_order_soak.test.ts
+++ b/test/contract/platform_order_soak.test.ts
@@ -1,6 +1,6 @@
 /**
  * Soak of orders over node processes that are killed, stopped and frozen, with upstreams
- * that restart and break off. `SOAK_SEED` and `SOAK_SEEDS_COUNT` select the seeds.
+ * that restart, break off, or are full. `SOAK_SEED` and `SOAK_SEEDS_COUNT` select the seeds.
  */
 import process from 'node:process';
 import test from 'ava';
@@ -11,6 +11,12 @@
 const DURATION_MILLIS = 6000;
 const SERVICES = ['shop', 'desk', 'orders', 'orders', 'orders'];
 
+/** One or two upstreams in reach, so that rejected orders come back to the same one. */
+const FULL_SERVICES = [
+  ['shop', 'desk', 'orders'],
+  ['shop', 'orders', 'orders'],
+];
+
 for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS_COUNT; seed += 1) {
   for (const maxPipelinedCount of [1, 3]) {
     test.serial(
@@ -33,4 +39,26 @@
       },
     );
   }
+  for (const services of FULL_SERVICES) {
+    test.serial(
+      `an order runs at most once at upstreams that reject and repeat responses, ${services.join(', ')}: seed ${String(seed)}`,
+      async t => {
+        // Guards against a copied rejection that is taken for one of another dispatch.
+        const report = await runOrderSoak(t, {
+          seed,
+          clientsCount: 14,
+          durationMillis: DURATION_MILLIS,
+          maxPipelinedCount: 1,
+          services,
+          hasFullUpstreams: true,
+        });
+        t.log([...report.outcomes].join(' '), report.sentAgainCount);
+        const {repeatedOrders, brokenPromises} = report;
+        t.deepEqual(
+          {repeatedOrders, brokenPromises},
+          {repeatedOrders: [], brokenPromises: []},
+        );
+      },
+    );
+  }
 }
--- a/test/fakes/order_soak.ts
+++ b/test/fakes/order_soak.ts
@@ -4,8 +4,6 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ExecutionContext} from 'ava';
-import type {ReceivedRequest} from './fake_upstream.js';
-import {signatureOf} from './fake_upstream.js';
 import type {PipelinedRequest, PipeliningClient} from './pipelining_client.js';
 import {connectPipeliningClient} from './pipelining_client.js';
 import {ORDER_PATH, SAFE_PATH} from './platform_fleet.js';
@@ -16,6 +14,7 @@
   waitForVersion,
 } from './process_fleet.js';
 import {createSeededRandom} from './seeded_random.js';
+import {countRuns, countRunsOfFullUpstreams} from './soak_upstreams.js';
 
 export interface OrderSoakOptions {
   readonly seed: number;
@@ -25,6 +24,8 @@
   readonly maxPipelinedCount: number;
   /** Service of each host. */
   readonly services: readonly string[];
+  /** Upstreams have few slots, reject what exceeds them, and send some responses again. */
+  readonly hasFullUpstreams?: boolean;
 }
 
 export interface OrderSoakReport {
@@ -45,27 +46,15 @@
   isPromisedNotRun: boolean;
 }
 
-const MAX_WORK_MILLIS = 80;
 const MAX_PAUSE_MILLIS = 60;
 const MAX_FAULT_INTERVAL_MILLIS = 700;
 const MAX_FREEZE_MILLIS = 1500;
 const ORDER_RATIO = 0.5;
 const KEPT_CONNECTION_RATIO = 0.9;
-const LONG_BODY_BYTES = 200_000;
 
 /** Statuses that promise that a request has not run and never will. */
 const PROMISE_STATUS_CODES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** Cumulative ratios of the responses of upstreams other than complete ones. */
-const FAULTY_RESPONSES = [
-  {untilRatio: 0.03, respond: respondWithoutLength},
-  {untilRatio: 0.05, respond: breakOffLongBody},
-  {untilRatio: 0.07, respond: resetWithinLongBody},
-  {untilRatio: 0.09, respond: resetConnection},
-] as const;
-
-const REJECTED_UNTIL_RATIO = 0.12;
-
 /** Runs one seed. */
 export async function runOrderSoak(
   t: ExecutionContext,
@@ -78,7 +67,10 @@
   ]);
   await waitForVersion(fleet.hosts, 1);
   await waitForAllUpstreams(fleet.hosts);
-  const runCounts = countRuns(fleet, random);
+  const runCounts =
+    options.hasFullUpstreams === true
+      ? countRunsOfFullUpstreams(fleet, random)
+      : countRuns(fleet, random);
   const orders = new Map<string, SentOrder>();
   const endMillis = performance.now() + options.durationMillis;
   const clients = Array.from({length: options.clientsCount}, (_, index) =>
@@ -97,66 +89,6 @@
   return report(orders, runCounts, counts);
 }
 
-/** Installs handlers at the upstreams that count each run by its id. */
-function countRuns(
-  {hosts}: ProcessFleet,
-  random: () => number,
-): ReadonlyMap<string, number> {
-  const counts = new Map<string, number>();
-  for (const {upstream} of hosts) {
-    upstream.setHandler(request => {
-      const choice = random();
-      const isRejected =
-        choice >= FAULTY_RESPONSES.at(-1)!.untilRatio &&
-        choice < REJECTED_UNTIL_RATIO;
-      if (isRejected) {
-        request.reject();
-        return;
-      }
-      const {attemptId} = request;
-      counts.set(attemptId, (counts.get(attemptId) ?? 0) + 1);
-      const faulty = FAULTY_RESPONSES.find(
-        ({untilRatio}) => choice < untilRatio,
-      );
-      setTimeout(() => {
-        if (faulty === undefined) request.respond(200, 'served');
-        else faulty.respond(request, upstream.id);
-      }, random() * MAX_WORK_MILLIS);
-    });
-  }
-  return counts;
-}
-
-function headOf({attemptId}: ReceivedRequest, id: string): string {
-  return (
-    `HTTP/1.1 200 OK\r\nattempt-id: ${attemptId}\r\n` +
-    `response-signature: ${signatureOf(id, attemptId)}\r\n`
-  );
-}
-
-function respondWithoutLength(request: ReceivedRequest, id: string): void {
-  request.socket.end(`${headOf(request, id)}\r\nserved`);
-}
-
-function breakOffLongBody(request: ReceivedRequest, id: string): void {
-  const length = `content-length: ${String(LONG_BODY_BYTES)}\r\n`;
-  request.socket.end(
-    `${headOf(request, id)}${length}\r\n${'x'.repeat(LONG_BODY_BYTES / 2)}`,
-  );
-}
-
-function resetWithinLongBody(request: ReceivedRequest, id: string): void {
-  const {socket} = request;
-  socket.write(`${headOf(request, id)}\r\n${'x'.repeat(LONG_BODY_BYTES / 2)}`);
-  setTimeout(() => {
-    socket.resetAndDestroy();
-  }, MAX_WORK_MILLIS);
-}
-
-function resetConnection({socket}: ReceivedRequest): void {
-  socket.resetAndDestroy();
-}
-
 interface ClientOptions {
   readonly name: string;
   readonly nodeIndex: number;
