Soak orders over links that are cut, both ways or one way, with short deadlines

One more run a seed: relays between the nodes reset their connections or hold back what a node receives for up to 1.5 s, beside the faults that were there, and 3 in 10 orders have a deadline of 120 ms or less.

--- a/test/contract/platform_order_soak.test.ts
+++ b/test/contract/platform_order_soak.test.ts
@@ -3,7 +3,9 @@
  * that restart, break off, or are full. `SOAK_SEED` and `SOAK_SEEDS_COUNT` select the seeds.
  */
 import process from 'node:process';
+import type {ExecutionContext} from 'ava';
 import test from 'ava';
+import type {OrderSoakReport} from '../fakes/order_soak.js';
 import {runOrderSoak} from '../fakes/order_soak.js';
 
 const SEEDS_COUNT = Number(process.env['SOAK_SEEDS_COUNT'] ?? 1);
@@ -17,6 +19,15 @@
   ['shop', 'orders', 'orders'],
 ];
 
+function checkReport(t: ExecutionContext, report: OrderSoakReport): void {
+  t.log([...report.outcomes].join(' '), report.sentAgainCount);
+  const {repeatedOrders, brokenPromises} = report;
+  t.deepEqual(
+    {repeatedOrders, brokenPromises},
+    {repeatedOrders: [], brokenPromises: []},
+  );
+}
+
 for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS_COUNT; seed += 1) {
   for (const maxPipelinedCount of [1, 3]) {
     test.serial(
@@ -30,12 +41,7 @@
           maxPipelinedCount,
           services: SERVICES,
         });
-        t.log([...report.outcomes].join(' '), report.sentAgainCount);
-        const {repeatedOrders, brokenPromises} = report;
-        t.deepEqual(
-          {repeatedOrders, brokenPromises},
-          {repeatedOrders: [], brokenPromises: []},
-        );
+        checkReport(t, report);
       },
     );
   }
@@ -52,13 +58,23 @@
           services,
           hasFullUpstreams: true,
         });
-        t.log([...report.outcomes].join(' '), report.sentAgainCount);
-        const {repeatedOrders, brokenPromises} = report;
-        t.deepEqual(
-          {repeatedOrders, brokenPromises},
-          {repeatedOrders: [], brokenPromises: []},
-        );
+        checkReport(t, report);
       },
     );
   }
+  test.serial(
+    `an order runs at most once over links that are cut: seed ${String(seed)}`,
+    async t => {
+      // Guards against orders whose claim, cancellation and body cross each other.
+      const report = await runOrderSoak(t, {
+        seed,
+        clientsCount: 14,
+        durationMillis: DURATION_MILLIS,
+        maxPipelinedCount: 3,
+        services: SERVICES,
+        hasLinkFaults: true,
+      });
+      checkReport(t, report);
+    },
+  );
 }
--- a/test/fakes/hop_links.ts
+++ b/test/fakes/hop_links.ts
@@ -23,14 +23,26 @@
   cut(hostIndex: number): void;
   /** Resets the connections that were opened meanwhile; later ones are forwarded. */
   restore(hostIndex: number): void;
+  /** Holds back what other nodes send to a node; what it sends arrives. */
+  holdIncoming(hostIndex: number): void;
+  /** Delivers what was held back. */
+  releaseIncoming(hostIndex: number): void;
   close(): void;
 }
 
+interface SourceOfData {
+  readonly receiver: Socket;
+  readonly receiverIndex: number;
+}
+
 /** Opens all relays. */
 export async function openHopLinks(
   links: readonly HopLink[],
 ): Promise<HopLinks> {
   const cutIndexes = new Set<number>();
+  const heldIndexes = new Set<number>();
+  /** Sources of the data for a node, by its index. */
+  const sources = new Map<Socket, SourceOfData>();
   const sockets = new Map<Socket, HopLink>();
   const servers: Server[] = [];
 
@@ -46,9 +58,11 @@
       if (isAt(link, hostIndex)) socket.resetAndDestroy();
     }
   };
-  const forward = (from: Socket, to: Socket): void => {
-    from.pipe(to);
+  const forward = (from: Socket, to: Socket, receiverIndex: number): void => {
+    sources.set(from, {receiver: to, receiverIndex});
+    if (!heldIndexes.has(receiverIndex)) from.pipe(to);
     from.on('close', hasError => {
+      sources.delete(from);
       if (hasError) to.resetAndDestroy();
       else to.destroySoon();
     });
@@ -64,8 +78,8 @@
         noDelay: true,
       });
       track(target, link);
-      forward(socket, target);
-      forward(target, socket);
+      forward(socket, target, link.toIndex);
+      forward(target, socket, link.fromIndex);
     });
     servers.push(server);
     await new Promise<void>((resolve, reject) => {
@@ -82,6 +96,18 @@
       cutIndexes.delete(hostIndex);
       resetAll(hostIndex);
     },
+    holdIncoming: hostIndex => {
+      heldIndexes.add(hostIndex);
+      for (const [source, {receiver, receiverIndex}] of sources) {
+        if (receiverIndex === hostIndex) source.unpipe(receiver);
+      }
+    },
+    releaseIncoming: hostIndex => {
+      heldIndexes.delete(hostIndex);
+      for (const [source, {receiver, receiverIndex}] of sources) {
+        if (receiverIndex === hostIndex) source.pipe(receiver);
+      }
+    },
     close: () => {
       for (const server of servers) server.close();
       for (const socket of sockets.keys()) socket.destroy();
--- a/test/fakes/order_soak.ts
+++ b/test/fakes/order_soak.ts
@@ -26,6 +26,8 @@
   readonly services: readonly string[];
   /** Upstreams have few slots, reject what exceeds them, and send some responses again. */
   readonly hasFullUpstreams?: boolean;
+  /** Links between nodes are cut, both ways or one way, and some deadlines are short. */
+  readonly hasLinkFaults?: boolean;
 }
 
 export interface OrderSoakReport {
@@ -49,7 +51,10 @@
 const MAX_PAUSE_MILLIS = 60;
 const MAX_FAULT_INTERVAL_MILLIS = 700;
 const MAX_FREEZE_MILLIS = 1500;
+const MAX_LINK_FAULT_MILLIS = 1500;
 const ORDER_RATIO = 0.5;
+const SHORT_TIMEOUT_RATIO = 0.3;
+const MAX_SHORT_MILLIS = 120;
 const KEPT_CONNECTION_RATIO = 0.9;
 
 /** Statuses that promise that a request has not run and never will. */
@@ -61,10 +66,13 @@
   options: OrderSoakOptions,
 ): Promise<OrderSoakReport> {
   const random = createSeededRandom(options.seed);
-  const fleet = await startProcessFleet(t, options.services, [
-    SAFE_PATH,
-    ORDER_PATH,
-  ]);
+  const {hasLinkFaults = false} = options;
+  const fleet = await startProcessFleet(
+    t,
+    options.services,
+    [SAFE_PATH, ORDER_PATH],
+    {hasLinks: hasLinkFaults},
+  );
   await waitForVersion(fleet.hosts, 1);
   await waitForAllUpstreams(fleet.hosts);
   const runCounts =
@@ -81,6 +89,7 @@
       random,
       endMillis,
       orders,
+      shortTimeoutRatio: hasLinkFaults ? SHORT_TIMEOUT_RATIO : 0,
     }),
   );
   const sentAgain = Promise.all(clients);
@@ -96,6 +105,8 @@
   readonly random: () => number;
   readonly endMillis: number;
   readonly orders: Map<string, SentOrder>;
+  /** Ratio of the orders whose clients wait only for a moment. */
+  readonly shortTimeoutRatio: number;
 }
 
 /** Sends until the end; returns the number of orders that it sent again. */
@@ -117,7 +128,11 @@
       return {attemptId, method: 'GET', path: '/a/1'};
     }
     orders.set(attemptId, {attemptId, events: [], isPromisedNotRun: false});
-    return {attemptId, method: 'POST', path: '/order/1', body: 'x'};
+    const order = {attemptId, method: 'POST', path: '/order/1', body: 'x'};
+    const isShort =
+      options.shortTimeoutRatio > 0 && random() < options.shortTimeoutRatio;
+    if (!isShort) return order;
+    return {...order, timeoutMillis: Math.ceil(random() * MAX_SHORT_MILLIS)};
   };
   while (performance.now() < options.endMillis) {
     await sleep(random() * MAX_PAUSE_MILLIS);
@@ -162,11 +177,12 @@
   const pending: Promise<void>[] = [];
   let version = 1;
   let restartsCount = 0;
+  const faultKindsCount = fleet.links === undefined ? 5 : 7;
   while (performance.now() < endMillis) {
     await sleep(random() * MAX_FAULT_INTERVAL_MILLIS);
     const index = Math.floor(random() * fleet.hosts.length);
     const host = fleet.hosts[index]!;
-    switch (Math.floor(random() * 5)) {
+    switch (Math.floor(random() * faultKindsCount)) {
       case 0:
         fleet.restart(index);
         break;
@@ -185,14 +201,42 @@
         pending.push(restartUpstream(fleet, {index, id, restartsCount}));
         break;
       }
-      default:
+      case 4:
         version += 1;
         fleet.configure(version);
+        break;
+      case 5:
+        pending.push(cutLinks(fleet, index, random() * MAX_LINK_FAULT_MILLIS));
+        break;
+      default:
+        pending.push(holdLinks(fleet, index, random() * MAX_LINK_FAULT_MILLIS));
     }
   }
   await Promise.all(pending);
 }
 
+/** Resets the links of a node, and forwards nothing on them for this long. */
+async function cutLinks(
+  {links}: ProcessFleet,
+  hostIndex: number,
+  millis: number,
+): Promise<void> {
+  links?.cut(hostIndex);
+  await sleep(millis);
+  links?.restore(hostIndex);
+}
+
+/** Delays all that other nodes send to a node by up to this long. */
+async function holdLinks(
+  {links}: ProcessFleet,
+  hostIndex: number,
+  millis: number,
+): Promise<void> {
+  links?.holdIncoming(hostIndex);
+  await sleep(millis);
+  links?.releaseIncoming(hostIndex);
+}
+
 /** Freezes a node for this long. */
 export async function freeze(
   process: ProcessFleet['hosts'][number]['process'],
