--- a/test/fakes/order_soak.ts
+++ b/test/fakes/order_soak.ts
@@ -206,35 +206,28 @@
         fleet.configure(version);
         break;
       case 5:
-        pending.push(cutLinks(fleet, index, random() * MAX_LINK_FAULT_MILLIS));
+        fleet.links?.cut(index);
+        pending.push(
+          after(random() * MAX_LINK_FAULT_MILLIS, () => {
+            fleet.links?.restore(index);
+          }),
+        );
         break;
       default:
-        pending.push(holdLinks(fleet, index, random() * MAX_LINK_FAULT_MILLIS));
+        fleet.links?.holdIncoming(index);
+        pending.push(
+          after(random() * MAX_LINK_FAULT_MILLIS, () => {
+            fleet.links?.releaseIncoming(index);
+          }),
+        );
     }
   }
   await Promise.all(pending);
 }
 
-/** Resets the links of a node, and forwards nothing on them for this long. */
-async function cutLinks(
-  {links}: ProcessFleet,
-  hostIndex: number,
-  millis: number,
-): Promise<void> {
-  links?.cut(hostIndex);
-  await sleep(millis);
-  links?.restore(hostIndex);
-}
-
-/** Delays all that other nodes send to a node by up to this long. */
-async function holdLinks(
-  {links}: ProcessFleet,
-  hostIndex: number,
-  millis: number,
-): Promise<void> {
-  links?.holdIncoming(hostIndex);
+async function after(millis: number, action: () => void): Promise<void> {
   await sleep(millis);
-  links?.releaseIncoming(hostIndex);
+  action();
 }
 
 /** Freezes a node for this long. */
--- a/test/unit/connection/rejected_order_connections.test.ts
+++ b/test/unit/connection/rejected_order_connections.test.ts
@@ -3,102 +3,47 @@
  */
 import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {createServer} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import net from 'node:net';
-import type {ExecutionContext} from 'ava';
 import test from 'ava';
-import {createCancelSource} from '../../../src/base/cancel_signal.js';
 import {createConnectionIds} from '../../../src/connection/connection_ids.js';
-import type {UpstreamRequest} from '../../../src/connection/upstream_request.js';
 import type {UpstreamResult} from '../../../src/connection/upstream_result.js';
 import {toUpstreamResult} from '../../../src/connection/upstream_result.js';
-import {createUpstreamSender} from '../../../src/connection/upstream_sender.js';
 import {createRejectedOrders} from '../../../src/process/retries/rejected_orders.js';
-import type {CancelCause} from '../../../src/protocol/cancel_cause.js';
 import {FULMARHOLLOW_HEADERS} from '../../../src/protocol/fulmarhollow_headers.js';
+import type {SenderFixture} from '../../fakes/sender_fixture.js';
+import {startSenderFixture, upstreamOrder} from '../../fakes/sender_fixture.js';
 
 const NOT_EXECUTED = {[FULMARHOLLOW_HEADERS.notExecuted]: '1'};
 
-function orderOf(attemptId: string): UpstreamRequest {
-  return {
-    attemptId,
-    upstreamId: 'u-1',
-    callerService: 'shop',
-    method: 'POST',
-    target: '/x',
-    headers: ['host', 'orders'],
-    body: Buffer.from('x'),
-    isRepeatable: false,
-    timeoutMillis: 5000,
-    cancel: createCancelSource<CancelCause>().signal,
-  };
-}
-
 interface Arrival {
   readonly socket: Socket;
   readonly response: ServerResponse;
 }
 
-/** A sender and its upstream, which responds as the test decides. */
-interface Fixture {
-  send(attemptId: string): Promise<UpstreamResult>;
-  /** Resolves with the next request that arrives. */
-  nextArrival(): Promise<Arrival>;
-  readonly connectionsCount: number;
-}
-
-async function startFixture(t: ExecutionContext): Promise<Fixture> {
-  const server = createServer();
-  let connectionsCount = 0;
-  server.on('connection', () => {
-    connectionsCount += 1;
-  });
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
-  const sender = createUpstreamSender({
-    upstream: {address: '127.0.0.1', port},
-    wireHeaders: FULMARHOLLOW_HEADERS,
-    nowMillis: () => performance.now(),
-  });
-  t.teardown(() => {
-    sender.dispose();
-    server.close();
-    server.closeAllConnections();
-  });
-  return {
-    send: attemptId =>
-      new Promise(resolve => {
-        sender.send(orderOf(attemptId), resolve);
-      }),
-    nextArrival: async () => {
-      const [request, response] = (await once(server, 'request')) as [
-        IncomingMessage,
-        ServerResponse,
-      ];
-      return {socket: request.socket, response};
-    },
-    get connectionsCount() {
-      return connectionsCount;
-    },
-  };
+/** Resolves with the next request that arrives. */
+async function nextArrival({server}: SenderFixture): Promise<Arrival> {
+  const [request, response] = (await once(server, 'request')) as [
+    IncomingMessage,
+    ServerResponse,
+  ];
+  return {socket: request.socket, response};
 }
 
 test('a rejected order is dispatched again on an idle connection that has not rejected it', async t => {
   // Guards against new connections to a busy upstream, which may reset them.
-  const fixture = await startFixture(t);
-  const rejectedArrival = fixture.nextArrival();
+  const fixture = await startSenderFixture(t, FULMARHOLLOW_HEADERS);
+  const rejectedArrival = nextArrival(fixture);
   const rejected = fixture.send('o1');
   const first = await rejectedArrival;
-  const otherArrival = fixture.nextArrival();
+  const otherArrival = nextArrival(fixture);
   const other = fixture.send('o2');
   const second = await otherArrival;
   second.response.end();
   await other;
   first.response.writeHead(503, NOT_EXECUTED).end();
   t.like(await rejected, {kind: 'not-run', reason: 'not-executed'});
-  const arrival = fixture.nextArrival();
+  const arrival = nextArrival(fixture);
   const repeated = fixture.send('o1');
   const third = await arrival;
   t.is(third.socket, second.socket);
@@ -109,9 +54,9 @@
 
 test('a rejected order is dispatched again on a new connection if there is no other', async t => {
   // Guards against a copied rejection that is read as the response to the next dispatch.
-  const fixture = await startFixture(t);
+  const fixture = await startSenderFixture(t, FULMARHOLLOW_HEADERS);
   for (const isLast of [false, false, true]) {
-    const arrival = fixture.nextArrival();
+    const arrival = nextArrival(fixture);
     const sent = fixture.send('o1');
     const {response} = await arrival;
     response.writeHead(isLast ? 200 : 503, isLast ? {} : NOT_EXECUTED).end();
@@ -146,7 +91,7 @@
           discardedCount += 1;
         },
       },
-      orderOf(attemptId),
+      upstreamOrder(attemptId),
       options,
     );
   t.like(reject('o1'), {kind: 'not-run', reason: 'not-executed'});
