Follow a start that drains, whatever the sequence numbers of its entries

Callers would have seen requests go to an upstream that was leaving: another writer had published its start with the largest sequence number, and every entry of that start that followed counted as older, for as long as it ran.

Cause: sequence numbers order the entries of one start, since a write may be done late, and none bounds them. Order by store revision was weighed and not taken: a late write of ready would withdraw a draining that is known.

Change: an entry that is outdated by its number and says draining applies its state; a start that drains does not accept requests again. Not while entries may come from a restored copy. A change of the directory moves to a file of its own.

Evidence: 'an entry with an extreme sequence number ...' and 'a start that drains is not used again ...' failed with the call taken out (timed out waiting for draining; one ready upstream), and pass. One writer can still take an upstream out of use by such an entry.

--- a/src/daemon/node_components.ts
+++ b/src/daemon/node_components.ts
@@ -34,10 +34,8 @@
 import {createRelativeSlowness} from '../process/placement/relative_slowness.js';
 import type {RetryBudget} from '../process/retries/retry_budget.js';
 import {createRetryBudget} from '../process/retries/retry_budget.js';
-import type {
-  DirectoryChange,
-  UpstreamDirectory,
-} from '../process/membership/upstream_directory.js';
+import type {DirectoryChange} from '../process/membership/directory_change.js';
+import type {UpstreamDirectory} from '../process/membership/upstream_directory.js';
 import {createUpstreamDirectory} from '../process/membership/upstream_directory.js';
 import type {PeerPositions} from '../process/membership/peer_positions.js';
 import {createPeerPositions} from '../process/membership/peer_positions.js';
--- a/src/process/membership/upstream_directory.ts
+++ b/src/process/membership/upstream_directory.ts
@@ -5,6 +5,7 @@
   createMissingUpstreams,
   REAPPEAR_GRACE_MILLIS,
 } from './missing_upstreams.js';
+import type {DirectoryChange} from './directory_change.js';
 import type {KnownUpstream} from './known_upstream.js';
 import type {UpstreamEntry} from './upstream_entry.js';
 import type {ExpiredContest} from './contested_upstreams.js';
@@ -16,31 +17,6 @@
 import {indexUpstreams} from './upstream_index.js';
 import {compareStarts} from './upstream_start.js';
 
-/** A change to be logged. */
-export interface DirectoryChange {
-  readonly kind:
-    | 'joined'
-    /**
-     * Started again under the same id; no state of the previous start is kept.
-     */
-    | 'restarted'
-    | 'draining'
-    | 'ready'
-    | 'left'
-    /**
-     * The entry is missing; the upstream stays in use until its grace period
-     * ends.
-     */
-    | 'kept'
-    /** The entry was overwritten by one that is not its own. */
-    | 'contested'
-    /** A later start runs on its host. */
-    | 'superseded'
-    /** Its service is not configured; the upstream is unused until it is. */
-    | 'unnamed';
-  readonly entry: UpstreamEntry;
-}
-
 export interface UpstreamDirectory {
   /** Adds new or changed entries. */
   put(entries: readonly UpstreamEntry[]): void;
@@ -212,11 +188,28 @@
     isServiceConfigured(previous.service) &&
     !isServiceConfigured(entry.service);
 
+  /**
+   * A start that drains does not accept requests again, so that its state applies even if
+   * another writer has published a larger sequence number for it.
+   */
+  const applyOutdatedDraining = (
+    entry: UpstreamEntry,
+    previous: KnownUpstream,
+  ): void => {
+    if (!entry.isDraining || previous.entry.isDraining || mayBeCopied()) return;
+    const draining = {...previous.entry, isDraining: true};
+    setEntry(draining, previous);
+    recordStateChange(draining, false);
+  };
+
   const putSameStart = (
     entry: UpstreamEntry,
     previous: KnownUpstream,
   ): void => {
-    if (isOutdated(entry, previous.entry, mayBeCopied())) return;
+    if (isOutdated(entry, previous.entry, mayBeCopied())) {
+      applyOutdatedDraining(entry, previous);
+      return;
+    }
     if (losesConfiguredService(entry, previous.entry)) {
       markOneContested(entry.id);
       return;
--- a/test/contract/platform_malformed_entries.test.ts
+++ b/test/contract/platform_malformed_entries.test.ts
@@ -217,3 +217,24 @@
   const metrics = await shop!.metrics.text();
   t.regex(metrics, /invalid_documents_total\{kind="configuration"\} 2/);
 });
+
+test('an entry with an extreme sequence number under the key of a known upstream does not hide its next entry', async t => {
+  // Guards against a node that no longer follows an upstream, and sends requests to one
+  // that is leaving.
+  const fleet = await startFleet(t, {
+    services: ['shop', 'orders'],
+    paths: [SAFE_PATH],
+  });
+  const [shop, orders] = fleet.hosts;
+  const born = 1_790_000_000_000;
+  fleet.publish(orders!, {born, seq: 2});
+  await waitUntil('restarted', () =>
+    shop!.events.some(({event}) => event === 'upstream-restarted'),
+  );
+  fleet.publish(orders!, {born, seq: Number.MAX_SAFE_INTEGER});
+  t.deepEqual(await statusesOf(fleet, shop!, 5), SERVED);
+  fleet.publish(orders!, {born, seq: 3, state: 'draining'});
+  await waitUntil('draining', () =>
+    shop!.events.some(({event}) => event === 'upstream-draining'),
+  );
+});
--- a/test/unit/daemon/restored_source_model.test.ts
+++ b/test/unit/daemon/restored_source_model.test.ts
@@ -13,7 +13,7 @@
 import type {PublishedDocuments} from '../../../src/process/membership/published_documents.js';
 import {createFollowerPacing} from '../../../src/process/membership/follower_pacing.js';
 import {createPeerPositions} from '../../../src/process/membership/peer_positions.js';
-import type {DirectoryChange} from '../../../src/process/membership/upstream_directory.js';
+import type {DirectoryChange} from '../../../src/process/membership/directory_change.js';
 import {createUpstreamDirectory} from '../../../src/process/membership/upstream_directory.js';
 import type {UpstreamEntry} from '../../../src/process/membership/upstream_entry.js';
 import {createRouteTable} from '../../../src/version/route_table.js';
--- a/test/unit/process/membership/upstream_directory.test.ts
+++ b/test/unit/process/membership/upstream_directory.test.ts
@@ -152,3 +152,17 @@
   directory.put([upstreamEntry()]);
   t.is(directory.listReady('orders').length, 0);
 });
+
+test('a start that drains is not used again, whatever the sequence numbers of its entries', t => {
+  // Guards against requests to a leaving upstream for which another writer has published a
+  // larger sequence number than its own, or whose earlier entry is written late.
+  const {directory} = createFixture();
+  const entry = upstreamEntry({bornMillis: 1, sequenceNumber: 2});
+  directory.put([entry]);
+  directory.put([{...entry, sequenceNumber: Number.MAX_SAFE_INTEGER}]);
+  t.is(directory.listReady('orders').length, 1);
+  directory.put([{...entry, sequenceNumber: 3, isDraining: true}]);
+  t.is(directory.listReady('orders').length, 0);
+  directory.put([{...entry, sequenceNumber: 2}]);
+  t.is(directory.listReady('orders').length, 0);
+});
