Avoid closed connections as well when a rejected order is dispatched again

If all idle connections that had not rejected the order were closed ones, the pool offered the avoided one after they had been removed; a rejection on it then left the order without an outcome.

--- a/src/connection/keep_alive_agent.ts
+++ b/src/connection/keep_alive_agent.ts
@@ -41,14 +41,16 @@
   const name = agent.getName({host: to.address, port: to.port});
   const idle = agent.freeSockets[name];
   if (idle === undefined) return;
-  const avoided = idle.filter(isAvoided);
-  if (avoided.length < idle.length) {
-    // The agent takes the last one.
-    const others = idle.filter(socket => !isAvoided(socket));
-    idle.splice(0, idle.length, ...avoided, ...others);
+  const isUsable = (connection: Socket): boolean =>
+    !connection.destroyed && !isAvoided(connection);
+  const usable = idle.filter(isUsable);
+  if (usable.length === 0) {
+    for (const connection of idle) connection.destroy();
     return;
   }
-  for (const socket of avoided) socket.destroy();
+  const others = idle.filter(connection => !isUsable(connection));
+  // The agent takes the last one.
+  idle.splice(0, idle.length, ...others, ...usable);
 }
 
 /**
--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -45,10 +45,9 @@
 
 export interface UpstreamSenderOptions extends Pick<
   UpstreamResultOptions,
-  'wireHeaders' | 'onOrderRejected'
+  'wireHeaders' | 'nowMillis' | 'onOrderRejected'
 > {
   readonly upstream: Endpoint;
-  readonly nowMillis: () => number;
 }
 
 /** Creates a sender with an empty pool. */
@@ -65,7 +64,7 @@
   const resultOptions = {...options, connectionIds, rejectedOrders};
   let responsesCount = 0;
 
-  /** A copy of an earlier rejection must not meet the request again. */
+  /** Avoids connections on which a copy of an earlier rejection may arrive. */
   const avoidRejectedConnections = ({attemptId}: UpstreamRequest): void => {
     const rejectedIds = rejectedOrders.connectionIdsOf(attemptId);
     if (rejectedIds.size === 0) return;
