Rename the registry of rejected orders to that of failed dispatches

Only names of the module, its types and its tests change. It is about to record failed dispatches of reads as well.

--- a/src/connection/upstream_result.ts
+++ b/src/connection/upstream_result.ts
@@ -1,7 +1,7 @@
 /**
  * What the response to a request, or its absence, shows about the request.
  */
-import type {RejectedOrders} from '../process/retries/rejected_orders.js';
+import type {FailedDispatches} from '../process/retries/failed_dispatches.js';
 import type {HopReason} from '../protocol/hop_messages.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import type {Announcements} from './announcements.js';
@@ -49,7 +49,7 @@
 export interface UpstreamResultOptions {
   readonly wireHeaders: WireHeaders;
   readonly connectionIds: ConnectionIds;
-  readonly rejectedOrders: RejectedOrders;
+  readonly failedDispatches: FailedDispatches;
   readonly nowMillis: () => number;
   /** The upstream has rejected a request that must not be repeated. */
   readonly onOrderRejected?:
@@ -120,16 +120,16 @@
 ): boolean {
   const {attemptId, isRepeatable, timeoutMillis} = request;
   if (isRepeatable) return true;
-  const {rejectedOrders} = options;
+  const {failedDispatches} = options;
   const connectionId = options.connectionIds.idOf(connection);
-  const isFirstOnConnection = !rejectedOrders
+  const isFirstOnConnection = !failedDispatches
     .connectionIdsOf(attemptId)
     .has(connectionId);
   const isEvidence =
     isFirstOnConnection && hasOwnId(answer, request, options.wireHeaders);
   if (isEvidence) {
     const deadlineMillis = options.nowMillis() + timeoutMillis;
-    rejectedOrders.add(attemptId, connectionId, deadlineMillis);
+    failedDispatches.add(attemptId, connectionId, deadlineMillis);
   }
   options.onOrderRejected?.(request, {
     statusCode: answer.statusCode,
--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -2,7 +2,7 @@
  * Sends requests to the upstream of this host and reports their results.
  */
 import type {Disposable} from '../base/lifecycle.js';
-import {createRejectedOrders} from '../process/retries/rejected_orders.js';
+import {createFailedDispatches} from '../process/retries/failed_dispatches.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
 import type {WireHeaders} from '../protocol/wire_headers.js';
 import {createConnectionIds} from './connection_ids.js';
@@ -60,13 +60,13 @@
     maxSocketsCount: MAX_SOCKETS_COUNT,
   });
   const connectionIds = createConnectionIds();
-  const rejectedOrders = createRejectedOrders(options.nowMillis);
-  const resultOptions = {...options, connectionIds, rejectedOrders};
+  const failedDispatches = createFailedDispatches(options.nowMillis);
+  const resultOptions = {...options, connectionIds, failedDispatches};
   let responsesCount = 0;
 
   /** Avoids connections on which a copy of an earlier rejection may arrive. */
   const avoidRejectedConnections = ({attemptId}: UpstreamRequest): void => {
-    const rejectedIds = rejectedOrders.connectionIdsOf(attemptId);
+    const rejectedIds = failedDispatches.connectionIdsOf(attemptId);
     if (rejectedIds.size === 0) return;
     avoidConnections(agent, upstream, connection =>
       rejectedIds.has(connectionIds.idOf(connection)),
--- a/src/process/retries/rejected_orders.ts
+++ b/src/process/retries/failed_dispatches.ts
@@ -10,14 +10,14 @@
 import {ORDER_RETENTION_MILLIS} from './started_orders.js';
 
 /** Rejections by the id of their request. */
-export interface RejectedOrders {
+export interface FailedDispatches {
   /** Records that the request was rejected on a connection. */
   add(attemptId: string, connectionId: number, deadlineMillis: number): void;
   /** Connections on which the request was rejected. */
   connectionIdsOf(attemptId: string): ReadonlySet<number>;
 }
 
-interface RejectedOrder {
+interface FailedDispatch {
   readonly connectionIds: ReadonlySet<number>;
   readonly untilMillis: number;
 }
@@ -28,18 +28,20 @@
  * Creates an empty registry. Memory is bounded by the rate of rejected orders and the
  * longest time for which one is remembered.
  */
-export function createRejectedOrders(nowMillis: () => number): RejectedOrders {
-  const orders = new Map<string, RejectedOrder>();
+export function createFailedDispatches(
+  nowMillis: () => number,
+): FailedDispatches {
+  const dispatches = new Map<string, FailedDispatch>();
 
   const evictExpired = (): void => {
     const now = nowMillis();
-    for (const [attemptId, {untilMillis}] of orders) {
+    for (const [attemptId, {untilMillis}] of dispatches) {
       if (untilMillis > now) return;
-      orders.delete(attemptId);
+      dispatches.delete(attemptId);
     }
   };
   const connectionIdsOf = (attemptId: string): ReadonlySet<number> =>
-    orders.get(attemptId)?.connectionIds ?? NO_CONNECTIONS;
+    dispatches.get(attemptId)?.connectionIds ?? NO_CONNECTIONS;
 
   return {
     add: (attemptId, connectionId, deadlineMillis) => {
@@ -47,8 +49,8 @@
       const connectionIds = new Set(connectionIdsOf(attemptId));
       connectionIds.add(connectionId);
       const untilMillis = deadlineMillis + ORDER_RETENTION_MILLIS;
-      orders.delete(attemptId);
-      orders.set(attemptId, {connectionIds, untilMillis});
+      dispatches.delete(attemptId);
+      dispatches.set(attemptId, {connectionIds, untilMillis});
     },
     connectionIdsOf,
   };
--- a/test/unit/connection/rejected_order_connections.test.ts
+++ b/test/unit/connection/failed_dispatch_connections.test.ts
@@ -9,7 +9,7 @@
 import {createConnectionIds} from '../../../src/connection/connection_ids.js';
 import type {UpstreamResult} from '../../../src/connection/upstream_result.js';
 import {toUpstreamResult} from '../../../src/connection/upstream_result.js';
-import {createRejectedOrders} from '../../../src/process/retries/rejected_orders.js';
+import {createFailedDispatches} from '../../../src/process/retries/failed_dispatches.js';
 import {FULMARHOLLOW_HEADERS} from '../../../src/protocol/fulmarhollow_headers.js';
 import type {SenderFixture} from '../../fakes/sender_fixture.js';
 import {startSenderFixture, upstreamOrder} from '../../fakes/sender_fixture.js';
@@ -71,7 +71,7 @@
   const options = {
     wireHeaders: FULMARHOLLOW_HEADERS,
     connectionIds: createConnectionIds(),
-    rejectedOrders: createRejectedOrders(() => 0),
+    failedDispatches: createFailedDispatches(() => 0),
     nowMillis: () => 0,
   };
   let discardedCount = 0;
--- a/test/unit/process/retries/rejected_orders.test.ts
+++ b/test/unit/process/retries/failed_dispatches.test.ts
@@ -1,10 +1,10 @@
 import test from 'ava';
-import {createRejectedOrders} from '../../../../src/process/retries/rejected_orders.js';
+import {createFailedDispatches} from '../../../../src/process/retries/failed_dispatches.js';
 
 test('the connections on which an order was rejected are remembered beyond its deadline', t => {
   // Guards against a copy of a rejection that counts once the first one is forgotten.
   let now = 0;
-  const orders = createRejectedOrders(() => now);
+  const orders = createFailedDispatches(() => now);
   orders.add('o1', 1, 5000);
   orders.add('o1', 2, 5000);
   for (let index = 0; index < 10_000; index += 1) {
