Log how responses without a length end, and what follows responses

Callers got responses that looked complete and were not, and no line told why. Three lines now tell the ways apart: 'unframed-end' says whether a response without a length ended with a close or a reset, which Node.js reports alike if data was received just before; 'excess-bytes' reports invalid bytes after a complete response; 'dispatched-again' names the connections of a request that an upstream had rejected or failed before. Two counters go with them.

Failed dispatches of reads are recorded for the last one; which connection a read uses is unchanged.

--- /dev/null
+++ b/src/connection/connection_end.ts
@@ -0,0 +1,31 @@
+/**
+ * How the peer of a connection ended it.
+ *
+ * Node.js reports a reset as a normal end if data was received just before it: one read
+ * returns the data, and the hang-up of the same poll counts as the end of the stream.
+ */
+import type {Socket} from 'node:net';
+
+export type ConnectionEnd =
+  /** The peer has closed its sending side. */
+  | 'closed'
+  /** The connection was reset; data may be missing. */
+  | 'reset';
+
+/** Calls the listener when the connection ends, before its other listeners do. */
+export function onConnectionEnd(
+  connection: Socket,
+  listener: (end: ConnectionEnd) => void,
+): void {
+  connection.prependOnceListener('end', () => {
+    listener(hasPeer(connection) ? 'closed' : 'reset');
+  });
+}
+
+/**
+ * The system knows the peer of a connection until it is closed on both sides, or reset.
+ * Node.js caches the address, so it must not have been read before.
+ */
+function hasPeer(connection: Socket): boolean {
+  return connection.remoteAddress !== undefined;
+}
--- a/src/connection/received_response.ts
+++ b/src/connection/received_response.ts
@@ -83,7 +83,8 @@
   });
 }
 
-function isUnframed(message: IncomingMessage): boolean {
+/** Whether only the close of the connection marks the end of the body. */
+export function isUnframed(message: IncomingMessage): boolean {
   const {headers} = message;
   return (
     headers['content-length'] === undefined &&
--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -10,9 +10,11 @@
 import type {Endpoint} from '../process/settings/node_settings.js';
 import type {RequestCancelSignal} from '../protocol/cancel_cause.js';
 import {limitChunkOverhead} from './chunk_overhead.js';
+import type {ConnectionEnd} from './connection_end.js';
+import {onConnectionEnd} from './connection_end.js';
 import {removeClosedConnections} from './keep_alive_agent.js';
 import type {ReceivedResponse} from './received_response.js';
-import {receiveResponse} from './received_response.js';
+import {isUnframed, receiveResponse} from './received_response.js';
 
 /** A request to send. */
 export interface OutgoingRequest {
@@ -24,6 +26,11 @@
   readonly body: Buffer;
   readonly connectTimeoutMillis: number;
   readonly cancel: RequestCancelSignal;
+  /** The connection, and with it a response without a length, has ended. */
+  readonly onUnframedEnd?:
+    ((connection: Socket, end: ConnectionEnd) => void) | undefined;
+  /** Invalid bytes have arrived after a complete response. */
+  readonly onExcessBytes?: ((connection: Socket) => void) | undefined;
 }
 
 /** How a request ended. */
@@ -116,7 +123,10 @@
   });
   request.on('error', error => {
     // Invalid bytes after a complete response belong to no request.
-    if (receivedMessage?.complete === true) return;
+    if (receivedMessage?.complete === true) {
+      outgoing.onExcessBytes?.(receivedMessage.socket);
+      return;
+    }
     // Without a length, a reset looks like a normal end of the body: the client
     // of Node.js emits the error first and then completes the message.
     // Destroying the message first reports it as aborted.
@@ -137,6 +147,11 @@
         message.destroy(new Error('too many bytes between chunks'));
       });
     }
+    if (isUnframed(message)) {
+      onConnectionEnd(connection, end => {
+        outgoing.onUnframedEnd?.(connection, end);
+      });
+    }
     const discardConnection = (): void => {
       request.destroy();
       connection.destroy();
--- a/src/connection/upstream_result.ts
+++ b/src/connection/upstream_result.ts
@@ -45,6 +45,14 @@
   readonly receivedBytes: number;
 }
 
+/** A response to a request that was dispatched before, and had no success then. */
+export interface RepeatedDispatch {
+  readonly statusCode: number;
+  readonly connectionId: number;
+  /** Connections of the earlier dispatches; one of them may have sent this response. */
+  readonly earlierConnectionIds: readonly number[];
+}
+
 /** Dependencies of `toUpstreamResult`. */
 export interface UpstreamResultOptions {
   readonly wireHeaders: WireHeaders;
@@ -54,12 +62,19 @@
   /** The upstream has rejected a request that must not be repeated. */
   readonly onOrderRejected?:
     ((request: UpstreamRequest, rejection: OrderRejection) => void) | undefined;
+  /** A request that was dispatched before has been responded to. */
+  readonly onRepeatedDispatch?:
+    | ((request: UpstreamRequest, dispatch: RepeatedDispatch) => void)
+    | undefined;
 }
 
 type ReceivedAnswer = Extract<SendResult, {kind: 'answer'}>;
 
 const STATUS_MISDIRECTED = 421;
 
+/** Statuses from this one on are no success. */
+const MIN_FAILURE_STATUS = 400;
+
 /** Statuses by which clients know that a request has not run and never will. */
 const NOT_RUN_STATUS_CODES: ReadonlySet<number> = new Set([408, 429, 503]);
 
@@ -83,6 +98,7 @@
     result.discardConnection();
     return {kind: 'unknown', reason: 'broken-answer', wasReused: false};
   }
+  reportRepeatedDispatch(result, request, options);
   const isMisdirected = answer.statusCode === STATUS_MISDIRECTED;
   const isRejected =
     isMisdirected ||
@@ -91,6 +107,9 @@
     result.discardConnection();
     return {kind: 'unknown', reason: 'broken-answer', wasReused: false};
   }
+  if (request.isRepeatable && answer.statusCode >= MIN_FAILURE_STATUS) {
+    recordFailure(result, request, options);
+  }
   const announcements = decodeAnnouncements(answer.headers, wireHeaders);
   if (isMisdirected) {
     const actualId =
@@ -114,23 +133,20 @@
  * unknown all the same.
  */
 function acceptRejection(
-  {answer, connection}: ReceivedAnswer,
+  result: ReceivedAnswer,
   request: UpstreamRequest,
   options: UpstreamResultOptions,
 ): boolean {
-  const {attemptId, isRepeatable, timeoutMillis} = request;
+  const {answer, connection} = result;
+  const {attemptId, isRepeatable} = request;
   if (isRepeatable) return true;
-  const {failedDispatches} = options;
   const connectionId = options.connectionIds.idOf(connection);
-  const isFirstOnConnection = !failedDispatches
+  const isFirstOnConnection = !options.failedDispatches
     .connectionIdsOf(attemptId)
     .has(connectionId);
   const isEvidence =
     isFirstOnConnection && hasOwnId(answer, request, options.wireHeaders);
-  if (isEvidence) {
-    const deadlineMillis = options.nowMillis() + timeoutMillis;
-    failedDispatches.add(attemptId, connectionId, deadlineMillis);
-  }
+  if (isEvidence) recordFailure(result, request, options);
   options.onOrderRejected?.(request, {
     statusCode: answer.statusCode,
     isEvidence,
@@ -140,6 +156,36 @@
   return isEvidence;
 }
 
+/** Remembers where a response without success to this request was received. */
+function recordFailure(
+  {connection}: ReceivedAnswer,
+  {attemptId, timeoutMillis}: UpstreamRequest,
+  {failedDispatches, connectionIds, nowMillis}: UpstreamResultOptions,
+): void {
+  const deadlineMillis = nowMillis() + timeoutMillis;
+  failedDispatches.add(
+    attemptId,
+    connectionIds.idOf(connection),
+    deadlineMillis,
+  );
+}
+
+function reportRepeatedDispatch(
+  {answer, connection}: ReceivedAnswer,
+  request: UpstreamRequest,
+  options: UpstreamResultOptions,
+): void {
+  const earlierIds = options.failedDispatches.connectionIdsOf(
+    request.attemptId,
+  );
+  if (earlierIds.size === 0) return;
+  options.onRepeatedDispatch?.(request, {
+    statusCode: answer.statusCode,
+    connectionId: options.connectionIds.idOf(connection),
+    earlierConnectionIds: [...earlierIds],
+  });
+}
+
 /** A rejection without the id may be a late response to an earlier request. */
 function hasOwnId(
   {headers}: ReceivedResponse,
--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -1,6 +1,7 @@
 /**
  * Sends requests to the upstream of this host and reports their results.
  */
+import type {Socket} from 'node:net';
 import type {Disposable} from '../base/lifecycle.js';
 import {createFailedDispatches} from '../process/retries/failed_dispatches.js';
 import type {Endpoint} from '../process/settings/node_settings.js';
@@ -11,6 +12,7 @@
   createKeepAliveAgent,
   closeIdleConnections,
 } from './keep_alive_agent.js';
+import type {ConnectionEnd} from './connection_end.js';
 import {sendRequest} from './send_request.js';
 import type {UpstreamRequest} from './upstream_request.js';
 import type {UpstreamResult, UpstreamResultOptions} from './upstream_result.js';
@@ -43,13 +45,34 @@
  */
 const MAX_SOCKETS_COUNT = 1024;
 
-export interface UpstreamSenderOptions extends Pick<
+/** Listeners for what the upstream does on its connections. */
+export interface UpstreamSenderEvents extends Pick<
   UpstreamResultOptions,
-  'wireHeaders' | 'nowMillis' | 'onOrderRejected'
+  'onOrderRejected' | 'onRepeatedDispatch'
 > {
+  /** A response without a length has ended with its connection. */
+  readonly onUnframedEnd?:
+    ((request: UpstreamRequest, ended: EndedResponse) => void) | undefined;
+  /** The upstream has sent bytes after a complete response that are not a response. */
+  readonly onExcessBytes?:
+    ((request: UpstreamRequest, connectionId: number) => void) | undefined;
+}
+
+export interface UpstreamSenderOptions
+  extends
+    UpstreamSenderEvents,
+    Pick<UpstreamResultOptions, 'wireHeaders' | 'nowMillis'> {
   readonly upstream: Endpoint;
 }
 
+/** End of a connection that ended the response on it. */
+export interface EndedResponse {
+  readonly end: ConnectionEnd;
+  readonly connectionId: number;
+  /** Bytes received on the connection since it was opened. */
+  readonly receivedBytes: number;
+}
+
 /** Creates a sender with an empty pool. */
 export function createUpstreamSender(
   options: UpstreamSenderOptions,
@@ -86,6 +109,16 @@
         body: request.body,
         connectTimeoutMillis: CONNECT_TIMEOUT_MILLIS,
         cancel: request.cancel,
+        onUnframedEnd: (connection: Socket, end: ConnectionEnd) => {
+          options.onUnframedEnd?.(request, {
+            end,
+            connectionId: connectionIds.idOf(connection),
+            receivedBytes: connection.bytesRead,
+          });
+        },
+        onExcessBytes: (connection: Socket) => {
+          options.onExcessBytes?.(request, connectionIds.idOf(connection));
+        },
       };
       sendRequest(outgoing, result => {
         if (result.kind === 'answer') responsesCount += 1;
--- a/src/daemon/attempt_logging.ts
+++ b/src/daemon/attempt_logging.ts
@@ -2,8 +2,6 @@
  * Counts and logs the attempts of requests that were not answered.
  */
 import type {ExecutionResult} from '../connection/execution.js';
-import type {UpstreamRequest} from '../connection/upstream_request.js';
-import type {OrderRejection} from '../connection/upstream_result.js';
 import type {DecisionLog} from '../process/log/decision_log.js';
 import type {NodeMetrics} from '../process/log/node_metrics.js';
 import type {CancelCause} from '../protocol/cancel_cause.js';
@@ -42,19 +40,6 @@
   });
 }
 
-/** Logs where the local upstream rejected a request that must not be repeated. */
-export function logOrderRejected(
-  log: DecisionLog,
-  {attemptId, upstreamId}: UpstreamRequest,
-  rejection: OrderRejection,
-): void {
-  log.logRequestEvent('order-rejected', {
-    requestId: attemptId,
-    upstream: upstreamId,
-    ...rejection,
-  });
-}
-
 /** Logs that a request is sent to another upstream. */
 export function logRetry(
   log: DecisionLog,
--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -48,7 +48,6 @@
   logCancelledRun,
   logNotExecuted,
   logNotRun,
-  logOrderRejected,
   logRetry,
 } from './attempt_logging.js';
 import type {CrashHandling} from './crash_handling.js';
@@ -57,6 +56,7 @@
 import type {QuotaHandling} from './quota_handling.js';
 import {startQuotaHandling} from './quota_handling.js';
 import {startRelayHandling} from './relay_handling.js';
+import {createUpstreamEvents} from './upstream_events.js';
 
 /** Dependencies of the exchanges. */
 export interface NodeExchangesOptions {
@@ -106,9 +106,7 @@
     upstream: settings().upstream,
     wireHeaders,
     nowMillis,
-    onOrderRejected: (request, rejection) => {
-      logOrderRejected(options.log, request, rejection);
-    },
+    ...createUpstreamEvents(options),
   });
   const startedListener = upstream.onStarted(sender.closeIdleConnections);
   const remote = createRemote(options, {
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -33,6 +33,10 @@
   recordCrashClearance(): void;
   /** Records a response whose body broke off after its header had been sent. */
   recordCutResponse(): void;
+  /** Records how a response of the local upstream without a length ended. */
+  recordUnframedEnd(end: 'closed' | 'reset'): void;
+  /** Records invalid bytes after a complete response of the local upstream. */
+  recordExcessBytes(): void;
   /** Records a request that arrived again with its id, and was not run again. */
   recordRepeatedOrder(at: 'entry' | 'upstream'): void;
   /** Records a request that did not run, because its connection closed before its turn. */
@@ -154,6 +158,16 @@
     'Responses that broke off after their header had been sent',
     [],
   );
+  const unframedResponses = counter(
+    'unframed_responses_total',
+    'Responses of the own upstream that ended with their connection',
+    ['end'],
+  );
+  const excessBytes = counter(
+    'excess_bytes_total',
+    'Responses of the own upstream that were followed by invalid bytes',
+    [],
+  );
   const repeatedOrders = counter(
     'orders_repeated_total',
     'Requests that arrived again with their id and were not run again',
@@ -248,6 +262,12 @@
     recordCutResponse: () => {
       cutResponses.inc();
     },
+    recordUnframedEnd: end => {
+      unframedResponses.inc({end});
+    },
+    recordExcessBytes: () => {
+      excessBytes.inc();
+    },
     recordRepeatedOrder: at => {
       repeatedOrders.inc({at});
     },
--- a/src/process/retries/failed_dispatches.ts
+++ b/src/process/retries/failed_dispatches.ts
@@ -1,19 +1,19 @@
 /**
- * Connections on which upstreams have rejected requests that must not be repeated. The id in
- * a rejection names the request, not its dispatch: once a connection has delivered one, a
- * second one with this id may be a late copy of it.
+ * Connections on which requests were rejected or failed. The id in a response names the
+ * request, not its dispatch: once a connection has delivered one, a second one with this id
+ * may be a late response to the first dispatch.
  *
- * Load pattern: all upstreams in reach reject a share of the requests, so that an order is
+ * Load pattern: all upstreams in reach reject a share of the requests, so that one is
  * dispatched to one of them again within milliseconds, on its most recently used connection.
  */
 
 import {ORDER_RETENTION_MILLIS} from './started_orders.js';
 
-/** Rejections by the id of their request. */
+/** Dispatches without success, by the id of their request. */
 export interface FailedDispatches {
-  /** Records that the request was rejected on a connection. */
+  /** Records that the request was rejected or failed on a connection. */
   add(attemptId: string, connectionId: number, deadlineMillis: number): void;
-  /** Connections on which the request was rejected. */
+  /** Connections on which the request was rejected or failed. */
   connectionIdsOf(attemptId: string): ReadonlySet<number>;
 }
 
@@ -25,8 +25,8 @@
 const NO_CONNECTIONS: ReadonlySet<number> = new Set();
 
 /**
- * Creates an empty registry. Memory is bounded by the rate of rejected orders and the
- * longest time for which one is remembered.
+ * Creates an empty registry. Memory is bounded by the rate of responses without success and
+ * the longest time for which one is remembered.
  */
 export function createFailedDispatches(
   nowMillis: () => number,
--- a/test/fakes/sender_fixture.ts
+++ b/test/fakes/sender_fixture.ts
@@ -9,7 +9,10 @@
 import {createCancelSource} from '../../src/base/cancel_signal.js';
 import type {UpstreamRequest} from '../../src/connection/upstream_request.js';
 import type {UpstreamResult} from '../../src/connection/upstream_result.js';
-import type {UpstreamSender} from '../../src/connection/upstream_sender.js';
+import type {
+  UpstreamSender,
+  UpstreamSenderEvents,
+} from '../../src/connection/upstream_sender.js';
 import {createUpstreamSender} from '../../src/connection/upstream_sender.js';
 import type {CancelCause} from '../../src/protocol/cancel_cause.js';
 import type {WireHeaders} from '../../src/protocol/wire_headers.js';
@@ -21,6 +24,8 @@
   readonly connectionsCount: number;
   /** Sends an order with this id. */
   send(attemptId: string): Promise<UpstreamResult>;
+  /** Sends a read with this id. */
+  sendRead(attemptId: string): Promise<UpstreamResult>;
 }
 
 /** Returns a request that must not be repeated. */
@@ -43,10 +48,20 @@
   };
 }
 
+/** Returns a request that may be repeated. */
+export function upstreamRead(attemptId: string): UpstreamRequest {
+  return upstreamOrder(attemptId, {
+    method: 'GET',
+    body: Buffer.alloc(0),
+    isRepeatable: true,
+  });
+}
+
 /** Starts a server without a handler, and a sender to it; both end with the test. */
 export async function startSenderFixture(
   t: ExecutionContext,
   wireHeaders: WireHeaders,
+  events: UpstreamSenderEvents = {},
 ): Promise<SenderFixture> {
   const server = createServer();
   let connectionsCount = 0;
@@ -60,6 +75,7 @@
     upstream: {address: '127.0.0.1', port},
     wireHeaders,
     nowMillis: () => performance.now(),
+    ...events,
   });
   t.teardown(() => {
     sender.dispose();
@@ -76,5 +92,9 @@
       new Promise(resolve => {
         sender.send(upstreamOrder(attemptId), resolve);
       }),
+    sendRead: attemptId =>
+      new Promise(resolve => {
+        sender.send(upstreamRead(attemptId), resolve);
+      }),
   };
 }
