Take a reset for what it is where a response has no length

Callers got part of a body as a complete response: a success with the upstream's signature, ended by a normal close for short bodies, in chunks with the last one for those over 64 KiB.

Cause: a response without a length ends with its connection, and the end was believed without evidence. Node.js reports an end without an error where the upstream has reset the connection right after it had written: the read that returns the last data does not fill its buffer, and the hang-up of the same poll counts as the end of the stream, so the error is never read. A system call trace shows one poll with the data, the error and the hang-up, and a single read. The error is reported only if the reset comes in a later poll, as in the tests so far.

The sender now asks at the end of such a connection whether it was reset, in the same turn, before Node.js completes the message: the system no longer knows the peer of a connection that was reset. A reset fails the message, so a short body counts as lost and may be retried, and a long one is cut for the client as well.

--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -122,9 +122,10 @@
     });
   });
   request.on('error', error => {
-    // Invalid bytes after a complete response belong to no request.
     if (receivedMessage?.complete === true) {
-      outgoing.onExcessBytes?.(receivedMessage.socket);
+      // Invalid bytes after a complete response belong to no request.
+      const isIntact = receivedMessage.errored === null;
+      if (isIntact) outgoing.onExcessBytes?.(receivedMessage.socket);
       return;
     }
     // Without a length, a reset looks like a normal end of the body: the client
@@ -150,6 +151,7 @@
     if (isUnframed(message)) {
       onConnectionEnd(connection, end => {
         outgoing.onUnframedEnd?.(connection, end);
+        if (end === 'reset') message.destroy(new Error('connection reset'));
       });
     }
     const discardConnection = (): void => {
