Send long responses without a length once their end is known

Callers got part of a body, over 64 KiB, as a complete response in chunks, where an upstream that sends no length had closed its connection within the body.

Cause: the close of its connection marks the end of such a response, and an upstream that breaks off or is killed closes it in the same way. Chunks were chosen so that the end of this process would not look like the end of the response; their last chunk made a definite end out of one that may be none.

A response without a length is now received completely, up to 1 MiB each and 16 MiB at a time, before it is sent. It can then be written at once and ends as it came, by a close, which claims no more than the upstream's own. If it is reset or its node is lost meanwhile, its client gets 502 in place of part of a body. Beyond the limits, or at the deadline of the request, it is sent on in chunks as before.

The test of a reset within a long body asks for 3 MB instead of 140 KB: it is about a response that is under way to its client, which shorter ones no longer are until their end is known. What it asserts is unchanged.

--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -9,6 +9,7 @@
   RemoteExecutionOptions,
 } from '../connection/remote_execution.js';
 import {createRemoteExecution} from '../connection/remote_execution.js';
+import {createUnframedBodies} from '../connection/unframed_bodies.js';
 import {createUpstreamSender} from '../connection/upstream_sender.js';
 import type {StartedOrders} from '../process/retries/started_orders.js';
 import {
@@ -184,6 +185,7 @@
     open,
     startedOrders: createStartedOrdersFor(wireHeaders, nowMillis),
     stop: options.stop,
+    unframedBodies: createUnframedBodies(nowMillis),
     ownService: () => settings().service,
     entryAdmission: createEntryAdmission(components.loadTable, service =>
       components.directory
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -7,6 +7,7 @@
 import type {HttpExchange} from '../connection/http_listener.js';
 import {forwardedHeaders} from '../connection/raw_headers.js';
 import {readRequestBody} from '../connection/request_body.js';
+import type {UnframedBodies} from '../connection/unframed_bodies.js';
 import type {CallTrees} from '../process/admission/call_trees.js';
 import {downstreamCallCounts} from '../process/admission/call_trees.js';
 import type {ConfigurationHolder} from '../process/membership/configuration_holder.js';
@@ -39,6 +40,7 @@
 import type {OrderEntryOptions} from './order_entry.js';
 import {awaitTurn, beginOrder} from './order_entry.js';
 import {routeRequest} from './request_routing.js';
+import {completeResponse} from './response_completion.js';
 
 /** Handles requests that enter here. */
 export interface OutboundExchanges {
@@ -64,6 +66,7 @@
   readonly attempts: AttemptRunner;
   readonly responder: EntryResponder;
   readonly open: OpenRequests;
+  readonly unframedBodies: UnframedBodies;
   readonly nowMillis: () => number;
 }
 
@@ -238,10 +241,15 @@
   const cancelListener = exchange.cancel.onCancel(source.cancel);
   const timer = startDeadline(options, entered, source);
   const call = createCall(options, entered, {headers, body, source});
-  const result = await options.attempts.run({route, service, call});
+  const attempted = await options.attempts.run({route, service, call});
   clearTimeout(timer);
   cancelListener.dispose();
   options.open.delete(entered);
+  const result = await completeResponse(
+    options.unframedBodies,
+    entered,
+    attempted,
+  );
   recordCallTree(options, entered, result);
   if (!result.mayHaveRun) {
     options.startedOrders.release(entered.attemptId);
--- a/test/contract/platform_connection_ends.test.ts
+++ b/test/contract/platform_connection_ends.test.ts
@@ -66,5 +66,5 @@
   t.is(errorCode, 'ECONNRESET');
 });
 
-/** Longer than a response that a node buffers completely. */
-const LONG_BYTES = 140_000;
+/** Longer than a response that a node receives completely before it sends it. */
+const LONG_BYTES = 3_000_000;
--- a/test/fakes/pipelining_client.ts
+++ b/test/fakes/pipelining_client.ts
@@ -4,7 +4,9 @@
  */
 import {once} from 'node:events';
 import net from 'node:net';
+import {onConnectionEnd} from '../../src/connection/connection_end.js';
 import {FLEET_HOST_NAME} from './fleet_client.js';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {ResponseHead} from './response_reader.js';
 import {createResponseReader} from './response_reader.js';
 
@@ -17,7 +19,12 @@
 }
 
 export type PipelinedOutcome =
-  | {readonly kind: 'answered'; readonly head: ResponseHead}
+  | {
+      readonly kind: 'answered';
+      readonly head: ResponseHead;
+      /** As Latin-1. */
+      readonly body: string;
+    }
   /** A response before this one closed the connection: the request counts as not read. */
   | {readonly kind: 'unread'}
   /** The connection was lost; the request may have run. */
@@ -26,10 +33,14 @@
 /** One connection of a client. */
 export interface PipeliningClient {
   readonly isOpen: boolean;
+  /** Responses, or parts of them, for which no request was waiting. */
+  readonly excessCount: number;
   /** Sends the requests in one write; resolves once the outcome of each is known. */
   send(
     requests: readonly PipelinedRequest[],
   ): Promise<readonly PipelinedOutcome[]>;
+  /** Reads nothing for this long. */
+  pause(millis: number): Promise<void>;
   close(): void;
 }
 
@@ -45,6 +56,7 @@
   const socket = net.connect(port, address);
   const pending: PendingRequest[] = [];
   let hasClosingResponse = false;
+  let excessCount = 0;
 
   const endAll = (): void => {
     const isBehindResponse = hasClosingResponse || reader.isWithinResponse;
@@ -54,15 +66,20 @@
     }
   };
   const reader = createResponseReader({
-    onResponse: head => {
-      pending.shift()?.resolve({kind: 'answered', head});
+    onResponse: (head, body) => {
+      const request = pending.shift();
+      if (request === undefined) excessCount += 1;
+      request?.resolve({kind: 'answered', head, body});
       if (!head.closesConnection) return;
       hasClosingResponse = true;
       socket.destroy();
     },
   });
   socket.on('data', reader.push);
-  socket.on('end', reader.end);
+  // Node.js may report a reset as an end.
+  onConnectionEnd(socket, end => {
+    if (end === 'closed') reader.end();
+  });
   socket.on('error', () => undefined);
   socket.on('close', endAll);
   await once(socket, 'connect');
@@ -70,6 +87,14 @@
     get isOpen() {
       return !socket.destroyed && socket.writable && !hasClosingResponse;
     },
+    get excessCount() {
+      return excessCount;
+    },
+    pause: async millis => {
+      socket.pause();
+      await sleep(millis);
+      socket.resume();
+    },
     send: requests => {
       const outcomes = requests.map(
         () =>
--- a/test/fakes/response_reader.ts
+++ b/test/fakes/response_reader.ts
@@ -1,5 +1,5 @@
 /**
- * Incremental reader of HTTP responses, for clients on raw sockets. Bodies are discarded.
+ * Incremental reader of HTTP responses, for clients on raw sockets.
  */
 
 export interface ResponseHead {
@@ -8,8 +8,12 @@
   readonly headers: ReadonlyMap<string, string>;
   /** The connection ends after this response. */
   readonly closesConnection: boolean;
+  /** How the end of the body is marked. */
+  readonly form: BodyForm;
 }
 
+export type BodyForm = 'chunked' | 'counted' | 'until-close';
+
 export interface ResponseReader {
   /** The head of a response has arrived, and its body has not ended. */
   readonly isWithinResponse: boolean;
@@ -19,15 +23,18 @@
 }
 
 export interface ResponseReaderOptions {
-  /** Called when a response is complete. */
-  readonly onResponse: (head: ResponseHead) => void;
+  /** Called when a response is complete, with its body as Latin-1. */
+  readonly onResponse: (head: ResponseHead, body: string) => void;
 }
 
 interface ResponseInProgress {
   readonly head: ResponseHead;
-  readonly form: 'chunked' | 'counted' | 'until-close';
-  /** Bytes to discard before the end of the body or of the current chunk. */
+  /** Parts of the body that have been read. */
+  readonly parts: string[];
+  /** Bytes before the end of the body or of the current chunk. */
   remainingBytes: number;
+  /** Bytes of the line end after the current chunk. */
+  lineEndBytes: number;
 }
 
 const HEAD_END = '\r\n\r\n';
@@ -42,15 +49,21 @@
   let current: ResponseInProgress | undefined;
 
   const finish = (): void => {
-    const {head} = current!;
+    const {head, parts} = current!;
     current = undefined;
-    onResponse(head);
+    onResponse(head, parts.join(''));
   };
-  const discard = (): boolean => {
-    const bytes = Math.min(current!.remainingBytes, text.length);
-    text = text.slice(bytes);
-    current!.remainingBytes -= bytes;
-    return current!.remainingBytes === 0;
+  /** Returns whether the body, or the current chunk, has ended. */
+  const readBody = (): boolean => {
+    const {remainingBytes, lineEndBytes} = current!;
+    const bodyBytes = Math.min(remainingBytes, text.length);
+    if (bodyBytes > 0) current!.parts.push(text.slice(0, bodyBytes));
+    text = text.slice(bodyBytes);
+    current!.remainingBytes -= bodyBytes;
+    if (current!.remainingBytes > 0 || text.length < lineEndBytes) return false;
+    text = text.slice(lineEndBytes);
+    current!.lineEndBytes = 0;
+    return true;
   };
   const readChunkSize = (): boolean => {
     const end = text.indexOf(LINE_END);
@@ -58,7 +71,8 @@
     const size = Number.parseInt(text.slice(0, end), HEX);
     text = text.slice(end + LINE_END.length);
     if (size > 0) {
-      current!.remainingBytes = size + LINE_END.length;
+      current!.remainingBytes = size;
+      current!.lineEndBytes = LINE_END.length;
       return true;
     }
     text = text.slice(LINE_END.length);
@@ -76,9 +90,14 @@
   /** Returns whether there may be more to read. */
   const step = (): boolean => {
     if (current === undefined) return readHead();
-    if (current.form === 'until-close') return false;
-    if (!discard()) return false;
-    if (current.form === 'chunked') return readChunkSize();
+    const {form} = current.head;
+    if (form === 'until-close') {
+      current.parts.push(text);
+      text = '';
+      return false;
+    }
+    if (!readBody()) return false;
+    if (form === 'chunked') return readChunkSize();
     finish();
     return true;
   };
@@ -91,7 +110,7 @@
       while (step());
     },
     end: () => {
-      if (current?.form === 'until-close') finish();
+      if (current?.head.form === 'until-close') finish();
     },
   };
 }
@@ -119,8 +138,9 @@
     form === 'until-close' ||
     headers.get('connection')?.toLowerCase() === 'close';
   return {
-    head: {statusCode, headers, closesConnection},
-    form,
+    head: {statusCode, headers, closesConnection, form},
+    parts: [],
     remainingBytes: form === 'counted' ? Number(length) : 0,
+    lineEndBytes: 0,
   };
 }
