--- a/test/fakes/order_soak.ts
+++ b/test/fakes/order_soak.ts
@@ -169,7 +169,8 @@
   return sentAgainCount;
 }
 
-async function injectFaults(
+/** Injects faults into nodes, upstreams and links until the end. */
+export async function injectFaults(
   fleet: ProcessFleet,
   random: () => number,
   endMillis: number,
