Treat responses in a coding other than chunks as ended by their connection

Callers got part of a body with a length of its own, as a complete response, where an upstream sent 'Transfer-Encoding: identity' and broke off; and encoded bytes as the body where it sent 'gzip, chunked'.

Cause: any transfer coding counted as a framing that marks the end of the body, but only chunks do, and only if they are the last coding; others are not decoded here, and the header that names them is not sent on.

Such a response now counts as one without a length, and as broken if it is encoded. Three tests of platform_responses fail before, and pass now with the 14 others.

--- a/src/connection/received_response.ts
+++ b/src/connection/received_response.ts
@@ -86,12 +86,20 @@
 /** Whether only the close of the connection marks the end of the body. */
 export function isUnframed(message: IncomingMessage): boolean {
   const {headers} = message;
+  const codings = parseTransferCodings(headers['transfer-encoding']);
   return (
-    headers['content-length'] === undefined &&
-    headers['transfer-encoding'] === undefined
+    headers['content-length'] === undefined && codings.at(-1) !== 'chunked'
   );
 }
 
+/** Names of the transfer codings, in the order in which they were applied. */
+export function parseTransferCodings(
+  header: string | undefined,
+): readonly string[] {
+  if (header === undefined) return [];
+  return header.split(',').map(coding => coding.trim().toLowerCase());
+}
+
 /** Value of a header; `undefined` if absent. */
 export function findHeader(
   headers: RawHeaders,
--- a/src/connection/upstream_result.ts
+++ b/src/connection/upstream_result.ts
@@ -7,8 +7,9 @@
 import type {Announcements} from './announcements.js';
 import {decodeAnnouncements} from './announcements.js';
 import type {ConnectionIds} from './connection_ids.js';
+import type {RawHeaders} from './raw_headers.js';
 import type {ReceivedResponse} from './received_response.js';
-import {findHeader} from './received_response.js';
+import {findHeader, parseTransferCodings} from './received_response.js';
 import type {SendResult} from './send_request.js';
 import type {UpstreamRequest} from './upstream_request.js';
 
@@ -72,6 +73,8 @@
 
 const STATUS_MISDIRECTED = 421;
 
+const DECODED_CODINGS: ReadonlySet<string> = new Set(['chunked', 'identity']);
+
 /** Statuses from this one on are no success. */
 const MIN_FAILURE_STATUS = 400;
 
@@ -196,6 +199,14 @@
   return findHeader(headers, wireHeaders.attemptId) === attemptId;
 }
 
+/** Whether the body is in a coding other than the framing, which is not decoded here. */
+function hasUndecodedCoding(headers: RawHeaders): boolean {
+  const codings = parseTransferCodings(
+    findHeader(headers, 'transfer-encoding'),
+  );
+  return codings.some(coding => !DECODED_CODINGS.has(coding));
+}
+
 /**
  * Whether the response does not belong to this request. A faulty upstream may
  * send a second response late, which is then read as the response to the next
@@ -210,6 +221,7 @@
   const echoedId = findHeader(headers, wireHeaders.attemptId);
   if (echoedId !== undefined && echoedId !== request.attemptId) return true;
   if (findHeader(headers, 'content-encoding') !== undefined) return true;
+  if (hasUndecodedCoding(headers)) return true;
   const isSuccess = statusCode >= 200 && statusCode < 300;
   if (!isSuccess || wireHeaders.signature === undefined) return false;
   return (
--- a/test/contract/platform_responses.test.ts
+++ b/test/contract/platform_responses.test.ts
@@ -101,6 +101,11 @@
     bytes: id =>
       `HTTP/1.1 200 OK\r\nattempt-id: ${id}\r\nresponse-signature: s\r\ncontent-encoding: gzip\r\ncontent-length: 2\r\n\r\nok`,
   },
+  {
+    title: 'a transfer coding that nodes do not decode',
+    bytes: id =>
+      `HTTP/1.1 200 OK\r\nattempt-id: ${id}\r\nresponse-signature: s\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n`,
+  },
   {
     title: 'the id of another request',
     bytes: () =>
@@ -176,28 +181,38 @@
   t.regex(metrics, /orders_not_run_total\{evidence="rejected"\} 1\b/);
 });
 
+const UNFRAMED_RESPONSES = [
+  {title: 'no framing', line: ''},
+  {
+    title: 'identity as transfer coding',
+    line: 'transfer-encoding: identity\r\n',
+  },
+] as const;
+
 for (const [title, services] of [
   ['local upstream', ['orders']],
   ['forwarded to another node', ['atlas', 'orders']],
 ] as const) {
-  test(`a response without a length is forwarded without one: ${title}`, async t => {
-    // Guards against a truncated map that looks complete: the upstream sends no length and
-    // crashes midway, its connection closes as after a complete response, and the node
-    // added the length of what it had received.
-    const fleet = await startFleet(t, {services, paths: [SAFE_PATH]});
-    const orders = fleet.hosts.at(-1)!;
-    orders.upstream.setHandler(({attemptId, socket}) => {
-      socket.end(
-        `HTTP/1.1 200 OK\r\nattempt-id: ${attemptId}\r\nresponse-signature: s\r\n\r\nhalf`,
-      );
-    });
-    const answer = await fleet.send(fleet.hosts[0]!, {
-      attemptId: 'c1',
-      path: '/a/1',
+  for (const {title: framingTitle, line} of UNFRAMED_RESPONSES) {
+    test(`a response without a length is forwarded without one: ${title}, ${framingTitle}`, async t => {
+      // Guards against a truncated map that looks complete: the upstream sends no length and
+      // crashes midway, its connection closes as after a complete response, and the node
+      // added the length of what it had received.
+      const fleet = await startFleet(t, {services, paths: [SAFE_PATH]});
+      const orders = fleet.hosts.at(-1)!;
+      orders.upstream.setHandler(({attemptId, socket}) => {
+        socket.end(
+          `HTTP/1.1 200 OK\r\nattempt-id: ${attemptId}\r\nresponse-signature: s\r\n${line}\r\nhalf`,
+        );
+      });
+      const answer = await fleet.send(fleet.hosts[0]!, {
+        attemptId: 'c1',
+        path: '/a/1',
+      });
+      t.is(answer.body, 'half');
+      t.is(answer.headers['content-length'], undefined);
+      t.is(answer.headers['transfer-encoding'], undefined);
+      t.is(answer.headers.connection, 'close');
     });
-    t.is(answer.body, 'half');
-    t.is(answer.headers['content-length'], undefined);
-    t.is(answer.headers['transfer-encoding'], undefined);
-    t.is(answer.headers.connection, 'close');
-  });
+  }
 }
