Stop listening for the end of a connection once its response has closed

A response without a body and length, such as 204, leaves its connection open; the listener that reports how a response without a length ended stayed on it, one for each such response, and reported them all when the connection closed. The test failed before.

--- a/src/connection/connection_end.ts
+++ b/src/connection/connection_end.ts
@@ -5,6 +5,8 @@
  * returns the data, and the hang-up of the same poll counts as the end of the stream.
  */
 import type {Socket} from 'node:net';
+import type {Disposable} from '../base/lifecycle.js';
+import {toDisposable} from '../base/lifecycle.js';
 
 export type ConnectionEnd =
   /** The peer has closed its sending side. */
@@ -16,9 +18,13 @@
 export function onConnectionEnd(
   connection: Socket,
   listener: (end: ConnectionEnd) => void,
-): void {
-  connection.prependOnceListener('end', () => {
+): Disposable {
+  const onEnd = (): void => {
     listener(hasPeer(connection) ? 'closed' : 'reset');
+  };
+  connection.prependOnceListener('end', onEnd);
+  return toDisposable(() => {
+    connection.removeListener('end', onEnd);
   });
 }
 
--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -149,10 +149,12 @@
       });
     }
     if (isUnframed(message)) {
-      onConnectionEnd(connection, end => {
+      const endListener = onConnectionEnd(connection, end => {
         outgoing.onUnframedEnd?.(connection, end);
         if (end === 'reset') message.destroy(new Error('connection reset'));
       });
+      // A response without a body leaves its connection open.
+      message.once('close', endListener.dispose);
     }
     const discardConnection = (): void => {
       request.destroy();
--- a/test/unit/connection/upstream_connection_events.test.ts
+++ b/test/unit/connection/upstream_connection_events.test.ts
@@ -2,6 +2,7 @@
  * Events of the connections to an upstream that explain what its responses are.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import test from 'ava';
 import type {RepeatedDispatch} from '../../../src/connection/upstream_result.js';
 import type {EndedResponse} from '../../../src/connection/upstream_sender.js';
@@ -31,6 +32,30 @@
   });
 }
 
+test('a response without a body does not end with its connection', async t => {
+  // Guards against lines and listeners that kept connections collect.
+  const reported: EndedResponse[] = [];
+  const fixture = await startSenderFixture(t, FULMARHOLLOW_HEADERS, {
+    onUnframedEnd: (_request, ended) => reported.push(ended),
+  });
+  const sockets = new Set<Socket>();
+  fixture.server.on(
+    'request',
+    ({socket}: IncomingMessage, response: ServerResponse) => {
+      sockets.add(socket);
+      response.writeHead(204).end();
+    },
+  );
+  await fixture.sendRead('r1');
+  await fixture.sendRead('r2');
+  t.is(fixture.connectionsCount, 1);
+  for (const socket of sockets) socket.end();
+  await waitUntil('closed', () =>
+    [...sockets].every(({destroyed}) => destroyed),
+  );
+  t.deepEqual(reported, []);
+});
+
 test('invalid bytes after a complete response are reported', async t => {
   // Guards against a response that a second one has filled up, without a line.
   const connectionIds: number[] = [];
