Test resets of long responses while they are under way to their clients

The tests of an order behind a response that is reset, and of a stop within one, are about a client that has part of a response without a length. Both send 3 MB now, and assert what they did. The shorter case has a test of its own: 502, and the order is served.

--- a/test/contract/platform_pipelined_orders.test.ts
+++ b/test/contract/platform_pipelined_orders.test.ts
@@ -38,6 +38,9 @@
 /** Longer than a response that a node buffers completely. */
 const LONG_BODY = 'x'.repeat(140_000);
 
+/** Longer than a response without a length that a node receives before it sends it. */
+const UNDER_WAY_BODY = 'x'.repeat(3_000_000);
+
 /** Time from a request to its response; enough for the order behind it to arrive. */
 const WORK_MILLIS = 150;
 
@@ -63,12 +66,14 @@
   );
 }
 
-function resetWithinLongBody(request: ReceivedRequest): void {
-  const {socket} = request;
-  socket.write(`${headOf(request)}\r\n${LONG_BODY}`);
-  setTimeout(() => {
-    socket.resetAndDestroy();
-  }, WORK_MILLIS);
+function resetWithin(body: string): UpstreamHandler {
+  return request => {
+    const {socket} = request;
+    socket.write(`${headOf(request)}\r\n${body}`);
+    setTimeout(() => {
+      socket.resetAndDestroy();
+    }, WORK_MILLIS);
+  };
 }
 
 /** A fleet whose upstream responds to reads late, with this handler. */
@@ -127,7 +132,7 @@
 for (const [title, respondToRead, readOutcome] of [
   ['has no length', respondWithoutLength, '200'],
   ['breaks off', breakOffLongBody, 'lost'],
-  ['is reset', resetWithinLongBody, 'lost'],
+  ['is reset', resetWithin(UNDER_WAY_BODY), 'lost'],
 ] as const) {
   test(`an order behind a response that ${title} runs once when sent again`, async t => {
     // Guards against an order that runs although its client must take it for unread: the
@@ -146,6 +151,14 @@
   });
 }
 
+test('an order behind a response that is reset before it is sent is served', async t => {
+  // Guards against a connection that closes for a response of which nothing has been sent.
+  const fleet = await startReadingFleet(t, resetWithin(LONG_BODY));
+  const outcomes = await sendAtOnce(fleet, [READ, order('order-1')]);
+  t.deepEqual(outcomes, ['502', '200']);
+  t.deepEqual(runCounts(fleet), {'order-1': 1});
+});
+
 test('an order behind a response that leaves the connection open is served', async t => {
   const fleet = await startReadingFleet(t, request => {
     request.respond(200, 'served');
--- a/test/contract/platform_stop_responses.test.ts
+++ b/test/contract/platform_stop_responses.test.ts
@@ -7,8 +7,8 @@
 import {startFleet} from '../fakes/test_fleet.js';
 import {waitUntil} from '../fakes/wait_until.js';
 
-/** Longer than the responses that a node buffers completely. */
-const LONG_BYTES = 140_000;
+/** Longer than a response that a node receives completely before it sends it. */
+const LONG_BYTES = 3_000_000;
 
 const OWN_PATH = createPath({name: 'r-3', prefix: '/own/', service: 'shop'});
 
