Deliver what a relay of the tests holds back only once

The relay between nodes repeated what it forwarded once two overlapping holds of the same node had been released: it piped the source a second time. Frames that arrive twice repeat the rest of a long body, and its client reads as far as the length says.

Traced with one read of 70,000 bytes whose rest follows later: with one hold the body arrives as sent, with two at once and two releases it is altered, each tried once.

Holds are counted now. The test delivered 'abbcc' before in place of 'abc'. The soak is as strict as it was, and says from which byte on a body differs.

--- a/test/fakes/hop_links.ts
+++ b/test/fakes/hop_links.ts
@@ -25,7 +25,7 @@
   restore(hostIndex: number): void;
   /** Holds back what other nodes send to a node; what it sends arrives. */
   holdIncoming(hostIndex: number): void;
-  /** Delivers what was held back. */
+  /** Ends one `holdIncoming`; what was held back is delivered with the last one. */
   releaseIncoming(hostIndex: number): void;
   close(): void;
 }
@@ -40,7 +40,8 @@
   links: readonly HopLink[],
 ): Promise<HopLinks> {
   const cutIndexes = new Set<number>();
-  const heldIndexes = new Set<number>();
+  /** How often what other nodes send to a node is held back at once, by its index. */
+  const holdCounts = new Map<number, number>();
   /** Sources of the data for a node, by its index. */
   const sources = new Map<Socket, SourceOfData>();
   const sockets = new Map<Socket, HopLink>();
@@ -60,7 +61,7 @@
   };
   const forward = (from: Socket, to: Socket, receiverIndex: number): void => {
     sources.set(from, {receiver: to, receiverIndex});
-    if (!heldIndexes.has(receiverIndex)) from.pipe(to);
+    if (!holdCounts.has(receiverIndex)) from.pipe(to);
     from.on('close', hasError => {
       sources.delete(from);
       if (hasError) to.resetAndDestroy();
@@ -97,13 +98,21 @@
       resetAll(hostIndex);
     },
     holdIncoming: hostIndex => {
-      heldIndexes.add(hostIndex);
+      const holdCount = holdCounts.get(hostIndex) ?? 0;
+      holdCounts.set(hostIndex, holdCount + 1);
+      if (holdCount > 0) return;
       for (const [source, {receiver, receiverIndex}] of sources) {
         if (receiverIndex === hostIndex) source.unpipe(receiver);
       }
     },
     releaseIncoming: hostIndex => {
-      heldIndexes.delete(hostIndex);
+      const holdCount = holdCounts.get(hostIndex) ?? 0;
+      if (holdCount > 1) {
+        holdCounts.set(hostIndex, holdCount - 1);
+        return;
+      }
+      // A source that is piped twice delivers everything twice.
+      if (!holdCounts.delete(hostIndex)) return;
       for (const [source, {receiver, receiverIndex}] of sources) {
         if (receiverIndex === hostIndex) source.pipe(receiver);
       }
--- a/test/fakes/response_soak.ts
+++ b/test/fakes/response_soak.ts
@@ -119,10 +119,23 @@
   if (isAsCut) return [];
   return describe(
     `${String(sent.body.length)} bytes sent` +
-      (sent.isCutByClose ? ', closed before the end' : ''),
+      (sent.isCutByClose ? ', closed before the end' : '') +
+      describeDifference(sent.body, body),
   );
 }
 
+const SHOWN_BYTES = 80;
+
+function describeDifference(sent: string, received: string): string {
+  let offset = 0;
+  while (offset < received.length && sent[offset] === received[offset]) {
+    offset += 1;
+  }
+  if (offset === received.length) return '';
+  const bytes = JSON.stringify(received.slice(offset, offset + SHOWN_BYTES));
+  return `, differs from byte ${String(offset)} on: ${bytes}`;
+}
+
 interface ClientOptions {
   readonly name: string;
   readonly nodeIndex: number;
