--- a/src/connection/connection_end.ts
+++ b/src/connection/connection_end.ts
@@ -14,7 +14,7 @@
   /** The connection was reset; data may be missing. */
   | 'reset';
 
-/** Calls the listener when the connection ends, before its other listeners do. */
+/** Calls the listener when the connection ends, before other listeners of that event. */
 export function onConnectionEnd(
   connection: Socket,
   listener: (end: ConnectionEnd) => void,
--- a/src/connection/unframed_bodies.ts
+++ b/src/connection/unframed_bodies.ts
@@ -54,25 +54,27 @@
         }
         const chunks = [received.bodyStart];
         let bodyBytes = 0;
+        let isReleased = false;
         response.once('close', () => {
+          isReleased = true;
           totalBytes -= bodyBytes;
-          bodyBytes = 0;
         });
 
-        const stop = (): Buffer => {
+        const stop = (): void => {
           clearTimeout(timer);
           cancelListener.dispose();
           bodyRest.removeListener('data', onData);
           bodyRest.removeListener('end', onEnd);
           bodyRest.removeListener('error', onAborted);
           bodyRest.removeListener('close', onAborted);
-          return Buffer.concat(chunks);
         };
         const sendOnAsStream = (): void => {
           bodyRest.pause();
-          resolve({...received, bodyStart: stop()});
+          stop();
+          resolve({...received, bodyStart: Buffer.concat(chunks)});
         };
         const onData = (chunk: Buffer): void => {
+          if (isReleased) return;
           chunks.push(chunk);
           bodyBytes += chunk.length;
           totalBytes += chunk.length;
@@ -81,7 +83,9 @@
           if (isOverLimit) sendOnAsStream();
         };
         const onEnd = (): void => {
-          resolve({...received, bodyStart: stop(), bodyRest: undefined});
+          stop();
+          const bodyStart = Buffer.concat(chunks);
+          resolve({...received, bodyStart, bodyRest: undefined});
         };
         const onAborted = (): void => {
           stop();
