--- a/test/fakes/pipelining_client.ts
+++ b/test/fakes/pipelining_client.ts
@@ -33,6 +33,7 @@
 /** One connection of a client. */
 export interface PipeliningClient {
   readonly isOpen: boolean;
+  readonly receivedBytes: number;
   /** Responses, or parts of them, for which no request was waiting. */
   readonly excessCount: number;
   /** Sends the requests in one write; resolves once the outcome of each is known. */
@@ -87,6 +88,9 @@
     get isOpen() {
       return !socket.destroyed && socket.writable && !hasClosingResponse;
     },
+    get receivedBytes() {
+      return socket.bytesRead;
+    },
     get excessCount() {
       return excessCount;
     },
