Tell resets from closes in the soak of responses

A response without a length that its upstream resets was recorded as one that it closes, so that a short one could end early without being reported. On the soak now fails with parts of 31 bytes to 364 KB that end as complete, after resets as after closes.

--- a/test/fakes/response_upstreams.ts
+++ b/test/fakes/response_upstreams.ts
@@ -200,8 +200,10 @@
   if (end === 'reset later' || end === 'copy later') {
     await sleep(random() * MAX_LATE_MILLIS);
   }
-  if (end === 'reset' || end === 'reset later') socket.resetAndDestroy();
-  else if (end === 'close' || framing === 'none') socket.end();
+  if (end === 'reset' || end === 'reset later') {
+    if (!socket.destroyed) sent.isCutByClose = false;
+    socket.resetAndDestroy();
+  } else if (end === 'close' || framing === 'none') socket.end();
   else if (end !== 'whole') writeBetweenResponses(socket, bytes);
 }
 
