--- a/test/fakes/response_upstreams.ts
+++ b/test/fakes/response_upstreams.ts
@@ -182,6 +182,7 @@
     ? headBytes + Math.floor(random() * bodyBytes)
     : bytes.length;
   if (framing === 'none') {
+    // Until all of it is written, a restart of the upstream cuts it by a close.
     sent.isCutByClose = true;
     socket.once('finish', () => {
       sent.isCutByClose = end === 'close';
