Release answered hops while their responses are kept

The registry now keeps the response only, and the listener sends it when it is claimed. Removed: the response in the state of the hop, and the branch of a hop that is resumed after its answer, which no claim reaches.

Test: 'an answered hop is released while its response is kept' (a weak reference; the code before keeps the hop in its entry, read, not run: the signature of end() differs).

--- a/src/connection/hop_listener.ts
+++ b/src/connection/hop_listener.ts
@@ -171,8 +171,8 @@
       channel: openChannel(channelId),
       bodyBytes: options.bodyBytes,
       nowMillis: options.nowMillis,
-      onAnswered: (keptBytes, keptMillis) => {
-        state.incomingHops.end(hopId, keptBytes, keptMillis);
+      onAnswered: (response, keptMillis) => {
+        state.incomingHops.end(hopId, response, keptMillis);
       },
       onDone: () => {
         state.busyCount -= 1;
@@ -219,11 +219,14 @@
     const {channelId} = frame;
     const claimed = state.incomingHops.claim(frame.payload.toString());
     connection.send(FRAME_KIND.claimed, channelId, Buffer.from(claimed.state));
-    if (claimed.state === 'unknown' || claimed.state === 'gone') return;
+    if (claimed.state === 'finished') {
+      connection.send(FRAME_KIND.answer, channelId, claimed.response);
+      return;
+    }
+    if (claimed.state !== 'working') return;
     const {request, receivedBodyBytes} = claimed.hop;
     channels.set(channelId, claimed.hop);
     claimed.hop.attach(openChannel(channelId));
-    if (claimed.state !== 'working') return;
     const {attemptId} = request;
     options.onResumed({attemptId, peer, receivedBodyBytes});
   };
--- a/src/connection/incoming_hop.ts
+++ b/src/connection/incoming_hop.ts
@@ -84,10 +84,10 @@
   readonly bodyBytes: () => number;
   readonly nowMillis: () => number;
   /**
-   * The response was produced; this many bytes of it are cached for a resend, for
-   * longer than usual if a time is given.
+   * The response was produced; it may be sent again if it is given, for longer than
+   * usual if a time is given.
    */
-  readonly onAnswered: (keptBytes: number, keptMillis?: number) => void;
+  readonly onAnswered: (response?: Buffer, keptMillis?: number) => void;
   /** Nothing is left to send. */
   readonly onDone: () => void;
 }
@@ -105,7 +105,6 @@
   const source = createCancelSource<CancelCause>();
   let channel: HopChannel | undefined = options.channel;
   let reconnectTimer: NodeJS.Timeout | undefined;
-  let cachedResponse: Buffer | undefined;
   let bodyRestSender: BodyRestSender | undefined;
   let isAnswered = false;
   const deadlineMillis = options.nowMillis() + request.leftMillis;
@@ -153,7 +152,7 @@
       Buffer.from(GONE),
     );
     closeChannel();
-    options.onAnswered(0);
+    options.onAnswered();
     options.onDone();
   };
   const sendResponse = (payload: Buffer): void => {
@@ -209,26 +208,20 @@
       );
       sendResponse(payload);
       if (received?.bodyRest !== undefined) {
-        options.onAnswered(0);
+        options.onAnswered();
         sendBodyRest(received);
         return;
       }
       const keptMillis = responseRetentionMillis();
       closeChannel();
-      cachedResponse = payload;
       bodyChunks = [];
-      options.onAnswered(payload.length, keptMillis);
+      options.onAnswered(payload, keptMillis);
       options.onDone();
     },
     attach: next => {
       clearTimeout(reconnectTimer);
       closeChannel();
       channel = next;
-      if (isAnswered) {
-        if (cachedResponse !== undefined) sendResponse(cachedResponse);
-        closeChannel();
-        return;
-      }
       if (isSenderLost() || isBodyComplete || !isBodyRequested) return;
       // Chunks from the previous connection may be incomplete.
       bodyChunks = [];
--- a/src/connection/received_response.ts
+++ b/src/connection/received_response.ts
@@ -86,10 +86,9 @@
 /** Whether only the close of the connection marks the end of the body. */
 export function isUnframed(message: IncomingMessage): boolean {
   const {headers} = message;
+  if (headers['content-length'] !== undefined) return false;
   const codings = parseTransferCodings(headers['transfer-encoding']);
-  return (
-    headers['content-length'] === undefined && codings.at(-1) !== 'chunked'
-  );
+  return codings.at(-1) !== 'chunked';
 }
 
 /** Names of the transfer codings, in the order in which they were applied. */
--- a/src/process/retries/hop_registry.ts
+++ b/src/process/retries/hop_registry.ts
@@ -10,7 +10,8 @@
 export type HopClaim<T> =
   /** The hop has not arrived, and will be refused if it arrives later. */
   | {readonly state: 'unknown'}
-  | {readonly state: 'working' | 'finished'; readonly hop: T}
+  | {readonly state: 'working'; readonly hop: T}
+  | {readonly state: 'finished'; readonly response: Buffer}
   /** The hop was answered; its response was not retained or has been evicted. */
   | {readonly state: 'gone'};
 
@@ -22,10 +23,10 @@
    */
   begin(hopId: string, hop: T, claimableUntilMillis: number): boolean;
   /**
-   * Records a response, of which `keptBytes` are kept for a claim; by default for
-   * `RESPONSE_RETENTION_MILLIS`.
+   * Records the end of a hop and releases it. Its response is kept for a claim, by
+   * default for `RESPONSE_RETENTION_MILLIS`, unless there is none to send again.
    */
-  end(hopId: string, keptBytes: number, keptMillis?: number): void;
+  end(hopId: string, response?: Buffer, keptMillis?: number): void;
   claim(hopId: string): HopClaim<T>;
 }
 
@@ -46,17 +47,19 @@
   readonly claimableUntilMillis: number;
 }
 
-interface FinishedHop<T> extends WorkingHop<T> {
-  readonly keptBytes: number;
+/** Without the hop, which holds the request and would outlive it by this time. */
+interface KeptResponse {
+  readonly response: Buffer;
+  readonly claimableUntilMillis: number;
   readonly keptUntilMillis: number;
 }
 
 /** Creates an empty registry. */
 export function createHopRegistry<T>(nowMillis: () => number): HopRegistry<T> {
   const working = new Map<string, WorkingHop<T>>();
-  const finished = new Map<string, FinishedHop<T>>();
+  const finished = new Map<string, KeptResponse>();
   /** Kept for longer; separate, so that each map is in the order of expiry. */
-  const keptLonger = new Map<string, FinishedHop<T>>();
+  const keptLonger = new Map<string, KeptResponse>();
   const gone = createExpiringIds(nowMillis);
   const refused = createExpiringIds(nowMillis);
   let keptBytes = 0;
@@ -68,7 +71,7 @@
       for (const [hopId, entry] of entries) {
         if (entry.keptUntilMillis > now && keptBytes <= MAX_KEPT_BYTES) break;
         entries.delete(hopId);
-        keptBytes -= entry.keptBytes;
+        keptBytes -= entry.response.length;
         gone.add(hopId, entry.claimableUntilMillis);
       }
     }
@@ -80,19 +83,20 @@
       working.set(hopId, {hop, claimableUntilMillis});
       return true;
     },
-    end: (hopId, bytes, keptMillis = RESPONSE_RETENTION_MILLIS) => {
+    end: (hopId, response, keptMillis = RESPONSE_RETENTION_MILLIS) => {
       const entry = working.get(hopId);
       if (entry === undefined) return;
       working.delete(hopId);
-      if (bytes === 0) {
-        gone.add(hopId, entry.claimableUntilMillis);
+      const {claimableUntilMillis} = entry;
+      if (response === undefined) {
+        gone.add(hopId, claimableUntilMillis);
         return;
       }
-      keptBytes += bytes;
+      keptBytes += response.length;
       const keptUntilMillis = nowMillis() + keptMillis;
       const isKeptLonger = keptMillis > RESPONSE_RETENTION_MILLIS;
       const entries = isKeptLonger ? keptLonger : finished;
-      entries.set(hopId, {...entry, keptBytes: bytes, keptUntilMillis});
+      entries.set(hopId, {response, claimableUntilMillis, keptUntilMillis});
       evictOld();
     },
     claim: hopId => {
@@ -100,7 +104,9 @@
       if (current !== undefined) return {state: 'working', hop: current.hop};
       evictOld();
       const entry = finished.get(hopId) ?? keptLonger.get(hopId);
-      if (entry !== undefined) return {state: 'finished', hop: entry.hop};
+      if (entry !== undefined) {
+        return {state: 'finished', response: entry.response};
+      }
       if (gone.has(hopId)) return {state: 'gone'};
       refused.add(hopId, nowMillis() + REFUSED_RETENTION_MILLIS);
       return {state: 'unknown'};
--- a/test/unit/process/retries/hop_registry.test.ts
+++ b/test/unit/process/retries/hop_registry.test.ts
@@ -1,7 +1,12 @@
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
 import test from 'ava';
 import {createHopRegistry} from '../../../../src/process/retries/hop_registry.js';
 
-const RESPONSE_BYTES = 100;
+const RESPONSE = Buffer.alloc(100);
+
+const LARGE_RESPONSE = Buffer.alloc(60_000);
 
 /** Time until which the sender of a hop may claim it. */
 const CLAIMABLE_UNTIL_MILLIS = 10_000;
@@ -12,8 +17,8 @@
   t.false(registry.begin('late', 'a', CLAIMABLE_UNTIL_MILLIS));
   t.true(registry.begin('other', 'b', CLAIMABLE_UNTIL_MILLIS));
   t.deepEqual(registry.claim('other'), {state: 'working', hop: 'b'});
-  registry.end('other', RESPONSE_BYTES);
-  t.deepEqual(registry.claim('other'), {state: 'finished', hop: 'b'});
+  registry.end('other', RESPONSE);
+  t.deepEqual(registry.claim('other'), {state: 'finished', response: RESPONSE});
 });
 
 test('a response that is no longer kept is never reported as an unknown hop', t => {
@@ -23,9 +28,9 @@
   let now = 0;
   const registry = createHopRegistry<string>(() => now);
   registry.begin('old', 'a', CLAIMABLE_UNTIL_MILLIS);
-  registry.end('old', RESPONSE_BYTES);
+  registry.end('old', RESPONSE);
   registry.begin('long', 'b', CLAIMABLE_UNTIL_MILLIS);
-  registry.end('long', 0);
+  registry.end('long');
   t.deepEqual(registry.claim('long'), {state: 'gone'});
   now = 5000;
   t.deepEqual(registry.claim('old'), {state: 'gone'});
@@ -35,7 +40,7 @@
   const registry = createHopRegistry<string>(() => 0);
   for (let index = 0; index < 100; index += 1) {
     registry.begin(`h${String(index)}`, 'x', CLAIMABLE_UNTIL_MILLIS);
-    registry.end(`h${String(index)}`, 60_000);
+    registry.end(`h${String(index)}`, LARGE_RESPONSE);
   }
   t.deepEqual(registry.claim('h0'), {state: 'gone'});
   t.is(registry.claim('h99').state, 'finished');
@@ -47,11 +52,11 @@
   let now = 0;
   const registry = createHopRegistry<string>(() => now);
   registry.begin('order', 'a', CLAIMABLE_UNTIL_MILLIS);
-  registry.end('order', 0);
+  registry.end('order');
   for (let index = 0; index < 20_000; index += 1) {
     const hopId = `h${String(index)}`;
     registry.begin(hopId, 'x', CLAIMABLE_UNTIL_MILLIS);
-    registry.end(hopId, 0);
+    registry.end(hopId);
   }
   now = CLAIMABLE_UNTIL_MILLIS - 1;
   t.deepEqual(registry.claim('order'), {state: 'gone'});
@@ -64,11 +69,12 @@
   for (const hopId of ['usual', 'longer']) {
     registry.begin(hopId, hopId, CLAIMABLE_UNTIL_MILLIS);
   }
-  registry.end('longer', RESPONSE_BYTES, 4000);
-  registry.end('usual', RESPONSE_BYTES);
+  const longer = Buffer.from('longer');
+  registry.end('longer', longer, 4000);
+  registry.end('usual', RESPONSE);
   now = 3999;
   t.deepEqual(registry.claim('usual'), {state: 'gone'});
-  t.deepEqual(registry.claim('longer'), {state: 'finished', hop: 'longer'});
+  t.deepEqual(registry.claim('longer'), {state: 'finished', response: longer});
   now = 4000;
   t.deepEqual(registry.claim('longer'), {state: 'gone'});
 });
@@ -77,8 +83,32 @@
   const registry = createHopRegistry<string>(() => 0);
   for (let index = 0; index < 100; index += 1) {
     registry.begin(`h${String(index)}`, 'x', CLAIMABLE_UNTIL_MILLIS);
-    registry.end(`h${String(index)}`, 60_000, 4000);
+    registry.end(`h${String(index)}`, LARGE_RESPONSE, 4000);
   }
   t.deepEqual(registry.claim('h0'), {state: 'gone'});
-  t.deepEqual(registry.claim('h99'), {state: 'finished', hop: 'x'});
+  t.deepEqual(registry.claim('h99'), {
+    state: 'finished',
+    response: LARGE_RESPONSE,
+  });
+});
+
+test('an answered hop is released while its response is kept', async t => {
+  // Guards against requests that stay in memory for as long as their responses are kept:
+  // the garbage collector copies and promotes all of them.
+  setFlagsFromString('--expose-gc');
+  const collectGarbage = runInNewContext('gc') as () => void;
+  const registry = createHopRegistry<object>(() => 0);
+  const begin = (hopId: string): WeakRef<object> => {
+    const hop = {hopId};
+    registry.begin(hopId, hop, CLAIMABLE_UNTIL_MILLIS);
+    return new WeakRef(hop);
+  };
+  const answered = begin('answered');
+  const working = begin('working');
+  registry.end('answered', RESPONSE);
+  await nextTurn();
+  collectGarbage();
+  t.is(answered.deref(), undefined);
+  t.not(working.deref(), undefined);
+  t.is(registry.claim('answered').state, 'finished');
 });
