Close connections on which the body of a rejection goes on

Cause: a rejection ends the attempt, and what had not been received of its body was read by none and closed by none. Now its connection is closed; a rejection that has arrived completely leaves the connection in the pool.

Test: 'a rejection whose body does not end closes its connection', for both statuses, failed on (the connection stays open until the test times out) and passes.

--- a/src/connection/upstream_result.ts
+++ b/src/connection/upstream_result.ts
@@ -113,6 +113,8 @@
   if (request.isRepeatable && answer.statusCode >= MIN_FAILURE_STATUS) {
     recordFailure(result, request, options);
   }
+  // The body of a rejection is not needed, and what is left of it is never read.
+  if (isRejected && answer.bodyRest !== undefined) result.discardConnection();
   const announcements = decodeAnnouncements(answer.headers, wireHeaders);
   if (isMisdirected) {
     const actualId =
--- a/test/unit/connection/endless_response.test.ts
+++ b/test/unit/connection/endless_response.test.ts
@@ -194,3 +194,20 @@
     await waitUntil('closed', () => upstream.isClosed);
   });
 }
+
+for (const [status, field] of [
+  ['503 Service Unavailable', `${FULMARHOLLOW_HEADERS.notExecuted}: 1`],
+  ['421 Misdirected Request', 'x-a: b'],
+]) {
+  test(`a rejection whose body does not end closes its connection: ${status}`, async t => {
+    // Guards against connections that stay open and unread after their request has ended.
+    const upstream = await startUpstream(t, {
+      start: `HTTP/1.1 ${status}\r\n${field}\r\n\r\n`,
+      repeated: LONG,
+    });
+    const result = await request(t, upstream);
+    t.is(result.kind, 'not-run');
+    await waitUntil('closed', () => upstream.isClosed);
+    t.true(upstream.sentBytes <= MAX_SENT_BYTES, String(upstream.sentBytes));
+  });
+}
