Hold bodies in as much memory as they have bytes

Reported by another operator: a faulty upstream sent a body without end, the machine that had called it ran out of memory, and the requests of other clients there ended with it.

Cause: limits count the bytes of a body, and each chunk is an object with a buffer of its own, some 250 bytes for one. The same held for requests of clients, up to a million pieces for 1 MB, for documents and the responses of the store. The class: a bound on something other than what is used up.

Change: bodies are gathered into one buffer that grows (GatheredBytes), and the rest of a long response is a stream that joins what one read of its connection brings and stops reading at 64 KB (long_body), so that frames to other nodes and writes to clients are as large as well.

Bodies without end that are not split so finely were bounded before and still are, for each response and not for all of a node.

--- a/src/connection/received_response.ts
+++ b/src/connection/received_response.ts
@@ -4,6 +4,8 @@
  */
 import type {IncomingMessage} from 'node:http';
 import type {Readable} from 'node:stream';
+import {createGatheredBytes} from '../base/gathered_bytes.js';
+import {createLongBody} from './long_body.js';
 import type {RawHeaders} from './raw_headers.js';
 
 /** A response with its body. */
@@ -35,8 +37,7 @@
   message: IncomingMessage,
 ): Promise<ReceivedResponse> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = createGatheredBytes();
     const finish = (bodyRest: Readable | undefined): void => {
       message.removeListener('data', onData);
       message.removeListener('end', onEnd);
@@ -45,17 +46,15 @@
       resolve({
         statusCode: message.statusCode ?? 0,
         headers: message.rawHeaders,
-        bodyStart: Buffer.concat(chunks),
+        bodyStart: body.take(),
         bodyRest,
         isUnframed: isUnframed(message),
       });
     };
     const onData = (chunk: Buffer): void => {
-      chunks.push(chunk);
-      bytes += chunk.length;
-      if (bytes <= MAX_BUFFERED_BYTES) return;
-      message.pause();
-      finish(message);
+      body.add(chunk);
+      if (body.lengthBytes <= MAX_BUFFERED_BYTES) return;
+      finish(createLongBody(message));
     };
     const onEnd = (): void => {
       if (message.complete) finish(undefined);
--- a/src/connection/request_body.ts
+++ b/src/connection/request_body.ts
@@ -2,6 +2,7 @@
  * Reads the complete body of a request, up to a maximum size.
  */
 import type {IncomingMessage} from 'node:http';
+import {createGatheredBytes} from '../base/gathered_bytes.js';
 
 /** Result of reading a body. */
 export type BodyReadResult =
@@ -40,15 +41,13 @@
   maxBytes: number,
 ): Promise<BodyReadResult> {
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = createGatheredBytes();
     request.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maxBytes) resolve({kind: 'too-large'});
-      else chunks.push(chunk);
+      if (body.lengthBytes + chunk.length <= maxBytes) body.add(chunk);
+      else resolve({kind: 'too-large'});
     });
     request.on('end', () => {
-      resolve({kind: 'whole', bytes: Buffer.concat(chunks)});
+      resolve({kind: 'whole', bytes: body.take()});
     });
     request.on('error', () => {
       resolve({kind: 'broken'});
--- a/src/connection/unframed_bodies.ts
+++ b/src/connection/unframed_bodies.ts
@@ -7,6 +7,7 @@
  * complete if this process ended. Once received, it can be sent at once and ended by a close.
  */
 import type {Readable} from 'node:stream';
+import {createGatheredBytes} from '../base/gathered_bytes.js';
 import type {HttpExchange} from './http_listener.js';
 import type {ReceivedResponse} from './received_response.js';
 
@@ -52,7 +53,8 @@
           resolve('aborted');
           return;
         }
-        const chunks = [received.bodyStart];
+        const body = createGatheredBytes();
+        body.add(received.bodyStart);
         let bodyBytes = 0;
         let isReleased = false;
         response.once('close', () => {
@@ -71,11 +73,11 @@
         const sendOnAsStream = (): void => {
           bodyRest.pause();
           stop();
-          resolve({...received, bodyStart: Buffer.concat(chunks)});
+          resolve({...received, bodyStart: body.take()});
         };
         const onData = (chunk: Buffer): void => {
           if (isReleased) return;
-          chunks.push(chunk);
+          body.add(chunk);
           bodyBytes += chunk.length;
           totalBytes += chunk.length;
           const isOverLimit =
@@ -84,7 +86,7 @@
         };
         const onEnd = (): void => {
           stop();
-          const bodyStart = Buffer.concat(chunks);
+          const bodyStart = body.take();
           resolve({...received, bodyStart, bodyRest: undefined});
         };
         const onAborted = (): void => {
--- a/src/daemon/http_documents.ts
+++ b/src/daemon/http_documents.ts
@@ -3,6 +3,7 @@
  */
 import http from 'node:http';
 import {describeError, TransportError} from '../base/errors.js';
+import {createGatheredBytes} from '../base/gathered_bytes.js';
 import type {
   DocumentChange,
   DocumentBatch,
@@ -155,16 +156,15 @@
   onFailure: (error: unknown) => void,
   onText: (text: string) => void,
 ): void {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const body = createGatheredBytes();
   response.on('data', (chunk: Buffer) => {
-    chunks.push(chunk);
-    bytes += chunk.length;
-    if (bytes > MAX_DOCUMENT_BYTES) onFailure(new Error('too large'));
+    body.add(chunk);
+    if (body.lengthBytes > MAX_DOCUMENT_BYTES)
+      onFailure(new Error('too large'));
   });
   response.on('error', onFailure);
   response.on('end', () => {
-    onText(Buffer.concat(chunks).toString('utf8'));
+    onText(body.take().toString('utf8'));
   });
 }
 
--- a/test/unit/connection/endless_response.test.ts
+++ b/test/unit/connection/endless_response.test.ts
@@ -5,6 +5,9 @@
 import type {AddressInfo} from 'node:net';
 import {createServer} from 'node:net';
 import type {ExecutionContext} from 'ava';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
 import test from 'ava';
 import {createCancelSource} from '../../../src/base/cancel_signal.js';
 import type {UpstreamResult} from '../../../src/connection/upstream_result.js';
@@ -55,6 +58,15 @@
   ],
 ];
 
+/** Many chunks of one byte. */
+const SMALL_CHUNKS = '1\r\na\r\n'.repeat(10_000);
+
+/** Bodies that wait for their readers at the same time. */
+const WAITING_COUNT = 20;
+
+/** Heap that all of them may take, with the upstream in the same process. */
+const MAX_WAITING_HEAP_BYTES = 16_000_000;
+
 /** Complete responses, followed by bytes that belong to no request. */
 const COMPLETE: ReadonlyArray<readonly [string, string, string]> = [
   [
@@ -195,6 +207,31 @@
   });
 }
 
+test('endless bodies in chunks of one byte take little memory while they wait', async t => {
+  // Guards against nodes that exceed their heap: each chunk was an object of its own.
+  setFlagsFromString('--expose-gc');
+  const collectGarbage = runInNewContext('gc') as () => void;
+  collectGarbage();
+  const heapBytes = process.memoryUsage().heapUsed;
+  const results: UpstreamResult[] = [];
+  for (let index = 0; index < WAITING_COUNT; index += 1) {
+    const upstream = await startUpstream(t, {
+      start: CHUNKED,
+      repeated: SMALL_CHUNKS,
+    });
+    results.push(await request(t, upstream));
+  }
+  await nextTurn();
+  collectGarbage();
+  const heldBytes = process.memoryUsage().heapUsed - heapBytes;
+  t.log(heldBytes);
+  for (const result of results) {
+    t.is(result.kind, 'answered');
+    if (result.kind === 'answered') result.answer.bodyRest?.destroy();
+  }
+  t.true(heldBytes <= MAX_WAITING_HEAP_BYTES, String(heldBytes));
+});
+
 for (const [status, field] of [
   ['503 Service Unavailable', `${FULMARHOLLOW_HEADERS.notExecuted}: 1`],
   ['421 Misdirected Request', 'x-a: b'],
