--- a/src/daemon/http_documents.ts
+++ b/src/daemon/http_documents.ts
@@ -160,7 +160,7 @@
   response.on('data', (chunk: Buffer) => {
     body.add(chunk);
     if (body.lengthBytes > MAX_DOCUMENT_BYTES)
-      onFailure(new Error('too large'));
+      {onFailure(new Error('too large'));}
   });
   response.on('error', onFailure);
   response.on('end', () => {
