Refuse calls that the rest of the grace period is too short for

Reported by another operator: in a planned stop, requests that came late in the grace were passed on and cut at its end. Calls of clients are refused from 2.3 s on and dispatches of other nodes from the start, so these have no such way.

Now it is accepted if the time that such calls most likely take (mean and two mean deviations of its route and service) fits; otherwise the upstream gets 503 at once, with the promise that the call has not run, and can respond to its own caller. A kind of call that was never made before is accepted as before.

Test: 'a late call that takes longer than the rest of the grace period is refused' got 504 in place of 503 on. 59 tests of requests, stops and timeouts passed.

--- a/src/process/retries/attempt_timeouts.ts
+++ b/src/process/retries/attempt_timeouts.ts
@@ -18,6 +18,10 @@
   timeoutMillis(key: string): number | undefined;
   /** Mean time to a response; `undefined` before the first one. */
   usualMillis(key: string): number | undefined;
+  /**
+   * Time within which most responses arrive; `undefined` before the first one.
+   */
+  likelyMillis(key: string): number | undefined;
   /** Records the response time of an attempt. */
   recordResponse(key: string, millis: number): void;
   /** Records an attempt that was abandoned without a response. */
@@ -34,6 +38,9 @@
 /** Mean deviations added to the mean: covers about 99% of the responses. */
 const DEVIATIONS_COUNT = 4;
 
+/** Mean deviations added to the mean: covers about 95% of the responses. */
+const LIKELY_DEVIATIONS_COUNT = 2;
+
 /**
  * Minimum timeout as a multiple of the mean: a retry costs as much as the wait.
  */
@@ -83,6 +90,12 @@
       );
     },
     usualMillis: key => statsByKey.get(key)?.meanMillis,
+    likelyMillis: key => {
+      const stats = statsByKey.get(key);
+      if (stats === undefined) return undefined;
+      const {meanMillis, deviationMillis} = stats;
+      return meanMillis + deviationMillis * LIKELY_DEVIATIONS_COUNT;
+    },
     recordResponse: (key, millis) => {
       const stats = statsByKey.get(key);
       if (stats !== undefined) {
--- a/src/process/stop/stop_plan.ts
+++ b/src/process/stop/stop_plan.ts
@@ -7,14 +7,16 @@
  * every request is busy until its grace period ends and leaves requests
  * unanswered. Clients get a few seconds to detect that this host is not ready;
  * later requests are rejected immediately as not run, with a time to retry
- * after. Calls of the local upstream are accepted until the requests in
- * progress are abandoned: without these calls the requests would fail earlier,
- * and afterwards no process would be left to answer the calls.
+ * after. Calls of the local upstream are accepted for as long as they can finish
+ * before the requests in progress are abandoned: without these calls the requests
+ * would fail earlier, and afterwards no process would be left to answer the calls.
  */
 
 export interface IncomingRequest {
   /** A call that the local upstream makes for a request it is processing. */
   readonly isFromUpstream: boolean;
+  /** Time that it will most likely take; `undefined` if unknown. */
+  readonly expectedMillis?: number | undefined;
 }
 
 /** Phases of the stop of one node. */
@@ -77,9 +79,11 @@
       endMillis =
         now + graceMillis - cappedShareMillis(graceMillis, PROCESS_EXIT);
     },
-    accepts: ({isFromUpstream}) =>
-      nowMillis() <
-      (isFromUpstream ? finishingUntilMillis : acceptingUntilMillis),
+    accepts: ({isFromUpstream, expectedMillis = 0}) => {
+      const now = nowMillis();
+      if (!isFromUpstream) return now < acceptingUntilMillis;
+      return now + expectedMillis < finishingUntilMillis;
+    },
   };
 }
 
--- a/src/request/attempt_runner.ts
+++ b/src/request/attempt_runner.ts
@@ -49,8 +49,13 @@
 /** Runs requests at upstreams until one attempt is final. */
 export interface AttemptRunner {
   run(request: AttemptedRequest): Promise<AttemptsResult>;
+  /** Time within which a request will most likely end; `undefined` if unknown. */
+  likelyMillis(request: RoutedAttempt): number | undefined;
 }
 
+/** Route and service by which the times of attempts are learned. */
+export type RoutedAttempt = Pick<AttemptedRequest, 'route' | 'service'>;
+
 /** An attempt and its result. */
 export interface EndedAttempt {
   readonly request: AttemptedRequest;
@@ -97,7 +102,11 @@
 export function createAttemptRunner(
   options: AttemptRunnerOptions,
 ): AttemptRunner {
-  return {run: request => runAttempts(options, request)};
+  return {
+    run: request => runAttempts(options, request),
+    likelyMillis: request =>
+      options.attemptTimeouts.likelyMillis(timeoutKeyOf(request)),
+  };
 }
 
 async function runAttempts(
@@ -316,7 +325,7 @@
   return hasNext && rules.mayReplaceAttempt(request, ranCount, cause);
 }
 
-function timeoutKeyOf({route, service}: AttemptedRequest): string {
+function timeoutKeyOf({route, service}: RoutedAttempt): string {
   return `${route.name} ${service}`;
 }
 
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -139,8 +139,9 @@
     return;
   }
   if (body.kind === 'broken') return;
-  // The body may have arrived too late for a response before the node stops.
-  if (refuseIfStopping(options, exchange, routed)) return;
+  // Too late for a response before the node stops, with its body or by what it takes.
+  const expectedMillis = options.attempts.likelyMillis(entered);
+  if (refuseIfStopping(options, exchange, routed, expectedMillis)) return;
   if (!beginOrder(options, entered)) return;
   const headers = headersFor(
     options.wireHeaders,
@@ -156,10 +157,10 @@
   {stop, responder}: OutboundOptions,
   exchange: HttpExchange,
   {attemptId, route, isLocal, parent}: RoutedRequest,
+  expectedMillis?: number,
 ): boolean {
-  if (stop.accepts({isFromUpstream: isLocal || parent !== undefined})) {
-    return false;
-  }
+  const isFromUpstream = isLocal || parent !== undefined;
+  if (stop.accepts({isFromUpstream, expectedMillis})) return false;
   responder.refuseDuringStop(exchange, {attemptId, route});
   return true;
 }
--- a/test/contract/platform_stop_late.test.ts
+++ b/test/contract/platform_stop_late.test.ts
@@ -11,6 +11,12 @@
 /** By this time the host has reported for seconds that it is not ready. */
 const LATE_MILLIS = 2700;
 
+/** Time of a call that does not fit into the end of the grace period. */
+const LONG_CALL_MILLIS = 1300;
+
+/** By this time such a call would be given up; others have time left. */
+const TOO_LATE_MILLIS = 4300;
+
 /** Responses after which a node has an estimate of the usual latency. */
 const WARM_UP_REQUESTS_COUNT = 60;
 
@@ -117,6 +123,31 @@
   await stopped;
 });
 
+test('a late call that takes longer than the rest of the grace period is refused', async t => {
+  // Guards against calls that are passed on and then given up at the end of the
+  // grace period, while their upstream is at work.
+  const {fleet, shop, orders, requestInFlight, inFlightStatusCode, stopped} =
+    await stopWithRequestInFlight(t);
+  const stoppedMillis = performance.now();
+  orders.upstream.setHandler(request => {
+    setTimeout(() => {
+      request.respond(200, 'done');
+    }, LONG_CALL_MILLIS);
+  });
+  const call = async (attemptId: string): Promise<number> => {
+    const {statusCode} = await fleet.send(shop, {attemptId, path: '/a/1'});
+    return statusCode;
+  };
+  t.is(await call('held.1'), 200);
+  t.is(await call('held.2'), 200);
+  await sleep(Math.max(0, stoppedMillis + TOO_LATE_MILLIS - performance.now()));
+  t.is(await call('held.3'), 503);
+  t.deepEqual(orders.upstream.runIds, ['held.1', 'held.2']);
+  requestInFlight.respond(200, 'done');
+  t.is(await inFlightStatusCode, 200);
+  await stopped;
+});
+
 test('requests in flight at the end of the grace period get a final response', async t => {
   // A request that was accepted in time may outlast the grace period. It ended
   // with a closed connection, from which its client cannot infer the outcome,
--- a/test/unit/process/retries/attempt_timeouts.test.ts
+++ b/test/unit/process/retries/attempt_timeouts.test.ts
@@ -59,3 +59,15 @@
   }
   t.true(abandonedCount < 60, `${String(abandonedCount)} of 300 abandoned`);
 });
+
+test('most responses arrive within the likely time', t => {
+  const timeouts = createAttemptTimeouts();
+  t.is(timeouts.likelyMillis('read'), undefined);
+  timeouts.recordResponse('read', 100);
+  t.is(timeouts.likelyMillis('read'), 200);
+  for (let index = 0; index < 200; index += 1) {
+    timeouts.recordResponse('read', index % 2 === 0 ? 80 : 120);
+  }
+  const likelyMillis = timeouts.likelyMillis('read')!;
+  t.true(likelyMillis >= 120 && likelyMillis <= 150, String(likelyMillis));
+});
--- a/test/unit/process/stop/stop_plan.test.ts
+++ b/test/unit/process/stop/stop_plan.test.ts
@@ -27,6 +27,22 @@
   t.is(acceptedMillis.length, 230);
 });
 
+test('a call that would outlast the grace period is refused', t => {
+  // Guards against calls that are passed on and then given up at the end of the
+  // grace period, while their upstream is at work.
+  let now = 0;
+  const plan = createStopPlan(() => now);
+  plan.begin(GRACE_MILLIS);
+  const call = {isFromUpstream: true, expectedMillis: 1300};
+  t.true(plan.accepts(call));
+  now = plan.finishingUntilMillis - 1301;
+  t.true(plan.accepts(call));
+  now = plan.finishingUntilMillis - 1300;
+  t.false(plan.accepts(call));
+  t.true(plan.accepts({isFromUpstream: true, expectedMillis: 20}));
+  t.true(plan.accepts({isFromUpstream: true}));
+});
+
 test('accepted requests keep their share of a short grace period', t => {
   const plan = createStopPlan(() => 0);
   plan.begin(2000);
