Failing test: nodes with less processor time than their upstreams have slots

The replay's sampling of work and of retry delays moved to simulated_calls; without a cost of messages its results are unchanged.

--- a/src/daemon/http_documents.ts
+++ b/src/daemon/http_documents.ts
@@ -159,8 +159,9 @@
   const body = createGatheredBytes();
   response.on('data', (chunk: Buffer) => {
     body.add(chunk);
-    if (body.lengthBytes > MAX_DOCUMENT_BYTES)
-      {onFailure(new Error('too large'));}
+    if (body.lengthBytes > MAX_DOCUMENT_BYTES) {
+      onFailure(new Error('too large'));
+    }
   });
   response.on('error', onFailure);
   response.on('end', () => {
--- a/test/fakes/fleet_load.ts
+++ b/test/fakes/fleet_load.ts
@@ -47,6 +47,8 @@
   readonly clients: readonly SimulatedClients[];
   readonly durationMillis: number;
   readonly seed: number;
+  /** Processor time of a node for one message; by default none. */
+  readonly messageMillis?: number;
 }
 
 /** Results of the requests that clients first sent within one second. */
--- a/test/fakes/fleet_simulation.ts
+++ b/test/fakes/fleet_simulation.ts
@@ -3,10 +3,7 @@
  * admission, placement and retry modules of the daemon. Clients send requests to all
  * nodes; nodes receive load reports with responses and by polling only.
  */
-import {
-  importanceOf,
-  shedPositionOf,
-} from '../../src/process/admission/importance.js';
+import {shedPositionOf} from '../../src/process/admission/importance.js';
 import {downstreamCallCounts} from '../../src/process/admission/call_trees.js';
 import {createAttemptHistory} from '../../src/process/retries/attempt_history.js';
 import {createSeededRandom} from '../../src/emulator/seeded_random.js';
@@ -21,35 +18,27 @@
   createRouteCounts,
   createServiceCounts,
 } from './fleet_load.js';
-import {createRetryGrant} from '../../src/process/retries/shared_retry_grant.js';
-import {DEFAULT_RETRIES_COUNT} from '../../src/version/route_configuration.js';
 import type {Placement} from '../../src/process/placement/placement.js';
-import type {
-  Call,
-  CallResult,
-  RootRequest,
-  Run,
-  StartResult,
+import type {Call, CallResult, Run, StartResult} from './simulated_calls.js';
+import {
+  countUsefulRuns,
+  createRootRequest,
+  sampleRetryDelayMillis,
+  sampleWorkMillis,
 } from './simulated_calls.js';
-import {countUsefulRuns} from './simulated_calls.js';
 import type {SimulatedNode} from './simulated_node.js';
 import {createSimulatedNodes} from './simulated_node.js';
 import {HOP_MILLIS, startNodeTicks} from './simulated_ticks.js';
 
 /**
- * Ratio of the latency objective for which a request may wait in the queue, and range of
- * the time until a client retries a rejected request; as in the daemon.
+ * Ratio of the latency objective for which a request may wait in the queue, as in the
+ * daemon.
  */
 const QUEUE_WAIT_RATIO = 0.25;
-const RETRY_DELAY_MINIMUM_RATIO = 0.2;
-const RETRY_DELAY_MAXIMUM_RATIO = 0.7;
 
 /** Time until an upstream rejects a request. */
 const REJECT_MILLIS = 1;
 
-/** Sigma of the log-normal distribution of the work of requests. */
-const WORK_SIGMA = 0.5;
-
 const SECOND_MILLIS = 1000;
 
 /** Simulates a load on a fleet that has just started. */
@@ -74,12 +63,24 @@
     nowMillis,
     random: random.next,
     schedule: clock.schedule,
+    messageMillis: options.messageMillis ?? 0,
   });
   const arrivalMillis = new Map(
     nodes.map(({own}) => [own.id, [] as number[]] as const),
   );
   const nodesById = new Map(nodes.map(node => [node.own.id, node]));
 
+  /** Handles a message at a node when it has arrived and the processor is free. */
+  const deliver = (
+    node: SimulatedNode,
+    delayMillis: number,
+    handler: () => void,
+  ): void => {
+    clock.schedule(delayMillis, () => {
+      node.processor.handle(handler);
+    });
+  };
+
   const startWork = (node: SimulatedNode, call: Call): void => {
     const {root, route} = call;
     const startedMillis = nowMillis();
@@ -135,16 +136,17 @@
         onEnd: (end, nestedCounts) => {
           addCounts(counts, new Map([[next.service, 1]]));
           addCounts(counts, nestedCounts);
-          if (end === 'served') callNext(index + 1);
-          else finish('failed');
+          if (end !== 'served') {
+            finish('failed');
+            return;
+          }
+          node.processor.handle(() => {
+            callNext(index + 1);
+          });
         },
       });
     };
-    const workMillis = random.logNormal(
-      route.workMillis * Math.exp(-(WORK_SIGMA ** 2) / 2),
-      WORK_SIGMA,
-    );
-    clock.schedule(workMillis / node.speed, () => {
+    deliver(node, sampleWorkMillis(random, route) / node.speed, () => {
       callNext(0);
     });
   };
@@ -244,14 +246,14 @@
         if (mayRetry) offer();
         else call.onEnd('refused', new Map());
       };
-      clock.schedule(delayMillis, () => {
+      deliver(node, delayMillis, () => {
         execute(
           node,
           {
             ...call,
             usualMillis,
             onEnd: (end, calls) => {
-              clock.schedule(delayMillis, () => {
+              deliver(from, delayMillis, () => {
                 observeLoads();
                 if (end === 'served') {
                   from.attemptTimeouts.recordResponse(
@@ -266,7 +268,7 @@
           },
           startResult => {
             if (startResult === 'started') return;
-            clock.schedule(delayMillis, () => {
+            deliver(from, delayMillis, () => {
               handleNotStarted(startResult);
             });
           },
@@ -282,25 +284,27 @@
     attemptsCount: number,
   ): void => {
     const node = nodes[Math.floor(random.next() * nodes.length)]!;
+    node.processor.handle(() => {
+      enterAt(node, clients, firstMillis, attemptsCount);
+    });
+  };
+
+  const enterAt = (
+    node: SimulatedNode,
+    clients: SimulatedClients,
+    firstMillis: number,
+    attemptsCount: number,
+  ): void => {
     const route = routes.get(clients.route)!;
     requestsCount += 1;
     const id = `${options.seed}-${Math.imul(requestsCount, 0x9e3779b1) >>> 0}`;
     const secondCounts = routeCounts.get(route.name)![
       secondIndexOf(firstMillis)
     ]!;
-    const root: RootRequest = {
-      id,
-      importance: importanceOf(route.rank, id),
-      beganAtMillis: nowMillis(),
-      grant: createRetryGrant(DEFAULT_RETRIES_COUNT),
-      runs: [],
-    };
+    const root = createRootRequest(id, route, nowMillis());
     const handleRefused = (): void => {
       const leftMillis = firstMillis + clients.totalTimeoutMillis - nowMillis();
-      const width = RETRY_DELAY_MAXIMUM_RATIO - RETRY_DELAY_MINIMUM_RATIO;
-      const delayMillis =
-        route.objectiveMillis *
-        (RETRY_DELAY_MINIMUM_RATIO + width * random.next());
+      const delayMillis = sampleRetryDelayMillis(random, route);
       if (attemptsCount >= 2 || leftMillis <= 0) {
         secondCounts.refusedCount += 1;
         return;
--- a/test/fakes/simulated_node.ts
+++ b/test/fakes/simulated_node.ts
@@ -39,6 +39,8 @@
 import {createUpstreamQueue} from '../../src/process/admission/upstream_queue.js';
 import type {AnnouncedPeriod, SimulatedService} from './fleet_load.js';
 import {upstreamEntry} from './route_documents.js';
+import type {SimulatedProcessor} from './simulated_processor.js';
+import {createSimulatedProcessor} from './simulated_processor.js';
 
 interface SimulatedNodeOptions {
   readonly own: UpstreamEntry;
@@ -53,12 +55,15 @@
   readonly nowMillis: () => number;
   readonly schedule: (delayMillis: number, callback: () => void) => void;
   readonly random: () => number;
+  /** Processor time for one message. */
+  readonly messageMillis: number;
 }
 
 /** A node and its upstream. */
 export interface SimulatedNode {
   readonly own: UpstreamEntry;
   readonly speed: number;
+  readonly processor: SimulatedProcessor;
   /** Ratio of dispatched requests that the upstream rejects at this time. */
   currentRejectRatio(): number;
   /** Records a response of the upstream to a request sent at this time. */
@@ -104,6 +109,7 @@
     schedule: options.schedule,
   });
   queue.setSlots(own.slotsCount);
+  const processor = createSimulatedProcessor(options, options.messageMillis);
   const level = createAdmissionLevel();
   const loadTable = createLoadTable(nowMillis);
   const trees = createCallTrees();
@@ -183,6 +189,7 @@
   return {
     own,
     speed,
+    processor,
     recordResponse: sentMillis => {
       pacer.recordResponse();
       limit.observe(announcedPerSecond(), sentMillis);
@@ -214,7 +221,10 @@
 /** Creates one node for each upstream of a fleet. */
 export function createSimulatedNodes(
   services: readonly SimulatedService[],
-  clock: Pick<SimulatedNodeOptions, 'nowMillis' | 'random' | 'schedule'>,
+  clock: Pick<
+    SimulatedNodeOptions,
+    'nowMillis' | 'random' | 'schedule' | 'messageMillis'
+  >,
 ): readonly SimulatedNode[] {
   const entries = entriesOf(services);
   const speeds = services.flatMap(service => service.speeds);
