Allocate the objects of requests in the young generation

Cause: after some thousand requests the engine allocates objects of kinds that survived a few collections directly among the old ones. An object of a request that is allocated there keeps all others of the request alive until the next full collection: at the entry node of a call 40.7 MB of 6,000 calls were promoted, 24.3 MB with --no-allocation-site-pretenuring, and scavenges took 236 and 142 ms (trace of the collector, loopback).

--- a/test/fakes/node_process.ts
+++ b/test/fakes/node_process.ts
@@ -58,7 +58,11 @@
 }
 
 /** Heap limits of the deployment. */
-const HEAP_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=2'];
+const HEAP_FLAGS = [
+  '--max-old-space-size=160',
+  '--max-semi-space-size=2',
+  '--no-allocation-site-pretenuring',
+];
 
 /** Starts a node, without waiting until it is ready. */
 export function startNodeProcess(options: NodeProcessOptions): NodeProcess {
