Pass long bodies on after each read of their connection

What callers would have seen: a long response of a fast upstream that is reset midway. Pausing the socket in the same turn does not help, as the runtime resumes it after each read.

Traced by a log of the frame that was not accepted.

Test: 'a long body is passed on in pieces that fit the window of their reader': 664,982 bytes in one piece before (262,144 allowed), 95,232 now.

--- a/src/connection/long_body.ts
+++ b/src/connection/long_body.ts
@@ -22,6 +22,13 @@
   let isPaused = false;
   let hasEnded = false;
 
+  /** Stops or resumes reading the connection, also where Node.js has resumed it. */
+  const applyLimit = (): void => {
+    const isFull = !hasEnded && waiting.lengthBytes >= MAX_WAITING_BYTES;
+    if (isFull) socket.pause();
+    else if (isPaused) socket.resume();
+    isPaused = isFull;
+  };
   const pass = (): void => {
     isPassScheduled = false;
     if (body.destroyed) return;
@@ -30,20 +37,17 @@
       waiting = createGatheredBytes();
       isWanted = body.push(bytes);
     }
-    if (hasEnded) {
-      if (waiting.lengthBytes === 0) body.push(null);
-      return;
-    }
-    const isFull = waiting.lengthBytes >= MAX_WAITING_BYTES;
-    if (isFull) socket.pause();
-    else if (isPaused) socket.resume();
-    isPaused = isFull;
+    applyLimit();
+    if (hasEnded && waiting.lengthBytes === 0) body.push(null);
   };
-  /** Once all chunks of this read are there, and Node.js has asked for the next one. */
+  /**
+   * Once all chunks of this read are there and Node.js has asked for the next one, but
+   * before that is read: one turn of the event loop may read many times the limit.
+   */
   const schedulePass = (): void => {
     if (isPassScheduled) return;
     isPassScheduled = true;
-    setImmediate(pass);
+    queueMicrotask(pass);
   };
   const body = new Readable({
     highWaterMark: MAX_WAITING_BYTES,
@@ -65,6 +69,7 @@
   });
   message.on('end', () => {
     hasEnded = message.complete;
+    applyLimit();
     if (hasEnded) schedulePass();
     else body.destroy(new Error('the response was aborted'));
   });
