--- a/src/base/gathered_bytes.ts
+++ b/src/base/gathered_bytes.ts
@@ -3,7 +3,7 @@
  *
  * Load pattern: a faulty sender splits a body into pieces of one byte. Each piece is an
  * object with a buffer of its own, so that a limit on the bytes of bodies does not limit
- * the memory that they take: 60 bodies of 64 KB exceed the heap of a node.
+ * the memory that they take.
  */
 
 /** Bytes in the order in which they were added. */
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -140,7 +140,10 @@
   }
   if (body.kind === 'broken') return;
   // Too late for a response before the node stops, with its body or by what it takes.
-  const expectedMillis = options.attempts.likelyMillis(entered);
+  const {stop, attempts} = options;
+  const expectedMillis = stop.isStopping
+    ? attempts.likelyMillis(entered)
+    : undefined;
   if (refuseIfStopping(options, exchange, routed, expectedMillis)) return;
   if (!beginOrder(options, entered)) return;
   const headers = headersFor(
