--- a/test/fakes/fleet_load.ts
+++ b/test/fakes/fleet_load.ts
@@ -90,6 +90,12 @@
   return sum;
 }
 
+/** Ratio of requests that were served, in time or late. */
+export function servedShareOf(seconds: readonly RouteCounts[]): number {
+  const {inTimeCount, lateCount, sentCount} = sumSeconds(seconds, 0);
+  return (inTimeCount + lateCount) / sentCount;
+}
+
 /** Returns zero counts for so many seconds. */
 export function createRouteCounts(count: number): RouteCounts[] {
   return Array.from({length: count}, () => ({
--- a/test/unit/process/admission/fleet_minimum_share.test.ts
+++ b/test/unit/process/admission/fleet_minimum_share.test.ts
@@ -1,11 +1,11 @@
 import test from 'ava';
 import type {
-  RouteCounts,
   SimulatedRoute,
   SimulatedService,
 } from '../../../fakes/fleet_load.js';
-import {sumSeconds} from '../../../fakes/fleet_load.js';
+import {servedShareOf} from '../../../fakes/fleet_load.js';
 import {simulateFleet} from '../../../fakes/fleet_simulation.js';
+import {cycled, simulatedRoute} from '../../../fakes/simulated_routes.js';
 
 /**
  * 57 upstreams of four services. More orders than browses, each with eight lookups
@@ -19,12 +19,12 @@
 ];
 
 const ROUTES: readonly SimulatedRoute[] = [
-  route('browse', 'atlas', 2, [120, 1500, 1500], ['check', 'check']),
-  route('order', 'desk', 0, [162, 1500, 1500], ['index', 'index']),
-  route('read', 'catalogue', 1, [49, 1000, 250], []),
-  route('check', 'desk', 0, [15, 2500, 1000], ['index']),
-  route('index', 'yard', 0, [15, 2000, 800], cycled(4, ['lookup'])),
-  route('lookup', 'catalogue', 0, [30, 700, 300], []),
+  simulatedRoute('browse', 'atlas', 2, [120, 1500, 1500], ['check', 'check']),
+  simulatedRoute('order', 'desk', 0, [162, 1500, 1500], ['index', 'index']),
+  simulatedRoute('read', 'catalogue', 1, [49, 1000, 250], []),
+  simulatedRoute('check', 'desk', 0, [15, 2500, 1000], ['index']),
+  simulatedRoute('index', 'yard', 0, [15, 2000, 800], cycled(4, ['lookup'])),
+  simulatedRoute('lookup', 'catalogue', 0, [30, 700, 300], []),
 ];
 
 /** Requests per second that use the capacity of the catalogue, at 95% of its slots. */
@@ -67,35 +67,3 @@
     }
   });
 }
-
-/** Ratio of requests that were served, in time or late. */
-function servedShareOf(seconds: readonly RouteCounts[]): number {
-  const {inTimeCount, lateCount, sentCount} = sumSeconds(seconds, 0);
-  return (inTimeCount + lateCount) / sentCount;
-}
-
-function route(
-  name: string,
-  service: string,
-  rank: number,
-  [workMillis, timeoutMillis, objectiveMillis]: readonly [
-    number,
-    number,
-    number,
-  ],
-  calls: readonly string[],
-): SimulatedRoute {
-  return {
-    name,
-    service,
-    rank,
-    workMillis,
-    timeoutMillis,
-    objectiveMillis,
-    calls,
-  };
-}
-
-function cycled<T>(count: number, values: readonly T[]): T[] {
-  return Array.from({length: count}, (_, i) => values[i % values.length]!);
-}
--- a/test/unit/process/admission/fleet_overload.test.ts
+++ b/test/unit/process/admission/fleet_overload.test.ts
@@ -1,12 +1,12 @@
 import test from 'ava';
 import type {
-  RouteCounts,
   SimulationResult,
   SimulatedRoute,
   SimulatedService,
 } from '../../../fakes/fleet_load.js';
-import {sumSeconds} from '../../../fakes/fleet_load.js';
+import {servedShareOf, sumSeconds} from '../../../fakes/fleet_load.js';
 import {simulateFleet} from '../../../fakes/fleet_simulation.js';
+import {cycled, simulatedRoute} from '../../../fakes/simulated_routes.js';
 
 /**
  * 35 upstreams of four services. Every browse makes four lookups at the
@@ -20,12 +20,12 @@
 ];
 
 const ROUTES: readonly SimulatedRoute[] = [
-  route('browse', 'atlas', 2, [210, 1500, 1500], ['check']),
-  route('order', 'desk', 0, [280, 1500, 2000], ['index', 'index']),
-  route('read', 'catalogue', 1, [86, 1200, 300], []),
-  route('check', 'desk', 0, [15, 2500, 1000], ['index']),
-  route('index', 'yard', 0, [15, 2000, 800], cycled(4, ['lookup'])),
-  route('lookup', 'catalogue', 0, [54, 700, 300], []),
+  simulatedRoute('browse', 'atlas', 2, [210, 1500, 1500], ['check']),
+  simulatedRoute('order', 'desk', 0, [280, 1500, 2000], ['index', 'index']),
+  simulatedRoute('read', 'catalogue', 1, [86, 1200, 300], []),
+  simulatedRoute('check', 'desk', 0, [15, 2500, 1000], ['index']),
+  simulatedRoute('index', 'yard', 0, [15, 2000, 800], cycled(4, ['lookup'])),
+  simulatedRoute('lookup', 'catalogue', 0, [54, 700, 300], []),
 ];
 
 /** Client load relative to the capacity of the catalogue: 1 is its limit. */
@@ -54,38 +54,6 @@
   });
 }
 
-/** Ratio of requests that were served, in time or late. */
-function servedShareOf(seconds: readonly RouteCounts[]): number {
-  const {inTimeCount, lateCount, sentCount} = sumSeconds(seconds, 0);
-  return (inTimeCount + lateCount) / sentCount;
-}
-
-function route(
-  name: string,
-  service: string,
-  rank: number,
-  [workMillis, timeoutMillis, objectiveMillis]: readonly [
-    number,
-    number,
-    number,
-  ],
-  calls: readonly string[],
-): SimulatedRoute {
-  return {
-    name,
-    service,
-    rank,
-    workMillis,
-    timeoutMillis,
-    objectiveMillis,
-    calls,
-  };
-}
-
-function cycled<T>(count: number, values: readonly T[]): T[] {
-  return Array.from({length: count}, (_, i) => values[i % values.length]!);
-}
-
 const SETTLED_SECOND = 3;
 
 for (const seed of [1, 2, 3]) {
