--- a/test/contract/platform_endless_chunks.test.ts
+++ b/test/contract/platform_endless_chunks.test.ts
@@ -62,8 +62,9 @@
     client.once('data', start => {
       client.pause();
       // A busy node may refuse a request that would wait too long for a slot.
-      if (start.toString('latin1').startsWith(REFUSED))
-        {connect(`${attemptId}.`);}
+      if (start.toString('latin1').startsWith(REFUSED)) {
+        connect(`${attemptId}.`);
+      }
     });
     client.write(
       `GET /a/1 HTTP/1.1\r\nhost: ${FLEET_HOST_NAME}\r\n` +
