--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -43,6 +43,7 @@
 import type {RoutedRequest} from './entered_request.js';
 import type {OrderEntryOptions} from './order_entry.js';
 import {awaitTurn, beginOrder} from './order_entry.js';
+import {recordOutcome} from './record_outcome.js';
 import {routeRequest} from './request_routing.js';
 import {completeResponse} from './response_completion.js';
 
@@ -271,8 +272,7 @@
     entered,
     attempted,
   );
-  recordCallTree(options, entered, result);
-  recordCompletion(options, entered, result);
+  recordOutcome(options, entered, result);
   if (!result.mayHaveRun) {
     options.startedOrders.release(entered.attemptId);
     if (organisation !== undefined) options.quotas.recordNotRun(organisation);
@@ -331,33 +331,6 @@
   };
 }
 
-/** Updates the call tree of the route from the calls in the response. */
-function recordCallTree(
-  options: OutboundOptions,
-  entered: EnteredRequest,
-  result: AttemptsResult,
-): void {
-  const {lastResult} = result;
-  if (lastResult.kind !== 'answered') return;
-  const counts = new Map(lastResult.calls);
-  counts.set(entered.service, (counts.get(entered.service) ?? 0) + 1);
-  const {name} = entered.route;
-  if (lastResult.answer.statusCode < 300) options.trees.observe(name, counts);
-  else if (lastResult.hasFailedCall) options.trees.observeFailed(name, counts);
-}
-
-/** Records whether a client's request completed or failed for a call below it. */
-function recordCompletion(
-  {completionThrottle}: OutboundOptions,
-  {route, parent}: EnteredRequest,
-  {lastResult}: AttemptsResult,
-): void {
-  if (parent !== undefined || lastResult.kind !== 'answered') return;
-  const isCompleted = lastResult.answer.statusCode < 300;
-  if (!isCompleted && !lastResult.hasFailedCall) return;
-  completionThrottle.recordEnd(route.name, isCompleted);
-}
-
 function reportToParent(
   parent: InFlightParent,
   service: string,
--- /dev/null
+++ b/src/request/record_outcome.ts
@@ -0,0 +1,50 @@
+/**
+ * Records what the outcome of a request tells about later requests of its route.
+ */
+import type {CallTrees} from '../process/admission/call_trees.js';
+import type {CompletionThrottle} from '../process/admission/completion_throttle.js';
+import type {AttemptsResult} from './attempt_runner.js';
+import type {EnteredRequest} from './entered_request.js';
+
+/** What is learned from outcomes at one node. */
+export interface OutcomeRecords {
+  readonly trees: CallTrees;
+  readonly completionThrottle: CompletionThrottle;
+}
+
+/** Records the outcome of a request that entered at this node. */
+export function recordOutcome(
+  records: OutcomeRecords,
+  entered: EnteredRequest,
+  result: AttemptsResult,
+): void {
+  recordCallTree(records, entered, result);
+  recordCompletion(records, entered, result);
+}
+
+/** Updates the call tree of the route from the calls in the response. */
+function recordCallTree(
+  {trees}: OutcomeRecords,
+  entered: EnteredRequest,
+  result: AttemptsResult,
+): void {
+  const {lastResult} = result;
+  if (lastResult.kind !== 'answered') return;
+  const counts = new Map(lastResult.calls);
+  counts.set(entered.service, (counts.get(entered.service) ?? 0) + 1);
+  const {name} = entered.route;
+  if (lastResult.answer.statusCode < 300) trees.observe(name, counts);
+  else if (lastResult.hasFailedCall) trees.observeFailed(name, counts);
+}
+
+/** Records whether a client's request completed or failed for a call below it. */
+function recordCompletion(
+  {completionThrottle}: OutcomeRecords,
+  {route, parent}: EnteredRequest,
+  {lastResult}: AttemptsResult,
+): void {
+  if (parent !== undefined || lastResult.kind !== 'answered') return;
+  const isCompleted = lastResult.answer.statusCode < 300;
+  if (!isCompleted && !lastResult.hasFailedCall) return;
+  completionThrottle.recordEnd(route.name, isCompleted);
+}
