--- a/src/process/admission/completion_throttle.ts
+++ b/src/process/admission/completion_throttle.ts
@@ -20,7 +20,7 @@
   recordEnd(routeName: string, isCompleted: boolean): void;
 }
 
-/** Time over which requests are counted: several durations of a request. */
+/** Time constant of the counts: about the duration of a request with several calls. */
 const AVERAGE_MILLIS = 1000;
 
 /**
--- a/src/request/record_outcome.ts
+++ b/src/request/record_outcome.ts
@@ -1,12 +1,12 @@
 /**
- * Records what the outcome of a request tells about later requests of its route.
+ * Records the outcome of requests by route, for decisions on later requests.
  */
 import type {CallTrees} from '../process/admission/call_trees.js';
 import type {CompletionThrottle} from '../process/admission/completion_throttle.js';
 import type {AttemptsResult} from './attempt_runner.js';
 import type {EnteredRequest} from './entered_request.js';
 
-/** What is learned from outcomes at one node. */
+/** Records of one node that outcomes update. */
 export interface OutcomeRecords {
   readonly trees: CallTrees;
   readonly completionThrottle: CompletionThrottle;
