Dispatch a request under another id only if its service is known

Cause: after a 421 the node beside an upstream dispatches the request again under the id that the 421 names, and caches that id for further requests. It took the service of that id from its settings as read up to a second before, and from the entry of the id that was rejected. Both describe the upstream that has ended; its address may belong to another service since.

Change: the service of the actual id comes from its entry. While that is missing, the settings file is read again, and counts only if the upstream with the rejected id responded to a request that was sent less than `reuseAfterS` ago: the platform gives no address to another service before, so that the order in which settings and upstream change does not matter. A node without any response yet counts from its start, so that upstreams that restart with it after a power loss serve as before. Otherwise the request is refused as not run and placed elsewhere. The decision is cached per id, so that many rejections cost one read.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -24,6 +24,9 @@
  */
 const QUOTA_BOUND = {windowMillis: 5000, overageRatio: 0.25, slackCount: 20};
 
+/** Without a guarantee, another service may have an address as soon as it is free. */
+const ADDRESS_REUSE_MILLIS = 0;
+
 /**
  * Longest time from a publication until it is applied. Changes are batched for a part of
  * it, so that a policy or host list that is published in several steps is applied at once.
@@ -83,6 +86,7 @@
     service: settings.service,
     store: {address: platform.hostname, port: Number(platform.port)},
     graceMillis: settings.graceMillis,
+    addressReuseMillis: ADDRESS_REUSE_MILLIS,
     applyWithinMillis: APPLY_WITHIN_MILLIS,
     repeatBound: RETRY_BOUND,
     quotaBound: QUOTA_BOUND,
--- a/src/daemon/node_components.ts
+++ b/src/daemon/node_components.ts
@@ -2,6 +2,7 @@
  * Creates the stateful components of a node: configuration, upstream directory, load data
  * and the decisions based on them.
  */
+import {describeError} from '../base/errors.js';
 import type {AdmissionLevel} from '../process/admission/admission_level.js';
 import {createAdmissionLevel} from '../process/admission/admission_level.js';
 import type {AnnouncedLimit} from '../process/admission/announced_limit.js';
@@ -51,6 +52,8 @@
 export interface NodeComponentsOptions {
   /** Current settings. */
   readonly settings: () => NodeSettings;
+  /** Reads the settings file; throws if it is unreadable or invalid. */
+  readonly readSettings: () => NodeSettings;
   readonly log: DecisionLog;
   readonly nowMillis: () => number;
   /** Uniform in [0, 1). */
@@ -129,7 +132,17 @@
   });
   const upstream = createLocalUpstream({
     directory,
-    ownService: () => settings().service,
+    readOwnService: () => readOwnService(options),
+    addressReuseMillis: settings().addressReuseMillis,
+    onIdRejected: rejection => {
+      options.log.logStateEvent('own-upstream-id-rejected', {
+        upstream: rejection.upstreamId,
+        actualUpstream: rejection.actualId,
+        service: rejection.service,
+        actualService: rejection.actualService,
+        isReplaced: rejection.isReplaced,
+      });
+    },
     nowMillis,
     onChange: isReachable => {
       options.log.logStateEvent(
@@ -206,6 +219,22 @@
   };
 }
 
+/** Service of the upstream of this host, from the settings file as it is now. */
+function readOwnService({
+  readSettings,
+  log,
+}: NodeComponentsOptions): string | undefined {
+  try {
+    return readSettings().service;
+  } catch (error) {
+    log.logStateEvent('settings-refused', {
+      cause: 'id-rejected',
+      message: describeError(error),
+    });
+    return undefined;
+  }
+}
+
 /** Window of a retry budget from the configuration. */
 const BUDGET_WINDOW_MILLIS = 10_000;
 const MILLIS_PER_SECOND = 1000;
--- a/src/daemon/node_program.ts
+++ b/src/daemon/node_program.ts
@@ -66,6 +66,7 @@
   try {
     const node = await startServiceNode({
       settings,
+      readSettings: options.readSettings,
       wireHeaders: options.wireHeaders,
       documents: options.createDocuments(settings),
       log,
--- a/src/daemon/service_node.ts
+++ b/src/daemon/service_node.ts
@@ -28,6 +28,8 @@
 /** Dependencies of a node. */
 export interface ServiceNodeOptions {
   readonly settings: NodeSettings;
+  /** Reads the settings file; throws if it is unreadable or invalid. */
+  readonly readSettings: () => NodeSettings;
   readonly wireHeaders: WireHeaders;
   readonly documents: PublishedDocuments;
   readonly log: DecisionLog;
@@ -76,6 +78,7 @@
   const stop = createStopPlan(nowMillis);
   const components = createNodeComponents({
     settings: () => current,
+    readSettings: options.readSettings,
     log,
     nowMillis,
     random,
--- a/src/process/settings/node_settings.ts
+++ b/src/process/settings/node_settings.ts
@@ -51,6 +51,8 @@
   readonly graceMillis: number;
   /** Interval at which upstreams write their entries, if known. */
   readonly heartbeatMillis?: number | undefined;
+  /** Shortest time from the end of an upstream until another service has its address. */
+  readonly addressReuseMillis: number;
   /**
    * Maximum time from the acknowledgement of a document to its effect on a
    * node.
--- a/src/request/local_execution.ts
+++ b/src/request/local_execution.ts
@@ -181,11 +181,11 @@
   result: UpstreamResult,
   heldMillis: number,
 ): void {
-  const {queue, upstream, slowness} = options;
+  const {queue, upstream, slowness, nowMillis} = options;
   if (result.kind === 'answered') queue.release(heldMillis);
   else queue.releaseWithoutSample();
   if (result.kind === 'answered') {
-    upstream.markAnswered(call.upstreamId);
+    upstream.markAnswered(call.upstreamId, nowMillis() - heldMillis);
     const {usualMillis} = call;
     if (usualMillis !== undefined) slowness.observe(heldMillis, usualMillis);
   }
--- a/src/request/local_upstream.ts
+++ b/src/request/local_upstream.ts
@@ -20,12 +20,15 @@
   leavingReason(upstreamId: string): HopReason | undefined;
   /** Records that a connection to the upstream failed. */
   markUnreachable(): void;
-  /** Records that the upstream rejected this id and returned its actual one. */
+  /**
+   * Records that the upstream rejected this id and returned its actual one. Requests for
+   * the rejected id are dispatched with the actual one only if both have the same service.
+   */
   markMisdirected(upstreamId: string, actualId: string | undefined): void;
   /** Current upstream id for requests with the given, possibly outdated, id. */
   currentIdOf(upstreamId: string): string;
-  /** Records that the upstream responded to a request with this id. */
-  markAnswered(upstreamId: string): void;
+  /** Records that the upstream responded to a request with this id, sent at this time. */
+  markAnswered(upstreamId: string, sentMillis: number): void;
   /** Decides when a request with this id may be dispatched. */
   acquireDispatchTurn(upstreamId: string): DispatchTurn;
   /** Records that the upstream can be reached. */
@@ -48,10 +51,32 @@
 /** Dependencies of the local upstream state. */
 export interface LocalUpstreamOptions {
   readonly directory: UpstreamDirectory;
-  /** Service of the upstream of this host, if known. */
-  readonly ownService?: () => string;
+  /**
+   * Reads the service of the upstream of this host from the settings file; `undefined` if
+   * the file cannot be read.
+   */
+  readonly readOwnService: () => string | undefined;
+  /** Shortest time from the end of an upstream until another service has its address. */
+  readonly addressReuseMillis: number;
   readonly nowMillis: () => number;
   readonly onChange: (isReachable: boolean) => void;
+  /** Called when the upstream has rejected an id, at most once per `REJECTED_ID_MILLIS`. */
+  readonly onIdRejected?: ((rejection: IdRejection) => void) | undefined;
+}
+
+/** An id that the upstream has rejected, and what is known about its actual one. */
+export interface IdRejection {
+  readonly upstreamId: string;
+  readonly actualId: string | undefined;
+  /** Service of the rejected id, from its entry. */
+  readonly service: string | undefined;
+  /**
+   * Service of the actual id, from its entry or else from the settings file; `undefined` if
+   * neither proves it.
+   */
+  readonly actualService: string | undefined;
+  /** Whether requests for the rejected id are dispatched with the actual one. */
+  readonly isReplaced: boolean;
 }
 
 /**
@@ -71,9 +96,17 @@
  */
 const REJECTED_ID_MILLIS = 1000;
 
+/** A request that the upstream responded to. */
+interface AnsweredRequest {
+  readonly upstreamId: string;
+  readonly sentMillis: number;
+}
+
 /** An id that the upstream has rejected. */
 interface RejectedId {
   readonly untilMillis: number;
+  /** Id that the upstream returned. */
+  readonly actualId: string | undefined;
   /** Current id of the upstream, if it may execute requests for the rejected one. */
   readonly currentId: string | undefined;
 }
@@ -88,6 +121,8 @@
   let failuresInARow = 0;
   let retryAtMillis = 0;
   let isDraining = false;
+  const startMillis = nowMillis();
+  let lastAnswered: AnsweredRequest | undefined;
   const rejectedIds = new Map<string, RejectedId>();
   const firstDispatches = createFirstDispatches();
 
@@ -107,13 +142,57 @@
     return 'other-upstream';
   };
 
+  /**
+   * Whether the upstream with this id may have ended so long ago that its address has been
+   * assigned to another service. It ran when it was sent a request that it responded to.
+   */
+  const mayAddressBeReused = (upstreamId: string): boolean => {
+    const isOtherId =
+      lastAnswered !== undefined && lastAnswered.upstreamId !== upstreamId;
+    if (isOtherId) return true;
+    const sinceMillis = lastAnswered?.sentMillis ?? startMillis;
+    return nowMillis() - sinceMillis >= options.addressReuseMillis;
+  };
+
+  /**
+   * Service of the upstream with the actual id, from its entry. The settings tell it only
+   * until the address may have been assigned to another service, since they may be changed
+   * after its upstream has started; they are read again for the latest change.
+   */
+  const findActualService = (
+    upstreamId: string,
+    actualId: string,
+  ): string | undefined => {
+    const published = directory.find(actualId);
+    if (published !== undefined) return published.entry.service;
+    if (mayAddressBeReused(upstreamId)) return undefined;
+    return options.readOwnService();
+  };
+
   /**
    * A restarted upstream of the same service may execute requests that were meant for its
    * earlier start and never reached it. The old entry may instead belong to another
    * service whose address this upstream now uses.
    */
-  const isOfOwnService = (upstreamId: string): boolean =>
-    directory.find(upstreamId)?.entry.service === options.ownService?.();
+  const findReplacementId = (
+    upstreamId: string,
+    actualId: string | undefined,
+  ): string | undefined => {
+    const service = directory.find(upstreamId)?.entry.service;
+    const actualService =
+      actualId === undefined
+        ? undefined
+        : findActualService(upstreamId, actualId);
+    const isReplaced = service !== undefined && service === actualService;
+    options.onIdRejected?.({
+      upstreamId,
+      actualId,
+      service,
+      actualService,
+      isReplaced,
+    });
+    return isReplaced ? actualId : undefined;
+  };
 
   const unreachableReason = (): HopReason | undefined => {
     if (failuresInARow === 0) return undefined;
@@ -158,14 +237,21 @@
       for (const listener of [...suspectedListeners]) listener();
     },
     markMisdirected: (upstreamId, actualId) => {
+      const known = findRejectedId(upstreamId);
+      const currentId =
+        known !== undefined && known.actualId === actualId
+          ? known.currentId
+          : findReplacementId(upstreamId, actualId);
       rejectedIds.set(upstreamId, {
         untilMillis: nowMillis() + REJECTED_ID_MILLIS,
-        currentId: isOfOwnService(upstreamId) ? actualId : undefined,
+        actualId,
+        currentId,
       });
       firstDispatches.settle(upstreamId);
     },
-    markAnswered: upstreamId => {
+    markAnswered: (upstreamId, sentMillis) => {
       markReached();
+      lastAnswered = {upstreamId, sentMillis};
       firstDispatches.settle(upstreamId);
       const known = findRejectedId(upstreamId);
       if (known?.currentId === undefined) return;
--- a/test/fakes/platform_fleet.ts
+++ b/test/fakes/platform_fleet.ts
@@ -57,6 +57,8 @@
   /** Publishes the state of a host's upstream. */
   publish(host: FleetHost, fields?: EntryFields): void;
   withdraw(host: FleetHost): void;
+  /** Writes another service to a host's settings file, without any signal to its node. */
+  writeService(host: FleetHost, service: string): void;
   close(): Promise<void>;
 }
 
@@ -93,12 +95,17 @@
   readonly slots?: number;
   /** Time within which a document must take effect; changes are batched for most of it. */
   readonly applyWithinMillis?: number;
+  /** Shortest time from the end of an upstream until another service has its address. */
+  readonly addressReuseMillis?: number;
   /** Retries that the fleet may send beyond the ratio; the default is rarely reached. */
   readonly slackCount?: number;
   /** Other nodes connect to each node through a link that can inject faults. */
   readonly hasLinks?: boolean;
 }
 
+/** Value of the current deployments. */
+const ADDRESS_REUSE_MILLIS = 2000;
+
 /** Retries that the fleet may send per request. */
 export const RETRY_RATIO = 0.2;
 
@@ -196,6 +203,7 @@
     });
   }
   const hosts: FleetHost[] = [];
+  const writtenServices = new Map<string, string>();
   for (const [index, service] of options.services.entries()) {
     const address = `${block}.${String(index + 1)}`;
     const id = `i-${String(index + 1)}`;
@@ -213,6 +221,7 @@
       slackCount: options.slackCount ?? 200,
       // Disables batching, because most tests publish one change at a time.
       applyWithinMillis: options.applyWithinMillis ?? 0,
+      addressReuseMillis: options.addressReuseMillis ?? ADDRESS_REUSE_MILLIS,
     });
     const events: LoggedEvent[] = [];
     const metrics = createNodeMetrics();
@@ -227,6 +236,10 @@
         : undefined;
     const node = await startServiceNode({
       settings,
+      readSettings: () => ({
+        ...settings,
+        service: writtenServices.get(address) ?? service,
+      }),
       wireHeaders: HEADERS,
       documents: createPublishedDocuments(settings.store, {
         inboundPort,
@@ -264,6 +277,9 @@
     withdraw: host => {
       store.remove(`servers/${host.upstream.id}`);
     },
+    writeService: (host, service) => {
+      writtenServices.set(host.address, service);
+    },
     close: async () => {
       await Promise.all(hosts.map(host => host.upstream.close()));
       for (const host of hosts) host.node.dispose();
@@ -294,6 +310,7 @@
   readonly storePort: number;
   readonly slackCount: number;
   readonly applyWithinMillis: number;
+  readonly addressReuseMillis: number;
 }
 
 function createSettings(options: SettingsOptions): NodeSettings {
@@ -311,6 +328,7 @@
     service: options.service,
     store: {address: '127.0.0.1', port: options.storePort},
     graceMillis: 6000,
+    addressReuseMillis: options.addressReuseMillis,
     applyWithinMillis: options.applyWithinMillis,
     repeatBound: {
       ratio: RETRY_RATIO,
--- a/test/unit/platform/decoding.test.ts
+++ b/test/unit/platform/decoding.test.ts
@@ -120,6 +120,7 @@
   outbound: "10.1.0.8:8304"
   readyAddr: "10.1.0.8:8302"
 bounds:
+  - "reuseAfterS=3"
   - "drainS=2"
   - "graceS=6"
   - "retryBudgetRatio=0.2"
@@ -140,6 +141,7 @@
     nodeName: 'sidecar-a-1',
     graceMillis: 6000,
     heartbeatMillis: 1500,
+    addressReuseMillis: 3000,
     applyWithinMillis: 2000,
     repeatBound: {ratio: 0.2, windowMillis: 10_000, slackCount: 47},
     quotaBound: {windowMillis: 5000, overageRatio: 0.25, slackCount: 20},
--- a/test/unit/request/local_upstream.test.ts
+++ b/test/unit/request/local_upstream.test.ts
@@ -12,7 +12,8 @@
   });
   const upstream = createLocalUpstream({
     directory,
-    ownService: () => upstreamEntry().service,
+    readOwnService: () => upstreamEntry().service,
+    addressReuseMillis: 2000,
     nowMillis: () => now,
     onChange: isReachable => changes.push(isReachable),
   });
--- a/test/unit/request/misdirected.test.ts
+++ b/test/unit/request/misdirected.test.ts
@@ -25,6 +25,8 @@
 /** Reason with which an upstream rejects a request for another upstream id. */
 const MISDIRECTED = 'misdirected' as HopReason;
 
+const ADDRESS_REUSE_MILLIS = 2000;
+
 const BOUND = {ratio: 0.2, windowMillis: 10_000, slackCount: 8};
 
 const ANSWER = {
@@ -36,8 +38,13 @@
 };
 
 /** A node whose upstream has another id than its published entry. */
-function createFixture(ownService = 'unknown', actualId?: string) {
+function createFixture(
+  ownService = 'unknown',
+  actualId?: string,
+  writtenService: () => string | undefined = () => ownService,
+) {
   let now = 0;
+  let settingsReadsCount = 0;
   const sentIds: string[] = [];
   const nowMillis = (): number => now;
   const directory = createUpstreamDirectory({
@@ -47,7 +54,11 @@
   directory.put([upstreamEntry()]);
   const upstream = createLocalUpstream({
     directory,
-    ownService: () => ownService,
+    readOwnService: () => {
+      settingsReadsCount += 1;
+      return writtenService();
+    },
+    addressReuseMillis: ADDRESS_REUSE_MILLIS,
     nowMillis,
     onChange: () => undefined,
   });
@@ -108,7 +119,10 @@
     execute: (upstreamId: string): Promise<ExecutionResult> =>
       execution.execute(call(upstreamId)),
     directory,
+    markMisdirected: upstream.markMisdirected,
+    markAnswered: upstream.markAnswered,
     sentIds,
+    settingsReadsCount: () => settingsReadsCount,
     nowMillis,
     advance: (millis: number) => {
       now += millis;
@@ -220,6 +234,74 @@
   t.deepEqual(sentIds, ['u-1']);
 });
 
+test('an upstream that took over the address of another service does not execute its requests', async t => {
+  // Guards against orders run by another service: an upstream of it starts at the address
+  // of a crashed one, before the node has noticed the change of its settings.
+  const {execute, sentIds} = createFixture('orders', 'u-2', () => 'billing');
+  for (let index = 0; index < 3; index += 1) {
+    t.is((await execute('u-1')).kind, 'refused');
+  }
+  t.deepEqual(sentIds, ['u-1']);
+});
+
+test('the published service of an upstream prevails over the settings', async t => {
+  // Guards against requests run by another service while the settings name the former one.
+  const {execute, directory, sentIds} = createFixture('orders', 'u-2');
+  directory.put([
+    upstreamEntry({id: 'u-2', service: 'billing', hostKey: 'h-2'}),
+  ]);
+  t.is((await execute('u-1')).kind, 'refused');
+  t.deepEqual(sentIds, ['u-1']);
+});
+
+test('the settings tell the service of an upstream only until its address may be reused', async t => {
+  // Guards against requests run by another service: its upstream has started at the address
+  // of a crashed one, and the settings still name the former service.
+  const {execute, markAnswered, sentIds, advance} = createFixture(
+    'orders',
+    'u-2',
+  );
+  advance(5000);
+  markAnswered('u-1', 5000 - ADDRESS_REUSE_MILLIS);
+  t.is((await execute('u-1')).kind, 'refused');
+  t.deepEqual(sentIds, ['u-1']);
+  advance(1000);
+  // It ran a moment ago, so that the one that rejects its id has the same service.
+  markAnswered('u-1', 6001 - ADDRESS_REUSE_MILLIS);
+  t.is((await execute('u-1')).kind, 'answered');
+  t.deepEqual(sentIds, ['u-1', 'u-1', 'u-2']);
+});
+
+test('an upstream executes no requests for another id while its service is unknown', async t => {
+  // Guards against requests run by another service while the settings are being replaced.
+  const written: {service?: string} = {};
+  const {execute, sentIds, advance} = createFixture(
+    'orders',
+    'u-2',
+    () => written.service,
+  );
+  t.is((await execute('u-1')).kind, 'refused');
+  t.deepEqual(sentIds, ['u-1']);
+  written.service = 'orders';
+  advance(1000);
+  t.is((await execute('u-1')).kind, 'answered');
+  t.deepEqual(sentIds, ['u-1', 'u-1', 'u-2']);
+});
+
+test('the settings are read once for an id that is rejected many times', async t => {
+  // Guards against a read of the settings for each of the requests that were dispatched
+  // before the first rejection.
+  const {markMisdirected, settingsReadsCount, advance} =
+    createFixture('orders');
+  for (let index = 0; index < 50; index += 1) markMisdirected('u-1', 'u-2');
+  t.is(settingsReadsCount(), 1);
+  markMisdirected('u-1', 'u-3');
+  t.is(settingsReadsCount(), 2);
+  advance(1000);
+  markMisdirected('u-1', 'u-3');
+  t.is(settingsReadsCount(), 3);
+});
+
 test('a request for an earlier start is not executed by an upstream that is leaving', async t => {
   // Guards against requests that reach a leaving upstream because they name its earlier
   // start.
