Learn the call tree of a route for each service that it leads to

Cause: what the requests of a route reach was learned by the name of the route, over all versions of the configuration, and includes the service that the route led to. While that one has no upstream, every request of the name is shed, and only a request that is admitted changes what was learned.

Evidence: all 957 `shed` lines of version 7 name `shedBy` catalogue, the former service, with reason `no-upstream`; none says `rarely-completed`, nothing was refused for the new service, and no request got 404. So it is neither the completion throttle nor the directory nor the route table.

Change: a call tree belongs to a route and the service that the request is sent to. A route that leads elsewhere starts with an empty tree. The number of trees is bounded, which it was not by name either.

Related: a route by weight had one tree for all its services, so that a service with most of the weight, once lost, had the requests for the others refused as well. Retries are charged by the tree of the service that is tried, no longer with the calls of the former one. Attempt timeouts and weighted targets are kept by route and services already; the completion throttle forgets within seconds and always admits one request.

--- a/src/process/admission/call_trees.ts
+++ b/src/process/admission/call_trees.ts
@@ -4,24 +4,34 @@
  *
  * Without it, an entry node could not detect that two routes to different
  * services share a third one that is saturated.
+ *
+ * A route may lead to several services, by weight or in turn as its
+ * configuration changes. Each of them has a tree of its own: a request that goes
+ * to one of them does not need the others.
  */
 
 /** Number of calls by service. */
 export type CallCounts = ReadonlyMap<string, number>;
 
-/** Learned call trees by the route at which a client's request entered. */
+/** Route at which a client's request enters, and the service that it is sent to. */
+export interface RouteTarget {
+  readonly routeName: string;
+  readonly service: string;
+}
+
+/** Learned call trees by route and service. */
 export interface CallTrees {
   /** Records the calls of a request that succeeded. */
-  observe(routeName: string, counts: CallCounts): void;
+  observe(target: RouteTarget, counts: CallCounts): void;
   /**
    * Records the calls of a request that failed after some of them, as a lower
-   * bound. Ignored once a request of the route has succeeded.
+   * bound. Ignored once a request of the same target has succeeded.
    */
-  observeFailed(routeName: string, counts: CallCounts): void;
+  observeFailed(target: RouteTarget, counts: CallCounts): void;
   /**
    * Mean number of calls of one request by service; empty if none are recorded.
    */
-  callCountsOf(routeName: string): CallCounts;
+  callCountsOf(target: RouteTarget): CallCounts;
 }
 
 /**
@@ -33,6 +43,12 @@
 /** Mean number of calls below which a service is removed from a tree. */
 const MIN_MEAN_COUNT = 0.02;
 
+/**
+ * Maximum number of trees. The one created first is evicted, and learned again
+ * with the next request if its route still exists.
+ */
+const MAX_TREES_COUNT = 4096;
+
 /** Empty call counts. */
 export const NO_CALLS: CallCounts = new Map();
 
@@ -40,20 +56,24 @@
 export function createCallTrees(): CallTrees {
   const trees = new Map<string, Map<string, number>>();
   const failedTrees = new Map<string, Map<string, number>>();
+
   return {
-    observeFailed: (routeName, counts) => {
-      if (trees.has(routeName)) return;
-      const tree = failedTrees.get(routeName) ?? new Map<string, number>();
-      failedTrees.set(routeName, tree);
+    observeFailed: (target, counts) => {
+      const key = keyOf(target);
+      if (trees.has(key)) return;
+      const known = failedTrees.get(key);
+      const tree = known ?? new Map<string, number>();
+      if (known === undefined) addTree(failedTrees, key, tree);
       for (const [service, count] of counts) {
         tree.set(service, Math.max(count, tree.get(service) ?? 0));
       }
     },
-    observe: (routeName, counts) => {
-      const tree = trees.get(routeName);
+    observe: (target, counts) => {
+      const key = keyOf(target);
+      const tree = trees.get(key);
       if (tree === undefined) {
-        trees.set(routeName, new Map(counts));
-        failedTrees.delete(routeName);
+        addTree(trees, key, new Map(counts));
+        failedTrees.delete(key);
         return;
       }
       for (const [service, mean] of tree) {
@@ -66,11 +86,28 @@
         if (!tree.has(service)) tree.set(service, sample * SAMPLE_WEIGHT);
       }
     },
-    callCountsOf: routeName =>
-      trees.get(routeName) ?? failedTrees.get(routeName) ?? NO_CALLS,
+    callCountsOf: target => {
+      const key = keyOf(target);
+      return trees.get(key) ?? failedTrees.get(key) ?? NO_CALLS;
+    },
   };
 }
 
+function keyOf({routeName, service}: RouteTarget): string {
+  return `${routeName} ${service}`;
+}
+
+function addTree(
+  trees: Map<string, Map<string, number>>,
+  key: string,
+  tree: Map<string, number>,
+): void {
+  trees.set(key, tree);
+  if (trees.size <= MAX_TREES_COUNT) return;
+  const [oldestKey = ''] = trees.keys();
+  trees.delete(oldestKey);
+}
+
 /**
  * Calls caused by one more attempt at a service: the attempt itself and the
  * calls below it.
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -43,7 +43,7 @@
 import type {RoutedRequest} from './entered_request.js';
 import type {OrderEntryOptions} from './order_entry.js';
 import {awaitTurn, beginOrder} from './order_entry.js';
-import {recordOutcome} from './record_outcome.js';
+import {recordOutcome, targetOf} from './record_outcome.js';
 import {routeRequest} from './request_routing.js';
 import {completeResponse} from './response_completion.js';
 
@@ -217,7 +217,7 @@
   const {route, service, origin} = entered;
   options.budget.recordRequest(new Map([[service, 1]]));
   if (entered.parent !== undefined) return true;
-  const tree = options.trees.callCountsOf(route.name);
+  const tree = options.trees.callCountsOf(targetOf(entered));
   const candidate = {
     importance: origin.importance,
     attemptId: entered.attemptId,
--- a/src/request/record_outcome.ts
+++ b/src/request/record_outcome.ts
@@ -1,7 +1,7 @@
 /**
  * Records the outcome of requests by route, for decisions on later requests.
  */
-import type {CallTrees} from '../process/admission/call_trees.js';
+import type {CallTrees, RouteTarget} from '../process/admission/call_trees.js';
 import type {CompletionThrottle} from '../process/admission/completion_throttle.js';
 import type {AttemptsResult} from './attempt_runner.js';
 import type {EnteredRequest} from './entered_request.js';
@@ -22,6 +22,14 @@
   recordCompletion(records, entered, result);
 }
 
+/** Route and service of a request, which determine its call tree. */
+export function targetOf({
+  route,
+  service,
+}: Pick<EnteredRequest, 'route' | 'service'>): RouteTarget {
+  return {routeName: route.name, service};
+}
+
 /** Updates the call tree of the route from the calls in the response. */
 function recordCallTree(
   {trees}: OutcomeRecords,
@@ -32,9 +40,9 @@
   if (lastResult.kind !== 'answered') return;
   const counts = new Map(lastResult.calls);
   counts.set(entered.service, (counts.get(entered.service) ?? 0) + 1);
-  const {name} = entered.route;
-  if (lastResult.answer.statusCode < 300) trees.observe(name, counts);
-  else if (lastResult.hasFailedCall) trees.observeFailed(name, counts);
+  const target = targetOf(entered);
+  if (lastResult.answer.statusCode < 300) trees.observe(target, counts);
+  else if (lastResult.hasFailedCall) trees.observeFailed(target, counts);
 }
 
 /** Records whether a client's request completed or failed for a call below it. */
--- a/src/request/retry_rules.ts
+++ b/src/request/retry_rules.ts
@@ -53,7 +53,10 @@
     call.deadlineMillis - nowMillis();
 
   const expectedCalls = ({route, service}: AttemptedRequest): CallCounts =>
-    attemptCallCounts(trees.callCountsOf(route.name), service);
+    attemptCallCounts(
+      trees.callCountsOf({routeName: route.name, service}),
+      service,
+    );
 
   /** Nested retries multiply, so a request that is itself part of a retry is not retried. */
   const tryTakeRetry = (
--- a/src/request/upstream_dispatch.ts
+++ b/src/request/upstream_dispatch.ts
@@ -111,8 +111,10 @@
   isFirst: boolean,
 ): boolean {
   const isRoot = attemptId === origin.rootId;
-  const tree = isRoot ? trees.callCountsOf(origin.rootRouteName) : NO_CALLS;
-  const counts = attemptCallCounts(tree, ownService());
+  const service = ownService();
+  const target = {routeName: origin.rootRouteName, service};
+  const tree = isRoot ? trees.callCountsOf(target) : NO_CALLS;
+  const counts = attemptCallCounts(tree, service);
   if (!isFirst) return budget.tryTake(counts);
   budget.takeUnchecked(counts);
   return true;
--- /dev/null
+++ b/test/contract/platform_moved_routes.test.ts
@@ -0,0 +1,106 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {ExecutionContext} from 'ava';
+import test from 'ava';
+import type {FleetHost, PlatformFleet} from '../fakes/platform_fleet.js';
+import {createPath, SAFE_PATH} from '../fakes/platform_fleet.js';
+import {startFleet} from '../fakes/test_fleet.js';
+import {waitUntil} from '../fakes/wait_until.js';
+
+/** Services without an upstream are refused from then on. */
+const REMOVAL_GRACE_MILLIS = 500;
+
+const REQUESTS_COUNT = 20;
+
+const SERVICES = ['entry', 'orders', 'orders-next'];
+
+/** Loses the only upstream of a service for good. */
+async function loseUpstream(
+  fleet: PlatformFleet,
+  entry: FleetHost,
+  lost: FleetHost,
+): Promise<void> {
+  await lost.upstream.setConnectionPolicy('refuse');
+  fleet.withdraw(lost);
+  await waitUntil('known to have left', () =>
+    entry.events.some(
+      ({event, fields}) =>
+        event === 'upstream-left' && fields['upstream'] === lost.upstream.id,
+    ),
+  );
+  await sleep(REMOVAL_GRACE_MILLIS);
+}
+
+/** Waits until a node has accepted as many configurations as were published. */
+async function waitForVersion(entry: FleetHost, count: number): Promise<void> {
+  await waitUntil('configuration accepted', () => {
+    const accepted = entry.events.filter(
+      ({event}) => event === 'configuration-accepted',
+    );
+    return accepted.length === count;
+  });
+}
+
+async function sendAll(
+  fleet: PlatformFleet,
+  entry: FleetHost,
+  path: string,
+): Promise<readonly number[]> {
+  const statusCodes: number[] = [];
+  for (let index = 0; index < REQUESTS_COUNT; index += 1) {
+    const attemptId = `${path}${String(statusCodes.length)}-${String(Math.random())}`;
+    const answer = await fleet.send(entry, {attemptId, path});
+    statusCodes.push(answer.statusCode);
+  }
+  return statusCodes;
+}
+
+function assertAll(
+  t: ExecutionContext,
+  statusCodes: readonly number[],
+  expected: number,
+): void {
+  t.deepEqual(new Set(statusCodes), new Set([expected]));
+}
+
+for (const isDropped of [false, true]) {
+  const title = isDropped ? 'dropped and added again' : 'moved';
+  test(`a route is served by its new service once its former one is lost: ${title}`, async t => {
+    // Guards against a route that is refused for ever: what its requests reach was
+    // remembered by its name, with the service that it no longer leads to.
+    const fleet = await startFleet(t, {services: SERVICES, paths: [SAFE_PATH]});
+    const [entry, orders, next] = fleet.hosts;
+    assertAll(t, await sendAll(fleet, entry!, '/a/1'), 200);
+    await loseUpstream(fleet, entry!, orders!);
+    if (isDropped) fleet.configure([]);
+    if (isDropped) await waitForVersion(entry!, 2);
+    fleet.configure([createPath({service: 'orders-next'})]);
+    await waitForVersion(entry!, isDropped ? 3 : 2);
+    assertAll(t, await sendAll(fleet, entry!, '/a/1'), 200);
+    t.is(next!.upstream.runIds.length, REQUESTS_COUNT);
+  });
+}
+
+test('a weighted route is served by one service while the other one has no upstream', async t => {
+  // Guards against the same within one version: most requests of the route reached the
+  // service that is lost.
+  const paths = [
+    createPath({
+      service: undefined,
+      weightedServices: [
+        {service: 'orders', weight: 19},
+        {service: 'orders-next', weight: 1},
+      ],
+    }),
+  ];
+  const fleet = await startFleet(t, {services: SERVICES, paths});
+  const [entry, orders, next] = fleet.hosts;
+  for (let round = 0; round < 3; round += 1) {
+    assertAll(t, await sendAll(fleet, entry!, '/a/1'), 200);
+  }
+  const beforeCount = next!.upstream.runIds.length;
+  await loseUpstream(fleet, entry!, orders!);
+  for (let round = 0; round < 3; round += 1) {
+    await sendAll(fleet, entry!, '/a/1');
+  }
+  t.is(next!.upstream.runIds.length - beforeCount, 3);
+});
--- a/test/fakes/fleet_simulation.ts
+++ b/test/fakes/fleet_simulation.ts
@@ -313,7 +313,8 @@
         enter(clients, firstMillis, attemptsCount + 1);
       });
     };
-    const tree = node.trees.callCountsOf(route.name);
+    const target = {routeName: route.name, service: route.service};
+    const tree = node.trees.callCountsOf(target);
     node.budget.recordRequest(new Map([[route.service, 1]]));
     const request = {importance: root.importance, attemptId: id};
     const cause = node.entryAdmission.shedCause(request, route.service, tree);
@@ -336,7 +337,7 @@
         if (end === 'served') {
           const counts = new Map(calls);
           addCounts(counts, new Map([[route.service, 1]]));
-          node.trees.observe(route.name, counts);
+          node.trees.observe(target, counts);
           const millis = nowMillis() - firstMillis;
           if (millis <= route.objectiveMillis) secondCounts.inTimeCount += 1;
           else secondCounts.lateCount += 1;
@@ -344,7 +345,7 @@
         } else if (root.runs.length === 0) {
           handleRefused();
         } else {
-          node.trees.observeFailed(route.name, calls);
+          node.trees.observeFailed(target, calls);
           secondCounts.failedCount += 1;
         }
       },
--- a/test/unit/process/admission/call_trees.test.ts
+++ b/test/unit/process/admission/call_trees.test.ts
@@ -12,16 +12,18 @@
   grant: createRetryGrant(2),
 };
 
+const TARGET = {routeName: 'route', service: 'desk'};
+
 test('a call tree follows the services that requests of the route reach', t => {
   const trees = createCallTrees();
-  t.is(trees.callCountsOf('route').size, 0);
-  trees.observe('route', new Map([['catalogue', 4]]));
-  t.is(trees.callCountsOf('route').get('catalogue'), 4);
+  t.is(trees.callCountsOf(TARGET).size, 0);
+  trees.observe(TARGET, new Map([['catalogue', 4]]));
+  t.is(trees.callCountsOf(TARGET).get('catalogue'), 4);
   for (let index = 0; index < 200; index += 1) {
-    trees.observe('route', new Map([['tileyard', 2]]));
+    trees.observe(TARGET, new Map([['tileyard', 2]]));
   }
-  t.is(trees.callCountsOf('route').get('catalogue'), undefined);
-  t.true(Math.abs(trees.callCountsOf('route').get('tileyard')! - 2) < 0.01);
+  t.is(trees.callCountsOf(TARGET).get('catalogue'), undefined);
+  t.true(Math.abs(trees.callCountsOf(TARGET).get('tileyard')! - 2) < 0.01);
 });
 
 test('a call tree is learned from failed requests until one succeeds', t => {
@@ -30,20 +32,44 @@
   // from successful requests only, and there are none while it admits
   // everything.
   const trees = createCallTrees();
-  trees.observeFailed('route', new Map([['desk', 1]]));
+  trees.observeFailed(TARGET, new Map([['desk', 1]]));
   trees.observeFailed(
-    'route',
+    TARGET,
     new Map([
       ['desk', 1],
       ['catalogue', 2],
     ]),
   );
-  t.is(trees.callCountsOf('route').get('desk'), 1);
-  t.is(trees.callCountsOf('route').get('catalogue'), 2);
-  trees.observe('route', new Map([['catalogue', 4]]));
-  t.deepEqual([...trees.callCountsOf('route')], [['catalogue', 4]]);
-  trees.observeFailed('route', new Map([['other', 1]]));
-  t.is(trees.callCountsOf('route').get('other'), undefined);
+  t.is(trees.callCountsOf(TARGET).get('desk'), 1);
+  t.is(trees.callCountsOf(TARGET).get('catalogue'), 2);
+  trees.observe(TARGET, new Map([['catalogue', 4]]));
+  t.deepEqual([...trees.callCountsOf(TARGET)], [['catalogue', 4]]);
+  trees.observeFailed(TARGET, new Map([['other', 1]]));
+  t.is(trees.callCountsOf(TARGET).get('other'), undefined);
+});
+
+test('a route that leads to another service has another call tree', t => {
+  // Guards against a route that is refused for ever: it was moved from a service
+  // whose last upstream is lost, and its call tree still required that one.
+  const trees = createCallTrees();
+  const moved = {...TARGET, service: 'desk-next'};
+  trees.observe(TARGET, new Map([['desk', 1]]));
+  t.is(trees.callCountsOf(moved).size, 0);
+  trees.observeFailed(moved, new Map([['desk-next', 1]]));
+  t.deepEqual([...trees.callCountsOf(moved)], [['desk-next', 1]]);
+  trees.observe(moved, new Map([['desk-next', 1]]));
+  t.deepEqual([...trees.callCountsOf(moved)], [['desk-next', 1]]);
+  t.deepEqual([...trees.callCountsOf(TARGET)], [['desk', 1]]);
+});
+
+test('the number of call trees is bounded', t => {
+  const trees = createCallTrees();
+  const targetOf = (index: number) => ({...TARGET, service: `s${index}`});
+  for (let index = 0; index < 5000; index += 1) {
+    trees.observe(targetOf(index), new Map([['desk', 1]]));
+  }
+  t.is(trees.callCountsOf(targetOf(0)).size, 0);
+  t.is(trees.callCountsOf(targetOf(4999)).size, 1);
 });
 
 test('a call belongs to the request that its id is derived from', t => {
