Probe routes that are refused for a service they may no longer call

A route whose upstreams stop calling a service, by a release or because a version leads their calls elsewhere, is refused for ever once the last upstream of that service is lost: its call tree still requires the service, all its requests are shed with `no-upstream`, and only admitted ones change the tree.

Change: one request in 4 s of each route and service is admitted although a service below it has no upstream, and logged as `call-tree-probe`. Its success has a greater weight, so that one to three of them open the route; its failure changes nothing. Requests that are shed for their own service, or for overload, are not probed: the first can't succeed, and the second ends with the overload, while probes would add to it.

--- a/src/daemon/node_exchanges.ts
+++ b/src/daemon/node_exchanges.ts
@@ -18,6 +18,7 @@
 } from '../process/retries/started_orders.js';
 import {createAttemptTimeouts} from '../process/retries/attempt_timeouts.js';
 import type {DecisionLog} from '../process/log/decision_log.js';
+import {createCallTreeProbes} from '../process/admission/call_tree_probes.js';
 import {createCompletionThrottle} from '../process/admission/completion_throttle.js';
 import {createEntryAdmission} from '../process/admission/entry_admission.js';
 import type {LoadReport} from '../process/admission/load_table.js';
@@ -189,6 +190,15 @@
     unframedBodies: createUnframedBodies(nowMillis),
     ownService: () => settings().service,
     completionThrottle: createCompletionThrottle(nowMillis),
+    treeProbes: createCallTreeProbes(nowMillis),
+    onProbe: ({attemptId, route, service}, cause) => {
+      options.log.logRequestEvent('call-tree-probe', {
+        requestId: attemptId,
+        route: route.name,
+        service,
+        requiredService: cause.service,
+      });
+    },
     entryAdmission: createEntryAdmission(components.loadTable, service =>
       components.directory
         .listReady(service)
--- a/src/process/admission/call_trees.ts
+++ b/src/process/admission/call_trees.ts
@@ -23,6 +23,11 @@
 export interface CallTrees {
   /** Records the calls of a request that succeeded. */
   observe(target: RouteTarget, counts: CallCounts): void;
+  /**
+   * Records the calls of a request that succeeded although the tree required a
+   * service without upstreams.
+   */
+  observeProbe(target: RouteTarget, counts: CallCounts): void;
   /**
    * Records the calls of a request that failed after some of them, as a lower
    * bound. Ignored once a request of the same target has succeeded.
@@ -40,6 +45,12 @@
  */
 const SAMPLE_WEIGHT = 0.06;
 
+/**
+ * Weight of the sample of a probe. Probes are rare, and a tree that has become
+ * wrong rejects all other requests until a few of them have corrected it.
+ */
+const PROBE_WEIGHT = 0.5;
+
 /** Mean number of calls below which a service is removed from a tree. */
 const MIN_MEAN_COUNT = 0.02;
 
@@ -57,6 +68,29 @@
   const trees = new Map<string, Map<string, number>>();
   const failedTrees = new Map<string, Map<string, number>>();
 
+  const observe = (
+    target: RouteTarget,
+    counts: CallCounts,
+    weight: number,
+  ): void => {
+    const key = keyOf(target);
+    const tree = trees.get(key);
+    if (tree === undefined) {
+      addTree(trees, key, new Map(counts));
+      failedTrees.delete(key);
+      return;
+    }
+    for (const [service, mean] of tree) {
+      const sample = counts.get(service) ?? 0;
+      const next = mean + (sample - mean) * weight;
+      if (next < MIN_MEAN_COUNT) tree.delete(service);
+      else tree.set(service, next);
+    }
+    for (const [service, sample] of counts) {
+      if (!tree.has(service)) tree.set(service, sample * weight);
+    }
+  };
+
   return {
     observeFailed: (target, counts) => {
       const key = keyOf(target);
@@ -69,22 +103,10 @@
       }
     },
     observe: (target, counts) => {
-      const key = keyOf(target);
-      const tree = trees.get(key);
-      if (tree === undefined) {
-        addTree(trees, key, new Map(counts));
-        failedTrees.delete(key);
-        return;
-      }
-      for (const [service, mean] of tree) {
-        const sample = counts.get(service) ?? 0;
-        const next = mean + (sample - mean) * SAMPLE_WEIGHT;
-        if (next < MIN_MEAN_COUNT) tree.delete(service);
-        else tree.set(service, next);
-      }
-      for (const [service, sample] of counts) {
-        if (!tree.has(service)) tree.set(service, sample * SAMPLE_WEIGHT);
-      }
+      observe(target, counts, SAMPLE_WEIGHT);
+    },
+    observeProbe: (target, counts) => {
+      observe(target, counts, PROBE_WEIGHT);
     },
     callCountsOf: target => {
       const key = keyOf(target);
--- a/src/request/outbound_exchange.ts
+++ b/src/request/outbound_exchange.ts
@@ -8,6 +8,7 @@
 import {forwardedHeaders} from '../connection/raw_headers.js';
 import {readRequestBody} from '../connection/request_body.js';
 import type {UnframedBodies} from '../connection/unframed_bodies.js';
+import type {CallTreeProbes} from '../process/admission/call_tree_probes.js';
 import type {CallTrees} from '../process/admission/call_trees.js';
 import {downstreamCallCounts} from '../process/admission/call_trees.js';
 import type {CompletionThrottle} from '../process/admission/completion_throttle.js';
@@ -43,6 +44,7 @@
 import type {RoutedRequest} from './entered_request.js';
 import type {OrderEntryOptions} from './order_entry.js';
 import {awaitTurn, beginOrder} from './order_entry.js';
+import type {Admission} from './record_outcome.js';
 import {recordOutcome, targetOf} from './record_outcome.js';
 import {routeRequest} from './request_routing.js';
 import {completeResponse} from './response_completion.js';
@@ -65,6 +67,9 @@
   readonly loadPoller: LoadPoller;
   readonly targets: WeightedTargets;
   readonly trees: CallTrees;
+  readonly treeProbes: CallTreeProbes;
+  /** Called when a request is admitted to correct its call tree. */
+  readonly onProbe: (entered: EnteredRequest, cause: ShedCause) => void;
   readonly budget: RetryBudget;
   readonly quotas: QuotaEnforcer;
   readonly parents: InFlightParents;
@@ -136,7 +141,8 @@
   const isAdmitted = checkQuota(options, exchange, routed);
   if (!(isAdmitted instanceof Promise ? await isAdmitted : isAdmitted)) return;
   const entered = createEnteredRequest(options, exchange, routed);
-  if (!checkEntryAdmission(options, entered)) return;
+  const admission = admit(options, entered);
+  if (admission === undefined) return;
   if (exchange.expectsContinue) exchange.response.writeContinue();
   const bodyBytes = routed.table.limits.bodyBytes;
   const body = await readRequestBody(exchange.request, bodyBytes);
@@ -158,7 +164,7 @@
     routed.table,
     dropped,
   );
-  await serve(options, entered, headers, body.bytes);
+  await serve(options, entered, {admission, headers, body: body.bytes});
 }
 
 /** Returns true and refuses the request if this node is stopping and accepts no more. */
@@ -209,25 +215,35 @@
   return [...headers, wireHeaders.organisation, organisationName];
 }
 
-/** Returns false and sheds a client's request if a service on its path sheds this importance. */
-function checkEntryAdmission(
+/**
+ * Returns why a request is admitted; sheds a client's request and returns `undefined` if a
+ * service on its path sheds this importance.
+ */
+function admit(
   options: OutboundOptions,
   entered: EnteredRequest,
-): boolean {
+): Admission | undefined {
   const {route, service, origin} = entered;
   options.budget.recordRequest(new Map([[service, 1]]));
-  if (entered.parent !== undefined) return true;
-  const tree = options.trees.callCountsOf(targetOf(entered));
+  if (entered.parent !== undefined) return 'regular';
+  const target = targetOf(entered);
+  const tree = options.trees.callCountsOf(target);
   const candidate = {
     importance: origin.importance,
     attemptId: entered.attemptId,
   };
-  const cause =
-    options.entryAdmission.shedCause(candidate, service, tree) ??
-    throttleCause(options, entered);
+  const shedCause = options.entryAdmission.shedCause(candidate, service, tree);
+  const isProbe =
+    shedCause !== undefined &&
+    mayBeOutdated(shedCause, service) &&
+    options.treeProbes.tryProbe(target);
+  const cause = isProbe
+    ? undefined
+    : (shedCause ?? throttleCause(options, entered));
   if (cause === undefined) {
     options.budget.recordExpectedCalls(downstreamCallCounts(tree, service));
-    return true;
+    if (isProbe) options.onProbe(entered, shedCause);
+    return isProbe ? 'probe' : 'regular';
   }
   if (cause.reason === 'overload') options.loadPoller.recordShed(cause.service);
   options.responder.shed(entered.exchange, {
@@ -237,7 +253,12 @@
     importance: origin.importance,
     arrivedMillis: entered.arrivedMillis,
   });
-  return false;
+  return undefined;
+}
+
+/** Whether a request is shed for a service that the requests of its route may no longer call. */
+function mayBeOutdated(cause: ShedCause, service: string): boolean {
+  return cause.reason === 'no-upstream' && cause.service !== service;
 }
 
 /** Sheds a client's request if few requests of its route complete. */
@@ -250,11 +271,17 @@
     : {service, reason: 'rarely-completed'};
 }
 
+/** What an admitted request is served with. */
+interface ServedParts {
+  readonly admission: Admission;
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+}
+
 async function serve(
   options: OutboundOptions,
   entered: EnteredRequest,
-  headers: readonly string[],
-  body: Buffer,
+  {admission, headers, body}: ServedParts,
 ): Promise<void> {
   const {exchange, route, service, parent, organisation} = entered;
   const source = createCancelSource<CancelCause>();
@@ -272,7 +299,7 @@
     entered,
     attempted,
   );
-  recordOutcome(options, entered, result);
+  recordOutcome(options, entered, result, admission);
   if (!result.mayHaveRun) {
     options.startedOrders.release(entered.attemptId);
     if (organisation !== undefined) options.quotas.recordNotRun(organisation);
--- a/src/request/record_outcome.ts
+++ b/src/request/record_outcome.ts
@@ -12,13 +12,17 @@
   readonly completionThrottle: CompletionThrottle;
 }
 
+/** Why a request was admitted: as all others, or to correct its call tree. */
+export type Admission = 'regular' | 'probe';
+
 /** Records the outcome of a request that entered at this node. */
 export function recordOutcome(
   records: OutcomeRecords,
   entered: EnteredRequest,
   result: AttemptsResult,
+  admission: Admission,
 ): void {
-  recordCallTree(records, entered, result);
+  recordCallTree(records, entered, result, admission);
   recordCompletion(records, entered, result);
 }
 
@@ -35,14 +39,19 @@
   {trees}: OutcomeRecords,
   entered: EnteredRequest,
   result: AttemptsResult,
+  admission: Admission,
 ): void {
   const {lastResult} = result;
   if (lastResult.kind !== 'answered') return;
   const counts = new Map(lastResult.calls);
   counts.set(entered.service, (counts.get(entered.service) ?? 0) + 1);
   const target = targetOf(entered);
-  if (lastResult.answer.statusCode < 300) trees.observe(target, counts);
-  else if (lastResult.hasFailedCall) trees.observeFailed(target, counts);
+  if (lastResult.answer.statusCode < 300) {
+    if (admission === 'probe') trees.observeProbe(target, counts);
+    else trees.observe(target, counts);
+  } else if (lastResult.hasFailedCall) {
+    trees.observeFailed(target, counts);
+  }
 }
 
 /** Records whether a client's request completed or failed for a call below it. */
--- a/test/contract/platform_moved_routes.test.ts
+++ b/test/contract/platform_moved_routes.test.ts
@@ -1,7 +1,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ExecutionContext} from 'ava';
 import test from 'ava';
-import type {FleetHost, PlatformFleet} from '../fakes/platform_fleet.js';
+import type {
+  FleetHost,
+  LoggedEvent,
+  PlatformFleet,
+} from '../fakes/platform_fleet.js';
 import {createPath, SAFE_PATH} from '../fakes/platform_fleet.js';
 import {startFleet} from '../fakes/test_fleet.js';
 import {waitUntil} from '../fakes/wait_until.js';
@@ -104,3 +108,51 @@
   }
   t.is(next!.upstream.runIds.length - beforeCount, 3);
 });
+
+/** A route of the shop, whose upstream makes a call to the orders for each request. */
+async function startShop(t: ExecutionContext) {
+  const fleet = await startFleet(t, {
+    services: ['entry', 'orders', 'shop'],
+    paths: [
+      SAFE_PATH,
+      createPath({name: 'r-3', prefix: '/shop/', service: 'shop'}),
+    ],
+  });
+  const [entry, orders, shop] = fleet.hosts;
+  shop!.upstream.setHandler(request => {
+    const attemptId = `${request.attemptId}.1`;
+    void fleet.send(shop!, {attemptId, path: '/a/1'}).then(({statusCode}) => {
+      request.respond(statusCode === 200 ? 200 : 500, 'after a call');
+    });
+  });
+  assertAll(t, await sendAll(fleet, entry!, '/shop/1'), 200);
+  await loseUpstream(fleet, entry!, orders!);
+  return {fleet, entry: entry!, shop: shop!};
+}
+
+test('a route whose upstreams no longer call a lost service is served again', async t => {
+  // Guards against a route that is refused for ever: its call tree requires a service
+  // without upstreams, and only requests that are admitted correct the tree.
+  const {fleet, entry, shop} = await startShop(t);
+  shop.upstream.setHandler(request => {
+    request.respond(200, 'without a call');
+  });
+  assertAll(t, await sendAll(fleet, entry, '/shop/1'), 200);
+  t.is(entry.events.filter(isProbe).length, 1);
+});
+
+test('one request is admitted while a route needs a lost service', async t => {
+  // Guards against work for requests that cannot complete.
+  const {fleet, entry, shop} = await startShop(t);
+  const beforeCount = shop.upstream.runIds.length;
+  const statusCodes = await sendAll(fleet, entry, '/shop/1');
+  t.is(shop.upstream.runIds.length - beforeCount, 1);
+  t.deepEqual(statusCodes, [
+    500,
+    ...Array.from({length: REQUESTS_COUNT - 1}, () => 503),
+  ]);
+});
+
+function isProbe({event}: LoggedEvent): boolean {
+  return event === 'call-tree-probe';
+}
--- a/test/unit/process/admission/call_trees.test.ts
+++ b/test/unit/process/admission/call_trees.test.ts
@@ -62,6 +62,20 @@
   t.deepEqual([...trees.callCountsOf(TARGET)], [['desk', 1]]);
 });
 
+test('three probes that succeed remove a service that is no longer called', t => {
+  const trees = createCallTrees();
+  const called = new Map([
+    ['desk', 1],
+    ['catalogue', 4],
+  ]);
+  for (let index = 0; index < 200; index += 1) trees.observe(TARGET, called);
+  for (let index = 0; index < 3; index += 1) {
+    trees.observeProbe(TARGET, new Map([['desk', 1]]));
+  }
+  t.is(trees.callCountsOf(TARGET).get('catalogue'), 0.5);
+  t.is(trees.callCountsOf(TARGET).get('desk'), 1);
+});
+
 test('the number of call trees is bounded', t => {
   const trees = createCallTrees();
   const targetOf = (index: number) => ({...TARGET, service: `s${index}`});
