Reject responses whose head is not that of a final response

Here its client got no answer at all with 000, 042 and 099, or with a header name that is empty or contains a space; 600, 999 and a 101 that no client had asked for were passed on with the signature of the upstream; an upgrade to another protocol got 504.

Cause: the parser accepts these, and nothing checked them on receipt. Writing a status below 100 or such a name throws, after the request has left the list of open ones and its timer has been cleared.

Change: the head is checked where it is received, before the body is awaited. A status outside 200 to 599, a header that cannot be written, or an upgrade ends the attempt with its outcome unknown and closes the connection: a read goes to another upstream, an order gets 502 at once. `invalid-response-head` and fulmarhollow_invalid_response_heads_total show it.

--- a/src/connection/send_request.ts
+++ b/src/connection/send_request.ts
@@ -15,6 +15,8 @@
 import {removeClosedConnections} from './keep_alive_agent.js';
 import type {ReceivedResponse} from './received_response.js';
 import {isUnframed, receiveResponse} from './received_response.js';
+import type {ResponseHead} from './response_head.js';
+import {isFinalResponseHead} from './response_head.js';
 
 /** A request to send. */
 export interface OutgoingRequest {
@@ -43,6 +45,8 @@
       /** Closes the connection instead of keeping it for the next request. */
       readonly discardConnection: () => void;
     }
+  /** The server has sent a head that is not that of a final response. */
+  | {readonly kind: 'invalid-head'; readonly head: ResponseHead}
   /** The server never received the complete request. */
   | {readonly kind: 'not-sent'; readonly reason: string}
   /** The server may have received it. */
@@ -140,9 +144,24 @@
       fail('too many informational responses');
     }
   });
+  // Without a listener, the client closes the connection and reports nothing.
+  request.on('upgrade', (message, connection) => {
+    finish({kind: 'invalid-head', head: toHead(message)});
+    connection.destroy();
+  });
   request.on('response', message => {
     receivedMessage = message;
     const connection = message.socket;
+    const discardConnection = (): void => {
+      request.destroy();
+      connection.destroy();
+    };
+    const head = toHead(message);
+    if (!isFinalResponseHead(head)) {
+      finish({kind: 'invalid-head', head});
+      discardConnection();
+      return;
+    }
     if (message.headers['transfer-encoding'] !== undefined) {
       limitChunkOverhead(message, () => {
         message.destroy(new Error('too many bytes between chunks'));
@@ -156,10 +175,6 @@
       // A response without a body leaves its connection open.
       message.once('close', endListener.dispose);
     }
-    const discardConnection = (): void => {
-      request.destroy();
-      connection.destroy();
-    };
     receiveResponse(message).then(
       answer => {
         finish({kind: 'answer', answer, connection, discardConnection});
@@ -174,6 +189,10 @@
   else request.end(outgoing.body);
 }
 
+function toHead({statusCode, rawHeaders}: http.IncomingMessage): ResponseHead {
+  return {statusCode: statusCode ?? 0, headers: rawHeaders};
+}
+
 function withFramingHeaders(outgoing: OutgoingRequest): readonly string[] {
   const {headers, body, method} = outgoing;
   if (body.length === 0 && (method === 'GET' || method === 'HEAD')) {
--- a/src/connection/upstream_result.ts
+++ b/src/connection/upstream_result.ts
@@ -10,6 +10,7 @@
 import type {RawHeaders} from './raw_headers.js';
 import type {ReceivedResponse} from './received_response.js';
 import {findHeader, parseTransferCodings} from './received_response.js';
+import type {ResponseHead} from './response_head.js';
 import type {SendResult} from './send_request.js';
 import type {UpstreamRequest} from './upstream_request.js';
 
@@ -63,6 +64,9 @@
   /** The upstream has rejected a request that must not be repeated. */
   readonly onOrderRejected?:
     ((request: UpstreamRequest, rejection: OrderRejection) => void) | undefined;
+  /** The upstream has sent a head that is not that of a final response. */
+  readonly onInvalidHead?:
+    ((request: UpstreamRequest, head: ResponseHead) => void) | undefined;
   /** A request that was dispatched before has been responded to. */
   readonly onRepeatedDispatch?:
     | ((request: UpstreamRequest, dispatch: RepeatedDispatch) => void)
@@ -96,6 +100,10 @@
     const reason = request.cancel.cause ?? 'connection-lost';
     return {kind: 'unknown', reason, wasReused: result.wasReused};
   }
+  if (result.kind === 'invalid-head') {
+    options.onInvalidHead?.(request, result.head);
+    return {kind: 'unknown', reason: 'broken-answer', wasReused: false};
+  }
   const {answer} = result;
   if (isMismatched(answer, request, wireHeaders)) {
     result.discardConnection();
--- a/src/connection/upstream_sender.ts
+++ b/src/connection/upstream_sender.ts
@@ -48,7 +48,7 @@
 /** Listeners for what the upstream does on its connections. */
 export interface UpstreamSenderEvents extends Pick<
   UpstreamResultOptions,
-  'onOrderRejected' | 'onRepeatedDispatch'
+  'onOrderRejected' | 'onRepeatedDispatch' | 'onInvalidHead'
 > {
   /** A response without a length has ended with its connection. */
   readonly onUnframedEnd?:
--- a/src/daemon/upstream_events.ts
+++ b/src/daemon/upstream_events.ts
@@ -32,6 +32,14 @@
         earlierConnectionIds: dispatch.earlierConnectionIds.join(' '),
       });
     },
+    onInvalidHead: ({attemptId, upstreamId}, {statusCode}) => {
+      metrics.recordInvalidHead();
+      log.logRequestEvent('invalid-response-head', {
+        requestId: attemptId,
+        upstream: upstreamId,
+        statusCode,
+      });
+    },
     onUnframedEnd: ({attemptId, upstreamId}, ended) => {
       metrics.recordUnframedEnd(ended.end);
       log.logRequestEvent('unframed-end', {
--- a/src/process/log/node_metrics.ts
+++ b/src/process/log/node_metrics.ts
@@ -37,6 +37,8 @@
   recordUnframedEnd(end: 'closed' | 'reset'): void;
   /** Records invalid bytes after a complete response of the local upstream. */
   recordExcessBytes(): void;
+  /** A response of the local upstream had a head that is not that of a final response. */
+  recordInvalidHead(): void;
   /** Records a request that arrived again with its id, and was not run again. */
   recordRepeatedOrder(at: 'entry' | 'upstream'): void;
   /** Records a request that did not run, because its connection closed before its turn. */
@@ -163,6 +165,11 @@
     'Responses of the own upstream that ended with their connection',
     ['end'],
   );
+  const invalidHeads = counter(
+    'invalid_response_heads_total',
+    'Responses of the own upstream whose status or headers are invalid',
+    [],
+  );
   const excessBytes = counter(
     'excess_bytes_total',
     'Responses of the own upstream that were followed by invalid bytes',
@@ -265,6 +272,9 @@
     recordUnframedEnd: end => {
       unframedResponses.inc({end});
     },
+    recordInvalidHead: () => {
+      invalidHeads.inc();
+    },
     recordExcessBytes: () => {
       excessBytes.inc();
     },
