Share the eviction of the oldest key of a bounded record

The same four lines stood in departed and leaving upstreams, and twice more in what was added for call trees. evict_oldest holds them once; the key of a route and its service is shared too.

--- a/src/process/admission/call_tree_probes.ts
+++ b/src/process/admission/call_tree_probes.ts
@@ -6,7 +6,9 @@
  * a service whose last upstream is lost. The call tree still requires it, and only
  * requests that are admitted correct the tree: without probes, none ever is.
  */
+import {evictOldest} from '../../base/evict_oldest.js';
 import type {RouteTarget} from './call_trees.js';
+import {keyOf} from './call_trees.js';
 
 /** Probes of one entry node. */
 export interface CallTreeProbes {
@@ -27,16 +29,13 @@
 export function createCallTreeProbes(nowMillis: () => number): CallTreeProbes {
   const lastProbesMillis = new Map<string, number>();
   return {
-    tryProbe: ({routeName, service}) => {
-      const key = `${routeName} ${service}`;
+    tryProbe: target => {
+      const key = keyOf(target);
       const now = nowMillis();
       const lastMillis = lastProbesMillis.get(key) ?? -Infinity;
       if (now - lastMillis < PROBE_INTERVAL_MILLIS) return false;
       lastProbesMillis.set(key, now);
-      if (lastProbesMillis.size > MAX_TARGETS_COUNT) {
-        const [oldestKey = ''] = lastProbesMillis.keys();
-        lastProbesMillis.delete(oldestKey);
-      }
+      evictOldest(lastProbesMillis, MAX_TARGETS_COUNT);
       return true;
     },
   };
--- a/src/process/admission/call_trees.ts
+++ b/src/process/admission/call_trees.ts
@@ -9,6 +9,7 @@
  * configuration changes. Each of them has a tree of its own: a request that goes
  * to one of them does not need the others.
  */
+import {evictOldest} from '../../base/evict_oldest.js';
 
 /** Number of calls by service. */
 export type CallCounts = ReadonlyMap<string, number>;
@@ -115,7 +116,8 @@
   };
 }
 
-function keyOf({routeName, service}: RouteTarget): string {
+/** Key of a target in a map. */
+export function keyOf({routeName, service}: RouteTarget): string {
   return `${routeName} ${service}`;
 }
 
@@ -125,9 +127,7 @@
   tree: Map<string, number>,
 ): void {
   trees.set(key, tree);
-  if (trees.size <= MAX_TREES_COUNT) return;
-  const [oldestKey = ''] = trees.keys();
-  trees.delete(oldestKey);
+  evictOldest(trees, MAX_TREES_COUNT);
 }
 
 /**
--- a/src/process/membership/departed_upstreams.ts
+++ b/src/process/membership/departed_upstreams.ts
@@ -6,6 +6,7 @@
  * upstreams that have left since. Treated as new ones they would get requests,
  * although this node had recorded that they left.
  */
+import {evictOldest} from '../../base/evict_oldest.js';
 import type {UpstreamEntry} from './upstream_entry.js';
 import {compareStarts} from './upstream_start.js';
 
@@ -33,11 +34,7 @@
   return {
     add: entry => {
       lastEntries.set(entry.id, entry);
-      if (lastEntries.size <= MAX_DEPARTED_COUNT) return;
-      for (const oldestId of lastEntries.keys()) {
-        lastEntries.delete(oldestId);
-        return;
-      }
+      evictOldest(lastEntries, MAX_DEPARTED_COUNT);
     },
     delete: id => {
       lastEntries.delete(id);
--- a/src/process/membership/leaving_upstreams.ts
+++ b/src/process/membership/leaving_upstreams.ts
@@ -5,6 +5,7 @@
  * source is unavailable, or its entry expires and reappears. Each of these must
  * not bring it back into use, so the record is kept apart from the entries.
  */
+import {evictOldest} from '../../base/evict_oldest.js';
 
 /** Upstreams that are leaving, by id. */
 export interface LeavingUpstreams {
@@ -28,10 +29,7 @@
     add: id => {
       if (ids.has(id)) return false;
       ids.add(id);
-      if (ids.size > MAX_LEAVING_COUNT) {
-        const [oldestId = ''] = ids;
-        ids.delete(oldestId);
-      }
+      evictOldest(ids, MAX_LEAVING_COUNT);
       return true;
     },
     has: id => ids.has(id),
