--- a/test/contract/platform_moved_routes.test.ts
+++ b/test/contract/platform_moved_routes.test.ts
@@ -10,8 +10,8 @@
 import {startFleet} from '../fakes/test_fleet.js';
 import {waitUntil} from '../fakes/wait_until.js';
 
-/** Services without an upstream are refused from then on. */
-const REMOVAL_GRACE_MILLIS = 500;
+/** Time in which the other nodes receive what the entry node has received. */
+const PROPAGATION_MILLIS = 500;
 
 const REQUESTS_COUNT = 20;
 
@@ -31,7 +31,7 @@
         event === 'upstream-left' && fields['upstream'] === lost.upstream.id,
     ),
   );
-  await sleep(REMOVAL_GRACE_MILLIS);
+  await sleep(PROPAGATION_MILLIS);
 }
 
 /** Waits until a node has accepted as many configurations as were published. */
@@ -44,6 +44,9 @@
   });
 }
 
+let requestsCount = 0;
+
+/** Sends requests one after the other; returns their status codes. */
 async function sendAll(
   fleet: PlatformFleet,
   entry: FleetHost,
@@ -51,7 +54,8 @@
 ): Promise<readonly number[]> {
   const statusCodes: number[] = [];
   for (let index = 0; index < REQUESTS_COUNT; index += 1) {
-    const attemptId = `${path}${String(statusCodes.length)}-${String(Math.random())}`;
+    requestsCount += 1;
+    const attemptId = `r${String(requestsCount)}`;
     const answer = await fleet.send(entry, {attemptId, path});
     statusCodes.push(answer.statusCode);
   }
